The whole path, thin, over final crate boundaries

Cause: nothing existed; every other issue builds on a request served end to end. Change: workspace with types, protocol, membership, configuration, routing, replication, batch, server and lab; a request, a batch job and a configuration change pass through separate nodes, stand-in engines and a stand-in platform over real sockets.

--- /dev/null
+++ b/crates/firshore-lab/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for the outside systems, load, and experiments.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod cli;
+pub mod demo;
+pub mod stand_in;
+pub mod topology;
--- /dev/null
+++ b/crates/firshore-server/src/admin.rs
@@ -0,0 +1,147 @@
+//! Operators' interface on the admin address: health, metrics, status, configuration, drain.
+
+use crate::configuration;
+use crate::gateway::{read_body, response};
+use crate::journal;
+use crate::shared::Shared;
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use firshore_config::proposal::Proposal;
+use firshore_membership::member::Member;
+use firshore_types::error::{ApiError, ErrorCode};
+use firshore_types::ids::Revision;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+const MAXIMUM_PROPOSAL_BYTES: usize = 16 * 1024 * 1024;
+
+/// What `firshore status` shows of a node.
+#[derive(Serialize, Deserialize)]
+pub struct Status {
+    /// Revision in force.
+    pub revision: Revision,
+    /// Members as this node sees them.
+    pub members: Vec<Member>,
+    /// Back ends on its machine list.
+    pub machines: usize,
+}
+
+/// Answer to an accepted proposal.
+#[derive(Serialize, Deserialize)]
+pub struct Accepted {
+    /// Revision that the change became.
+    pub revision: Revision,
+}
+
+/// Answers one request on the admin address.
+pub async fn handle(
+    shared: Arc<Shared>,
+    mut request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
+    let result = route(&shared, &mut request).await;
+    Ok(result.unwrap_or_else(|error| response::of_error(&error)))
+}
+
+async fn route(shared: &Arc<Shared>, request: &mut Request) -> Result<Response<BoxBody>, ApiError> {
+    let path = request.path().to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, "/healthz") => Ok(response::text("ok\n")),
+        (Method::GET, "/readyz") => ready(shared),
+        (Method::GET, "/metrics") => Ok(metrics(shared)),
+        (Method::GET, "/status") => Ok(response::json(StatusCode::OK, &status(shared))),
+        (Method::GET, "/configuration") => Ok(response::json(
+            StatusCode::OK,
+            &shared.configuration().configuration,
+        )),
+        (Method::POST, "/configuration") => propose(shared, request).await,
+        (Method::GET, "/jobs") => Ok(response::json(
+            StatusCode::OK,
+            &journal::summaries(shared).await?,
+        )),
+        (Method::POST, "/drain") => {
+            shared.leaving.store(true, Ordering::Relaxed);
+            Ok(response::text("leaving\n"))
+        }
+        _ => Err(ApiError::not_run(
+            ErrorCode::NotFound,
+            format!("No path '{path}'."),
+        )),
+    }
+}
+
+fn ready(shared: &Shared) -> Result<Response<BoxBody>, ApiError> {
+    if shared.leaving.load(Ordering::Relaxed) {
+        return Err(ApiError::not_run(
+            ErrorCode::Unavailable,
+            "The node is leaving.",
+        ));
+    }
+    if shared.configuration().configuration.revision == Revision(0) {
+        return Err(ApiError::not_run(
+            ErrorCode::Unavailable,
+            "No configuration is in force yet.",
+        ));
+    }
+    Ok(response::text("ready\n"))
+}
+
+fn status(shared: &Shared) -> Status {
+    Status {
+        revision: shared.configuration().configuration.revision,
+        members: shared.members.lock().members(shared.clock.now()),
+        machines: shared.machines.read().len(),
+    }
+}
+
+async fn propose(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, ApiError> {
+    let body = read_body(request, MAXIMUM_PROPOSAL_BYTES).await?;
+    let proposal: Proposal = serde_json::from_slice(&body).map_err(|error| {
+        ApiError::not_run(
+            ErrorCode::InvalidRequest,
+            format!("The proposal is unusable: {error}."),
+        )
+    })?;
+    let revision = configuration::accept(shared, &proposal).await?;
+    Ok(response::json(StatusCode::OK, &Accepted { revision }))
+}
+
+fn metrics(shared: &Shared) -> Response<BoxBody> {
+    let mut registry = Registry::with_prefix("firshore");
+    let counters = [
+        (
+            "requests",
+            "Online requests taken in",
+            &shared.counters.requests,
+        ),
+        (
+            "refused",
+            "Requests refused, not run",
+            &shared.counters.refused,
+        ),
+        (
+            "failed",
+            "Requests failed after they may have run",
+            &shared.counters.failed,
+        ),
+        (
+            "batch_items",
+            "Batch items brought to a result",
+            &shared.counters.items,
+        ),
+    ];
+    for (name, help, value) in counters {
+        let counter = Counter::<u64>::default();
+        counter.inc_by(value.load(Ordering::Relaxed));
+        registry.register(name, help, counter);
+    }
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("writing to a string succeeds");
+    Response::build(StatusCode::OK)
+        .body(text)
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/firshore-server/src/cli/serve.rs
@@ -0,0 +1,71 @@
+//! `firshore serve`.
+
+use super::Failure;
+use crate::logging;
+use crate::node::Node;
+use crate::settings::Settings;
+use argh::FromArgs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Run a node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub(crate) struct Serve {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+    /// callers' address, in place of the settings'
+    #[argh(option)]
+    callers: Option<SocketAddr>,
+    /// peers' address, in place of the settings'
+    #[argh(option)]
+    peers: Option<SocketAddr>,
+    /// operators' address, in place of the settings'
+    #[argh(option)]
+    admin: Option<SocketAddr>,
+    /// zone, in place of the settings'
+    #[argh(option)]
+    zone: Option<String>,
+}
+
+impl Serve {
+    pub(crate) fn run(self) -> Result<(), Failure> {
+        let mut settings =
+            Settings::read(&self.settings).map_err(|error| Failure::Invalid(error.to_string()))?;
+        settings.listen.callers = self.callers.unwrap_or(settings.listen.callers);
+        settings.listen.peers = self.peers.unwrap_or(settings.listen.peers);
+        settings.listen.admin = self.admin.unwrap_or(settings.listen.admin);
+        if let Some(zone) = self.zone {
+            settings.zone = zone.as_str().into();
+        }
+        let log = logging::root(&settings.log);
+        let node = Node::start(settings, log)
+            .map_err(|error| Failure::Failed(format!("The node cannot start: {error}.")))?;
+        println!(
+            "callers {} peers {} admin {}",
+            node.callers, node.peers, node.admin
+        );
+        let stop = node.stopper();
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                wait_for_signal().await;
+                let _ = stop.send(()).await;
+                wait_for_signal().await;
+                std::process::exit(1);
+            });
+        });
+        node.join();
+        Ok(())
+    }
+}
+
+async fn wait_for_signal() {
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/engine/mod.rs
@@ -0,0 +1,3 @@
+//! The hop to back ends: one request on one connection, exactly once.
+
+pub mod exchange;
--- /dev/null
+++ b/crates/firshore-server/src/journal.rs
@@ -0,0 +1,113 @@
+//! The journal as the rest of the node sees it: commands committed, jobs read.
+
+use crate::peers::PeerError;
+use crate::shared::Shared;
+use firshore_batch::command::{Command, Outcome};
+use firshore_batch::job::JobSummary;
+use firshore_batch::table::JobTable;
+use firshore_protocol::message::{NamedResult, Request, Response};
+use firshore_types::error::{ApiError, ErrorCode};
+use firshore_types::ids::{ItemIndex, JobId};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+
+/// A journal held by this node alone, in memory.
+#[derive(Default)]
+pub struct Journal {
+    table: Mutex<JobTable>,
+}
+
+impl Journal {
+    /// Answers a request that concerns the journal.
+    pub async fn answer(&self, request: Request) -> Response {
+        let mut table = self.table.lock();
+        match request {
+            Request::Propose(command) => Response::Proposed(table.apply(command)),
+            Request::JobSummary(job) => Response::Jobs(table.summary(&job).into_iter().collect()),
+            Request::JobSummaries => Response::Jobs(table.summaries()),
+            Request::JobResults { job, from, count } => Response::Results(
+                table
+                    .results(&job, from, count as usize)
+                    .into_iter()
+                    .map(|(index, custom_id, result)| NamedResult {
+                        index,
+                        custom_id,
+                        result,
+                    })
+                    .collect(),
+            ),
+            Request::Heartbeat(_) => Response::NotLeader,
+        }
+    }
+}
+
+fn holder(shared: &Shared) -> Option<SocketAddr> {
+    let members = shared.members.lock().alive(shared.clock.now());
+    members
+        .into_iter()
+        .filter(|member| member.has_disk)
+        .min_by(|one, other| one.name.cmp(&other.name))
+        .map(|member| member.peer_address)
+}
+
+async fn ask(shared: &Shared, request: Request) -> Result<Response, ApiError> {
+    let unavailable = |execution_known: bool| {
+        let message = "The journal cannot be reached.";
+        let error = if execution_known {
+            ApiError::not_run(ErrorCode::JournalUnavailable, message)
+        } else {
+            ApiError::maybe_run(ErrorCode::JournalUnavailable, message)
+        };
+        error.retry_after(1)
+    };
+    let address = holder(shared).ok_or_else(|| unavailable(true))?;
+    match shared.peers.call(address, request).await {
+        Ok(Response::NotLeader) | Err(PeerError::NotSent) => Err(unavailable(true)),
+        Ok(response) => Ok(response),
+        Err(PeerError::Unanswered) => Err(unavailable(false)),
+    }
+}
+
+fn unexpected() -> ApiError {
+    ApiError::maybe_run(
+        ErrorCode::Internal,
+        "A peer answered with another kind of message.",
+    )
+}
+
+/// Commits a command.
+pub async fn propose(shared: &Shared, command: Command) -> Result<Outcome, ApiError> {
+    match ask(shared, Request::Propose(command)).await? {
+        Response::Proposed(outcome) => Ok(outcome),
+        _ => Err(unexpected()),
+    }
+}
+
+/// State of one job.
+pub async fn summary(shared: &Shared, job: JobId) -> Result<Option<JobSummary>, ApiError> {
+    match ask(shared, Request::JobSummary(job)).await? {
+        Response::Jobs(jobs) => Ok(jobs.into_iter().next()),
+        _ => Err(unexpected()),
+    }
+}
+
+/// State of every job.
+pub async fn summaries(shared: &Shared) -> Result<Vec<JobSummary>, ApiError> {
+    match ask(shared, Request::JobSummaries).await? {
+        Response::Jobs(jobs) => Ok(jobs),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Results of a job from a position on.
+pub async fn results(
+    shared: &Shared,
+    job: JobId,
+    from: ItemIndex,
+    count: u32,
+) -> Result<Vec<NamedResult>, ApiError> {
+    match ask(shared, Request::JobResults { job, from, count }).await? {
+        Response::Results(results) => Ok(results),
+        _ => Err(unexpected()),
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/lib.rs
@@ -0,0 +1,19 @@
+//! The firshore node: wiring of the state machines to sockets, disks and clocks, and its command
+//! line.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod admin;
+pub mod cli;
+pub mod clock;
+pub mod configuration;
+pub mod engine;
+pub mod gateway;
+pub mod journal;
+pub mod logging;
+pub mod membership;
+pub mod node;
+pub mod owner;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/crates/firshore-server/src/platform/mod.rs
@@ -0,0 +1,4 @@
+//! Clients of the platform's services.
+
+pub mod machine_list;
+pub mod object_api;
--- /dev/null
+++ b/crates/firshore-server/src/settings.rs
@@ -0,0 +1,203 @@
+//! Settings of a node: a TOML file, some of whose values flags override.
+
+use firshore_types::ids::{NodeName, RegionName, ZoneName};
+use quick_error::quick_error;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+quick_error! {
+    /// Why settings cannot be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file cannot be read.
+        Read(path: PathBuf, error: std::io::Error) {
+            display("The settings file {} cannot be read: {error}. Give its path with --settings.", path.display())
+        }
+        /// The file is not TOML of the expected shape.
+        Parse(path: PathBuf, error: toml::de::Error) {
+            display("The settings file {} is invalid: {error} Correct it as docs/REFERENCE.md gives.", path.display())
+        }
+        /// A value is unusable.
+        Invalid(key: &'static str, value: String, remedy: &'static str) {
+            display("Setting {key} = '{value}' cannot be used. {remedy}")
+        }
+    }
+}
+
+/// Everything a node is told at its start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name, unique in the cluster.
+    pub name: NodeName,
+    /// Region it stands in.
+    pub region: RegionName,
+    /// Zone it stands in.
+    pub zone: ZoneName,
+    /// Sockets.
+    pub listen: Listen,
+    /// Other nodes.
+    pub cluster: Cluster,
+    /// Platform services.
+    pub platform: Platform,
+    /// Disk, on the nodes that have one.
+    pub storage: Option<Storage>,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Limits on what is held in memory.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Addresses to listen on; port 0 takes a free one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+    /// Health, metrics and operators' HTTP.
+    pub admin: SocketAddr,
+}
+
+/// How the node finds and trusts its peers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cluster {
+    /// Shared secret of at least 16 bytes.
+    pub secret: String,
+    /// Peer addresses of some other nodes.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Where the platform's services answer.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Object API, as `http://IP:PORT`.
+    pub object_api: String,
+    /// Machine list, as `http://IP:PORT`.
+    pub machine_list: String,
+}
+
+/// The data folder.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Storage {
+    /// Folder for everything the node keeps on disk.
+    pub data_folder: PathBuf,
+}
+
+/// How the node logs.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Text or JSON.
+    pub format: LogFormat,
+    /// Least severe level written.
+    pub level: LogLevel,
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// One readable line an event.
+    #[default]
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Severity of log lines.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the node handles.
+    Warning,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Every decision.
+    Debug,
+}
+
+/// Limits on what is held in memory.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Longest body of an online request in bytes.
+    pub request_body_bytes: usize,
+    /// Longest body of a batch submission in bytes.
+    pub batch_body_bytes: usize,
+    /// Most items in one job.
+    pub batch_items: usize,
+    /// Worker threads for callers' connections.
+    pub workers: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            request_body_bytes: 4 * 1024 * 1024,
+            batch_body_bytes: 1024 * 1024 * 1024,
+            batch_items: 400_000,
+            workers: 2,
+        }
+    }
+}
+
+/// Shortest secret accepted, in bytes.
+const MINIMUM_SECRET_BYTES: usize = 16;
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Read(path.to_owned(), error))?;
+        let settings: Self =
+            toml::from_str(&text).map_err(|error| SettingsError::Parse(path.to_owned(), error))?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks what the types cannot.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if self.name.as_str().is_empty() {
+            return Err(SettingsError::Invalid("name", String::new(), "Set a name."));
+        }
+        if self.cluster.secret.len() < MINIMUM_SECRET_BYTES {
+            return Err(SettingsError::Invalid(
+                "cluster.secret",
+                "(hidden)".to_owned(),
+                "Set at least 16 random bytes, the same on every node.",
+            ));
+        }
+        for (key, value) in [
+            ("platform.object_api", &self.platform.object_api),
+            ("platform.machine_list", &self.platform.machine_list),
+        ] {
+            if !value.starts_with("http://") {
+                return Err(SettingsError::Invalid(
+                    key,
+                    value.clone(),
+                    "Write http://IP:PORT.",
+                ));
+            }
+        }
+        if self.limits.workers == 0 {
+            return Err(SettingsError::Invalid(
+                "limits.workers",
+                "0".to_owned(),
+                "Set at least 1.",
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/shared.rs
@@ -0,0 +1,133 @@
+//! Tables that the node's workers and background tasks share.
+//!
+//! Lock order: `configuration`, `machines`, `members`, `balancer`. A thread that holds one takes
+//! only later ones, and none is held across an await.
+
+use crate::clock::Clock;
+use crate::journal::Journal;
+use crate::peers::PeerClient;
+use crate::settings::Settings;
+use firshore_membership::table::MemberTable;
+use firshore_routing::balance::Balancer;
+use firshore_types::configuration::{Configuration, key_digest};
+use firshore_types::declaration::{Metadata, PoolSpec, ServiceSpec, TenantSpec};
+use firshore_types::machine::{Machine, MachineState};
+use parking_lot::{Mutex, RwLock};
+use slog::Logger;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+
+/// The configuration in force with indexes for the request path.
+#[derive(Debug, Default)]
+pub struct ConfigurationView {
+    /// Declarations.
+    pub configuration: Configuration,
+    tenants_by_digest: HashMap<String, (Metadata, TenantSpec)>,
+    services_by_model: HashMap<String, (Metadata, ServiceSpec)>,
+}
+
+impl ConfigurationView {
+    /// Indexes a configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut tenants_by_digest = HashMap::new();
+        for (metadata, spec) in configuration.tenants() {
+            for digest in &spec.key_digests {
+                let entry = (metadata.clone(), spec.clone());
+                tenants_by_digest.insert(digest.to_ascii_lowercase(), entry);
+            }
+        }
+        let mut services_by_model = HashMap::new();
+        for (metadata, spec) in configuration.services() {
+            if let Some(model) = &spec.model {
+                services_by_model.insert(model.clone(), (metadata.clone(), spec.clone()));
+            }
+        }
+        Self {
+            configuration,
+            tenants_by_digest,
+            services_by_model,
+        }
+    }
+
+    /// The tenant that holds `key`.
+    pub fn tenant(&self, key: &str) -> Option<&(Metadata, TenantSpec)> {
+        self.tenants_by_digest.get(&key_digest(key))
+    }
+
+    /// The service that serves `model`.
+    pub fn service_of_model(&self, model: &str) -> Option<&(Metadata, ServiceSpec)> {
+        self.services_by_model.get(model)
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<(&Metadata, &ServiceSpec)> {
+        self.configuration
+            .services()
+            .find(|(metadata, _)| metadata.name == name)
+    }
+
+    /// The pool of this name.
+    pub fn pool(&self, name: &str) -> Option<(&Metadata, &PoolSpec)> {
+        self.configuration
+            .pools()
+            .find(|(metadata, _)| metadata.name == name)
+    }
+}
+
+/// Counters behind `/metrics` and the status command.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Online requests taken in.
+    pub requests: AtomicU64,
+    /// Requests refused, certainly not run.
+    pub refused: AtomicU64,
+    /// Requests that failed after they may have run.
+    pub failed: AtomicU64,
+    /// Batch items run to a committed result by this node.
+    pub items: AtomicU64,
+}
+
+/// Everything shared.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Root of the log.
+    pub log: Logger,
+    /// Clock.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub configuration: RwLock<Arc<ConfigurationView>>,
+    /// Back ends from the machine list.
+    pub machines: RwLock<Arc<Vec<Machine>>>,
+    /// Nodes.
+    pub members: Mutex<MemberTable>,
+    /// Load of back ends.
+    pub balancer: Mutex<Balancer>,
+    /// Connections to peers.
+    pub peers: PeerClient,
+    /// Journal, where this node holds it.
+    pub journal: Option<Journal>,
+    /// Set once the node is told to stop.
+    pub leaving: AtomicBool,
+    /// Counters.
+    pub counters: Counters,
+}
+
+impl Shared {
+    /// The configuration in force.
+    pub fn configuration(&self) -> Arc<ConfigurationView> {
+        self.configuration.read().clone()
+    }
+
+    /// Live machines of a pool.
+    pub fn pool_machines(&self, pool: &PoolSpec) -> Vec<Machine> {
+        let machines = self.machines.read().clone();
+        machines
+            .iter()
+            .filter(|machine| machine.state == MachineState::Live)
+            .filter(|machine| pool.machines.matches(&machine.labels))
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/firshore-types/src/error.rs
@@ -0,0 +1,175 @@
+//! The one error body callers see, with typed codes, the remedy, and whether the request ran.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Whether a refused or failed request was run by a back end (`Firshore-Execution`).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Execution {
+    /// It certainly was not run; sending it again is safe.
+    None,
+    /// It may have been run, wholly or in part.
+    Unknown,
+    /// It was run to its end.
+    Complete,
+}
+
+impl Execution {
+    /// The value of the `Firshore-Execution` header.
+    pub fn header_value(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Unknown => "unknown",
+            Self::Complete => "complete",
+        }
+    }
+}
+
+macro_rules! error_codes {
+    ($($(#[$meta:meta])* $name:ident = $code:literal, $status:literal, $remedy:literal;)*) => {
+        /// Kind of an error, stable across versions.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        pub enum ErrorCode {
+            $($(#[$meta])* #[serde(rename = $code)] $name,)*
+        }
+
+        impl ErrorCode {
+            /// All codes, for the reference page.
+            pub const ALL: &'static [ErrorCode] = &[$(Self::$name,)*];
+
+            /// The code as callers see it.
+            pub fn as_str(self) -> &'static str {
+                match self { $(Self::$name => $code,)* }
+            }
+
+            /// HTTP status that carries the code.
+            pub fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)* }
+            }
+
+            /// What the caller can do about it.
+            pub fn remedy(self) -> &'static str {
+                match self { $(Self::$name => $remedy,)* }
+            }
+        }
+    };
+}
+
+error_codes! {
+    /// The body is not valid JSON or lacks a field.
+    InvalidRequest = "invalid_request", 400, "Correct the body as the message says and send it again.";
+    /// A header has an unusable value.
+    InvalidHeader = "invalid_header", 400, "Correct or remove the header that the message names.";
+    /// A line of a batch is not a valid item.
+    InvalidItem = "invalid_item", 400, "Correct the line that the message names and submit the whole job again.";
+    /// No key, or a key nobody holds.
+    Unauthorized = "unauthorized", 401, "Send 'Authorization: Bearer' with a key that a Tenant declaration lists.";
+    /// The tenant may not use this service.
+    Forbidden = "forbidden", 403, "Ask the operators for a policy that lets this tenant use the service.";
+    /// No such path, job or service.
+    NotFound = "not_found", 404, "Check the path, the job identifier and the service's name.";
+    /// No declared service serves the model.
+    UnknownModel = "unknown_model", 404, "Name a model that a declared service serves.";
+    /// The path does not take this method.
+    MethodNotAllowed = "method_not_allowed", 405, "Use the method that the reference gives for this path.";
+    /// The change or key was used for something else.
+    Conflict = "conflict", 409, "Read the current state, then decide whether to send a new change or use a new key.";
+    /// The body exceeds the limit.
+    TooLarge = "too_large", 413, "Send a body within the limit that the message gives.";
+    /// The tenant's rate or concurrency limit is reached.
+    RateLimited = "rate_limited", 429, "Wait as 'Retry-After' says, then send it again.";
+    /// All eligible back ends and the queue are full.
+    Overloaded = "overloaded", 429, "Wait as 'Retry-After' says, then send it again.";
+    /// Something inside failed.
+    Internal = "internal", 500, "Report the request's time and this message to the operators.";
+    /// The back end broke off or answered outside its protocol.
+    BackendFailed = "backend_failed", 502, "Send it again if it may run twice; otherwise check its effect first.";
+    /// The node is leaving or cannot serve yet.
+    Unavailable = "unavailable", 503, "Send it to another node, or wait as 'Retry-After' says.";
+    /// No live back end is eligible.
+    NoBackend = "no_backend", 503, "Wait as 'Retry-After' says; operators: check the pool's selector and the machine list.";
+    /// The journal cannot commit now.
+    JournalUnavailable = "journal_unavailable", 503, "Wait as 'Retry-After' says, then send it again with the same key.";
+    /// Disk space is used up on the journal's replicas.
+    StorageFull = "storage_full", 507, "Wait until the operators free space, then submit again with the same key.";
+    /// The deadline passed.
+    DeadlineExceeded = "deadline_exceeded", 504, "Send it again with a later deadline if the answer is still wanted.";
+}
+
+/// An error as sent to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiError {
+    /// Kind.
+    pub code: ErrorCode,
+    /// What went wrong in this case.
+    pub message: String,
+    /// Whether the request ran.
+    pub execution: Execution,
+    /// Seconds after which another try is sensible.
+    pub retry_after_seconds: Option<u32>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    code: ErrorCode,
+    message: &'a str,
+    remedy: &'a str,
+    execution: Execution,
+}
+
+impl ApiError {
+    /// An error for a request that certainly was not run.
+    pub fn not_run(code: ErrorCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            execution: Execution::None,
+            retry_after_seconds: None,
+        }
+    }
+
+    /// An error for a request that may have been run.
+    pub fn maybe_run(code: ErrorCode, message: impl Into<String>) -> Self {
+        Self {
+            execution: Execution::Unknown,
+            ..Self::not_run(code, message)
+        }
+    }
+
+    /// The same error telling the caller when to come back.
+    pub fn retry_after(mut self, seconds: u32) -> Self {
+        self.retry_after_seconds = Some(seconds);
+        self
+    }
+
+    /// The JSON body: `{"error":{"code","message","remedy","execution"}}`.
+    pub fn body(&self) -> String {
+        let detail = ErrorDetail {
+            code: self.code,
+            message: &self.message,
+            remedy: self.code.remedy(),
+            execution: self.execution,
+        };
+        serde_json::to_string(&ErrorBody { error: detail }).expect("strings serialise")
+    }
+}
+
+impl fmt::Display for ApiError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}: {} {}",
+            self.code.as_str(),
+            self.message,
+            self.code.remedy()
+        )
+    }
+}
+
+impl std::error::Error for ApiError {}
--- /dev/null
+++ b/crates/firshore-types/src/hash.rs
@@ -0,0 +1,48 @@
+//! Rendezvous hashing: every node computes the same owner for a key without talking.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Weight of `candidate` for `key`; the candidate with the highest weight owns the key.
+pub fn rendezvous_weight(key: &str, candidate: u64) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), candidate)
+}
+
+/// The candidate with the highest weight for `key`, or `None` when there is none. Ties, which
+/// need a 64-bit collision, go to the larger candidate so that all nodes still agree.
+pub fn rendezvous_owner(key: &str, candidates: impl IntoIterator<Item = u64>) -> Option<u64> {
+    candidates
+        .into_iter()
+        .max_by_key(|candidate| (rendezvous_weight(key, *candidate), *candidate))
+}
+
+/// The `count` candidates with the highest weights for `key`, best first.
+pub fn rendezvous_top(
+    key: &str,
+    candidates: impl IntoIterator<Item = u64>,
+    count: usize,
+) -> Vec<u64> {
+    let mut all: Vec<u64> = candidates.into_iter().collect();
+    all.sort_by_key(|candidate| {
+        std::cmp::Reverse((rendezvous_weight(key, *candidate), *candidate))
+    });
+    all.truncate(count);
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn removing_a_candidate_moves_only_its_own_keys() {
+        let keys: Vec<String> = (0..200).map(|number| format!("engine-{number}")).collect();
+        for key in &keys {
+            let before = rendezvous_owner(key, 1..=5).unwrap();
+            let after = rendezvous_owner(key, 1..=4).unwrap();
+            assert!(
+                before == after || before == 5,
+                "{key} moved from {before} to {after}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-types/src/lib.rs
@@ -0,0 +1,18 @@
+//! Shared vocabulary of firshore: identifiers, labels and selectors, declarations with their
+//! validation, and the error body every caller sees. No input or output happens here.
+//!
+//! ```
+//! use firshore_types::labels::{Labels, Selector};
+//! let labels = Labels::from_pairs([("team", "fieldline")]);
+//! assert!(Selector::matching([("team", "fieldline")]).matches(&labels));
+//! ```
+#![deny(missing_docs, unsafe_code)]
+
+pub mod configuration;
+pub mod declaration;
+pub mod error;
+pub mod hash;
+pub mod ids;
+pub mod labels;
+pub mod machine;
+pub mod validation;
--- /dev/null
+++ b/crates/firshore-types/src/validation.rs
@@ -0,0 +1,198 @@
+//! Reading declarations from YAML and checking that they fit together.
+
+use crate::configuration::Configuration;
+use crate::declaration::{Declaration, DeclarationKey, Kind, Protocol};
+use serde::Deserialize;
+use std::fmt;
+
+/// One fault in a declaration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// File, or the declaration's kind and name where no file is known.
+    pub place: String,
+    /// Field at fault, as a path such as `spec.pool`.
+    pub field: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}: {}: {} {}",
+            self.place, self.field, self.problem, self.remedy
+        )
+    }
+}
+
+/// Reads every YAML document in `text`; `place` names the file in faults.
+pub fn parse_declarations(place: &str, text: &str) -> Result<Vec<Declaration>, Vec<Fault>> {
+    let mut declarations = Vec::new();
+    let mut faults = Vec::new();
+    for (number, document) in serde_norway::Deserializer::from_str(text).enumerate() {
+        match Option::<Declaration>::deserialize(document) {
+            Ok(Some(declaration)) => declarations.push(declaration),
+            Ok(None) => {}
+            Err(error) => {
+                faults.push(Fault {
+                    place: place.to_owned(),
+                    field: format!("document {}", number + 1),
+                    problem: format!("{error}."),
+                    remedy: "Write it as docs/REFERENCE.md gives for its kind.".to_owned(),
+                });
+                break;
+            }
+        }
+    }
+    if faults.is_empty() {
+        Ok(declarations)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Checks every declaration and every reference between them.
+pub fn validate(configuration: &Configuration) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (key, declaration) in &configuration.declarations {
+        check_name(key, &mut faults);
+        check_content(configuration, key, declaration, &mut faults);
+    }
+    check_unique_models(configuration, &mut faults);
+    faults
+}
+
+fn fault(key: &DeclarationKey, field: &str, problem: String, remedy: &str) -> Fault {
+    Fault {
+        place: key.to_string(),
+        field: field.to_owned(),
+        problem,
+        remedy: remedy.to_owned(),
+    }
+}
+
+fn check_name(key: &DeclarationKey, faults: &mut Vec<Fault>) {
+    let allowed = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
+    if key.name.is_empty() || !key.name.chars().all(allowed) {
+        faults.push(fault(
+            key,
+            "metadata.name",
+            format!("'{}' is not a name.", key.name),
+            "Use letters, digits, '-', '_' and '.'.",
+        ));
+    }
+}
+
+fn check_content(
+    configuration: &Configuration,
+    key: &DeclarationKey,
+    declaration: &Declaration,
+    faults: &mut Vec<Fault>,
+) {
+    match declaration {
+        Declaration::Service { spec, .. } => {
+            let pool = DeclarationKey {
+                kind: Kind::EnginePool,
+                name: spec.pool.0.clone(),
+            };
+            if !configuration.declarations.contains_key(&pool) {
+                faults.push(fault(
+                    key,
+                    "spec.pool",
+                    format!("No EnginePool is named '{}'.", spec.pool),
+                    "Declare the pool or name one that exists.",
+                ));
+            }
+            if spec.protocol == Protocol::Model && spec.model.is_none() {
+                faults.push(fault(
+                    key,
+                    "spec.model",
+                    "A model service needs a model.".to_owned(),
+                    "Set the model's name as requests give it.",
+                ));
+            }
+        }
+        Declaration::EnginePool { spec, .. } => {
+            if spec.slots == 0 {
+                faults.push(fault(
+                    key,
+                    "spec.slots",
+                    "0 slots can run nothing.".to_owned(),
+                    "Set at least 1.",
+                ));
+            }
+        }
+        Declaration::Policy { spec, .. } => {
+            let sum: u32 = spec
+                .role_shares
+                .values()
+                .map(|share| u32::from(*share))
+                .sum();
+            if !spec.role_shares.is_empty() && sum != 100 {
+                faults.push(fault(
+                    key,
+                    "spec.roleShares",
+                    format!("The shares add up to {sum}."),
+                    "Make them add up to 100.",
+                ));
+            }
+            if let Some(limits) = &spec.limits {
+                check_limits(key, "spec.limits.requestsPerSecond", limits, faults);
+            }
+        }
+        Declaration::Tenant { spec, .. } => {
+            for digest in &spec.key_digests {
+                if digest.len() != 64 || !digest.chars().all(|digit| digit.is_ascii_hexdigit()) {
+                    faults.push(fault(
+                        key,
+                        "spec.keyDigests",
+                        "An entry is not a SHA-256 digest in hexadecimal.".to_owned(),
+                        "Write the 64 digits that 'printf %s KEY | sha256sum' prints.",
+                    ));
+                }
+            }
+            check_limits(key, "spec.limits.requestsPerSecond", &spec.limits, faults);
+        }
+    }
+}
+
+fn check_limits(
+    key: &DeclarationKey,
+    field: &str,
+    limits: &crate::declaration::Limits,
+    faults: &mut Vec<Fault>,
+) {
+    if limits
+        .requests_per_second
+        .is_some_and(|rate| !rate.is_finite() || rate <= 0.0)
+    {
+        faults.push(fault(
+            key,
+            field,
+            "The rate must be a positive number.".to_owned(),
+            "Set a positive rate, or leave it out for no limit.",
+        ));
+    }
+}
+
+fn check_unique_models(configuration: &Configuration, faults: &mut Vec<Fault>) {
+    let mut seen = std::collections::BTreeMap::new();
+    for (metadata, spec) in configuration.services() {
+        let Some(model) = &spec.model else { continue };
+        if let Some(other) = seen.insert(model.clone(), metadata.name.clone()) {
+            let key = DeclarationKey {
+                kind: Kind::Service,
+                name: metadata.name.clone(),
+            };
+            faults.push(fault(
+                &key,
+                "spec.model",
+                format!("Service '{other}' already serves model '{model}'."),
+                "Give each model to one service.",
+            ));
+        }
+    }
+}
