--- /dev/null
+++ b/crates/firshore-journal/src/state.rs
@@ -0,0 +1,54 @@
+//! The state of a journal group and the commands that change it.
+
+use crate::claim::{ClaimCommand, ClaimOutcome, ClaimTable};
+use firshore_batch::command as batch;
+use firshore_batch::table::JobTable;
+use firshore_types::ids::Revision;
+use serde::{Deserialize, Serialize};
+
+/// A command, as committed in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Concerns batch jobs.
+    Batch(batch::Command),
+    /// Concerns claims.
+    Claim(ClaimCommand),
+    /// Raises the floor: no node serves a configuration below it from now on.
+    RaiseFloor(Revision),
+}
+
+/// Outcome of a committed command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Of a batch command.
+    Batch(batch::Outcome),
+    /// Of a claim.
+    Claim(ClaimOutcome),
+    /// The floor after the command.
+    Floor(Revision),
+}
+
+/// Everything a journal group keeps.
+#[derive(Debug, Default)]
+pub struct JournalState {
+    /// Batch jobs.
+    pub jobs: JobTable,
+    /// Claims.
+    pub claims: ClaimTable,
+    /// Floor of the configuration.
+    pub floor: Revision,
+}
+
+impl JournalState {
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::Batch(command) => Outcome::Batch(self.jobs.apply(command)),
+            Command::Claim(command) => Outcome::Claim(self.claims.apply(command)),
+            Command::RaiseFloor(revision) => {
+                self.floor = self.floor.max(revision);
+                Outcome::Floor(self.floor)
+            }
+        }
+    }
+}
--- a/crates/firshore-lab/src/cli.rs
+++ b/crates/firshore-lab/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line of the lab.
 
 use crate::demo;
+use crate::experiment::Experiment;
 use crate::stand_in::engine;
 use crate::stand_in::platform::Platform;
 use argh::FromArgs;
@@ -21,6 +22,7 @@
 enum Command {
     Demo(Demo),
     StandIn(StandIn),
+    Experiment(Experiment),
 }
 
 /// Run a whole fleet in this process for a bounded time.
@@ -88,6 +90,7 @@
             actix_rt::System::new().block_on(demo::run(&demo.topology, demo.seconds, demo.keep))
         }
         Command::StandIn(stand_in) => run_stand_in(stand_in).map(|()| true),
+        Command::Experiment(experiment) => experiment.run(),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -445,8 +445,8 @@
     for line in broken.iter().take(10) {
         println!("  {line}");
     }
-    while keep {
-        actix_rt::time::sleep(Duration::from_secs(1)).await;
+    if keep {
+        let _ = tokio::signal::ctrl_c().await;
     }
     fleet.stop();
     Ok(broken.is_empty())
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -3,5 +3,7 @@
 
 pub mod cli;
 pub mod demo;
+pub mod experiment;
+pub mod report;
 pub mod stand_in;
 pub mod topology;
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between nodes.
 
-use firshore_batch::command::{Command, Outcome};
 use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_journal::state::{Command, Outcome};
 use firshore_membership::member::Member;
 use firshore_types::ids::{ItemIndex, JobId};
 use serde::{Deserialize, Serialize};
--- a/crates/firshore-server/src/cli/status.rs
+++ b/crates/firshore-server/src/cli/status.rs
@@ -28,7 +28,7 @@
         let status: admin::Status =
             client::call(&self.node, Method::GET, "/status", String::new())?;
         println!("revision {}  machines {}", status.revision, status.machines);
-        println!("{:<20} {:<16} {:<10} {}", "NODE", "ZONE", "STATE", "DISK");
+        println!("{:<20} {:<16} {:<10} DISK", "NODE", "ZONE", "STATE");
         for member in status.members {
             let state = format!("{:?}", member.state);
             let disk = if member.has_disk { "yes" } else { "no" };
--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -2,31 +2,35 @@
 
 use crate::peers::PeerError;
 use crate::shared::Shared;
-use firshore_batch::command::{Command, Outcome};
+use firshore_batch::command as batch;
 use firshore_batch::job::JobSummary;
-use firshore_batch::table::JobTable;
+use firshore_journal::claim::{ClaimCommand, ClaimOutcome};
+use firshore_journal::state::{Command, JournalState, Outcome};
 use firshore_protocol::message::{NamedResult, Request, Response};
 use firshore_types::error::{ApiError, ErrorCode};
-use firshore_types::ids::{ItemIndex, JobId};
+use firshore_types::ids::{ItemIndex, JobId, Revision};
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 
 /// A journal held by this node alone, in memory.
 #[derive(Default)]
 pub struct Journal {
-    table: Mutex<JobTable>,
+    state: Mutex<JournalState>,
 }
 
 impl Journal {
     /// Answers a request that concerns the journal.
     pub async fn answer(&self, request: Request) -> Response {
-        let mut table = self.table.lock();
+        let mut state = self.state.lock();
         match request {
-            Request::Propose(command) => Response::Proposed(table.apply(command)),
-            Request::JobSummary(job) => Response::Jobs(table.summary(&job).into_iter().collect()),
-            Request::JobSummaries => Response::Jobs(table.summaries()),
+            Request::Propose(command) => Response::Proposed(state.apply(command)),
+            Request::JobSummary(job) => {
+                Response::Jobs(state.jobs.summary(&job).into_iter().collect())
+            }
+            Request::JobSummaries => Response::Jobs(state.jobs.summaries()),
             Request::JobResults { job, from, count } => Response::Results(
-                table
+                state
+                    .jobs
                     .results(&job, from, count as usize)
                     .into_iter()
                     .map(|(index, custom_id, result)| NamedResult {
@@ -75,10 +79,26 @@
     )
 }
 
-/// Commits a command.
-pub async fn propose(shared: &Shared, command: Command) -> Result<Outcome, ApiError> {
-    match ask(shared, Request::Propose(command)).await? {
-        Response::Proposed(outcome) => Ok(outcome),
+/// Commits a command that concerns batch jobs.
+pub async fn propose(shared: &Shared, command: batch::Command) -> Result<batch::Outcome, ApiError> {
+    match ask(shared, Request::Propose(Command::Batch(command))).await? {
+        Response::Proposed(Outcome::Batch(outcome)) => Ok(outcome),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Commits a command that concerns claims.
+pub async fn claim(shared: &Shared, command: ClaimCommand) -> Result<ClaimOutcome, ApiError> {
+    match ask(shared, Request::Propose(Command::Claim(command))).await? {
+        Response::Proposed(Outcome::Claim(outcome)) => Ok(outcome),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Raises the floor of the configuration and returns it.
+pub async fn raise_floor(shared: &Shared, revision: Revision) -> Result<Revision, ApiError> {
+    match ask(shared, Request::Propose(Command::RaiseFloor(revision))).await? {
+        Response::Proposed(Outcome::Floor(floor)) => Ok(floor),
         _ => Err(unexpected()),
     }
 }
--- a/crates/firshore-server/src/owner.rs
+++ b/crates/firshore-server/src/owner.rs
@@ -59,10 +59,9 @@
 async fn expire(shared: &Shared) {
     if let Some(journal) = &shared.journal {
         let now = crate::clock::unix_milliseconds();
+        let expire = firshore_journal::state::Command::Batch(Command::Expire { now });
         journal
-            .answer(firshore_protocol::message::Request::Propose(
-                Command::Expire { now },
-            ))
+            .answer(firshore_protocol::message::Request::Propose(expire))
             .await;
     }
 }
--- a/crates/firshore-types/src/hash.rs
+++ b/crates/firshore-types/src/hash.rs
@@ -29,6 +29,23 @@
     all
 }
 
+/// Words of a prompt that make one cache block.
+pub const WORDS_PER_BLOCK: usize = 16;
+
+/// Hashes of a prompt's whole blocks, each covering all blocks before it, so that two prompts
+/// share the first `n` hashes exactly when they share their first `n` blocks. A word stands for a
+/// token, as in the engine's cache events.
+pub fn prompt_block_hashes(prompt: &str) -> Vec<u64> {
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let mut hashes = Vec::new();
+    let mut previous = 0;
+    for block in words.chunks_exact(WORDS_PER_BLOCK) {
+        previous = xxh3_64_with_seed(block.join(" ").as_bytes(), previous);
+        hashes.push(previous);
+    }
+    hashes
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
