Metrics registry built once; tests of hashing in a test file

Cause: the registry was built anew at each scrape, and errors were counted without their kind. Change: Metrics holds the registry, its descriptions and typed handles; errors are counted by code and execution. The inline test of rendezvous hashing moves to tests/ unchanged, with more beside it.

--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -5,19 +5,20 @@
 use crate::journal;
 use crate::shared::Shared;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
 use firshore_config::proposal::Proposal;
 use firshore_membership::member::Member;
 use firshore_types::error::{ApiError, ErrorCode};
 use firshore_types::ids::Revision;
-use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
-use prometheus_client::registry::Registry;
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// Text format that Prometheus scrapes.
+const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 const MAXIMUM_PROPOSAL_BYTES: usize = 16 * 1024 * 1024;
 
 /// What `firshore status` shows of a node.
@@ -111,37 +112,15 @@
 }
 
 fn metrics(shared: &Shared) -> Response<BoxBody> {
-    let mut registry = Registry::with_prefix("firshore");
-    let counters = [
-        (
-            "requests",
-            "Online requests taken in",
-            &shared.counters.requests,
-        ),
-        (
-            "refused",
-            "Requests refused, not run",
-            &shared.counters.refused,
-        ),
-        (
-            "failed",
-            "Requests failed after they may have run",
-            &shared.counters.failed,
-        ),
-        (
-            "batch_items",
-            "Batch items brought to a result",
-            &shared.counters.items,
-        ),
-    ];
-    for (name, help, value) in counters {
-        let counter = Counter::<u64>::default();
-        counter.inc_by(value.load(Ordering::Relaxed));
-        registry.register(name, help, counter);
-    }
-    let mut text = String::new();
-    encode(&mut text, &registry).expect("writing to a string succeeds");
+    let metrics = &shared.metrics;
+    let revision = shared.configuration().configuration.revision;
+    let alive = shared.members.lock().alive(shared.clock.now()).len();
+    let machines = shared.machines.read().len();
+    metrics.revision.set(revision.0 as i64);
+    metrics.members_alive.set(alive as i64);
+    metrics.machines.set(machines as i64);
     Response::build(StatusCode::OK)
-        .body(text)
+        .insert_header((CONTENT_TYPE, METRICS_CONTENT_TYPE))
+        .body(metrics.encode())
         .map_into_boxed_body()
 }
--- a/crates/firshore-server/src/gateway/application.rs
+++ b/crates/firshore-server/src/gateway/application.rs
@@ -8,7 +8,6 @@
 use actix_http::{HttpMessage, Request, Response};
 use firshore_types::error::{ApiError, ErrorCode};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Headers that belong to one hop and are not passed on.
 const HOP_HEADERS: [HeaderName; 8] = [
@@ -60,7 +59,7 @@
         headers: passed_on(request.headers()),
         body: read_body(request, shared.settings.limits.request_body_bytes).await?,
     };
-    shared.counters.requests.fetch_add(1, Ordering::Relaxed);
+    shared.metrics.requests.inc();
     let machines = shared.pool_machines(pool);
     let (exchange, outstanding) = dispatch::send(shared, &machines, &outbound).await?;
     let mut builder = Response::build(exchange.head.status);
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -11,7 +11,6 @@
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Header by which engines learn a request's priority. Online requests have 128 or more, batch
 /// items less, so that an engine never lets an online request wait behind an item.
@@ -57,7 +56,7 @@
             "The service's pool is not declared.",
         ));
     };
-    shared.counters.requests.fetch_add(1, Ordering::Relaxed);
+    shared.metrics.requests.inc();
     let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
     let outbound = outbound(path, body, priority);
     let machines = shared.pool_machines(pool);
--- a/crates/firshore-server/src/gateway/mod.rs
+++ b/crates/firshore-server/src/gateway/mod.rs
@@ -15,7 +15,6 @@
 use futures_util::StreamExt;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Answers one request of a caller.
 pub async fn handle(
@@ -24,7 +23,7 @@
 ) -> Result<Response<BoxBody>, Infallible> {
     let result = route(&shared, request).await;
     Ok(result.unwrap_or_else(|error| {
-        shared.counters.refused.fetch_add(1, Ordering::Relaxed);
+        shared.metrics.count_error(&error);
         response::of_error(&error)
     }))
 }
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod journal;
 pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod peers;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -69,7 +69,7 @@
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             leaving: Default::default(),
-            counters: Default::default(),
+            metrics: Default::default(),
             settings,
         });
         let (stop, stopped) = mpsc::channel(1);
--- a/crates/firshore-server/src/owner.rs
+++ b/crates/firshore-server/src/owner.rs
@@ -144,7 +144,7 @@
         None => return,
     };
     if journal::propose(shared, command).await.is_ok() {
-        shared.counters.items.fetch_add(1, Ordering::Relaxed);
+        shared.metrics.batch_items.inc();
     }
 }
 
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Clock;
 use crate::journal::Journal;
+use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
 use firshore_membership::table::MemberTable;
@@ -16,7 +17,7 @@
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicBool;
 
 /// The configuration in force with indexes for the request path.
 #[derive(Debug, Default)]
@@ -75,19 +76,6 @@
     }
 }
 
-/// Counters behind `/metrics` and the status command.
-#[derive(Debug, Default)]
-pub struct Counters {
-    /// Online requests taken in.
-    pub requests: AtomicU64,
-    /// Requests refused, certainly not run.
-    pub refused: AtomicU64,
-    /// Requests that failed after they may have run.
-    pub failed: AtomicU64,
-    /// Batch items run to a committed result by this node.
-    pub items: AtomicU64,
-}
-
 /// Everything shared.
 pub struct Shared {
     /// Settings.
@@ -110,8 +98,8 @@
     pub journal: Option<Journal>,
     /// Set once the node is told to stop.
     pub leaving: AtomicBool,
-    /// Counters.
-    pub counters: Counters,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 impl Shared {
--- a/crates/firshore-types/src/hash.rs
+++ b/crates/firshore-types/src/hash.rs
@@ -45,21 +45,3 @@
     }
     hashes
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn removing_a_candidate_moves_only_its_own_keys() {
-        let keys: Vec<String> = (0..200).map(|number| format!("engine-{number}")).collect();
-        for key in &keys {
-            let before = rendezvous_owner(key, 1..=5).unwrap();
-            let after = rendezvous_owner(key, 1..=4).unwrap();
-            assert!(
-                before == after || before == 5,
-                "{key} moved from {before} to {after}"
-            );
-        }
-    }
-}
