--- a/crates/firshore-batch/src/table.rs
+++ b/crates/firshore-batch/src/table.rs
@@ -3,15 +3,16 @@
 use crate::command::{Command, Item, ItemLease, Outcome, Submission};
 use crate::job::{ItemResult, JobStatus, JobSummary, RequestCounts};
 use firshore_types::ids::{ItemIndex, JobId, TenantName};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct OpenLease {
     attempt: u32,
     expires_at: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Job {
     tenant: TenantName,
     body_digest: String,
@@ -25,7 +26,7 @@
 }
 
 /// All jobs.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct JobTable {
     jobs: BTreeMap<JobId, Job>,
 }
--- a/crates/firshore-journal/src/claim.rs
+++ b/crates/firshore-journal/src/claim.rs
@@ -14,6 +14,11 @@
     pub key: String,
 }
 
+/// Random number drawn anew for each request that claims. A claim whose answer was lost may be
+/// proposed again with the same token and is granted again; no other token ever is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimToken(pub u64);
+
 /// How a claimed request ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimedAnswer {
@@ -32,6 +37,8 @@
     Claim {
         /// Key.
         key: ClaimKey,
+        /// Who claims.
+        proposer: ClaimToken,
         /// SHA-256 of the request; a second request must match it.
         digest: String,
         /// Unix milliseconds on the leader's clock.
@@ -41,11 +48,23 @@
     Settle {
         /// Key.
         key: ClaimKey,
+        /// Who claimed; nobody else's answer is recorded.
+        proposer: ClaimToken,
         /// Answer.
         answer: ClaimedAnswer,
     },
     /// Gives the claim up: the request certainly was not run.
-    Release(ClaimKey),
+    Release {
+        /// Key.
+        key: ClaimKey,
+        /// Who claimed; a release that arrives late does not free another's claim.
+        proposer: ClaimToken,
+    },
+    /// Forgets claims made before this time.
+    Forget {
+        /// Unix milliseconds on the leader's clock.
+        before: u64,
+    },
 }
 
 /// Outcome of a claim.
@@ -66,6 +85,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Claim {
     digest: String,
+    proposer: ClaimToken,
     at: u64,
     answer: Option<ClaimedAnswer>,
 }
@@ -80,45 +100,63 @@
     /// Applies a committed command.
     pub fn apply(&mut self, command: ClaimCommand) -> ClaimOutcome {
         match command {
-            ClaimCommand::Claim { key, digest, at } => self.claim(key, digest, at),
-            ClaimCommand::Settle { key, answer } => {
-                if let Some(claim) = self.claims.get_mut(&key) {
+            ClaimCommand::Claim {
+                key,
+                proposer,
+                digest,
+                at,
+            } => self.claim(key, proposer, digest, at),
+            ClaimCommand::Settle {
+                key,
+                proposer,
+                answer,
+            } => {
+                if let Some(claim) = self.claims.get_mut(&key)
+                    && claim.proposer == proposer
+                {
                     claim.answer.get_or_insert(answer);
                 }
                 ClaimOutcome::Done
             }
-            ClaimCommand::Release(key) => {
-                if self
-                    .claims
-                    .get(&key)
-                    .is_some_and(|claim| claim.answer.is_none())
-                {
+            ClaimCommand::Release { key, proposer } => {
+                let releasable =
+                    |claim: &Claim| claim.answer.is_none() && claim.proposer == proposer;
+                if self.claims.get(&key).is_some_and(releasable) {
                     self.claims.remove(&key);
                 }
                 ClaimOutcome::Done
             }
+            ClaimCommand::Forget { before } => {
+                self.claims.retain(|_, claim| claim.at >= before);
+                ClaimOutcome::Done
+            }
         }
     }
 
-    fn claim(&mut self, key: ClaimKey, digest: String, at: u64) -> ClaimOutcome {
-        match self.claims.get(&key) {
-            None => {
-                self.claims.insert(
-                    key,
-                    Claim {
-                        digest,
-                        at,
-                        answer: None,
-                    },
-                );
-                ClaimOutcome::Granted
-            }
-            Some(claim) if claim.digest != digest => ClaimOutcome::Conflict,
-            Some(Claim {
-                answer: Some(answer),
-                ..
-            }) => ClaimOutcome::Settled(answer.clone()),
-            Some(_) => ClaimOutcome::Held,
+    fn claim(
+        &mut self,
+        key: ClaimKey,
+        proposer: ClaimToken,
+        digest: String,
+        at: u64,
+    ) -> ClaimOutcome {
+        let Some(claim) = self.claims.get(&key) else {
+            let claim = Claim {
+                digest,
+                proposer,
+                at,
+                answer: None,
+            };
+            self.claims.insert(key, claim);
+            return ClaimOutcome::Granted;
+        };
+        if claim.digest != digest {
+            return ClaimOutcome::Conflict;
+        }
+        match &claim.answer {
+            Some(answer) => ClaimOutcome::Settled(answer.clone()),
+            None if claim.proposer == proposer => ClaimOutcome::Granted,
+            None => ClaimOutcome::Held,
         }
     }
 }
--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -29,7 +29,7 @@
 }
 
 /// Everything a journal group keeps.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct JournalState {
     /// Batch jobs.
     pub jobs: JobTable,
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -3,7 +3,9 @@
 use firshore_batch::job::{ItemResult, JobSummary};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::member::Member;
-use firshore_types::ids::{ItemIndex, JobId};
+use firshore_replication::message::Envelope;
+use firshore_replication::types::{DiskId, GroupId};
+use firshore_types::ids::{ItemIndex, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// A question or notice to a peer, with a number that its answer repeats.
@@ -29,7 +31,28 @@
 pub enum Request {
     /// The sender is alive, in this state.
     Heartbeat(Member),
-    /// Commit a command in the journal.
+    /// Concerns a journal group; only the group's leader answers.
+    Journal {
+        /// Group.
+        group: GroupId,
+        /// Content.
+        request: JournalRequest,
+    },
+    /// Which replica of a journal group the peer's disk holds.
+    ReplicaIdentity(GroupId),
+    /// A message between replicas of a journal group; the answer only says that it arrived.
+    Replication {
+        /// Group.
+        group: GroupId,
+        /// Content.
+        envelope: Envelope,
+    },
+}
+
+/// What a node asks of a journal group's leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JournalRequest {
+    /// Commit a command.
     Propose(Command),
     /// State of one job.
     JobSummary(JobId),
@@ -46,6 +69,29 @@
     },
 }
 
+/// Why a journal group's leader did not do as asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JournalRefusal {
+    /// The peer does not lead the group; nothing was done.
+    NotLeader {
+        /// Node that leads, as far as the peer knows.
+        leader: Option<NodeName>,
+    },
+    /// A disk is full; nothing was done.
+    StorageFull,
+    /// The peer lost its leadership meanwhile: the command may or may not take effect.
+    Unsettled,
+}
+
+/// The replica that a node's disk holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaIdentity {
+    /// Identity of the disk.
+    pub disk: DiskId,
+    /// Whether it holds anything of the group's log.
+    pub holds_log: bool,
+}
+
 /// One item's result with the caller's name for the item.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct NamedResult {
@@ -68,6 +114,10 @@
     Jobs(Vec<JobSummary>),
     /// Results.
     Results(Vec<NamedResult>),
-    /// The peer does not hold the journal.
-    NotLeader,
+    /// The journal group's leader did not do as asked, or the peer does not lead it.
+    Refused(JournalRefusal),
+    /// Replica on the peer's disk, if it has a disk.
+    ReplicaIdentity(Option<ReplicaIdentity>),
+    /// The message arrived.
+    Received,
 }
--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -6,7 +6,8 @@
 use firshore_batch::job::JobSummary;
 use firshore_journal::claim::{ClaimCommand, ClaimOutcome};
 use firshore_journal::state::{Command, JournalState, Outcome};
-use firshore_protocol::message::{NamedResult, Request, Response};
+use firshore_protocol::message::{JournalRequest, NamedResult, Request, Response};
+use firshore_replication::types::GroupId;
 use firshore_types::error::{ApiError, ErrorCode};
 use firshore_types::ids::{ItemIndex, JobId, Revision};
 use parking_lot::Mutex;
@@ -20,15 +21,15 @@
 
 impl Journal {
     /// Answers a request that concerns the journal.
-    pub async fn answer(&self, request: Request) -> Response {
+    pub async fn answer(&self, request: JournalRequest) -> Response {
         let mut state = self.state.lock();
         match request {
-            Request::Propose(command) => Response::Proposed(state.apply(command)),
-            Request::JobSummary(job) => {
+            JournalRequest::Propose(command) => Response::Proposed(state.apply(command)),
+            JournalRequest::JobSummary(job) => {
                 Response::Jobs(state.jobs.summary(&job).into_iter().collect())
             }
-            Request::JobSummaries => Response::Jobs(state.jobs.summaries()),
-            Request::JobResults { job, from, count } => Response::Results(
+            JournalRequest::JobSummaries => Response::Jobs(state.jobs.summaries()),
+            JournalRequest::JobResults { job, from, count } => Response::Results(
                 state
                     .jobs
                     .results(&job, from, count as usize)
@@ -40,7 +41,6 @@
                     })
                     .collect(),
             ),
-            Request::Heartbeat(_) => Response::NotLeader,
         }
     }
 }
@@ -54,7 +54,7 @@
         .map(|member| member.peer_address)
 }
 
-async fn ask(shared: &Shared, request: Request) -> Result<Response, ApiError> {
+async fn ask(shared: &Shared, request: JournalRequest) -> Result<Response, ApiError> {
     let unavailable = |execution_known: bool| {
         let message = "The journal cannot be reached.";
         let error = if execution_known {
@@ -65,8 +65,12 @@
         error.retry_after(1)
     };
     let address = holder(shared).ok_or_else(|| unavailable(true))?;
+    let request = Request::Journal {
+        group: GroupId(0),
+        request,
+    };
     match shared.peers.call(address, request).await {
-        Ok(Response::NotLeader) | Err(PeerError::NotSent) => Err(unavailable(true)),
+        Ok(Response::Refused(_)) | Err(PeerError::NotSent) => Err(unavailable(true)),
         Ok(response) => Ok(response),
         Err(PeerError::Unanswered) => Err(unavailable(false)),
     }
@@ -81,7 +85,7 @@
 
 /// Commits a command that concerns batch jobs.
 pub async fn propose(shared: &Shared, command: batch::Command) -> Result<batch::Outcome, ApiError> {
-    match ask(shared, Request::Propose(Command::Batch(command))).await? {
+    match ask(shared, JournalRequest::Propose(Command::Batch(command))).await? {
         Response::Proposed(Outcome::Batch(outcome)) => Ok(outcome),
         _ => Err(unexpected()),
     }
@@ -89,7 +93,7 @@
 
 /// Commits a command that concerns claims.
 pub async fn claim(shared: &Shared, command: ClaimCommand) -> Result<ClaimOutcome, ApiError> {
-    match ask(shared, Request::Propose(Command::Claim(command))).await? {
+    match ask(shared, JournalRequest::Propose(Command::Claim(command))).await? {
         Response::Proposed(Outcome::Claim(outcome)) => Ok(outcome),
         _ => Err(unexpected()),
     }
@@ -97,7 +101,12 @@
 
 /// Raises the floor of the configuration and returns it.
 pub async fn raise_floor(shared: &Shared, revision: Revision) -> Result<Revision, ApiError> {
-    match ask(shared, Request::Propose(Command::RaiseFloor(revision))).await? {
+    match ask(
+        shared,
+        JournalRequest::Propose(Command::RaiseFloor(revision)),
+    )
+    .await?
+    {
         Response::Proposed(Outcome::Floor(floor)) => Ok(floor),
         _ => Err(unexpected()),
     }
@@ -105,7 +114,7 @@
 
 /// State of one job.
 pub async fn summary(shared: &Shared, job: JobId) -> Result<Option<JobSummary>, ApiError> {
-    match ask(shared, Request::JobSummary(job)).await? {
+    match ask(shared, JournalRequest::JobSummary(job)).await? {
         Response::Jobs(jobs) => Ok(jobs.into_iter().next()),
         _ => Err(unexpected()),
     }
@@ -113,7 +122,7 @@
 
 /// State of every job.
 pub async fn summaries(shared: &Shared) -> Result<Vec<JobSummary>, ApiError> {
-    match ask(shared, Request::JobSummaries).await? {
+    match ask(shared, JournalRequest::JobSummaries).await? {
         Response::Jobs(jobs) => Ok(jobs),
         _ => Err(unexpected()),
     }
@@ -126,7 +135,7 @@
     from: ItemIndex,
     count: u32,
 ) -> Result<Vec<NamedResult>, ApiError> {
-    match ask(shared, Request::JobResults { job, from, count }).await? {
+    match ask(shared, JournalRequest::JobResults { job, from, count }).await? {
         Response::Results(results) => Ok(results),
         _ => Err(unexpected()),
     }
--- a/crates/firshore-server/src/owner.rs
+++ b/crates/firshore-server/src/owner.rs
@@ -61,7 +61,7 @@
         let now = crate::clock::unix_milliseconds();
         let expire = firshore_journal::state::Command::Batch(Command::Expire { now });
         journal
-            .answer(firshore_protocol::message::Request::Propose(expire))
+            .answer(firshore_protocol::message::JournalRequest::Propose(expire))
             .await;
     }
 }
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -4,7 +4,7 @@
 use firshore_protocol::error::ProtocolError;
 use firshore_protocol::frame::{self, MAXIMUM_FRAME_BYTES};
 use firshore_protocol::handshake::{self, ClusterSecret};
-use firshore_protocol::message::{Request, RequestFrame, Response, ResponseFrame};
+use firshore_protocol::message::{JournalRefusal, Request, RequestFrame, Response, ResponseFrame};
 use quick_error::quick_error;
 use slog::{info, warn};
 use std::cell::RefCell;
@@ -228,9 +228,11 @@
             members.heard_from(shared.clock.now(), member);
             Response::Heartbeat(members.own().clone())
         }
-        request => match &shared.journal {
+        Request::Journal { request, .. } => match &shared.journal {
             Some(journal) => journal.answer(request).await,
-            None => Response::NotLeader,
+            None => Response::Refused(JournalRefusal::NotLeader { leader: None }),
         },
+        Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
+        Request::Replication { .. } => Response::Received,
     }
 }
