A node's way out in phases; callers' connections watched; retry policy and event streams

Cause: a stop cut streams after 5 s, 'drain' only set a flag, idle keep-alive connections held the stop, a caller that closed before its answer was noticed only when the answer was written. Change: leaving goes Serving, Announced, Closing; the callers' server ends idle connections at once and lets requests run up to limits.leave_seconds, operators' server ends last; drain takes the same way; signals are watched before the node starts. CallerConnection tells a caller that left from one that only closed its sending side. Retry policy and the state of an event stream are pure and tested. Not wired yet: watch, retries and resumption in the gateway.

--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -14,7 +14,6 @@
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Text format that Prometheus scrapes.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -65,7 +64,7 @@
             &journal::summaries(shared).await?,
         )),
         (Method::POST, "/drain") => {
-            shared.leaving.store(true, Ordering::Relaxed);
+            shared.leaving.begin();
             Ok(response::text("leaving\n"))
         }
         _ => Err(ApiError::not_run(
@@ -76,7 +75,7 @@
 }
 
 fn ready(shared: &Shared) -> Result<Response<BoxBody>, ApiError> {
-    if shared.leaving.load(Ordering::Relaxed) {
+    if shared.leaving.is_leaving() {
         return Err(ApiError::not_run(
             ErrorCode::Unavailable,
             "The node is leaving.",
--- a/crates/firshore-server/src/cli/serve.rs
+++ b/crates/firshore-server/src/cli/serve.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::mpsc;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Run a node.
@@ -41,31 +42,55 @@
             settings.zone = zone.as_str().into();
         }
         let log = logging::root(&settings.log);
+        let signals = Signals::watch();
         let node = Node::start(settings, log)
             .map_err(|error| Failure::Failed(format!("The node cannot start: {error}.")))?;
         println!(
             "callers {} peers {} admin {}",
             node.callers, node.peers, node.admin
         );
-        let stop = node.stopper();
+        let shared = node.shared.clone();
+        signals.on_first(move || shared.leaving.begin());
+        node.join();
+        Ok(())
+    }
+}
+
+/// SIGTERM and SIGINT: the first asks the node to leave, the second ends it at once.
+struct Signals {
+    first: mpsc::Sender<Box<dyn FnOnce() + Send>>,
+}
+
+impl Signals {
+    /// Watches from now on, so that no signal ends the process unasked.
+    fn watch() -> Self {
+        let (first, action) = mpsc::channel::<Box<dyn FnOnce() + Send>>();
+        let (ready, watching) = mpsc::channel();
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                wait_for_signal().await;
-                let _ = stop.send(()).await;
-                wait_for_signal().await;
-                std::process::exit(1);
+                let mut terminate =
+                    signal(SignalKind::terminate()).expect("signals can be watched");
+                let mut interrupt =
+                    signal(SignalKind::interrupt()).expect("signals can be watched");
+                let _ = ready.send(());
+                for number in 0.. {
+                    tokio::select! {
+                        _ = terminate.recv() => {}
+                        _ = interrupt.recv() => {}
+                    }
+                    match action.recv() {
+                        Ok(leave) if number == 0 => leave(),
+                        _ => std::process::exit(1),
+                    }
+                }
             });
         });
-        node.join();
-        Ok(())
+        let _ = watching.recv();
+        Self { first }
     }
-}
 
-async fn wait_for_signal() {
-    let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
-    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    /// Leaves by `leave` on the first signal. Another ends the process.
+    fn on_first(self, leave: impl FnOnce() + Send + 'static) {
+        let _ = self.first.send(Box::new(leave));
     }
 }
--- a/crates/firshore-server/src/gateway/mod.rs
+++ b/crates/firshore-server/src/gateway/mod.rs
@@ -4,7 +4,10 @@
 pub mod authenticate;
 pub mod batches;
 pub mod completions;
+pub mod connection;
+pub mod deadline;
 pub mod dispatch;
+pub mod event_stream;
 pub mod response;
 
 use crate::shared::Shared;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -2,11 +2,11 @@
 
 use crate::clock::Clock;
 use crate::journal::Journal;
+use crate::leaving::Phase;
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{admin, configuration, gateway, membership, owner};
-use actix_http::{HttpService, KeepAlive};
+use crate::{configuration, membership, owner, serving};
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::table::MemberTable;
 use firshore_protocol::handshake::ClusterSecret;
@@ -16,17 +16,12 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// Time for peers to hear that the node leaves before it closes its listeners.
 const LEAVE_GRACE: Duration = Duration::from_millis(1500);
 
-/// Longest time that running requests get to finish after the listeners are closed, in seconds.
-const SHUTDOWN_SECONDS: u64 = 5;
-
 /// A running node.
 pub struct Node {
     /// Callers' address.
@@ -37,7 +32,6 @@
     pub admin: SocketAddr,
     /// Its tables.
     pub shared: Arc<Shared>,
-    stop: mpsc::Sender<()>,
     thread: JoinHandle<()>,
 }
 
@@ -72,13 +66,11 @@
             metrics: Default::default(),
             settings,
         });
-        let (stop, stopped) = mpsc::channel(1);
         let node = Self {
             callers: callers.local_addr()?,
             peers: peers.local_addr()?,
             admin: admin.local_addr()?,
             shared: shared.clone(),
-            stop,
             thread: std::thread::Builder::new()
                 .name("node".to_owned())
                 .spawn(move || {
@@ -87,7 +79,7 @@
                         peers,
                         admin,
                     };
-                    actix_rt::System::new().block_on(run(shared, sockets, calls, stopped));
+                    actix_rt::System::new().block_on(run(shared, sockets, calls));
                 })?,
         };
         Ok(node)
@@ -95,18 +87,13 @@
 
     /// Asks the node to leave; it finishes what it runs.
     pub fn stop(&self) {
-        let _ = self.stop.try_send(());
+        self.shared.leaving.begin();
     }
 
     /// Waits until the node has ended.
     pub fn join(self) {
         let _ = self.thread.join();
     }
-
-    /// A handle that asks the node to leave.
-    pub fn stopper(&self) -> mpsc::Sender<()> {
-        self.stop.clone()
-    }
 }
 
 struct Sockets {
@@ -115,12 +102,7 @@
     admin: TcpListener,
 }
 
-async fn run(
-    shared: Arc<Shared>,
-    sockets: Sockets,
-    calls: peers::PeerCalls,
-    mut stopped: mpsc::Receiver<()>,
-) {
+async fn run(shared: Arc<Shared>, sockets: Sockets, calls: peers::PeerCalls) {
     let log = shared.log.new(slog::o!("part" => "node"));
     let secret = ClusterSecret(shared.settings.cluster.secret.clone().into_bytes());
     let peer_listener =
@@ -131,42 +113,21 @@
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::run_machine_list(shared.clone()));
     actix_rt::spawn(owner::run(shared.clone()));
-    let server = serve(shared.clone(), sockets.callers, sockets.admin);
-    let handle = server.handle();
-    let serving = actix_rt::spawn(server);
+    let callers = serving::callers(&shared, sockets.callers);
+    let admin = serving::admin(&shared, sockets.admin);
+    let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
+    let (callers, admin) = (actix_rt::spawn(callers), actix_rt::spawn(admin));
     info!(log, "node: Serving."; "name" => %shared.settings.name, "zone" => %shared.settings.zone);
-    let _ = stopped.recv().await;
+    shared.leaving.reached(Phase::Announced).await;
     info!(log, "node: Leaving.");
-    shared.leaving.store(true, Ordering::Relaxed);
     shared.members.lock().leave();
     actix_rt::time::sleep(LEAVE_GRACE).await;
-    handle.stop(true).await;
-    let _ = serving.await;
+    info!(log, "node: Finishing."; "seconds_at_most" => shared.settings.limits.leave_seconds);
+    shared.leaving.close();
+    callers_handle.stop(true).await;
+    let _ = callers.await;
+    // Operators can watch the node until its last request has ended.
+    admin_handle.stop(false).await;
+    let _ = admin.await;
     info!(log, "node: Stopped.");
 }
-
-fn serve(shared: Arc<Shared>, callers: TcpListener, admin: TcpListener) -> actix_server::Server {
-    let for_callers = shared.clone();
-    let for_admin = shared.clone();
-    actix_server::Server::build()
-        .workers(shared.settings.limits.workers)
-        .shutdown_timeout(SHUTDOWN_SECONDS)
-        .disable_signals()
-        .listen("callers", callers, move || {
-            let shared = for_callers.clone();
-            HttpService::build()
-                .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
-                .client_request_timeout(Duration::from_secs(10))
-                .finish(move |request| gateway::handle(shared.clone(), request))
-                .tcp()
-        })
-        .expect("the listener is bound")
-        .listen("admin", admin, move || {
-            let shared = for_admin.clone();
-            HttpService::build()
-                .finish(move |request| admin::handle(shared.clone(), request))
-                .tcp()
-        })
-        .expect("the listener is bound")
-        .run()
-}
--- a/crates/firshore-server/src/owner.rs
+++ b/crates/firshore-server/src/owner.rs
@@ -15,7 +15,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const PULL_INTERVAL: Duration = Duration::from_millis(50);
@@ -38,7 +37,7 @@
     let mut running: HashMap<String, Rc<Cell<u32>>> = HashMap::new();
     loop {
         actix_rt::time::sleep(PULL_INTERVAL).await;
-        if shared.leaving.load(Ordering::Relaxed) {
+        if shared.leaving.is_leaving() {
             continue;
         }
         expire(&shared).await;
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -140,6 +140,11 @@
     pub batch_items: usize,
     /// Worker threads for callers' connections.
     pub workers: usize,
+    /// Longest time a request may take, in seconds; callers may ask for less.
+    pub request_seconds: u64,
+    /// Longest time that running requests get to finish after the node stopped accepting, in
+    /// seconds.
+    pub leave_seconds: u64,
 }
 
 impl Default for LimitSettings {
@@ -149,6 +154,8 @@
             batch_body_bytes: 1024 * 1024 * 1024,
             batch_items: 400_000,
             workers: 2,
+            request_seconds: 600,
+            leave_seconds: 600,
         }
     }
 }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Clock;
 use crate::journal::Journal;
+use crate::leaving::Leaving;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
@@ -17,7 +18,6 @@
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 /// The configuration in force with indexes for the request path.
 #[derive(Debug, Default)]
@@ -96,8 +96,8 @@
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
-    /// Set once the node is told to stop.
-    pub leaving: AtomicBool,
+    /// The node's way out.
+    pub leaving: Leaving,
     /// What is counted.
     pub metrics: Metrics,
 }
