Routing: lag-corrected scores, prefix affinity and ejection behind one seam

Cause: the balancer counted only this node's requests by name; reports, prompts, speed and failures did not matter. Change: firshore-routing gets endpoint table, load estimate, learnt speed, score, affinity index, ejection and a router over them; the server uses it through routing::choose and RunningRequest.

--- /dev/null
+++ b/crates/firshore-routing/src/router.rs
@@ -0,0 +1,128 @@
+//! Everything a node decides with when it sends a request to a back end.
+
+use crate::affinity::{AffinityIndex, DEFAULT_BUCKETS};
+use crate::balance::{Choice, Decision, Features};
+use crate::eligibility::{EligibleSets, SetKey};
+use crate::endpoint::{EndpointIndex, EndpointTable, Locality, Outcome};
+use crate::load::LoadReport;
+use crate::score::nominal_step;
+use firshore_types::labels::Selector;
+use firshore_types::machine::Machine;
+use rand::RngExt;
+
+/// A request at a back end, to be handed back when it ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    /// Back end.
+    pub endpoint: EndpointIndex,
+    /// When it was sent, in milliseconds.
+    pub sent_at: u64,
+    uncached_tokens: u32,
+    nominal: f32,
+    requests: f32,
+    prefilled: bool,
+}
+
+/// The router.
+#[derive(Debug)]
+pub struct Router {
+    /// Back ends.
+    pub endpoints: EndpointTable,
+    /// Prompt prefixes.
+    pub affinity: AffinityIndex,
+    sets: EligibleSets,
+}
+
+impl Router {
+    /// A router of a node that stands at `locality`.
+    pub fn new(locality: Locality) -> Self {
+        Self {
+            endpoints: EndpointTable::new(locality),
+            affinity: AffinityIndex::new(DEFAULT_BUCKETS),
+            sets: EligibleSets::default(),
+        }
+    }
+
+    /// Brings the back ends in line with the machine list read at `now`.
+    pub fn update(&mut self, now: u64, machines: &[Machine]) {
+        self.endpoints.update(now, machines);
+    }
+
+    /// Chooses a back end that matches all of `selectors` and counts the request as sent to it.
+    pub fn choose(
+        &mut self,
+        now: u64,
+        selectors: &[&Selector],
+        features: Features<'_>,
+        random: &mut impl RngExt,
+    ) -> Option<Sent> {
+        let key = SetKey::of(selectors);
+        let eligible = self.sets.get(&self.endpoints, key, selectors);
+        let decision = Decision {
+            table: &self.endpoints,
+            eligible,
+            features,
+            prefix: self.affinity.lookup(features.blocks),
+            now,
+        };
+        let choice = decision.choose(random)?;
+        Some(self.count(now, features, choice))
+    }
+
+    fn count(&mut self, now: u64, features: Features<'_>, choice: Choice) -> Sent {
+        let mean = self.endpoints.mean_foreign();
+        let endpoint = self.endpoints.get_mut(choice.endpoint);
+        let requests = endpoint.load.estimate(now, mean).requests;
+        endpoint.load.sent(now, choice.uncached_tokens);
+        self.endpoints.observe_requests(requests);
+        self.affinity.sent(features.blocks, choice.endpoint);
+        Sent {
+            endpoint: choice.endpoint,
+            sent_at: now,
+            uncached_tokens: choice.uncached_tokens,
+            nominal: choice.score.nominal,
+            requests,
+            prefilled: false,
+        }
+    }
+
+    /// Takes in the arrival of a request's first token.
+    pub fn first_token(&mut self, now: u64, sent: &mut Sent) {
+        if sent.prefilled {
+            return;
+        }
+        sent.prefilled = true;
+        let endpoint = self.endpoints.get_mut(sent.endpoint);
+        endpoint.load.prefilled(sent.uncached_tokens);
+        let observed = now.saturating_sub(sent.sent_at) as f32 - 2.0 * endpoint.distance;
+        self.endpoints
+            .observe_speed(now, sent.endpoint, observed.max(0.1), sent.nominal);
+    }
+
+    /// Takes in a request's mean time between tokens, in milliseconds.
+    pub fn token_gap(&mut self, now: u64, sent: &Sent, milliseconds: f32) {
+        let nominal = nominal_step(sent.requests);
+        self.endpoints
+            .observe_speed(now, sent.endpoint, milliseconds, nominal);
+    }
+
+    /// Counts a request as ended. Returns until when the back end is ejected if this ejected it.
+    pub fn ended(&mut self, now: u64, sent: &Sent, outcome: Outcome) -> Option<u64> {
+        let endpoint = self.endpoints.get_mut(sent.endpoint);
+        if !sent.prefilled {
+            endpoint.load.prefilled(sent.uncached_tokens);
+        }
+        endpoint.load.ended(now);
+        self.endpoints.outcome(now, sent.endpoint, outcome)
+    }
+
+    /// Takes in a load report measured at `measured_at`.
+    pub fn report(&mut self, endpoint: EndpointIndex, measured_at: u64, report: LoadReport) {
+        self.endpoints.report(endpoint, measured_at, report);
+    }
+
+    /// Notes that the back end drains.
+    pub fn draining(&mut self, now: u64, endpoint: EndpointIndex) {
+        self.endpoints.draining(now, endpoint);
+    }
+}
--- /dev/null
+++ b/crates/firshore-routing/src/speed.rs
@@ -0,0 +1,96 @@
+//! How fast a back end serves, learnt from what this node sees of it.
+//!
+//! The measure is a slowdown: the observed time divided by the time that the model of
+//! [`crate::score`] predicts for a back end of nominal speed. An engine at a third of its speed
+//! has three times the slowdown of its peers, whatever the nominal figures are, and so is given a
+//! third of their work.
+
+/// Weight of one new observation.
+const OBSERVATION_WEIGHT: f32 = 0.1;
+
+/// One observation moves the estimate at most as if it were this many times larger or smaller.
+const LARGEST_STEP: f32 = 4.0;
+
+/// Bounds of a slowdown.
+const BOUNDS: (f32, f32) = (0.02, 200.0);
+
+/// Milliseconds without observation after which an estimate has gone back to the fleet's mean, so
+/// that an engine that was slow once is tried again.
+const FORGET_MILLISECONDS: f32 = 60_000.0;
+
+/// Slowdown of one back end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Speed {
+    slowdown: f32,
+    samples: u32,
+    observed_at: u64,
+}
+
+impl Speed {
+    /// Takes in an observed time and the nominal time predicted for it, both in milliseconds.
+    pub fn observe(&mut self, now: u64, observed: f32, nominal: f32) {
+        if nominal <= 0.0 {
+            return;
+        }
+        let ratio = (observed / nominal).clamp(BOUNDS.0, BOUNDS.1);
+        if self.samples == 0 {
+            self.slowdown = ratio;
+        } else {
+            let low = self.slowdown / LARGEST_STEP;
+            let high = self.slowdown * LARGEST_STEP;
+            self.slowdown += OBSERVATION_WEIGHT * (ratio.clamp(low, high) - self.slowdown);
+        }
+        self.samples = self.samples.saturating_add(1);
+        self.observed_at = now;
+    }
+
+    /// The slowdown to count with at `now`, given the fleet's mean.
+    pub fn slowdown(&self, now: u64, fleet_mean: f32) -> f32 {
+        if self.samples == 0 {
+            return fleet_mean;
+        }
+        let idle = now.saturating_sub(self.observed_at) as f32;
+        let trust = (1.0 - idle / FORGET_MILLISECONDS).max(0.0);
+        fleet_mean + trust * (self.slowdown - fleet_mean)
+    }
+
+    /// Observations taken in.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+}
+
+/// Running mean over the fleet, moved a little by each observation.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetMean {
+    value: f32,
+    seeded: bool,
+}
+
+/// Weight of one observation in a fleet's mean.
+const FLEET_WEIGHT: f32 = 0.01;
+
+impl FleetMean {
+    /// A mean that starts at `value` until the first observation.
+    pub fn starting_at(value: f32) -> Self {
+        Self {
+            value,
+            seeded: false,
+        }
+    }
+
+    /// Takes in one observation.
+    pub fn observe(&mut self, value: f32) {
+        if self.seeded {
+            self.value += FLEET_WEIGHT * (value - self.value);
+        } else {
+            self.value = value;
+            self.seeded = true;
+        }
+    }
+
+    /// The mean.
+    pub fn value(&self) -> f32 {
+        self.value
+    }
+}
--- a/crates/firshore-server/src/configuration.rs
+++ b/crates/firshore-server/src/configuration.rs
@@ -59,6 +59,7 @@
 pub async fn run_machine_list(shared: Arc<Shared>) {
     loop {
         if let Some(machines) = machine_list::read(&shared.settings.platform.machine_list).await {
+            shared.router.lock().update(shared.clock.now(), &machines);
             *shared.machines.write() = Arc::new(machines);
         }
         actix_rt::time::sleep(MACHINE_LIST_INTERVAL).await;
--- a/crates/firshore-server/src/gateway/application.rs
+++ b/crates/firshore-server/src/gateway/application.rs
@@ -2,10 +2,12 @@
 
 use crate::gateway::dispatch::{self, Outbound};
 use crate::gateway::{authenticate, read_body};
+use crate::routing::Target;
 use crate::shared::Shared;
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{HttpMessage, Request, Response};
+use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -61,19 +63,28 @@
         body: read_body(request, shared.settings.limits.request_body_bytes).await?,
     };
     shared.counters.requests.fetch_add(1, Ordering::Relaxed);
-    let machines = shared.pool_machines(pool);
-    let (exchange, outstanding) = dispatch::send(shared, &machines, &outbound).await?;
+    let target = Target::of_pool(pool);
+    let (exchange, running) = dispatch::send(shared, &target, &outbound).await?;
     let mut builder = Response::build(exchange.head.status);
     for (name, value) in &passed_on(&exchange.head.headers) {
         builder.append_header((name.clone(), value.clone()));
     }
-    let state = (exchange.body, outstanding);
-    let stream = futures_util::stream::try_unfold(state, |(mut body, outstanding)| async move {
-        let chunk = body
-            .next()
-            .await
-            .map_err(|error| ApiError::maybe_run(ErrorCode::BackendFailed, error.to_string()))?;
-        Ok::<_, ApiError>(chunk.map(|chunk| (chunk, (body, outstanding))))
+    let state = (exchange.body, running);
+    let stream = futures_util::stream::try_unfold(state, |(mut body, running)| async move {
+        match body.next().await {
+            Ok(Some(chunk)) => Ok(Some((chunk, (body, running)))),
+            Ok(None) => {
+                running.ended(Outcome::Completed);
+                Ok(None)
+            }
+            Err(error) => {
+                running.ended(Outcome::Failed);
+                Err(ApiError::maybe_run(
+                    ErrorCode::BackendFailed,
+                    error.to_string(),
+                ))
+            }
+        }
     });
     Ok(builder.body(BodyStream::new(stream)).map_into_boxed_body())
 }
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -1,13 +1,15 @@
 //! Completions on model engines, streamed and whole.
 
 use crate::engine::exchange::ExchangeBody;
-use crate::gateway::dispatch::{self, Outbound, Outstanding};
+use crate::gateway::dispatch::{self, Outbound};
 use crate::gateway::{authenticate, read_body};
+use crate::routing::{RunningRequest, Target};
 use crate::shared::Shared;
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, Request, Response};
 use bytes::Bytes;
+use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
@@ -59,15 +61,15 @@
     };
     shared.counters.requests.fetch_add(1, Ordering::Relaxed);
     let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
+    let target = Target::of_pool(pool).with_prompt(&body);
     let outbound = outbound(path, body, priority);
-    let machines = shared.pool_machines(pool);
-    let (mut exchange, outstanding) = dispatch::send(shared, &machines, &outbound).await?;
+    let (mut exchange, running) = dispatch::send(shared, &target, &outbound).await?;
     let mut builder = Response::build(exchange.head.status);
     if let Some(kind) = exchange.head.headers.get(CONTENT_TYPE) {
         builder.insert_header((CONTENT_TYPE, kind.clone()));
     }
     if asked.stream && exchange.head.status.is_success() {
-        let stream = relay(exchange.body, outstanding);
+        let stream = relay(exchange.body, running);
         return Ok(builder.body(BodyStream::new(stream)).map_into_boxed_body());
     }
     let limit = shared.settings.limits.request_body_bytes;
@@ -76,6 +78,7 @@
         .read_whole(limit)
         .await
         .map_err(|error| ApiError::maybe_run(ErrorCode::BackendFailed, error.to_string()))?;
+    running.ended(Outcome::Completed);
     Ok(builder.body(whole).map_into_boxed_body())
 }
 
@@ -95,7 +98,7 @@
 struct Relay {
     body: ExchangeBody,
     tail: Vec<u8>,
-    _outstanding: Outstanding,
+    running: RunningRequest,
 }
 
 impl Relay {
@@ -116,22 +119,27 @@
 /// that the caller's connection closes without a proper end.
 fn relay(
     body: ExchangeBody,
-    outstanding: Outstanding,
+    running: RunningRequest,
 ) -> impl futures_util::Stream<Item = Result<Bytes, ApiError>> {
     let start = Some(Relay {
         body,
         tail: Vec::new(),
-        _outstanding: outstanding,
+        running,
     });
     futures_util::stream::unfold(start, |state| async move {
         let mut relay = state?;
         match relay.body.next().await {
             Ok(Some(chunk)) => {
+                relay.running.chunk();
                 relay.remember(&chunk);
                 Some((Ok(chunk), Some(relay)))
             }
-            Ok(None) if relay.ended_properly() => None,
+            Ok(None) if relay.ended_properly() => {
+                relay.running.ended(Outcome::Completed);
+                None
+            }
             Ok(None) | Err(_) => {
+                relay.running.ended(Outcome::Failed);
                 let message = "The engine broke off before the answer's end.";
                 Some((
                     Err(ApiError::maybe_run(ErrorCode::BackendFailed, message)),
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -1,13 +1,14 @@
 //! Sends a request to a chosen back end, trying another only where it certainly was not run.
 
 use crate::engine::exchange::{self, Exchange, ExchangeError};
+use crate::routing::{self, RunningRequest, Target};
 use crate::shared::Shared;
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
+use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode};
-use firshore_types::ids::MachineName;
-use firshore_types::machine::Machine;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Most back ends tried for one request.
@@ -25,36 +26,8 @@
     pub body: Bytes,
 }
 
-/// Counts a request at a back end as ended when dropped.
-pub struct Outstanding {
-    shared: Arc<Shared>,
-    machine: MachineName,
-}
-
-impl Drop for Outstanding {
-    fn drop(&mut self) {
-        self.shared.balancer.lock().ended(&self.machine);
-    }
-}
-
-fn nearest(shared: &Shared, machines: &[Machine], tried: &[MachineName]) -> Vec<MachineName> {
-    let open: Vec<&Machine> = machines
-        .iter()
-        .filter(|machine| !tried.contains(&machine.name))
-        .collect();
-    let local: Vec<MachineName> = open
-        .iter()
-        .filter(|machine| machine.zone == shared.settings.zone)
-        .map(|machine| machine.name.clone())
-        .collect();
-    if !local.is_empty() {
-        return local;
-    }
-    open.iter().map(|machine| machine.name.clone()).collect()
-}
-
-fn request_head(outbound: &Outbound, machine: &Machine) -> Result<RequestHead, ApiError> {
-    let head = exchange::request_head(outbound.method.clone(), &outbound.path, machine.address);
+fn request_head(outbound: &Outbound, address: SocketAddr) -> Result<RequestHead, ApiError> {
+    let head = exchange::request_head(outbound.method.clone(), &outbound.path, address);
     let mut head = head.map_err(|error| {
         ApiError::not_run(
             ErrorCode::InvalidRequest,
@@ -67,29 +40,28 @@
     Ok(head)
 }
 
-/// Sends `outbound` to one of `machines`.
+/// Sends `outbound` to a back end that `target` allows.
 pub async fn send(
     shared: &Arc<Shared>,
-    machines: &[Machine],
+    target: &Target,
     outbound: &Outbound,
-) -> Result<(Exchange, Outstanding), ApiError> {
+) -> Result<(Exchange, RunningRequest), ApiError> {
     let mut tried = Vec::new();
     while tried.len() < MAXIMUM_ATTEMPTS {
-        let candidates = nearest(shared, machines, &tried);
-        let chosen = shared.balancer.lock().choose(&candidates, &mut rand::rng());
-        let Some(name) = chosen else { break };
-        let outstanding = Outstanding {
-            shared: shared.clone(),
-            machine: name.clone(),
-        };
-        let Some(machine) = machines.iter().find(|machine| machine.name == name) else {
+        let Some(running) = routing::choose(shared, target, &tried) else {
             break;
         };
-        let head = request_head(outbound, machine)?;
-        match exchange::send(machine.address, head, outbound.body.clone()).await {
-            Ok(exchange) => return Ok((exchange, outstanding)),
-            Err(ExchangeError::NotConnected(_)) => tried.push(name),
+        tried.push(running.endpoint());
+        let address = running.address();
+        let head = request_head(outbound, address)?;
+        match exchange::send(address, head, outbound.body.clone()).await {
+            Ok(exchange) => {
+                running.answered(&exchange.head.headers);
+                return Ok((exchange, running));
+            }
+            Err(ExchangeError::NotConnected(_)) => running.ended(Outcome::Failed),
             Err(error) => {
+                running.ended(Outcome::Failed);
                 return Err(ApiError::maybe_run(
                     ErrorCode::BackendFailed,
                     error.to_string(),
@@ -97,6 +69,6 @@
             }
         }
     }
-    let message = format!("None of {} back ends could be reached.", machines.len());
+    let message = format!("None of {} back ends tried could be reached.", tried.len());
     Err(ApiError::not_run(ErrorCode::NoBackend, message).retry_after(1))
 }
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod owner;
 pub mod peers;
 pub mod platform;
+pub mod routing;
 pub mod settings;
 pub mod shared;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -10,6 +10,8 @@
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::table::MemberTable;
 use firshore_protocol::handshake::ClusterSecret;
+use firshore_routing::endpoint::Locality;
+use firshore_routing::router::Router;
 use firshore_types::ids::InstanceId;
 use rand::RngExt;
 use slog::{Logger, info};
@@ -59,13 +61,17 @@
             state: MemberState::Alive,
             incarnation: 0,
         };
+        let locality = Locality {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
         let shared = Arc::new(Shared {
             log,
             clock: Clock::start(),
             configuration: Default::default(),
             machines: Default::default(),
             members: MemberTable::new(own).into(),
-            balancer: Default::default(),
+            router: Router::new(locality).into(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             leaving: Default::default(),
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -1,6 +1,6 @@
 //! Tables that the node's workers and background tasks share.
 //!
-//! Lock order: `configuration`, `machines`, `members`, `balancer`. A thread that holds one takes
+//! Lock order: `configuration`, `machines`, `members`, `router`. A thread that holds one takes
 //! only later ones, and none is held across an await.
 
 use crate::clock::Clock;
@@ -8,7 +8,7 @@
 use crate::peers::PeerClient;
 use crate::settings::Settings;
 use firshore_membership::table::MemberTable;
-use firshore_routing::balance::Balancer;
+use firshore_routing::router::Router;
 use firshore_types::configuration::{Configuration, key_digest};
 use firshore_types::declaration::{Metadata, PoolSpec, ServiceSpec, TenantSpec};
 use firshore_types::machine::{Machine, MachineState};
@@ -102,8 +102,8 @@
     pub machines: RwLock<Arc<Vec<Machine>>>,
     /// Nodes.
     pub members: Mutex<MemberTable>,
-    /// Load of back ends.
-    pub balancer: Mutex<Balancer>,
+    /// Load, speed and health of back ends.
+    pub router: Mutex<Router>,
     /// Connections to peers.
     pub peers: PeerClient,
     /// Journal, where this node holds it.
