--- a/crates/firshore-routing/src/endpoint.rs
+++ b/crates/firshore-routing/src/endpoint.rs
@@ -325,6 +325,6 @@
         let endpoint = self.get_mut(index);
         endpoint.speed.observe(now, observed, nominal);
         let slowdown = endpoint.speed.slowdown(now, mean);
-        self.mean_slowdown.observe(slowdown);
+        self.mean_slowdown.observe_bounded(slowdown);
     }
 }
--- a/crates/firshore-routing/src/speed.rs
+++ b/crates/firshore-routing/src/speed.rs
@@ -70,6 +70,9 @@
 /// Weight of one observation in a fleet's mean.
 const FLEET_WEIGHT: f32 = 0.01;
 
+/// Bound of one observation's effect, as a factor of the mean, where outliers are expected.
+const LARGEST_DEVIATION: f32 = 3.0;
+
 impl FleetMean {
     /// A mean that starts at `value` until the first observation.
     pub fn starting_at(value: f32) -> Self {
@@ -89,6 +92,18 @@
         }
     }
 
+    /// Takes in one observation of which a few may be far off: it counts as at most
+    /// [`LARGEST_DEVIATION`] times larger or smaller than the mean.
+    pub fn observe_bounded(&mut self, value: f32) {
+        if self.seeded {
+            let low = self.value / LARGEST_DEVIATION;
+            let high = self.value * LARGEST_DEVIATION;
+            self.observe(value.clamp(low, high));
+        } else {
+            self.observe(value);
+        }
+    }
+
     /// The mean.
     pub fn value(&self) -> f32 {
         self.value
--- a/crates/firshore-server/src/gateway/application.rs
+++ b/crates/firshore-server/src/gateway/application.rs
@@ -10,7 +10,6 @@
 use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Headers that belong to one hop and are not passed on.
 const HOP_HEADERS: [HeaderName; 8] = [
@@ -62,7 +61,7 @@
         headers: passed_on(request.headers()),
         body: read_body(request, shared.settings.limits.request_body_bytes).await?,
     };
-    shared.counters.requests.fetch_add(1, Ordering::Relaxed);
+    shared.metrics.requests.inc();
     let target = Target::of_pool(pool);
     let (exchange, running) = dispatch::send(shared, &target, &outbound).await?;
     let mut builder = Response::build(exchange.head.status);
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -13,7 +13,6 @@
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Header by which engines learn a request's priority. Online requests have 128 or more, batch
 /// items less, so that an engine never lets an online request wait behind an item.
@@ -59,7 +58,7 @@
             "The service's pool is not declared.",
         ));
     };
-    shared.counters.requests.fetch_add(1, Ordering::Relaxed);
+    shared.metrics.requests.inc();
     let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
     let target = Target::of_pool(pool).with_prompt(&body);
     let outbound = outbound(path, body, priority);
