--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod peers;
 pub mod platform;
 pub mod serving;
+pub mod routing;
 pub mod settings;
 pub mod shared;
