Gateway: retries by policy, streams resumed, claims, cancellation of what nobody waits for

Cause: a broken stream ended the answer though the engine could go on; a cut or refused answer was not tried elsewhere; 'Firshore-Repeatable' and deadlines were not read; a caller that left before its answer kept its run at the engine (the library's handlers outlive their callers); an answer whose head was not yet written vanished with the error behind it. Ruled out: a duplicated socket per connection (an fd each, and a second writer could cut into a pipelined answer); ending requests of half-closed callers. Change: dispatch (attempts under retry::Attempts, deadline, one fresh connection for non-repeatable requests), relay (events passed whole, each token once, resumed at the engine by engine-request-id and engine-resume-from, error event and no clean end otherwise), claim (committed before sending, settled, released only if certainly not run, survives its caller), EngineRun (DELETE on drop), watch on the caller's connection, body stall timeout, Connection headers of the hop. Not yet: the retry budget behind routing::may_retry; real processes.

--- a/crates/firshore-routing/src/lib.rs
+++ b/crates/firshore-routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod eligibility;
 pub mod endpoint;
 pub mod load;
+pub mod retry;
 pub mod router;
 pub mod score;
 pub mod speed;
--- a/crates/firshore-server/src/engine/mod.rs
+++ b/crates/firshore-server/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! The hop to back ends: one request on one connection, exactly once.
 
+pub mod cancellation;
 pub mod exchange;
 pub mod framing;
 mod pool;
--- a/crates/firshore-server/src/gateway/connection.rs
+++ b/crates/firshore-server/src/gateway/connection.rs
@@ -44,9 +44,7 @@
     /// Resolves once the caller has certainly left. Not for HTTP/1.0, whose clients do not know
     /// interim answers.
     pub async fn left(&self) {
-        while !self.finished_sending.get() {
-            self.finish.notified().await;
-        }
+        self.finished_sending().await;
         loop {
             if !self.write_blocked.get() && !self.probe() {
                 self.gone.set(true);
@@ -56,9 +54,11 @@
         }
     }
 
-    /// Whether the caller sent a FIN: it has left, or waits without sending more.
-    pub fn has_finished_sending(&self) -> bool {
-        self.finished_sending.get()
+    /// Resolves once the caller has sent a FIN: it has left, or waits without sending more.
+    pub async fn finished_sending(&self) {
+        while !self.finished_sending.get() {
+            self.finish.notified().await;
+        }
     }
 
     /// `false` if the caller has left. A probe written in part spoils the connection.
--- a/crates/firshore-server/src/gateway/deadline.rs
+++ b/crates/firshore-server/src/gateway/deadline.rs
@@ -14,6 +14,11 @@
 pub struct Deadline(Instant);
 
 impl Deadline {
+    /// In `time` from now.
+    pub fn after(time: Duration) -> Self {
+        Self(Instant::now() + time)
+    }
+
     /// Reads the header; without it, and at most, `longest` from now.
     pub fn from_headers(headers: &HeaderMap, longest: Duration) -> Result<Self, ApiError> {
         let given = match headers.get(TIMEOUT_HEADER) {
@@ -30,7 +35,7 @@
                     ApiError::not_run(ErrorCode::InvalidHeader, message)
                 })?,
         };
-        Ok(Self(Instant::now() + given.min(longest)))
+        Ok(Self::after(given.min(longest)))
     }
 
     /// Waits for `work` until the deadline; `None` once it has passed.
--- a/crates/firshore-server/src/gateway/response.rs
+++ b/crates/firshore-server/src/gateway/response.rs
@@ -5,10 +5,20 @@
 use actix_http::{Response, StatusCode};
 use firshore_types::error::ApiError;
 use serde::Serialize;
+use std::time::Duration;
 
 /// Header that says whether a refused or failed request ran.
 pub const EXECUTION_HEADER: HeaderName = HeaderName::from_static("firshore-execution");
 
+/// Time in which the library writes what a body has given it so far.
+const FLUSH_PAUSE: Duration = Duration::from_millis(20);
+
+/// To be waited for before a body ends with an error: the library then closes the connection
+/// and drops what it has not written, the head included.
+pub async fn flush() {
+    actix_rt::time::sleep(FLUSH_PAUSE).await;
+}
+
 /// A plain text answer.
 pub fn text(body: &'static str) -> Response<BoxBody> {
     Response::build(StatusCode::OK)
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod owner;
 pub mod peers;
 pub mod platform;
-pub mod serving;
 pub mod routing;
+pub mod serving;
 pub mod settings;
 pub mod shared;
--- a/crates/firshore-server/src/metrics.rs
+++ b/crates/firshore-server/src/metrics.rs
@@ -115,6 +115,12 @@
     pub requests: Counter,
     /// Errors sent to callers.
     pub errors: Family<ErrorLabels, Counter>,
+    /// Requests whose caller left before the answer.
+    pub cancelled: Counter,
+    /// Attempts after the first at online requests.
+    pub retries: Counter,
+    /// Broken streams resumed at their next token.
+    pub resumes: Counter,
     /// Batch items brought to a committed result by this node.
     pub batch_items: Counter,
     /// Revision of the configuration in force.
@@ -137,6 +143,13 @@
                 "code, execution",
                 "Errors sent to callers, by code and by whether the request ran.",
             ),
+            cancelled: builder
+                .counter("cancelled", "Requests whose caller left before the answer."),
+            retries: builder.counter("retries", "Attempts after the first at online requests."),
+            resumes: builder.counter(
+                "resumed_streams",
+                "Broken streams resumed at their next token.",
+            ),
             batch_items: builder.counter(
                 "batch_items",
                 "Batch items that this node brought to a committed result.",
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -1,6 +1,7 @@
 //! Puts a node together and runs it until it is told to stop.
 
 use crate::clock::Clock;
+use crate::engine::cancellation::{self, Cancellations};
 use crate::journal::Journal;
 use crate::leaving::Phase;
 use crate::peers::{self, PeerClient};
@@ -45,6 +46,7 @@
         let admin = TcpListener::bind(settings.listen.admin)?;
         peers.set_nonblocking(true)?;
         let (peer_client, calls) = PeerClient::new();
+        let (canceller, cancellations) = cancellation::channel();
         let own = Member {
             instance: InstanceId(rand::rng().random()),
             name: settings.name.clone(),
@@ -68,6 +70,7 @@
             router: Router::new(locality).into(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
+            canceller,
             leaving: Default::default(),
             metrics: Default::default(),
             settings,
@@ -85,7 +88,7 @@
                         peers,
                         admin,
                     };
-                    actix_rt::System::new().block_on(run(shared, sockets, calls));
+                    actix_rt::System::new().block_on(run(shared, sockets, calls, cancellations));
                 })?,
         };
         Ok(node)
@@ -108,13 +111,19 @@
     admin: TcpListener,
 }
 
-async fn run(shared: Arc<Shared>, sockets: Sockets, calls: peers::PeerCalls) {
+async fn run(
+    shared: Arc<Shared>,
+    sockets: Sockets,
+    calls: peers::PeerCalls,
+    cancellations: Cancellations,
+) {
     let log = shared.log.new(slog::o!("part" => "node"));
     let secret = ClusterSecret(shared.settings.cluster.secret.clone().into_bytes());
     let peer_listener =
         tokio::net::TcpListener::from_std(sockets.peers).expect("the listener is non-blocking");
     actix_rt::spawn(peers::run_client(calls, secret));
     actix_rt::spawn(peers::run_listener(peer_listener, shared.clone()));
+    actix_rt::spawn(cancellation::run(cancellations));
     actix_rt::spawn(membership::run(shared.clone()));
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::run_machine_list(shared.clone()));
--- a/crates/firshore-server/src/routing.rs
+++ b/crates/firshore-server/src/routing.rs
@@ -122,6 +122,11 @@
     })
 }
 
+/// Whether a request that may have run may be sent again now. The seam of the retry budget.
+pub fn may_retry(_shared: &Shared) -> bool {
+    true
+}
+
 impl RunningRequest {
     /// The back end, to be passed over by a further [`choose`].
     pub fn endpoint(&self) -> EndpointIndex {
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -4,6 +4,7 @@
 //! only later ones, and none is held across an await.
 
 use crate::clock::Clock;
+use crate::engine::cancellation::Canceller;
 use crate::journal::Journal;
 use crate::leaving::Leaving;
 use crate::metrics::Metrics;
@@ -96,6 +97,8 @@
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
+    /// Cancels runs at engines.
+    pub canceller: Canceller,
     /// The node's way out.
     pub leaving: Leaving,
     /// What is counted.
