Reference tables generated from the code, drift and link tests, tests of settings and validation

Cause: the pages named in the README did not exist, and nothing tied a page to the code. Ruled out: tables kept by hand with a test of names only (meanings and defaults would drift); a macro around the settings struct (serde attributes hide from it). JSON schemas by schemars carry doc comments, types and defaults. Change: 'firshore reference' prints or refreshes error codes, settings, declarations, metrics and commands; tests compare the page and follow every relative link. Unknown top-level fields of a declaration and priorities above 127 (silently cut before) are now faults.

--- a/crates/firshore-server/src/cli/mod.rs
+++ b/crates/firshore-server/src/cli/mod.rs
@@ -2,10 +2,14 @@
 
 mod client;
 mod declarations;
+mod help;
 mod jobs;
+mod reference;
 mod serve;
 mod status;
 
+pub use help::{HelpText, help};
+
 use argh::FromArgs;
 use std::process::ExitCode;
 
@@ -30,6 +34,7 @@
     Status(status::Status),
     Jobs(jobs::Jobs),
     Drain(status::Drain),
+    Reference(reference::Reference),
 }
 
 /// Why a command did not succeed.
@@ -62,6 +67,7 @@
         Some(Command::Status(command)) => command.run(),
         Some(Command::Jobs(command)) => command.run(),
         Some(Command::Drain(command)) => command.run(),
+        Some(Command::Reference(command)) => command.run(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -8,6 +8,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, Request, Response};
 use bytes::Bytes;
+use firshore_types::declaration::MAXIMUM_PRIORITY;
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
@@ -57,7 +58,7 @@
         ));
     };
     shared.metrics.requests.inc();
-    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
+    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(MAXIMUM_PRIORITY));
     let outbound = outbound(path, body, priority);
     let machines = shared.pool_machines(pool);
     let (mut exchange, outstanding) = dispatch::send(shared, &machines, &outbound).await?;
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod owner;
 pub mod peers;
 pub mod platform;
+pub mod reference;
 pub mod settings;
 pub mod shared;
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -2,7 +2,8 @@
 
 use firshore_types::ids::{NodeName, RegionName, ZoneName};
 use quick_error::quick_error;
-use serde::Deserialize;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -26,7 +27,7 @@
 }
 
 /// Everything a node is told at its start.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name, unique in the cluster.
@@ -52,7 +53,7 @@
 }
 
 /// Addresses to listen on; port 0 takes a free one.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' HTTP.
@@ -64,7 +65,7 @@
 }
 
 /// How the node finds and trusts its peers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Cluster {
     /// Shared secret of at least 16 bytes.
@@ -75,7 +76,7 @@
 }
 
 /// Where the platform's services answer.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Object API, as `http://IP:PORT`.
@@ -85,7 +86,7 @@
 }
 
 /// The data folder.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Storage {
     /// Folder for everything the node keeps on disk.
@@ -93,7 +94,7 @@
 }
 
 /// How the node logs.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
     /// Text or JSON.
@@ -103,7 +104,7 @@
 }
 
 /// Form of log lines.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum LogFormat {
     /// One readable line an event.
@@ -114,7 +115,7 @@
 }
 
 /// Severity of log lines.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Failures that need an operator.
@@ -129,7 +130,7 @@
 }
 
 /// Limits on what is held in memory.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Longest body of an online request in bytes.
--- a/crates/firshore-types/src/declaration.rs
+++ b/crates/firshore-types/src/declaration.rs
@@ -2,11 +2,12 @@
 
 use crate::ids::{PoolName, ServiceName, TenantName};
 use crate::labels::{Labels, Selector};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Name and labels of a declaration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Metadata {
     /// Name, unique within the kind.
@@ -19,8 +20,12 @@
 /// Place in line that a caller or job has bought; a larger number goes first.
 pub type Priority = u8;
 
+/// Highest priority that a tenant or policy may set. Engines get the online ones above all batch
+/// ones, so that half of the range is the engine's to tell the two apart.
+pub const MAXIMUM_PRIORITY: Priority = 127;
+
 /// What a service speaks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum Protocol {
     /// OpenAI-style completions on model engines.
@@ -30,7 +35,7 @@
 }
 
 /// A service callers can name.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct ServiceSpec {
     /// What it speaks.
@@ -43,7 +48,7 @@
 }
 
 /// Back ends of one kind, chosen by selecting over the machine list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct PoolSpec {
     /// Machines that belong to the pool.
@@ -58,7 +63,7 @@
 }
 
 /// Which requests, jobs or back ends a policy applies to, and what it sets for them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct PolicySpec {
     /// Tenants, by label, whose requests it governs; with none of the selectors it governs all.
@@ -88,7 +93,9 @@
 }
 
 /// Role an engine can be ordered to take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "lowercase")]
 pub enum EngineRole {
     /// Takes online requests, and batch items into idle slots.
@@ -100,7 +107,7 @@
 }
 
 /// Limits on one tenant over the whole cluster.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Limits {
     /// Online requests a second.
@@ -114,7 +121,7 @@
 impl Eq for Limits {}
 
 /// A paying caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct TenantSpec {
     /// SHA-256 digests, in hexadecimal, of the keys the tenant may present.
@@ -127,8 +134,8 @@
 }
 
 /// One declaration of any kind.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind")]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "kind", deny_unknown_fields)]
 pub enum Declaration {
     /// A service.
     Service {
--- a/crates/firshore-types/src/ids.rs
+++ b/crates/firshore-types/src/ids.rs
@@ -1,12 +1,13 @@
 //! Identifiers. Each is a newtype so that two kinds cannot be mistaken for one another.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
 macro_rules! text_identifier {
     ($(#[$meta:meta])* $name:ident) => {
         $(#[$meta])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
         #[serde(transparent)]
         pub struct $name(pub String);
 
--- a/crates/firshore-types/src/labels.rs
+++ b/crates/firshore-types/src/labels.rs
@@ -1,10 +1,11 @@
 //! Labels and the selectors operators write over them.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Key-value pairs attached to services, pools, machines, tenants and jobs.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(transparent)]
 pub struct Labels(pub BTreeMap<String, String>);
 
@@ -33,7 +34,7 @@
 }
 
 /// How an expression compares a label with its values.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub enum Operator {
     /// The label is present with one of the values.
     In,
@@ -46,7 +47,7 @@
 }
 
 /// One condition on one label.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Expression {
     /// The label's key.
@@ -72,7 +73,7 @@
 }
 
 /// A conjunction of conditions over labels. An empty selector matches everything.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Selector {
     /// Labels that must be present with exactly these values.
--- a/crates/firshore-types/src/validation.rs
+++ b/crates/firshore-types/src/validation.rs
@@ -1,7 +1,7 @@
 //! Reading declarations from YAML and checking that they fit together.
 
 use crate::configuration::Configuration;
-use crate::declaration::{Declaration, DeclarationKey, Kind, Protocol};
+use crate::declaration::{Declaration, DeclarationKey, Kind, MAXIMUM_PRIORITY, Priority, Protocol};
 use serde::Deserialize;
 use std::fmt;
 
@@ -139,6 +139,9 @@
                     "Make them add up to 100.",
                 ));
             }
+            if let Some(priority) = spec.priority {
+                check_priority(key, priority, faults);
+            }
             if let Some(limits) = &spec.limits {
                 check_limits(key, "spec.limits.requestsPerSecond", limits, faults);
             }
@@ -154,11 +157,23 @@
                     ));
                 }
             }
+            check_priority(key, spec.priority, faults);
             check_limits(key, "spec.limits.requestsPerSecond", &spec.limits, faults);
         }
     }
 }
 
+fn check_priority(key: &DeclarationKey, priority: Priority, faults: &mut Vec<Fault>) {
+    if priority > MAXIMUM_PRIORITY {
+        faults.push(fault(
+            key,
+            "spec.priority",
+            format!("{priority} is above the highest priority."),
+            "Set 0 to 127; a larger number goes first.",
+        ));
+    }
+}
+
 fn check_limits(
     key: &DeclarationKey,
     field: &str,
