Configuration: dissemination, floor and rebase as state machines; effective policies

Cause: every node watched the object API, a change was conflicted by any other change, and nothing kept a node from going back or aside. Change: change objects form a hash chain whose text is relayed as written; a node applies only what follows its own history. FloorGate decides serving. Proposals touching other declarations are rebased; overlapping ones name the other change. policy::effective gives priority, back ends, limits and batch permission. Change and Declaration refuse unknown fields: the fault table showed that a change of a newer version was put into force in part. Ruled out: digests over typed values (differ between versions).

--- a/crates/firshore-config/src/lib.rs
+++ b/crates/firshore-config/src/lib.rs
@@ -1,8 +1,14 @@
-//! Configuration in force: revisions, proposals, and the rules by which a node moves forward and
-//! never back. The object API client lives in the server.
+//! Configuration in force: revisions, proposals, dissemination among nodes, and the rules by which
+//! a node moves forward and never back. State machines without I/O; the object API client lives in
+//! the server.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod dissemination;
+pub mod floor;
+pub mod history;
+pub mod message;
 pub mod proposal;
+pub mod readers;
 
 /// Key prefix of change objects; the revision follows as twenty digits, so that keys sort.
 pub const CHANGE_PREFIX: &str = "changes/";
--- a/crates/firshore-config/src/proposal.rs
+++ b/crates/firshore-config/src/proposal.rs
@@ -1,10 +1,12 @@
-//! A change set that an operator proposes, before it has a revision.
+//! A change set that an operator proposes, before it has a revision, and what becomes of it.
 
 use firshore_types::configuration::{Change, Configuration};
 use firshore_types::declaration::{Declaration, DeclarationKey};
 use firshore_types::ids::{ChangeId, Revision};
 use firshore_types::validation::{Fault, validate};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
 
 /// What `firshore apply` sends to a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,9 +24,65 @@
     pub removals: Vec<DeclarationKey>,
 }
 
+/// Another change that touched the same declarations after the author looked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConflictingChange {
+    /// Identifier of the other change.
+    pub change_id: ChangeId,
+    /// Who applied it.
+    pub author: String,
+    /// Revision that it became.
+    pub revision: Revision,
+    /// Declarations that both touch.
+    pub keys: Vec<DeclarationKey>,
+}
+
+impl fmt::Display for ConflictingChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let keys: Vec<String> = self.keys.iter().map(ToString::to_string).collect();
+        write!(
+            formatter,
+            "Change '{}' by {} (revision {}) touched {} meanwhile.",
+            self.change_id,
+            self.author,
+            self.revision,
+            keys.join(", ")
+        )
+    }
+}
+
+/// What becomes of a proposal on top of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It was accepted before, as this revision.
+    AlreadyAccepted(Revision),
+    /// Its identifier was used for another change set, which became this revision.
+    IdentifierTaken(Revision),
+    /// It is to be written as this change.
+    Write(Change),
+    /// Other changes touched the same declarations.
+    Conflict(Vec<ConflictingChange>),
+    /// It does not fit the configuration.
+    Invalid(Vec<Fault>),
+}
+
 impl Proposal {
-    /// The change that this proposal becomes on top of `current`, or the faults that forbid it.
-    pub fn on_top_of(&self, current: &Configuration) -> Result<Change, Vec<Fault>> {
+    /// Decides on top of `current`. `since` holds every change after `self.base` up to `current`,
+    /// and any earlier ones among which the proposal may already be.
+    ///
+    /// A change that touches other declarations only is rebased: it is written on top of them. A
+    /// declaration that another change brought to just what this one wants is no conflict.
+    pub fn decide(&self, current: &Configuration, since: &[Change]) -> Decision {
+        if let Some(change) = since
+            .iter()
+            .find(|change| change.change_id == self.change_id)
+        {
+            return self.settle(change);
+        }
+        let conflicts = self.conflicts(current, since);
+        if !conflicts.is_empty() {
+            return Decision::Conflict(conflicts);
+        }
         let change = Change {
             revision: current.revision.next(),
             change_id: self.change_id.clone(),
@@ -32,13 +90,82 @@
             upserts: self.upserts.clone(),
             removals: self.removals.clone(),
         };
+        let mut faults = self.faults_of_form(current, since);
         let mut candidate = current.clone();
         candidate.apply(&change);
-        let faults = validate(&candidate);
+        faults.extend(validate(&candidate));
         if faults.is_empty() {
-            Ok(change)
+            Decision::Write(change)
         } else {
-            Err(faults)
+            Decision::Invalid(faults)
+        }
+    }
+
+    /// Whether an accepted change with the same identifier is this proposal.
+    pub fn settle(&self, change: &Change) -> Decision {
+        if change.upserts == self.upserts && change.removals == self.removals {
+            Decision::AlreadyAccepted(change.revision)
+        } else {
+            Decision::IdentifierTaken(change.revision)
+        }
+    }
+
+    fn touched(&self) -> BTreeSet<DeclarationKey> {
+        let upserts = self.upserts.iter().map(Declaration::key);
+        upserts.chain(self.removals.iter().cloned()).collect()
+    }
+
+    fn already_as_wanted(&self, current: &Configuration, key: &DeclarationKey) -> bool {
+        let wanted = self.upserts.iter().find(|one| one.key() == *key);
+        wanted == current.declarations.get(key)
+    }
+
+    fn conflicts(&self, current: &Configuration, since: &[Change]) -> Vec<ConflictingChange> {
+        let touched = self.touched();
+        let mut conflicts = Vec::new();
+        for change in since.iter().filter(|change| change.revision > self.base) {
+            let keys: BTreeSet<DeclarationKey> = change
+                .keys()
+                .filter(|key| touched.contains(key))
+                .filter(|key| !self.already_as_wanted(current, key))
+                .collect();
+            if !keys.is_empty() {
+                conflicts.push(ConflictingChange {
+                    change_id: change.change_id.clone(),
+                    author: change.author.clone(),
+                    revision: change.revision,
+                    keys: keys.into_iter().collect(),
+                });
+            }
+        }
+        conflicts
+    }
+
+    fn faults_of_form(&self, current: &Configuration, since: &[Change]) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut seen = BTreeSet::new();
+        let upserts = self.upserts.iter().map(Declaration::key);
+        for key in upserts.chain(self.removals.iter().cloned()) {
+            if !seen.insert(key.clone()) {
+                faults.push(Fault {
+                    place: key.to_string(),
+                    field: "metadata.name".to_owned(),
+                    problem: "It stands in the change more than once.".to_owned(),
+                    remedy: "Keep one of them.".to_owned(),
+                });
+            }
+        }
+        for key in &self.removals {
+            let removed_meanwhile = since.iter().any(|change| change.removals.contains(key));
+            if !current.declarations.contains_key(key) && !removed_meanwhile {
+                faults.push(Fault {
+                    place: key.to_string(),
+                    field: "metadata.name".to_owned(),
+                    problem: "It is to be removed but is not declared.".to_owned(),
+                    remedy: "Leave it out, or correct its kind or name.".to_owned(),
+                });
+            }
         }
+        faults
     }
 }
--- a/crates/firshore-server/src/configuration.rs
+++ b/crates/firshore-server/src/configuration.rs
@@ -3,7 +3,7 @@
 use crate::platform::machine_list;
 use crate::platform::object_api::{ObjectApi, ObjectError};
 use crate::shared::{ConfigurationView, Shared};
-use firshore_config::proposal::Proposal;
+use firshore_config::proposal::{Decision, Proposal};
 use firshore_config::{CHANGE_PREFIX, change_key};
 use firshore_types::configuration::{Change, Configuration};
 use firshore_types::error::{ApiError, ErrorCode};
@@ -90,31 +90,43 @@
     ApiError::maybe_run(ErrorCode::Unavailable, error.to_string()).retry_after(1)
 }
 
+fn refusal(decision: &Decision) -> ApiError {
+    let lines = match decision {
+        Decision::Conflict(others) => others.iter().map(ToString::to_string).collect(),
+        Decision::Invalid(faults) => faults.iter().map(ToString::to_string).collect(),
+        Decision::IdentifierTaken(revision) => {
+            vec![format!("Revision {revision} has this change identifier.")]
+        }
+        Decision::AlreadyAccepted(_) | Decision::Write(_) => Vec::new(),
+    };
+    let code = match decision {
+        Decision::Invalid(_) => ErrorCode::InvalidRequest,
+        _ => ErrorCode::Conflict,
+    };
+    ApiError::not_run(code, lines.join("\n"))
+}
+
 /// Accepts a proposal: settles it if it was accepted before, refuses it if another change came
 /// between, else writes it.
 pub async fn accept(shared: &Shared, proposal: &Proposal) -> Result<Revision, ApiError> {
     let objects = ObjectApi::new(&shared.settings.platform.object_api);
     let held = shared.configuration().configuration.clone();
+    let held_revision = held.revision;
     let (current, changes) = newest(&objects, held)
         .await
         .map_err(|error| unavailable(&error))?;
-    if let Some(change) = changes
-        .iter()
-        .find(|change| change.change_id == proposal.change_id)
-    {
-        return Ok(change.revision);
-    }
-    if current.revision != proposal.base {
+    if proposal.base < held_revision {
         let message = format!(
-            "The proposal was made on revision {}, but revision {} is in force.",
-            proposal.base, current.revision
+            "The proposal was made on revision {}, but revision {held_revision} is in force.",
+            proposal.base
         );
         return Err(ApiError::not_run(ErrorCode::Conflict, message));
     }
-    let change = proposal.on_top_of(&current).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        ApiError::not_run(ErrorCode::InvalidRequest, lines.join("\n"))
-    })?;
+    let change = match proposal.decide(&current, &changes) {
+        Decision::AlreadyAccepted(revision) => return Ok(revision),
+        Decision::Write(change) => change,
+        refused => return Err(refusal(&refused)),
+    };
     let text = serde_json::to_string(&change).expect("changes serialise");
     match objects.create(&change_key(change.revision), text).await {
         Ok(()) => Ok(change.revision),
--- a/crates/firshore-types/src/configuration.rs
+++ b/crates/firshore-types/src/configuration.rs
@@ -10,7 +10,10 @@
 use std::collections::BTreeMap;
 
 /// One accepted change set. Revision `revision` follows `revision - 1` and no other.
+///
+/// Unknown fields are refused: a change of a newer version is not put into force in part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Change {
     /// Revision that this change creates.
     pub revision: Revision,
--- a/crates/firshore-types/src/declaration.rs
+++ b/crates/firshore-types/src/declaration.rs
@@ -128,7 +128,7 @@
 
 /// One declaration of any kind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind")]
+#[serde(tag = "kind", deny_unknown_fields)]
 pub enum Declaration {
     /// A service.
     Service {
--- a/crates/firshore-types/src/lib.rs
+++ b/crates/firshore-types/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod ids;
 pub mod labels;
 pub mod machine;
+pub mod policy;
 pub mod validation;
