--- a/crates/firshore-server/src/cli/declarations.rs
+++ b/crates/firshore-server/src/cli/declarations.rs
@@ -1,5 +1,6 @@
 //! `firshore check`, `diff`, `apply` and `get`.
 
+use super::sources::Sources;
 use super::{Failure, client};
 use crate::admin::Accepted;
 use argh::FromArgs;
@@ -8,9 +9,9 @@
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Declaration;
 use firshore_types::ids::ChangeId;
-use firshore_types::validation::{Fault, parse_declarations, validate};
+use firshore_types::validation::validate;
 use rand::RngExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Check declarations without a node.
 #[derive(FromArgs)]
@@ -60,56 +61,6 @@
     node: String,
 }
 
-fn files_below(path: &Path) -> std::io::Result<Vec<PathBuf>> {
-    if !path.is_dir() {
-        return Ok(vec![path.to_owned()]);
-    }
-    let mut files = Vec::new();
-    for entry in std::fs::read_dir(path)? {
-        let path = entry?.path();
-        let yaml = path
-            .extension()
-            .is_some_and(|extension| extension == "yaml");
-        if yaml && path.is_file() {
-            files.push(path);
-        }
-    }
-    files.sort();
-    Ok(files)
-}
-
-fn describe(faults: &[Fault]) -> Failure {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    Failure::Invalid(lines.join("\n"))
-}
-
-fn read(paths: &[PathBuf]) -> Result<Vec<Declaration>, Failure> {
-    let mut declarations = Vec::new();
-    let mut faults = Vec::new();
-    for path in paths {
-        let files = files_below(path).map_err(|error| unreadable(path, &error))?;
-        for file in files {
-            let text = std::fs::read_to_string(&file).map_err(|error| unreadable(&file, &error))?;
-            match parse_declarations(&file.display().to_string(), &text) {
-                Ok(found) => declarations.extend(found),
-                Err(found) => faults.extend(found),
-            }
-        }
-    }
-    if faults.is_empty() {
-        Ok(declarations)
-    } else {
-        Err(describe(&faults))
-    }
-}
-
-fn unreadable(path: &Path, error: &std::io::Error) -> Failure {
-    Failure::Invalid(format!(
-        "{} cannot be read: {error}. Check the path.",
-        path.display()
-    ))
-}
-
 fn configuration(node: &str) -> Result<Configuration, Failure> {
     client::call(node, Method::GET, "/configuration", String::new())
 }
@@ -131,18 +82,15 @@
 
 impl Check {
     pub(crate) fn run(self) -> Result<(), Failure> {
-        let declarations = read(&self.paths)?;
+        let sources = Sources::read(&self.paths)?;
+        let declarations = sources.by_key();
         let count = declarations.len();
-        let declarations = declarations
-            .into_iter()
-            .map(|one| (one.key(), one))
-            .collect();
         let faults = validate(&Configuration {
             declarations,
             ..Configuration::default()
         });
         if !faults.is_empty() {
-            return Err(describe(&faults));
+            return Err(sources.failure(faults));
         }
         println!("{count} declarations are valid.");
         Ok(())
@@ -152,7 +100,7 @@
 impl Diff {
     pub(crate) fn run(self) -> Result<(), Failure> {
         let current = configuration(&self.node)?;
-        let upserts = changed(&current, read(&self.paths)?);
+        let upserts = changed(&current, Sources::read(&self.paths)?.declarations());
         print_diff(&current, &upserts);
         println!(
             "{} changes on revision {}.",
@@ -165,7 +113,7 @@
 
 impl Apply {
     pub(crate) fn run(self) -> Result<(), Failure> {
-        let declarations = read(&self.paths)?;
+        let declarations = Sources::read(&self.paths)?.declarations();
         let current = configuration(&self.node)?;
         let upserts = changed(&current, declarations);
         print_diff(&current, &upserts);
--- a/crates/firshore-server/src/cli/mod.rs
+++ b/crates/firshore-server/src/cli/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod reference;
 mod serve;
+mod sources;
 mod status;
 
 pub use help::{HelpText, help};
--- a/crates/firshore-types/src/validation.rs
+++ b/crates/firshore-types/src/validation.rs
@@ -3,6 +3,8 @@
 use crate::configuration::Configuration;
 use crate::declaration::{Declaration, DeclarationKey, Kind, MAXIMUM_PRIORITY, Priority, Protocol};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_norway::Value;
 use std::fmt;
 
 /// One fault in a declaration.
@@ -28,23 +30,43 @@
     }
 }
 
+/// Remedy of a document that does not have the shape of its kind.
+const SHAPE_REMEDY: &str = "Write it as docs/REFERENCE.md gives for its kind.";
+
+/// A document whose kind is known and whose content is not looked at yet.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Envelope {
+    kind: Kind,
+    metadata: Value,
+    spec: Value,
+}
+
+/// A fault without its place.
+struct ShapeFault {
+    field: String,
+    problem: String,
+}
+
 /// Reads every YAML document in `text`; `place` names the file in faults.
 pub fn parse_declarations(place: &str, text: &str) -> Result<Vec<Declaration>, Vec<Fault>> {
     let mut declarations = Vec::new();
     let mut faults = Vec::new();
     for (number, document) in serde_norway::Deserializer::from_str(text).enumerate() {
-        match Option::<Declaration>::deserialize(document) {
+        let document = Value::deserialize(document);
+        let unreadable = document.is_err();
+        match parse_document(document) {
             Ok(Some(declaration)) => declarations.push(declaration),
             Ok(None) => {}
-            Err(error) => {
-                faults.push(Fault {
-                    place: place.to_owned(),
-                    field: format!("document {}", number + 1),
-                    problem: format!("{error}."),
-                    remedy: "Write it as docs/REFERENCE.md gives for its kind.".to_owned(),
-                });
-                break;
-            }
+            Err(fault) => faults.push(Fault {
+                place: format!("{place}: document {}", number + 1),
+                field: fault.field,
+                problem: format!("{}.", fault.problem),
+                remedy: SHAPE_REMEDY.to_owned(),
+            }),
+        }
+        if unreadable {
+            break;
         }
     }
     if faults.is_empty() {
@@ -54,6 +76,62 @@
     }
 }
 
+fn parse_document(
+    document: Result<Value, serde_norway::Error>,
+) -> Result<Option<Declaration>, ShapeFault> {
+    let document = document.map_err(|error| ShapeFault {
+        field: "YAML".to_owned(),
+        problem: error.to_string(),
+    })?;
+    if document.is_null() {
+        return Ok(None);
+    }
+    let envelope: Envelope = read_part("", document)?;
+    let metadata = read_part("metadata", envelope.metadata)?;
+    let spec = envelope.spec;
+    let declaration = match envelope.kind {
+        Kind::Service => Declaration::Service {
+            metadata,
+            spec: read_part("spec", spec)?,
+        },
+        Kind::EnginePool => Declaration::EnginePool {
+            metadata,
+            spec: read_part("spec", spec)?,
+        },
+        Kind::Policy => Declaration::Policy {
+            metadata,
+            spec: read_part("spec", spec)?,
+        },
+        Kind::Tenant => Declaration::Tenant {
+            metadata,
+            spec: read_part("spec", spec)?,
+        },
+    };
+    Ok(Some(declaration))
+}
+
+/// Reads the part of a document under `prefix`; a fault names the path down to the field.
+fn read_part<T: DeserializeOwned>(prefix: &str, value: Value) -> Result<T, ShapeFault> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let path = error.path().to_string();
+        let inner = if path == "." { "" } else { path.as_str() };
+        let dot = if prefix.is_empty() || inner.is_empty() {
+            ""
+        } else {
+            "."
+        };
+        let field = format!("{prefix}{dot}{inner}");
+        ShapeFault {
+            field: if field.is_empty() {
+                "document".to_owned()
+            } else {
+                field
+            },
+            problem: error.inner().to_string(),
+        }
+    })
+}
+
 /// Checks every declaration and every reference between them.
 pub fn validate(configuration: &Configuration) -> Vec<Fault> {
     let mut faults = Vec::new();
