--- a/crates/firshore-routing/src/speed.rs
+++ b/crates/firshore-routing/src/speed.rs
@@ -60,14 +60,14 @@
     }
 }
 
-/// Running mean over the fleet, moved a little by each observation.
+/// Running mean over the fleet: of all observations at first, later mostly of the latest.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetMean {
     value: f32,
-    seeded: bool,
+    observations: f32,
 }
 
-/// Weight of one observation in a fleet's mean.
+/// Least weight of one observation in a fleet's mean.
 const FLEET_WEIGHT: f32 = 0.01;
 
 /// Bound of one observation's effect, as a factor of the mean, where outliers are expected.
@@ -78,24 +78,21 @@
     pub fn starting_at(value: f32) -> Self {
         Self {
             value,
-            seeded: false,
+            observations: 0.0,
         }
     }
 
     /// Takes in one observation.
     pub fn observe(&mut self, value: f32) {
-        if self.seeded {
-            self.value += FLEET_WEIGHT * (value - self.value);
-        } else {
-            self.value = value;
-            self.seeded = true;
-        }
+        self.observations += 1.0;
+        let weight = (1.0 / self.observations).max(FLEET_WEIGHT);
+        self.value += weight * (value - self.value);
     }
 
     /// Takes in one observation of which a few may be far off: it counts as at most
     /// [`LARGEST_DEVIATION`] times larger or smaller than the mean.
     pub fn observe_bounded(&mut self, value: f32) {
-        if self.seeded {
+        if self.observations > 0.0 {
             let low = self.value / LARGEST_DEVIATION;
             let high = self.value * LARGEST_DEVIATION;
             self.observe(value.clamp(low, high));
