--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -10,6 +10,7 @@
 use actix_http::{Method, Request, Response};
 use bytes::Bytes;
 use firshore_routing::endpoint::Outcome;
+use firshore_types::declaration::MAXIMUM_PRIORITY;
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
@@ -59,7 +60,7 @@
         ));
     };
     shared.metrics.requests.inc();
-    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
+    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(MAXIMUM_PRIORITY));
     let target = Target::of_pool(pool).with_prompt(&body);
     let outbound = outbound(path, body, priority);
     let (mut exchange, running) = dispatch::send(shared, &target, &outbound).await?;
