--- a/crates/firshore-server/src/owner.rs
+++ b/crates/firshore-server/src/owner.rs
@@ -61,7 +61,7 @@
         let now = crate::clock::unix_milliseconds();
         let expire = firshore_journal::state::Command::Batch(Command::Expire { now });
         journal
-            .answer(firshore_protocol::message::Request::Propose(expire))
+            .answer(firshore_protocol::message::JournalRequest::Propose(expire))
             .await;
     }
 }
@@ -144,7 +144,7 @@
         None => return,
     };
     if journal::propose(shared, command).await.is_ok() {
-        shared.counters.items.fetch_add(1, Ordering::Relaxed);
+        shared.metrics.batch_items.inc();
     }
 }
 
