--- a/crates/firshore-server/src/cli/serve.rs
+++ b/crates/firshore-server/src/cli/serve.rs
@@ -40,6 +40,9 @@
         if let Some(zone) = self.zone {
             settings.zone = zone.as_str().into();
         }
+        settings
+            .validate()
+            .map_err(|error| Failure::Invalid(error.to_string()))?;
         let log = logging::root(&settings.log);
         let node = Node::start(settings, log)
             .map_err(|error| Failure::Failed(format!("The node cannot start: {error}.")))?;
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -4,6 +4,7 @@
 use quick_error::quick_error;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -65,7 +66,7 @@
 }
 
 /// How the node finds and trusts its peers.
-#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[derive(Clone, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Cluster {
     /// Shared secret of at least 16 bytes.
@@ -75,6 +76,16 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+impl fmt::Debug for Cluster {
+    /// Leaves the secret out, so that settings can be logged.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Cluster")
+            .field("seeds", &self.seeds)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Where the platform's services answer.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -170,9 +181,10 @@
 
     /// Checks what the types cannot.
     pub fn validate(&self) -> Result<(), SettingsError> {
-        if self.name.as_str().is_empty() {
-            return Err(SettingsError::Invalid("name", String::new(), "Set a name."));
-        }
+        self.validate_names()?;
+        self.validate_sockets()?;
+        self.validate_platform()?;
+        self.validate_limits()?;
         if self.cluster.secret.len() < MINIMUM_SECRET_BYTES {
             return Err(SettingsError::Invalid(
                 "cluster.secret",
@@ -180,11 +192,53 @@
                 "Set at least 16 random bytes, the same on every node.",
             ));
         }
-        for (key, value) in [
+        Ok(())
+    }
+
+    fn validate_names(&self) -> Result<(), SettingsError> {
+        let names = [
+            ("name", self.name.as_str()),
+            ("region", self.region.as_str()),
+            ("zone", self.zone.as_str()),
+        ];
+        for (key, value) in names {
+            if !is_name(value) {
+                return Err(SettingsError::Invalid(
+                    key,
+                    value.to_owned(),
+                    "Use letters, digits, '-', '_' and '.'.",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn validate_sockets(&self) -> Result<(), SettingsError> {
+        let sockets = [
+            ("listen.peers", self.listen.peers, self.listen.callers),
+            ("listen.admin", self.listen.admin, self.listen.callers),
+            ("listen.admin", self.listen.admin, self.listen.peers),
+        ];
+        for (key, address, other) in sockets {
+            if address == other && address.port() != 0 {
+                return Err(SettingsError::Invalid(
+                    key,
+                    address.to_string(),
+                    "Give each listener a port of its own.",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn validate_platform(&self) -> Result<(), SettingsError> {
+        let addresses = [
             ("platform.object_api", &self.platform.object_api),
             ("platform.machine_list", &self.platform.machine_list),
-        ] {
-            if !value.starts_with("http://") {
+        ];
+        for (key, value) in addresses {
+            let address = value.strip_prefix("http://").map(str::parse::<SocketAddr>);
+            if !matches!(address, Some(Ok(_))) {
                 return Err(SettingsError::Invalid(
                     key,
                     value.clone(),
@@ -192,13 +246,27 @@
                 ));
             }
         }
-        if self.limits.workers == 0 {
-            return Err(SettingsError::Invalid(
-                "limits.workers",
-                "0".to_owned(),
-                "Set at least 1.",
-            ));
+        Ok(())
+    }
+
+    fn validate_limits(&self) -> Result<(), SettingsError> {
+        let limits = [
+            ("limits.request_body_bytes", self.limits.request_body_bytes),
+            ("limits.batch_body_bytes", self.limits.batch_body_bytes),
+            ("limits.batch_items", self.limits.batch_items),
+            ("limits.workers", self.limits.workers),
+        ];
+        for (key, value) in limits {
+            if value == 0 {
+                let value = value.to_string();
+                return Err(SettingsError::Invalid(key, value, "Set at least 1."));
+            }
         }
         Ok(())
     }
 }
+
+fn is_name(text: &str) -> bool {
+    let allowed = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
+    !text.is_empty() && text.chars().all(allowed)
+}
--- a/crates/firshore-server/tests/settings.rs
+++ b/crates/firshore-server/tests/settings.rs
@@ -63,7 +63,7 @@
     case(
         r#"name = "node-1""#,
         r#"name = """#,
-        &["name", "Set a name."],
+        &["Setting name = ''", "Use letters"],
     ),
     case(
         r#"name = "node-1""#,
@@ -116,6 +116,26 @@
         r#"level = "loud""#,
         &["unknown variant `loud`", "warning"],
     ),
+    case(
+        r#"zone = "kelowna""#,
+        r#"zone = "kelowna north""#,
+        &["Setting zone = 'kelowna north'", "Use letters"],
+    ),
+    case(
+        r#"admin = "127.0.0.1:9080""#,
+        r#"admin = "127.0.0.1:7080""#,
+        &["listen.admin", "127.0.0.1:7080", "a port of its own"],
+    ),
+    case(
+        r#"object_api = "http://127.0.0.1:6000""#,
+        r#"object_api = "http://objects:6000""#,
+        &["platform.object_api", "http://IP:PORT"],
+    ),
+    case(
+        "workers = 2",
+        "batch_items = 0",
+        &["limits.batch_items", "Set at least 1."],
+    ),
     case(
         "workers = 2",
         "workers = 0",
@@ -171,3 +191,27 @@
     assert!(settings.storage.is_none());
     assert_eq!(settings.limits.batch_items, 400_000);
 }
+
+#[test]
+fn printed_settings_hide_the_secret() {
+    let printed = format!("{:?}", read(VALID).unwrap());
+    assert!(printed.contains("127.0.0.1:7081"), "{printed}");
+    assert!(!printed.contains("0123456789abcdef"), "{printed}");
+}
+
+#[test]
+fn the_quickstart_files_are_read() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/quickstart");
+    let mut names = std::collections::BTreeSet::new();
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "toml")
+        {
+            let settings = Settings::read(&path).unwrap_or_else(|error| panic!("{error}"));
+            assert!(names.insert(settings.name.0), "{}", path.display());
+        }
+    }
+    assert!(names.len() >= 3, "{names:?}");
+}
