--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -8,10 +8,10 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, Request, Response};
 use bytes::Bytes;
+use firshore_types::declaration::MAXIMUM_PRIORITY;
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Header by which engines learn a request's priority. Online requests have 128 or more, batch
 /// items less, so that an engine never lets an online request wait behind an item.
@@ -57,8 +57,8 @@
             "The service's pool is not declared.",
         ));
     };
-    shared.counters.requests.fetch_add(1, Ordering::Relaxed);
-    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
+    shared.metrics.requests.inc();
+    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(MAXIMUM_PRIORITY));
     let outbound = outbound(path, body, priority);
     let machines = shared.pool_machines(pool);
     let (mut exchange, outstanding) = dispatch::send(shared, &machines, &outbound).await?;
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -5,7 +5,9 @@
 use firshore_protocol::error::ProtocolError;
 use firshore_protocol::frame::{self, MAXIMUM_FRAME_BYTES};
 use firshore_protocol::handshake::{self, ClusterSecret};
-use firshore_protocol::message::{NOTICE, Request, RequestFrame, Response, ResponseFrame};
+use firshore_protocol::message::{
+    JournalRefusal, NOTICE, Request, RequestFrame, Response, ResponseFrame,
+};
 use quick_error::quick_error;
 use slog::{info, warn};
 use std::cell::RefCell;
@@ -262,8 +264,12 @@
 }
 
 async fn answer(shared: &Shared, request: Request) -> Response {
-    match &shared.journal {
-        Some(journal) => journal.answer(request).await,
-        None => Response::NotLeader,
+    match request {
+        Request::Journal { request, .. } => match &shared.journal {
+            Some(journal) => journal.answer(request).await,
+            None => Response::Refused(JournalRefusal::NotLeader { leader: None }),
+        },
+        Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
+        Request::Replication { .. } | Request::Gossip(_) => Response::Received,
     }
 }
