--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -10,6 +10,8 @@
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
+use firshore_routing::endpoint::Locality;
+use firshore_routing::router::Router;
 use firshore_types::ids::InstanceId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -67,13 +69,17 @@
             settings.cluster.seeds.clone(),
             StdRng::seed_from_u64(rand::rng().random()),
         );
+        let locality = Locality {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
         let shared = Arc::new(Shared {
             log,
             clock,
             configuration: Default::default(),
             machines: Default::default(),
             members: members.into(),
-            balancer: Default::default(),
+            router: Router::new(locality).into(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             leaving: Default::default(),
