--- a/crates/firshore-server/src/cli/serve.rs
+++ b/crates/firshore-server/src/cli/serve.rs
@@ -41,6 +41,9 @@
         if let Some(zone) = self.zone {
             settings.zone = zone.as_str().into();
         }
+        settings
+            .validate()
+            .map_err(|error| Failure::Invalid(error.to_string()))?;
         let log = logging::root(&settings.log);
         let signals = Signals::watch();
         let node = Node::start(settings, log)
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -13,7 +13,7 @@
 use actix_http::{HttpMessage, Method, Request, Response};
 use bytes::Bytes;
 use firshore_routing::endpoint::Outcome;
-use firshore_types::declaration::PoolSpec;
+use firshore_types::declaration::{MAXIMUM_PRIORITY, PoolSpec};
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::rc::Rc;
@@ -52,7 +52,7 @@
     })?;
     let pool = pool(&view, &asked.model)?;
     shared.metrics.requests.inc();
-    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(127));
+    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(MAXIMUM_PRIORITY));
     let claimed_key = terms.key.clone().filter(|_| !terms.repeatable);
     let streamed = asked.stream && claimed_key.is_none();
     let dispatch = Dispatch {
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -87,7 +87,7 @@
 }
 
 enum Attempt {
-    Answered(Answer),
+    Answered(Box<Answer>),
     Ended(AttemptEnd, String),
     /// To be answered now.
     Final(ApiError),
@@ -119,7 +119,7 @@
         };
         tried.push(running.endpoint());
         match attempt(shared, request, running, attempts.execution()).await {
-            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::Answered(answer) => return Ok(*answer),
             Attempt::Final(error) => return Err(error),
             Attempt::Ended(end, reason) => last = (end, reason),
         }
@@ -232,12 +232,12 @@
     running.answered(&head.headers);
     let verdict = classify::head(request.kind, &head);
     if verdict == Verdict::Answer {
-        return Attempt::Answered(Answer {
+        return Attempt::Answered(Box::new(Answer {
             head,
             body,
             run,
             running,
-        });
+        }));
     }
     if let Some(run) = run {
         run.ended();
--- a/crates/firshore-server/src/gateway/relay.rs
+++ b/crates/firshore-server/src/gateway/relay.rs
@@ -230,7 +230,7 @@
             match deadline.bound(resumed).await {
                 None => return Err(Deadline::exceeded(Execution::Unknown)),
                 Some(Ok(Resumption::Resumed(body))) => {
-                    self.body = body;
+                    self.body = *body;
                     self.shared.metrics.resumes.inc();
                     return Ok(());
                 }
@@ -256,7 +256,7 @@
         let body = self.request.outbound.body.clone();
         match connection.send(head, body).await {
             Ok(exchange) => match classify::head(self.request.kind, &exchange.head) {
-                Verdict::Answer => Resumption::Resumed(exchange.body),
+                Verdict::Answer => Resumption::Resumed(Box::new(exchange.body)),
                 _ => Resumption::Refused,
             },
             Err(_) => Resumption::Failed,
@@ -301,7 +301,7 @@
 }
 
 enum Resumption {
-    Resumed(ExchangeBody),
+    Resumed(Box<ExchangeBody>),
     /// The engine does not hold the run any more.
     Refused,
     /// The engine could not be reached; it may be soon.
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -9,12 +9,13 @@
 use crate::shared::Shared;
 use crate::{configuration, membership, owner, serving};
 use firshore_membership::member::{Member, MemberState};
-use firshore_membership::table::MemberTable;
+use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
 use firshore_routing::endpoint::Locality;
 use firshore_routing::router::Router;
 use firshore_types::ids::InstanceId;
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use slog::{Logger, info};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -57,16 +58,23 @@
             state: MemberState::Alive,
             incarnation: 0,
         };
+        let clock = Clock::start();
+        let members = Membership::new(
+            clock.now(),
+            own,
+            settings.cluster.seeds.clone(),
+            StdRng::seed_from_u64(rand::rng().random()),
+        );
         let locality = Locality {
             region: settings.region.clone(),
             zone: settings.zone.clone(),
         };
         let shared = Arc::new(Shared {
             log,
-            clock: Clock::start(),
+            clock,
             configuration: Default::default(),
             machines: Default::default(),
-            members: MemberTable::new(own).into(),
+            members: members.into(),
             router: Router::new(locality).into(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
@@ -135,7 +143,7 @@
     info!(log, "node: Serving."; "name" => %shared.settings.name, "zone" => %shared.settings.zone);
     shared.leaving.reached(Phase::Announced).await;
     info!(log, "node: Leaving.");
-    shared.members.lock().leave();
+    membership::leave(&shared);
     actix_rt::time::sleep(LEAVE_GRACE).await;
     info!(log, "node: Finishing."; "seconds_at_most" => shared.settings.limits.leave_seconds);
     shared.leaving.close();
