--- a/crates/firshore-lab/src/cli.rs
+++ b/crates/firshore-lab/src/cli.rs
@@ -1,13 +1,9 @@
 //! The command line of the lab.
 
-use crate::demo;
+use crate::demo::Demo;
 use crate::experiment::Experiment;
-use crate::stand_in::engine;
-use crate::stand_in::platform::Platform;
+use crate::stand_in::command::StandIn;
 use argh::FromArgs;
-use firshore_types::machine::Machine;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Stand-ins, load and experiments for firshore.
@@ -25,71 +21,15 @@
     Experiment(Experiment),
 }
 
-/// Run a whole fleet in this process for a bounded time.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "demo")]
-struct Demo {
-    /// folder of the topology and its declarations
-    #[argh(option, default = "PathBuf::from(\"examples/fieldline\")")]
-    topology: PathBuf,
-    /// seconds of load
-    #[argh(option, default = "10")]
-    seconds: u64,
-    /// stay up until interrupted
-    #[argh(switch)]
-    keep: bool,
-}
-
-/// Run one stand-in as a process.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "stand-in")]
-struct StandIn {
-    #[argh(subcommand)]
-    kind: StandInKind,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum StandInKind {
-    Engine(EngineArguments),
-    Platform(PlatformArguments),
-}
-
-/// An engine, or an application service's back end.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "engine")]
-struct EngineArguments {
-    /// address to listen on
-    #[argh(option)]
-    listen: SocketAddr,
-    /// name
-    #[argh(option)]
-    name: String,
-    /// requests run at once
-    #[argh(option, default = "16")]
-    slots: u32,
-}
-
-/// Object API and machine list.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "platform")]
-struct PlatformArguments {
-    /// address to listen on
-    #[argh(option)]
-    listen: SocketAddr,
-    /// JSON file of the machine list
-    #[argh(option)]
-    machines: Option<PathBuf>,
-}
-
-/// Runs the program.
+/// Runs the program: exit 0 when all went well, 1 when it failed, 2 on wrong use.
 pub fn run() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    let arguments = match parse() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     let result = match arguments.command {
-        Command::Demo(demo) => {
-            actix_rt::System::new().block_on(demo::run(&demo.topology, demo.seconds, demo.keep))
-        }
-        Command::StandIn(stand_in) => run_stand_in(stand_in).map(|()| true),
+        Command::Demo(demo) => demo.run(),
+        Command::StandIn(stand_in) => stand_in.run().map(|()| true),
         Command::Experiment(experiment) => experiment.run(),
     };
     match result {
@@ -102,25 +42,17 @@
     }
 }
 
-fn run_stand_in(stand_in: StandIn) -> Result<(), String> {
-    match stand_in.kind {
-        StandInKind::Engine(arguments) => {
-            let server = engine::start(arguments.listen, &arguments.name, arguments.slots)
-                .map_err(|error| error.to_string())?;
-            println!("engine {}", server.address);
-            server.join();
+fn parse() -> Result<Arguments, ExitCode> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Arguments::from_args(&["firshore-lab"], &words).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
         }
-        StandInKind::Platform(arguments) => {
-            let platform = Platform::start(arguments.listen).map_err(|error| error.to_string())?;
-            if let Some(path) = arguments.machines {
-                let text = std::fs::read_to_string(&path).map_err(|error| error.to_string())?;
-                let machines: Vec<Machine> =
-                    serde_json::from_str(&text).map_err(|error| error.to_string())?;
-                platform.set_machines(machines);
-            }
-            println!("platform {}", platform.server.address);
-            platform.server.join();
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(2)
         }
-    }
-    Ok(())
+    })
 }
--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -6,6 +6,7 @@
 use crate::topology::{CallerShape, Topology};
 use actix_http::Method;
 use actix_http::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use argh::FromArgs;
 use bytes::Bytes;
 use firshore_server::engine::exchange;
 use firshore_server::logging;
@@ -23,7 +24,7 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,29 @@
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Run a whole fleet in this process for a bounded time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// folder of the topology and its declarations
+    #[argh(option, default = "PathBuf::from(\"examples/fieldline\")")]
+    topology: PathBuf,
+    /// seconds of load
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// stay up until interrupted
+    #[argh(switch)]
+    keep: bool,
+}
+
+impl Demo {
+    /// Runs it; `Ok(true)` when no promise was broken.
+    pub fn run(&self) -> Result<bool, String> {
+        let demo = run(&self.topology, self.seconds, self.keep);
+        actix_rt::System::new().block_on(demo)
+    }
+}
+
 /// A fleet that runs.
 pub struct Fleet {
     /// Nodes.
