--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
-use firshore_membership::table::MemberTable;
+use firshore_membership::membership::Membership;
 use firshore_routing::router::Router;
 use firshore_types::configuration::{Configuration, key_digest};
 use firshore_types::declaration::{Metadata, PoolSpec, ServiceSpec, TenantSpec};
@@ -89,7 +89,7 @@
     /// Back ends from the machine list.
     pub machines: RwLock<Arc<Vec<Machine>>>,
     /// Nodes.
-    pub members: Mutex<MemberTable>,
+    pub members: Mutex<Membership>,
     /// Load, speed and health of back ends.
     pub router: Mutex<Router>,
     /// Connections to peers.
