Configuration over peers: few watchers, floor before serving, lost answers settled

Cause: the state machines were not driven; every node watched the object API and served whatever it had. Change: dissemination driven over peer connections; a starting node commits a read of the floor before it serves, the gateway refuses until then (not run). A change is accepted when its object is created and the floor raised; else the answer is unknown and names the change. An intent written before the first attempt bounds where a resubmission looks. Ruled out: scanning only the newest entries for a change identifier.

--- a/crates/firshore-config/src/dissemination.rs
+++ b/crates/firshore-config/src/dissemination.rs
@@ -159,6 +159,9 @@
     reported: BTreeMap<Revision, RecordError>,
 }
 
+/// Most refusals remembered so as to report each once.
+const REPORTED_REFUSALS: usize = 64;
+
 impl Dissemination {
     /// A node that has nothing in force yet; `seed` drives its choice of peers.
     pub fn new(own: Peer, seed: u64) -> Self {
@@ -537,6 +540,9 @@
         if self.reported.get(&revision) == Some(&error) {
             return;
         }
+        if self.reported.len() >= REPORTED_REFUSALS {
+            self.reported.pop_first();
+        }
         self.reported.insert(revision, error.clone());
         outputs.push(Output::Refused(Refusal {
             revision,
--- a/crates/firshore-config/src/lib.rs
+++ b/crates/firshore-config/src/lib.rs
@@ -17,3 +17,11 @@
 pub fn change_key(revision: firshore_types::ids::Revision) -> String {
     format!("{CHANGE_PREFIX}{:020}", revision.0)
 }
+
+/// Key prefix of intents: what was in force when a change was first attempted.
+pub const INTENT_PREFIX: &str = "change-intents/";
+
+/// Key of the intent of a change.
+pub fn intent_key(change_id: &firshore_types::ids::ChangeId) -> String {
+    format!("{INTENT_PREFIX}{change_id}")
+}
--- a/crates/firshore-config/src/message.rs
+++ b/crates/firshore-config/src/message.rs
@@ -25,6 +25,17 @@
     pub configuration: Configuration,
 }
 
+/// What a node tells operators about its configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeConfiguration {
+    /// What it holds.
+    pub advertisement: Advertisement,
+    /// Why it does not serve, if so.
+    pub not_serving: Option<String>,
+    /// The last change that it refused, and why.
+    pub refused: Option<String>,
+}
+
 /// A message between two nodes. None needs an answer; a lost one is made good by the next
 /// advertisement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,11 +1,12 @@
 //! Messages between nodes.
 
 use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::member::Member;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{ItemIndex, JobId, NodeName};
+use firshore_types::ids::{InstanceId, ItemIndex, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// A question or notice to a peer, with a number that its answer repeats.
@@ -38,6 +39,15 @@
         /// Content.
         request: JournalRequest,
     },
+    /// Concerns the dissemination of the configuration.
+    Configuration {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: ConfigurationMessage,
+    },
+    /// Which configuration the peer has in force.
+    ConfigurationInForce,
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
     /// A message between replicas of a journal group; the answer only says that it arrived.
@@ -116,6 +126,10 @@
     Results(Vec<NamedResult>),
     /// The journal group's leader did not do as asked, or the peer does not lead it.
     Refused(JournalRefusal),
+    /// Messages about the configuration in return.
+    Configuration(Vec<ConfigurationMessage>),
+    /// The configuration that the peer has in force.
+    ConfigurationInForce(NodeConfiguration),
     /// Replica on the peer's disk, if it has a disk.
     ReplicaIdentity(Option<ReplicaIdentity>),
     /// The message arrived.
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -1,6 +1,7 @@
 //! Operators' interface on the admin address: health, metrics, status, configuration, drain.
 
 use crate::configuration;
+use crate::configuration::status::MemberStatus;
 use crate::gateway::{read_body, response};
 use crate::journal;
 use crate::shared::Shared;
@@ -8,9 +9,8 @@
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
 use firshore_config::proposal::Proposal;
-use firshore_membership::member::Member;
 use firshore_types::error::{ApiError, ErrorCode};
-use firshore_types::ids::Revision;
+use firshore_types::ids::{ChangeId, Revision};
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -26,8 +26,10 @@
 pub struct Status {
     /// Revision in force.
     pub revision: Revision,
-    /// Members as this node sees them.
-    pub members: Vec<Member>,
+    /// Members as this node sees them, each with what it has in force.
+    pub members: Vec<MemberStatus>,
+    /// Highest floor that the asked node knows of.
+    pub floor: Revision,
     /// Back ends on its machine list.
     pub machines: usize,
 }
@@ -39,6 +41,16 @@
     pub revision: Revision,
 }
 
+/// Answer to the question what became of a change.
+#[derive(Serialize, Deserialize)]
+pub struct Settled {
+    /// Revision that the change became, if it was accepted.
+    pub revision: Option<Revision>,
+}
+
+/// Path below which changes are asked for by identifier.
+const CHANGES_PATH: &str = "/configuration/changes/";
+
 /// Answers one request on the admin address.
 pub async fn handle(
     shared: Arc<Shared>,
@@ -54,12 +66,17 @@
         (Method::GET, "/healthz") => Ok(response::text("ok\n")),
         (Method::GET, "/readyz") => ready(shared),
         (Method::GET, "/metrics") => Ok(metrics(shared)),
-        (Method::GET, "/status") => Ok(response::json(StatusCode::OK, &status(shared))),
+        (Method::GET, "/status") => Ok(response::json(StatusCode::OK, &status(shared).await)),
         (Method::GET, "/configuration") => Ok(response::json(
             StatusCode::OK,
-            &shared.configuration().configuration,
+            &*shared.configuration().configuration,
         )),
         (Method::POST, "/configuration") => propose(shared, request).await,
+        (Method::GET, path) if path.starts_with(CHANGES_PATH) => {
+            let id = ChangeId::from(&path[CHANGES_PATH.len()..]);
+            let revision = configuration::accept::settle(shared, &id).await?;
+            Ok(response::json(StatusCode::OK, &Settled { revision }))
+        }
         (Method::GET, "/jobs") => Ok(response::json(
             StatusCode::OK,
             &journal::summaries(shared).await?,
@@ -82,24 +99,24 @@
             "The node is leaving.",
         ));
     }
-    if shared.configuration().configuration.revision == Revision(0) {
-        return Err(ApiError::not_run(
-            ErrorCode::Unavailable,
-            "No configuration is in force yet.",
-        ));
-    }
+    configuration::floor::check(shared)?;
     Ok(response::text("ready\n"))
 }
 
-fn status(shared: &Shared) -> Status {
+async fn status(shared: &Shared) -> Status {
+    let members = configuration::status::of_members(shared).await;
     Status {
         revision: shared.configuration().configuration.revision,
-        members: shared.members.lock().members(shared.clock.now()),
+        floor: shared.floor.lock().floor(),
+        members,
         machines: shared.machines.read().len(),
     }
 }
 
-async fn propose(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, ApiError> {
+async fn propose(
+    shared: &Arc<Shared>,
+    request: &mut Request,
+) -> Result<Response<BoxBody>, ApiError> {
     let body = read_body(request, MAXIMUM_PROPOSAL_BYTES).await?;
     let proposal: Proposal = serde_json::from_slice(&body).map_err(|error| {
         ApiError::not_run(
--- a/crates/firshore-server/src/cli/client.rs
+++ b/crates/firshore-server/src/cli/client.rs
@@ -3,6 +3,7 @@
 use super::Failure;
 use awc::Client;
 use awc::http::Method;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
 
@@ -51,8 +52,27 @@
         let text = String::from_utf8_lossy(&bytes).into_owned();
         match answer.status().as_u16() {
             200 => Ok(text),
-            400 => Err(Failure::Invalid(text)),
-            _ => Err(Failure::Failed(text)),
+            400 => Err(Failure::Invalid(readable(text))),
+            _ => Err(Failure::Failed(readable(text))),
         }
     })
 }
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    message: String,
+    remedy: String,
+}
+
+/// The message and remedy of an error body, or the body as it is.
+fn readable(text: String) -> String {
+    match serde_json::from_str::<ErrorBody>(&text) {
+        Ok(body) => format!("{}\n{}", body.error.message, body.error.remedy),
+        Err(_) => text,
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/configuration/floor.rs
@@ -0,0 +1,63 @@
+//! Reads the floor from the journal at the start, and keeps it close behind what is in force.
+
+use crate::configuration::advance;
+use crate::journal;
+use crate::shared::Shared;
+use firshore_config::dissemination::Input;
+use firshore_types::error::{ApiError, ErrorCode};
+use firshore_types::ids::Revision;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+const READ_RETRY: Duration = Duration::from_millis(500);
+
+/// How often readers compare the floor with what is in force.
+const SETTLE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Refuses work while the node may not serve.
+pub fn check(shared: &Shared) -> Result<(), ApiError> {
+    let allowed = shared.floor.lock().check(shared.clock.now());
+    allowed.map_err(|reason| {
+        ApiError::not_run(ErrorCode::Unavailable, reason.to_string()).retry_after(1)
+    })
+}
+
+/// Reads the floor until the journal answers; then settles what accepting nodes left behind.
+pub async fn run(shared: Arc<Shared>) {
+    loop {
+        // Raising the floor to nothing commits, and so reads it through a majority.
+        match journal::raise_floor(&shared, Revision(0)).await {
+            Ok(floor) => {
+                shared.floor.lock().floor_read(shared.clock.now(), floor);
+                advance(&shared, Input::Floor(floor));
+                info!(shared.log, "configuration: Floor read."; "floor" => %floor);
+                break;
+            }
+            Err(error) => {
+                warn!(shared.log, "configuration: Floor unread."; "reason" => %error);
+                actix_rt::time::sleep(READ_RETRY).await;
+            }
+        }
+    }
+    loop {
+        actix_rt::time::sleep(SETTLE_INTERVAL).await;
+        settle(&shared).await;
+    }
+}
+
+/// A node that wrote a change and died before it raised the floor leaves a change that is in force
+/// but not protected; a reader raises the floor in its place.
+async fn settle(shared: &Arc<Shared>) {
+    let (reads, head, floor) = {
+        let dissemination = shared.dissemination.lock();
+        let reads = dissemination.is_reader(shared.clock.now());
+        (reads, dissemination.history().head(), dissemination.floor())
+    };
+    if !reads || head <= floor {
+        return;
+    }
+    if let Ok(floor) = journal::raise_floor(shared, head).await {
+        advance(shared, Input::Floor(floor));
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/configuration/mod.rs
@@ -0,0 +1,175 @@
+//! Brings the configuration into force on this node: drives the state machine of
+//! `firshore-config` with peers, the object API and the clock.
+
+pub mod accept;
+pub mod floor;
+pub mod machines;
+pub mod status;
+
+pub use accept::accept;
+
+use crate::platform::object_api::ObjectApi;
+use crate::shared::{ConfigurationView, Shared};
+use firshore_config::dissemination::{Input, Output, Refusal, TICK_MILLISECONDS};
+use firshore_config::history::{Record, RecordError};
+use firshore_config::message::Message;
+use firshore_config::readers::Peer;
+use firshore_config::{CHANGE_PREFIX, change_key};
+use firshore_membership::member::Member;
+use firshore_protocol::message::{Request, Response};
+use firshore_types::configuration::Configuration;
+use firshore_types::ids::{InstanceId, Revision};
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait of a reader for the next change.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause between ticks while the node may not serve yet, so that it starts fast.
+const START_TICK: Duration = Duration::from_millis(200);
+
+/// A member as the dissemination sees it.
+pub fn peer_of(member: &Member) -> Peer {
+    Peer {
+        instance: member.instance,
+        region: member.region.clone(),
+        zone: member.zone.clone(),
+    }
+}
+
+/// Drives the dissemination until the node ends.
+pub async fn run(shared: Arc<Shared>) {
+    let mut known: Vec<Peer> = Vec::new();
+    loop {
+        let members = shared.members.lock().alive(shared.clock.now());
+        let peers: Vec<Peer> = members.iter().map(peer_of).collect();
+        if peers != known {
+            known.clone_from(&peers);
+            advance(&shared, Input::Members(peers));
+        }
+        advance(&shared, Input::Tick);
+        let serving = shared.floor.lock().check(shared.clock.now()).is_ok();
+        let pause = if serving {
+            Duration::from_millis(TICK_MILLISECONDS)
+        } else {
+            START_TICK
+        };
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+/// Steps the state machine and does what it asks for.
+pub fn advance(shared: &Arc<Shared>, input: Input) {
+    for output in step(shared, input) {
+        perform(shared, output);
+    }
+}
+
+/// Answers a peer: what is meant for the peer itself goes back as the answer.
+pub fn answer(shared: &Arc<Shared>, from: InstanceId, message: Message) -> Vec<Message> {
+    let mut answers = Vec::new();
+    for output in step(shared, Input::FromPeer { from, message }) {
+        match output {
+            Output::Send { to, message } if to == from => answers.push(message),
+            output => perform(shared, output),
+        }
+    }
+    answers
+}
+
+fn step(shared: &Shared, input: Input) -> Vec<Output> {
+    let now = shared.clock.now();
+    let (outputs, floor) = {
+        let mut dissemination = shared.dissemination.lock();
+        let outputs = dissemination.step(now, input);
+        (outputs, dissemination.floor())
+    };
+    shared.floor.lock().floor_heard(now, floor);
+    outputs
+}
+
+fn perform(shared: &Arc<Shared>, output: Output) {
+    match output {
+        Output::Send { to, message } => {
+            actix_rt::spawn(send(shared.clone(), to, message));
+        }
+        Output::WatchObjects { after } => {
+            actix_rt::spawn(watch(shared.clone(), after));
+        }
+        Output::InForce(configuration) => put_into_force(shared, configuration),
+        Output::Refused(refusal) => report(shared, &refusal),
+    }
+}
+
+/// Two threads may arrive here in either order; the newer configuration stays.
+fn put_into_force(shared: &Shared, configuration: Arc<Configuration>) {
+    let revision = configuration.revision;
+    let view = Arc::new(ConfigurationView::new(configuration));
+    shared.floor.lock().in_force(shared.clock.now(), revision);
+    let mut held = shared.configuration.write();
+    if held.configuration.revision < revision {
+        *held = view;
+        info!(shared.log, "configuration: In force."; "revision" => %revision);
+    }
+}
+
+fn report(shared: &Shared, refusal: &Refusal) {
+    let from = refusal
+        .from
+        .map_or("object API".to_owned(), |peer| peer.to_string());
+    warn!(shared.log, "configuration: Change refused.";
+        "revision" => %refusal.revision, "from" => from, "reason" => %refusal.error);
+    if matches!(refusal.error, RecordError::Unreadable(_)) {
+        shared.floor.lock().unreadable(refusal.revision);
+    }
+    *shared.refused_change.lock() =
+        Some(format!("Revision {}: {}", refusal.revision, refusal.error));
+}
+
+async fn send(shared: Arc<Shared>, to: InstanceId, message: Message) {
+    let members = shared.members.lock().members(shared.clock.now());
+    let Some(member) = members.iter().find(|member| member.instance == to) else {
+        return;
+    };
+    let from = shared.members.lock().own().instance;
+    let request = Request::Configuration { from, message };
+    let answer = shared.peers.call(member.peer_address, request).await;
+    if let Ok(Response::Configuration(messages)) = answer {
+        for message in messages {
+            advance(&shared, Input::FromPeer { from: to, message });
+        }
+    }
+}
+
+async fn watch(shared: Arc<Shared>, after: Revision) {
+    let objects = ObjectApi::new(&shared.settings.platform.object_api);
+    let found = objects
+        .list_after(CHANGE_PREFIX, &change_key(after), WATCH_WAIT)
+        .await;
+    let input = match found {
+        Ok(found) => Input::ObjectsRead(readable(&shared, found)),
+        Err(error) => {
+            warn!(shared.log, "configuration: Object API unreadable."; "reason" => %error);
+            Input::ObjectsUnread
+        }
+    };
+    advance(&shared, input);
+}
+
+/// Records among the objects; one that is no change object ends the listing, as nothing after it
+/// could follow.
+fn readable(shared: &Shared, objects: Vec<crate::platform::object_api::Object>) -> Vec<Record> {
+    let mut records = Vec::new();
+    for object in objects {
+        match Record::from_text(object.value) {
+            Ok(record) => records.push(record),
+            Err(error) => {
+                warn!(shared.log, "configuration: Object unreadable.";
+                    "key" => object.key, "reason" => %error);
+                break;
+            }
+        }
+    }
+    records
+}
--- a/crates/firshore-server/src/gateway/mod.rs
+++ b/crates/firshore-server/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 pub mod response;
 
+use crate::configuration;
 use crate::shared::Shared;
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response};
@@ -34,6 +35,9 @@
         .split('/')
         .filter(|segment| !segment.is_empty())
         .collect();
+    if !matches!(segments.as_slice(), ["healthz"]) {
+        configuration::floor::check(shared)?;
+    }
     match (request.method().clone(), segments.as_slice()) {
         (Method::GET, ["healthz" | "readyz"]) => Ok(response::text("ok\n")),
         (Method::POST, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -7,6 +7,7 @@
 use crate::shared::Shared;
 use crate::{admin, configuration, gateway, membership, owner};
 use actix_http::{HttpService, KeepAlive};
+use firshore_config::dissemination::Dissemination;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::table::MemberTable;
 use firshore_protocol::handshake::ClusterSecret;
@@ -62,6 +63,10 @@
         let shared = Arc::new(Shared {
             log,
             clock: Clock::start(),
+            dissemination: Dissemination::new(configuration::peer_of(&own), rand::rng().random())
+                .into(),
+            floor: Default::default(),
+            refused_change: Default::default(),
             configuration: Default::default(),
             machines: Default::default(),
             members: MemberTable::new(own).into(),
@@ -129,7 +134,8 @@
     actix_rt::spawn(peers::run_listener(peer_listener, shared.clone()));
     actix_rt::spawn(membership::run(shared.clone()));
     actix_rt::spawn(configuration::run(shared.clone()));
-    actix_rt::spawn(configuration::run_machine_list(shared.clone()));
+    actix_rt::spawn(configuration::floor::run(shared.clone()));
+    actix_rt::spawn(configuration::machines::run(shared.clone()));
     actix_rt::spawn(owner::run(shared.clone()));
     let server = serve(shared.clone(), sockets.callers, sockets.admin);
     let handle = server.handle();
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -1,5 +1,6 @@
 //! Connections between nodes: a listener that answers peers and a client that asks them.
 
+use crate::configuration;
 use crate::shared::Shared;
 use firshore_protocol::error::ProtocolError;
 use firshore_protocol::frame::{self, MAXIMUM_FRAME_BYTES};
@@ -221,7 +222,7 @@
     }
 }
 
-async fn answer(shared: &Shared, request: Request) -> Response {
+async fn answer(shared: &Arc<Shared>, request: Request) -> Response {
     match request {
         Request::Heartbeat(member) => {
             let mut members = shared.members.lock();
@@ -232,6 +233,12 @@
             Some(journal) => journal.answer(request).await,
             None => Response::Refused(JournalRefusal::NotLeader { leader: None }),
         },
+        Request::Configuration { from, message } => {
+            Response::Configuration(configuration::answer(shared, from, message))
+        }
+        Request::ConfigurationInForce => {
+            Response::ConfigurationInForce(configuration::status::own(shared))
+        }
         Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
         Request::Replication { .. } => Response::Received,
     }
--- a/crates/firshore-server/src/platform/object_api.rs
+++ b/crates/firshore-server/src/platform/object_api.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// The object of this key, if there is one; possibly from an old replica.
+    pub async fn get(&self, key: &str) -> Result<Option<Object>, ObjectError> {
+        let found = self.list_after(key, "", Duration::ZERO).await?;
+        Ok(found.into_iter().find(|object| object.key == key))
+    }
+
     /// Objects under `prefix` with keys after `after`, in order of key. Waits up to `wait` for
     /// one to appear.
     pub async fn list_after(
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -1,6 +1,6 @@
 //! Tables that the node's workers and background tasks share.
 //!
-//! Lock order: `configuration`, `machines`, `members`, `balancer`. A thread that holds one takes
+//! Lock order: `dissemination`, `floor`, `configuration`, `machines`, `members`, `balancer`. A thread that holds one takes
 //! only later ones, and none is held across an await.
 
 use crate::clock::Clock;
@@ -8,6 +8,8 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
+use firshore_config::dissemination::Dissemination;
+use firshore_config::floor::FloorGate;
 use firshore_membership::table::MemberTable;
 use firshore_routing::balance::Balancer;
 use firshore_types::configuration::{Configuration, key_digest};
@@ -23,14 +25,14 @@
 #[derive(Debug, Default)]
 pub struct ConfigurationView {
     /// Declarations.
-    pub configuration: Configuration,
+    pub configuration: Arc<Configuration>,
     tenants_by_digest: HashMap<String, (Metadata, TenantSpec)>,
     services_by_model: HashMap<String, (Metadata, ServiceSpec)>,
 }
 
 impl ConfigurationView {
     /// Indexes a configuration.
-    pub fn new(configuration: Configuration) -> Self {
+    pub fn new(configuration: Arc<Configuration>) -> Self {
         let mut tenants_by_digest = HashMap::new();
         for (metadata, spec) in configuration.tenants() {
             for digest in &spec.key_digests {
@@ -84,6 +86,12 @@
     pub log: Logger,
     /// Clock.
     pub clock: Clock,
+    /// How the configuration in force moves forward.
+    pub dissemination: Mutex<Dissemination>,
+    /// Whether the node may serve.
+    pub floor: Mutex<FloorGate>,
+    /// The last change that this node refused, and why; held alone.
+    pub refused_change: Mutex<Option<String>>,
     /// Configuration in force.
     pub configuration: RwLock<Arc<ConfigurationView>>,
     /// Back ends from the machine list.
