--- a/crates/firshore-server/src/cli/declarations.rs
+++ b/crates/firshore-server/src/cli/declarations.rs
@@ -1,17 +1,17 @@
 //! `firshore check`, `diff`, `apply` and `get`.
 
+use super::difference::{Difference, parse_key, yaml};
+use super::sources::Sources;
 use super::{Failure, client};
 use crate::admin::{Accepted, Settled};
 use argh::FromArgs;
 use awc::http::Method;
 use firshore_config::proposal::Proposal;
 use firshore_types::configuration::Configuration;
-use firshore_types::declaration::{Declaration, DeclarationKey, Kind};
 use firshore_types::ids::{ChangeId, Revision};
-use firshore_types::validation::{Fault, parse_declarations, validate};
+use firshore_types::validation::validate;
 use rand::RngExt;
-use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Check declarations without a node.
 #[derive(FromArgs)]
@@ -76,173 +76,21 @@
     what: Option<String>,
 }
 
-fn files_below(path: &Path) -> std::io::Result<Vec<PathBuf>> {
-    if !path.is_dir() {
-        return Ok(vec![path.to_owned()]);
-    }
-    let mut files = Vec::new();
-    for entry in std::fs::read_dir(path)? {
-        let path = entry?.path();
-        let yaml = path
-            .extension()
-            .is_some_and(|extension| extension == "yaml");
-        if yaml && path.is_file() {
-            files.push(path);
-        }
-    }
-    files.sort();
-    Ok(files)
-}
-
-fn describe(faults: &[Fault]) -> Failure {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    Failure::Invalid(lines.join("\n"))
-}
-
-fn read(paths: &[PathBuf]) -> Result<Vec<Declaration>, Failure> {
-    let mut declarations = Vec::new();
-    let mut faults = Vec::new();
-    for path in paths {
-        let files = files_below(path).map_err(|error| unreadable(path, &error))?;
-        for file in files {
-            let text = std::fs::read_to_string(&file).map_err(|error| unreadable(&file, &error))?;
-            match parse_declarations(&file.display().to_string(), &text) {
-                Ok(found) => declarations.extend(found),
-                Err(found) => faults.extend(found),
-            }
-        }
-    }
-    if faults.is_empty() {
-        Ok(declarations)
-    } else {
-        Err(describe(&faults))
-    }
-}
-
-fn unreadable(path: &Path, error: &std::io::Error) -> Failure {
-    Failure::Invalid(format!(
-        "{} cannot be read: {error}. Check the path.",
-        path.display()
-    ))
-}
-
 fn configuration(node: &str) -> Result<Configuration, Failure> {
     client::call(node, Method::GET, "/configuration", String::new())
 }
 
-/// What applying would change.
-struct Difference {
-    upserts: Vec<Declaration>,
-    removals: Vec<DeclarationKey>,
-}
-
-impl Difference {
-    fn between(
-        current: &Configuration,
-        declarations: Vec<Declaration>,
-        prune: bool,
-        remove: &[String],
-    ) -> Result<Self, Failure> {
-        let mut removals = Vec::new();
-        for text in remove {
-            let (kind, name) = parse_key(text)?;
-            let name = name.ok_or_else(|| not_a_key(text))?;
-            removals.push(DeclarationKey { kind, name });
-        }
-        if prune {
-            let declared: BTreeSet<DeclarationKey> =
-                declarations.iter().map(Declaration::key).collect();
-            let undeclared = current.declarations.keys();
-            removals.extend(undeclared.filter(|key| !declared.contains(key)).cloned());
-        }
-        removals.sort();
-        removals.dedup();
-        let differs = |declaration: &Declaration| {
-            current.declarations.get(&declaration.key()) != Some(declaration)
-        };
-        let upserts = declarations.into_iter().filter(differs).collect();
-        Ok(Self { upserts, removals })
-    }
-
-    fn is_empty(&self) -> bool {
-        self.upserts.is_empty() && self.removals.is_empty()
-    }
-
-    fn describe(&self, current: &Configuration) -> String {
-        let mut text = String::new();
-        for declaration in &self.upserts {
-            let key = declaration.key();
-            let before = current.declarations.get(&key);
-            let sign = if before.is_some() { '~' } else { '+' };
-            text += &format!("{sign} {key}\n");
-            text += &lines_changed(before, Some(declaration));
-        }
-        for key in &self.removals {
-            text += &format!("- {key}\n");
-            text += &lines_changed(current.declarations.get(key), None);
-        }
-        text
-    }
-}
-
-fn yaml(declaration: Option<&Declaration>) -> String {
-    declaration.map_or(String::new(), |declaration| {
-        serde_norway::to_string(declaration).expect("declarations serialise")
-    })
-}
-
-/// Changed lines with one line of their surroundings.
-fn lines_changed(before: Option<&Declaration>, after: Option<&Declaration>) -> String {
-    let (before, after) = (yaml(before), yaml(after));
-    let difference = similar::TextDiff::from_lines(&before, &after);
-    let mut text = String::new();
-    for change in difference
-        .grouped_ops(1)
-        .iter()
-        .flatten()
-        .flat_map(|op| difference.iter_changes(op))
-    {
-        text += &format!("    {}{change}", change.tag());
-    }
-    text
-}
-
-fn not_a_key(text: &str) -> Failure {
-    let kinds = "Service, EnginePool, Policy or Tenant";
-    Failure::Invalid(format!(
-        "'{text}' names no declaration. Write KIND/NAME, where KIND is {kinds}."
-    ))
-}
-
-fn parse_key(text: &str) -> Result<(Kind, Option<String>), Failure> {
-    let (kind, name) = match text.split_once('/') {
-        Some((kind, name)) => (kind, Some(name.to_owned())),
-        None => (text, None),
-    };
-    let kind = match kind.to_ascii_lowercase().as_str() {
-        "service" | "services" => Kind::Service,
-        "enginepool" | "enginepools" => Kind::EnginePool,
-        "policy" | "policies" => Kind::Policy,
-        "tenant" | "tenants" => Kind::Tenant,
-        _ => return Err(not_a_key(text)),
-    };
-    Ok((kind, name))
-}
-
 impl Check {
     pub(crate) fn run(self) -> Result<(), Failure> {
-        let declarations = read(&self.paths)?;
+        let sources = Sources::read(&self.paths)?;
+        let declarations = sources.by_key();
         let count = declarations.len();
-        let declarations = declarations
-            .into_iter()
-            .map(|one| (one.key(), one))
-            .collect();
         let faults = validate(&Configuration {
             declarations,
             ..Configuration::default()
         });
         if !faults.is_empty() {
-            return Err(describe(&faults));
+            return Err(sources.failure(faults));
         }
         println!("{count} declarations are valid.");
         Ok(())
@@ -251,7 +99,7 @@
 
 impl Diff {
     pub(crate) fn run(self) -> Result<(), Failure> {
-        let declarations = read(&self.paths)?;
+        let declarations = Sources::read(&self.paths)?.declarations();
         let current = configuration(&self.node)?;
         let difference = Difference::between(&current, declarations, self.prune, &self.remove)?;
         print!("{}", difference.describe(&current));
@@ -267,7 +115,7 @@
 
 impl Apply {
     pub(crate) fn run(self) -> Result<(), Failure> {
-        let declarations = read(&self.paths)?;
+        let declarations = Sources::read(&self.paths)?.declarations();
         if let Some(id) = &self.change
             && let Some(revision) = settled(&self.node, id)?
         {
--- a/crates/firshore-server/src/cli/mod.rs
+++ b/crates/firshore-server/src/cli/mod.rs
@@ -2,10 +2,12 @@
 
 mod client;
 mod declarations;
+mod difference;
 mod help;
 mod jobs;
 mod reference;
 mod serve;
+mod sources;
 mod status;
 
 pub use help::{HelpText, help};
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -11,6 +11,8 @@
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::table::MemberTable;
 use firshore_protocol::handshake::ClusterSecret;
+use firshore_routing::endpoint::Locality;
+use firshore_routing::router::Router;
 use firshore_types::ids::InstanceId;
 use rand::RngExt;
 use slog::{Logger, info};
@@ -60,6 +62,10 @@
             state: MemberState::Alive,
             incarnation: 0,
         };
+        let locality = Locality {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
         let shared = Arc::new(Shared {
             log,
             clock: Clock::start(),
@@ -70,7 +76,7 @@
             configuration: Default::default(),
             machines: Default::default(),
             members: MemberTable::new(own).into(),
-            balancer: Default::default(),
+            router: Router::new(locality).into(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             leaving: Default::default(),
