membership: each log line a sentence of its own

Cause: the check of log lines, landed beside the gossip driver, refuses a line whose sentence is a variable; main was red. Change: one line for each case, same sentences.

--- a/crates/firshore-server/src/membership.rs
+++ b/crates/firshore-server/src/membership.rs
@@ -6,7 +6,7 @@
 use firshore_membership::message::Envelope;
 use firshore_membership::timing::TICK_MILLISECONDS;
 use firshore_protocol::message::Request;
-use slog::{info, warn};
+use slog::{info, o, warn};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,15 +46,17 @@
 
 fn log_change(shared: &Shared, change: &MemberChange) {
     let member = &change.member;
-    let sentence = match (change.before, member.state) {
-        (None, _) => "membership: Member joined.",
-        (_, MemberState::Alive) => "membership: Member alive again.",
-        (_, MemberState::Suspect) => "membership: Member suspect.",
-        (_, MemberState::Leaving) => "membership: Member leaving.",
-        (Some(MemberState::Leaving), MemberState::Failed) => "membership: Member left.",
-        (_, MemberState::Failed) => "membership: Member failed.",
-    };
-    info!(shared.log, "{}", sentence;
-        "member" => %member.name, "zone" => %member.zone, "instance" => %member.instance,
-        "peer" => %member.peer_address);
+    let log = shared.log.new(o!(
+        "member" => member.name.to_string(), "zone" => member.zone.to_string(),
+        "instance" => member.instance.to_string(), "peer" => member.peer_address.to_string()));
+    match (change.before, member.state) {
+        (None, _) => info!(log, "membership: Member joined."),
+        (_, MemberState::Alive) => info!(log, "membership: Member alive again."),
+        (_, MemberState::Suspect) => info!(log, "membership: Member suspect."),
+        (_, MemberState::Leaving) => info!(log, "membership: Member leaving."),
+        (Some(MemberState::Leaving), MemberState::Failed) => {
+            info!(log, "membership: Member left.");
+        }
+        (_, MemberState::Failed) => info!(log, "membership: Member failed."),
+    }
 }
