--- a/crates/firshore-server/src/cli/mod.rs
+++ b/crates/firshore-server/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod declarations;
+mod difference;
 mod help;
 mod jobs;
 mod reference;
--- a/crates/firshore-server/src/gateway/mod.rs
+++ b/crates/firshore-server/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod response;
 pub mod terms;
 
+use crate::configuration;
 use crate::gateway::connection::CallerConnection;
 use crate::gateway::deadline::Deadline;
 use crate::shared::Shared;
@@ -66,7 +67,14 @@
         .split('/')
         .filter(|segment| !segment.is_empty())
         .collect();
+    if !matches!(segments.as_slice(), ["healthz"]) {
+        configuration::floor::check(shared)?;
+    }
     match (request.method().clone(), segments.as_slice()) {
+        (Method::GET, ["readyz"]) if shared.leaving.is_leaving() => Err(ApiError::not_run(
+            ErrorCode::Unavailable,
+            "The node is leaving.",
+        )),
         (Method::GET, ["healthz" | "readyz"]) => Ok(response::text("ok\n")),
         (Method::POST, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
             completions::handle(shared, &mut request).await
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -8,6 +8,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{configuration, membership, owner, serving};
+use firshore_config::dissemination::Dissemination;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
@@ -58,6 +59,8 @@
             state: MemberState::Alive,
             incarnation: 0,
         };
+        let peer = configuration::peer_of(&own);
+        let dissemination = Dissemination::new(peer, rand::rng().random());
         let clock = Clock::start();
         let members = Membership::new(
             clock.now(),
@@ -72,6 +75,9 @@
         let shared = Arc::new(Shared {
             log,
             clock,
+            dissemination: dissemination.into(),
+            floor: Default::default(),
+            refused_change: Default::default(),
             configuration: Default::default(),
             machines: Default::default(),
             members: members.into(),
@@ -134,7 +140,8 @@
     actix_rt::spawn(cancellation::run(cancellations));
     actix_rt::spawn(membership::run(shared.clone()));
     actix_rt::spawn(configuration::run(shared.clone()));
-    actix_rt::spawn(configuration::run_machine_list(shared.clone()));
+    actix_rt::spawn(configuration::floor::run(shared.clone()));
+    actix_rt::spawn(configuration::machines::run(shared.clone()));
     actix_rt::spawn(owner::run(shared.clone()));
     let callers = serving::callers(&shared, sockets.callers);
     let admin = serving::admin(&shared, sockets.admin);
--- a/crates/firshore-server/tests/support/mod.rs
+++ b/crates/firshore-server/tests/support/mod.rs
@@ -249,7 +249,9 @@
         let mut configuration = Configuration::default();
         assert!(configuration.apply(&change));
         let shared = &node.shared;
-        *shared.configuration.write() = Arc::new(ConfigurationView::new(configuration));
+        *shared.configuration.write() = Arc::new(ConfigurationView::new(configuration.into()));
+        let now = shared.clock.now();
+        shared.floor.lock().in_force(now, Revision(1));
         let machines: Vec<Machine> = back_ends
             .iter()
             .enumerate()
@@ -257,10 +259,14 @@
             .collect();
         shared.router.lock().update(shared.clock.now(), &machines);
         *shared.machines.write() = Arc::new(machines);
-        Self {
+        let fixture = Self {
             node: Some(node),
             _folder: folder,
-        }
+        };
+        eventually("the node serves", || {
+            fixture.ask(&request("GET /readyz", "", "")).status() == 200
+        });
+        fixture
     }
 
     /// The node.
