--- a/crates/firshore-server/src/configuration/accept.rs
+++ b/crates/firshore-server/src/configuration/accept.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest time spent on one proposal.
-const ACCEPT_TIMEOUT: Duration = Duration::from_secs(20);
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Pause before the object API is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/firshore-server/src/configuration/floor.rs
+++ b/crates/firshore-server/src/configuration/floor.rs
@@ -1,6 +1,6 @@
 //! Reads the floor from the journal at the start, and keeps it close behind what is in force.
 
-use crate::configuration::advance;
+use crate::configuration::{advance, await_members};
 use crate::journal;
 use crate::shared::Shared;
 use firshore_config::dissemination::Input;
@@ -25,6 +25,7 @@
 
 /// Reads the floor until the journal answers; then settles what accepting nodes left behind.
 pub async fn run(shared: Arc<Shared>) {
+    await_members(&shared).await;
     loop {
         // Raising the floor to nothing commits, and so reads it through a majority.
         match journal::raise_floor(&shared, Revision(0)).await {
--- a/crates/firshore-server/src/configuration/mod.rs
+++ b/crates/firshore-server/src/configuration/mod.rs
@@ -29,6 +29,11 @@
 /// Pause between ticks while the node may not serve yet, so that it starts fast.
 const START_TICK: Duration = Duration::from_millis(200);
 
+/// Longest wait for the members at the start, in milliseconds.
+const MEMBERS_TIMEOUT_MILLISECONDS: u64 = 3_000;
+
+const MEMBERS_POLL: Duration = Duration::from_millis(50);
+
 /// A member as the dissemination sees it.
 pub fn peer_of(member: &Member) -> Peer {
     Peer {
@@ -40,6 +45,7 @@
 
 /// Drives the dissemination until the node ends.
 pub async fn run(shared: Arc<Shared>) {
+    await_members(&shared).await;
     let mut known: Vec<Peer> = Vec::new();
     loop {
         let members = shared.members.lock().alive(shared.clock.now());
@@ -59,6 +65,15 @@
     }
 }
 
+/// Waits until the members are known: a node that knows only itself would take itself for a reader
+/// of the object API, and after a power cut all of them would at once.
+pub(crate) async fn await_members(shared: &Shared) {
+    let current = || shared.members.lock().is_current(shared.clock.now());
+    while !current() && shared.clock.now() < MEMBERS_TIMEOUT_MILLISECONDS {
+        actix_rt::time::sleep(MEMBERS_POLL).await;
+    }
+}
+
 /// Steps the state machine and does what it asks for.
 pub fn advance(shared: &Arc<Shared>, input: Input) {
     for output in step(shared, input) {
