Fault-injecting TCP proxy, as a library and as firshore-lab proxy

Failures of the network could not be provoked between real processes. Weighed: netem (privileges), switches in the programs (other code than production), an HTTP proxy (its parser would hide faults). A proxy of bytes it is; docs/design/fault-proxy.md.

--- a/crates/firshore-lab/src/cli.rs
+++ b/crates/firshore-lab/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::demo::Demo;
 use crate::experiment::Experiment;
+use crate::fault_proxy::command::ProxyCommand;
 use crate::stand_in::command::StandIn;
 use argh::FromArgs;
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
 enum Command {
     Demo(Demo),
     StandIn(StandIn),
+    Proxy(ProxyCommand),
     Experiment(Experiment),
 }
 
@@ -30,6 +32,7 @@
     let result = match arguments.command {
         Command::Demo(demo) => demo.run(),
         Command::StandIn(stand_in) => stand_in.run().map(|()| true),
+        Command::Proxy(proxy) => proxy.run().map(|()| true),
         Command::Experiment(experiment) => experiment.run(),
     };
     match result {
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod engine_model;
 pub mod experiment;
+pub mod fault_proxy;
 pub mod http;
 pub mod report;
 pub mod stand_in;
