--- a/crates/firshore-batch/src/lib.rs
+++ b/crates/firshore-batch/src/lib.rs
@@ -1,6 +1,14 @@
-//! Batch jobs as a deterministic state machine fed from the journal's log.
+//! Batch jobs as a deterministic state machine fed from the journal's log, and the controller of
+//! how much batch work an engine gets.
 #![deny(missing_docs, unsafe_code)]
 
 pub mod command;
+pub mod headroom;
+pub mod item_set;
+pub mod item_store;
 pub mod job;
+mod job_state;
+mod progress;
+pub mod queue;
 pub mod table;
+mod upload;
--- a/crates/firshore-batch/src/table.rs
+++ b/crates/firshore-batch/src/table.rs
@@ -1,248 +1,329 @@
 //! The job table: deterministic, changed only by committed commands.
 
-use crate::command::{Command, Item, ItemLease, Outcome, Submission};
-use crate::job::{ItemResult, JobStatus, JobSummary, RequestCounts};
-use firshore_types::ids::{ItemIndex, JobId, TenantName};
+use crate::command::{
+    Action, Command, ItemLease, LeaseReference, LeaseRequest, LeaseRequestId, LeaseToken, Outcome,
+    Submission, UploadId,
+};
+use crate::job::{Governance, JobSummary, NamedResult};
+use crate::job_state::Job;
+use crate::queue::ReadyQueue;
+use crate::upload::Upload;
+use firshore_types::ids::JobId;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Debug)]
-struct OpenLease {
-    attempt: u32,
-    expires_at: u64,
-}
+/// Time added to every lease before it counts as lapsed, in milliseconds: how far the holder's
+/// clock may run behind the leader's over one lease, and how long a send may take after the
+/// holder's last look at its lease.
+pub const LEASE_MARGIN_MILLISECONDS: u64 = 2_000;
+
+/// Longest lease granted, in milliseconds.
+pub const MAXIMUM_LEASE_MILLISECONDS: u64 = 60_000;
+
+/// Time after its last chunk at which an upload is dropped, in milliseconds.
+pub const UPLOAD_IDLE_MILLISECONDS: u64 = 60_000;
 
-#[derive(Debug)]
-struct Job {
-    tenant: TenantName,
-    body_digest: String,
-    status: JobStatus,
-    items: Vec<Item>,
-    attempts: Vec<u32>,
-    pending: BTreeSet<ItemIndex>,
-    leases: BTreeMap<ItemIndex, OpenLease>,
-    results: BTreeMap<ItemIndex, ItemResult>,
-    counts: RequestCounts,
+/// Most uploads open at once in one table.
+pub const MAXIMUM_UPLOADS: usize = 256;
+
+/// Items given to one tenant before the next has its turn.
+const TURN_ITEMS: u32 = 8;
+
+/// What a request for leases was given, kept until the leases lapse.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Grant {
+    expires_at: u64,
+    leases: Vec<LeaseReference>,
 }
 
 /// All jobs.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct JobTable {
+    /// Latest stamp seen: time never goes back, whichever leader stamps.
+    now: u64,
     jobs: BTreeMap<JobId, Job>,
+    uploads: BTreeMap<UploadId, Upload>,
+    queue: ReadyQueue,
+    leased: BTreeSet<JobId>,
+    grants: BTreeMap<LeaseRequestId, Grant>,
+    last_sequence: u64,
+    last_token: u64,
 }
 
 impl JobTable {
     /// Applies a committed command.
     pub fn apply(&mut self, command: Command) -> Outcome {
-        match command {
-            Command::Submit(submission) => self.submit(submission),
-            Command::Lease { count, expires_at } => self.lease(count, expires_at),
-            Command::Complete {
-                job,
-                index,
-                attempt,
-                result,
-            } => self.complete(&job, index, attempt, result),
-            Command::Return {
-                job,
-                index,
-                attempt,
-            } => self.return_lease(&job, index, attempt),
-            Command::Cancel(job) => self.cancel(&job),
-            Command::Expire { now } => self.expire(now),
+        self.now = self.now.max(command.at);
+        match command.action {
+            Action::Open { upload, submission } => self.open(upload, *submission),
+            Action::Append {
+                upload,
+                sequence,
+                items,
+            } => {
+                let now = self.now;
+                let known = self.uploads.get_mut(&upload);
+                if known.is_some_and(|known| known.append(sequence, &items, now)) {
+                    Outcome::Done
+                } else {
+                    Outcome::UnknownUpload
+                }
+            }
+            Action::Seal {
+                upload,
+                body_digest,
+                total,
+            } => self.seal(&upload, body_digest, total),
+            Action::Abandon(upload) => {
+                self.uploads.remove(&upload);
+                Outcome::Done
+            }
+            Action::Lease(request) => self.lease(&request),
+            Action::Renew {
+                leases,
+                duration_milliseconds,
+            } => self.renew(&leases, duration_milliseconds),
+            Action::Start(lease) => {
+                let allowed = self.change(&lease.job, |job, _| job.start(&lease));
+                Outcome::Start {
+                    allowed: allowed.unwrap_or(false),
+                }
+            }
+            Action::Complete(completions) => {
+                for completion in completions {
+                    let job = completion.lease.job.clone();
+                    self.change(&job, |job, now| job.complete(completion, now));
+                }
+                Outcome::Done
+            }
+            Action::Return(handbacks) => {
+                for handback in handbacks {
+                    let job = handback.lease.job.clone();
+                    self.change(&job, |job, now| job.hand_back(&handback, now));
+                }
+                Outcome::Done
+            }
+            Action::Cancel(job) => self.answered(&job, |job, now| job.cancel(now)),
+            Action::Govern { job, governance } => self.govern(&job, governance),
+            Action::Delete(job) => self.delete(&job),
+            Action::Tick => {
+                self.tick();
+                Outcome::Done
+            }
         }
     }
 
     /// State of one job.
     pub fn summary(&self, id: &JobId) -> Option<JobSummary> {
-        self.jobs.get(id).map(|job| job.summary(id))
+        self.jobs.get(id).map(|job| job.summary(self.now))
     }
 
     /// State of every job.
     pub fn summaries(&self) -> Vec<JobSummary> {
-        self.jobs.iter().map(|(id, job)| job.summary(id)).collect()
+        let jobs = self.jobs.values();
+        jobs.map(|job| job.summary(self.now)).collect()
     }
 
-    /// Results from position `from` on, in order of item, with each item's `custom_id`.
-    pub fn results(
+    /// Lines of a job's output from `position` on, at most `count` of about `bytes` together.
+    pub fn output(
         &self,
         id: &JobId,
-        from: ItemIndex,
+        position: u32,
         count: usize,
-    ) -> Vec<(ItemIndex, String, ItemResult)> {
-        let Some(job) = self.jobs.get(id) else {
-            return Vec::new();
-        };
-        job.results
-            .range(from..)
-            .take(count)
-            .map(|(index, result)| {
-                (
-                    *index,
-                    job.items[*index as usize].custom_id.clone(),
-                    result.clone(),
-                )
-            })
-            .collect()
+        bytes: usize,
+    ) -> Vec<NamedResult> {
+        let job = self.jobs.get(id);
+        job.map_or_else(Vec::new, |job| job.output(position, count, bytes))
+    }
+
+    /// Whether a tick at `now` (Unix milliseconds) could change anything.
+    pub fn needs_tick(&self, now: u64) -> bool {
+        let due = |job: &Job| !job.status.is_terminal() || job.may_be_deleted(now);
+        !self.uploads.is_empty() || !self.grants.is_empty() || self.jobs.values().any(due)
+    }
+
+    /// Bytes held beside the texts of items and results.
+    pub fn overhead_bytes(&self) -> usize {
+        self.jobs.values().map(Job::overhead_bytes).sum()
+    }
+
+    /// Changes a job and keeps the indexes in step with it.
+    fn change<T>(&mut self, id: &JobId, change: impl FnOnce(&mut Job, u64) -> T) -> Option<T> {
+        let job = self.jobs.get_mut(id)?;
+        let before = job.queue_entry();
+        let result = change(job, self.now);
+        let after = job.queue_entry();
+        if before != after {
+            if let Some(entry) = &before {
+                self.queue.remove(entry);
+            }
+            if let Some(entry) = after {
+                self.queue.insert(entry);
+            }
+        }
+        if job.has_leases() {
+            if !self.leased.contains(id) {
+                self.leased.insert(id.clone());
+            }
+        } else {
+            self.leased.remove(id);
+        }
+        Some(result)
     }
 
-    fn submit(&mut self, submission: Submission) -> Outcome {
-        if let Some(job) = self.jobs.get(&submission.job) {
-            let same = job.body_digest == submission.body_digest;
-            return if same {
-                Outcome::Job(job.summary(&submission.job))
+    fn answered(&mut self, id: &JobId, change: impl FnOnce(&mut Job, u64)) -> Outcome {
+        let summary = self.change(id, |job, now| {
+            change(job, now);
+            job.summary(now)
+        });
+        summary.map_or(Outcome::UnknownJob, |summary| {
+            Outcome::Job(Box::new(summary))
+        })
+    }
+
+    fn open(&mut self, id: UploadId, submission: Submission) -> Outcome {
+        if self.jobs.contains_key(&id.job) {
+            return Outcome::Opened { exists: true };
+        }
+        if !self.uploads.contains_key(&id) {
+            if self.uploads.len() >= MAXIMUM_UPLOADS {
+                return Outcome::TooManyUploads;
+            }
+            let upload = Upload::new(submission, self.now);
+            self.uploads.insert(id, upload);
+        }
+        Outcome::Opened { exists: false }
+    }
+
+    fn seal(&mut self, id: &UploadId, body_digest: String, total: u32) -> Outcome {
+        if let Some(job) = self.jobs.get(&id.job) {
+            self.uploads.remove(id);
+            return if job.body_digest == body_digest {
+                Outcome::Job(Box::new(job.summary(self.now)))
             } else {
                 Outcome::Conflict
             };
         }
-        let total = submission.items.len() as u32;
-        let job = Job {
-            tenant: submission.tenant,
-            body_digest: submission.body_digest,
-            status: if total == 0 {
-                JobStatus::Completed
-            } else {
-                JobStatus::InProgress
-            },
-            attempts: vec![0; submission.items.len()],
-            items: submission.items,
-            pending: (0..total).collect(),
-            leases: BTreeMap::new(),
-            results: BTreeMap::new(),
-            counts: RequestCounts {
-                total,
-                ..RequestCounts::default()
-            },
+        let whole = |upload: &Upload| upload.items.total() == total;
+        if !self.uploads.get(id).is_some_and(whole) {
+            return Outcome::UnknownUpload;
+        }
+        let Some(upload) = self.uploads.remove(id) else {
+            return Outcome::UnknownUpload;
         };
-        let summary = job.summary(&submission.job);
-        self.jobs.insert(submission.job, job);
-        Outcome::Job(summary)
+        self.last_sequence += 1;
+        let job = Job::new(self.last_sequence, upload, body_digest, self.now);
+        let summary = job.summary(self.now);
+        if let Some(entry) = job.queue_entry() {
+            self.queue.insert(entry);
+        }
+        self.jobs.insert(id.job.clone(), job);
+        Outcome::Job(Box::new(summary))
     }
 
-    fn lease(&mut self, count: u32, expires_at: u64) -> Outcome {
-        let mut leases = Vec::new();
-        for (id, job) in &mut self.jobs {
-            while job.status == JobStatus::InProgress && leases.len() < count as usize {
-                let Some(index) = job.pending.pop_first() else {
-                    break;
+    fn lease(&mut self, request: &LeaseRequest) -> Outcome {
+        if let Some(grant) = self.grants.get(&request.id) {
+            return Outcome::Leased(self.still_granted(grant));
+        }
+        let duration = request
+            .duration_milliseconds
+            .min(MAXIMUM_LEASE_MILLISECONDS);
+        let expires_at = self.now + duration;
+        let mut leases: Vec<ItemLease> = Vec::new();
+        while (leases.len() as u32) < request.count {
+            let eligible = |id: &JobId| {
+                let job = self.jobs.get(id);
+                job.is_some_and(|job| job.may_run_on(&request.engine_labels))
+            };
+            let Some(entry) = self.queue.next(&request.models, eligible) else {
+                break;
+            };
+            let wanted = (request.count - leases.len() as u32).min(TURN_ITEMS);
+            let mut token = self.last_token;
+            let granted = self.change(&entry.ready.job, |job, now| {
+                let next = |_| {
+                    token += 1;
+                    job.lease(LeaseToken(token), expires_at, now)
                 };
-                job.attempts[index as usize] += 1;
-                let attempt = job.attempts[index as usize];
-                job.leases.insert(
-                    index,
-                    OpenLease {
-                        attempt,
-                        expires_at,
-                    },
-                );
-                let item = job.items[index as usize].clone();
-                leases.push(ItemLease {
-                    job: id.clone(),
-                    index,
-                    attempt,
-                    item,
-                });
+                (0..wanted).map_while(next).collect::<Vec<_>>()
+            });
+            self.last_token = token;
+            let granted = granted.unwrap_or_default();
+            if granted.is_empty() {
+                break;
             }
+            self.queue.charge(&entry.tenant, granted.len() as u32);
+            leases.extend(granted);
+        }
+        if !leases.is_empty() {
+            let grant = Grant {
+                expires_at,
+                leases: leases.iter().map(|lease| lease.lease.clone()).collect(),
+            };
+            self.grants.insert(request.id, grant);
         }
         Outcome::Leased(leases)
     }
 
-    fn complete(
-        &mut self,
-        id: &JobId,
-        index: ItemIndex,
-        attempt: u32,
-        result: ItemResult,
-    ) -> Outcome {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return Outcome::UnknownJob;
-        };
-        if job
-            .leases
-            .get(&index)
-            .is_some_and(|lease| lease.attempt == attempt)
-        {
-            job.leases.remove(&index);
-        }
-        if !job.results.contains_key(&index) && job.status != JobStatus::Cancelled {
-            job.pending.remove(&index);
-            if (200..300).contains(&result.status) {
-                job.counts.completed += 1;
-            } else {
-                job.counts.failed += 1;
-            }
-            job.results.insert(index, result);
-        }
-        job.settle();
-        Outcome::Job(job.summary(id))
+    fn still_granted(&self, grant: &Grant) -> Vec<ItemLease> {
+        let leases = grant.leases.iter();
+        leases
+            .filter_map(|lease| self.jobs.get(&lease.job)?.granted(lease))
+            .collect()
     }
 
-    fn return_lease(&mut self, id: &JobId, index: ItemIndex, attempt: u32) -> Outcome {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return Outcome::UnknownJob;
-        };
-        if job
-            .leases
-            .get(&index)
-            .is_some_and(|lease| lease.attempt == attempt)
-        {
-            job.leases.remove(&index);
-            job.pending.insert(index);
+    fn renew(&mut self, leases: &[LeaseReference], duration: u64) -> Outcome {
+        let expires_at = self.now + duration.min(MAXIMUM_LEASE_MILLISECONDS);
+        let mut refused = Vec::new();
+        for lease in leases {
+            let renewed = self
+                .jobs
+                .get_mut(&lease.job)
+                .is_some_and(|job| job.renew(lease, expires_at));
+            if !renewed {
+                refused.push(lease.token);
+            }
         }
-        job.settle();
-        Outcome::Done
+        Outcome::Renewed { refused }
     }
 
-    fn cancel(&mut self, id: &JobId) -> Outcome {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return Outcome::UnknownJob;
-        };
-        if job.status == JobStatus::InProgress {
-            job.status = JobStatus::Cancelling;
-        }
-        job.settle();
-        Outcome::Job(job.summary(id))
-    }
-
-    fn expire(&mut self, now: u64) -> Outcome {
-        for job in self.jobs.values_mut() {
-            let lapsed: Vec<ItemIndex> = job
-                .leases
-                .iter()
-                .filter(|(_, lease)| lease.expires_at < now)
-                .map(|(index, _)| *index)
-                .collect();
-            for index in lapsed {
-                job.leases.remove(&index);
-                if job.items[index as usize].repeatable {
-                    job.pending.insert(index);
-                } else {
-                    job.counts.failed += 1;
-                    let body = r#"{"error":{"code":"unknown","execution":"unknown"}}"#.to_owned();
-                    job.results.insert(index, ItemResult { status: 502, body });
-                }
+    fn govern(&mut self, id: &JobId, governance: Governance) -> Outcome {
+        self.answered(id, |job, _| {
+            if governance.revision >= job.submission.governance.revision {
+                job.submission.governance = governance;
             }
-            job.settle();
-        }
-        Outcome::Done
+        })
     }
-}
 
-impl Job {
-    fn summary(&self, id: &JobId) -> JobSummary {
-        JobSummary {
-            id: id.clone(),
-            tenant: self.tenant.clone(),
-            status: self.status,
-            request_counts: self.counts,
+    fn delete(&mut self, id: &JobId) -> Outcome {
+        match self.jobs.get(id) {
+            None => Outcome::UnknownJob,
+            Some(job) if !job.status.is_terminal() => Outcome::NotEnded,
+            Some(_) => {
+                self.jobs.remove(id);
+                Outcome::Done
+            }
         }
     }
 
-    fn settle(&mut self) {
-        if self.status == JobStatus::Cancelling && self.leases.is_empty() {
-            self.status = JobStatus::Cancelled;
+    fn tick(&mut self) {
+        let now = self.now;
+        let horizon = now.saturating_sub(LEASE_MARGIN_MILLISECONDS);
+        for id in self.leased.clone() {
+            self.change(&id, |job, now| job.lapse(horizon, now));
         }
-        if self.status == JobStatus::InProgress && self.results.len() == self.items.len() {
-            self.status = JobStatus::Completed;
+        let running: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.status.is_terminal())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in running {
+            self.change(&id, |job, now| job.tick(now));
         }
+        self.jobs.retain(|_, job| !job.may_be_deleted(now));
+        self.uploads
+            .retain(|_, upload| upload.touched_at + UPLOAD_IDLE_MILLISECONDS > now);
+        self.grants.retain(|_, grant| grant.expires_at >= horizon);
     }
 }
--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -28,8 +28,20 @@
     Floor(Revision),
 }
 
+impl Command {
+    /// Stamps the leader's clock, in Unix milliseconds, on a command that is about to enter the
+    /// log. Every replica then applies the same time.
+    pub fn stamp(&mut self, now: u64) {
+        match self {
+            Self::Batch(command) => command.at = now,
+            Self::Claim(ClaimCommand::Claim { at, .. }) => *at = now,
+            Self::Claim(_) | Self::RaiseFloor(_) => {}
+        }
+    }
+}
+
 /// Everything a journal group keeps.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct JournalState {
     /// Batch jobs.
     pub jobs: JobTable,
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,9 +1,9 @@
 //! Messages between nodes.
 
-use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_batch::job::{JobSummary, NamedResult};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::member::Member;
-use firshore_types::ids::{ItemIndex, JobId};
+use firshore_types::ids::JobId;
 use serde::{Deserialize, Serialize};
 
 /// A question or notice to a peer, with a number that its answer repeats.
@@ -39,24 +39,13 @@
     JobResults {
         /// Job.
         job: JobId,
-        /// First item wanted.
-        from: ItemIndex,
+        /// First position of the output wanted.
+        from: u32,
         /// Most results wanted.
         count: u32,
     },
 }
 
-/// One item's result with the caller's name for the item.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct NamedResult {
-    /// Position in the job.
-    pub index: ItemIndex,
-    /// The caller's name for it.
-    pub custom_id: String,
-    /// Result.
-    pub result: ItemResult,
-}
-
 /// What a peer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -1,17 +1,21 @@
 //! The journal as the rest of the node sees it: commands committed, jobs read.
 
+use crate::clock::unix_milliseconds;
 use crate::peers::PeerError;
 use crate::shared::Shared;
 use firshore_batch::command as batch;
-use firshore_batch::job::JobSummary;
+use firshore_batch::job::{JobSummary, NamedResult};
 use firshore_journal::claim::{ClaimCommand, ClaimOutcome};
 use firshore_journal::state::{Command, JournalState, Outcome};
-use firshore_protocol::message::{NamedResult, Request, Response};
+use firshore_protocol::message::{Request, Response};
 use firshore_types::error::{ApiError, ErrorCode};
-use firshore_types::ids::{ItemIndex, JobId, Revision};
+use firshore_types::ids::{JobId, Revision};
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 
+/// Bytes of results in one answer, beyond which it ends.
+const RESULTS_BYTES: usize = 4 * 1024 * 1024;
+
 /// A journal held by this node alone, in memory.
 #[derive(Default)]
 pub struct Journal {
@@ -23,23 +27,20 @@
     pub async fn answer(&self, request: Request) -> Response {
         let mut state = self.state.lock();
         match request {
-            Request::Propose(command) => Response::Proposed(state.apply(command)),
+            Request::Propose(mut command) => {
+                command.stamp(unix_milliseconds());
+                Response::Proposed(state.apply(command))
+            }
             Request::JobSummary(job) => {
                 Response::Jobs(state.jobs.summary(&job).into_iter().collect())
             }
             Request::JobSummaries => Response::Jobs(state.jobs.summaries()),
-            Request::JobResults { job, from, count } => Response::Results(
-                state
-                    .jobs
-                    .results(&job, from, count as usize)
-                    .into_iter()
-                    .map(|(index, custom_id, result)| NamedResult {
-                        index,
-                        custom_id,
-                        result,
-                    })
-                    .collect(),
-            ),
+            Request::JobResults { job, from, count } => Response::Results(state.jobs.output(
+                &job,
+                from,
+                count as usize,
+                RESULTS_BYTES,
+            )),
             Request::Heartbeat(_) => Response::NotLeader,
         }
     }
@@ -80,8 +81,8 @@
 }
 
 /// Commits a command that concerns batch jobs.
-pub async fn propose(shared: &Shared, command: batch::Command) -> Result<batch::Outcome, ApiError> {
-    match ask(shared, Request::Propose(Command::Batch(command))).await? {
+pub async fn propose(shared: &Shared, action: batch::Action) -> Result<batch::Outcome, ApiError> {
+    match ask(shared, Request::Propose(Command::Batch(action.into()))).await? {
         Response::Proposed(Outcome::Batch(outcome)) => Ok(outcome),
         _ => Err(unexpected()),
     }
@@ -123,7 +124,7 @@
 pub async fn results(
     shared: &Shared,
     job: JobId,
-    from: ItemIndex,
+    from: u32,
     count: u32,
 ) -> Result<Vec<NamedResult>, ApiError> {
     match ask(shared, Request::JobResults { job, from, count }).await? {
