--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -41,7 +41,7 @@
 }
 
 /// Everything a journal group keeps.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct JournalState {
     /// Batch jobs.
     pub jobs: JobTable,
