--- a/crates/firshore-batch/src/command.rs
+++ b/crates/firshore-batch/src/command.rs
@@ -49,7 +49,7 @@
 }
 
 /// Fences one lease: no two leases ever have the same token.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LeaseToken(pub u64);
 
 /// Names one lease.
--- a/crates/firshore-batch/src/job.rs
+++ b/crates/firshore-batch/src/job.rs
@@ -77,8 +77,8 @@
     pub priority: Priority,
     /// `true` keeps items from being leased.
     pub paused: bool,
-    /// Engines that may run items must match every one of these.
-    pub backends: Vec<firshore_types::labels::Selector>,
+    /// Engines that may run items, by label.
+    pub backends: firshore_types::labels::Selector,
 }
 
 /// State of a job.
--- a/crates/firshore-batch/src/job_state.rs
+++ b/crates/firshore-batch/src/job_state.rs
@@ -142,7 +142,7 @@
 
     pub(crate) fn may_run_on(&self, engine: &Labels) -> bool {
         let backends = &self.submission.governance.backends;
-        backends.iter().all(|selector| selector.matches(engine))
+        backends.matches(engine)
     }
 
     pub(crate) fn has_leases(&self) -> bool {
@@ -325,7 +325,11 @@
     pub(crate) fn tick(&mut self, now: u64) {
         if self.status == JobStatus::InProgress {
             self.progress.observe(now, u64::from(self.finished.len()));
-            if self.times.deadline_at.is_some_and(|deadline| deadline <= now) {
+            if self
+                .times
+                .deadline_at
+                .is_some_and(|deadline| deadline <= now)
+            {
                 self.status = JobStatus::Finalizing;
             }
         }
--- a/crates/firshore-batch/src/progress.rs
+++ b/crates/firshore-batch/src/progress.rs
@@ -48,8 +48,8 @@
 
     /// When `remaining` items will be done, in Unix milliseconds.
     pub(crate) fn estimated_end(&self, now: u64, remaining: u64) -> Option<u64> {
-        let milliseconds = (remaining * MILLISECONDS_PER_KILOSECOND)
-            .checked_div(self.items_per_kilosecond)?;
+        let milliseconds =
+            (remaining * MILLISECONDS_PER_KILOSECOND).checked_div(self.items_per_kilosecond)?;
         Some(now + milliseconds)
     }
 }
--- a/crates/firshore-batch/src/queue.rs
+++ b/crates/firshore-batch/src/queue.rs
@@ -55,10 +55,7 @@
     pub fn insert(&mut self, entry: QueueEntry) {
         let levels = self.models.entry(entry.model).or_default();
         let tenants = levels.entry(rank(entry.priority)).or_default();
-        tenants
-            .entry(entry.tenant)
-            .or_default()
-            .insert(entry.ready);
+        tenants.entry(entry.tenant).or_default().insert(entry.ready);
     }
 
     /// Takes a job out.
@@ -84,22 +81,14 @@
     }
 
     /// The job to serve next among those of `models` that `eligible` accepts.
-    pub fn next(
-        &self,
-        models: &[String],
-        eligible: impl Fn(&JobId) -> bool,
-    ) -> Option<QueueEntry> {
+    pub fn next(&self, models: &[String], eligible: impl Fn(&JobId) -> bool) -> Option<QueueEntry> {
         models
             .iter()
             .filter_map(|model| self.next_of_model(model, &eligible))
             .min_by_key(|entry| (rank(entry.priority), self.start_time(&entry.tenant)))
     }
 
-    fn next_of_model(
-        &self,
-        model: &str,
-        eligible: &impl Fn(&JobId) -> bool,
-    ) -> Option<QueueEntry> {
+    fn next_of_model(&self, model: &str, eligible: &impl Fn(&JobId) -> bool) -> Option<QueueEntry> {
         let levels = self.models.get(model)?;
         levels.iter().find_map(|(rank, tenants)| {
             let candidates = tenants.iter().filter_map(|(tenant, jobs)| {
--- a/crates/firshore-batch/src/table.rs
+++ b/crates/firshore-batch/src/table.rs
@@ -136,12 +136,6 @@
         job.map_or_else(Vec::new, |job| job.output(position, count, bytes))
     }
 
-    /// Whether a tick at `now` (Unix milliseconds) could change anything.
-    pub fn needs_tick(&self, now: u64) -> bool {
-        let due = |job: &Job| !job.status.is_terminal() || job.may_be_deleted(now);
-        !self.uploads.is_empty() || !self.grants.is_empty() || self.jobs.values().any(due)
-    }
-
     /// Bytes held beside the texts of items and results.
     pub fn overhead_bytes(&self) -> usize {
         self.jobs.values().map(Job::overhead_bytes).sum()
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -1,9 +1,8 @@
 //! Operators' interface on the admin address: health, metrics, status, configuration, drain.
 
-use crate::configuration;
 use crate::gateway::{read_body, response};
-use crate::journal;
 use crate::shared::Shared;
+use crate::{admin_jobs, configuration};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
@@ -60,10 +59,9 @@
             &shared.configuration().configuration,
         )),
         (Method::POST, "/configuration") => propose(shared, request).await,
-        (Method::GET, "/jobs") => Ok(response::json(
-            StatusCode::OK,
-            &journal::summaries(shared).await?,
-        )),
+        (_, path) if path == "/jobs" || path.starts_with("/jobs/") => {
+            admin_jobs::handle(shared, request, path).await
+        }
         (Method::POST, "/drain") => {
             shared.leaving.store(true, Ordering::Relaxed);
             Ok(response::text("leaving\n"))
--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -36,12 +36,9 @@
                 Response::Jobs(state.jobs.summary(&job).into_iter().collect())
             }
             JournalRequest::JobSummaries => Response::Jobs(state.jobs.summaries()),
-            JournalRequest::JobResults { job, from, count } => Response::Results(state.jobs.output(
-                &job,
-                from,
-                count as usize,
-                RESULTS_BYTES,
-            )),
+            JournalRequest::JobResults { job, from, count } => {
+                Response::Results(state.jobs.output(&job, from, count as usize, RESULTS_BYTES))
+            }
         }
     }
 }
@@ -86,7 +83,12 @@
 
 /// Commits a command that concerns batch jobs.
 pub async fn propose(shared: &Shared, action: batch::Action) -> Result<batch::Outcome, ApiError> {
-    match ask(shared, JournalRequest::Propose(Command::Batch(action.into()))).await? {
+    match ask(
+        shared,
+        JournalRequest::Propose(Command::Batch(action.into())),
+    )
+    .await?
+    {
         Response::Proposed(Outcome::Batch(outcome)) => Ok(outcome),
         _ => Err(unexpected()),
     }
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -3,6 +3,8 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admin;
+pub mod admin_jobs;
+pub mod batch_runner;
 pub mod cli;
 pub mod clock;
 pub mod configuration;
@@ -13,7 +15,6 @@
 pub mod membership;
 pub mod metrics;
 pub mod node;
-pub mod owner;
 pub mod peers;
 pub mod platform;
 pub mod settings;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -5,7 +5,7 @@
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{admin, configuration, gateway, membership, owner};
+use crate::{admin, batch_runner, configuration, gateway, membership};
 use actix_http::{HttpService, KeepAlive};
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::table::MemberTable;
@@ -130,7 +130,7 @@
     actix_rt::spawn(membership::run(shared.clone()));
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::run_machine_list(shared.clone()));
-    actix_rt::spawn(owner::run(shared.clone()));
+    let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
     let server = serve(shared.clone(), sockets.callers, sockets.admin);
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
@@ -142,6 +142,7 @@
     actix_rt::time::sleep(LEAVE_GRACE).await;
     handle.stop(true).await;
     let _ = serving.await;
+    let _ = runner.await;
     info!(log, "node: Stopped.");
 }
 
