--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -17,5 +17,7 @@
 pub mod node;
 pub mod peers;
 pub mod platform;
+pub mod reference;
+pub mod routing;
 pub mod settings;
 pub mod shared;
