--- a/crates/firshore-server/src/gateway/batches/output.rs
+++ b/crates/firshore-server/src/gateway/batches/output.rs
@@ -56,10 +56,10 @@
     pub fn parse(job: JobId, query: &str, lines: Lines) -> Result<Self, ApiError> {
         let number = |name: &str, default: u32| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let value = pairs
+            let mut value = pairs
                 .filter(|(key, _)| *key == name)
                 .map(|(_, value)| value);
-            let parsed = value.last().map_or(Ok(default), str::parse);
+            let parsed = value.next().map_or(Ok(default), str::parse);
             parsed.map_err(|_| {
                 let message = format!("'{name}' is not a whole number.");
                 ApiError::not_run(ErrorCode::InvalidRequest, message)
