--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -2,18 +2,23 @@
 
 use firshore_batch::job::{JobSummary, NamedResult};
 use firshore_journal::state::{Command, Outcome};
-use firshore_membership::member::Member;
+use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
 use firshore_types::ids::{JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
+/// Correlation of a notice, which is not answered.
+pub const NOTICE: u64 = 0;
+
 /// A question or notice to a peer, with a number that its answer repeats.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RequestFrame {
-    /// Chosen by the sender, unique on the connection.
+    /// Chosen by the sender, unique on the connection; [`NOTICE`] if no answer is expected.
+    #[serde(rename = "c")]
     pub correlation: u64,
     /// Content.
+    #[serde(rename = "r")]
     pub request: Request,
 }
 
@@ -29,8 +34,9 @@
 /// What a node asks of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
-    /// The sender is alive, in this state.
-    Heartbeat(Member),
+    /// A message of the membership protocol; a notice.
+    #[serde(rename = "g")]
+    Gossip(GossipEnvelope),
     /// Concerns a journal group; only the group's leader answers.
     Journal {
         /// Group.
@@ -95,8 +101,6 @@
 /// What a peer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
-    /// The peer, alive, in this state.
-    Heartbeat(Member),
     /// Outcome of a committed command.
     Proposed(Outcome),
     /// State of jobs.
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::{read_body, response};
 use crate::shared::Shared;
-use crate::{admin_jobs, configuration};
+use crate::{admin_jobs, configuration, membership};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
@@ -64,6 +64,7 @@
         }
         (Method::POST, "/drain") => {
             shared.leaving.store(true, Ordering::Relaxed);
+            membership::leave(shared);
             Ok(response::text("leaving\n"))
         }
         _ => Err(ApiError::not_run(
