--- a/crates/firshore-server/src/membership.rs
+++ b/crates/firshore-server/src/membership.rs
@@ -48,14 +48,15 @@
     let member = &change.member;
     let log = shared.log.new(o!(
         "member" => member.name.to_string(), "zone" => member.zone.to_string(),
-        "instance" => member.instance.to_string(), "peer" => member.peer_address.to_string(),
-    ));
+        "instance" => member.instance.to_string(), "peer" => member.peer_address.to_string()));
     match (change.before, member.state) {
         (None, _) => info!(log, "membership: Member joined."),
         (_, MemberState::Alive) => info!(log, "membership: Member alive again."),
         (_, MemberState::Suspect) => info!(log, "membership: Member suspect."),
         (_, MemberState::Leaving) => info!(log, "membership: Member leaving."),
-        (Some(MemberState::Leaving), MemberState::Failed) => info!(log, "membership: Member left."),
-        (_, MemberState::Failed) => warn!(log, "membership: Member failed."),
+        (Some(MemberState::Leaving), MemberState::Failed) => {
+            info!(log, "membership: Member left.");
+        }
+        (_, MemberState::Failed) => info!(log, "membership: Member failed."),
     }
 }
