--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -1,18 +1,22 @@
 //! The journal as the rest of the node sees it: commands committed, jobs read.
 
+use crate::clock::unix_milliseconds;
 use crate::peers::PeerError;
 use crate::shared::Shared;
 use firshore_batch::command as batch;
-use firshore_batch::job::JobSummary;
+use firshore_batch::job::{JobSummary, NamedResult};
 use firshore_journal::claim::{ClaimCommand, ClaimOutcome};
 use firshore_journal::state::{Command, JournalState, Outcome};
-use firshore_protocol::message::{JournalRequest, NamedResult, Request, Response};
+use firshore_protocol::message::{JournalRequest, Request, Response};
 use firshore_replication::types::GroupId;
 use firshore_types::error::{ApiError, ErrorCode};
-use firshore_types::ids::{ItemIndex, JobId, Revision};
+use firshore_types::ids::{JobId, Revision};
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 
+/// Bytes of results in one answer, beyond which it ends.
+const RESULTS_BYTES: usize = 4 * 1024 * 1024;
+
 /// A journal held by this node alone, in memory.
 #[derive(Default)]
 pub struct Journal {
@@ -24,23 +28,17 @@
     pub async fn answer(&self, request: JournalRequest) -> Response {
         let mut state = self.state.lock();
         match request {
-            JournalRequest::Propose(command) => Response::Proposed(state.apply(command)),
+            JournalRequest::Propose(mut command) => {
+                command.stamp(unix_milliseconds());
+                Response::Proposed(state.apply(command))
+            }
             JournalRequest::JobSummary(job) => {
                 Response::Jobs(state.jobs.summary(&job).into_iter().collect())
             }
             JournalRequest::JobSummaries => Response::Jobs(state.jobs.summaries()),
-            JournalRequest::JobResults { job, from, count } => Response::Results(
-                state
-                    .jobs
-                    .results(&job, from, count as usize)
-                    .into_iter()
-                    .map(|(index, custom_id, result)| NamedResult {
-                        index,
-                        custom_id,
-                        result,
-                    })
-                    .collect(),
-            ),
+            JournalRequest::JobResults { job, from, count } => {
+                Response::Results(state.jobs.output(&job, from, count as usize, RESULTS_BYTES))
+            }
         }
     }
 }
@@ -84,8 +82,13 @@
 }
 
 /// Commits a command that concerns batch jobs.
-pub async fn propose(shared: &Shared, command: batch::Command) -> Result<batch::Outcome, ApiError> {
-    match ask(shared, JournalRequest::Propose(Command::Batch(command))).await? {
+pub async fn propose(shared: &Shared, action: batch::Action) -> Result<batch::Outcome, ApiError> {
+    match ask(
+        shared,
+        JournalRequest::Propose(Command::Batch(action.into())),
+    )
+    .await?
+    {
         Response::Proposed(Outcome::Batch(outcome)) => Ok(outcome),
         _ => Err(unexpected()),
     }
@@ -132,7 +135,7 @@
 pub async fn results(
     shared: &Shared,
     job: JobId,
-    from: ItemIndex,
+    from: u32,
     count: u32,
 ) -> Result<Vec<NamedResult>, ApiError> {
     match ask(shared, JournalRequest::JobResults { job, from, count }).await? {
