--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -7,7 +7,7 @@
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{configuration, membership, owner, serving};
+use crate::{batch_runner, configuration, membership, serving};
 use firshore_config::dissemination::Dissemination;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
@@ -142,7 +142,7 @@
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::floor::run(shared.clone()));
     actix_rt::spawn(configuration::machines::run(shared.clone()));
-    actix_rt::spawn(owner::run(shared.clone()));
+    let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
     let callers = serving::callers(&shared, sockets.callers);
     let admin = serving::admin(&shared, sockets.admin);
     let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
@@ -156,6 +156,7 @@
     shared.leaving.close();
     callers_handle.stop(true).await;
     let _ = callers.await;
+    let _ = runner.await;
     // Operators can watch the node until its last request has ended.
     admin_handle.stop(false).await;
     let _ = admin.await;
