--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -19,6 +19,7 @@
 /// One request, waiting or running.
 struct Run {
     submission: Submission,
+    queued: Microseconds,
     /// Place in the log; `None` while it waits.
     execution: Option<usize>,
     generated: u32,
@@ -155,6 +156,7 @@
         };
         self.latest_run.insert(submission.request_id.clone(), key);
         let run = Run {
+            queued: now,
             execution: None,
             generated: start,
             replayable,
@@ -310,6 +312,7 @@
             request_id: submission.request_id.clone(),
             marker: submission.marker.clone(),
             priority: submission.priority,
+            queued: at,
             started: at,
             ended: Some(at),
             outcome: Outcome::Refused,
--- a/crates/firshore-lab/src/engine_model/engine/batching.rs
+++ b/crates/firshore-lab/src/engine_model/engine/batching.rs
@@ -183,6 +183,7 @@
             request_id: run.submission.request_id.clone(),
             marker: run.submission.marker.clone(),
             priority: run.submission.priority,
+            queued: run.queued,
             started: at,
             ended: None,
             outcome: Outcome::Running,
--- a/crates/firshore-lab/src/engine_model/request.rs
+++ b/crates/firshore-lab/src/engine_model/request.rs
@@ -178,6 +178,8 @@
     pub marker: String,
     /// Priority.
     pub priority: u16,
+    /// When it came.
+    pub queued: Microseconds,
     /// When it started to run, or was refused.
     pub started: Microseconds,
     /// When it ended.
--- a/crates/firshore-lab/src/fault_proxy/host.rs
+++ b/crates/firshore-lab/src/fault_proxy/host.rs
@@ -44,7 +44,7 @@
 
 /// What handles and the proxy's thread share.
 pub(super) struct Control {
-    upstream: SocketAddr,
+    upstream: Mutex<SocketAddr>,
     pub(super) faults: watch::Sender<ProxyFaults>,
     pub(super) closing: watch::Sender<Option<CutKind>>,
     cuts_left: Mutex<Option<u32>>,
@@ -107,7 +107,7 @@
         let address = listener.local_addr()?;
         let seed = self.seed ^ u64::from(address.port());
         let control = Arc::new(Control {
-            upstream,
+            upstream: Mutex::new(upstream),
             faults: watch::Sender::default(),
             closing: watch::Sender::default(),
             cuts_left: Mutex::default(),
@@ -150,6 +150,11 @@
         self.control.faults.send_replace(faults);
     }
 
+    /// Sends new connections to another upstream, as when a process comes back on another port.
+    pub fn retarget(&self, upstream: SocketAddr) {
+        *self.control.upstream.lock() = upstream;
+    }
+
     /// Returns to normal.
     pub fn heal(&self) {
         self.set(ProxyFaults::default());
@@ -218,9 +223,10 @@
     actix_rt::spawn(async move {
         control.counters.open.fetch_add(1, Ordering::Relaxed);
         let half_open = control.faults.borrow().half_open;
+        let upstream = *control.upstream.lock();
         if half_open {
             connection::hold(caller, &control).await;
-        } else if let Ok(upstream) = TcpStream::connect(control.upstream).await {
+        } else if let Ok(upstream) = TcpStream::connect(upstream).await {
             let ends = Ends { caller, upstream };
             connection::forward(ends, &control, number).await;
         } else {
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod experiment;
 pub mod fault_proxy;
 pub mod http;
+pub mod judge;
 pub mod report;
 pub mod stand_in;
 pub mod topology;
--- a/crates/firshore-lab/src/stand_in/application.rs
+++ b/crates/firshore-lab/src/stand_in/application.rs
@@ -113,6 +113,7 @@
         request_id: request_id.unwrap_or("").to_owned(),
         marker: marker.clone(),
         priority: crate::engine_model::FIRST_ONLINE_PRIORITY,
+        queued_unix_ms: started,
         started_unix_ms: started,
         ended_unix_ms: Some(unix_milliseconds()),
         outcome: Outcome::Completed,
--- a/crates/firshore-lab/src/stand_in/engine/driver.rs
+++ b/crates/firshore-lab/src/stand_in/engine/driver.rs
@@ -27,6 +27,9 @@
     pub marker: String,
     /// Priority.
     pub priority: u16,
+    /// When it came.
+    #[serde(default)]
+    pub queued_unix_ms: u64,
     /// When it started to run, or was refused.
     pub started_unix_ms: u64,
     /// When it ended.
@@ -119,6 +122,7 @@
             request_id: execution.request_id.clone(),
             marker: execution.marker.clone(),
             priority: execution.priority,
+            queued_unix_ms: unix(execution.queued),
             started_unix_ms: unix(execution.started),
             ended_unix_ms: execution.ended.map(unix),
             outcome: execution.outcome,
--- a/crates/firshore-lab/src/stand_in/platform.rs
+++ b/crates/firshore-lab/src/stand_in/platform.rs
@@ -15,11 +15,12 @@
 use crate::stand_in::server::{Server, broken_off, json, query_parameter, read_body, read_json};
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use firshore_types::ids::MachineName;
 use firshore_types::machine::Machine;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -147,6 +148,21 @@
         self.state.lock().set_faults(faults);
     }
 
+    /// Serves the machine list on another address as one zone sees it: machines named in `seen_at`
+    /// stand there at another address, that of a proxy on the way.
+    pub fn zone_view(
+        &self,
+        address: SocketAddr,
+        seen_at: HashMap<MachineName, SocketAddr>,
+    ) -> io::Result<Server> {
+        let state = self.state.clone();
+        let seen_at = Arc::new(seen_at);
+        Server::start(address, move |_| {
+            let answer = view(&mut state.lock(), &seen_at);
+            std::future::ready(Ok(answer))
+        })
+    }
+
     /// What was asked so far.
     pub fn statistics(&self) -> Statistics {
         self.state.lock().statistics
@@ -158,6 +174,20 @@
     }
 }
 
+fn view(state: &mut State, seen_at: &HashMap<MachineName, SocketAddr>) -> Response<BoxBody> {
+    state.statistics.machine_list_reads += 1;
+    if state.faults.machine_list_down {
+        return broken_off();
+    }
+    let mut machines = state.machines();
+    for machine in &mut machines {
+        if let Some(address) = seen_at.get(&machine.name) {
+            machine.address = *address;
+        }
+    }
+    json(StatusCode::OK, &machines)
+}
+
 async fn handle(
     state: Arc<Mutex<State>>,
     mut request: Request,
@@ -192,12 +222,7 @@
             Err(refused) => refused,
         };
     }
-    let mut state = state.lock();
-    state.statistics.machine_list_reads += 1;
-    if state.faults.machine_list_down {
-        return broken_off();
-    }
-    json(StatusCode::OK, &state.machines())
+    view(&mut state.lock(), &HashMap::new())
 }
 
 async fn objects(
