--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,12 +1,12 @@
 //! Messages between nodes.
 
-use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_batch::job::{JobSummary, NamedResult};
 use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{InstanceId, ItemIndex, JobId, NodeName};
+use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// Correlation of a notice, which is not answered.
@@ -78,8 +78,8 @@
     JobResults {
         /// Job.
         job: JobId,
-        /// First item wanted.
-        from: ItemIndex,
+        /// First position of the output wanted.
+        from: u32,
         /// Most results wanted.
         count: u32,
     },
@@ -108,17 +108,6 @@
     pub holds_log: bool,
 }
 
-/// One item's result with the caller's name for the item.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct NamedResult {
-    /// Position in the job.
-    pub index: ItemIndex,
-    /// The caller's name for it.
-    pub custom_id: String,
-    /// Result.
-    pub result: ItemResult,
-}
-
 /// What a peer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
