listen.advertised_peers: a node may be reached by peers at another address

Behind address translation, and behind a fault proxy in tests, the address that a node listens on is not the one its peers must use. Default as before.

--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -94,6 +94,7 @@
             callers: any_port(),
             peers: any_port(),
             admin: any_port(),
+            advertised_peers: None,
         },
         cluster: Cluster {
             secret: "demonstration-secret-only".to_owned(),
--- a/crates/firshore-lab/tests/configuration/cluster.rs
+++ b/crates/firshore-lab/tests/configuration/cluster.rs
@@ -102,6 +102,7 @@
                 callers: any_port(),
                 peers: any_port(),
                 admin: any_port(),
+                advertised_peers: None,
             },
             cluster: ClusterSettings {
                 secret: "configuration-test-secret".to_owned(),
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -58,7 +58,10 @@
             name: settings.name.clone(),
             region: settings.region.clone(),
             zone: settings.zone.clone(),
-            peer_address: peers.local_addr()?,
+            peer_address: match settings.listen.advertised_peers {
+                Some(address) => address,
+                None => peers.local_addr()?,
+            },
             has_disk: settings.storage.is_some(),
             state: MemberState::Alive,
             incarnation: 0,
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -63,6 +63,9 @@
     pub peers: SocketAddr,
     /// Health, metrics and operators' HTTP.
     pub admin: SocketAddr,
+    /// Address that peers are told to reach this node at; by default where it listens for them.
+    #[serde(default)]
+    pub advertised_peers: Option<SocketAddr>,
 }
 
 /// How the node finds and trusts its peers.
