--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fault_proxy;
 pub mod http;
 pub mod judge;
+pub mod processes;
 pub mod report;
 pub mod stand_in;
 pub mod topology;
