--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod node_cost;
+
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -27,12 +29,34 @@
     pub seconds: Option<u64>,
 }
 
+/// One experiment that can be run.
+pub struct Entry {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub measures: &'static str,
+    run: fn(&Experiment) -> Result<bool, String>,
+}
+
+/// Every experiment.
+pub const ALL: &[Entry] = &[Entry {
+    name: "node-cost",
+    measures: "processor time of one node for each request and each streamed token",
+    run: node_cost::run,
+}];
+
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
-        Err(format!(
-            "No experiment '{}'. See docs/REFERENCE.md for their names.",
-            self.name
-        ))
+        let entry = ALL.iter().find(|entry| entry.name == self.name);
+        let entry = entry.ok_or_else(|| {
+            let names: Vec<&str> = ALL.iter().map(|entry| entry.name).collect();
+            format!(
+                "No experiment '{}'. Name one of: {}.",
+                self.name,
+                names.join(", ")
+            )
+        })?;
+        (entry.run)(self)
     }
 }
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod demo;
 pub mod engine_model;
 pub mod experiment;
+pub mod fit;
+pub mod fleet_of_one;
 pub mod http;
 pub mod report;
 pub mod stand_in;
