--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -1,9 +1,12 @@
-//! The engine: admission, iterations, preemption, and what outlives a run.
+//! The engine: its queue, cancellation and clock.
 
-use crate::engine_model::cache::{CachePage, PrefixCache};
-use crate::engine_model::kept::{KeptGenerations, KvExport};
-use crate::engine_model::load::{LoadHistory, LoadReport};
-use crate::engine_model::order::{Fence, Order, OrderOutcome, Placement, StaleFence};
+mod batching;
+mod reporting;
+
+use crate::engine_model::cache::PrefixCache;
+use crate::engine_model::kept::KeptGenerations;
+use crate::engine_model::load::LoadHistory;
+use crate::engine_model::order::Placement;
 use crate::engine_model::request::{Event, Execution, Outcome, Refusal, RunNumber, Submission};
 use crate::engine_model::{EngineSettings, Faults, Microseconds};
 use firshore_types::declaration::EngineRole;
@@ -16,6 +19,7 @@
 /// One request, waiting or running.
 struct Run {
     submission: Submission,
+    queued: Microseconds,
     /// Place in the log; `None` while it waits.
     execution: Option<usize>,
     generated: u32,
@@ -152,6 +156,7 @@
         };
         self.latest_run.insert(submission.request_id.clone(), key);
         let run = Run {
+            queued: now,
             execution: None,
             generated: start,
             replayable,
@@ -296,249 +301,6 @@
         }
     }
 
-    /// Admits what fits and starts an iteration if anything runs.
-    fn begin(&mut self, at: Microseconds) {
-        self.admit(at);
-        let mut budget = self.settings.prefill_chunk_tokens;
-        let mut decoding = 0;
-        let mut context = 0;
-        let mut parts = Vec::with_capacity(self.running.len());
-        for (key, run) in &self.running {
-            let prefilled = run.prefill_left.min(budget);
-            budget -= prefilled;
-            let emits = prefilled == run.prefill_left;
-            if emits && prefilled == 0 {
-                decoding += 1;
-                context += u64::from(run.context_tokens());
-            }
-            if emits || prefilled > 0 {
-                parts.push(Part {
-                    key: *key,
-                    prefilled,
-                    emits,
-                });
-            }
-        }
-        if parts.is_empty() {
-            return;
-        }
-        let prefilled = self.settings.prefill_chunk_tokens - budget;
-        let duration = self.settings.iteration(decoding, context, prefilled);
-        let slow = self.faults.slow_factor.unwrap_or(1.0).max(0.0);
-        self.last_iteration = (duration as f64 * slow) as Microseconds;
-        self.iteration = Some(Iteration {
-            ends_at: at + self.last_iteration.max(1),
-            parts,
-        });
-    }
-
-    /// Prefills, and emits a token for each run whose prompt is done.
-    fn finish(&mut self, iteration: Iteration) {
-        let at = iteration.ends_at;
-        for part in iteration.parts {
-            // A run cancelled during the iteration is gone.
-            let Some(run) = self.running.get_mut(&part.key) else {
-                continue;
-            };
-            run.prefill_left -= part.prefilled;
-            if part.prefilled > 0 && run.prefill_left == 0 {
-                Self::store_prompt(&mut self.cache, &self.settings, at, run);
-            }
-            if part.emits {
-                self.emit(at, part.key);
-            }
-        }
-    }
-
-    fn emit(&mut self, at: Microseconds, key: QueueKey) {
-        let Some(run) = self.running.get_mut(&key) else {
-            return;
-        };
-        if run.generated < run.submission.maximum_tokens {
-            self.events.push(Event::Token {
-                run: key.1,
-                offset: run.generated,
-                at,
-            });
-            run.generated += 1;
-        }
-        self.complete_if_done(at, key);
-    }
-
-    fn complete_if_done(&mut self, at: Microseconds, key: QueueKey) {
-        let done = |run: &Run| run.generated >= run.submission.maximum_tokens;
-        if !self.running.get(&key).is_some_and(done) {
-            return;
-        }
-        if let Some(run) = self.running.remove(&key) {
-            self.end(at, key, run, Outcome::Completed);
-            self.events.push(Event::Completed { run: key.1, at });
-        }
-    }
-
-    /// The prompt's whole blocks move from the run's own memory into the prefix cache.
-    fn store_prompt(
-        cache: &mut PrefixCache,
-        settings: &EngineSettings,
-        at: Microseconds,
-        run: &mut Run,
-    ) {
-        for block in run.submission.prompt_blocks.iter().skip(run.pinned) {
-            cache.store(at, *block, settings);
-            run.private_blocks = run.private_blocks.saturating_sub(1);
-        }
-        run.pinned = run.submission.prompt_blocks.len();
-    }
-
-    fn admit(&mut self, at: Microseconds) {
-        while let Some((key, _)) = self.waiting.first_key_value() {
-            let key = *key;
-            if self.has_slot() && self.reserve(at, key) {
-                continue;
-            }
-            let online = self.waiting[&key].submission.is_online();
-            if !online || !self.preempt_one(at) {
-                return;
-            }
-        }
-    }
-
-    fn has_slot(&self) -> bool {
-        (self.running.len() as u32) < self.settings.slots
-    }
-
-    fn memory_used(&self) -> u32 {
-        let private: u32 = self.running.values().map(|run| run.private_blocks).sum();
-        self.cache.len() + self.kept.blocks() + private
-    }
-
-    /// Moves a waiting request into a slot if its memory fits, counting what can be reclaimed.
-    fn reserve(&mut self, at: Microseconds, key: QueueKey) -> bool {
-        let submission = &self.waiting[&key].submission;
-        let hits = self.cache.hits(&submission.prompt_blocks);
-        let hit_blocks = &submission.prompt_blocks[..hits];
-        let needed = Self::blocks_needed(submission) - hits as u32;
-        let free = self.settings.kv_blocks - self.memory_used();
-        let own_unused = self.cache.unused_among(hit_blocks);
-        let evictable = self.cache.evictable() - own_unused;
-        if needed > free + evictable + self.kept.blocks() {
-            return false;
-        }
-        let Some(mut run) = self.waiting.remove(&key) else {
-            return false;
-        };
-        for block in &run.submission.prompt_blocks[..hits] {
-            self.cache.pin(*block);
-        }
-        run.pinned = hits;
-        run.private_blocks = needed;
-        run.prefill_left = self.prefill_of(&run, hits);
-        self.kept.remove(&run.submission.request_id);
-        self.running.insert(key, run);
-        self.reclaim(at);
-        self.start(at, key);
-        true
-    }
-
-    /// A kept generation needs no prefill. Else all but the cached blocks, and at least the last
-    /// token, which the first answer token is computed from.
-    fn prefill_of(&self, run: &Run, hits: usize) -> u32 {
-        let resumed_from = run.submission.resume_from.unwrap_or(0);
-        let kept = self.kept.get(&run.submission.request_id).is_some();
-        if kept && resumed_from > 0 {
-            return 0;
-        }
-        let cached = (hits * WORDS_PER_BLOCK) as u32;
-        let context = run.submission.prompt_tokens + resumed_from;
-        context.saturating_sub(cached).max(1)
-    }
-
-    fn reclaim(&mut self, at: Microseconds) {
-        while self.memory_used() > self.settings.kv_blocks {
-            let evicted = self.cache.evict(at, &self.settings);
-            if !evicted && !self.kept.drop_oldest("") {
-                return;
-            }
-        }
-    }
-
-    fn start(&mut self, at: Microseconds, key: QueueKey) {
-        let Some(run) = self.running.get_mut(&key) else {
-            return;
-        };
-        run.execution = Some(self.executions.len());
-        self.executions.push(Execution {
-            request_id: run.submission.request_id.clone(),
-            marker: run.submission.marker.clone(),
-            priority: run.submission.priority,
-            started: at,
-            ended: None,
-            outcome: Outcome::Running,
-            resumed_from: run.submission.resume_from,
-            tokens: run.generated,
-        });
-        while run.generated < run.replayable.min(run.submission.maximum_tokens) {
-            self.events.push(Event::Token {
-                run: key.1,
-                offset: run.generated,
-                at,
-            });
-            run.generated += 1;
-        }
-        self.complete_if_done(at, key);
-    }
-
-    /// Puts the batch run of the lowest priority, the latest among equals, out of its slot.
-    fn preempt_one(&mut self, at: Microseconds) -> bool {
-        let last = self.running.last_key_value();
-        if last.is_none_or(|(_, run)| run.submission.is_online()) {
-            return false;
-        }
-        let Some((key, run)) = self.running.pop_last() else {
-            return false;
-        };
-        let offset = run.generated;
-        self.end(at, key, run, Outcome::Preempted);
-        self.events.push(Event::Preempted {
-            run: key.1,
-            offset,
-            at,
-        });
-        true
-    }
-
-    /// Writes a run's end into the log and keeps its generation for a resume.
-    fn end(&mut self, at: Microseconds, key: QueueKey, run: Run, outcome: Outcome) {
-        if let Some(execution) = run
-            .execution
-            .and_then(|place| self.executions.get_mut(place))
-        {
-            execution.ended = Some(at);
-            execution.outcome = outcome;
-            execution.tokens = run.generated;
-        }
-        let request_id = run.submission.request_id.clone();
-        self.forget(&request_id, key);
-        self.cache
-            .unpin(&run.submission.prompt_blocks[..run.pinned]);
-        if run.prefill_left > 0 {
-            return;
-        }
-        let held = blocks_of(run.submission.prompt_tokens + run.generated);
-        let export = KvExport {
-            request_id,
-            prompt_tokens: run.submission.prompt_tokens,
-            prompt_blocks: run.submission.prompt_blocks,
-            generated: run.generated,
-            blocks: held,
-        };
-        let private = held
-            .saturating_sub(run.pinned as u32)
-            .min(run.private_blocks);
-        let until = at + self.settings.scaled(self.settings.kept_for);
-        self.kept.insert(export, private, until);
-    }
-
     fn forget(&mut self, request_id: &str, key: QueueKey) {
         if self.latest_run.get(request_id) == Some(&key) {
             self.latest_run.remove(request_id);
@@ -550,6 +312,7 @@
             request_id: submission.request_id.clone(),
             marker: submission.marker.clone(),
             priority: submission.priority,
+            queued: at,
             started: at,
             ended: Some(at),
             outcome: Outcome::Refused,
@@ -557,124 +320,4 @@
             tokens: 0,
         });
     }
-
-    /// Load at this moment, as it rides on answers.
-    pub fn fresh_load(&self) -> LoadReport {
-        let online = self
-            .running
-            .values()
-            .filter(|run| run.submission.is_online());
-        let online_running = online.count() as u32;
-        let running = self.running.len() as u32;
-        LoadReport {
-            running,
-            waiting: self.waiting.len() as u32,
-            slots: self.settings.slots,
-            online_running,
-            batch_running: running - online_running,
-            kv_blocks_used: self.memory_used(),
-            kv_blocks_total: self.settings.kv_blocks,
-            role: self.placement.role,
-            models: self.placement.models(),
-            loading: self.placement.loading(),
-            adapters: self.placement.adapters(),
-            draining: self.faults.draining,
-            step_milliseconds: self.last_iteration as f64 / 1000.0,
-            age_milliseconds: 0,
-        }
-    }
-
-    /// Load as the engine reports it: late, and at fixed intervals.
-    pub fn lagged_load(&mut self, now: Microseconds) -> LoadReport {
-        self.advance(now);
-        let report = self.history.read(now, &self.settings);
-        report.unwrap_or_else(|| self.fresh_load())
-    }
-
-    fn record_load(&mut self, at: Microseconds) {
-        if !self.faults.freeze_load {
-            let report = self.fresh_load();
-            self.history.record(at, report, &self.settings);
-        }
-    }
-
-    /// Cache events after a position: late, and some never.
-    pub fn cache_events(&mut self, now: Microseconds, after: u64) -> CachePage {
-        self.advance(now);
-        self.cache.events_after(now, after)
-    }
-
-    /// KV memory of a kept generation, and how long reading it takes.
-    pub fn export_kv(
-        &mut self,
-        now: Microseconds,
-        request_id: &str,
-    ) -> Option<(KvExport, Microseconds)> {
-        self.advance(now);
-        let export = self.kept.get(request_id)?.export.clone();
-        let duration = self.transfer_time(&export);
-        Some((export, duration))
-    }
-
-    /// Takes in the KV memory of another engine's generation. Gives how long writing it takes, or
-    /// `None` when it does not fit.
-    pub fn import_kv(&mut self, now: Microseconds, export: KvExport) -> Option<Microseconds> {
-        self.advance(now);
-        let in_use: u32 = self.running.values().map(|run| run.private_blocks).sum();
-        let pinned = self.cache.len() - self.cache.evictable();
-        if export.blocks > self.settings.kv_blocks.saturating_sub(in_use + pinned) {
-            return None;
-        }
-        let duration = self.transfer_time(&export);
-        let until = now + duration + self.settings.scaled(self.settings.kept_for);
-        let spared = export.request_id.clone();
-        self.kept.insert(export.clone(), export.blocks, until);
-        while self.memory_used() > self.settings.kv_blocks {
-            let evicted = self.cache.evict(now, &self.settings);
-            if !evicted && !self.kept.drop_oldest(&spared) {
-                break;
-            }
-        }
-        self.record_load(now);
-        Some(duration)
-    }
-
-    fn transfer_time(&self, export: &KvExport) -> Microseconds {
-        let blocks = u64::from(export.blocks);
-        self.settings
-            .scaled(self.settings.kv_transfer_per_block * blocks)
-    }
-
-    /// Takes an order unless its fence is stale.
-    pub fn order(
-        &mut self,
-        now: Microseconds,
-        fence: Fence,
-        order: Order,
-    ) -> Result<OrderOutcome, StaleFence> {
-        self.advance(now);
-        let outcome = self.placement.take(now, fence, order, &self.settings)?;
-        self.record_load(now);
-        Ok(outcome)
-    }
-
-    /// Whether a model load waits for the weight store's leave.
-    pub fn awaits_weights(&self) -> bool {
-        self.placement.awaits_store()
-    }
-
-    /// The weight store lets the awaited load begin.
-    pub fn weights_granted(&mut self, now: Microseconds) {
-        self.placement.weights_granted(now, &self.settings);
-    }
-
-    /// Version of a loaded model.
-    pub fn model_version(&self, model: &str) -> Option<&str> {
-        self.placement.version(model)
-    }
-
-    /// The execution log, in order of start or refusal.
-    pub fn executions(&self) -> &[Execution] {
-        &self.executions
-    }
 }
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,11 +1,12 @@
 //! Messages between nodes.
 
-use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_batch::job::{JobSummary, NamedResult};
+use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{ItemIndex, JobId, NodeName};
+use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// Correlation of a notice, which is not answered.
@@ -44,6 +45,15 @@
         /// Content.
         request: JournalRequest,
     },
+    /// Concerns the dissemination of the configuration.
+    Configuration {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: ConfigurationMessage,
+    },
+    /// Which configuration the peer has in force.
+    ConfigurationInForce,
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
     /// A message between replicas of a journal group; the answer only says that it arrived.
@@ -68,8 +78,8 @@
     JobResults {
         /// Job.
         job: JobId,
-        /// First item wanted.
-        from: ItemIndex,
+        /// First position of the output wanted.
+        from: u32,
         /// Most results wanted.
         count: u32,
     },
@@ -98,17 +108,6 @@
     pub holds_log: bool,
 }
 
-/// One item's result with the caller's name for the item.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct NamedResult {
-    /// Position in the job.
-    pub index: ItemIndex,
-    /// The caller's name for it.
-    pub custom_id: String,
-    /// Result.
-    pub result: ItemResult,
-}
-
 /// What a peer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
@@ -120,6 +119,10 @@
     Results(Vec<NamedResult>),
     /// The journal group's leader did not do as asked, or the peer does not lead it.
     Refused(JournalRefusal),
+    /// Messages about the configuration in return.
+    Configuration(Vec<ConfigurationMessage>),
+    /// The configuration that the peer has in force.
+    ConfigurationInForce(NodeConfiguration),
     /// Replica on the peer's disk, if it has a disk.
     ReplicaIdentity(Option<ReplicaIdentity>),
     /// The message arrived.
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -5,8 +5,9 @@
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{admin, configuration, gateway, membership, owner};
+use crate::{admin, batch_runner, configuration, gateway, membership};
 use actix_http::{HttpService, KeepAlive};
+use firshore_config::dissemination::Dissemination;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
@@ -62,6 +63,8 @@
             state: MemberState::Alive,
             incarnation: 0,
         };
+        let peer = configuration::peer_of(&own);
+        let dissemination = Dissemination::new(peer, rand::rng().random());
         let clock = Clock::start();
         let members = Membership::new(
             clock.now(),
@@ -76,6 +79,9 @@
         let shared = Arc::new(Shared {
             log,
             clock,
+            dissemination: dissemination.into(),
+            floor: Default::default(),
+            refused_change: Default::default(),
             configuration: Default::default(),
             machines: Default::default(),
             members: members.into(),
@@ -143,8 +149,9 @@
     actix_rt::spawn(peers::run_listener(peer_listener, shared.clone()));
     actix_rt::spawn(membership::run(shared.clone()));
     actix_rt::spawn(configuration::run(shared.clone()));
-    actix_rt::spawn(configuration::run_machine_list(shared.clone()));
-    actix_rt::spawn(owner::run(shared.clone()));
+    actix_rt::spawn(configuration::floor::run(shared.clone()));
+    actix_rt::spawn(configuration::machines::run(shared.clone()));
+    let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
     let server = serve(shared.clone(), sockets.callers, sockets.admin);
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
@@ -156,6 +163,7 @@
     actix_rt::time::sleep(LEAVE_GRACE).await;
     handle.stop(true).await;
     let _ = serving.await;
+    let _ = runner.await;
     info!(log, "node: Stopped.");
 }
 
