--- a/crates/firshore-lab/src/fleet_of_one.rs
+++ b/crates/firshore-lab/src/fleet_of_one.rs
@@ -105,6 +105,7 @@
             callers: any_port(),
             peers: any_port(),
             admin: any_port(),
+            advertised_peers: None,
         },
         cluster: Cluster {
             secret: "measurement-secret-only".to_owned(),
