--- /dev/null
+++ b/crates/firshore-controller/tests/plan.rs
@@ -0,0 +1,186 @@
+//! Shares and demand become orders that leave no work without an engine.
+
+mod support;
+
+use firshore_controller::order::Order;
+use firshore_controller::plan::{Group, apportion};
+use firshore_types::declaration::EngineRole::{Batch, Mixed, Online};
+use firshore_types::ids::MachineName;
+use std::collections::BTreeSet;
+use support::{engine, group};
+
+#[test]
+fn counts_follow_weights() {
+    let cases: [(&[u64], usize, &[usize]); 7] = [
+        (&[50, 50], 10, &[5, 5]),
+        (&[90, 10], 3, &[2, 1]),
+        (&[99, 1], 2, &[1, 1]),
+        (&[60, 40, 0], 5, &[3, 2, 0]),
+        (&[1, 1, 1], 2, &[1, 1, 0]),
+        (&[0, 0], 4, &[0, 0]),
+        (&[1_000_000, 1], 4, &[3, 1]),
+    ];
+    for (weights, count, expected) in cases {
+        assert_eq!(
+            apportion(weights, count),
+            expected,
+            "{weights:?} over {count}"
+        );
+    }
+}
+
+fn orders(group: &Group, busy: &[&str]) -> Vec<String> {
+    let busy: BTreeSet<MachineName> = busy.iter().map(|name| MachineName::from(*name)).collect();
+    let describe = |order: &Order| match order {
+        Order::LoadModel { model } => format!("+{model}"),
+        Order::UnloadModel { model } => format!("-{model}"),
+        Order::SetRole { role } => format!("{role:?}"),
+    };
+    let planned = group.plan(&busy);
+    planned
+        .iter()
+        .map(|one| format!("{} {}", one.engine, describe(&one.order)))
+        .collect()
+}
+
+#[test]
+fn orders_are_few_and_safe() {
+    let halves = [(Online, 50), (Batch, 50)];
+    let mut gone = engine("b", Mixed, &["m"], 0);
+    gone.available = false;
+    let cases: [(&str, Group, &[&str], &[&str]); 13] = [
+        (
+            "as wanted",
+            group(
+                vec![
+                    engine("a", Online, &["m"], 0),
+                    engine("b", Batch, &["m"], 0),
+                ],
+                &halves,
+                &[("m", 1)],
+            ),
+            &[],
+            &[],
+        ),
+        (
+            "no shares",
+            group(vec![engine("a", Mixed, &["m"], 0)], &[], &[("m", 1)]),
+            &[],
+            &[],
+        ),
+        (
+            "the idler one first, the other must wait for it",
+            group(
+                vec![engine("a", Mixed, &["m"], 5), engine("b", Mixed, &["m"], 1)],
+                &halves,
+                &[("m", 1)],
+            ),
+            &[],
+            &["b Online"],
+        ),
+        (
+            "the other once the first reports",
+            group(
+                vec![engine("a", Mixed, &["m"], 5), engine("b", Batch, &["m"], 1)],
+                &halves,
+                &[("m", 1)],
+            ),
+            &[],
+            &["a Online"],
+        ),
+        (
+            "not while the first is under way",
+            group(
+                vec![engine("a", Mixed, &["m"], 5), engine("b", Mixed, &["m"], 1)],
+                &halves,
+                &[("m", 1)],
+            ),
+            &["b"],
+            &[],
+        ),
+        (
+            "the last that is available stays",
+            group(
+                vec![engine("a", Mixed, &["m"], 0), gone],
+                &halves,
+                &[("m", 1)],
+            ),
+            &[],
+            &[],
+        ),
+        (
+            "fewer engines than roles",
+            group(vec![engine("a", Online, &["m"], 0)], &halves, &[("m", 1)]),
+            &[],
+            &["a Mixed"],
+        ),
+        (
+            "the last online engine for a model stays",
+            group(
+                vec![
+                    engine("a", Online, &["m"], 0),
+                    engine("b", Online, &["n"], 0),
+                    engine("c", Online, &["n"], 0),
+                ],
+                &[(Online, 67), (Batch, 33)],
+                &[("m", 1), ("n", 1)],
+            ),
+            &[],
+            &["b Online"],
+        ),
+        (
+            "a model that nobody holds",
+            group(
+                vec![engine("a", Mixed, &["m"], 3), engine("b", Mixed, &["m"], 1)],
+                &[],
+                &[("m", 1), ("n", 1)],
+            ),
+            &[],
+            &["b +n"],
+        ),
+        (
+            "small differences are left",
+            group(
+                vec![
+                    engine("a", Mixed, &["m"], 0),
+                    engine("b", Mixed, &["m"], 0),
+                    engine("c", Mixed, &["n"], 0),
+                ],
+                &[],
+                &[("m", 1), ("n", 9)],
+            ),
+            &[],
+            &[],
+        ),
+        (
+            "demand moved",
+            group(
+                vec![
+                    engine("a", Mixed, &["m"], 0),
+                    engine("b", Mixed, &["m"], 0),
+                    engine("c", Mixed, &["m"], 0),
+                    engine("d", Mixed, &["n"], 0),
+                ],
+                &[],
+                &[("m", 1), ("n", 99)],
+            ),
+            &[],
+            &["a +n", "b +n"],
+        ),
+        (
+            "a model nobody needs any more",
+            group(vec![engine("a", Mixed, &["m", "old"], 0)], &[], &[("m", 1)]),
+            &[],
+            &["a -old"],
+        ),
+        (
+            "engines that serve any model get no models",
+            group(vec![engine("a", Mixed, &[], 0)], &[], &[("m", 1)]),
+            &[],
+            &[],
+        ),
+    ];
+    for (name, group, busy, expected) in cases {
+        assert_eq!(orders(&group, busy), expected, "{name}");
+    }
+}
