--- a/crates/firshore-controller/tests/plan.rs
+++ b/crates/firshore-controller/tests/plan.rs
@@ -126,7 +126,7 @@
                 &[("m", 1), ("n", 1)],
             ),
             &[],
-            &["b Online"],
+            &["b Batch"],
         ),
         (
             "a model that nobody holds",
