Silent back ends are asked whether they still answer; vanished peers are found by the kernel

Ruled out: a bound on the time to the first byte (a long prompt in a queue looks the same); hedging (load while engines are slow). Change: after 2 s of silence a repeatable request's engine is asked for its load, the result shared for 1 s by the requests of a worker; two unanswered probes end the attempt, which is then retried within the budget, or resume the stream. Keep-alive and user timeout on both hops (about 11 s). A request that cannot be sent elsewhere waits on: its answer may still come.

--- a/crates/firshore-server/src/engine/exchange.rs
+++ b/crates/firshore-server/src/engine/exchange.rs
@@ -5,6 +5,7 @@
 
 use super::framing::{self, BodyEnd, Framing};
 use super::pool;
+use crate::keep_alive;
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -117,9 +118,7 @@
         .await
         .map_err(|_| ExchangeError::NotConnected("timed out".to_owned()))?
         .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
+    keep_alive::set_up(&stream).map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
     Ok(Connection { address, stream })
 }
 
--- a/crates/firshore-server/src/engine/mod.rs
+++ b/crates/firshore-server/src/engine/mod.rs
@@ -3,4 +3,5 @@
 pub mod cancellation;
 pub mod exchange;
 pub mod framing;
+pub mod liveness;
 mod pool;
--- a/crates/firshore-server/src/gateway/connection.rs
+++ b/crates/firshore-server/src/gateway/connection.rs
@@ -6,6 +6,7 @@
 //! 9110, section 15.2) are written from time to time. A caller that still waits reads over
 //! them; the machine of one that closed answers with a reset, and the next write fails.
 
+use crate::keep_alive;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -85,8 +86,8 @@
 impl CallerStream {
     /// Takes over an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        // Without it a token waits for the acknowledgement of the one before.
-        let _ = stream.set_nodelay(true);
+        // A connection that cannot be set up fails at its first use.
+        let _ = keep_alive::set_up(&stream);
         Self {
             connection: Rc::new(CallerConnection {
                 stream,
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::engine::cancellation::{EngineRun, REQUEST_ID_HEADER};
 use crate::engine::exchange::{self, Exchange, ExchangeBody, ExchangeError, Reuse};
 use crate::engine::framing::BodyEnd;
+use crate::engine::liveness;
 use crate::gateway::classify::{self, BackendKind, Verdict};
 use crate::gateway::deadline::Deadline;
 use crate::gateway::terms::Terms;
@@ -187,7 +188,16 @@
     };
     let run =
         (request.kind == BackendKind::Engine).then(|| EngineRun::new(&shared.canceller, address));
-    let work = answered(request, connection, head, run.as_ref());
+    let work = async {
+        tokio::select! {
+            biased;
+            answer = answered(request, connection, head, run.as_ref()) => answer,
+            () = stopped_answering(request, address) => {
+                let reason = "it stopped answering";
+                Err(ExchangeError::Lost(reason.to_owned()))
+            }
+        }
+    };
     match deadline.bound(work).await {
         Some(Ok((head, body))) => judge(request, head, body, run, running),
         Some(Err(error)) => ended(running, &error),
@@ -195,6 +205,16 @@
     }
 }
 
+/// Resolves once the back end is to be given up. A request that cannot be sent elsewhere waits
+/// on: its answer may still come.
+async fn stopped_answering(request: &Dispatch, address: SocketAddr) {
+    if request.terms.repeatable {
+        liveness::lost(address).await;
+    } else {
+        std::future::pending().await
+    }
+}
+
 async fn answered(
     request: &Dispatch,
     connection: exchange::Connection,
--- a/crates/firshore-server/src/gateway/relay.rs
+++ b/crates/firshore-server/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::engine::cancellation::{EngineRun, REQUEST_ID_HEADER};
 use crate::engine::exchange::{self, ExchangeBody, Reuse};
+use crate::engine::liveness;
 use crate::gateway::classify::{self, Verdict};
 use crate::gateway::connection::CallerConnection;
 use crate::gateway::deadline::Deadline;
@@ -18,6 +19,7 @@
 use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode, Execution};
 use futures_util::Stream;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,6 +167,7 @@
                 _ => Arrival::End,
             };
         }
+        let address = self.run.as_ref().map(EngineRun::address);
         let body = &mut self.body;
         let caller = self.caller.as_deref();
         let next = async {
@@ -176,7 +179,7 @@
                     Err(_) => Arrival::Broken,
                 },
                 () = quiet(caller) => Arrival::Quiet,
-                () = actix_rt::time::sleep(STALL_TIMEOUT) => Arrival::Broken,
+                () = silent(address) => Arrival::Broken,
             }
         };
         let arrival = self.request.terms.deadline.bound(next).await;
@@ -300,6 +303,18 @@
     }
 }
 
+/// Resolves once an engine has sent nothing for too long, or does not answer at all any more.
+async fn silent(engine: Option<SocketAddr>) {
+    let stalled = actix_rt::time::sleep(STALL_TIMEOUT);
+    match engine {
+        None => stalled.await,
+        Some(address) => tokio::select! {
+            () = stalled => {}
+            () = liveness::lost(address) => {}
+        },
+    }
+}
+
 enum Resumption {
     Resumed(Box<ExchangeBody>),
     /// The engine does not hold the run any more.
--- /dev/null
+++ b/crates/firshore-server/src/keep_alive.rs
@@ -0,0 +1,29 @@
+//! Finds out about peers whose machine vanished without closing its connections.
+
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Quiet time before a connection is probed.
+const IDLE: Duration = Duration::from_secs(5);
+
+const INTERVAL: Duration = Duration::from_secs(2);
+
+const PROBES: u32 = 3;
+
+/// Longest time for sent bytes to be acknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(12);
+
+/// Sets a connection up for requests and answers: sent without delay, and ended by the kernel
+/// about 11 s after the other machine vanished.
+pub fn set_up(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probing = TcpKeepalive::new()
+        .with_time(IDLE)
+        .with_interval(INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probing)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod gateway;
 pub mod journal;
+pub mod keep_alive;
 pub mod leaving;
 pub mod logging;
 pub mod membership;
--- a/crates/firshore-server/tests/gateway_contract.rs
+++ b/crates/firshore-server/tests/gateway_contract.rs
@@ -357,6 +357,24 @@
     assert!(reply.header("retry-after").is_some());
 }
 
+#[test]
+fn an_engine_that_stops_answering_is_given_up_for_another() {
+    // Connections are taken by the kernel, and nobody ever answers on them.
+    let paused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let engine = BackEnd::start(|stream, _, _| {
+        put(stream, &whole());
+        true
+    });
+    let fixture = Fixture::start(&[paused.local_addr().unwrap(), engine.address], "");
+    for _ in 0..2 {
+        assert_eq!(fixture.ask(&completion("", false)).status(), 200);
+    }
+    let fixture = Fixture::start(&[paused.local_addr().unwrap()], "");
+    let headers = "firshore-repeatable: no\r\nfirshore-timeout-seconds: 1\r\n";
+    let reply = fixture.ask(&completion(headers, false));
+    assert_eq!(reply.status(), 504, "waits until its deadline");
+}
+
 /// Plays a stream that breaks at `cut` of the whole, then serves resumes.
 fn breaking(cut: usize) -> BackEnd {
     BackEnd::start(move |stream, request, _| {
