--- a/crates/firshore-server/tests/support/mod.rs
+++ b/crates/firshore-server/tests/support/mod.rs
@@ -177,7 +177,8 @@
     }
 }
 
-fn declarations() -> String {
+/// Declarations of the services on the pool `engines` and of one tenant.
+pub fn declarations() -> String {
     let digest = key_digest(KEY);
     format!(
         "kind: Service
@@ -223,7 +224,8 @@
     )
 }
 
-fn machine(number: usize, address: SocketAddr) -> Machine {
+/// One row of the machine list.
+pub fn machine(number: usize, address: SocketAddr) -> Machine {
     let text = serde_json::json!({
         "name": format!("engine-{number}"), "address": address, "region": "region",
         "zone": "zone", "labels": {"pool": "engines"},
