--- /dev/null
+++ b/crates/firshore-config/src/dissemination/adoption.rs
@@ -0,0 +1,136 @@
+//! Putting into force what follows the own history, refusing what does not, and passing it on.
+
+use super::{
+    Dissemination, Output, REGION_FANOUT, REPORTED_REFUSALS, Refusal, Source, ZONE_FANOUT,
+};
+use crate::history::{History, Record, RecordError};
+use crate::message::Snapshot;
+use crate::selection::Distance;
+use firshore_types::configuration::Configuration;
+use firshore_types::ids::{InstanceId, Revision};
+use std::sync::Arc;
+
+impl Dissemination {
+    pub(super) fn offer(
+        &mut self,
+        now: u64,
+        source: Source,
+        records: &[Record],
+        outputs: &mut Vec<Output>,
+    ) {
+        let before = self.history.head();
+        let mut configuration = None;
+        for record in records {
+            if record.revision > self.history.head().next() {
+                self.note_gap(now, source, record.revision, outputs);
+                break;
+            }
+            let configuration = configuration.get_or_insert_with(|| self.configuration.clone());
+            if let Err(error) = self.take(record, configuration) {
+                self.refuse(record.revision, source.peer(), error, outputs);
+                break;
+            }
+        }
+        if self.history.head() > before {
+            self.configuration = configuration.expect("a record was taken");
+            self.spread(before, source, outputs);
+        }
+    }
+
+    pub(super) fn take(
+        &mut self,
+        record: &Record,
+        configuration: &mut Arc<Configuration>,
+    ) -> Result<(), RecordError> {
+        if record.revision <= self.history.head() {
+            let known = self.history.digest_at(record.revision);
+            return match known {
+                Some(known) if known != record.digest() => Err(RecordError::Divergent),
+                _ => Ok(()),
+            };
+        }
+        if record.previous()? != self.history.head_digest() {
+            return Err(RecordError::Divergent);
+        }
+        let change = record.change()?;
+        Arc::make_mut(configuration).apply(&change);
+        self.history.append(record.clone());
+        Ok(())
+    }
+
+    pub(super) fn note_gap(
+        &mut self,
+        now: u64,
+        source: Source,
+        revision: Revision,
+        outputs: &mut Vec<Output>,
+    ) {
+        if let Some(peer) = source.peer() {
+            if self.ahead.is_none_or(|(known, _)| revision > known) {
+                self.ahead = Some((revision, peer));
+            }
+            self.pull_if_behind(now, outputs);
+        }
+    }
+
+    pub(super) fn adopt_snapshot(
+        &mut self,
+        snapshot: Snapshot,
+        source: Source,
+        outputs: &mut Vec<Output>,
+    ) {
+        let revision = snapshot.configuration.revision;
+        let before = self.history.head();
+        if revision <= before {
+            let known = self.history.digest_at(revision);
+            if known.is_some_and(|known| known != snapshot.digest) {
+                self.refuse(revision, source.peer(), RecordError::Divergent, outputs);
+            }
+            return;
+        }
+        self.configuration = Arc::new(snapshot.configuration);
+        self.history = History::starting_at(revision, snapshot.digest);
+        if source != Source::Disk {
+            self.spread(before, source, outputs);
+        }
+    }
+
+    /// Tells a bounded number of peers what is new after `before`.
+    pub(super) fn spread(&mut self, before: Revision, source: Source, outputs: &mut Vec<Output>) {
+        self.reported
+            .retain(|revision, _| *revision > self.history.head());
+        let message = self.news_after(before);
+        let mut receivers = self.selection.choose(ZONE_FANOUT, Distance::Zone);
+        receivers.extend(self.selection.choose(REGION_FANOUT, Distance::Region));
+        if receivers.is_empty() || source == Source::Objects {
+            receivers.extend(self.selection.choose(1, Distance::Remote));
+        }
+        for to in receivers {
+            if Some(to) != source.peer() {
+                let message = message.clone();
+                outputs.push(Output::Send { to, message });
+            }
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        revision: Revision,
+        from: Option<InstanceId>,
+        error: RecordError,
+        outputs: &mut Vec<Output>,
+    ) {
+        if self.reported.get(&revision) == Some(&error) {
+            return;
+        }
+        if self.reported.len() >= REPORTED_REFUSALS {
+            self.reported.pop_first();
+        }
+        self.reported.insert(revision, error.clone());
+        outputs.push(Output::Refused(Refusal {
+            revision,
+            from,
+            error,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/firshore-config/src/dissemination/reading.rs
@@ -0,0 +1,64 @@
+//! Watching the object API, on the nodes that are chosen to.
+
+use super::{
+    Dissemination, FAILED_READS_BEFORE_HANDOVER, Output, READ_RETRY_MILLISECONDS, Source, Watch,
+};
+use crate::history::Record;
+use crate::message::Message;
+use crate::readers::READERS_PER_REGION;
+
+impl Dissemination {
+    /// Whether the node should watch the object API at `now` (milliseconds).
+    pub fn is_reader(&self, now: u64) -> bool {
+        now < self.substitute_until || self.is_elected_reader()
+    }
+
+    pub(super) fn is_elected_reader(&self) -> bool {
+        self.reader_order
+            .iter()
+            .take(READERS_PER_REGION)
+            .any(|reader| *reader == self.selection.own().instance)
+    }
+
+    pub(super) fn objects_read(&mut self, now: u64, records: &[Record], outputs: &mut Vec<Output>) {
+        self.failed_reads = 0;
+        let before = self.history.head();
+        self.offer(now, Source::Objects, records, outputs);
+        let stuck = !records.is_empty() && self.history.head() == before;
+        let pause = if stuck { READ_RETRY_MILLISECONDS } else { 0 };
+        self.watch = Watch::Idle {
+            not_before: now + pause,
+        };
+    }
+
+    pub(super) fn objects_unread(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        self.failed_reads += 1;
+        self.watch = Watch::Idle {
+            not_before: now + READ_RETRY_MILLISECONDS,
+        };
+        if self.is_elected_reader()
+            && self
+                .failed_reads
+                .is_multiple_of(FAILED_READS_BEFORE_HANDOVER)
+        {
+            let turn = (self.failed_reads / FAILED_READS_BEFORE_HANDOVER - 1) as usize;
+            let others = self.reader_order.get(READERS_PER_REGION..).unwrap_or(&[]);
+            if !others.is_empty() {
+                let to = others[turn % others.len()];
+                let message = Message::TakeOverReading;
+                outputs.push(Output::Send { to, message });
+            }
+        }
+    }
+
+    pub(super) fn watch_if_reader(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        let Watch::Idle { not_before } = self.watch else {
+            return;
+        };
+        if now >= not_before && self.is_reader(now) {
+            self.watch = Watch::Running;
+            let after = self.history.head();
+            outputs.push(Output::WatchObjects { after });
+        }
+    }
+}
--- a/crates/firshore-config/src/lib.rs
+++ b/crates/firshore-config/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod dissemination;
 pub mod floor;
 pub mod history;
+pub mod machine_list;
 pub mod message;
 pub mod proposal;
 pub mod readers;
+pub mod selection;
 
 /// Key prefix of change objects; the revision follows as twenty digits, so that keys sort.
 pub const CHANGE_PREFIX: &str = "changes/";
--- /dev/null
+++ b/crates/firshore-config/src/machine_list.rs
@@ -0,0 +1,435 @@
+//! Spreads the platform's machine list: one node reads it, the others learn of its changes from
+//! peers.
+//!
+//! The list has no versions of its own and lags, so that two readers may see it differently. The
+//! reader stamps each change that it sees; where two nodes read at once, the later stamp wins, and
+//! the next read corrects what was wrong. Being taken off the list is only a hint: a machine that
+//! was not leaving is kept for a while longer.
+
+use crate::readers::Peer;
+use crate::selection::{Distance, Selection};
+use firshore_types::hash::rendezvous_top;
+use firshore_types::ids::{InstanceId, MachineName};
+use firshore_types::machine::{Machine, MachineState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Milliseconds between two [`Input::Tick`]s, and between two reads by the reader.
+pub const TICK_MILLISECONDS: u64 = 1_000;
+
+/// Milliseconds without a read, by anyone, after which the next node in order reads too.
+pub const TAKE_OVER_MILLISECONDS: u64 = 5_000;
+
+/// Most nodes that read while none succeeds.
+pub const READERS_AT_MOST: usize = 4;
+
+/// Milliseconds for which a machine is kept that was taken off the list without leaving first.
+pub const REMOVAL_HOLD_MILLISECONDS: u64 = 30_000;
+
+/// Changes kept for peers that lag; older ones pull the whole list.
+const CHANGES_KEPT: usize = 256;
+
+/// Peers in the own zone that a node passes a change to.
+const ZONE_FANOUT: usize = 2;
+
+/// Least milliseconds between two whole lists sent by one node.
+const LIST_INTERVAL_MILLISECONDS: u64 = 250;
+
+/// One in so many ticks, the list is advertised to another region.
+const REMOTE_TICKS: u32 = 16;
+
+/// Stamp of a change of the list.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ListVersion {
+    /// Unix milliseconds on the reader's clock, raised where needed to exceed the version before.
+    pub read_at: u64,
+    /// Reader; 0 before the first.
+    pub reader: u64,
+}
+
+/// What a node holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListAdvertisement {
+    /// Version of the list.
+    pub version: ListVersion,
+    /// When the list was last read by anyone, in Unix milliseconds on that reader's clock.
+    pub checked_at: u64,
+}
+
+/// Difference between two versions of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// Version it follows.
+    pub from: ListVersion,
+    /// Version it leads to.
+    pub to: ListVersion,
+    /// Machines added or changed.
+    pub upserts: Vec<Machine>,
+    /// Machines taken off.
+    pub removals: Vec<MachineName>,
+}
+
+/// A message between two nodes; a lost one is made good by the next advertisement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MachineListMessage {
+    /// Tells what the sender holds.
+    Advertisement(ListAdvertisement),
+    /// Changes, each following the one before.
+    Changes(Vec<ListChange>),
+    /// Asks for what follows the sender's version.
+    Pull(ListVersion),
+    /// The whole list.
+    List {
+        /// Version.
+        version: ListVersion,
+        /// Machines.
+        machines: Vec<Machine>,
+    },
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// [`TICK_MILLISECONDS`] have passed.
+    Tick,
+    /// The nodes that are alive, this one included or not.
+    Members(Vec<Peer>),
+    /// A peer sent a message.
+    FromPeer {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: MachineListMessage,
+    },
+    /// The platform's list as it was read.
+    Read {
+        /// Unix milliseconds on the own clock.
+        read_at: u64,
+        /// Machines.
+        machines: Vec<Machine>,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a message to a peer; losing it does no harm.
+    Send {
+        /// Receiver.
+        to: InstanceId,
+        /// Content.
+        message: MachineListMessage,
+    },
+    /// Read the platform's list and report it by [`Input::Read`], if it can be read.
+    ReadList,
+    /// The machines to use have changed.
+    Changed(Arc<Vec<Machine>>),
+}
+
+/// The machine list as one node holds it.
+#[derive(Debug)]
+pub struct MachineList {
+    selection: Selection,
+    /// Place in the order of readers; `None` beyond the last that may read.
+    rank: Option<usize>,
+    held: ListAdvertisement,
+    /// Own clock at the last news that someone has read the list.
+    checked_locally_at: u64,
+    machines: BTreeMap<MachineName, Machine>,
+    /// Machines off the list that are still used, with the own clock at their removal.
+    kept: BTreeMap<MachineName, (u64, Machine)>,
+    changes: VecDeque<ListChange>,
+    list_not_before: u64,
+}
+
+impl MachineList {
+    /// A node that holds no list yet; `seed` drives its choice of peers.
+    pub fn new(own: Peer, seed: u64) -> Self {
+        Self {
+            selection: Selection::new(own, seed),
+            rank: None,
+            held: ListAdvertisement::default(),
+            checked_locally_at: 0,
+            machines: BTreeMap::new(),
+            kept: BTreeMap::new(),
+            changes: VecDeque::new(),
+            list_not_before: 0,
+        }
+    }
+
+    /// What the node holds.
+    pub fn advertisement(&self) -> ListAdvertisement {
+        self.held
+    }
+
+    /// Machines to use: those on the list, and those taken off it a short while ago.
+    pub fn machines(&self) -> Vec<Machine> {
+        let kept = self.kept.values().map(|(_, machine)| machine);
+        self.machines.values().chain(kept).cloned().collect()
+    }
+
+    /// Advances the node to `now` (milliseconds on any monotone clock).
+    pub fn step(&mut self, now: u64, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Tick => self.tick(now, &mut outputs),
+            Input::Members(peers) => self.set_members(peers),
+            Input::FromPeer { from, message } => self.receive(now, from, message, &mut outputs),
+            Input::Read { read_at, machines } => self.read(now, read_at, machines, &mut outputs),
+        }
+        outputs
+    }
+
+    fn set_members(&mut self, peers: Vec<Peer>) {
+        self.selection.set_peers(peers);
+        let alive = self.selection.everyone().map(|peer| peer.instance.0);
+        let order = rendezvous_top("machine-list-readers", alive, READERS_AT_MOST);
+        let own = self.selection.own().instance.0;
+        self.rank = order.iter().position(|reader| *reader == own);
+    }
+
+    /// Whether the node reads the platform's list at `now`: the first in order always, each next
+    /// one when nobody has read it for a while longer.
+    pub fn is_reader(&self, now: u64) -> bool {
+        let silence = now.saturating_sub(self.checked_locally_at);
+        self.rank
+            .is_some_and(|rank| silence >= rank as u64 * TAKE_OVER_MILLISECONDS)
+    }
+
+    fn tick(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        if self.is_reader(now) {
+            outputs.push(Output::ReadList);
+        }
+        let mut receivers = self.selection.choose(1, Distance::Zone);
+        receivers.extend(self.selection.choose(1, Distance::Region));
+        if self.rank == Some(0) {
+            receivers.extend(self.selection.one_in_each_other_region());
+        } else if receivers.is_empty() || self.selection.happens_once_in(REMOTE_TICKS) {
+            receivers.extend(self.selection.choose(1, Distance::Remote));
+        }
+        self.send(
+            &receivers,
+            &MachineListMessage::Advertisement(self.held),
+            outputs,
+        );
+        self.drop_kept(now, outputs);
+    }
+
+    fn drop_kept(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        let before = self.kept.len();
+        self.kept
+            .retain(|_, (since, _)| now.saturating_sub(*since) < REMOVAL_HOLD_MILLISECONDS);
+        if self.kept.len() < before {
+            outputs.push(Output::Changed(Arc::new(self.machines())));
+        }
+    }
+
+    fn send(
+        &self,
+        receivers: &[InstanceId],
+        message: &MachineListMessage,
+        outputs: &mut Vec<Output>,
+    ) {
+        for to in receivers {
+            let (to, message) = (*to, message.clone());
+            outputs.push(Output::Send { to, message });
+        }
+    }
+
+    fn checked(&mut self, now: u64, checked_at: u64) {
+        if checked_at > self.held.checked_at {
+            self.held.checked_at = checked_at;
+            self.checked_locally_at = now;
+        }
+    }
+
+    fn read(&mut self, now: u64, read_at: u64, machines: Vec<Machine>, outputs: &mut Vec<Output>) {
+        self.checked(now, read_at);
+        // A reader whose clock lags still shows that the list was read.
+        self.checked_locally_at = now;
+        let read: BTreeMap<MachineName, Machine> = machines
+            .into_iter()
+            .map(|machine| (machine.name.clone(), machine))
+            .collect();
+        let first = self.held.version == ListVersion::default();
+        if read == self.machines && !first {
+            return;
+        }
+        let upserts = read
+            .values()
+            .filter(|machine| self.machines.get(&machine.name) != Some(machine));
+        let removals = self.machines.keys().filter(|name| !read.contains_key(name));
+        let to = ListVersion {
+            read_at: read_at.max(self.held.version.read_at + 1),
+            reader: self.selection.own().instance.0,
+        };
+        let change = ListChange {
+            from: self.held.version,
+            to,
+            upserts: upserts.cloned().collect(),
+            removals: removals.cloned().collect(),
+        };
+        self.apply(now, change.clone());
+        let mut receivers = self.fanout();
+        receivers.extend(self.selection.one_in_each_other_region());
+        let message = MachineListMessage::Changes(vec![change]);
+        self.send(&receivers, &message, outputs);
+        outputs.push(Output::Changed(Arc::new(self.machines())));
+    }
+
+    fn fanout(&mut self) -> Vec<InstanceId> {
+        let mut receivers = self.selection.choose(ZONE_FANOUT, Distance::Zone);
+        receivers.extend(self.selection.choose(1, Distance::Region));
+        receivers
+    }
+
+    fn apply(&mut self, now: u64, change: ListChange) {
+        for name in &change.removals {
+            if let Some(machine) = self.machines.remove(name) {
+                self.keep(now, machine);
+            }
+        }
+        for machine in &change.upserts {
+            self.kept.remove(&machine.name);
+            self.machines.insert(machine.name.clone(), machine.clone());
+        }
+        self.held.version = change.to;
+        self.changes.push_back(change);
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+    }
+
+    fn keep(&mut self, now: u64, machine: Machine) {
+        if machine.state == MachineState::Live {
+            self.kept.insert(machine.name.clone(), (now, machine));
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: u64,
+        from: InstanceId,
+        message: MachineListMessage,
+        outputs: &mut Vec<Output>,
+    ) {
+        match message {
+            MachineListMessage::Advertisement(theirs) => {
+                self.checked(now, theirs.checked_at);
+                let answer = match theirs.version.cmp(&self.held.version) {
+                    std::cmp::Ordering::Greater => MachineListMessage::Pull(self.held.version),
+                    std::cmp::Ordering::Less => MachineListMessage::Advertisement(self.held),
+                    std::cmp::Ordering::Equal => return,
+                };
+                self.send(&[from], &answer, outputs);
+            }
+            MachineListMessage::Changes(changes) => self.take(now, from, changes, outputs),
+            MachineListMessage::Pull(version) => self.serve_pull(now, from, version, outputs),
+            MachineListMessage::List { version, machines } => {
+                self.adopt(now, from, version, machines, outputs);
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: u64,
+        from: InstanceId,
+        changes: Vec<ListChange>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let before = self.held.version;
+        for change in changes {
+            if change.to <= self.held.version {
+                continue;
+            }
+            if change.from != self.held.version {
+                let pull = MachineListMessage::Pull(self.held.version);
+                self.send(&[from], &pull, outputs);
+                break;
+            }
+            self.apply(now, change);
+        }
+        if self.held.version > before {
+            self.pass_on(from, before, outputs);
+        }
+    }
+
+    fn pass_on(&mut self, from: InstanceId, before: ListVersion, outputs: &mut Vec<Output>) {
+        let message = match self.changes_after(before) {
+            Some(changes) => MachineListMessage::Changes(changes),
+            None => MachineListMessage::Advertisement(self.held),
+        };
+        let mut receivers = self.fanout();
+        receivers.retain(|to| *to != from);
+        self.send(&receivers, &message, outputs);
+        outputs.push(Output::Changed(Arc::new(self.machines())));
+    }
+
+    /// Changes that lead from `version` to the one held, if all are kept.
+    fn changes_after(&self, version: ListVersion) -> Option<Vec<ListChange>> {
+        let start = self
+            .changes
+            .iter()
+            .position(|change| change.from == version)?;
+        Some(self.changes.range(start..).cloned().collect())
+    }
+
+    fn serve_pull(
+        &mut self,
+        now: u64,
+        to: InstanceId,
+        version: ListVersion,
+        outputs: &mut Vec<Output>,
+    ) {
+        if version >= self.held.version {
+            return;
+        }
+        if let Some(changes) = self.changes_after(version) {
+            self.send(&[to], &MachineListMessage::Changes(changes), outputs);
+            return;
+        }
+        // Paced; whoever gets nothing pulls again from the next peer that advertises.
+        if now < self.list_not_before {
+            return;
+        }
+        self.list_not_before = now + LIST_INTERVAL_MILLISECONDS;
+        let message = MachineListMessage::List {
+            version: self.held.version,
+            machines: self.machines.values().cloned().collect(),
+        };
+        self.send(&[to], &message, outputs);
+    }
+
+    fn adopt(
+        &mut self,
+        now: u64,
+        from: InstanceId,
+        version: ListVersion,
+        machines: Vec<Machine>,
+        outputs: &mut Vec<Output>,
+    ) {
+        if version <= self.held.version {
+            return;
+        }
+        let before = self.held.version;
+        let listed: BTreeMap<MachineName, Machine> = machines
+            .into_iter()
+            .map(|machine| (machine.name.clone(), machine))
+            .collect();
+        let old = std::mem::replace(&mut self.machines, listed);
+        for (name, machine) in old {
+            if !self.machines.contains_key(&name) {
+                self.keep(now, machine);
+            }
+        }
+        self.kept
+            .retain(|name, _| !self.machines.contains_key(name));
+        self.held.version = version;
+        self.changes.clear();
+        self.pass_on(from, before, outputs);
+    }
+}
