--- a/crates/firshore-controller/src/controller.rs
+++ b/crates/firshore-controller/src/controller.rs
@@ -104,6 +104,8 @@
 pub struct Controller {
     /// Term in which it leads; `None` while it does not.
     term: Option<u64>,
+    /// Latest term known to command engines; leading under an earlier one is over.
+    deposed_by: Option<u64>,
     sequence: u64,
     under_way: BTreeMap<MachineName, UnderWay>,
 }
@@ -138,7 +140,8 @@
     }
 
     fn lead(&mut self, term: u64) -> Vec<Output> {
-        if self.term != Some(term) {
+        let is_over = self.deposed_by.is_some_and(|newer| term < newer);
+        if !is_over && self.term != Some(term) {
             self.term = Some(term);
             self.sequence = 0;
             self.under_way.clear();
@@ -231,6 +234,7 @@
         match answer {
             Answer::Stale(held) if held.term > term => {
                 self.term = None;
+                self.deposed_by = Some(held.term);
                 self.under_way.clear();
                 return vec![Output::Deposed { held }];
             }
--- a/crates/firshore-controller/src/lib.rs
+++ b/crates/firshore-controller/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod controller;
 pub mod coverage;
+pub mod grouping;
 pub mod order;
 pub mod plan;
--- a/crates/firshore-controller/tests/controller.rs
+++ b/crates/firshore-controller/tests/controller.rs
@@ -136,6 +136,10 @@
     assert_eq!(outputs, [Output::Deposed { held }]);
     assert!(controller.step(4, halves(fleet(4))).is_empty());
     assert!(!controller.is_leading());
+    controller.step(5, Input::Lead { term: 3 });
+    assert!(!controller.is_leading(), "the old term stays over");
+    controller.step(6, Input::Lead { term: 4 });
+    assert!(controller.is_leading());
 }
 
 /// Engines as they are, each with the report that the controllers see.
--- a/crates/firshore-lab/tests/configuration/cluster.rs
+++ b/crates/firshore-lab/tests/configuration/cluster.rs
@@ -202,6 +202,15 @@
     }
 }
 
+/// Waits until what must be asked for holds.
+pub async fn until_async<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
 /// Reads declarations.
 pub fn declarations(text: &str) -> Vec<Declaration> {
     parse_declarations("test", text).expect("the declarations parse")
--- a/crates/firshore-lab/tests/configuration/main.rs
+++ b/crates/firshore-lab/tests/configuration/main.rs
@@ -1,6 +1,7 @@
 //! Configuration among nodes over sockets while operators race and the object API fails.
 
 mod cluster;
+mod roles;
 
 use cluster::{Cluster, declarations, proposal, tenant, until};
 use firshore_lab::stand_in::platform::PlatformFaults;
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes.
 
 use firshore_batch::job::{JobSummary, NamedResult};
+use firshore_config::machine_list::MachineListMessage;
 use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::message::Envelope as GossipEnvelope;
@@ -54,6 +55,13 @@
     },
     /// Which configuration the peer has in force.
     ConfigurationInForce,
+    /// Concerns the spread of the machine list.
+    MachineList {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: MachineListMessage,
+    },
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
     /// A message between replicas of a journal group; the answer only says that it arrived.
@@ -121,6 +129,8 @@
     Refused(JournalRefusal),
     /// Messages about the configuration in return.
     Configuration(Vec<ConfigurationMessage>),
+    /// Messages about the machine list in return.
+    MachineList(Vec<MachineListMessage>),
     /// The configuration that the peer has in force.
     ConfigurationInForce(NodeConfiguration),
     /// Replica on the peer's disk, if it has a disk.
--- a/crates/firshore-server/src/journal.rs
+++ b/crates/firshore-server/src/journal.rs
@@ -52,6 +52,12 @@
         .map(|member| member.peer_address)
 }
 
+/// Whether this node holds the journal.
+pub fn holds(shared: &Shared) -> bool {
+    let own = shared.members.lock().own().peer_address;
+    holder(shared) == Some(own)
+}
+
 async fn ask(shared: &Shared, request: JournalRequest) -> Result<Response, ApiError> {
     let unavailable = |execution_known: bool| {
         let message = "The journal cannot be reached.";
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod clock;
 pub mod configuration;
+pub mod controller;
 pub mod engine;
 pub mod gateway;
 pub mod journal;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -7,8 +7,9 @@
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{batch_runner, configuration, membership, serving};
+use crate::{batch_runner, configuration, controller, membership, serving};
 use firshore_config::dissemination::Dissemination;
+use firshore_config::machine_list::MachineList;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
@@ -63,7 +64,8 @@
             incarnation: 0,
         };
         let peer = configuration::peer_of(&own);
-        let dissemination = Dissemination::new(peer, rand::rng().random());
+        let dissemination = Dissemination::new(peer.clone(), rand::rng().random());
+        let machine_list = MachineList::new(peer, rand::rng().random());
         let clock = Clock::start();
         let members = Membership::new(
             clock.now(),
@@ -82,6 +84,7 @@
             floor: Default::default(),
             refused_change: Default::default(),
             configuration: Default::default(),
+            machine_list: machine_list.into(),
             machines: Default::default(),
             members: members.into(),
             router: Router::new(locality).into(),
@@ -145,6 +148,7 @@
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::floor::run(shared.clone()));
     actix_rt::spawn(configuration::machines::run(shared.clone()));
+    actix_rt::spawn(controller::run(shared.clone()));
     let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
     let callers = serving::callers(&shared, sockets.callers);
     let admin = serving::admin(&shared, sockets.admin);
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -273,6 +273,9 @@
         Request::Configuration { from, message } => {
             Response::Configuration(configuration::answer(shared, from, message))
         }
+        Request::MachineList { from, message } => {
+            Response::MachineList(configuration::machines::answer(shared, from, message))
+        }
         Request::ConfigurationInForce => {
             Response::ConfigurationInForce(configuration::status::own(shared))
         }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -1,7 +1,7 @@
 //! Tables that the node's workers and background tasks share.
 //!
-//! Lock order: `dissemination`, `floor`, `configuration`, `machines`, `members`, `router`. A
-//! thread that holds one takes only later ones, and none is held across an await.
+//! Lock order: `dissemination`, `floor`, `configuration`, `machine_list`, `machines`, `members`,
+//! `router`. A thread that holds one takes only later ones, and none is held across an await.
 
 use crate::clock::Clock;
 use crate::engine::cancellation::Canceller;
@@ -12,6 +12,7 @@
 use crate::settings::Settings;
 use firshore_config::dissemination::Dissemination;
 use firshore_config::floor::FloorGate;
+use firshore_config::machine_list::MachineList;
 use firshore_membership::membership::Membership;
 use firshore_routing::router::Router;
 use firshore_types::configuration::{Configuration, key_digest};
@@ -95,6 +96,8 @@
     pub refused_change: Mutex<Option<String>>,
     /// Configuration in force.
     pub configuration: RwLock<Arc<ConfigurationView>>,
+    /// How the machine list is spread.
+    pub machine_list: Mutex<MachineList>,
     /// Back ends from the machine list.
     pub machines: RwLock<Arc<Vec<Machine>>>,
     /// Nodes.
