--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod engine_model;
 pub mod experiment;
 pub mod fault_proxy;
+pub mod fit;
+pub mod fleet_of_one;
 pub mod http;
 pub mod judge;
 pub mod report;
