--- a/crates/firshore-config/src/lib.rs
+++ b/crates/firshore-config/src/lib.rs
@@ -20,6 +20,20 @@
     format!("{CHANGE_PREFIX}{:020}", revision.0)
 }
 
+/// Revisions in one page of change objects, as told by the key's leading digits.
+pub const REVISIONS_PER_PAGE: u64 = 1_000;
+
+/// Key prefix of the change objects on the page that holds `revision`.
+pub fn page_prefix(revision: firshore_types::ids::Revision) -> String {
+    format!("{CHANGE_PREFIX}{:017}", revision.0 / REVISIONS_PER_PAGE)
+}
+
+/// Key of the object that holds a whole configuration, from which an empty cluster starts.
+pub const SNAPSHOT_KEY: &str = "configuration-snapshot";
+
+/// Revisions between two writes of the snapshot object.
+pub const SNAPSHOT_REVISIONS: u64 = 1_024;
+
 /// Key prefix of intents: what was in force when a change was first attempted.
 pub const INTENT_PREFIX: &str = "change-intents/";
 
--- a/crates/firshore-lab/tests/configuration/cluster.rs
+++ b/crates/firshore-lab/tests/configuration/cluster.rs
@@ -64,10 +64,15 @@
 impl Cluster {
     /// Starts nodes in three zones and waits until they know one another.
     pub async fn start(count: usize) -> Self {
+        let platform = Platform::start(any_port()).expect("the platform starts");
+        Self::start_on(platform, TempDir::new().expect("a folder"), count).await
+    }
+
+    async fn start_on(platform: Platform, folder: TempDir, count: usize) -> Self {
         let mut cluster = Self {
-            platform: Platform::start(any_port()).expect("the platform starts"),
+            platform,
             nodes: Vec::new(),
-            folder: TempDir::new().expect("a folder"),
+            folder,
             started: 0,
         };
         for _ in 0..count {
@@ -125,15 +130,50 @@
 
     /// Stops everything.
     pub fn stop(self) {
-        for node in &self.nodes {
-            node.stop();
-        }
-        for node in self.nodes {
-            node.join();
-        }
+        stop_nodes(self.nodes);
         self.platform.server.stop();
     }
 
+    /// Stops all nodes and starts as many with the same disks beside the same platform.
+    pub async fn restarted(self) -> Self {
+        let count = self.nodes.len();
+        stop_nodes(self.nodes);
+        Self::start_on(self.platform, self.folder, count).await
+    }
+
+    /// Stops all nodes and starts others with empty disks beside the same platform.
+    pub async fn succeeded_by(self, count: usize) -> Self {
+        stop_nodes(self.nodes);
+        Self::start_on(self.platform, TempDir::new().expect("a folder"), count).await
+    }
+
+    /// Nodes that keep a configuration on their disk.
+    pub fn kept_on_disk(&self) -> usize {
+        let kept = |node: &&Node| {
+            let storage = node.shared.settings.storage.as_ref();
+            storage.is_some_and(|storage| storage.data_folder.join("configuration.json").exists())
+        };
+        self.nodes.iter().filter(kept).count()
+    }
+
+    pub async fn put_object(&self, key: &str, value: String) {
+        let call = Call::new(
+            self.platform.server.address,
+            Method::PUT,
+            &format!("/objects/{key}"),
+        );
+        assert_eq!(
+            call.body(value).send().await.expect("an answer").status(),
+            200
+        );
+    }
+
+    pub async fn delete_object(&self, key: &str) {
+        let path = format!("/objects/{key}");
+        let call = Call::new(self.platform.server.address, Method::DELETE, &path);
+        assert_eq!(call.send().await.expect("an answer").status(), 200);
+    }
+
     /// Sends a proposal to a node.
     pub async fn propose(&self, node: usize, proposal: &Proposal) -> Answer {
         let call = Call::new(self.nodes[node].admin, Method::POST, "/configuration");
@@ -193,6 +233,15 @@
     }
 }
 
+fn stop_nodes(nodes: Vec<Node>) {
+    for node in &nodes {
+        node.stop();
+    }
+    for node in nodes {
+        node.join();
+    }
+}
+
 /// Waits until `condition` holds.
 pub async fn until(what: &str, condition: impl Fn() -> bool) {
     let deadline = Instant::now() + PATIENCE;
--- a/crates/firshore-lab/tests/configuration/main.rs
+++ b/crates/firshore-lab/tests/configuration/main.rs
@@ -4,6 +4,7 @@
 mod roles;
 
 use cluster::{Cluster, declarations, proposal, tenant, until};
+use firshore_config::{SNAPSHOT_KEY, change_key};
 use firshore_lab::stand_in::platform::PlatformFaults;
 use firshore_types::ids::Revision;
 
@@ -272,3 +273,54 @@
     assert!(waiting <= 4, "{waiting} reads waited at once");
     cluster.stop();
 }
+
+#[actix_rt::test]
+async fn a_new_cluster_starts_from_the_snapshot() {
+    let old = Cluster::start(1).await;
+    for revision in 0..4 {
+        let id = format!("change-{revision}");
+        let change = proposal(
+            &id,
+            "ann",
+            revision,
+            vec![tenant("grower", "a", revision as u8)],
+        );
+        old.accept(0, &change).await;
+        if revision == 2 {
+            old.converge(3).await;
+            let snapshot = old.nodes[0].shared.dissemination.lock().snapshot();
+            old.put_object(SNAPSHOT_KEY, serde_json::to_string(&snapshot).unwrap())
+                .await;
+        }
+    }
+    for revision in 1..=3 {
+        old.delete_object(&change_key(Revision(revision))).await;
+    }
+    let new = old.succeeded_by(2).await;
+    new.converge(4).await;
+    new.stop();
+}
+
+#[actix_rt::test]
+async fn a_whole_cluster_restarts_while_the_object_api_is_down() {
+    let cluster = Cluster::start(3).await;
+    cluster
+        .accept(
+            0,
+            &proposal("first", "ann", 0, vec![tenant("grower", "a", 1)]),
+        )
+        .await;
+    cluster.converge(1).await;
+    until("the configuration is kept", || cluster.kept_on_disk() == 3).await;
+    cluster
+        .platform
+        .set_faults(faults(|faults| faults.down = true));
+    let cluster = cluster.restarted().await;
+    cluster.converge(1).await;
+    let gate = &cluster.nodes[2].shared;
+    until("the node serves", || {
+        gate.floor.lock().check(gate.clock.now()).is_ok()
+    })
+    .await;
+    cluster.stop();
+}
--- a/crates/firshore-server/src/configuration/accept.rs
+++ b/crates/firshore-server/src/configuration/accept.rs
@@ -8,7 +8,10 @@
 use firshore_config::dissemination::Input;
 use firshore_config::history::{HistoryDigest, Record, RecordError};
 use firshore_config::proposal::{Decision, Proposal};
-use firshore_config::{CHANGE_PREFIX, change_key, intent_key};
+use firshore_config::{
+    CHANGE_PREFIX, REVISIONS_PER_PAGE, SNAPSHOT_KEY, SNAPSHOT_REVISIONS, change_key, intent_key,
+    page_prefix,
+};
 use firshore_types::configuration::{Change, Configuration};
 use firshore_types::error::{ApiError, ErrorCode};
 use firshore_types::ids::{ChangeId, Revision};
@@ -188,6 +191,9 @@
     {
         Ok(()) => {
             advance(shared, Input::Written(vec![record]));
+            if change.revision.0.is_multiple_of(SNAPSHOT_REVISIONS) {
+                actix_rt::spawn(write_snapshot(shared.clone()));
+            }
             Ok(change.revision)
         }
         Err(ObjectError::Mismatch) => Err(Attempt::Again(format!(
@@ -305,15 +311,7 @@
         .after(base, usize::MAX);
     let records = match kept {
         Some(records) => records,
-        None => {
-            let found = objects
-                .list_after(CHANGE_PREFIX, &change_key(base), Duration::ZERO)
-                .await?;
-            let read =
-                |object: crate::platform::object_api::Object| Record::from_text(object.value);
-            let records: Result<Vec<Record>, RecordError> = found.into_iter().map(read).collect();
-            records.map_err(|error| Attempt::Refused(diverged(&error)))?
-        }
+        None => read_pages(objects, base, head).await?,
     };
     let mut changes = Vec::new();
     for record in records.iter().take_while(|record| record.revision <= head) {
@@ -329,6 +327,44 @@
     Ok(changes)
 }
 
+/// Reads the change objects after `base` page by page, so that no listing grows without bound.
+async fn read_pages(
+    objects: &ObjectApi,
+    base: Revision,
+    head: Revision,
+) -> Result<Vec<Record>, Attempt> {
+    let mut records = Vec::new();
+    let mut first = base.next();
+    while first <= head {
+        let after = change_key(Revision(first.0 - 1));
+        let found = objects
+            .list_after(&page_prefix(first), &after, Duration::ZERO)
+            .await?;
+        for object in found {
+            let record = Record::from_text(object.value);
+            records.push(record.map_err(|error| Attempt::Refused(diverged(&error)))?);
+        }
+        first = Revision((first.0 / REVISIONS_PER_PAGE + 1) * REVISIONS_PER_PAGE);
+    }
+    Ok(records)
+}
+
+/// Writes the snapshot object from time to time; losing it costs a later start some time.
+async fn write_snapshot(shared: Arc<Shared>) {
+    let snapshot = shared.dissemination.lock().snapshot();
+    let revision = snapshot.configuration.revision;
+    let text = serde_json::to_string(&snapshot).expect("snapshots serialise");
+    let objects = ObjectApi::new(&shared.settings.platform.object_api);
+    match objects.replace(SNAPSHOT_KEY, text).await {
+        Ok(()) => {
+            info!(shared.log, "configuration: Snapshot written."; "revision" => %revision);
+        }
+        Err(error) => {
+            warn!(shared.log, "configuration: Snapshot not written."; "reason" => %error);
+        }
+    }
+}
+
 fn refusal(decision: &Decision) -> ApiError {
     let lines = match decision {
         Decision::Conflict(others) => others.iter().map(ToString::to_string).collect(),
--- a/crates/firshore-server/src/configuration/mod.rs
+++ b/crates/firshore-server/src/configuration/mod.rs
@@ -2,6 +2,7 @@
 //! `firshore-config` with peers, the object API and the clock.
 
 pub mod accept;
+pub mod disk;
 pub mod floor;
 pub mod machines;
 pub mod status;
@@ -14,7 +15,7 @@
 use firshore_config::history::{Record, RecordError};
 use firshore_config::message::Message;
 use firshore_config::readers::Peer;
-use firshore_config::{CHANGE_PREFIX, change_key};
+use firshore_config::{CHANGE_PREFIX, SNAPSHOT_KEY, change_key};
 use firshore_membership::member::Member;
 use firshore_protocol::message::{Request, Response};
 use firshore_types::configuration::Configuration;
@@ -45,6 +46,10 @@
 
 /// Drives the dissemination until the node ends.
 pub async fn run(shared: Arc<Shared>) {
+    if let Some(snapshot) = disk::restore(&shared).await {
+        advance(&shared, Input::Restored(Box::new(snapshot)));
+    }
+    actix_rt::spawn(disk::run(shared.clone()));
     await_members(&shared).await;
     let mut known: Vec<Peer> = Vec::new();
     loop {
@@ -159,6 +164,7 @@
 
 async fn watch(shared: Arc<Shared>, after: Revision) {
     let objects = ObjectApi::new(&shared.settings.platform.object_api);
+    let after = start_from_snapshot(&shared, &objects, after).await;
     let found = objects
         .list_after(CHANGE_PREFIX, &change_key(after), WATCH_WAIT)
         .await;
@@ -172,6 +178,28 @@
     advance(&shared, input);
 }
 
+/// A node that holds nothing starts from the snapshot in the object API, if there is one, rather
+/// than from the first change ever made.
+async fn start_from_snapshot(
+    shared: &Arc<Shared>,
+    objects: &ObjectApi,
+    after: Revision,
+) -> Revision {
+    if after > Revision(0) {
+        return after;
+    }
+    let Ok(Some(object)) = objects.get(SNAPSHOT_KEY).await else {
+        return after;
+    };
+    match serde_json::from_str(&object.value) {
+        Ok(snapshot) => advance(shared, Input::Restored(Box::new(snapshot))),
+        Err(error) => {
+            warn!(shared.log, "configuration: Snapshot unreadable."; "reason" => %error);
+        }
+    }
+    shared.dissemination.lock().history().head()
+}
+
 /// Records among the objects; one that is no change object ends the listing, as nothing after it
 /// could follow.
 fn readable(shared: &Shared, objects: Vec<crate::platform::object_api::Object>) -> Vec<Record> {
--- a/crates/firshore-server/src/platform/object_api.rs
+++ b/crates/firshore-server/src/platform/object_api.rs
@@ -60,19 +60,18 @@
 
     /// Creates an object that must not exist yet.
     pub async fn create(&self, key: &str, value: String) -> Result<(), ObjectError> {
-        let url = format!("{}/objects/{key}", self.base);
-        let answer = self
-            .client
-            .put(url)
-            .insert_header(("if-none-match", "*"))
-            .send_body(value)
-            .await
-            .map_err(|error| ObjectError::Unanswered(error.to_string()))?;
-        match answer.status() {
-            StatusCode::OK => Ok(()),
-            StatusCode::PRECONDITION_FAILED => Err(ObjectError::Mismatch),
-            status => Err(ObjectError::Unanswered(format!("status {status}"))),
-        }
+        let request = self.client.put(self.url(key));
+        let request = request.insert_header(("if-none-match", "*"));
+        written(request.send_body(value).await)
+    }
+
+    /// Writes an object whatever stood there.
+    pub async fn replace(&self, key: &str, value: String) -> Result<(), ObjectError> {
+        written(self.client.put(self.url(key)).send_body(value).await)
+    }
+
+    fn url(&self, key: &str) -> String {
+        format!("{}/objects/{key}", self.base)
     }
 
     /// The object of this key, if there is one; possibly from an old replica.
@@ -115,3 +114,14 @@
             .map_err(|error| ObjectError::Unanswered(error.to_string()))
     }
 }
+
+fn written<S>(
+    answer: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
+) -> Result<(), ObjectError> {
+    let answer = answer.map_err(|error| ObjectError::Unanswered(error.to_string()))?;
+    match answer.status() {
+        StatusCode::OK => Ok(()),
+        StatusCode::PRECONDITION_FAILED => Err(ObjectError::Mismatch),
+        status => Err(ObjectError::Unanswered(format!("status {status}"))),
+    }
+}
