--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -79,6 +79,16 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A folder of the node's own, new in each run.
+fn data_folder(node: &str) -> PathBuf {
+    let run = format!(
+        "firshore-{}-{:08x}",
+        std::process::id(),
+        rand::random::<u32>()
+    );
+    std::env::temp_dir().join(run).join(node)
+}
+
 fn settings(
     topology: &Topology,
     zone: &str,
@@ -105,7 +115,7 @@
             machine_list: format!("http://{platform}"),
         },
         storage: Some(Storage {
-            data_folder: std::env::temp_dir(),
+            data_folder: data_folder(&format!("{zone}-{number}")),
         }),
         log: LogSettings::default(),
         limits: LimitSettings {
