--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -65,6 +65,16 @@
     executions: Vec<Execution>,
     next_run: u64,
     events: Vec<Event>,
+    prefix_use: PrefixUse,
+}
+
+/// Use of the prefix cache since the engine's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixUse {
+    /// Blocks of prompts that were found in the cache.
+    pub hit_blocks: u64,
+    /// Blocks of all prompts.
+    pub blocks: u64,
 }
 
 fn blocks_of(tokens: u32) -> u32 {
@@ -89,6 +99,7 @@
             executions: Vec::new(),
             next_run: 0,
             events: Vec::new(),
+            prefix_use: PrefixUse::default(),
         };
         engine.record_load(0);
         engine
@@ -430,6 +441,8 @@
         for block in &run.submission.prompt_blocks[..hits] {
             self.cache.pin(*block);
         }
+        self.prefix_use.hit_blocks += hits as u64;
+        self.prefix_use.blocks += run.submission.prompt_blocks.len() as u64;
         run.pinned = hits;
         run.private_blocks = needed;
         run.prefill_left = self.prefill_of(&run, hits);
@@ -558,6 +571,11 @@
         });
     }
 
+    /// Use of the prefix cache so far.
+    pub fn prefix_use(&self) -> PrefixUse {
+        self.prefix_use
+    }
+
     /// Load at this moment, as it rides on answers.
     pub fn fresh_load(&self) -> LoadReport {
         let online = self
--- a/crates/firshore-lab/src/engine_model/mod.rs
+++ b/crates/firshore-lab/src/engine_model/mod.rs
@@ -13,7 +13,7 @@
 mod settings;
 
 pub use cache::{CacheEvent, CacheEventKind, CachePage};
-pub use engine::Engine;
+pub use engine::{Engine, PrefixUse};
 pub use kept::KvExport;
 pub use load::LoadReport;
 pub use order::{Fence, Order, OrderOutcome, StaleFence};
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod routing;
+
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -30,9 +32,11 @@
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
-        Err(format!(
-            "No experiment '{}'. See docs/REFERENCE.md for their names.",
-            self.name
-        ))
+        match self.name.as_str() {
+            "routing" => routing::run(self),
+            other => Err(format!(
+                "No experiment '{other}'. See docs/REFERENCE.md for their names."
+            )),
+        }
     }
 }
