--- a/crates/firshore-routing/src/balance.rs
+++ b/crates/firshore-routing/src/balance.rs
@@ -12,10 +12,10 @@
 use rand::RngExt;
 
 /// Random candidates in each tier.
-pub const RANDOM_CANDIDATES: usize = 2;
+pub const RANDOM_CANDIDATES: usize = 4;
 
 /// Draws until that many usable random candidates must have been found.
-const MAXIMUM_DRAWS: usize = 8;
+const MAXIMUM_DRAWS: usize = 12;
 
 /// A holder of the prefix is passed over when its load exceeds the mean by this factor.
 pub const AFFINITY_LOAD_CAP: f32 = 1.5;
--- a/crates/firshore-routing/src/endpoint.rs
+++ b/crates/firshore-routing/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::ejection::{Health, LARGEST_EJECTED_SHARE, OUTLIER_SAMPLES, OUTLIER_SLOWDOWN};
 use crate::load::{LoadReport, LoadState};
-use crate::speed::{FleetMean, Speed};
+use crate::speed::{FleetMean, Observation, Speed};
 use firshore_types::ids::{MachineName, RegionName, ZoneName};
 use firshore_types::labels::Labels;
 use firshore_types::machine::{Machine, MachineState};
@@ -319,11 +319,11 @@
         ejected + 1.0 <= total * LARGEST_EJECTED_SHARE
     }
 
-    /// Takes in an observed time and the nominal time predicted for it, in milliseconds.
-    pub fn observe_speed(&mut self, now: u64, index: EndpointIndex, observed: f32, nominal: f32) {
+    /// Takes in an observation of a back end's speed.
+    pub fn observe_speed(&mut self, now: u64, index: EndpointIndex, observation: Observation) {
         let mean = self.mean_slowdown();
         let endpoint = self.get_mut(index);
-        endpoint.speed.observe(now, observed, nominal);
+        endpoint.speed.observe(now, mean, observation);
         let slowdown = endpoint.speed.slowdown(now, mean);
         self.mean_slowdown.observe_bounded(slowdown);
     }
--- a/crates/firshore-routing/src/router.rs
+++ b/crates/firshore-routing/src/router.rs
@@ -6,6 +6,7 @@
 use crate::endpoint::{EndpointIndex, EndpointTable, Locality, Outcome};
 use crate::load::LoadReport;
 use crate::score::nominal_step;
+use crate::speed::{FIRST_TOKEN_WEIGHT, Observation, TOKEN_GAP_WEIGHT};
 use firshore_types::labels::Selector;
 use firshore_types::machine::Machine;
 use rand::RngExt;
@@ -95,15 +96,24 @@
         let endpoint = self.endpoints.get_mut(sent.endpoint);
         endpoint.load.prefilled(sent.uncached_tokens);
         let observed = now.saturating_sub(sent.sent_at) as f32 - 2.0 * endpoint.distance;
+        let observation = Observation {
+            observed: observed.max(0.1),
+            nominal: sent.nominal,
+            weight: FIRST_TOKEN_WEIGHT,
+        };
         self.endpoints
-            .observe_speed(now, sent.endpoint, observed.max(0.1), sent.nominal);
+            .observe_speed(now, sent.endpoint, observation);
     }
 
     /// Takes in a request's mean time between tokens, in milliseconds.
     pub fn token_gap(&mut self, now: u64, sent: &Sent, milliseconds: f32) {
-        let nominal = nominal_step(sent.requests);
+        let observation = Observation {
+            observed: milliseconds,
+            nominal: nominal_step(sent.requests),
+            weight: TOKEN_GAP_WEIGHT,
+        };
         self.endpoints
-            .observe_speed(now, sent.endpoint, milliseconds, nominal);
+            .observe_speed(now, sent.endpoint, observation);
     }
 
     /// Counts a request as ended. Returns until when the back end is ejected if this ejected it.
--- a/crates/firshore-routing/src/speed.rs
+++ b/crates/firshore-routing/src/speed.rs
@@ -5,8 +5,12 @@
 //! has three times the slowdown of its peers, whatever the nominal figures are, and so is given a
 //! third of their work.
 
-/// Weight of one new observation.
-const OBSERVATION_WEIGHT: f32 = 0.1;
+/// Weight of one observed time to a first token, which depends on requests that this node does
+/// not see.
+pub const FIRST_TOKEN_WEIGHT: f32 = 0.05;
+
+/// Weight of one observed mean time between tokens, which hardly does.
+pub const TOKEN_GAP_WEIGHT: f32 = 0.2;
 
 /// One observation moves the estimate at most as if it were this many times larger or smaller.
 const LARGEST_STEP: f32 = 4.0;
@@ -16,7 +20,18 @@
 
 /// Milliseconds without observation after which an estimate has gone back to the fleet's mean, so
 /// that an engine that was slow once is tried again.
-const FORGET_MILLISECONDS: f32 = 60_000.0;
+const FORGET_MILLISECONDS: f32 = 30_000.0;
+
+/// One observed time, beside the time predicted for nominal speed.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation {
+    /// Milliseconds observed.
+    pub observed: f32,
+    /// Milliseconds predicted.
+    pub nominal: f32,
+    /// Weight from 0 to 1.
+    pub weight: f32,
+}
 
 /// Slowdown of one back end.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,19 +42,16 @@
 }
 
 impl Speed {
-    /// Takes in an observed time and the nominal time predicted for it, both in milliseconds.
-    pub fn observe(&mut self, now: u64, observed: f32, nominal: f32) {
-        if nominal <= 0.0 {
+    /// Takes in an observation. The estimate starts from the fleet's mean, so that one unlucky
+    /// request does not mark a back end as slow.
+    pub fn observe(&mut self, now: u64, fleet_mean: f32, observation: Observation) {
+        if observation.nominal <= 0.0 {
             return;
         }
-        let ratio = (observed / nominal).clamp(BOUNDS.0, BOUNDS.1);
-        if self.samples == 0 {
-            self.slowdown = ratio;
-        } else {
-            let low = self.slowdown / LARGEST_STEP;
-            let high = self.slowdown * LARGEST_STEP;
-            self.slowdown += OBSERVATION_WEIGHT * (ratio.clamp(low, high) - self.slowdown);
-        }
+        let ratio = (observation.observed / observation.nominal).clamp(BOUNDS.0, BOUNDS.1);
+        let current = self.slowdown(now, fleet_mean);
+        let bounded = ratio.clamp(current / LARGEST_STEP, current * LARGEST_STEP);
+        self.slowdown = current + observation.weight * (bounded - current);
         self.samples = self.samples.saturating_add(1);
         self.observed_at = now;
     }
--- a/crates/firshore-routing/tests/ejection.rs
+++ b/crates/firshore-routing/tests/ejection.rs
@@ -7,6 +7,7 @@
     RETURN_MILLISECONDS,
 };
 use firshore_routing::endpoint::Outcome;
+use firshore_routing::speed::Observation;
 use support::{index, machines, random, router_of};
 
 #[test]
@@ -101,9 +102,12 @@
             for number in 0..8 {
                 let target = index(&router, number);
                 let observed = if number == 0 { factor * 10.0 } else { 10.0 };
-                router
-                    .endpoints
-                    .observe_speed(round, target, observed, 10.0);
+                let observation = Observation {
+                    observed,
+                    nominal: 10.0,
+                    weight: 0.2,
+                };
+                router.endpoints.observe_speed(round, target, observation);
                 router.endpoints.outcome(round, target, Outcome::Completed);
             }
         }
