--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -6,6 +6,7 @@
 use crate::topology::{CallerShape, Topology};
 use actix_http::Method;
 use actix_http::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use argh::FromArgs;
 use bytes::Bytes;
 use firshore_server::engine::exchange;
 use firshore_server::logging;
@@ -23,7 +24,7 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,29 @@
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Run a whole fleet in this process for a bounded time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// folder of the topology and its declarations
+    #[argh(option, default = "PathBuf::from(\"examples/fieldline\")")]
+    topology: PathBuf,
+    /// seconds of load
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// stay up until interrupted
+    #[argh(switch)]
+    keep: bool,
+}
+
+impl Demo {
+    /// Runs it; `Ok(true)` when no promise was broken.
+    pub fn run(&self) -> Result<bool, String> {
+        let demo = run(&self.topology, self.seconds, self.keep);
+        actix_rt::System::new().block_on(demo)
+    }
+}
+
 /// A fleet that runs.
 pub struct Fleet {
     /// Nodes.
@@ -70,6 +94,7 @@
             callers: any_port(),
             peers: any_port(),
             admin: any_port(),
+            advertised_peers: None,
         },
         cluster: Cluster {
             secret: "demonstration-secret-only".to_owned(),
@@ -369,9 +394,12 @@
     }
     let path = format!("{path}/output");
     let (_, output) = call(address, Method::GET, &path, &headers, String::new()).await?;
-    for (number, line) in output.lines().enumerate() {
-        if !line.contains(&format!("item-{number} ")) {
-            return Err(format!("item {number} has another item's answer"));
+    for line in output.lines() {
+        let line: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
+        let name = line["custom_id"].as_str().unwrap_or_default();
+        let answer = line["response"]["body"].to_string();
+        if !answer.contains(&format!("{name} ")) {
+            return Err(format!("{name} has another item's answer"));
         }
     }
     Ok(output.lines().count() as u64)
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,19 +1,25 @@
 //! Messages between nodes.
 
-use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_batch::job::{JobSummary, NamedResult};
+use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
-use firshore_membership::member::Member;
+use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{ItemIndex, JobId, NodeName};
+use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
+/// Correlation of a notice, which is not answered.
+pub const NOTICE: u64 = 0;
+
 /// A question or notice to a peer, with a number that its answer repeats.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RequestFrame {
-    /// Chosen by the sender, unique on the connection.
+    /// Chosen by the sender, unique on the connection; [`NOTICE`] if no answer is expected.
+    #[serde(rename = "c")]
     pub correlation: u64,
     /// Content.
+    #[serde(rename = "r")]
     pub request: Request,
 }
 
@@ -29,8 +35,9 @@
 /// What a node asks of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
-    /// The sender is alive, in this state.
-    Heartbeat(Member),
+    /// A message of the membership protocol; a notice.
+    #[serde(rename = "g")]
+    Gossip(GossipEnvelope),
     /// Concerns a journal group; only the group's leader answers.
     Journal {
         /// Group.
@@ -38,6 +45,15 @@
         /// Content.
         request: JournalRequest,
     },
+    /// Concerns the dissemination of the configuration.
+    Configuration {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: ConfigurationMessage,
+    },
+    /// Which configuration the peer has in force.
+    ConfigurationInForce,
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
     /// A message between replicas of a journal group; the answer only says that it arrived.
@@ -62,8 +78,8 @@
     JobResults {
         /// Job.
         job: JobId,
-        /// First item wanted.
-        from: ItemIndex,
+        /// First position of the output wanted.
+        from: u32,
         /// Most results wanted.
         count: u32,
     },
@@ -92,22 +108,9 @@
     pub holds_log: bool,
 }
 
-/// One item's result with the caller's name for the item.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct NamedResult {
-    /// Position in the job.
-    pub index: ItemIndex,
-    /// The caller's name for it.
-    pub custom_id: String,
-    /// Result.
-    pub result: ItemResult,
-}
-
 /// What a peer answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Response {
-    /// The peer, alive, in this state.
-    Heartbeat(Member),
     /// Outcome of a committed command.
     Proposed(Outcome),
     /// State of jobs.
@@ -116,6 +119,10 @@
     Results(Vec<NamedResult>),
     /// The journal group's leader did not do as asked, or the peer does not lead it.
     Refused(JournalRefusal),
+    /// Messages about the configuration in return.
+    Configuration(Vec<ConfigurationMessage>),
+    /// The configuration that the peer has in force.
+    ConfigurationInForce(NodeConfiguration),
     /// Replica on the peer's disk, if it has a disk.
     ReplicaIdentity(Option<ReplicaIdentity>),
     /// The message arrived.
--- a/crates/firshore-routing/src/lib.rs
+++ b/crates/firshore-routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limits;
 pub mod load;
 pub mod queue;
+pub mod retry;
 pub mod retry_budget;
 pub mod router;
 pub mod score;
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -1,14 +1,18 @@
 //! Tables that the node's workers and background tasks share.
 //!
-//! Lock order: `configuration`, `machines`, `members`, `router`. A thread that holds one takes
-//! only later ones, and none is held across an await.
+//! Lock order: `dissemination`, `floor`, `configuration`, `machines`, `members`, `router`. A
+//! thread that holds one takes only later ones, and none is held across an await.
 
 use crate::clock::Clock;
+use crate::engine::cancellation::Canceller;
 use crate::journal::Journal;
+use crate::leaving::Leaving;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
-use firshore_membership::table::MemberTable;
+use firshore_config::dissemination::Dissemination;
+use firshore_config::floor::FloorGate;
+use firshore_membership::membership::Membership;
 use firshore_routing::router::Router;
 use firshore_types::configuration::{Configuration, key_digest};
 use firshore_types::declaration::{Metadata, PoolSpec, ServiceSpec, TenantSpec};
@@ -17,20 +21,19 @@
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 /// The configuration in force with indexes for the request path.
 #[derive(Debug, Default)]
 pub struct ConfigurationView {
     /// Declarations.
-    pub configuration: Configuration,
+    pub configuration: Arc<Configuration>,
     tenants_by_digest: HashMap<String, (Metadata, TenantSpec)>,
     services_by_model: HashMap<String, (Metadata, ServiceSpec)>,
 }
 
 impl ConfigurationView {
     /// Indexes a configuration.
-    pub fn new(configuration: Configuration) -> Self {
+    pub fn new(configuration: Arc<Configuration>) -> Self {
         let mut tenants_by_digest = HashMap::new();
         for (metadata, spec) in configuration.tenants() {
             for digest in &spec.key_digests {
@@ -84,20 +87,28 @@
     pub log: Logger,
     /// Clock.
     pub clock: Clock,
+    /// How the configuration in force moves forward.
+    pub dissemination: Mutex<Dissemination>,
+    /// Whether the node may serve.
+    pub floor: Mutex<FloorGate>,
+    /// The last change that this node refused, and why; held alone.
+    pub refused_change: Mutex<Option<String>>,
     /// Configuration in force.
     pub configuration: RwLock<Arc<ConfigurationView>>,
     /// Back ends from the machine list.
     pub machines: RwLock<Arc<Vec<Machine>>>,
     /// Nodes.
-    pub members: Mutex<MemberTable>,
+    pub members: Mutex<Membership>,
     /// Load, speed and health of back ends.
     pub router: Mutex<Router>,
     /// Connections to peers.
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
-    /// Set once the node is told to stop.
-    pub leaving: AtomicBool,
+    /// Cancels runs at engines.
+    pub canceller: Canceller,
+    /// The node's way out.
+    pub leaving: Leaving,
     /// What is counted.
     pub metrics: Metrics,
 }
