--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -141,6 +141,11 @@
         left.is_some()
     }
 
+    /// Use of the prefix cache so far.
+    pub fn prefix_use(&self) -> PrefixUse {
+        self.prefix_use
+    }
+
     /// Takes a request into the queue. A resume ends a run that still goes on under its identifier.
     pub fn submit(
         &mut self,
