--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+mod failures;
 pub mod node_cost;
 pub mod routing;
 
@@ -41,6 +42,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "failures",
+        measures: "promises kept by real processes under planned stops and failures",
+        run: failures::run,
+    },
     Entry {
         name: "node-cost",
         measures: "processor time of one node for each request and each streamed token",
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet_of_one;
 pub mod http;
 pub mod judge;
+pub mod processes;
 pub mod report;
 pub mod stand_in;
 pub mod topology;
