--- a/crates/firshore-config/src/dissemination/adoption.rs
+++ b/crates/firshore-config/src/dissemination/adoption.rs
@@ -101,7 +101,9 @@
             .retain(|revision, _| *revision > self.history.head());
         let message = self.news_after(before);
         let mut receivers = self.selection.choose(ZONE_FANOUT, Distance::Zone);
-        receivers.extend(self.selection.choose(REGION_FANOUT, Distance::Region));
+        // A zone with few nodes leaves more for the others.
+        let near = ZONE_FANOUT + REGION_FANOUT - receivers.len();
+        receivers.extend(self.selection.choose(near, Distance::Region));
         if receivers.is_empty() || source == Source::Objects {
             receivers.extend(self.selection.choose(1, Distance::Remote));
         }
--- a/crates/firshore-config/src/machine_list.rs
+++ b/crates/firshore-config/src/machine_list.rs
@@ -282,7 +282,8 @@
 
     fn fanout(&mut self) -> Vec<InstanceId> {
         let mut receivers = self.selection.choose(ZONE_FANOUT, Distance::Zone);
-        receivers.extend(self.selection.choose(1, Distance::Region));
+        let near = ZONE_FANOUT + 1 - receivers.len();
+        receivers.extend(self.selection.choose(near, Distance::Region));
         receivers
     }
 
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -26,7 +26,7 @@
     pub revision: Revision,
     /// Members as this node sees them, each with what it has in force.
     pub members: Vec<MemberStatus>,
-    /// Highest floor that the asked node knows of.
+    /// Highest floor that any of them knows of.
     pub floor: Revision,
     /// Back ends on its machine list.
     pub machines: usize,
@@ -104,7 +104,7 @@
     let members = configuration::status::of_members(shared).await;
     Status {
         revision: shared.configuration().configuration.revision,
-        floor: shared.floor.lock().floor(),
+        floor: configuration::status::highest_floor(&members),
         members,
         machines: shared.machines.read().len(),
     }
--- a/crates/firshore-server/src/configuration/status.rs
+++ b/crates/firshore-server/src/configuration/status.rs
@@ -4,6 +4,7 @@
 use firshore_config::message::NodeConfiguration;
 use firshore_membership::member::{Member, MemberState};
 use firshore_protocol::message::{Request, Response};
+use firshore_types::ids::Revision;
 use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -58,6 +59,13 @@
     all
 }
 
+/// Highest floor that any member told.
+pub fn highest_floor(members: &[MemberStatus]) -> Revision {
+    let answers = members.iter().filter_map(|one| one.configuration.as_ref());
+    let floors = answers.map(|configuration| configuration.advertisement.floor);
+    floors.max().unwrap_or_default()
+}
+
 async fn ask(shared: &Shared, member: &Member) -> Option<NodeConfiguration> {
     if member.state == MemberState::Failed {
         return None;
