--- a/crates/firshore-lab/src/cli.rs
+++ b/crates/firshore-lab/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::demo;
 use crate::experiment::Experiment;
+use crate::simulation::command::Simulate;
 use crate::stand_in::engine;
 use crate::stand_in::platform::Platform;
 use argh::FromArgs;
@@ -23,6 +24,7 @@
     Demo(Demo),
     StandIn(StandIn),
     Experiment(Experiment),
+    Simulate(Simulate),
 }
 
 /// Run a whole fleet in this process for a bounded time.
@@ -91,6 +93,7 @@
         }
         Command::StandIn(stand_in) => run_stand_in(stand_in).map(|()| true),
         Command::Experiment(experiment) => experiment.run(),
+        Command::Simulate(simulate) => simulate.run(),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod demo;
 pub mod experiment;
 pub mod report;
+pub mod simulation;
 pub mod stand_in;
 pub mod topology;
--- /dev/null
+++ b/crates/firshore-replication/src/storage.rs
@@ -0,0 +1,85 @@
+//! What a replica keeps on disk, and the trait of the storage that keeps it.
+
+use crate::error::StorageError;
+use crate::types::{DiskId, Entry, LogIndex, Membership, Position, Snapshot, Term};
+use serde::{Deserialize, Serialize};
+
+/// Term and vote: must be durable before any message that follows from them is sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// Latest term seen.
+    pub term: Term,
+    /// Disk that got this replica's vote in the term.
+    pub vote: Option<DiskId>,
+}
+
+/// Changes to make durable together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WriteBatch {
+    /// New term and vote.
+    pub hard_state: Option<HardState>,
+    /// New snapshot, in place of the former.
+    pub snapshot: Option<Snapshot>,
+    /// Remove entries up to this position, and remember it.
+    pub discard_through: Option<Position>,
+    /// Remove entries from this index on, before appending.
+    pub truncate_from: Option<LogIndex>,
+    /// Entries to append.
+    pub append: Vec<Entry>,
+}
+
+impl WriteBatch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Everything read back at start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredState {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Position before the first entry kept.
+    pub base: Position,
+    /// Entries kept.
+    pub entries: Vec<Entry>,
+    /// Latest snapshot.
+    pub snapshot: Option<Snapshot>,
+}
+
+impl StoredState {
+    /// State of a founding replica: the agreed first membership is entry 1 of term 1 on each.
+    pub fn founding(membership: Membership) -> WriteBatch {
+        let first = Entry {
+            index: 1,
+            term: 1,
+            content: crate::types::EntryContent::Membership(membership),
+        };
+        WriteBatch {
+            hard_state: Some(HardState {
+                term: 1,
+                vote: None,
+            }),
+            append: vec![first],
+            ..WriteBatch::default()
+        }
+    }
+
+    /// Whether nothing of a group's log was ever stored.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.snapshot.is_none()
+    }
+}
+
+/// Storage of one replica.
+pub trait Storage {
+    /// Identity, drawn when the storage was created empty.
+    fn disk(&self) -> DiskId;
+
+    /// Reads everything and checks it.
+    fn load(&self) -> Result<StoredState, StorageError>;
+
+    /// Makes a batch durable, all of it or nothing.
+    fn write(&mut self, batch: &WriteBatch) -> Result<(), StorageError>;
+}
