--- a/crates/firshore-lab/tests/replication_simulation.rs
+++ b/crates/firshore-lab/tests/replication_simulation.rs
@@ -20,7 +20,10 @@
         }
     }
     assert!(total.acknowledged > 300 * SEEDS, "{total}");
-    assert!(total.wipes > SEEDS / 2 && total.installs > SEEDS / 2, "{total}");
+    assert!(
+        total.wipes > SEEDS / 2 && total.installs > SEEDS / 2,
+        "{total}"
+    );
 }
 
 #[test]
