--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -3,7 +3,11 @@
 
 pub mod cli;
 pub mod demo;
+pub mod engine_model;
 pub mod experiment;
+pub mod fault_proxy;
+pub mod http;
+pub mod judge;
 pub mod report;
 pub mod simulation;
 pub mod stand_in;
