--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -12,7 +12,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
+    Cluster, JournalSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
+    Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Protocol;
@@ -79,6 +80,16 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A folder of the node's own, new in each run.
+fn data_folder(node: &str) -> PathBuf {
+    let run = format!(
+        "firshore-{}-{:08x}",
+        std::process::id(),
+        rand::random::<u32>()
+    );
+    std::env::temp_dir().join(run).join(node)
+}
+
 fn settings(
     topology: &Topology,
     zone: &str,
@@ -105,8 +116,9 @@
             machine_list: format!("http://{platform}"),
         },
         storage: Some(Storage {
-            data_folder: std::env::temp_dir(),
+            data_folder: data_folder(&format!("{zone}-{number}")),
         }),
+        journal: JournalSettings::default(),
         log: LogSettings::default(),
         limits: LimitSettings {
             workers: 1,
--- a/crates/firshore-lab/tests/configuration/cluster.rs
+++ b/crates/firshore-lab/tests/configuration/cluster.rs
@@ -8,8 +8,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster as ClusterSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
-    Settings, Storage,
+    Cluster as ClusterSettings, JournalSettings, LimitSettings, Listen, LogSettings,
+    Platform as PlatformSettings, Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Declaration;
@@ -113,6 +113,7 @@
                 machine_list: format!("http://{address}"),
             },
             storage: Some(Storage { data_folder }),
+            journal: JournalSettings::default(),
             log: LogSettings::default(),
             limits: LimitSettings {
                 workers: 1,
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -5,7 +5,7 @@
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
-use firshore_replication::types::{DiskId, GroupId};
+use firshore_replication::types::{DiskId, GroupId, Membership as GroupMembership};
 use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
@@ -56,10 +56,12 @@
     ConfigurationInForce,
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
-    /// A message between replicas of a journal group; the answer only says that it arrived.
+    /// A message between replicas of a journal group; a notice.
     Replication {
         /// Group.
         group: GroupId,
+        /// Node of the sender.
+        node: NodeName,
         /// Content.
         envelope: Envelope,
     },
@@ -106,6 +108,8 @@
     pub disk: DiskId,
     /// Whether it holds anything of the group's log.
     pub holds_log: bool,
+    /// The founding membership of the group, if the node has read it since its start.
+    pub founding: Option<GroupMembership>,
 }
 
 /// What a peer answers.
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -211,6 +211,11 @@
             .map_or(0, |snapshot| snapshot.data.0.len())
     }
 
+    /// Whether a snapshot after `index` would be newer than the latest.
+    pub fn covers(&self, index: LogIndex) -> bool {
+        index > self.log.snapshot_index()
+    }
+
     /// Its state.
     pub fn status(&self) -> ReplicaStatus {
         ReplicaStatus {
--- /dev/null
+++ b/crates/firshore-server/src/journal/driver.rs
@@ -0,0 +1,633 @@
+//! The thread of one replica: takes inputs in batches, writes each batch in one transaction, sends
+//! messages, applies committed commands, takes snapshots. Workers never wait for the disk.
+
+use super::disk_space;
+use super::group::GroupStatus;
+use crate::clock::unix_milliseconds;
+use crate::shared::Shared;
+use firshore_batch::command::Action;
+use firshore_journal::claim::ClaimCommand;
+use firshore_journal::state::{Command, JournalState, Outcome};
+use firshore_protocol::message::{JournalRefusal, Request};
+use firshore_replication::error::{ReplicaError, StorageError};
+use firshore_replication::message::Envelope;
+use firshore_replication::redb_storage::RedbStorage;
+use firshore_replication::replica::{Output, ReadToken, Replica, Timing};
+use firshore_replication::storage::{Storage, StoredState};
+use firshore_replication::types::{
+    DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange, Term,
+};
+use firshore_types::ids::NodeName;
+use parking_lot::RwLock;
+use rand::RngExt;
+use slog::{Logger, error, info, warn};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between ticks of the replica.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Most inputs written in one transaction.
+const MAXIMUM_BATCH: usize = 512;
+
+/// Log in memory at which a snapshot is taken, in bytes, unless the last snapshot was larger.
+const SNAPSHOT_AFTER_BYTES: usize = 32 * 1024 * 1024;
+
+/// How often the status, the addresses of peers and the free space are looked at, in milliseconds.
+const SURVEY_INTERVAL: u64 = 200;
+
+/// Pause before a full disk is tried again.
+const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
+
+/// State of the machine, as readers share it.
+pub type SharedState = Arc<RwLock<JournalState>>;
+
+/// Where the answer to a read goes.
+pub type ReadAnswer = oneshot::Sender<Result<SharedState, JournalRefusal>>;
+
+type ProposalAnswer = oneshot::Sender<Result<Outcome, JournalRefusal>>;
+
+/// What the thread is given.
+pub enum Input {
+    /// A message from another replica.
+    Received {
+        /// Node that holds the replica.
+        node: NodeName,
+        /// The message.
+        envelope: Envelope,
+    },
+    /// Commit a command.
+    Propose {
+        /// Command.
+        command: Command,
+        /// Where its outcome goes.
+        answer: ProposalAnswer,
+    },
+    /// Give the state with everything committed before now.
+    Read(ReadAnswer),
+    /// Become a founding replica.
+    Found(Membership),
+    /// Change the membership.
+    Change(MembershipChange),
+    /// Hand leadership over.
+    StepAside,
+    /// End.
+    Stop,
+}
+
+struct PendingProposal {
+    term: Term,
+    answer: ProposalAnswer,
+}
+
+struct WaitingRead {
+    /// Index that must be applied; unknown until the leader is confirmed.
+    index: Option<LogIndex>,
+    answer: ReadAnswer,
+}
+
+struct FinishedSnapshot {
+    index: LogIndex,
+    data: Vec<u8>,
+}
+
+/// The thread's state.
+pub struct Driver {
+    shared: Arc<Shared>,
+    log: Logger,
+    group: GroupId,
+    path: PathBuf,
+    storage: RedbStorage,
+    replica: Replica,
+    state: SharedState,
+    applied: LogIndex,
+    committed: VecDeque<Entry>,
+    proposals: BTreeMap<LogIndex, PendingProposal>,
+    reads: BTreeMap<ReadToken, WaitingRead>,
+    next_read: ReadToken,
+    snapshot: Option<Receiver<FinishedSnapshot>>,
+    addresses: BTreeMap<NodeName, SocketAddr>,
+    /// Nodes that replicas wrote from: an empty replica knows no membership yet.
+    senders: BTreeMap<DiskId, NodeName>,
+    survey_due: u64,
+    full: bool,
+    led: bool,
+    status: Arc<RwLock<Arc<GroupStatus>>>,
+}
+
+enum Flow {
+    Continue,
+    Stop,
+}
+
+/// Why a session with the storage ended.
+enum End {
+    /// The replica was told to stop, or cannot go on.
+    Stopped,
+    /// The disk is full.
+    Full,
+}
+
+fn restore(
+    shared: &Shared,
+    path: &Path,
+    storage: &RedbStorage,
+) -> Result<(Replica, JournalState), StorageError> {
+    let stored = storage.load()?;
+    let state = match &stored.snapshot {
+        None => JournalState::default(),
+        Some(snapshot) => ciborium::from_reader(&*snapshot.data.0).map_err(|error| {
+            let reason = format!("its snapshot cannot be read by this version ({error})");
+            StorageError::Database(path.to_owned(), reason)
+        })?,
+    };
+    let now = shared.clock.now();
+    let seed = rand::rng().random();
+    let replica = Replica::restore(now, storage.disk(), Timing::default(), stored, seed);
+    Ok((replica, state))
+}
+
+impl Driver {
+    /// Runs until told to stop. After a full disk it starts again from what the disk holds, as
+    /// after a crash: a storage whose write failed cannot be used further.
+    pub fn run(
+        shared: Arc<Shared>,
+        group: GroupId,
+        path: &Path,
+        mut storage: RedbStorage,
+        inputs: Receiver<Input>,
+        status: Arc<RwLock<Arc<GroupStatus>>>,
+    ) {
+        let log = shared.log.new(slog::o!("group" => group.0));
+        let mut full = false;
+        loop {
+            let disk = storage.disk();
+            let ended = Self::session(&shared, group, path, storage, &status, full, &inputs);
+            match ended {
+                Ok(End::Stopped) => return info!(log, "journal: Replica ended."),
+                Ok(End::Full) => warn!(log, "journal: Disk full."; "file" => %path.display()),
+                Err(reason) => {
+                    error!(log, "journal: Replica stopped."; "reason" => %reason);
+                    let mut last = GroupStatus::clone(&status.read());
+                    last.leads = false;
+                    last.stopped = Some(reason.to_string());
+                    *status.write() = Arc::new(last);
+                    return;
+                }
+            }
+            full = true;
+            std::thread::sleep(FULL_DISK_PAUSE);
+            storage = match RedbStorage::open(path, disk) {
+                Ok(storage) => storage,
+                Err(reason) => return error!(log, "journal: Replica stopped."; "reason" => %reason),
+            };
+        }
+    }
+
+    fn session(
+        shared: &Arc<Shared>,
+        group: GroupId,
+        path: &Path,
+        storage: RedbStorage,
+        status: &Arc<RwLock<Arc<GroupStatus>>>,
+        full: bool,
+        inputs: &Receiver<Input>,
+    ) -> Result<End, StorageError> {
+        let (replica, state) = restore(shared, path, &storage)?;
+        let mut driver = Self {
+            log: shared.log.new(slog::o!("group" => group.0)),
+            group,
+            path: path.to_owned(),
+            storage,
+            applied: replica.status().commit,
+            replica,
+            state: Arc::new(RwLock::new(state)),
+            committed: VecDeque::new(),
+            proposals: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+            snapshot: None,
+            addresses: BTreeMap::new(),
+            senders: BTreeMap::new(),
+            survey_due: 0,
+            full,
+            led: false,
+            status: status.clone(),
+            shared: shared.clone(),
+        };
+        info!(driver.log, "journal: Replica started."; "disk" => %driver.storage.disk());
+        let ended = loop {
+            match driver.turn(inputs) {
+                Ok(Flow::Continue) => {}
+                Ok(Flow::Stop) => break Ok(End::Stopped),
+                Err(StorageError::Full(_)) => break Ok(End::Full),
+                Err(reason) => break Err(reason),
+            }
+        };
+        driver.fail_everything();
+        ended
+    }
+
+    fn turn(&mut self, inputs: &Receiver<Input>) -> Result<Flow, StorageError> {
+        match inputs.recv_timeout(TICK) {
+            Ok(input) => {
+                if let Flow::Stop = self.take_batch(input, inputs) {
+                    return Ok(Flow::Stop);
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Ok(Flow::Stop),
+        }
+        self.replica.tick(self.shared.clock.now());
+        self.settle()?;
+        self.survey();
+        Ok(Flow::Continue)
+    }
+
+    fn take_batch(&mut self, first: Input, inputs: &Receiver<Input>) -> Flow {
+        let mut next = Some(first);
+        let mut taken = 0;
+        while let Some(input) = next {
+            if let Flow::Stop = self.take(input) {
+                return Flow::Stop;
+            }
+            taken += 1;
+            if taken == MAXIMUM_BATCH {
+                return Flow::Continue;
+            }
+            next = match inputs.try_recv() {
+                Ok(input) => Some(input),
+                Err(TryRecvError::Empty) => None,
+                Err(TryRecvError::Disconnected) => return Flow::Stop,
+            };
+        }
+        Flow::Continue
+    }
+
+    fn take(&mut self, input: Input) -> Flow {
+        match input {
+            Input::Received { node, envelope } => {
+                self.senders.insert(envelope.from, node);
+                self.replica.receive(self.shared.clock.now(), envelope);
+            }
+            Input::Propose { command, answer } => self.propose(command, answer),
+            Input::Read(answer) => self.read(answer),
+            Input::Found(membership) => self.found(membership),
+            Input::Change(change) => self.change(&change),
+            Input::StepAside => {
+                if let Some(target) = self.replica.transfer_target() {
+                    let _ = self.replica.transfer_leadership(target);
+                }
+            }
+            Input::Stop => return Flow::Stop,
+        }
+        Flow::Continue
+    }
+
+    fn not_leader(&self) -> JournalRefusal {
+        let status = self.replica.status();
+        let leader = status
+            .leader
+            .filter(|disk| *disk != self.replica.disk())
+            .and_then(|disk| status.membership.replicas.get(&disk))
+            .map(|replica| replica.node.clone());
+        JournalRefusal::NotLeader { leader }
+    }
+
+    fn propose(&mut self, mut command: Command, answer: ProposalAnswer) {
+        if !self.replica.leads() {
+            let _ = answer.send(Err(self.not_leader()));
+            return;
+        }
+        if self.full && needs_space(&command) {
+            let _ = answer.send(Err(JournalRefusal::StorageFull));
+            return;
+        }
+        command.stamp(unix_milliseconds());
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&command, &mut bytes).expect("commands serialise to memory");
+        match self.replica.propose(bytes) {
+            Ok(position) => {
+                let term = position.term;
+                let pending = PendingProposal { term, answer };
+                // An older proposal at this index was lost: its term is over.
+                if let Some(lost) = self.proposals.insert(position.index, pending) {
+                    let _ = lost.answer.send(Err(JournalRefusal::Unsettled));
+                }
+            }
+            Err(_) => {
+                let _ = answer.send(Err(self.not_leader()));
+            }
+        }
+    }
+
+    fn read(&mut self, answer: ReadAnswer) {
+        self.next_read += 1;
+        match self.replica.read(self.next_read) {
+            Ok(()) => {
+                let waiting = WaitingRead {
+                    index: None,
+                    answer,
+                };
+                self.reads.insert(self.next_read, waiting);
+            }
+            Err(_) => {
+                let _ = answer.send(Err(self.not_leader()));
+            }
+        }
+    }
+
+    fn found(&mut self, membership: Membership) {
+        let empty = self.storage.load().is_ok_and(|stored| stored.is_empty());
+        if !(empty && self.replica.is_empty()) {
+            return;
+        }
+        let founded = self
+            .storage
+            .write(&StoredState::founding(membership))
+            .and_then(|()| restore(&self.shared, &self.path, &self.storage));
+        match founded {
+            Ok((replica, _)) => {
+                self.replica = replica;
+                info!(self.log, "journal: Group founded.");
+            }
+            Err(reason) => warn!(self.log, "journal: Group not founded."; "reason" => %reason),
+        }
+    }
+
+    fn change(&mut self, change: &MembershipChange) {
+        match self.replica.change_membership(change) {
+            Ok(position) => {
+                info!(self.log, "journal: Replicas change."; "change" => ?change, "index" => position.index);
+            }
+            Err(ReplicaError::ChangePending | ReplicaError::NotLeader) => {}
+            Err(reason) => {
+                warn!(self.log, "journal: Replicas not changed."; "change" => ?change, "reason" => %reason);
+            }
+        }
+    }
+
+    /// Carries out what the replica asks for until there is nothing left.
+    fn settle(&mut self) -> Result<(), StorageError> {
+        loop {
+            let output = self.replica.take_output();
+            if output.is_empty() {
+                break;
+            }
+            self.carry_out(output)?;
+        }
+        self.finish_snapshot();
+        self.apply_committed()?;
+        self.answer_reads();
+        self.start_snapshot();
+        Ok(())
+    }
+
+    fn carry_out(&mut self, output: Output) -> Result<(), StorageError> {
+        self.send_all(output.early_messages);
+        if !output.writes.is_empty() {
+            self.storage.write(&output.writes)?;
+        }
+        self.replica.written();
+        self.send_all(output.messages);
+        if let Some(snapshot) = output.install {
+            self.install(snapshot.header.position.index, &snapshot.data.0)?;
+        }
+        self.committed.extend(output.committed);
+        for token in output.failed_reads {
+            if let Some(read) = self.reads.remove(&token) {
+                let _ = read.answer.send(Err(self.not_leader()));
+            }
+        }
+        for (token, index) in output.reads {
+            if let Some(read) = self.reads.get_mut(&token) {
+                read.index = Some(index);
+            }
+        }
+        Ok(())
+    }
+
+    fn send_all(&self, envelopes: Vec<Envelope>) {
+        if envelopes.is_empty() {
+            return;
+        }
+        let membership = self.replica.status().membership;
+        for envelope in envelopes {
+            let node = membership
+                .replicas
+                .get(&envelope.to)
+                .map(|replica| replica.node.clone())
+                .or_else(|| self.senders.get(&envelope.to).cloned());
+            let address = node.and_then(|node| self.addresses.get(&node).copied());
+            if let Some(address) = address {
+                let request = Request::Replication {
+                    group: self.group,
+                    node: self.shared.settings.name.clone(),
+                    envelope,
+                };
+                self.shared.peers.notify(address, request);
+            }
+        }
+    }
+
+    fn install(&mut self, index: LogIndex, data: &[u8]) -> Result<(), StorageError> {
+        let state: JournalState = ciborium::from_reader(data).map_err(|error| {
+            let reason = format!("the leader's snapshot cannot be read by this version ({error})");
+            StorageError::Database(self.path.clone(), reason)
+        })?;
+        // Readers that hold the former state keep it: it is never set back under them.
+        self.state = Arc::new(RwLock::new(state));
+        self.applied = index;
+        self.committed.clear();
+        self.snapshot = None;
+        let later = self.proposals.split_off(&(index + 1));
+        for (_, passed) in std::mem::replace(&mut self.proposals, later) {
+            let _ = passed.answer.send(Err(JournalRefusal::Unsettled));
+        }
+        info!(self.log, "journal: Snapshot installed."; "index" => index);
+        Ok(())
+    }
+
+    fn apply_committed(&mut self) -> Result<(), StorageError> {
+        // A snapshot being encoded holds the state as it is.
+        if self.snapshot.is_some() || self.committed.is_empty() {
+            return Ok(());
+        }
+        let state = self.state.clone();
+        let mut state = state.write();
+        while let Some(entry) = self.committed.pop_front() {
+            self.apply(&mut state, &entry)?;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, state: &mut JournalState, entry: &Entry) -> Result<(), StorageError> {
+        self.applied = entry.index;
+        let pending = self.proposals.remove(&entry.index);
+        let outcome = match &entry.content {
+            EntryContent::Command(payload) => {
+                let command = ciborium::from_reader(&*payload.0).map_err(|error| {
+                    let index = entry.index;
+                    let reason = format!("entry {index} cannot be read by this version ({error})");
+                    StorageError::Database(self.path.clone(), reason)
+                })?;
+                Some(state.apply(command))
+            }
+            EntryContent::Blank | EntryContent::Membership(_) => None,
+        };
+        if let Some(pending) = pending {
+            let answer = match outcome {
+                Some(outcome) if pending.term == entry.term => Ok(outcome),
+                _ => Err(JournalRefusal::Unsettled),
+            };
+            let _ = pending.answer.send(answer);
+        }
+        Ok(())
+    }
+
+    fn answer_reads(&mut self) {
+        let ready: Vec<ReadToken> = self
+            .reads
+            .iter()
+            .filter(|(_, read)| read.index.is_some_and(|index| index <= self.applied))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in ready {
+            if let Some(read) = self.reads.remove(&token) {
+                let _ = read.answer.send(Ok(self.state.clone()));
+            }
+        }
+    }
+
+    /// Encodes the state on another thread once the log has grown.
+    fn start_snapshot(&mut self) {
+        let limit = SNAPSHOT_AFTER_BYTES.max(self.replica.snapshot_bytes());
+        let due = self.replica.log_bytes() > limit && self.replica.covers(self.applied);
+        if self.snapshot.is_some() || !due {
+            return;
+        }
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let (state, index) = (self.state.clone(), self.applied);
+        let encode = move || {
+            let mut data = Vec::new();
+            ciborium::into_writer(&*state.read(), &mut data).expect("the state serialises");
+            let _ = sender.send(FinishedSnapshot { index, data });
+        };
+        let thread = std::thread::Builder::new().name("journal-snapshot".to_owned());
+        if thread.spawn(encode).is_ok() {
+            self.snapshot = Some(receiver);
+        }
+    }
+
+    fn finish_snapshot(&mut self) {
+        let Some(receiver) = &self.snapshot else {
+            return;
+        };
+        match receiver.try_recv() {
+            Ok(finished) => {
+                self.snapshot = None;
+                let (index, bytes) = (finished.index, finished.data.len());
+                self.replica.compact(index, finished.data);
+                info!(self.log, "journal: Snapshot taken."; "index" => index, "bytes" => bytes);
+            }
+            Err(TryRecvError::Empty) => {}
+            Err(TryRecvError::Disconnected) => self.snapshot = None,
+        }
+    }
+
+    fn fail_everything(&mut self) {
+        for (_, pending) in std::mem::take(&mut self.proposals) {
+            let _ = pending.answer.send(Err(JournalRefusal::Unsettled));
+        }
+        for (_, read) in std::mem::take(&mut self.reads) {
+            let refusal = JournalRefusal::NotLeader { leader: None };
+            let _ = read.answer.send(Err(refusal));
+        }
+    }
+
+    fn survey(&mut self) {
+        let now = self.shared.clock.now();
+        let leads = self.replica.leads();
+        if leads != self.led {
+            self.led = leads;
+            let term = self.replica.status().term;
+            if leads {
+                info!(self.log, "journal: Leads."; "term" => term);
+            } else {
+                info!(self.log, "journal: Follows."; "term" => term);
+            }
+        } else if now < self.survey_due {
+            return;
+        }
+        self.survey_due = now + SURVEY_INTERVAL;
+        let members = self.shared.members.lock().alive(now);
+        self.addresses = members
+            .into_iter()
+            .map(|member| (member.name, member.peer_address))
+            .collect();
+        self.look_at_space();
+        self.publish();
+    }
+
+    fn look_at_space(&mut self) {
+        let free = self.path.parent().and_then(disk_space::free_bytes);
+        let reserve = self.shared.settings.journal.reserve_bytes;
+        let full = free.is_some_and(|free| free < reserve);
+        if full != self.full {
+            self.full = full;
+            if full {
+                warn!(self.log, "journal: Space is short."; "free" => free, "reserve" => reserve);
+            } else {
+                info!(self.log, "journal: Space is enough again."; "free" => free);
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let replica = self.replica.status();
+        let limit = self.shared.settings.journal.replace_after_seconds * 1_000;
+        let caught_up = replica
+            .membership
+            .replicas
+            .keys()
+            .copied()
+            .filter(|disk| self.replica.has_caught_up(*disk));
+        let leader = replica
+            .leader
+            .and_then(|disk| replica.membership.replicas.get(&disk))
+            .map(|leader| leader.node.clone());
+        let status = GroupStatus {
+            disk: self.storage.disk(),
+            holds_log: !self.replica.is_empty(),
+            leads: replica.leads,
+            leader,
+            term: replica.term,
+            commit: replica.commit,
+            last: replica.last,
+            silent: self.replica.silent(limit).into_iter().collect(),
+            caught_up: caught_up.collect(),
+            membership: replica.membership,
+            file_bytes: self.storage.file_bytes(),
+            full: self.full,
+            stopped: None,
+        };
+        *self.status.write() = Arc::new(status);
+    }
+}
+
+/// Whether a command takes new work in; results and ends of accepted work may use the reserve.
+fn needs_space(command: &Command) -> bool {
+    match command {
+        Command::Batch(command) => matches!(
+            command.action,
+            Action::Open { .. } | Action::Append { .. } | Action::Seal { .. }
+        ),
+        Command::Claim(command) => matches!(command, ClaimCommand::Claim { .. }),
+        Command::RaiseFloor(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/firshore-server/src/journal/group.rs
@@ -0,0 +1,200 @@
+//! The handle of one replica; the replica itself lives on a thread of its own.
+
+use super::driver::{Driver, Input, ReadAnswer, SharedState};
+use crate::shared::Shared;
+use firshore_journal::state::{Command, Outcome};
+use firshore_protocol::message::JournalRefusal;
+use firshore_replication::error::StorageError;
+use firshore_replication::message::Envelope;
+use firshore_replication::redb_storage::RedbStorage;
+use firshore_replication::storage::Storage;
+use firshore_replication::types::{
+    DiskId, GroupId, LogIndex, Membership, MembershipChange, Position, Term,
+};
+use firshore_types::ids::NodeName;
+use parking_lot::{Mutex, RwLock};
+use rand::RngExt;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest wait for another replica to take over when the node leaves.
+const STEP_ASIDE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often the status is looked at meanwhile.
+const STEP_ASIDE_POLL: Duration = Duration::from_millis(20);
+
+/// What the replica's thread last told about itself.
+#[derive(Clone, Debug)]
+pub struct GroupStatus {
+    /// Identity of the disk.
+    pub disk: DiskId,
+    /// Whether anything of the group's log is held.
+    pub holds_log: bool,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// Node that leads, as far as known.
+    pub leader: Option<NodeName>,
+    /// Term.
+    pub term: Term,
+    /// Committed index.
+    pub commit: LogIndex,
+    /// Last entry.
+    pub last: Position,
+    /// Replicas in force.
+    pub membership: Membership,
+    /// On the leader: replicas silent for longer than the limit.
+    pub silent: BTreeSet<DiskId>,
+    /// On the leader: replicas that hold everything committed.
+    pub caught_up: BTreeSet<DiskId>,
+    /// Size of the database file in bytes.
+    pub file_bytes: u64,
+    /// Whether new work is refused for lack of space.
+    pub full: bool,
+    /// Why the replica does not run, if it does not.
+    pub stopped: Option<String>,
+}
+
+impl GroupStatus {
+    fn new(disk: DiskId, holds_log: bool) -> Self {
+        Self {
+            disk,
+            holds_log,
+            leads: false,
+            leader: None,
+            term: 0,
+            commit: 0,
+            last: Position::default(),
+            membership: Membership::default(),
+            silent: BTreeSet::new(),
+            caught_up: BTreeSet::new(),
+            file_bytes: 0,
+            full: false,
+            stopped: None,
+        }
+    }
+}
+
+struct Parked {
+    storage: RedbStorage,
+    inputs: Receiver<Input>,
+}
+
+/// One replica of a group on this node's disk.
+pub struct Group {
+    id: GroupId,
+    path: PathBuf,
+    inputs: Sender<Input>,
+    status: Arc<RwLock<Arc<GroupStatus>>>,
+    founding: Mutex<Option<Membership>>,
+    parked: Mutex<Option<Parked>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Group {
+    /// Opens the storage of a group below `folder` and checks it.
+    pub fn open(folder: &Path, id: GroupId) -> Result<Self, StorageError> {
+        let path = folder.join(format!("journal-{id}.redb"));
+        let storage = RedbStorage::open(&path, DiskId(rand::rng().random()))?;
+        let holds_log = !storage.load()?.is_empty();
+        let status = GroupStatus::new(storage.disk(), holds_log);
+        let (sender, inputs) = mpsc::channel();
+        Ok(Self {
+            id,
+            path,
+            inputs: sender,
+            status: Arc::new(RwLock::new(Arc::new(status))),
+            founding: Mutex::new(None),
+            parked: Mutex::new(Some(Parked { storage, inputs })),
+            thread: Mutex::new(None),
+        })
+    }
+
+    /// Starts the replica's thread.
+    pub fn start(&self, shared: Arc<Shared>) {
+        let Some(parked) = self.parked.lock().take() else {
+            return;
+        };
+        let (id, path, status) = (self.id, self.path.clone(), self.status.clone());
+        let thread = std::thread::Builder::new()
+            .name(format!("journal-{id}"))
+            .spawn(move || Driver::run(shared, id, &path, parked.storage, parked.inputs, status));
+        *self.thread.lock() = thread.ok();
+    }
+
+    /// The group's number.
+    pub fn id(&self) -> GroupId {
+        self.id
+    }
+
+    /// What the replica last told about itself.
+    pub fn status(&self) -> Arc<GroupStatus> {
+        self.status.read().clone()
+    }
+
+    /// Takes in a message from another replica.
+    pub fn received(&self, node: NodeName, envelope: Envelope) {
+        let _ = self.inputs.send(Input::Received { node, envelope });
+    }
+
+    /// The founding membership, if it was read since the node's start.
+    pub fn founding(&self) -> Option<Membership> {
+        self.founding.lock().clone()
+    }
+
+    /// Takes in the founding membership. An empty replica that it names becomes a founding one; a
+    /// disk replaced since has another identity.
+    pub fn found(&self, membership: Membership) {
+        *self.founding.lock() = Some(membership.clone());
+        if membership.is_voter(self.status().disk) {
+            let _ = self.inputs.send(Input::Found(membership));
+        }
+    }
+
+    /// Appends a membership change if this replica leads.
+    pub fn change(&self, change: MembershipChange) {
+        let _ = self.inputs.send(Input::Change(change));
+    }
+
+    /// Commits a command and returns its outcome.
+    pub async fn propose(&self, command: Command) -> Result<Outcome, JournalRefusal> {
+        let (answer, received) = oneshot::channel();
+        let _ = self.inputs.send(Input::Propose { command, answer });
+        received.await.unwrap_or(Err(JournalRefusal::Unsettled))
+    }
+
+    /// The state with everything committed before now.
+    pub async fn read(&self) -> Result<SharedState, JournalRefusal> {
+        let (answer, received): (ReadAnswer, _) = oneshot::channel();
+        let _ = self.inputs.send(Input::Read(answer));
+        let lost = JournalRefusal::NotLeader { leader: None };
+        received.await.unwrap_or(Err(lost))
+    }
+
+    /// Hands leadership to another replica, if this one leads and another is there.
+    pub async fn step_aside(&self) {
+        let status = self.status();
+        if !status.leads || status.membership.voters().count() < 2 {
+            return;
+        }
+        let _ = self.inputs.send(Input::StepAside);
+        let waited = async {
+            while self.status().leads {
+                actix_rt::time::sleep(STEP_ASIDE_POLL).await;
+            }
+        };
+        let _ = tokio::time::timeout(STEP_ASIDE_TIMEOUT, waited).await;
+    }
+
+    /// Ends the replica's thread; its file can be opened again afterwards.
+    pub fn stop(&self) {
+        let _ = self.inputs.send(Input::Stop);
+        if let Some(thread) = self.thread.lock().take() {
+            let _ = thread.join();
+        }
+    }
+}
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -71,6 +71,14 @@
             settings.cluster.seeds.clone(),
             StdRng::seed_from_u64(rand::rng().random()),
         );
+        let journal = match &settings.storage {
+            Some(storage) => {
+                std::fs::create_dir_all(&storage.data_folder)?;
+                let opened = Journal::open(&storage.data_folder, settings.journal.groups);
+                Some(opened.map_err(|error| io::Error::other(error.to_string()))?)
+            }
+            None => None,
+        };
         let locality = Locality {
             region: settings.region.clone(),
             zone: settings.zone.clone(),
@@ -86,7 +94,8 @@
             members: members.into(),
             router: Router::new(locality).into(),
             peers: peer_client,
-            journal: settings.storage.is_some().then(Journal::default),
+            journal,
+            journal_leaders: Default::default(),
             canceller,
             leaving: Default::default(),
             metrics: Default::default(),
@@ -142,6 +151,7 @@
     actix_rt::spawn(peers::run_listener(peer_listener, shared.clone()));
     actix_rt::spawn(cancellation::run(cancellations));
     actix_rt::spawn(membership::run(shared.clone()));
+    Journal::start(&shared);
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::floor::run(shared.clone()));
     actix_rt::spawn(configuration::machines::run(shared.clone()));
@@ -163,5 +173,8 @@
     // Operators can watch the node until its last request has ended.
     admin_handle.stop(false).await;
     let _ = admin.await;
+    if let Some(journal) = &shared.journal {
+        journal.stop().await;
+    }
     info!(log, "node: Stopped.");
 }
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -242,6 +242,17 @@
             membership::received(&shared, envelope);
             continue;
         }
+        if let Request::Replication {
+            group,
+            node,
+            envelope,
+        } = frame.request
+        {
+            if let Some(journal) = &shared.journal {
+                journal.received(group, node, envelope);
+            }
+            continue;
+        }
         let shared = shared.clone();
         let answers = answers.clone();
         actix_rt::spawn(async move {
@@ -266,8 +277,8 @@
 
 async fn answer(shared: &Arc<Shared>, request: Request) -> Response {
     match request {
-        Request::Journal { request, .. } => match &shared.journal {
-            Some(journal) => journal.answer(request).await,
+        Request::Journal { group, request } => match &shared.journal {
+            Some(journal) => journal.answer(group, request).await,
             None => Response::Refused(JournalRefusal::NotLeader { leader: None }),
         },
         Request::Configuration { from, message } => {
@@ -276,7 +287,10 @@
         Request::ConfigurationInForce => {
             Response::ConfigurationInForce(configuration::status::own(shared))
         }
-        Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
+        Request::ReplicaIdentity(group) => {
+            let journal = shared.journal.as_ref();
+            Response::ReplicaIdentity(journal.and_then(|journal| journal.identity(group)))
+        }
         Request::Replication { .. } | Request::Gossip(_) => Response::Received,
     }
 }
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -45,6 +45,9 @@
     pub platform: Platform,
     /// Disk, on the nodes that have one.
     pub storage: Option<Storage>,
+    /// Journal; the same on every node, but for the reserve.
+    #[serde(default)]
+    pub journal: JournalSettings,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -107,6 +110,32 @@
     pub data_folder: PathBuf,
 }
 
+/// The replicated journal of batch jobs, claims and the configuration's floor.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct JournalSettings {
+    /// Number of groups that jobs and claims are spread over. Fixed once work was accepted.
+    pub groups: u32,
+    /// Silence of a replica after which another node's disk takes its place, in seconds.
+    pub replace_after_seconds: u64,
+    /// Free space of the data folder below which new work is refused, in bytes.
+    pub reserve_bytes: u64,
+    /// This node is the only one with a disk: it founds the groups by itself, without the object
+    /// API, once it has run alone for some seconds.
+    pub standalone: bool,
+}
+
+impl Default for JournalSettings {
+    fn default() -> Self {
+        Self {
+            groups: 1,
+            replace_after_seconds: 60,
+            reserve_bytes: 256 * 1024 * 1024,
+            standalone: false,
+        }
+    }
+}
+
 /// How the node logs.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -265,6 +294,7 @@
             ("limits.batch_body_bytes", self.limits.batch_body_bytes),
             ("limits.batch_items", self.limits.batch_items),
             ("limits.workers", self.limits.workers),
+            ("journal.groups", self.journal.groups as usize),
         ];
         for (key, value) in limits {
             if value == 0 {
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Clock;
 use crate::engine::cancellation::Canceller;
-use crate::journal::Journal;
+use crate::journal::{Journal, Leaders};
 use crate::leaving::Leaving;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
@@ -105,6 +105,8 @@
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
+    /// Leaders of the journal's groups, as last seen.
+    pub journal_leaders: Leaders,
     /// Cancels runs at engines.
     pub canceller: Canceller,
     /// The node's way out.
--- a/crates/firshore-server/tests/support/mod.rs
+++ b/crates/firshore-server/tests/support/mod.rs
@@ -216,6 +216,8 @@
 machine_list = 'http://{platform}'
 [storage]
 data_folder = '{}'
+[journal]
+standalone = true
 [limits]
 workers = 1
 {limits}",
