--- a/crates/firshore-server/src/journal/mod.rs
+++ b/crates/firshore-server/src/journal/mod.rs
@@ -128,6 +128,13 @@
     shared.settings.journal.groups
 }
 
+/// Term in which this node leads the group of the configuration's floor, as far as it knows.
+pub fn leader_term(shared: &Shared) -> Option<u64> {
+    let group = shared.journal.as_ref()?.group(split::FLOOR_GROUP)?;
+    let status = group.status();
+    status.leads.then_some(status.term)
+}
+
 /// Commits a command that concerns batch jobs. It may be proposed again when its outcome is
 /// unknown.
 pub async fn propose(shared: &Shared, action: batch::Action) -> Result<batch::Outcome, ApiError> {
