--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod configuration_size;
 pub mod node_cost;
 
 use argh::FromArgs;
@@ -39,11 +40,18 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Entry] = &[Entry {
-    name: "node-cost",
-    measures: "processor time of one node for each request and each streamed token",
-    run: node_cost::run,
-}];
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "configuration-size",
+        measures: "memory, bytes and processor time of the configuration as tenants grow",
+        run: configuration_size::run,
+    },
+    Entry {
+        name: "node-cost",
+        measures: "processor time of one node for each request and each streamed token",
+        run: node_cost::run,
+    },
+];
 
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
