Copies of the configuration share their declarations; look-ups by kind and name

Cause: putting one change into force copied every tenant twice, and finding a pool or the governing policies walked over all declarations. Ruled out: a persistent map (another dependency, more memory an entry). Change: DeclarationSet shares declarations between copies and lists one kind without the others; the view's indexes hold names.

--- a/crates/firshore-lab/src/experiment/configuration_size/sample.rs
+++ b/crates/firshore-lab/src/experiment/configuration_size/sample.rs
@@ -92,9 +92,7 @@
         .chain((0..SERVICES).flat_map(service));
     Configuration {
         revision: Revision(1),
-        declarations: declarations
-            .map(|declaration| (declaration.key(), declaration))
-            .collect(),
+        declarations: declarations.collect(),
     }
 }
 
--- a/crates/firshore-lab/tests/configuration/main.rs
+++ b/crates/firshore-lab/tests/configuration/main.rs
@@ -249,7 +249,7 @@
     cluster.converge(5).await;
     assert_eq!(cluster.change_objects().await.len(), 5);
     let after = cluster.configuration(2);
-    for (key, declaration) in &before.declarations {
+    for (key, declaration) in before.declarations.iter() {
         if key.name == "portal" {
             assert_eq!(after.declarations.get(key), Some(declaration));
         }
--- a/crates/firshore-server/src/batch_runner/governor.rs
+++ b/crates/firshore-server/src/batch_runner/governor.rs
@@ -73,8 +73,7 @@
     if revision < job.governance.revision {
         return None;
     }
-    let mut tenants = view.configuration.tenants();
-    let tenant = tenants.find(|(metadata, _)| metadata.name == job.tenant.0);
+    let tenant = view.configuration.tenant(job.tenant.as_str());
     let service = view.service_of_model(&job.model);
     let (Some(tenant), Some((service, _))) = (tenant, service) else {
         let paused = Governance {
--- a/crates/firshore-server/src/cli/declarations.rs
+++ b/crates/firshore-server/src/cli/declarations.rs
@@ -83,7 +83,7 @@
 impl Check {
     pub(crate) fn run(self) -> Result<(), Failure> {
         let sources = Sources::read(&self.paths)?;
-        let declarations = sources.by_key();
+        let declarations = sources.to_set();
         let count = declarations.len();
         let faults = validate(&Configuration {
             declarations,
@@ -171,7 +171,7 @@
         let wanted = self.what.as_deref().map(parse_key).transpose()?;
         let current = configuration(&self.node)?;
         let mut found = 0;
-        for (key, declaration) in &current.declarations {
+        for (key, declaration) in current.declarations.iter() {
             let matches = wanted.as_ref().is_none_or(|(kind, name)| {
                 key.kind == *kind && name.as_ref().is_none_or(|name| key.name == *name)
             });
--- a/crates/firshore-server/src/cli/sources.rs
+++ b/crates/firshore-server/src/cli/sources.rs
@@ -2,6 +2,7 @@
 
 use super::Failure;
 use firshore_types::declaration::{Declaration, DeclarationKey};
+use firshore_types::declaration_set::DeclarationSet;
 use firshore_types::validation::{Fault, parse_declarations};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -76,11 +77,11 @@
             .collect()
     }
 
-    /// Copies of the declarations by kind and name.
-    pub(crate) fn by_key(&self) -> BTreeMap<DeclarationKey, Declaration> {
-        self.found
-            .iter()
-            .map(|(key, source)| (key.clone(), source.declaration.clone()))
+    /// Copies of the declarations as a set.
+    pub(crate) fn to_set(&self) -> DeclarationSet {
+        let declarations = self.found.values();
+        declarations
+            .map(|source| source.declaration.clone())
             .collect()
     }
 
--- a/crates/firshore-server/src/gateway/authenticate.rs
+++ b/crates/firshore-server/src/gateway/authenticate.rs
@@ -23,6 +23,6 @@
         ));
     };
     view.tenant(key)
-        .cloned()
+        .map(|(metadata, spec)| (metadata.clone(), spec.clone()))
         .ok_or_else(|| ApiError::not_run(ErrorCode::Unauthorized, "No tenant holds this key."))
 }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -27,8 +27,10 @@
 pub struct ConfigurationView {
     /// Declarations.
     pub configuration: Arc<Configuration>,
-    tenants_by_digest: HashMap<String, (Metadata, TenantSpec)>,
-    services_by_model: HashMap<String, (Metadata, ServiceSpec)>,
+    /// Names of tenants by the digests of their keys.
+    tenants_by_digest: HashMap<String, String>,
+    /// Names of services by the models that they serve.
+    services_by_model: HashMap<String, String>,
 }
 
 impl ConfigurationView {
@@ -37,14 +39,13 @@
         let mut tenants_by_digest = HashMap::new();
         for (metadata, spec) in configuration.tenants() {
             for digest in &spec.key_digests {
-                let entry = (metadata.clone(), spec.clone());
-                tenants_by_digest.insert(digest.to_ascii_lowercase(), entry);
+                tenants_by_digest.insert(digest.to_ascii_lowercase(), metadata.name.clone());
             }
         }
         let mut services_by_model = HashMap::new();
         for (metadata, spec) in configuration.services() {
             if let Some(model) = &spec.model {
-                services_by_model.insert(model.clone(), (metadata.clone(), spec.clone()));
+                services_by_model.insert(model.clone(), metadata.name.clone());
             }
         }
         Self {
@@ -55,27 +56,25 @@
     }
 
     /// The tenant that holds `key`.
-    pub fn tenant(&self, key: &str) -> Option<&(Metadata, TenantSpec)> {
-        self.tenants_by_digest.get(&key_digest(key))
+    pub fn tenant(&self, key: &str) -> Option<(&Metadata, &TenantSpec)> {
+        let name = self.tenants_by_digest.get(&key_digest(key))?;
+        self.configuration.tenant(name)
     }
 
     /// The service that serves `model`.
-    pub fn service_of_model(&self, model: &str) -> Option<&(Metadata, ServiceSpec)> {
-        self.services_by_model.get(model)
+    pub fn service_of_model(&self, model: &str) -> Option<(&Metadata, &ServiceSpec)> {
+        let name = self.services_by_model.get(model)?;
+        self.configuration.service(name)
     }
 
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<(&Metadata, &ServiceSpec)> {
-        self.configuration
-            .services()
-            .find(|(metadata, _)| metadata.name == name)
+        self.configuration.service(name)
     }
 
     /// The pool of this name.
     pub fn pool(&self, name: &str) -> Option<(&Metadata, &PoolSpec)> {
-        self.configuration
-            .pools()
-            .find(|(metadata, _)| metadata.name == name)
+        self.configuration.pool(name)
     }
 }
 
--- a/crates/firshore-types/src/configuration.rs
+++ b/crates/firshore-types/src/configuration.rs
@@ -1,13 +1,13 @@
 //! The whole configuration at one revision, and the changes that lead from one to the next.
 
 use crate::declaration::{
-    Declaration, DeclarationKey, Metadata, PolicySpec, PoolSpec, ServiceSpec, TenantSpec,
+    Declaration, DeclarationKey, Kind, Metadata, PolicySpec, PoolSpec, ServiceSpec, TenantSpec,
 };
+use crate::declaration_set::DeclarationSet;
 use crate::ids::{ChangeId, Revision};
 use crate::labels::Labels;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::collections::BTreeMap;
 
 /// One accepted change set. Revision `revision` follows `revision - 1` and no other.
 ///
@@ -43,30 +43,7 @@
     /// The revision.
     pub revision: Revision,
     /// Every declaration, ordered by kind and name.
-    #[serde(with = "declaration_list")]
-    pub declarations: BTreeMap<DeclarationKey, Declaration>,
-}
-
-mod declaration_list {
-    use super::{BTreeMap, Declaration, DeclarationKey};
-    use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-    pub fn serialize<S: Serializer>(
-        map: &BTreeMap<DeclarationKey, Declaration>,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        map.values().collect::<Vec<_>>().serialize(serializer)
-    }
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<BTreeMap<DeclarationKey, Declaration>, D::Error> {
-        let list = Vec::<Declaration>::deserialize(deserializer)?;
-        Ok(list
-            .into_iter()
-            .map(|declaration| (declaration.key(), declaration))
-            .collect())
-    }
+    pub declarations: DeclarationSet,
 }
 
 impl Configuration {
@@ -80,8 +57,7 @@
             self.declarations.remove(key);
         }
         for declaration in &change.upserts {
-            self.declarations
-                .insert(declaration.key(), declaration.clone());
+            self.declarations.insert(declaration.clone());
         }
         self.revision = change.revision;
         true
@@ -90,7 +66,7 @@
     /// Every service.
     pub fn services(&self) -> impl Iterator<Item = (&Metadata, &ServiceSpec)> {
         self.declarations
-            .values()
+            .of_kind(Kind::Service)
             .filter_map(|declaration| match declaration {
                 Declaration::Service { metadata, spec } => Some((metadata, spec)),
                 _ => None,
@@ -100,7 +76,7 @@
     /// Every pool.
     pub fn pools(&self) -> impl Iterator<Item = (&Metadata, &PoolSpec)> {
         self.declarations
-            .values()
+            .of_kind(Kind::EnginePool)
             .filter_map(|declaration| match declaration {
                 Declaration::EnginePool { metadata, spec } => Some((metadata, spec)),
                 _ => None,
@@ -110,7 +86,7 @@
     /// Every policy.
     pub fn policies(&self) -> impl Iterator<Item = (&Metadata, &PolicySpec)> {
         self.declarations
-            .values()
+            .of_kind(Kind::Policy)
             .filter_map(|declaration| match declaration {
                 Declaration::Policy { metadata, spec } => Some((metadata, spec)),
                 _ => None,
@@ -120,13 +96,42 @@
     /// Every tenant.
     pub fn tenants(&self) -> impl Iterator<Item = (&Metadata, &TenantSpec)> {
         self.declarations
-            .values()
+            .of_kind(Kind::Tenant)
             .filter_map(|declaration| match declaration {
                 Declaration::Tenant { metadata, spec } => Some((metadata, spec)),
                 _ => None,
             })
     }
 
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<(&Metadata, &ServiceSpec)> {
+        match self.find(Kind::Service, name)? {
+            Declaration::Service { metadata, spec } => Some((metadata, spec)),
+            _ => None,
+        }
+    }
+
+    /// The pool of this name.
+    pub fn pool(&self, name: &str) -> Option<(&Metadata, &PoolSpec)> {
+        match self.find(Kind::EnginePool, name)? {
+            Declaration::EnginePool { metadata, spec } => Some((metadata, spec)),
+            _ => None,
+        }
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<(&Metadata, &TenantSpec)> {
+        match self.find(Kind::Tenant, name)? {
+            Declaration::Tenant { metadata, spec } => Some((metadata, spec)),
+            _ => None,
+        }
+    }
+
+    fn find(&self, kind: Kind, name: &str) -> Option<&Declaration> {
+        let name = name.to_owned();
+        self.declarations.get(&DeclarationKey { kind, name })
+    }
+
     /// Policies, in order of name, that govern a request of a tenant with these labels to a
     /// service with those. A later policy's settings replace an earlier one's.
     pub fn governing<'a>(
--- a/crates/firshore-types/src/lib.rs
+++ b/crates/firshore-types/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod configuration;
 pub mod declaration;
+pub mod declaration_set;
 pub mod error;
 pub mod hash;
 pub mod ids;
--- a/crates/firshore-types/src/validation.rs
+++ b/crates/firshore-types/src/validation.rs
@@ -135,7 +135,7 @@
 /// Checks every declaration and every reference between them.
 pub fn validate(configuration: &Configuration) -> Vec<Fault> {
     let mut faults = Vec::new();
-    for (key, declaration) in &configuration.declarations {
+    for (key, declaration) in configuration.declarations.iter() {
         check_name(key, &mut faults);
         check_content(configuration, key, declaration, &mut faults);
     }
--- a/crates/firshore-types/tests/policy.rs
+++ b/crates/firshore-types/tests/policy.rs
@@ -28,8 +28,7 @@
     let declarations = parse_declarations("test", &text).expect("the declarations parse");
     let mut configuration = Configuration::default();
     for declaration in declarations {
-        let key = declaration.key();
-        configuration.declarations.insert(key, declaration);
+        configuration.declarations.insert(declaration);
     }
     let tenant = configuration
         .tenants()
--- a/crates/firshore-types/tests/validation.rs
+++ b/crates/firshore-types/tests/validation.rs
@@ -26,10 +26,7 @@
         Ok(declarations) => declarations,
         Err(faults) => return lines(&faults),
     };
-    let declarations = declarations
-        .into_iter()
-        .map(|declaration| (declaration.key(), declaration))
-        .collect();
+    let declarations = declarations.into_iter().collect();
     lines(&validate(&Configuration {
         declarations,
         ..Configuration::default()
