--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
 pub mod configuration_size;
+mod failures;
 pub mod node_cost;
 
 use argh::FromArgs;
@@ -46,6 +47,11 @@
         measures: "memory, bytes and processor time of the configuration as tenants grow",
         run: configuration_size::run,
     },
+    Entry {
+        name: "failures",
+        measures: "promises kept by real processes under planned stops and failures",
+        run: failures::run,
+    },
     Entry {
         name: "node-cost",
         measures: "processor time of one node for each request and each streamed token",
