--- a/crates/firshore-controller/tests/grouping.rs
+++ b/crates/firshore-controller/tests/grouping.rs
@@ -31,9 +31,7 @@
     }
     let mut configuration = Configuration::default();
     for declaration in parse_declarations("test", &text).expect("the declarations parse") {
-        configuration
-            .declarations
-            .insert(declaration.key(), declaration);
+        configuration.declarations.insert(declaration);
     }
     configuration
 }
