--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -69,6 +69,16 @@
     executions: Vec<Execution>,
     next_run: u64,
     events: Vec<Event>,
+    prefix_use: PrefixUse,
+}
+
+/// Use of the prefix cache since the engine's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixUse {
+    /// Blocks of prompts that were found in the cache.
+    pub hit_blocks: u64,
+    /// Blocks of all prompts.
+    pub blocks: u64,
 }
 
 fn blocks_of(tokens: u32) -> u32 {
@@ -93,6 +103,7 @@
             executions: Vec::new(),
             next_run: 0,
             events: Vec::new(),
+            prefix_use: PrefixUse::default(),
         };
         engine.record_load(0);
         engine
@@ -130,6 +141,11 @@
         left.is_some()
     }
 
+    /// Use of the prefix cache so far.
+    pub fn prefix_use(&self) -> PrefixUse {
+        self.prefix_use
+    }
+
     /// Takes a request into the queue. A resume ends a run that still goes on under its identifier.
     pub fn submit(
         &mut self,
