--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,7 +1,9 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod configuration_size;
 mod failures;
 pub mod node_cost;
+pub mod routing;
 
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -41,6 +43,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "configuration-size",
+        measures: "memory, bytes and processor time of the configuration as tenants grow",
+        run: configuration_size::run,
+    },
     Entry {
         name: "failures",
         measures: "promises kept by real processes under planned stops and failures",
@@ -51,6 +58,11 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "routing",
+        measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
+        run: routing::run,
+    },
 ];
 
 impl Experiment {
