--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -12,7 +12,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
+    Cluster, JournalSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
+    Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Protocol;
@@ -117,6 +118,7 @@
         storage: Some(Storage {
             data_folder: data_folder(&format!("{zone}-{number}")),
         }),
+        journal: JournalSettings::default(),
         log: LogSettings::default(),
         limits: LimitSettings {
             workers: 1,
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod judge;
 pub mod processes;
 pub mod report;
+pub mod simulation;
 pub mod stand_in;
 pub mod topology;
