--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -15,7 +15,7 @@
     Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
-use firshore_types::declaration::Protocol;
+use firshore_types::declaration::{Declaration, Protocol};
 use firshore_types::ids::{ChangeId, MachineName, Revision};
 use firshore_types::labels::Labels;
 use firshore_types::machine::{Machine, MachineState};
@@ -198,8 +198,9 @@
     ))
 }
 
-async fn apply(fleet: &Fleet, folder: &Path) -> Result<(), String> {
-    let mut upserts = Vec::new();
+/// Reads a topology's declarations.
+pub fn read_declarations(folder: &Path) -> Result<Vec<Declaration>, String> {
+    let mut declarations = Vec::new();
     let entries =
         std::fs::read_dir(folder.join("declarations")).map_err(|error| error.to_string())?;
     for entry in entries {
@@ -212,8 +213,13 @@
                 .collect::<Vec<_>>()
                 .join("\n")
         })?;
-        upserts.extend(found);
+        declarations.extend(found);
     }
+    Ok(declarations)
+}
+
+/// Puts declarations into force on every node of a new fleet.
+pub async fn apply(fleet: &Fleet, upserts: Vec<Declaration>) -> Result<(), String> {
     let proposal = firshore_config::proposal::Proposal {
         change_id: ChangeId::from("demo"),
         author: "demo".to_owned(),
@@ -408,7 +414,7 @@
 pub async fn run(folder: &Path, seconds: u64, keep: bool) -> Result<bool, String> {
     let topology = Topology::read(folder)?;
     let fleet = Fleet::start(&topology).map_err(|error| error.to_string())?;
-    apply(&fleet, folder).await?;
+    apply(&fleet, read_declarations(folder)?).await?;
     println!(
         "{}: {} nodes, {} back ends",
         topology.name,
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+mod colocation;
+
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -30,6 +32,9 @@
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
+        if self.name == "colocation" {
+            return colocation::run(self);
+        }
         Err(format!(
             "No experiment '{}'. See docs/REFERENCE.md for their names.",
             self.name
