--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -3,7 +3,7 @@
 use crate::configuration::status::MemberStatus;
 use crate::gateway::{read_body, response};
 use crate::shared::Shared;
-use crate::{admin_jobs, configuration, membership};
+use crate::{admin_jobs, configuration};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
@@ -13,7 +13,6 @@
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Text format that Prometheus scrapes.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -80,8 +79,7 @@
             admin_jobs::handle(shared, request, path).await
         }
         (Method::POST, "/drain") => {
-            shared.leaving.store(true, Ordering::Relaxed);
-            membership::leave(shared);
+            shared.leaving.begin();
             Ok(response::text("leaving\n"))
         }
         _ => Err(ApiError::not_run(
@@ -92,7 +90,7 @@
 }
 
 fn ready(shared: &Shared) -> Result<Response<BoxBody>, ApiError> {
-    if shared.leaving.load(Ordering::Relaxed) {
+    if shared.leaving.is_leaving() {
         return Err(ApiError::not_run(
             ErrorCode::Unavailable,
             "The node is leaving.",
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -63,6 +63,9 @@
     pub peers: SocketAddr,
     /// Health, metrics and operators' HTTP.
     pub admin: SocketAddr,
+    /// Address that peers are told to reach this node at; by default where it listens for them.
+    #[serde(default)]
+    pub advertised_peers: Option<SocketAddr>,
 }
 
 /// How the node finds and trusts its peers.
@@ -152,6 +155,11 @@
     pub batch_items: usize,
     /// Worker threads for callers' connections.
     pub workers: usize,
+    /// Longest time a request may take, in seconds; callers may ask for less.
+    pub request_seconds: u64,
+    /// Longest time that running requests get to finish after the node stopped accepting, in
+    /// seconds.
+    pub leave_seconds: u64,
 }
 
 impl Default for LimitSettings {
@@ -161,6 +169,8 @@
             batch_body_bytes: 1024 * 1024 * 1024,
             batch_items: 400_000,
             workers: 2,
+            request_seconds: 600,
+            leave_seconds: 600,
         }
     }
 }
