Items make room when an online request is sent, not when it is seen

Cause: an engine's owner learnt of an online request from a lagging report or a preempted item; single samples, which scatter more than the tolerance, let the headroom grow.

--- a/crates/firshore-batch/src/headroom.rs
+++ b/crates/firshore-batch/src/headroom.rs
@@ -11,12 +11,19 @@
 /// Slowdown of online requests that is accepted, as a share of their undisturbed time.
 pub const TOLERANCE: f64 = 0.04;
 
-/// Items added to the allowance at each undisturbed step.
+/// Items added to the allowance at a step whose samples were within the tolerance.
 const INCREASE: f64 = 0.5;
 
+/// Items added to an allowance below one at a step without samples: at one, an item runs and
+/// samples follow.
+const PROBE_INCREASE: f64 = 0.05;
+
 /// Factor on the allowance at a step that found online requests slowed down.
 const DECREASE: f64 = 0.5;
 
+/// Samples beside batch items that a step needs: single ones scatter more than the tolerance.
+const MINIMUM_SAMPLES: u32 = 5;
+
 /// Weight of a new sample in a reference.
 const REFERENCE_WEIGHT: f64 = 0.1;
 
@@ -62,13 +69,50 @@
     }
 }
 
+/// Samples of one kind: what is usual while no item runs, and how samples beside items compare.
+#[derive(Clone, Debug)]
+struct Samples {
+    references: References,
+    ratio_sum: f64,
+    count: u32,
+}
+
+impl Samples {
+    fn new() -> Self {
+        Self {
+            references: References::new(),
+            ratio_sum: 0.0,
+            count: 0,
+        }
+    }
+
+    fn observe(&mut self, class: usize, batch: u32, milliseconds: f64) {
+        if batch == 0 {
+            self.references.learn(class, milliseconds);
+        } else if let Some(reference) = self.references.get(class) {
+            self.ratio_sum += milliseconds / reference;
+            self.count += 1;
+        }
+    }
+
+    /// The mean ratio since the last call, once there are enough samples.
+    fn take_ratio(&mut self) -> Option<f64> {
+        if self.count < MINIMUM_SAMPLES {
+            return None;
+        }
+        let ratio = self.ratio_sum / f64::from(self.count);
+        self.ratio_sum = 0.0;
+        self.count = 0;
+        Some(ratio)
+    }
+}
+
 /// The controller of one engine.
 #[derive(Clone, Debug)]
 pub struct HeadroomController {
     allowance: f64,
-    token_gaps: References,
-    first_tokens: References,
-    disturbed: bool,
+    token_gaps: Samples,
+    first_tokens: Samples,
     stepped_at: u64,
     online_at: Option<u64>,
 }
@@ -77,9 +121,8 @@
     fn default() -> Self {
         Self {
             allowance: 0.0,
-            token_gaps: References::new(),
-            first_tokens: References::new(),
-            disturbed: false,
+            token_gaps: Samples::new(),
+            first_tokens: Samples::new(),
             stepped_at: 0,
             online_at: None,
         }
@@ -90,9 +133,8 @@
     /// Takes note of the time between two tokens of online requests, in milliseconds.
     pub fn observe_token_gap(&mut self, occupancy: EngineOccupancy, milliseconds: f64) {
         let class = occupancy.online as usize;
-        let references = &mut self.token_gaps;
-        let disturbed = observe(references, class, occupancy.batch, milliseconds);
-        self.disturbed |= disturbed;
+        self.token_gaps
+            .observe(class, occupancy.batch, milliseconds);
     }
 
     /// Takes note of the time to the first token of an online request with a prompt of
@@ -104,9 +146,8 @@
         milliseconds: f64,
     ) {
         let class = prompt_bytes.checked_ilog2().unwrap_or(0) as usize;
-        let references = &mut self.first_tokens;
-        let disturbed = observe(references, class, occupancy.batch, milliseconds);
-        self.disturbed |= disturbed;
+        self.first_tokens
+            .observe(class, occupancy.batch, milliseconds);
     }
 
     /// Notes that an online request is on the engine, or on its way there.
@@ -135,21 +176,14 @@
             return;
         }
         self.stepped_at = now;
-        if self.disturbed {
-            self.allowance *= DECREASE;
-        } else {
-            self.allowance = (self.allowance + INCREASE).min(f64::from(free));
-        }
-        self.disturbed = false;
-    }
-}
-
-/// Learns from an undisturbed sample; tells whether a disturbed one is over the tolerance.
-fn observe(references: &mut References, class: usize, batch: u32, milliseconds: f64) -> bool {
-    if batch == 0 {
-        references.learn(class, milliseconds);
-        return false;
+        let ratios = [self.token_gaps.take_ratio(), self.first_tokens.take_ratio()];
+        let worst = ratios.into_iter().flatten().reduce(f64::max);
+        self.allowance = match worst {
+            Some(ratio) if ratio > 1.0 + TOLERANCE => self.allowance * DECREASE,
+            Some(_) => self.allowance + INCREASE,
+            None if self.allowance < 1.0 => self.allowance + PROBE_INCREASE,
+            None => self.allowance,
+        };
+        self.allowance = self.allowance.min(f64::from(free));
     }
-    let reference = references.get(class);
-    reference.is_some_and(|reference| milliseconds > reference * (1.0 + TOLERANCE))
 }
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -6,7 +6,7 @@
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{InstanceId, JobId, NodeName};
+use firshore_types::ids::{InstanceId, JobId, MachineName, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// Correlation of a notice, which is not answered.
@@ -38,6 +38,9 @@
     /// A message of the membership protocol; a notice.
     #[serde(rename = "g")]
     Gossip(GossipEnvelope),
+    /// An online request is on its way to this engine, which the peer owns; a notice.
+    #[serde(rename = "o")]
+    OnlineArrival(MachineName),
     /// Concerns a journal group; only the group's leader answers.
     Journal {
         /// Group.
--- a/crates/firshore-server/src/batch_runner/engine.rs
+++ b/crates/firshore-server/src/batch_runner/engine.rs
@@ -154,6 +154,15 @@
         self.wake.notify_one();
     }
 
+    /// An online request is on its way here: items make room at once.
+    pub(super) fn online_coming(&self, context: &Context) {
+        let mut state = self.state.borrow_mut();
+        state.controller.online_seen(boot_milliseconds());
+        let allowed = state.allowed();
+        state.yield_down_to(allowed);
+        state.hand_back_what_waits_in_vain(context, allowed);
+    }
+
     async fn look(&self) {
         let own_before = self.state.borrow().running.len() as u32;
         let answer = timeout(LOAD_TIMEOUT, self.load()).await.ok().flatten();
--- a/crates/firshore-server/src/batch_runner/mod.rs
+++ b/crates/firshore-server/src/batch_runner/mod.rs
@@ -9,7 +9,7 @@
 mod governor;
 mod item;
 mod leases;
-mod ownership;
+pub(crate) mod ownership;
 mod settlement;
 
 use crate::shared::Shared;
@@ -63,10 +63,18 @@
     actix_rt::spawn(settlement::run(context.clone(), reports));
     actix_rt::spawn(leases::renew(context.clone()));
     actix_rt::spawn(governor::run(shared.clone()));
+    let mut arrivals = shared.online_arrivals.listen();
     let mut engines: HashMap<MachineName, Rc<Engine>> = HashMap::new();
+    let mut interval = tokio::time::interval(OWNERSHIP_INTERVAL);
     while !shared.leaving.is_leaving() {
-        adopt(&context, &mut engines);
-        actix_rt::time::sleep(OWNERSHIP_INTERVAL).await;
+        tokio::select! {
+            _ = interval.tick() => adopt(&context, &mut engines),
+            Some(name) = arrivals.recv() => {
+                if let Some(engine) = engines.get(&name) {
+                    engine.online_coming(&context);
+                }
+            }
+        }
     }
     for engine in engines.values() {
         engine.release(&context);
--- a/crates/firshore-server/src/batch_runner/ownership.rs
+++ b/crates/firshore-server/src/batch_runner/ownership.rs
@@ -1,6 +1,7 @@
-//! Which engines this node owns: rendezvous hashing over the live nodes of the engine's zone.
+//! Which node owns an engine: rendezvous hashing over the live nodes of the engine's zone.
 
 use crate::shared::Shared;
+use firshore_membership::member::Member;
 use firshore_types::hash::rendezvous_owner;
 use firshore_types::ids::MachineName;
 use firshore_types::machine::Machine;
@@ -12,23 +13,33 @@
     pub(super) models: Vec<String>,
 }
 
+/// The owner of `machine` among `members`; nodes of other zones stand in where its own has none.
+fn choose<'a>(machine: &Machine, members: &'a [Member]) -> Option<&'a Member> {
+    let in_zone = |member: &&Member| member.zone == machine.zone;
+    let zone_has_nodes = members.iter().any(|member| in_zone(&member));
+    let candidates = members
+        .iter()
+        .filter(|member| !zone_has_nodes || in_zone(member));
+    let instances = candidates.map(|member| member.instance.0);
+    let owner = rendezvous_owner(machine.name.as_str(), instances)?;
+    members.iter().find(|member| member.instance.0 == owner)
+}
+
+/// The node that owns the engine of this name.
+pub(crate) fn owner_of(shared: &Shared, engine: &MachineName) -> Option<Member> {
+    let machines = shared.machines.read().clone();
+    let machine = machines.iter().find(|machine| machine.name == *engine)?;
+    let members = shared.members.lock().alive(shared.clock.now());
+    choose(machine, &members).cloned()
+}
+
+/// The engines that this node owns.
 pub(super) fn owned_engines(shared: &Shared) -> Vec<OwnedEngine> {
     let view = shared.configuration();
     let (members, own) = {
         let members = shared.members.lock();
         (members.alive(shared.clock.now()), members.own().instance)
     };
-    let owner_of = |machine: &Machine| {
-        let same_zone = members.iter().filter(|member| member.zone == machine.zone);
-        let same_zone: Vec<u64> = same_zone.map(|member| member.instance.0).collect();
-        let everyone = members.iter().map(|member| member.instance.0);
-        let candidates = if same_zone.is_empty() {
-            everyone.collect()
-        } else {
-            same_zone
-        };
-        rendezvous_owner(machine.name.as_str(), candidates)
-    };
     let mut owned: BTreeMap<MachineName, OwnedEngine> = BTreeMap::new();
     for (_, service) in view.configuration.services() {
         let (Some(model), Some((_, pool))) = (&service.model, view.pool(service.pool.as_str()))
@@ -36,7 +47,7 @@
             continue;
         };
         for machine in shared.pool_machines(pool) {
-            if owner_of(&machine) != Some(own.0) {
+            if choose(&machine, &members).is_none_or(|owner| owner.instance != own) {
                 continue;
             }
             let entry = owned.entry(machine.name.clone());
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::gateway::classify::{self, BackendKind, Verdict};
 use crate::gateway::deadline::Deadline;
 use crate::gateway::terms::Terms;
+use crate::online_arrivals;
 use crate::routing::{self, RunningRequest, Target};
 use crate::shared::Shared;
 use actix_http::header::HeaderMap;
@@ -118,6 +119,9 @@
             return Err(given_up(attempts.execution(), last));
         };
         tried.push(running.endpoint());
+        if request.kind == BackendKind::Engine {
+            online_arrivals::sending(shared, running.name());
+        }
         match attempt(shared, request, running, attempts.execution()).await {
             Attempt::Answered(answer) => return Ok(*answer),
             Attempt::Final(error) => return Err(error),
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod node;
+pub mod online_arrivals;
 pub mod peers;
 pub mod platform;
 pub mod reference;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -88,6 +88,7 @@
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             canceller,
+            online_arrivals: Default::default(),
             leaving: Default::default(),
             metrics: Default::default(),
             settings,
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -242,6 +242,10 @@
             membership::received(&shared, envelope);
             continue;
         }
+        if let Request::OnlineArrival(engine) = frame.request {
+            shared.online_arrivals.received(engine);
+            continue;
+        }
         let shared = shared.clone();
         let answers = answers.clone();
         actix_rt::spawn(async move {
@@ -277,6 +281,8 @@
             Response::ConfigurationInForce(configuration::status::own(shared))
         }
         Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
-        Request::Replication { .. } | Request::Gossip(_) => Response::Received,
+        Request::Replication { .. } | Request::Gossip(_) | Request::OnlineArrival(_) => {
+            Response::Received
+        }
     }
 }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::journal::Journal;
 use crate::leaving::Leaving;
 use crate::metrics::Metrics;
+use crate::online_arrivals::OnlineArrivals;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
 use firshore_config::dissemination::Dissemination;
@@ -107,6 +108,8 @@
     pub journal: Option<Journal>,
     /// Cancels runs at engines.
     pub canceller: Canceller,
+    /// Notices of online requests to the owners of their engines.
+    pub online_arrivals: OnlineArrivals,
     /// The node's way out.
     pub leaving: Leaving,
     /// What is counted.
