--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,6 +1,9 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
 mod colocation;
+mod failures;
+pub mod node_cost;
+pub mod routing;
 
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -29,15 +32,51 @@
     pub seconds: Option<u64>,
 }
 
+/// One experiment that can be run.
+pub struct Entry {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub measures: &'static str,
+    run: fn(&Experiment) -> Result<bool, String>,
+}
+
+/// Every experiment.
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "colocation",
+        measures: "what batch work gets of idle capacity, and what it does to the online tail",
+        run: colocation::run,
+    },
+    Entry {
+        name: "failures",
+        measures: "promises kept by real processes under planned stops and failures",
+        run: failures::run,
+    },
+    Entry {
+        name: "node-cost",
+        measures: "processor time of one node for each request and each streamed token",
+        run: node_cost::run,
+    },
+    Entry {
+        name: "routing",
+        measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
+        run: routing::run,
+    },
+];
+
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
-        if self.name == "colocation" {
-            return colocation::run(self);
-        }
-        Err(format!(
-            "No experiment '{}'. See docs/REFERENCE.md for their names.",
-            self.name
-        ))
+        let entry = ALL.iter().find(|entry| entry.name == self.name);
+        let entry = entry.ok_or_else(|| {
+            let names: Vec<&str> = ALL.iter().map(|entry| entry.name).collect();
+            format!(
+                "No experiment '{}'. Name one of: {}.",
+                self.name,
+                names.join(", ")
+            )
+        })?;
+        (entry.run)(self)
     }
 }
