--- a/crates/firshore-lab/src/cli.rs
+++ b/crates/firshore-lab/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::demo::Demo;
 use crate::experiment::Experiment;
 use crate::fault_proxy::command::ProxyCommand;
+use crate::simulation::command::Simulate;
 use crate::stand_in::command::StandIn;
 use argh::FromArgs;
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
     StandIn(StandIn),
     Proxy(ProxyCommand),
     Experiment(Experiment),
+    Simulate(Simulate),
 }
 
 /// Runs the program: exit 0 when all went well, 1 when it failed, 2 on wrong use.
@@ -34,6 +36,7 @@
         Command::StandIn(stand_in) => stand_in.run().map(|()| true),
         Command::Proxy(proxy) => proxy.run().map(|()| true),
         Command::Experiment(experiment) => experiment.run(),
+        Command::Simulate(simulate) => simulate.run(),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
 mod colocation;
+pub mod configuration_size;
 mod failures;
 pub mod node_cost;
 pub mod routing;
@@ -48,6 +49,11 @@
         measures: "what batch work gets of idle capacity, and what it does to the online tail",
         run: colocation::run,
     },
+    Entry {
+        name: "configuration-size",
+        measures: "memory, bytes and processor time of the configuration as tenants grow",
+        run: configuration_size::run,
+    },
     Entry {
         name: "failures",
         measures: "promises kept by real processes under planned stops and failures",
--- a/crates/firshore-lab/src/fleet_of_one.rs
+++ b/crates/firshore-lab/src/fleet_of_one.rs
@@ -8,7 +8,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
+    Cluster, JournalSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
+    Settings, Storage,
 };
 use firshore_types::configuration::key_digest;
 use firshore_types::ids::{ChangeId, MachineName, Revision};
@@ -118,6 +119,10 @@
         storage: Some(Storage {
             data_folder: folder.to_owned(),
         }),
+        journal: JournalSettings {
+            standalone: true,
+            ..JournalSettings::default()
+        },
         log: LogSettings::default(),
         limits: LimitSettings::default(),
     }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Clock;
 use crate::engine::cancellation::Canceller;
-use crate::journal::Journal;
+use crate::journal::{Journal, Leaders};
 use crate::leaving::Leaving;
 use crate::metrics::Metrics;
 use crate::online_arrivals::OnlineArrivals;
@@ -29,8 +29,10 @@
 pub struct ConfigurationView {
     /// Declarations.
     pub configuration: Arc<Configuration>,
-    tenants_by_digest: HashMap<String, (Metadata, TenantSpec)>,
-    services_by_model: HashMap<String, (Metadata, ServiceSpec)>,
+    /// Names of tenants by the digests of their keys.
+    tenants_by_digest: HashMap<String, String>,
+    /// Names of services by the models that they serve.
+    services_by_model: HashMap<String, String>,
 }
 
 impl ConfigurationView {
@@ -39,14 +41,13 @@
         let mut tenants_by_digest = HashMap::new();
         for (metadata, spec) in configuration.tenants() {
             for digest in &spec.key_digests {
-                let entry = (metadata.clone(), spec.clone());
-                tenants_by_digest.insert(digest.to_ascii_lowercase(), entry);
+                tenants_by_digest.insert(digest.to_ascii_lowercase(), metadata.name.clone());
             }
         }
         let mut services_by_model = HashMap::new();
         for (metadata, spec) in configuration.services() {
             if let Some(model) = &spec.model {
-                services_by_model.insert(model.clone(), (metadata.clone(), spec.clone()));
+                services_by_model.insert(model.clone(), metadata.name.clone());
             }
         }
         Self {
@@ -57,27 +58,25 @@
     }
 
     /// The tenant that holds `key`.
-    pub fn tenant(&self, key: &str) -> Option<&(Metadata, TenantSpec)> {
-        self.tenants_by_digest.get(&key_digest(key))
+    pub fn tenant(&self, key: &str) -> Option<(&Metadata, &TenantSpec)> {
+        let name = self.tenants_by_digest.get(&key_digest(key))?;
+        self.configuration.tenant(name)
     }
 
     /// The service that serves `model`.
-    pub fn service_of_model(&self, model: &str) -> Option<&(Metadata, ServiceSpec)> {
-        self.services_by_model.get(model)
+    pub fn service_of_model(&self, model: &str) -> Option<(&Metadata, &ServiceSpec)> {
+        let name = self.services_by_model.get(model)?;
+        self.configuration.service(name)
     }
 
     /// The service of this name.
     pub fn service(&self, name: &str) -> Option<(&Metadata, &ServiceSpec)> {
-        self.configuration
-            .services()
-            .find(|(metadata, _)| metadata.name == name)
+        self.configuration.service(name)
     }
 
     /// The pool of this name.
     pub fn pool(&self, name: &str) -> Option<(&Metadata, &PoolSpec)> {
-        self.configuration
-            .pools()
-            .find(|(metadata, _)| metadata.name == name)
+        self.configuration.pool(name)
     }
 }
 
@@ -109,6 +108,8 @@
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
+    /// Leaders of the journal's groups, as last seen.
+    pub journal_leaders: Leaders,
     /// Cancels runs at engines.
     pub canceller: Canceller,
     /// Notices of online requests to the owners of their engines.
--- a/crates/firshore-server/tests/support/mod.rs
+++ b/crates/firshore-server/tests/support/mod.rs
@@ -177,7 +177,8 @@
     }
 }
 
-fn declarations() -> String {
+/// Declarations of the services on the pool `engines` and of one tenant.
+pub fn declarations() -> String {
     let digest = key_digest(KEY);
     format!(
         "kind: Service
@@ -216,6 +217,8 @@
 machine_list = 'http://{platform}'
 [storage]
 data_folder = '{}'
+[journal]
+standalone = true
 [limits]
 workers = 1
 {limits}",
@@ -223,7 +226,8 @@
     )
 }
 
-fn machine(number: usize, address: SocketAddr) -> Machine {
+/// One row of the machine list.
+pub fn machine(number: usize, address: SocketAddr) -> Machine {
     let text = serde_json::json!({
         "name": format!("engine-{number}"), "address": address, "region": "region",
         "zone": "zone", "labels": {"pool": "engines"},
