--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+mod colocation;
 pub mod configuration_size;
 mod failures;
 pub mod node_cost;
@@ -43,6 +44,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "colocation",
+        measures: "what batch work gets of idle capacity, and what it does to the online tail",
+        run: colocation::run,
+    },
     Entry {
         name: "configuration-size",
         measures: "memory, bytes and processor time of the configuration as tenants grow",
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -242,6 +242,10 @@
             membership::received(&shared, envelope);
             continue;
         }
+        if let Request::OnlineArrival(engine) = frame.request {
+            shared.online_arrivals.received(engine);
+            continue;
+        }
         if let Request::Replication {
             group,
             node,
@@ -294,6 +298,8 @@
             let journal = shared.journal.as_ref();
             Response::ReplicaIdentity(journal.and_then(|journal| journal.identity(group)))
         }
-        Request::Replication { .. } | Request::Gossip(_) => Response::Received,
+        Request::Replication { .. } | Request::Gossip(_) | Request::OnlineArrival(_) => {
+            Response::Received
+        }
     }
 }
