--- a/crates/firshore-server/src/controller.rs
+++ b/crates/firshore-server/src/controller.rs
@@ -1,7 +1,6 @@
 //! Runs the role controllers of the engine pools on the node that leads their journal group: reads
 //! engines' reports, sends fenced orders, logs what changes.
 
-use crate::clock::unix_milliseconds;
 use crate::configuration::await_members;
 use crate::engine::exchange;
 use crate::journal;
@@ -70,18 +69,15 @@
 pub async fn run(shared: Arc<Shared>) {
     await_members(&shared).await;
     let mut pools: BTreeMap<String, Pool> = BTreeMap::new();
-    // One node holds the journal at a time; its start orders its terms.
-    let term = unix_milliseconds();
     loop {
         actix_rt::time::sleep(TICK).await;
         let view = shared.configuration();
-        let active = journal::holds(&shared)
-            && !shared.leaving.is_leaving()
-            && grouping::has_shares(&view.configuration);
-        if !active {
+        let active = !shared.leaving.is_leaving() && grouping::has_shares(&view.configuration);
+        // A deposed leader that does not know it yet is refused by the engines for its old term.
+        let Some(term) = journal::leader_term(&shared).filter(|_| active) else {
             pools.clear();
             continue;
-        }
+        };
         pools.retain(|name, _| view.pool(name).is_some());
         for (metadata, spec) in view.configuration.pools() {
             let serves_models = view
