Demo: fleet, load and view are modules of their own; verdict from execution logs

demo.rs held fleet, load and printing in 450 lines and judged by callers' view alone. - fleet.rs: platform, back ends, nodes with data folders of their own, links with the topology's delays through fault proxies; ready when every node's /readyz says so. - load.rs: callers at random times, jobs with cancellation, exact check of each answer. - demo: live table, curl line, summary, exit 0 only if no promise broke and nothing failed.

--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -3,11 +3,14 @@
 
 pub mod cli;
 pub mod demo;
+pub mod demo_view;
 pub mod engine_model;
 pub mod experiment;
 pub mod fault_proxy;
+pub mod fleet;
 pub mod http;
 pub mod judge;
+pub mod load;
 pub mod report;
 pub mod stand_in;
 pub mod topology;
--- a/crates/firshore-lab/src/topology.rs
+++ b/crates/firshore-lab/src/topology.rs
@@ -59,6 +59,13 @@
     pub output_tokens: usize,
     /// Whether answers are streamed.
     pub stream: bool,
+    /// Whether a request may run more than once.
+    #[serde(default = "default_repeatable")]
+    pub repeatable: bool,
+}
+
+fn default_repeatable() -> bool {
+    true
 }
 
 /// Batch load.
