--- a/crates/firshore-server/src/batch_runner/mod.rs
+++ b/crates/firshore-server/src/batch_runner/mod.rs
@@ -22,7 +22,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time between two looks at which engines this node owns.
@@ -65,7 +64,7 @@
     actix_rt::spawn(leases::renew(context.clone()));
     actix_rt::spawn(governor::run(shared.clone()));
     let mut engines: HashMap<MachineName, Rc<Engine>> = HashMap::new();
-    while !shared.leaving.load(Ordering::Relaxed) {
+    while !shared.leaving.is_leaving() {
         adopt(&context, &mut engines);
         actix_rt::time::sleep(OWNERSHIP_INTERVAL).await;
     }
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -4,7 +4,9 @@
 //! thread that holds one takes only later ones, and none is held across an await.
 
 use crate::clock::Clock;
+use crate::engine::cancellation::Canceller;
 use crate::journal::Journal;
+use crate::leaving::Leaving;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
@@ -19,7 +21,6 @@
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 /// The configuration in force with indexes for the request path.
 #[derive(Debug, Default)]
@@ -104,8 +105,10 @@
     pub peers: PeerClient,
     /// Journal, where this node holds it.
     pub journal: Option<Journal>,
-    /// Set once the node is told to stop.
-    pub leaving: AtomicBool,
+    /// Cancels runs at engines.
+    pub canceller: Canceller,
+    /// The node's way out.
+    pub leaving: Leaving,
     /// What is counted.
     pub metrics: Metrics,
 }
