--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+mod failures;
 pub mod node_cost;
 
 use argh::FromArgs;
@@ -39,11 +40,18 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Entry] = &[Entry {
-    name: "node-cost",
-    measures: "processor time of one node for each request and each streamed token",
-    run: node_cost::run,
-}];
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "failures",
+        measures: "promises kept by real processes under planned stops and failures",
+        run: failures::run,
+    },
+    Entry {
+        name: "node-cost",
+        measures: "processor time of one node for each request and each streamed token",
+        run: node_cost::run,
+    },
+];
 
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod judge;
 pub mod load;
+pub mod processes;
 pub mod report;
 pub mod stand_in;
 pub mod topology;
