--- a/crates/firshore-lab/src/engine_model/engine/batching.rs
+++ b/crates/firshore-lab/src/engine_model/engine/batching.rs
@@ -142,6 +142,8 @@
         for block in &run.submission.prompt_blocks[..hits] {
             self.cache.pin(*block);
         }
+        self.prefix_use.hit_blocks += hits as u64;
+        self.prefix_use.blocks += run.submission.prompt_blocks.len() as u64;
         run.pinned = hits;
         run.private_blocks = needed;
         run.prefill_left = self.prefill_of(&run, hits);
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod failures;
 pub mod node_cost;
+pub mod routing;
 
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -51,6 +52,11 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "routing",
+        measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
+        run: routing::run,
+    },
 ];
 
 impl Experiment {
