--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod gateway;
 pub mod journal;
+pub mod keep_alive;
 pub mod leaving;
 pub mod logging;
 pub mod membership;
