--- a/crates/firshore-lab/src/fleet.rs
+++ b/crates/firshore-lab/src/fleet.rs
@@ -14,7 +14,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
+    Cluster, JournalSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
+    Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Protocol;
@@ -201,6 +202,7 @@
             storage: Some(Storage {
                 data_folder: folder,
             }),
+            journal: JournalSettings::default(),
             log: LogSettings::default(),
             limits: LimitSettings {
                 workers: options.workers,
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod load;
 pub mod processes;
 pub mod report;
+pub mod simulation;
 pub mod stand_in;
 pub mod topology;
