--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -2,7 +2,7 @@
 //! verdict on the promises.
 
 use crate::demo_view::{LiveTable, Totals, print_summary};
-use crate::fleet::{Fleet, FleetOptions};
+use crate::fleet::{Fleet, FleetOptions, read_declarations};
 use crate::judge::{Allowances, CallOutcome, Evidence, judge};
 use crate::load::{Cancellation, Job, SharedTally, Tally, drive};
 use crate::topology::Topology;
@@ -52,7 +52,7 @@
         };
         let fleet = Fleet::start(topology, &options)
             .map_err(|error| format!("The fleet did not start: {error}."))?;
-        fleet.apply(&self.topology).await?;
+        fleet.apply(read_declarations(&self.topology)?).await?;
         print_addresses(topology, &fleet);
         let tally = SharedTally::default();
         let interrupted = self.load(topology, &fleet, &tally).await;
--- a/crates/firshore-lab/src/fleet.rs
+++ b/crates/firshore-lab/src/fleet.rs
@@ -18,7 +18,7 @@
     Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
-use firshore_types::declaration::Protocol;
+use firshore_types::declaration::{Declaration, Protocol};
 use firshore_types::ids::{ChangeId, MachineName, Revision};
 use firshore_types::labels::Labels;
 use firshore_types::machine::{Machine, MachineState};
@@ -223,13 +223,13 @@
         Ok(())
     }
 
-    /// Applies the declarations in `folder` and waits until every node holds them.
-    pub async fn apply(&self, folder: &Path) -> Result<(), String> {
+    /// Applies declarations and waits until every node holds them.
+    pub async fn apply(&self, declarations: Vec<Declaration>) -> Result<(), String> {
         let proposal = Proposal {
             change_id: ChangeId::from("fleet"),
             author: "fleet".to_owned(),
             base: Revision(0),
-            upserts: read_declarations(folder)?,
+            upserts: declarations,
             removals: Vec::new(),
         };
         let body = serde_json::to_string(&proposal).map_err(|error| error.to_string())?;
@@ -355,9 +355,8 @@
     backends.iter().map(machine).collect()
 }
 
-fn read_declarations(
-    folder: &Path,
-) -> Result<Vec<firshore_types::declaration::Declaration>, String> {
+/// Reads the declarations of the topology in `folder`.
+pub fn read_declarations(folder: &Path) -> Result<Vec<Declaration>, String> {
     let folder = folder.join("declarations");
     let unreadable = |error: io::Error| format!("{} cannot be read: {error}.", folder.display());
     let mut declarations = Vec::new();
