--- a/crates/firshore-lab/src/experiment/colocation/batch.rs
+++ b/crates/firshore-lab/src/experiment/colocation/batch.rs
@@ -1,10 +1,8 @@
 //! The batch load: a heap of items every ten seconds, large enough that items always wait.
 
 use super::online::prompt;
-use crate::demo::call;
+use crate::http::Call;
 use crate::topology::BatchShape;
-use actix_http::Method;
-use actix_http::header::{AUTHORIZATION, HeaderName};
 use serde_json::json;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -59,15 +57,13 @@
             json!({"custom_id": marker, "body": body}).to_string()
         })
         .collect();
-    let headers = [
-        (AUTHORIZATION, format!("Bearer {}", load.shape.key)),
-        (HeaderName::from_static("idempotency-key"), name.to_owned()),
-    ];
-    let body = lines.join("\n");
-    let (status, text) = call(node, Method::POST, "/v1/batches", &headers, body).await?;
-    match status {
+    let call = Call::post(node, "/v1/batches", lines.join("\n"))
+        .key(&load.shape.key)
+        .header("idempotency-key", name);
+    let answer = call.send().await.map_err(|error| error.to_string())?;
+    match answer.status() {
         200 => Ok(()),
-        _ => Err(format!("a job was refused: {text}")),
+        _ => Err(format!("a job was refused: {}", answer.text())),
     }
 }
 
@@ -87,14 +83,13 @@
 }
 
 async fn worker_loop(node: SocketAddr, load: BatchLoad, next: Rc<Cell<u64>>, until: Instant) {
-    let headers = [(AUTHORIZATION, format!("Bearer {}", load.shape.key))];
     while Instant::now() < until {
         let number = next.get();
         next.set(number + 1);
         let body = item_body(&load.shape, &format!("{MARKER_PREFIX}{number}"));
-        let path = "/v1/completions";
-        let answer = call(node, Method::POST, path, &headers, body.to_string()).await;
-        if !matches!(answer, Ok((200, _))) {
+        let call = Call::post(node, "/v1/completions", body.to_string()).key(&load.shape.key);
+        let answer = call.send().await;
+        if !answer.is_ok_and(|answer| answer.status() == 200) {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
     }
