--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+mod convergence;
+
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -30,9 +32,12 @@
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
-        Err(format!(
-            "No experiment '{}'. See docs/REFERENCE.md for their names.",
-            self.name
-        ))
+        match self.name.as_str() {
+            "convergence" => convergence::run(self),
+            _ => Err(format!(
+                "No experiment '{}'. See docs/REFERENCE.md for their names.",
+                self.name
+            )),
+        }
     }
 }
--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod fault_proxy;
 pub mod http;
 pub mod report;
+pub mod simulation;
 pub mod stand_in;
 pub mod topology;
--- /dev/null
+++ b/crates/firshore-lab/src/simulation/hollow/mod.rs
@@ -0,0 +1,12 @@
+//! Hollow nodes: the real membership and configuration state machines of many nodes in one
+//! process, in simulated time, with encoded frames between them.
+
+pub mod events;
+pub mod fleet;
+pub mod measure;
+pub mod network;
+pub mod node;
+pub mod objects;
+pub mod outcome;
+pub mod scenario;
+pub mod usage;
--- /dev/null
+++ b/crates/firshore-lab/src/simulation/mod.rs
@@ -0,0 +1,3 @@
+//! Seeded simulations of the state machines. A seed replays a failure exactly.
+
+pub mod hollow;
--- a/crates/firshore-membership/src/membership.rs
+++ b/crates/firshore-membership/src/membership.rs
@@ -171,6 +171,12 @@
         all
     }
 
+    /// Where a member takes peers' connections.
+    pub fn address_of(&self, instance: InstanceId) -> Option<SocketAddr> {
+        let member = self.table.member(instance)?;
+        Some(member.peer_address)
+    }
+
     /// Members that may be given work at `now`, the own node included: alive, or suspect and not
     /// yet given up, in a region that can be reached.
     pub fn alive(&self, now: u64) -> Vec<Member> {
