Hollow simulation: verdicts, watches and agreement counted as they are meant; seeds as a test

A joiner that learned of an address's two owners in any order suspected the other; members came and went more often than a probe, so each probe of the dead worsened the prober's own health. Change: only a member that introduces itself replaces the earlier owner; a failed probe worsens the own health only if nobody at all was heard; pulls end after ten answers; an unreachable region is tried every 10 s; sizes counted once a probe, buckets built in one pass.

--- a/crates/firshore-lab/src/simulation/hollow/events.rs
+++ b/crates/firshore-lab/src/simulation/hollow/events.rs
@@ -16,6 +16,8 @@
     Arrival(Datagram),
     /// The object API answers a watch; `None` when it failed.
     ObjectsAnswer(Target, Option<Vec<Record>>),
+    /// A watch of the object API that began at this time ends without news.
+    WatchEnd(Target, u64),
     /// An operator's change is committed in the object API.
     Change,
     /// The node that wrote a change learns that it is committed.
--- a/crates/firshore-lab/src/simulation/hollow/outcome.rs
+++ b/crates/firshore-lab/src/simulation/hollow/outcome.rs
@@ -8,11 +8,13 @@
     /// From a change's first node in force to each node, or from the node's start, return from a
     /// pause or the end of a restart where that is later.
     pub in_force: Durations,
-    /// From a crash to each node that declares it.
+    /// From a crash to each node of the same region that declares it.
     pub failure_detection: Durations,
+    /// From a crash to each node of another region that learns of it, a cut included.
+    pub failure_known_elsewhere: Durations,
     /// From a crash to each node of the same zone that declares it.
     pub failure_detection_in_zone: Durations,
-    /// Declarations of failure about nodes that ran.
+    /// Nodes that ran and were declared failed, once for each incarnation.
     pub false_failures: u64,
     /// Nodes that went back to an earlier revision.
     pub reverted_revisions: u64,
@@ -28,7 +30,7 @@
     pub restarts: u64,
     /// Nodes paused.
     pub pauses: u64,
-    /// Nodes that ran at the end without the newest revision.
+    /// Nodes that had run for some time at the end, without the newest revision.
     pub behind_at_end: u64,
     /// Pairs of nodes at the end of which one had a wrong opinion of the other.
     pub wrong_members_at_end: u64,
--- /dev/null
+++ b/crates/firshore-lab/tests/hollow.rs
@@ -0,0 +1,54 @@
+//! A bounded set of seeds of the hollow simulation: every rule holds under loss, crashes, restarts,
+//! pauses, an outage of the object API and a region cut.
+
+use firshore_lab::simulation::hollow::fleet::Simulation;
+use firshore_lab::simulation::hollow::scenario::{Scenario, Span};
+
+const SECOND: u64 = 1_000;
+
+fn scenario(seed: u64, nodes: usize) -> Scenario {
+    Scenario {
+        warm_up: 25 * SECOND,
+        duration: 60 * SECOND,
+        settle: 60 * SECOND,
+        crash_interval: 15 * SECOND,
+        restart_interval: 8 * SECOND,
+        pause_interval: 20 * SECOND,
+        object_outage: Some(Span {
+            from: 10 * SECOND,
+            to: 25 * SECOND,
+        }),
+        region_cut: Some(Span {
+            from: 20 * SECOND,
+            to: 45 * SECOND,
+        }),
+        ..Scenario::aim(seed, nodes, 60)
+    }
+}
+
+#[test]
+fn rules_hold_for_a_bounded_set_of_seeds() {
+    let cases = [(1, 36), (2, 36), (3, 12), (4, 12)];
+    std::thread::scope(|scope| {
+        for (seed, nodes) in cases {
+            scope.spawn(move || {
+                let outcome = Simulation::new(scenario(seed, nodes)).run();
+                let broken = outcome.broken_rules();
+                assert!(broken.is_empty(), "seed {seed}, {nodes} nodes: {broken:?}");
+                assert!(outcome.in_force.count() > 0 && outcome.crashes > 0);
+                let slowest = outcome.in_force.maximum_seconds();
+                assert!(slowest < 19.0, "seed {seed}: in force after {slowest} s");
+            });
+        }
+    });
+}
+
+#[test]
+fn a_seed_replays_exactly() {
+    let run = || {
+        let outcome = Simulation::new(scenario(7, 9)).run();
+        let sent: Vec<u64> = outcome.traffic.iter().map(|one| one.sent_bytes).collect();
+        (sent, outcome.changes, outcome.in_force.maximum_seconds())
+    };
+    assert_eq!(run(), run());
+}
--- a/crates/firshore-membership/src/exchange.rs
+++ b/crates/firshore-membership/src/exchange.rs
@@ -13,6 +13,10 @@
 /// Most claims in one message.
 const MAXIMUM_CLAIMS: usize = 256;
 
+/// Answers to pulls after which the rest is left to comparisons: while much changes, no two views
+/// are ever equal.
+const MAXIMUM_VIEWS: u32 = 10;
+
 /// Most members asked for in one message.
 const MAXIMUM_WANTED: usize = 64;
 
@@ -84,7 +88,8 @@
 
     /// Tries a failed member, or else a seed that no known member has the address of: after a
     /// partition, nobody else would.
-    pub(crate) fn reconnect(&mut self) {
+    pub(crate) fn reconnect(&mut self, now: u64) {
+        self.try_unreachable_regions(now);
         let failed: Vec<Sender> = self
             .table
             .others()
@@ -168,14 +173,15 @@
         }
         let mut differing = self.table.differing(theirs);
         differing.shuffle(&mut self.rng);
+        let content = self.table.content();
         let mut buckets = Vec::new();
         let mut claims = Vec::new();
         for index in differing {
-            let members = self.table.bucket(index);
+            let members = &content[index];
             if claims.len() + members.len() > MAXIMUM_CLAIMS {
                 break;
             }
-            claims.extend(members.into_iter().map(Claim::of));
+            claims.extend(members.iter().copied().map(Claim::of));
             buckets.push(index as u8);
         }
         let message = Message::Claims { buckets, claims };
@@ -188,10 +194,11 @@
     fn merge_claims(&mut self, now: u64, sender: Sender, buckets: &[u8], claims: Vec<Claim>) {
         let mut newer: Vec<MemberRecord> = Vec::new();
         let named: BTreeSet<InstanceId> = claims.iter().map(|claim| claim.instance).collect();
+        let content = self.table.content();
         for index in buckets {
-            let members = self.table.bucket(usize::from(*index));
+            let members = content.get(usize::from(*index)).into_iter().flatten();
             let unnamed = members
-                .into_iter()
+                .copied()
                 .filter(|member| !named.contains(&member.instance));
             newer.extend(unnamed.map(MemberRecord::from));
         }
@@ -217,14 +224,15 @@
         let mut differing = self.table.differing(theirs);
         differing.shuffle(&mut self.rng);
         let total = differing.len();
+        let content = self.table.content();
         let mut buckets = Vec::new();
         let mut records: Vec<MemberRecord> = Vec::new();
         for index in differing {
-            let members = self.table.bucket(index);
+            let members = &content[index];
             if records.len() + members.len() > MAXIMUM_RECORDS && !buckets.is_empty() {
                 break;
             }
-            records.extend(members.into_iter().map(MemberRecord::from));
+            records.extend(members.iter().copied().map(MemberRecord::from));
             buckets.push(index as u8);
         }
         let more = buckets.len() < total;
@@ -248,7 +256,8 @@
         for record in records {
             self.consider_record(now, record, false, false);
         }
-        if !more {
+        self.views_taken += 1;
+        if !more || self.views_taken >= MAXIMUM_VIEWS {
             self.phase = Phase::Current;
         }
     }
--- a/crates/firshore-membership/src/membership.rs
+++ b/crates/firshore-membership/src/membership.rs
@@ -73,6 +73,13 @@
     Current,
 }
 
+/// Members that are not given up, the own node not counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Size {
+    everywhere: usize,
+    in_region: usize,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RegionContact {
     heard_at: u64,
@@ -101,7 +108,13 @@
     pub(crate) regions: BTreeMap<RegionName, RegionContact>,
     pub(crate) sequence: Sequence,
     pub(crate) local_health: u64,
+    /// Members, counted once a probe.
+    pub(crate) size: Size,
     pub(crate) phase: Phase,
+    /// Answers to pulls since the view became incomplete or stale.
+    pub(crate) views_taken: u32,
+    /// When the latest message came in.
+    pub(crate) received_at: u64,
     pub(crate) next_probe_at: u64,
     last_step_at: u64,
     next_join_at: u64,
@@ -137,7 +150,10 @@
             regions: BTreeMap::new(),
             sequence: 0,
             local_health: 0,
+            size: Size::default(),
             phase: Phase::Joining,
+            views_taken: 0,
+            received_at: now,
             outputs: Vec::new(),
         }
     }
@@ -180,14 +196,24 @@
     /// Members that may be given work at `now`, the own node included: alive, or suspect and not
     /// yet given up, in a region that can be reached.
     pub fn alive(&self, now: u64) -> Vec<Member> {
-        let mut all = self.table.members();
-        all.retain(|member| {
-            matches!(member.state, MemberState::Alive | MemberState::Suspect)
-                && self.is_reachable(now, &member.region)
-        });
+        let mut all: Vec<Member> = self.others_alive(now).cloned().collect();
+        if is_given_work(self.table.own()) {
+            let own = self.table.own();
+            let position = all.partition_point(|member| member.instance < own.instance);
+            all.insert(position, own.clone());
+        }
         all
     }
 
+    /// The same without the own node, in order of instance.
+    pub fn others_alive(&self, now: u64) -> impl Iterator<Item = &Member> {
+        let unreachable = self.unreachable_regions(now);
+        self.table
+            .present()
+            .filter(|member| is_given_work(member))
+            .filter(move |member| !unreachable.contains(&&member.region))
+    }
+
     /// Whether the view is neither incomplete after a start nor old after a pause.
     pub fn is_current(&self, now: u64) -> bool {
         let gap = now.saturating_sub(self.last_step_at);
@@ -199,13 +225,16 @@
         self.table.summary()
     }
 
-    /// Whether members of `region` answered lately, or were not asked often enough to tell.
-    pub fn is_reachable(&self, now: u64, region: &RegionName) -> bool {
-        let Some(contact) = self.regions.get(region) else {
-            return true;
-        };
-        let silence = now.saturating_sub(contact.heard_at);
-        contact.unanswered < REGION_UNANSWERED_PROBES || silence < REGION_SILENCE_MILLISECONDS
+    /// Regions of which no member answered lately, though several were asked.
+    pub fn unreachable_regions(&self, now: u64) -> Vec<&RegionName> {
+        self.regions
+            .iter()
+            .filter(|(_, contact)| {
+                contact.unanswered >= REGION_UNANSWERED_PROBES
+                    && now.saturating_sub(contact.heard_at) >= REGION_SILENCE_MILLISECONDS
+            })
+            .map(|(region, _)| region)
+            .collect()
     }
 
     fn notice_pause(&mut self, now: u64) {
@@ -228,6 +257,7 @@
         self.spread_own(true);
         self.announce();
         self.phase = Phase::Stale { since: now };
+        self.views_taken = 0;
         self.next_join_at = now;
         self.outputs.push(Output::Stale {
             paused_milliseconds: gap,
@@ -248,7 +278,7 @@
         if now >= self.next_reconnect_at {
             self.next_reconnect_at = now + self.jittered(RECONNECT_INTERVAL_MILLISECONDS);
             self.expire_tombstones(now);
-            self.reconnect();
+            self.reconnect(now);
         }
     }
 
@@ -302,6 +332,7 @@
     }
 
     fn note_contact(&mut self, now: u64, sender: Sender) {
+        self.received_at = now;
         self.table.heard(now, sender.instance);
         let Some(entry) = self.table.get(sender.instance) else {
             self.wanted.push(sender.instance);
@@ -346,7 +377,9 @@
             return;
         }
         let member = Member::from(record);
-        self.supersede(now, &member, first_hand);
+        if first_hand {
+            self.supersede(now, &member);
+        }
         let distance = Distance::between(self.table.own(), &member);
         self.schedule.add(distance, member.instance, &mut self.rng);
         self.table.insert(now, member.clone());
@@ -362,8 +395,9 @@
         }));
     }
 
-    /// Gives up whoever had the address of a new member before.
-    fn supersede(&mut self, now: u64, member: &Member, first_hand: bool) {
+    /// Gives up whoever had the address of a member that introduced itself. From hearsay one
+    /// cannot tell which of two came first; a probe of the earlier one will be refused.
+    fn supersede(&mut self, now: u64, member: &Member) {
         let earlier: Vec<Claim> = self
             .table
             .present()
@@ -371,14 +405,8 @@
             .map(Claim::of)
             .collect();
         for claim in earlier {
-            let state = if first_hand {
-                MemberState::Failed
-            } else {
-                MemberState::Suspect
-            };
-            if state > claim.state {
-                self.change(now, Claim { state, ..claim });
-            }
+            let state = MemberState::Failed;
+            self.change(now, Claim { state, ..claim });
         }
     }
 
@@ -449,6 +477,9 @@
     }
 
     fn expire_suspicions(&mut self, now: u64) {
+        if self.suspects.is_empty() {
+            return;
+        }
         let timeout = self.suspicion_timeout();
         let due: Vec<InstanceId> = self
             .suspects
@@ -480,11 +511,18 @@
         }
     }
 
-    fn suspicion_timeout(&self) -> u64 {
+    pub(crate) fn count_members(&mut self) {
         let own = self.table.own();
-        let peers = self.table.present();
-        let size = 1 + peers.filter(|peer| peer.region == own.region).count();
-        let decades = (size as f64).log10().max(1.0);
+        let mut size = Size::default();
+        for member in self.table.present() {
+            size.everywhere += 1;
+            size.in_region += usize::from(member.region == own.region);
+        }
+        self.size = size;
+    }
+
+    fn suspicion_timeout(&self) -> u64 {
+        let decades = ((1 + self.size.in_region) as f64).log10().max(1.0);
         let base = (SUSPICION_MILLISECONDS as f64 * decades) as u64;
         base * (1 + self.local_health)
     }
@@ -584,11 +622,16 @@
     }
 
     fn transmission_limit(&self) -> u32 {
-        let size = 2 + self.table.present().count();
+        let size = 2 + self.size.everywhere;
         TRANSMISSIONS_PER_DECADE * (size as f64).log10().ceil() as u32
     }
 }
 
+/// Whether a member's state lets it be given work.
+fn is_given_work(member: &Member) -> bool {
+    matches!(member.state, MemberState::Alive | MemberState::Suspect)
+}
+
 fn is_expired(now: u64, member: &Member, changed_at: u64) -> bool {
     member.state == MemberState::Failed && now >= changed_at + TOMBSTONE_MILLISECONDS
 }
--- a/crates/firshore-membership/src/probe.rs
+++ b/crates/firshore-membership/src/probe.rs
@@ -6,7 +6,7 @@
 use crate::message::{Claim, Message, Sequence};
 use crate::schedule::Distance;
 use crate::timing::{DIRECT_TIMEOUT_MILLISECONDS, INDIRECT_PROBES, PROBE_INTERVAL_MILLISECONDS};
-use firshore_types::ids::InstanceId;
+use firshore_types::ids::{InstanceId, RegionName};
 use rand::seq::IndexedRandom;
 
 /// The running probe.
@@ -14,6 +14,7 @@
 pub(crate) struct Probe {
     target: InstanceId,
     sequence: Sequence,
+    sent_at: u64,
     indirect_at: u64,
     deadline: u64,
     asked_others: bool,
@@ -34,7 +35,7 @@
         if let Some(probe) = self.probe {
             if now >= probe.deadline {
                 self.probe = None;
-                self.probe_failed(now, probe.target);
+                self.probe_failed(now, probe);
             } else if now >= probe.indirect_at && !probe.asked_others {
                 self.ask_others(probe);
             }
@@ -45,6 +46,7 @@
     }
 
     fn start_probe(&mut self, now: u64) {
+        self.count_members();
         let slowness = 1 + self.local_health;
         self.next_probe_at = now + PROBE_INTERVAL_MILLISECONDS * slowness;
         let Some(target) = self.next_target() else {
@@ -58,6 +60,7 @@
         self.probe = Some(Probe {
             target,
             sequence: self.sequence,
+            sent_at: now,
             indirect_at: now + DIRECT_TIMEOUT_MILLISECONDS * slowness,
             deadline: now + PROBE_INTERVAL_MILLISECONDS * slowness,
             asked_others: false,
@@ -104,7 +107,12 @@
         }
     }
 
-    fn probe_failed(&mut self, now: u64, target: InstanceId) {
+    fn probe_failed(&mut self, now: u64, probe: Probe) {
+        let target = probe.target;
+        if self.received_at < probe.sent_at {
+            // Nobody at all was heard: the fault may well be here.
+            self.worsen_local_health();
+        }
         let Some(entry) = self.table.get(target) else {
             return;
         };
@@ -115,7 +123,6 @@
             return;
         }
         let claim = Claim::of(member);
-        self.worsen_local_health();
         let state = match claim.state {
             MemberState::Alive => MemberState::Suspect,
             // It said that it stops; nobody needs to wait for its refutation.
@@ -126,6 +133,23 @@
         self.change(now, Claim { state, ..claim });
     }
 
+    /// Asks a member of each region that does not answer, to notice soon that it does again.
+    pub(crate) fn try_unreachable_regions(&mut self, now: u64) {
+        let unreachable: Vec<RegionName> =
+            self.unreachable_regions(now).into_iter().cloned().collect();
+        for region in unreachable {
+            let members = self.table.present();
+            let there: Vec<Sender> = members
+                .filter(|member| member.region == region)
+                .map(Sender::of)
+                .collect();
+            if let Some(receiver) = there.choose(&mut self.rng).copied() {
+                self.sequence = self.sequence.wrapping_add(1);
+                self.answer(receiver, Message::Ping(self.sequence));
+            }
+        }
+    }
+
     pub(crate) fn relay(&mut self, now: u64, origin: Sender, sequence: Sequence, to: InstanceId) {
         let Some(member) = self.table.member(to) else {
             return;
--- a/crates/firshore-membership/src/table.rs
+++ b/crates/firshore-membership/src/table.rs
@@ -176,11 +176,12 @@
             .collect()
     }
 
-    /// Members in a bucket that are not given up, the own node included.
-    pub fn bucket(&self, index: usize) -> Vec<&Member> {
-        self.present()
-            .chain(std::iter::once(&self.own))
-            .filter(|member| bucket_of(member.instance) == index)
-            .collect()
+    /// Members that are not given up by bucket, the own node included.
+    pub fn content(&self) -> Vec<Vec<&Member>> {
+        let mut content = vec![Vec::new(); BUCKETS];
+        for member in self.present().chain(std::iter::once(&self.own)) {
+            content[bucket_of(member.instance)].push(member);
+        }
+        content
     }
 }
