--- a/crates/firshore-config/src/lib.rs
+++ b/crates/firshore-config/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod dissemination;
 pub mod floor;
 pub mod history;
+pub mod machine_list;
 pub mod message;
 pub mod proposal;
 pub mod readers;
+pub mod selection;
 
 /// Key prefix of change objects; the revision follows as twenty digits, so that keys sort.
 pub const CHANGE_PREFIX: &str = "changes/";
@@ -18,6 +20,20 @@
     format!("{CHANGE_PREFIX}{:020}", revision.0)
 }
 
+/// Revisions in one page of change objects, as told by the key's leading digits.
+pub const REVISIONS_PER_PAGE: u64 = 1_000;
+
+/// Key prefix of the change objects on the page that holds `revision`.
+pub fn page_prefix(revision: firshore_types::ids::Revision) -> String {
+    format!("{CHANGE_PREFIX}{:017}", revision.0 / REVISIONS_PER_PAGE)
+}
+
+/// Key of the object that holds a whole configuration, from which an empty cluster starts.
+pub const SNAPSHOT_KEY: &str = "configuration-snapshot";
+
+/// Revisions between two writes of the snapshot object.
+pub const SNAPSHOT_REVISIONS: u64 = 1_024;
+
 /// Key prefix of intents: what was in force when a change was first attempted.
 pub const INTENT_PREFIX: &str = "change-intents/";
 
--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -12,7 +12,8 @@
 use firshore_server::logging;
 use firshore_server::node::Node;
 use firshore_server::settings::{
-    Cluster, LimitSettings, Listen, LogSettings, Platform as PlatformSettings, Settings, Storage,
+    Cluster, JournalSettings, LimitSettings, Listen, LogSettings, Platform as PlatformSettings,
+    Settings, Storage,
 };
 use firshore_types::configuration::Configuration;
 use firshore_types::declaration::Protocol;
@@ -79,6 +80,16 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A folder of the node's own, new in each run.
+fn data_folder(node: &str) -> PathBuf {
+    let run = format!(
+        "firshore-{}-{:08x}",
+        std::process::id(),
+        rand::random::<u32>()
+    );
+    std::env::temp_dir().join(run).join(node)
+}
+
 fn settings(
     topology: &Topology,
     zone: &str,
@@ -94,6 +105,7 @@
             callers: any_port(),
             peers: any_port(),
             admin: any_port(),
+            advertised_peers: None,
         },
         cluster: Cluster {
             secret: "demonstration-secret-only".to_owned(),
@@ -104,8 +116,9 @@
             machine_list: format!("http://{platform}"),
         },
         storage: Some(Storage {
-            data_folder: std::env::temp_dir(),
+            data_folder: data_folder(&format!("{zone}-{number}")),
         }),
+        journal: JournalSettings::default(),
         log: LogSettings::default(),
         limits: LimitSettings {
             workers: 1,
@@ -393,9 +406,12 @@
     }
     let path = format!("{path}/output");
     let (_, output) = call(address, Method::GET, &path, &headers, String::new()).await?;
-    for (number, line) in output.lines().enumerate() {
-        if !line.contains(&format!("item-{number} ")) {
-            return Err(format!("item {number} has another item's answer"));
+    for line in output.lines() {
+        let line: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
+        let name = line["custom_id"].as_str().unwrap_or_default();
+        let answer = line["response"]["body"].to_string();
+        if !answer.contains(&format!("{name} ")) {
+            return Err(format!("{name} has another item's answer"));
         }
     }
     Ok(output.lines().count() as u64)
--- a/crates/firshore-lab/src/engine_model/engine.rs
+++ b/crates/firshore-lab/src/engine_model/engine.rs
@@ -19,6 +19,7 @@
 /// One request, waiting or running.
 struct Run {
     submission: Submission,
+    queued: Microseconds,
     /// Place in the log; `None` while it waits.
     execution: Option<usize>,
     generated: u32,
@@ -68,6 +69,16 @@
     executions: Vec<Execution>,
     next_run: u64,
     events: Vec<Event>,
+    prefix_use: PrefixUse,
+}
+
+/// Use of the prefix cache since the engine's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixUse {
+    /// Blocks of prompts that were found in the cache.
+    pub hit_blocks: u64,
+    /// Blocks of all prompts.
+    pub blocks: u64,
 }
 
 fn blocks_of(tokens: u32) -> u32 {
@@ -92,6 +103,7 @@
             executions: Vec::new(),
             next_run: 0,
             events: Vec::new(),
+            prefix_use: PrefixUse::default(),
         };
         engine.record_load(0);
         engine
@@ -129,6 +141,11 @@
         left.is_some()
     }
 
+    /// Use of the prefix cache so far.
+    pub fn prefix_use(&self) -> PrefixUse {
+        self.prefix_use
+    }
+
     /// Takes a request into the queue. A resume ends a run that still goes on under its identifier.
     pub fn submit(
         &mut self,
@@ -155,6 +172,7 @@
         };
         self.latest_run.insert(submission.request_id.clone(), key);
         let run = Run {
+            queued: now,
             execution: None,
             generated: start,
             replayable,
@@ -310,6 +328,7 @@
             request_id: submission.request_id.clone(),
             marker: submission.marker.clone(),
             priority: submission.priority,
+            queued: at,
             started: at,
             ended: Some(at),
             outcome: Outcome::Refused,
--- a/crates/firshore-lab/src/engine_model/engine/batching.rs
+++ b/crates/firshore-lab/src/engine_model/engine/batching.rs
@@ -142,6 +142,8 @@
         for block in &run.submission.prompt_blocks[..hits] {
             self.cache.pin(*block);
         }
+        self.prefix_use.hit_blocks += hits as u64;
+        self.prefix_use.blocks += run.submission.prompt_blocks.len() as u64;
         run.pinned = hits;
         run.private_blocks = needed;
         run.prefill_left = self.prefill_of(&run, hits);
@@ -183,6 +185,7 @@
             request_id: run.submission.request_id.clone(),
             marker: run.submission.marker.clone(),
             priority: run.submission.priority,
+            queued: run.queued,
             started: at,
             ended: None,
             outcome: Outcome::Running,
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,6 +1,10 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod configuration_size;
 mod convergence;
+mod failures;
+pub mod node_cost;
+pub mod routing;
 
 use argh::FromArgs;
 use std::path::PathBuf;
@@ -29,15 +33,56 @@
     pub seconds: Option<u64>,
 }
 
+/// One experiment that can be run.
+pub struct Entry {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub measures: &'static str,
+    run: fn(&Experiment) -> Result<bool, String>,
+}
+
+/// Every experiment.
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "configuration-size",
+        measures: "memory, bytes and processor time of the configuration as tenants grow",
+        run: configuration_size::run,
+    },
+    Entry {
+        name: "convergence",
+        measures: "time until a change is in force everywhere, and what control costs a node, with hollow nodes",
+        run: convergence::run,
+    },
+    Entry {
+        name: "failures",
+        measures: "promises kept by real processes under planned stops and failures",
+        run: failures::run,
+    },
+    Entry {
+        name: "node-cost",
+        measures: "processor time of one node for each request and each streamed token",
+        run: node_cost::run,
+    },
+    Entry {
+        name: "routing",
+        measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
+        run: routing::run,
+    },
+];
+
 impl Experiment {
     /// Runs it; `Ok(true)` when every limit is kept.
     pub fn run(&self) -> Result<bool, String> {
-        match self.name.as_str() {
-            "convergence" => convergence::run(self),
-            _ => Err(format!(
-                "No experiment '{}'. See docs/REFERENCE.md for their names.",
-                self.name
-            )),
-        }
+        let entry = ALL.iter().find(|entry| entry.name == self.name);
+        let entry = entry.ok_or_else(|| {
+            let names: Vec<&str> = ALL.iter().map(|entry| entry.name).collect();
+            format!(
+                "No experiment '{}'. Name one of: {}.",
+                self.name,
+                names.join(", ")
+            )
+        })?;
+        (entry.run)(self)
     }
 }
--- a/crates/firshore-lab/src/simulation/hollow/scenario.rs
+++ b/crates/firshore-lab/src/simulation/hollow/scenario.rs
@@ -86,4 +86,24 @@
             }),
         }
     }
+
+    /// Failures so dense that each rule is tried within two minutes, for seeds in numbers.
+    pub fn dense(seed: u64, nodes: usize) -> Self {
+        Self {
+            warm_up: 25 * SECOND,
+            settle: 60 * SECOND,
+            crash_interval: 15 * SECOND,
+            restart_interval: 8 * SECOND,
+            pause_interval: 20 * SECOND,
+            object_outage: Some(Span {
+                from: 10 * SECOND,
+                to: 25 * SECOND,
+            }),
+            region_cut: Some(Span {
+                from: 20 * SECOND,
+                to: 45 * SECOND,
+            }),
+            ..Self::aim(seed, nodes, 60)
+        }
+    }
 }
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -1,12 +1,13 @@
 //! Messages between nodes.
 
-use firshore_batch::job::{ItemResult, JobSummary};
+use firshore_batch::job::{JobSummary, NamedResult};
+use firshore_config::machine_list::MachineListMessage;
 use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
-use firshore_replication::types::{DiskId, GroupId};
-use firshore_types::ids::{InstanceId, ItemIndex, JobId, NodeName};
+use firshore_replication::types::{DiskId, GroupId, Membership as GroupMembership};
+use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
 /// Correlation of a notice, which is not answered.
@@ -54,12 +55,21 @@
     },
     /// Which configuration the peer has in force.
     ConfigurationInForce,
+    /// Concerns the spread of the machine list.
+    MachineList {
+        /// Sender.
+        from: InstanceId,
+        /// Content.
+        message: MachineListMessage,
+    },
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
-    /// A message between replicas of a journal group; the answer only says that it arrived.
+    /// A message between replicas of a journal group; a notice.
     Replication {
         /// Group.
         group: GroupId,
+        /// Node of the sender.
+        node: NodeName,
         /// Content.
         envelope: Envelope,
     },
@@ -78,8 +88,8 @@
     JobResults {
         /// Job.
         job: JobId,
-        /// First item wanted.
-        from: ItemIndex,
+        /// First position of the output wanted.
+        from: u32,
         /// Most results wanted.
         count: u32,
     },
@@ -106,17 +116,8 @@
     pub disk: DiskId,
     /// Whether it holds anything of the group's log.
     pub holds_log: bool,
-}
-
-/// One item's result with the caller's name for the item.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct NamedResult {
-    /// Position in the job.
-    pub index: ItemIndex,
-    /// The caller's name for it.
-    pub custom_id: String,
-    /// Result.
-    pub result: ItemResult,
+    /// The founding membership of the group, if the node has read it since its start.
+    pub founding: Option<GroupMembership>,
 }
 
 /// What a peer answers.
@@ -132,6 +133,8 @@
     Refused(JournalRefusal),
     /// Messages about the configuration in return.
     Configuration(Vec<ConfigurationMessage>),
+    /// Messages about the machine list in return.
+    MachineList(Vec<MachineListMessage>),
     /// The configuration that the peer has in force.
     ConfigurationInForce(NodeConfiguration),
     /// Replica on the peer's disk, if it has a disk.
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -1,11 +1,9 @@
 //! Operators' interface on the admin address: health, metrics, status, configuration, drain.
 
-use crate::configuration;
 use crate::configuration::status::MemberStatus;
 use crate::gateway::{read_body, response};
-use crate::journal;
-use crate::membership;
 use crate::shared::Shared;
+use crate::{admin_jobs, configuration};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
@@ -15,7 +13,6 @@
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Text format that Prometheus scrapes.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -78,13 +75,11 @@
             let revision = configuration::accept::settle(shared, &id).await?;
             Ok(response::json(StatusCode::OK, &Settled { revision }))
         }
-        (Method::GET, "/jobs") => Ok(response::json(
-            StatusCode::OK,
-            &journal::summaries(shared).await?,
-        )),
+        (_, path) if path == "/jobs" || path.starts_with("/jobs/") => {
+            admin_jobs::handle(shared, request, path).await
+        }
         (Method::POST, "/drain") => {
-            shared.leaving.store(true, Ordering::Relaxed);
-            membership::leave(shared);
+            shared.leaving.begin();
             Ok(response::text("leaving\n"))
         }
         _ => Err(ApiError::not_run(
@@ -95,7 +90,7 @@
 }
 
 fn ready(shared: &Shared) -> Result<Response<BoxBody>, ApiError> {
-    if shared.leaving.load(Ordering::Relaxed) {
+    if shared.leaving.is_leaving() {
         return Err(ApiError::not_run(
             ErrorCode::Unavailable,
             "The node is leaving.",
--- a/crates/firshore-server/src/configuration/mod.rs
+++ b/crates/firshore-server/src/configuration/mod.rs
@@ -2,6 +2,7 @@
 //! `firshore-config` with peers, the object API and the clock.
 
 pub mod accept;
+pub mod disk;
 pub mod floor;
 pub mod machines;
 pub mod status;
@@ -14,7 +15,7 @@
 use firshore_config::history::{Record, RecordError};
 use firshore_config::message::Message;
 use firshore_config::readers::Peer;
-use firshore_config::{CHANGE_PREFIX, change_key};
+use firshore_config::{CHANGE_PREFIX, SNAPSHOT_KEY, change_key};
 use firshore_membership::member::Member;
 use firshore_protocol::message::{Request, Response};
 use firshore_types::configuration::Configuration;
@@ -29,6 +30,11 @@
 /// Pause between ticks while the node may not serve yet, so that it starts fast.
 const START_TICK: Duration = Duration::from_millis(200);
 
+/// Longest wait for the members at the start, in milliseconds.
+const MEMBERS_TIMEOUT_MILLISECONDS: u64 = 3_000;
+
+const MEMBERS_POLL: Duration = Duration::from_millis(50);
+
 /// A member as the dissemination sees it.
 pub fn peer_of(member: &Member) -> Peer {
     Peer {
@@ -40,6 +46,11 @@
 
 /// Drives the dissemination until the node ends.
 pub async fn run(shared: Arc<Shared>) {
+    if let Some(snapshot) = disk::restore(&shared).await {
+        advance(&shared, Input::Restored(Box::new(snapshot)));
+    }
+    actix_rt::spawn(disk::run(shared.clone()));
+    await_members(&shared).await;
     let mut known: Vec<Peer> = Vec::new();
     loop {
         let members = shared.members.lock().alive(shared.clock.now());
@@ -59,6 +70,15 @@
     }
 }
 
+/// Waits until the members are known: a node that knows only itself would take itself for a reader
+/// of the object API, and after a power cut all of them would at once.
+pub(crate) async fn await_members(shared: &Shared) {
+    let current = || shared.members.lock().is_current(shared.clock.now());
+    while !current() && shared.clock.now() < MEMBERS_TIMEOUT_MILLISECONDS {
+        actix_rt::time::sleep(MEMBERS_POLL).await;
+    }
+}
+
 /// Steps the state machine and does what it asks for.
 pub fn advance(shared: &Arc<Shared>, input: Input) {
     for output in step(shared, input) {
@@ -128,13 +148,15 @@
 }
 
 async fn send(shared: Arc<Shared>, to: InstanceId, message: Message) {
-    let members = shared.members.lock().members(shared.clock.now());
-    let Some(member) = members.iter().find(|member| member.instance == to) else {
+    let (address, from) = {
+        let members = shared.members.lock();
+        (members.address_of(to), members.own().instance)
+    };
+    let Some(address) = address else {
         return;
     };
-    let from = shared.members.lock().own().instance;
     let request = Request::Configuration { from, message };
-    let answer = shared.peers.call(member.peer_address, request).await;
+    let answer = shared.peers.call(address, request).await;
     if let Ok(Response::Configuration(messages)) = answer {
         for message in messages {
             advance(&shared, Input::FromPeer { from: to, message });
@@ -144,6 +166,7 @@
 
 async fn watch(shared: Arc<Shared>, after: Revision) {
     let objects = ObjectApi::new(&shared.settings.platform.object_api);
+    let after = start_from_snapshot(&shared, &objects, after).await;
     let found = objects
         .list_after(CHANGE_PREFIX, &change_key(after), WATCH_WAIT)
         .await;
@@ -157,6 +180,28 @@
     advance(&shared, input);
 }
 
+/// A node that holds nothing starts from the snapshot in the object API, if there is one, rather
+/// than from the first change ever made.
+async fn start_from_snapshot(
+    shared: &Arc<Shared>,
+    objects: &ObjectApi,
+    after: Revision,
+) -> Revision {
+    if after > Revision(0) {
+        return after;
+    }
+    let Ok(Some(object)) = objects.get(SNAPSHOT_KEY).await else {
+        return after;
+    };
+    match serde_json::from_str(&object.value) {
+        Ok(snapshot) => advance(shared, Input::Restored(Box::new(snapshot))),
+        Err(error) => {
+            warn!(shared.log, "configuration: Snapshot unreadable."; "reason" => %error);
+        }
+    }
+    shared.dissemination.lock().history().head()
+}
+
 /// Records among the objects; one that is no change object ends the listing, as nothing after it
 /// could follow.
 fn readable(shared: &Shared, objects: Vec<crate::platform::object_api::Object>) -> Vec<Record> {
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -3,20 +3,25 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admin;
+pub mod admin_jobs;
+pub mod batch_runner;
 pub mod cli;
 pub mod clock;
 pub mod configuration;
+pub mod controller;
 pub mod engine;
 pub mod gateway;
 pub mod journal;
+pub mod keep_alive;
+pub mod leaving;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
 pub mod node;
-pub mod owner;
 pub mod peers;
 pub mod platform;
 pub mod reference;
 pub mod routing;
+pub mod serving;
 pub mod settings;
 pub mod shared;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -1,13 +1,15 @@
 //! Puts a node together and runs it until it is told to stop.
 
 use crate::clock::Clock;
+use crate::engine::cancellation::{self, Cancellations};
 use crate::journal::Journal;
+use crate::leaving::Phase;
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{admin, configuration, gateway, membership, owner};
-use actix_http::{HttpService, KeepAlive};
+use crate::{batch_runner, configuration, controller, membership, serving};
 use firshore_config::dissemination::Dissemination;
+use firshore_config::machine_list::MachineList;
 use firshore_membership::member::{Member, MemberState};
 use firshore_membership::membership::Membership;
 use firshore_protocol::handshake::ClusterSecret;
@@ -20,17 +22,12 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// Time for peers to hear that the node leaves before it closes its listeners.
 const LEAVE_GRACE: Duration = Duration::from_millis(1500);
 
-/// Longest time that running requests get to finish after the listeners are closed, in seconds.
-const SHUTDOWN_SECONDS: u64 = 5;
-
 /// A running node.
 pub struct Node {
     /// Callers' address.
@@ -41,7 +38,6 @@
     pub admin: SocketAddr,
     /// Its tables.
     pub shared: Arc<Shared>,
-    stop: mpsc::Sender<()>,
     thread: JoinHandle<()>,
 }
 
@@ -53,18 +49,23 @@
         let admin = TcpListener::bind(settings.listen.admin)?;
         peers.set_nonblocking(true)?;
         let (peer_client, calls) = PeerClient::new();
+        let (canceller, cancellations) = cancellation::channel();
         let own = Member {
             instance: InstanceId(rand::rng().random()),
             name: settings.name.clone(),
             region: settings.region.clone(),
             zone: settings.zone.clone(),
-            peer_address: peers.local_addr()?,
+            peer_address: match settings.listen.advertised_peers {
+                Some(address) => address,
+                None => peers.local_addr()?,
+            },
             has_disk: settings.storage.is_some(),
             state: MemberState::Alive,
             incarnation: 0,
         };
         let peer = configuration::peer_of(&own);
-        let dissemination = Dissemination::new(peer, rand::rng().random());
+        let dissemination = Dissemination::new(peer.clone(), rand::rng().random());
+        let machine_list = MachineList::new(peer, rand::rng().random());
         let clock = Clock::start();
         let members = Membership::new(
             clock.now(),
@@ -72,6 +73,14 @@
             settings.cluster.seeds.clone(),
             StdRng::seed_from_u64(rand::rng().random()),
         );
+        let journal = match &settings.storage {
+            Some(storage) => {
+                std::fs::create_dir_all(&storage.data_folder)?;
+                let opened = Journal::open(&storage.data_folder, settings.journal.groups);
+                Some(opened.map_err(|error| io::Error::other(error.to_string()))?)
+            }
+            None => None,
+        };
         let locality = Locality {
             region: settings.region.clone(),
             zone: settings.zone.clone(),
@@ -83,22 +92,23 @@
             floor: Default::default(),
             refused_change: Default::default(),
             configuration: Default::default(),
+            machine_list: machine_list.into(),
             machines: Default::default(),
             members: members.into(),
             router: Router::new(locality).into(),
             peers: peer_client,
-            journal: settings.storage.is_some().then(Journal::default),
+            journal,
+            journal_leaders: Default::default(),
+            canceller,
             leaving: Default::default(),
             metrics: Default::default(),
             settings,
         });
-        let (stop, stopped) = mpsc::channel(1);
         let node = Self {
             callers: callers.local_addr()?,
             peers: peers.local_addr()?,
             admin: admin.local_addr()?,
             shared: shared.clone(),
-            stop,
             thread: std::thread::Builder::new()
                 .name("node".to_owned())
                 .spawn(move || {
@@ -107,7 +117,7 @@
                         peers,
                         admin,
                     };
-                    actix_rt::System::new().block_on(run(shared, sockets, calls, stopped));
+                    actix_rt::System::new().block_on(run(shared, sockets, calls, cancellations));
                 })?,
         };
         Ok(node)
@@ -115,18 +125,13 @@
 
     /// Asks the node to leave; it finishes what it runs.
     pub fn stop(&self) {
-        let _ = self.stop.try_send(());
+        self.shared.leaving.begin();
     }
 
     /// Waits until the node has ended.
     pub fn join(self) {
         let _ = self.thread.join();
     }
-
-    /// A handle that asks the node to leave.
-    pub fn stopper(&self) -> mpsc::Sender<()> {
-        self.stop.clone()
-    }
 }
 
 struct Sockets {
@@ -139,7 +144,7 @@
     shared: Arc<Shared>,
     sockets: Sockets,
     calls: peers::PeerCalls,
-    mut stopped: mpsc::Receiver<()>,
+    cancellations: Cancellations,
 ) {
     let log = shared.log.new(slog::o!("part" => "node"));
     let secret = ClusterSecret(shared.settings.cluster.secret.clone().into_bytes());
@@ -147,47 +152,33 @@
         tokio::net::TcpListener::from_std(sockets.peers).expect("the listener is non-blocking");
     actix_rt::spawn(peers::run_client(calls, secret));
     actix_rt::spawn(peers::run_listener(peer_listener, shared.clone()));
+    actix_rt::spawn(cancellation::run(cancellations));
     actix_rt::spawn(membership::run(shared.clone()));
+    Journal::start(&shared);
     actix_rt::spawn(configuration::run(shared.clone()));
     actix_rt::spawn(configuration::floor::run(shared.clone()));
     actix_rt::spawn(configuration::machines::run(shared.clone()));
-    actix_rt::spawn(owner::run(shared.clone()));
-    let server = serve(shared.clone(), sockets.callers, sockets.admin);
-    let handle = server.handle();
-    let serving = actix_rt::spawn(server);
+    actix_rt::spawn(controller::run(shared.clone()));
+    let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
+    let callers = serving::callers(&shared, sockets.callers);
+    let admin = serving::admin(&shared, sockets.admin);
+    let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
+    let (callers, admin) = (actix_rt::spawn(callers), actix_rt::spawn(admin));
     info!(log, "node: Serving."; "name" => %shared.settings.name, "zone" => %shared.settings.zone);
-    let _ = stopped.recv().await;
+    shared.leaving.reached(Phase::Announced).await;
     info!(log, "node: Leaving.");
-    shared.leaving.store(true, Ordering::Relaxed);
     membership::leave(&shared);
     actix_rt::time::sleep(LEAVE_GRACE).await;
-    handle.stop(true).await;
-    let _ = serving.await;
+    info!(log, "node: Finishing."; "seconds_at_most" => shared.settings.limits.leave_seconds);
+    shared.leaving.close();
+    callers_handle.stop(true).await;
+    let _ = callers.await;
+    let _ = runner.await;
+    // Operators can watch the node until its last request has ended.
+    admin_handle.stop(false).await;
+    let _ = admin.await;
+    if let Some(journal) = &shared.journal {
+        journal.stop().await;
+    }
     info!(log, "node: Stopped.");
 }
-
-fn serve(shared: Arc<Shared>, callers: TcpListener, admin: TcpListener) -> actix_server::Server {
-    let for_callers = shared.clone();
-    let for_admin = shared.clone();
-    actix_server::Server::build()
-        .workers(shared.settings.limits.workers)
-        .shutdown_timeout(SHUTDOWN_SECONDS)
-        .disable_signals()
-        .listen("callers", callers, move || {
-            let shared = for_callers.clone();
-            HttpService::build()
-                .keep_alive(KeepAlive::Timeout(Duration::from_secs(60)))
-                .client_request_timeout(Duration::from_secs(10))
-                .finish(move |request| gateway::handle(shared.clone(), request))
-                .tcp()
-        })
-        .expect("the listener is bound")
-        .listen("admin", admin, move || {
-            let shared = for_admin.clone();
-            HttpService::build()
-                .finish(move |request| admin::handle(shared.clone(), request))
-                .tcp()
-        })
-        .expect("the listener is bound")
-        .run()
-}
