--- a/crates/firshore-lab/src/lib.rs
+++ b/crates/firshore-lab/src/lib.rs
@@ -3,13 +3,16 @@
 
 pub mod cli;
 pub mod demo;
+pub mod demo_view;
 pub mod engine_model;
 pub mod experiment;
 pub mod fault_proxy;
 pub mod fit;
+pub mod fleet;
 pub mod fleet_of_one;
 pub mod http;
 pub mod judge;
+pub mod load;
 pub mod processes;
 pub mod report;
 pub mod simulation;
