Routing in the server: policies, limits, admission queue, retry budget, load digests

The test of the retry decision now expects 'within budget' after a refusal: unbudgeted retries of refusals multiply the load when the fleet is full.

--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -7,6 +7,8 @@
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId};
+use firshore_routing::digest::LoadDigest;
+use firshore_routing::limits::{Demand, Grant};
 use firshore_types::ids::{InstanceId, JobId, NodeName};
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +64,16 @@
         /// Content.
         message: MachineListMessage,
     },
+    /// Load of the sender's engines; a notice.
+    #[serde(rename = "l")]
+    LoadDigest(LoadDigest),
+    /// Demand for shares of tenants' limits that the peer allocates.
+    LimitDemands {
+        /// Sender.
+        from: InstanceId,
+        /// Demands.
+        demands: Vec<Demand>,
+    },
     /// Which replica of a journal group the peer's disk holds.
     ReplicaIdentity(GroupId),
     /// A message between replicas of a journal group; the answer only says that it arrived.
@@ -133,6 +145,8 @@
     MachineList(Vec<MachineListMessage>),
     /// The configuration that the peer has in force.
     ConfigurationInForce(NodeConfiguration),
+    /// Shares of tenants' limits.
+    LimitGrants(Vec<Grant>),
     /// Replica on the peer's disk, if it has a disk.
     ReplicaIdentity(Option<ReplicaIdentity>),
     /// The message arrived.
--- a/crates/firshore-routing/src/allocator.rs
+++ b/crates/firshore-routing/src/allocator.rs
@@ -38,14 +38,7 @@
 
 impl LimitAllocator {
     /// Answers a demand of `node` at `now` (milliseconds); `alive` is the number of nodes alive.
-    pub fn grant(
-        &mut self,
-        now: u64,
-        node: InstanceId,
-        demand: Demand,
-        limits: &Limits,
-        alive: u32,
-    ) -> Share {
+    pub fn grant(&mut self, now: u64, node: InstanceId, demand: Demand, alive: u32) -> Share {
         let holds = demand.held != Share::default();
         let unknown = !self.tenants.contains_key(&demand.tenant);
         let shares = self.tenants.entry(demand.tenant).or_default();
@@ -63,7 +56,7 @@
             until: now + GRANT_MILLISECONDS,
         };
         shares.nodes.insert(node, share);
-        share.granted = shares.divide(node, limits, alive.max(1));
+        share.granted = shares.divide(node, &demand.limits, alive.max(1));
         if now < shares.takeover_until {
             share.granted.rate = share.granted.rate.min(held.rate);
             share.granted.concurrent = share.granted.concurrent.min(held.concurrent);
--- a/crates/firshore-routing/src/ejection.rs
+++ b/crates/firshore-routing/src/ejection.rs
@@ -1,7 +1,8 @@
 //! Takes failing back ends out of use for a while and brings them back gradually.
 //!
 //! A back end is ejected after several failures in a row, or when it is far slower than the fleet.
-//! Ejections of the same back end last longer each time. The table bounds the share that is out at
+//! Ejections of the same back end last longer each time. One that only refuses, as a full one
+//! does, is passed over for a shorter time, which its next answer ends. The table bounds the share that is out at
 //! once, so that a fault of the callers or of the network does not empty the pool.
 
 use rand::RngExt;
@@ -27,6 +28,16 @@
 /// Time over which a returning back end's share grows to the whole, in milliseconds.
 pub const RETURN_MILLISECONDS: u64 = 10_000;
 
+/// Refusals in a row after which a back end is passed over.
+pub const CONSECUTIVE_REFUSALS: u32 = 2;
+
+/// Time for which a refusing back end is first passed over, in milliseconds; doubles with each
+/// further refusal.
+pub const FIRST_PASS_MILLISECONDS: u64 = 250;
+
+/// Longest time for which a refusing back end is passed over, in milliseconds.
+pub const LONGEST_PASS_MILLISECONDS: u64 = 16_000;
+
 /// Share of its usual work that a back end gets at the start of its return.
 const FIRST_RETURN_SHARE: f32 = 0.05;
 
@@ -37,6 +48,8 @@
     ejections: u32,
     out_until: u64,
     returning: bool,
+    refusals: u32,
+    passed_over_until: u64,
 }
 
 impl Health {
@@ -48,6 +61,8 @@
     /// Counts a success.
     pub fn succeeded(&mut self, now: u64) {
         self.failures = 0;
+        self.refusals = 0;
+        self.passed_over_until = 0;
         let returned = now >= self.out_until + RETURN_MILLISECONDS;
         if self.returning && returned {
             self.returning = false;
@@ -65,6 +80,19 @@
         self.failures >= CONSECUTIVE_FAILURES || self.returning
     }
 
+    /// Counts a refusal of a request that was not run.
+    pub fn refused(&mut self, now: u64) {
+        if now < self.passed_over_until {
+            return;
+        }
+        self.refusals = self.refusals.saturating_add(1);
+        if self.refusals >= CONSECUTIVE_REFUSALS {
+            let doublings = (self.refusals - CONSECUTIVE_REFUSALS).min(16);
+            let length = (FIRST_PASS_MILLISECONDS << doublings).min(LONGEST_PASS_MILLISECONDS);
+            self.passed_over_until = now + length;
+        }
+    }
+
     /// Ejects it at `now` and returns when the ejection ends.
     pub fn eject(&mut self, now: u64) -> u64 {
         let doublings = self.ejections.min(16);
@@ -78,6 +106,9 @@
 
     /// Whether it takes a request at `now`: never while ejected, then with a growing chance.
     pub fn admits(&self, now: u64, random: &mut impl RngExt) -> bool {
+        if now < self.passed_over_until {
+            return false;
+        }
         if !self.returning {
             return true;
         }
--- a/crates/firshore-routing/src/endpoint.rs
+++ b/crates/firshore-routing/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! The table of back ends, found on the request path by small indexes instead of names.
 
+use crate::digest::NameHash;
 use crate::ejection::{Health, LARGEST_EJECTED_SHARE, OUTLIER_SAMPLES, OUTLIER_SLOWDOWN};
 use crate::load::{LoadReport, LoadState};
 use crate::speed::{FleetMean, Observation, Speed};
@@ -126,6 +127,7 @@
     locality: Locality,
     endpoints: Vec<Endpoint>,
     by_name: HashMap<MachineName, EndpointIndex>,
+    by_hash: HashMap<NameHash, EndpointIndex>,
     version: u64,
     mean_foreign: FleetMean,
     mean_slowdown: FleetMean,
@@ -139,6 +141,7 @@
             locality,
             endpoints: Vec::new(),
             by_name: HashMap::new(),
+            by_hash: HashMap::new(),
             version: 0,
             mean_foreign: FleetMean::starting_at(0.0),
             mean_slowdown: FleetMean::starting_at(1.0),
@@ -173,6 +176,11 @@
         self.by_name.get(name).copied()
     }
 
+    /// The index of the back end whose name has this hash.
+    pub fn find_hash(&self, hash: NameHash) -> Option<EndpointIndex> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// Mean of the requests that other nodes cause on one back end.
     pub fn mean_foreign(&self) -> f32 {
         self.mean_foreign.value()
@@ -236,6 +244,8 @@
             Some(slot) => *slot = endpoint,
             None => self.endpoints.push(endpoint),
         }
+        self.by_hash
+            .insert(NameHash::of(machine.name.as_str()), index);
         self.by_name.insert(machine.name.clone(), index);
         self.version += 1;
         Some(index)
@@ -262,6 +272,7 @@
             endpoint.removed = true;
             let name = endpoint.name.clone();
             self.by_name.remove(&name);
+            self.by_hash.remove(&NameHash::of(name.as_str()));
             self.version += 1;
         }
     }
@@ -287,6 +298,7 @@
             Outcome::Cancelled => None,
             Outcome::Refused => {
                 endpoint.answered_at = now;
+                endpoint.health.refused(now);
                 None
             }
             Outcome::Completed => {
--- a/crates/firshore-routing/src/lib.rs
+++ b/crates/firshore-routing/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod affinity;
 pub mod allocator;
 pub mod balance;
+pub mod digest;
 pub mod ejection;
 pub mod eligibility;
 pub mod endpoint;
--- a/crates/firshore-routing/src/limits.rs
+++ b/crates/firshore-routing/src/limits.rs
@@ -6,8 +6,9 @@
 //! nodes; a tenant that the node has just met may use the whole limit until the first answer.
 
 use firshore_types::declaration::Limits;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time between two reports of demand, in milliseconds.
 pub const EXCHANGE_MILLISECONDS: u64 = 1_000;
@@ -28,37 +29,64 @@
 /// Weight of the latest interval in the demand.
 const DEMAND_WEIGHT: f32 = 0.5;
 
-/// A tenant by the hash of its name, as tables and messages hold it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// A tenant under certain limits, by hash, as tables and messages hold it. Policies may limit a
+/// tenant differently at different services; each such limit is counted on its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct TenantKey(pub u64);
 
 impl TenantKey {
-    /// The key of the tenant called `name`.
-    pub fn of(name: &str) -> Self {
-        Self(xxh3_64(name.as_bytes()))
+    /// The key of the tenant called `name` under `limits`.
+    pub fn of(name: &str, limits: &Limits) -> Self {
+        let rate = limits.requests_per_second.unwrap_or(-1.0);
+        let concurrent = limits.concurrent_requests.map_or(-1, i64::from);
+        let mut hasher = Xxh3::new();
+        hasher.update(&rate.to_le_bytes());
+        hasher.update(&concurrent.to_le_bytes());
+        hasher.update(name.as_bytes());
+        Self(hasher.digest())
     }
 }
 
 /// An amount of both limited things.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     /// Requests a second.
+    #[serde(rename = "r")]
     pub rate: f32,
     /// Requests at once.
+    #[serde(rename = "c")]
     pub concurrent: u32,
 }
 
 /// What a node tells a tenant's allocator.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// Tenant.
+    #[serde(rename = "t")]
     pub tenant: TenantKey,
+    /// The tenant's limits over the whole cluster.
+    #[serde(rename = "l")]
+    pub limits: Limits,
     /// What the tenant asked of this node, refused requests included.
+    #[serde(rename = "w")]
     pub wanted: Share,
     /// The grant that the node holds.
+    #[serde(rename = "h")]
     pub held: Share,
 }
 
+/// A share that an allocator gives in answer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Tenant.
+    #[serde(rename = "t")]
+    pub tenant: TenantKey,
+    /// What the node may admit.
+    #[serde(rename = "s")]
+    pub share: Share,
+}
+
 /// Why a request is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denied {
@@ -70,6 +98,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct TenantState {
+    limits: Limits,
     tokens: f32,
     refilled_at: u64,
     seen_at: u64,
@@ -91,8 +120,9 @@
 }
 
 impl TenantState {
-    fn new(now: u64) -> Self {
+    fn new(now: u64, limits: Limits) -> Self {
         Self {
+            limits,
             tokens: f32::MAX,
             refilled_at: now,
             seen_at: now,
@@ -156,7 +186,7 @@
     pub fn admit(&mut self, now: u64, tenant: TenantKey, limits: &Limits) -> Result<(), Denied> {
         let nodes = self.nodes.max(1);
         let state = self.tenants.entry(tenant);
-        let state = state.or_insert_with(|| TenantState::new(now));
+        let state = state.or_insert_with(|| TenantState::new(now, *limits));
         state.seen_at = now;
         state.arrivals = state.arrivals.saturating_add(1);
         if let Some(limit) = limits.concurrent_requests
@@ -205,6 +235,7 @@
             if wanted.rate > 0.01 || wanted.concurrent > 0 {
                 demands.push(Demand {
                     tenant: *tenant,
+                    limits: state.limits,
                     wanted,
                     held: if valid { state.grant } else { Share::default() },
                 });
@@ -224,6 +255,7 @@
                 let elapsed = now.saturating_sub(state.met_at).max(50) as f32;
                 Demand {
                     tenant: *tenant,
+                    limits: state.limits,
                     wanted: Share {
                         rate: state.arrivals as f32 * 1_000.0 / elapsed,
                         concurrent: state.peak + state.refused_at_once,
--- a/crates/firshore-routing/src/retry.rs
+++ b/crates/firshore-routing/src/retry.rs
@@ -1,8 +1,9 @@
 //! Whether a request may be sent again after an attempt that brought no answer.
 //!
-//! Sending again is free where the request certainly was not run. Otherwise only a repeatable
-//! request is sent again, before any byte of its answer reached the caller, and the retry
-//! budget must allow it.
+//! Sending again is safe where the request certainly was not run, and free where it was not sent.
+//! Otherwise only a repeatable request is sent again, before any byte of its answer reached the
+//! caller. Whatever reached a back end, though it refused, is sent again only if the retry budget
+//! allows it: else a fleet that refuses under load gets several times the load.
 
 use firshore_types::error::Execution;
 
@@ -68,10 +69,12 @@
         match end {
             AttemptEnd::NotSent | AttemptEnd::RefusedUnrun => {
                 self.unrun += 1;
-                if self.unrun < MAXIMUM_UNRUN_ATTEMPTS {
+                if self.unrun >= MAXIMUM_UNRUN_ATTEMPTS {
+                    Decision::GiveUp(self.execution())
+                } else if end == AttemptEnd::NotSent {
                     Decision::Retry
                 } else {
-                    Decision::GiveUp(self.execution())
+                    Decision::RetryWithinBudget
                 }
             }
             AttemptEnd::MaybeRun => {
--- a/crates/firshore-routing/src/router.rs
+++ b/crates/firshore-routing/src/router.rs
@@ -1,7 +1,8 @@
 //! Everything a node decides with when it sends a request to a back end.
 
-use crate::affinity::{AffinityIndex, DEFAULT_BUCKETS};
+use crate::affinity::{AffinityIndex, DEFAULT_BUCKETS, Match};
 use crate::balance::{Choice, Decision, Features};
+use crate::digest::LoadDigest;
 use crate::eligibility::{EligibleSets, SetKey};
 use crate::endpoint::{EndpointIndex, EndpointTable, Locality, Outcome};
 use crate::load::LoadReport;
@@ -11,6 +12,10 @@
 use firshore_types::machine::Machine;
 use rand::RngExt;
 
+/// A back end is full when it has this many times as many requests as slots: so many keep it busy
+/// until the next report, and more would only wait where their priority counts at one engine.
+pub const FULL_FACTOR: f32 = 2.0;
+
 /// A request at a back end, to be handed back when it ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sent {
@@ -70,6 +75,49 @@
         Some(self.count(now, features, choice))
     }
 
+    /// Whether a back end that matches all of `selectors` has room at `now`: the best of a few has
+    /// fewer requests than [`FULL_FACTOR`] times its slots. Also true when there is none at all,
+    /// which waiting would not change.
+    pub fn has_room(
+        &mut self,
+        now: u64,
+        selectors: &[&Selector],
+        random: &mut impl RngExt,
+    ) -> bool {
+        let key = SetKey::of(selectors);
+        let eligible = self.sets.get(&self.endpoints, key, selectors);
+        let decision = Decision {
+            table: &self.endpoints,
+            eligible,
+            features: Features::default(),
+            prefix: Match::default(),
+            now,
+        };
+        let Some(choice) = decision.choose(random) else {
+            return true;
+        };
+        let load = &self.endpoints.get(choice.endpoint).load;
+        let requests = load.estimate(now, self.endpoints.mean_foreign()).requests;
+        match load.report().slots {
+            0 => true,
+            slots => requests < slots as f32 * FULL_FACTOR,
+        }
+    }
+
+    /// Takes in a digest of other nodes at `now`.
+    pub fn digest(&mut self, now: u64, digest: &LoadDigest) {
+        for entry in digest.entries() {
+            let Some(index) = self.endpoints.find_hash(entry.name) else {
+                continue;
+            };
+            let measured_at = now.saturating_sub(entry.age);
+            self.endpoints.report(index, measured_at, entry.report);
+            if entry.draining {
+                self.endpoints.draining(now, index);
+            }
+        }
+    }
+
     fn count(&mut self, now: u64, features: Features<'_>, choice: Choice) -> Sent {
         let mean = self.endpoints.mean_foreign();
         let endpoint = self.endpoints.get_mut(choice.endpoint);
--- a/crates/firshore-routing/tests/ejection.rs
+++ b/crates/firshore-routing/tests/ejection.rs
@@ -115,3 +115,23 @@
         assert_eq!(ejected, expected, "factor {factor}");
     }
 }
+
+#[test]
+fn a_refusing_back_end_is_passed_over_until_it_answers() {
+    let mut health = Health::default();
+    let mut random = random();
+    health.refused(0);
+    assert!(health.admits(0, &mut random), "one refusal is chance");
+    let mut now = 0;
+    let mut refusals = 0;
+    while now < 60_000 {
+        if health.admits(now, &mut random) {
+            health.refused(now);
+            refusals += 1;
+        }
+        now += 1;
+    }
+    assert!(refusals < 12, "{refusals} requests in a minute");
+    health.succeeded(now);
+    assert!(health.admits(now, &mut random));
+}
--- a/crates/firshore-routing/tests/limits.rs
+++ b/crates/firshore-routing/tests/limits.rs
@@ -71,7 +71,7 @@
             let allocator = &mut self.allocators[self.groups[node]];
             for demand in demands {
                 let instance = InstanceId(node as u64);
-                let share = allocator.grant(now, instance, demand, &self.limits, alive);
+                let share = allocator.grant(now, instance, demand, alive);
                 self.nodes[node].granted(now, demand.tenant, share);
             }
         }
@@ -196,6 +196,7 @@
     for node in 0..4 {
         let demand = firshore_routing::limits::Demand {
             tenant: TENANT,
+            limits,
             wanted: Share {
                 rate: 200.0,
                 concurrent: 0,
@@ -205,9 +206,7 @@
                 concurrent: 0,
             },
         };
-        total += allocator
-            .grant(0, InstanceId(node), demand, &limits, 4)
-            .rate;
+        total += allocator.grant(0, InstanceId(node), demand, 4).rate;
     }
     assert!(total <= 100.0, "{total}");
 }
--- a/crates/firshore-routing/tests/retry.rs
+++ b/crates/firshore-routing/tests/retry.rs
@@ -13,8 +13,8 @@
     let rows: [(bool, &[AttemptEnd], Decision); 10] = [
         (true, &[NotSent], Retry),
         (false, &[NotSent], Retry),
-        (true, &[RefusedUnrun], Retry),
-        (false, &[RefusedUnrun], Retry),
+        (true, &[RefusedUnrun], RetryWithinBudget),
+        (false, &[RefusedUnrun], RetryWithinBudget),
         (false, &[NotSent, RefusedUnrun, NotSent, NotSent], none),
         (true, &[MaybeRun], RetryWithinBudget),
         (false, &[MaybeRun], unknown),
--- a/crates/firshore-server/src/gateway/application.rs
+++ b/crates/firshore-server/src/gateway/application.rs
@@ -1,5 +1,6 @@
 //! Small application services, passed through.
 
+use crate::admission;
 use crate::engine::framing::BodyEnd;
 use crate::gateway::classify::BackendKind;
 use crate::gateway::dispatch::{self, Answer, AnswerBody, Delivery, Dispatch, Outbound};
@@ -61,10 +62,10 @@
     service: &str,
 ) -> Result<Response<BoxBody>, ApiError> {
     let view = shared.configuration();
-    let (metadata, _) = authenticate::tenant(&view, request)?;
+    let (metadata, tenant) = authenticate::tenant(&view, request)?;
     let terms = Terms::from_headers(shared, request.headers())?;
     let unknown = || ApiError::not_run(ErrorCode::NotFound, format!("No service '{service}'."));
-    let (_, spec) = view.service(service).ok_or_else(unknown)?;
+    let (service_metadata, spec) = view.service(service).ok_or_else(unknown)?;
     let (_, pool) = view.pool(spec.pool.as_str()).ok_or_else(unknown)?;
     let limit = shared.settings.limits.request_body_bytes;
     let outbound = Outbound {
@@ -74,9 +75,14 @@
         body: read_body_until(request, limit, terms.deadline).await?,
     };
     shared.metrics.requests.inc();
+    let caller = (&metadata, &tenant);
+    let target = Target::of_pool(pool);
+    let deadline = terms.deadline;
+    let admitted =
+        admission::admit(shared, &view, caller, service_metadata, target, deadline).await?;
     let claimed_key = terms.key.clone().filter(|_| !terms.repeatable);
     let dispatch = Dispatch {
-        target: Target::of_pool(pool),
+        target: admitted.target,
         outbound,
         kind: BackendKind::Application,
         terms,
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -1,5 +1,6 @@
 //! Completions on model engines, streamed and whole.
 
+use crate::admission;
 use crate::gateway::classify::BackendKind;
 use crate::gateway::connection::CallerConnection;
 use crate::gateway::dispatch::{self, Answer, AnswerBody, Delivery, Dispatch, Outbound};
@@ -13,7 +14,7 @@
 use actix_http::{HttpMessage, Method, Request, Response};
 use bytes::Bytes;
 use firshore_routing::endpoint::Outcome;
-use firshore_types::declaration::{MAXIMUM_PRIORITY, PoolSpec};
+use firshore_types::declaration::{MAXIMUM_PRIORITY, Metadata, PoolSpec};
 use firshore_types::error::{ApiError, ErrorCode};
 use serde::Deserialize;
 use std::rc::Rc;
@@ -50,13 +51,17 @@
             format!("The body is not usable: {error}."),
         )
     })?;
-    let pool = pool(&view, &asked.model)?;
+    let (service, pool) = service(&view, &asked.model)?;
     shared.metrics.requests.inc();
-    let priority = ONLINE_PRIORITY_BASE + u16::from(tenant.priority.min(MAXIMUM_PRIORITY));
+    let target = Target::of_pool(pool).with_prompt(&body);
+    let caller = (&metadata, &tenant);
+    let admitted = admission::admit(shared, &view, caller, service, target, terms.deadline);
+    let admitted = admitted.await?;
+    let priority = ONLINE_PRIORITY_BASE + u16::from(admitted.priority.min(MAXIMUM_PRIORITY));
     let claimed_key = terms.key.clone().filter(|_| !terms.repeatable);
     let streamed = asked.stream && claimed_key.is_none();
     let dispatch = Dispatch {
-        target: Target::of_pool(pool).with_prompt(&body),
+        target: admitted.target,
         outbound: outbound(path, body, priority),
         kind: BackendKind::Engine,
         terms,
@@ -75,15 +80,18 @@
     Ok(respond(shared, dispatch, caller, answer))
 }
 
-fn pool<'a>(view: &'a ConfigurationView, model: &str) -> Result<&'a PoolSpec, ApiError> {
-    let (_, service) = view.service_of_model(model).ok_or_else(|| {
+fn service<'a>(
+    view: &'a ConfigurationView,
+    model: &str,
+) -> Result<(&'a Metadata, &'a PoolSpec), ApiError> {
+    let (metadata, service) = view.service_of_model(model).ok_or_else(|| {
         ApiError::not_run(ErrorCode::UnknownModel, format!("No model '{model}'."))
     })?;
     let (_, pool) = view.pool(service.pool.as_str()).ok_or_else(|| {
         let message = "The service's pool is not declared.";
         ApiError::not_run(ErrorCode::NoBackend, message).retry_after(1)
     })?;
-    Ok(pool)
+    Ok((metadata, pool))
 }
 
 fn respond(
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod admin_jobs;
+pub mod admission;
 pub mod batch_runner;
 pub mod cli;
 pub mod clock;
@@ -13,6 +14,8 @@
 pub mod gateway;
 pub mod journal;
 pub mod leaving;
+pub mod limits;
+pub mod load_exchange;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -7,7 +7,9 @@
 use crate::peers::{self, PeerClient};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{batch_runner, configuration, controller, membership, serving};
+use crate::{
+    admission, batch_runner, configuration, controller, limits, load_exchange, membership, serving,
+};
 use firshore_config::dissemination::Dissemination;
 use firshore_config::machine_list::MachineList;
 use firshore_membership::member::{Member, MemberState};
@@ -88,6 +90,9 @@
             machines: Default::default(),
             members: members.into(),
             router: Router::new(locality).into(),
+            admission: Default::default(),
+            limits: Default::default(),
+            retry_budget: Default::default(),
             peers: peer_client,
             journal: settings.storage.is_some().then(Journal::default),
             canceller,
@@ -149,6 +154,9 @@
     actix_rt::spawn(configuration::floor::run(shared.clone()));
     actix_rt::spawn(configuration::machines::run(shared.clone()));
     actix_rt::spawn(controller::run(shared.clone()));
+    actix_rt::spawn(limits::run(shared.clone()));
+    actix_rt::spawn(load_exchange::run(shared.clone()));
+    actix_rt::spawn(admission::run(shared.clone()));
     let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
     let callers = serving::callers(&shared, sockets.callers);
     let admin = serving::admin(&shared, sockets.admin);
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections between nodes: a listener that answers peers and a client that asks them.
 
 use crate::configuration;
+use crate::limits;
 use crate::membership;
 use crate::shared::Shared;
 use firshore_protocol::error::ProtocolError;
@@ -242,6 +243,11 @@
             membership::received(&shared, envelope);
             continue;
         }
+        if let Request::LoadDigest(digest) = &frame.request {
+            let now = shared.clock.now();
+            shared.router.lock().digest(now, digest);
+            continue;
+        }
         let shared = shared.clone();
         let answers = answers.clone();
         actix_rt::spawn(async move {
@@ -276,10 +282,15 @@
         Request::MachineList { from, message } => {
             Response::MachineList(configuration::machines::answer(shared, from, message))
         }
+        Request::LimitDemands { from, demands } => {
+            Response::LimitGrants(limits::answer(shared, from, &demands))
+        }
         Request::ConfigurationInForce => {
             Response::ConfigurationInForce(configuration::status::own(shared))
         }
         Request::ReplicaIdentity(_) => Response::ReplicaIdentity(None),
-        Request::Replication { .. } | Request::Gossip(_) => Response::Received,
+        Request::Replication { .. } | Request::Gossip(_) | Request::LoadDigest(_) => {
+            Response::Received
+        }
     }
 }
--- a/crates/firshore-server/src/routing.rs
+++ b/crates/firshore-server/src/routing.rs
@@ -1,6 +1,7 @@
 //! The router at work in the node: chooses a back end for a request and tells the router what
 //! became of it.
 
+use crate::limits::Admitted;
 use crate::shared::Shared;
 use actix_http::header::{HeaderMap, HeaderName};
 use firshore_routing::balance::Features;
@@ -41,11 +42,12 @@
 }
 
 /// Which back ends may run a request, and what the choice among them depends on.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Target {
     selectors: Vec<Selector>,
     prompt_tokens: u32,
     blocks: Vec<u64>,
+    admitted: Option<Arc<Admitted>>,
 }
 
 impl Target {
@@ -63,6 +65,17 @@
         self
     }
 
+    /// The selectors that a back end must match.
+    pub fn selectors(&self) -> Vec<&Selector> {
+        self.selectors.iter().collect()
+    }
+
+    /// Keeps the request counted against its tenant's limits until it has ended.
+    pub fn admitted(mut self, admitted: Admitted) -> Self {
+        self.admitted = Some(Arc::new(admitted));
+        self
+    }
+
     /// Takes the prompt from a completion's body, by which prefixes and work are weighed. A body
     /// of another shape counts as an empty prompt.
     pub fn with_prompt(mut self, body: &[u8]) -> Self {
@@ -89,6 +102,7 @@
     last_chunk_at: u64,
     chunks: u32,
     outcome: Outcome,
+    _admitted: Option<Arc<Admitted>>,
 }
 
 /// Chooses a back end for a request, passing over those in `tried`, and counts it as sent there.
@@ -99,12 +113,15 @@
     tried: &[EndpointIndex],
 ) -> Option<RunningRequest> {
     let now = shared.clock.now();
-    let selectors: Vec<&Selector> = target.selectors.iter().collect();
+    let selectors = target.selectors();
     let features = Features {
         prompt_tokens: target.prompt_tokens,
         blocks: &target.blocks,
         tried,
     };
+    if tried.is_empty() {
+        shared.retry_budget.lock().first_attempt();
+    }
     let mut router = shared.router.lock();
     let sent = router.choose(now, &selectors, features, &mut rand::rng())?;
     let endpoint = router.endpoints.get(sent.endpoint);
@@ -119,12 +136,13 @@
         last_chunk_at: 0,
         chunks: 0,
         outcome: Outcome::Cancelled,
+        _admitted: target.admitted.clone(),
     })
 }
 
-/// Whether a request that may have run may be sent again now. The seam of the retry budget.
-pub fn may_retry(_shared: &Shared) -> bool {
-    true
+/// Takes one retry from the node's budget; `false` when it is used up and the request must fail.
+pub fn may_retry(shared: &Shared) -> bool {
+    shared.retry_budget.lock().try_retry()
 }
 
 impl RunningRequest {
--- a/crates/firshore-server/src/shared.rs
+++ b/crates/firshore-server/src/shared.rs
@@ -1,12 +1,15 @@
 //! Tables that the node's workers and background tasks share.
 //!
 //! Lock order: `dissemination`, `floor`, `configuration`, `machine_list`, `machines`, `members`,
-//! `router`. A thread that holds one takes only later ones, and none is held across an await.
+//! `admission`, `router`, `limits`. A thread that holds one takes only later ones, and none is held
+//! across an await.
 
+use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::engine::cancellation::Canceller;
 use crate::journal::Journal;
 use crate::leaving::Leaving;
+use crate::limits::LimitTables;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::settings::Settings;
@@ -14,6 +17,7 @@
 use firshore_config::floor::FloorGate;
 use firshore_config::machine_list::MachineList;
 use firshore_membership::membership::Membership;
+use firshore_routing::retry_budget::RetryBudget;
 use firshore_routing::router::Router;
 use firshore_types::configuration::{Configuration, key_digest};
 use firshore_types::declaration::{Metadata, PoolSpec, ServiceSpec, TenantSpec};
@@ -104,6 +108,12 @@
     pub members: Mutex<Membership>,
     /// Load, speed and health of back ends.
     pub router: Mutex<Router>,
+    /// Requests that wait for a back end.
+    pub admission: Admission,
+    /// Shares of tenants' limits.
+    pub limits: Mutex<LimitTables>,
+    /// What retries may still be made; held alone.
+    pub retry_budget: Mutex<RetryBudget>,
     /// Connections to peers.
     pub peers: PeerClient,
     /// Journal, where this node holds it.
