--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each measures in one run what it compares, and writes a report.
 
+pub mod configuration_size;
 mod failures;
 pub mod node_cost;
 pub mod routing;
@@ -42,6 +43,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "configuration-size",
+        measures: "memory, bytes and processor time of the configuration as tenants grow",
+        run: configuration_size::run,
+    },
     Entry {
         name: "failures",
         measures: "promises kept by real processes under planned stops and failures",
