--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -105,6 +105,7 @@
             journal,
             journal_leaders: Default::default(),
             canceller,
+            online_arrivals: Default::default(),
             leaving: Default::default(),
             metrics: Default::default(),
             settings,
