--- a/crates/firshore-lab/src/experiment/colocation/variant.rs
+++ b/crates/firshore-lab/src/experiment/colocation/variant.rs
@@ -3,10 +3,10 @@
 use super::batch::{self, BatchLoad};
 use super::online::{self, OnlineRecord};
 use super::schedule::Arrival;
-use crate::demo::{self, Fleet, call};
+use crate::fleet::{Fleet, FleetOptions, read_declarations};
+use crate::http::Call;
 use crate::stand_in::engine::ExecutionLine;
 use crate::topology::{ServiceShape, Topology};
-use actix_http::Method;
 use firshore_server::clock::unix_milliseconds;
 use firshore_types::declaration::{Declaration, Metadata, PoolSpec, Protocol, ServiceSpec};
 use firshore_types::labels::Selector;
@@ -135,7 +135,7 @@
     schedule: &[Arrival],
     duration: Duration,
 ) -> Result<VariantOutcome, String> {
-    let mut declarations = demo::read_declarations(folder)?;
+    let mut declarations = read_declarations(folder)?;
     let topology = match variant {
         Variant::StaticSplit => {
             declarations.extend(split_declarations());
@@ -143,28 +143,19 @@
         }
         _ => topology.clone(),
     };
-    let fleet = Fleet::start(&topology).map_err(|error| error.to_string())?;
+    let options = FleetOptions {
+        delays: false,
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(&topology, &options).map_err(|error| error.to_string())?;
     let result = actix_rt::System::new().block_on(async {
-        demo::apply(&fleet, declarations).await?;
+        fleet.apply(declarations).await?;
         drive(variant, &topology, &fleet, schedule, duration).await
     });
     fleet.stop();
     result
 }
 
-fn model_engines(topology: &Topology, fleet: &Fleet) -> Vec<SocketAddr> {
-    let services = topology.services.iter();
-    let is_model = services.flat_map(|service| {
-        let model = service.protocol == Protocol::Model;
-        std::iter::repeat_n(model, service.engines)
-    });
-    let engines = fleet.engines.iter().zip(is_model);
-    engines
-        .filter(|(_, is_model)| *is_model)
-        .map(|(engine, _)| engine.address)
-        .collect()
-}
-
 async fn drive(
     variant: Variant,
     topology: &Topology,
@@ -172,8 +163,8 @@
     schedule: &[Arrival],
     duration: Duration,
 ) -> Result<VariantOutcome, String> {
-    let nodes: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.callers).collect();
-    let engines = model_engines(topology, fleet);
+    let nodes: Vec<SocketAddr> = fleet.nodes.iter().map(|one| one.entrance).collect();
+    let engines: Vec<SocketAddr> = fleet.engines().map(|one| one.server.address).collect();
     let load = BatchLoad {
         shape: topology.batch.clone(),
         items: engines.len() * HEAP_ITEMS_PER_ENGINE,
@@ -185,9 +176,9 @@
     let records = online::drive(&nodes, topology, schedule, Instant::now()).await;
     let mut executions = Vec::new();
     for engine in engines {
-        let (_, text) = call(engine, Method::GET, "/executions", &[], String::new()).await?;
-        let lines = serde_json::from_str(&text).map_err(|error| error.to_string())?;
-        executions.push(lines);
+        let answer = Call::get(engine, "/executions").send().await;
+        let lines = answer.and_then(|answer| answer.json());
+        executions.push(lines.map_err(|error| error.to_string())?);
     }
     if let Some(Ok(Err(error))) = batch.map(std::thread::JoinHandle::join) {
         return Err(error);
