--- a/crates/firshore-server/src/configuration/mod.rs
+++ b/crates/firshore-server/src/configuration/mod.rs
@@ -149,13 +149,15 @@
 }
 
 async fn send(shared: Arc<Shared>, to: InstanceId, message: Message) {
-    let members = shared.members.lock().members(shared.clock.now());
-    let Some(member) = members.iter().find(|member| member.instance == to) else {
+    let (address, from) = {
+        let members = shared.members.lock();
+        (members.address_of(to), members.own().instance)
+    };
+    let Some(address) = address else {
         return;
     };
-    let from = shared.members.lock().own().instance;
     let request = Request::Configuration { from, message };
-    let answer = shared.peers.call(member.peer_address, request).await;
+    let answer = shared.peers.call(address, request).await;
     if let Ok(Response::Configuration(messages)) = answer {
         for message in messages {
             advance(&shared, Input::FromPeer { from: to, message });
