A failing reader has one substitute at a time

Change: the next is asked only when the term of the one before is over. The test of the order of substitutes now also bounds how many there are.

--- a/crates/firshore-config/src/dissemination/mod.rs
+++ b/crates/firshore-config/src/dissemination/mod.rs
@@ -152,6 +152,9 @@
     pull: Option<Pull>,
     watch: Watch,
     failed_reads: u32,
+    /// Nodes asked to read in this one's place, so far.
+    handovers: usize,
+    handover_not_before: u64,
     substitute_until: u64,
     snapshot_not_before: u64,
     ticks: u32,
@@ -175,6 +178,8 @@
             pull: None,
             watch: Watch::Idle { not_before: 0 },
             failed_reads: 0,
+            handovers: 0,
+            handover_not_before: 0,
             substitute_until: 0,
             snapshot_not_before: 0,
             ticks: 0,
--- a/crates/firshore-config/src/dissemination/reading.rs
+++ b/crates/firshore-config/src/dissemination/reading.rs
@@ -1,7 +1,8 @@
 //! Watching the object API, on the nodes that are chosen to.
 
 use super::{
-    Dissemination, FAILED_READS_BEFORE_HANDOVER, Output, READ_RETRY_MILLISECONDS, Source, Watch,
+    Dissemination, FAILED_READS_BEFORE_HANDOVER, Output, READ_RETRY_MILLISECONDS,
+    SUBSTITUTE_MILLISECONDS, Source, Watch,
 };
 use crate::history::Record;
 use crate::message::Message;
@@ -36,21 +37,24 @@
         self.watch = Watch::Idle {
             not_before: now + READ_RETRY_MILLISECONDS,
         };
-        if self.is_elected_reader()
-            && self
-                .failed_reads
-                .is_multiple_of(FAILED_READS_BEFORE_HANDOVER)
-        {
-            let turn = (self.failed_reads / FAILED_READS_BEFORE_HANDOVER - 1) as usize;
-            let others = self.reader_order.get(READERS_PER_REGION..).unwrap_or(&[]);
-            if !others.is_empty() {
-                let to = others[turn % others.len()];
-                let message = Message::TakeOverReading;
-                outputs.push(Output::Send { to, message });
-            }
+        if self.is_elected_reader() && self.failed_reads >= FAILED_READS_BEFORE_HANDOVER {
+            self.hand_over(now, outputs);
         }
     }
 
+    /// Asks the next node in order to read as well, one at a time.
+    fn hand_over(&mut self, now: u64, outputs: &mut Vec<Output>) {
+        let others = self.reader_order.get(READERS_PER_REGION..).unwrap_or(&[]);
+        if others.is_empty() || now < self.handover_not_before {
+            return;
+        }
+        let to = others[self.handovers % others.len()];
+        self.handovers += 1;
+        self.handover_not_before = now + SUBSTITUTE_MILLISECONDS;
+        let message = Message::TakeOverReading;
+        outputs.push(Output::Send { to, message });
+    }
+
     pub(super) fn watch_if_reader(&mut self, now: u64, outputs: &mut Vec<Output>) {
         let Watch::Idle { not_before } = self.watch else {
             return;
--- a/crates/firshore-config/tests/dissemination.rs
+++ b/crates/firshore-config/tests/dissemination.rs
@@ -329,10 +329,13 @@
     };
     let mut reader = node_of(order[0]);
     let mut asked = Vec::new();
-    for attempt in 0..2 * FAILED_READS_BEFORE_HANDOVER {
-        let outputs = reader.step(u64::from(attempt) * 1_000, Input::ObjectsUnread);
+    for attempt in 0..2 * SUBSTITUTE_MILLISECONDS / 1_000 {
+        let outputs = reader.step(attempt * 1_000, Input::ObjectsUnread);
+        let early = attempt + 1 < u64::from(FAILED_READS_BEFORE_HANDOVER);
+        assert!(!early || sent(&outputs).is_empty(), "attempt {attempt}");
         asked.extend(sent(&outputs).into_iter().map(|(to, _)| to));
     }
+    // One substitute at a time, each for its term, in order.
     assert_eq!(asked, order[READERS_PER_REGION..READERS_PER_REGION + 2]);
     let mut substitute = node_of(asked[0]);
     let outputs = substitute.step(5, from_peer(Message::TakeOverReading));
