--- /dev/null
+++ b/crates/firshore-server/tests/placement.rs
@@ -0,0 +1,143 @@
+//! Where the replicas of a group are placed.
+
+use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
+use firshore_server::journal::placement::{Candidate, GroupView, founders};
+
+fn replica(number: u64, zone: &str, role: ReplicaRole) -> (DiskId, ReplicaInfo) {
+    let info = ReplicaInfo {
+        node: format!("node-{number}").as_str().into(),
+        zone: zone.into(),
+        role,
+    };
+    (DiskId(number), info)
+}
+
+fn candidate(number: u64, zone: &str) -> Candidate {
+    Candidate {
+        disk: DiskId(number),
+        node: format!("node-{number}").as_str().into(),
+        zone: zone.into(),
+    }
+}
+
+fn view(replicas: &[(u64, &str, ReplicaRole)], silent: &[u64], caught_up: &[u64]) -> GroupView {
+    let replicas = replicas
+        .iter()
+        .map(|(number, zone, role)| replica(*number, zone, *role));
+    GroupView {
+        own: DiskId(1),
+        membership: Membership {
+            replicas: replicas.collect(),
+        },
+        silent: silent.iter().copied().map(DiskId).collect(),
+        caught_up: caught_up.iter().copied().map(DiskId).collect(),
+    }
+}
+
+const V: ReplicaRole = ReplicaRole::Voter;
+const L: ReplicaRole = ReplicaRole::Learner;
+
+#[test]
+fn changes_follow_one_after_another() {
+    let whole = [(1, "a", V), (2, "b", V), (3, "c", V)];
+    let four = [(1, "a", V), (2, "b", V), (3, "c", V), (4, "c", V)];
+    let crowded = [(1, "a", V), (2, "a", V), (3, "c", V)];
+    let learning = [(1, "a", V), (2, "b", V), (3, "c", V), (4, "c", L)];
+    let spare = [candidate(5, "b"), candidate(4, "c")];
+    let added = |number| Some(("add", number));
+    let cases = [
+        ("whole", view(&whole, &[], &[]), &spare[..], None),
+        ("one silent", view(&whole, &[3], &[]), &spare[..], added(4)),
+        ("no spare", view(&whole, &[3], &[]), &[][..], None),
+        (
+            "learner behind",
+            view(&learning, &[3], &[]),
+            &spare[..],
+            None,
+        ),
+        (
+            "learner ready",
+            view(&learning, &[3], &[4]),
+            &spare[..],
+            Some(("promote", 4)),
+        ),
+        (
+            "learner silent",
+            view(&learning, &[3, 4], &[]),
+            &spare[..],
+            Some(("remove", 4)),
+        ),
+        (
+            "replaced",
+            view(&four, &[3], &[]),
+            &spare[..],
+            Some(("remove", 3)),
+        ),
+        (
+            "came back",
+            view(&four, &[], &[]),
+            &spare[..],
+            Some(("remove", 3)),
+        ),
+        (
+            "two in a zone",
+            view(&crowded, &[], &[]),
+            &spare[..],
+            added(5),
+        ),
+        (
+            "alone, two come",
+            view(&[(1, "a", V)], &[], &[]),
+            &spare[..],
+            added(4),
+        ),
+        (
+            "alone, one comes",
+            view(&[(1, "a", V)], &[], &[]),
+            &spare[..1],
+            None,
+        ),
+        (
+            "two of three",
+            view(&[(1, "a", V), (2, "b", V)], &[], &[]),
+            &spare[1..],
+            added(4),
+        ),
+    ];
+    for (name, view, candidates, expected) in cases {
+        let change = view.next_change(candidates);
+        let seen = change.map(|change| match change {
+            MembershipChange::AddLearner(disk, _) => ("add", disk.0),
+            MembershipChange::Promote(disk) => ("promote", disk.0),
+            MembershipChange::Remove(disk) => ("remove", disk.0),
+        });
+        assert_eq!(seen, expected, "{name}");
+    }
+}
+
+#[test]
+fn a_wiped_node_takes_its_own_place() {
+    let view = view(&[(1, "a", V), (2, "b", V), (3, "c", V)], &[3], &[]);
+    let mut returned = candidate(30, "c");
+    returned.node = "node-3".into();
+    let change = view.next_change(&[returned]);
+    assert!(matches!(change, Some(MembershipChange::AddLearner(disk, _)) if disk.0 == 30));
+}
+
+#[test]
+fn founders_stand_in_different_zones() {
+    let all = [
+        candidate(1, "a"),
+        candidate(2, "a"),
+        candidate(3, "b"),
+        candidate(4, "c"),
+    ];
+    let chosen = |candidates: &[Candidate]| {
+        let membership = founders(candidates, &candidates[0]);
+        let disks: Vec<u64> = membership.voters().map(|disk| disk.0).collect();
+        disks
+    };
+    assert_eq!(chosen(&all), [1, 3, 4]);
+    assert_eq!(chosen(&all[..3]), [1, 2, 3]);
+    assert_eq!(chosen(&all[..2]), [1]);
+}
