--- a/crates/firshore-lab/src/experiment/failures/fleet.rs
+++ b/crates/firshore-lab/src/experiment/failures/fleet.rs
@@ -33,6 +33,9 @@
 
 const SLOTS: u32 = 16;
 
+/// A lost disk is replaced sooner than by default, so that several fit into a run.
+const REPLACE_AFTER_SECONDS: u64 = 4;
+
 /// The engines run at a multiple of the usual speed, so that many requests fit into the run.
 const TIME_SCALE: &str = "0.5";
 
@@ -245,20 +248,25 @@
             admin: any_port(),
         });
         format!(
-            "name = 'node-{number}'\nregion = 'north'\nzone = '{}'\n[listen]\ncallers = '{}'\npeers = '{}'\nadmin = '{}'\n[cluster]\nsecret = 'secret-of-the-failures-experiment'\nseeds = [{}]\n[platform]\nobject_api = 'http://{platform}'\nmachine_list = 'http://{platform}'\n[storage]\ndata_folder = '{}'\n[limits]\nworkers = 1\n",
+            "name = 'node-{number}'\nregion = 'north'\nzone = '{}'\n[listen]\ncallers = '{}'\npeers = '{}'\nadmin = '{}'\n[cluster]\nsecret = 'secret-of-the-failures-experiment'\nseeds = [{}]\n[platform]\nobject_api = 'http://{platform}'\nmachine_list = 'http://{platform}'\n[storage]\ndata_folder = '{}'\n[journal]\nreplace_after_seconds = {REPLACE_AFTER_SECONDS}\n[limits]\nworkers = 1\n",
             zone(number),
             listen.callers,
             listen.peers,
             listen.admin,
             seeds.join(", "),
-            self.folder.join(format!("node-{number}")).display(),
+            self.data_folder(number).display(),
             platform = self.platform_proxy.address,
         )
     }
 
+    /// Folder of a node's disk.
+    pub fn data_folder(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("node-{number}"))
+    }
+
     /// Starts a node, on the addresses that it had before.
     pub fn start_node(&mut self, number: usize) -> Result<(), String> {
-        let data = self.folder.join(format!("node-{number}"));
+        let data = self.data_folder(number);
         std::fs::create_dir_all(&data).map_err(text)?;
         let path = self.folder.join(format!("node-{number}.toml"));
         std::fs::write(&path, self.settings(number)).map_err(text)?;
--- a/crates/firshore-lab/src/experiment/failures/mod.rs
+++ b/crates/firshore-lab/src/experiment/failures/mod.rs
@@ -2,7 +2,7 @@
 //! failure at once, judged by what callers saw and by the engines' execution logs.
 
 mod chaos;
-mod fleet;
+pub mod fleet;
 mod load;
 
 use crate::experiment::Experiment;
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -2,7 +2,9 @@
 
 mod colocation;
 pub mod configuration_size;
+pub mod durability;
 mod failures;
+pub mod journal;
 pub mod node_cost;
 pub mod routing;
 
@@ -54,11 +56,21 @@
         measures: "memory, bytes and processor time of the configuration as tenants grow",
         run: configuration_size::run,
     },
+    Entry {
+        name: "durability",
+        measures: "accepted items kept by real processes with killed leaders, wiped disks and torn files",
+        run: durability::run,
+    },
     Entry {
         name: "failures",
         measures: "promises kept by real processes under planned stops and failures",
         run: failures::run,
     },
+    Entry {
+        name: "journal",
+        measures: "rates, bytes on disk for each item and recovery of one journal group",
+        run: journal::run,
+    },
     Entry {
         name: "node-cost",
         measures: "processor time of one node for each request and each streamed token",
--- a/crates/firshore-server/src/admin.rs
+++ b/crates/firshore-server/src/admin.rs
@@ -3,7 +3,7 @@
 use crate::configuration::status::MemberStatus;
 use crate::gateway::{read_body, response};
 use crate::shared::Shared;
-use crate::{admin_jobs, configuration};
+use crate::{admin_jobs, configuration, journal};
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Method, Request, Response, StatusCode};
@@ -64,6 +64,10 @@
         (Method::GET, "/healthz") => Ok(response::text("ok\n")),
         (Method::GET, "/readyz") => ready(shared),
         (Method::GET, "/metrics") => Ok(metrics(shared)),
+        (Method::GET, "/journal") => Ok(response::json(
+            StatusCode::OK,
+            &journal::report::groups(shared),
+        )),
         (Method::GET, "/status") => Ok(response::json(StatusCode::OK, &status(shared).await)),
         (Method::GET, "/configuration") => Ok(response::json(
             StatusCode::OK,
--- a/crates/firshore-server/src/journal/mod.rs
+++ b/crates/firshore-server/src/journal/mod.rs
@@ -8,6 +8,7 @@
 mod group;
 mod maintenance;
 pub mod placement;
+pub mod report;
 mod split;
 
 pub use client::Leaders;
