--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod colocation;
 pub mod configuration_size;
+mod convergence;
 pub mod durability;
 mod failures;
 pub mod journal;
@@ -56,6 +57,11 @@
         measures: "memory, bytes and processor time of the configuration as tenants grow",
         run: configuration_size::run,
     },
+    Entry {
+        name: "convergence",
+        measures: "time until a change is in force everywhere, and what control costs a node, with hollow nodes",
+        run: convergence::run,
+    },
     Entry {
         name: "durability",
         measures: "accepted items kept by real processes with killed leaders, wiped disks and torn files",
