--- a/crates/firshore-server/src/gateway/claim.rs
+++ b/crates/firshore-server/src/gateway/claim.rs
@@ -66,15 +66,21 @@
         key: ClaimKey { tenant, key },
         proposer: ClaimToken(rand::random()),
     };
-    let outcome = commit(shared, &claim, digest(&request)).await?;
-    match outcome {
+    // Not cancelled with its caller: a claim must not be left behind without a run, and whether
+    // it ran has to be recorded.
+    let task = actix_rt::spawn(claim_and_run(shared.clone(), claim, request));
+    task.await.unwrap_or_else(|_| Err(in_doubt()))
+}
+
+async fn claim_and_run(
+    shared: Arc<Shared>,
+    claim: Claim,
+    request: Dispatch,
+) -> Result<Response<BoxBody>, ApiError> {
+    match commit(&shared, &claim, digest(&request)).await? {
         ClaimOutcome::Granted => {
-            let running = run_claimed(shared.clone(), claim, request);
-            // Not cancelled with its caller: whether it ran has to be known and recorded.
-            let result = actix_rt::spawn(running).await;
-            result
-                .unwrap_or_else(|_| Err(in_doubt()))
-                .map(|answer| response(answer, false))
+            let answer = run_claimed(&shared, claim, request).await?;
+            Ok(response(answer, false))
         }
         ClaimOutcome::Settled(answer) => Ok(response(answer, true)),
         ClaimOutcome::Conflict => Err(ApiError::not_run(
@@ -116,11 +122,11 @@
 }
 
 async fn run_claimed(
-    shared: Arc<Shared>,
+    shared: &Arc<Shared>,
     claim: Claim,
     request: Dispatch,
 ) -> Result<ClaimedAnswer, ApiError> {
-    let result = dispatch::send(&shared, &request).await;
+    let result = dispatch::send(shared, &request).await;
     let result = result.map(|answer| {
         if let Some(run) = answer.run {
             run.ended();
@@ -150,7 +156,7 @@
         // The claim stays held: the request may have run.
         Err(_) => return result,
     };
-    record(&shared, command).await;
+    record(shared, command).await;
     result
 }
 
