--- a/crates/firshore-lab/src/experiment/failures/mod.rs
+++ b/crates/firshore-lab/src/experiment/failures/mod.rs
@@ -71,6 +71,7 @@
         backends: fleet.collect().await?,
     };
     let broken = judge(&evidence, &Allowances::default());
+    write_lines(&experiment.out, "executions.txt", executions(&evidence))?;
     report(experiment, &stops, &seen, &broken, events)
 }
 
@@ -182,6 +183,18 @@
         .map_err(|error| error.to_string())
 }
 
+/// The engines' logs, so that a broken promise can be followed up.
+fn executions(evidence: &Evidence) -> Vec<String> {
+    let logs = evidence.backends.iter();
+    let lines = logs.flat_map(|log| {
+        let leaving = log.leaving_since_unix_ms;
+        log.lines
+            .iter()
+            .map(move |line| format!("{} leaving since {leaving:?}: {line:?}", log.backend))
+    });
+    lines.collect()
+}
+
 fn write_lines(folder: &Path, name: &str, lines: Vec<String>) -> Result<(), String> {
     std::fs::write(folder.join(name), lines.join("\n") + "\n").map_err(|error| error.to_string())
 }
