A refusal before the claim is looked up does not deny an earlier run

Ruled out: looking up claims first (a node that may not serve has no say in them). Change: for requests that ask for a claim, refusals from before it was looked up say 'unknown', but for those by which no such request ever runs. Test: a key that ran, then refusals by tenant and model; it fails without the change by construction of the old handle().

--- a/crates/firshore-server/src/gateway/claim.rs
+++ b/crates/firshore-server/src/gateway/claim.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::unix_milliseconds;
 use crate::gateway::dispatch::{self, AnswerBody, Dispatch};
-use crate::gateway::response::EXECUTION_HEADER;
+use crate::gateway::response::{self, EXECUTION_HEADER};
 use crate::journal;
 use crate::shared::Shared;
 use actix_http::body::BoxBody;
@@ -55,13 +55,33 @@
     hex::encode(hash.finalize())
 }
 
-/// Runs a request under its key once, or gives the answer of the request that did.
+/// A refusal of a request with a key before its claim was looked up: an earlier request with the
+/// key may have run, unless nothing like this one is ever run.
+pub fn refused_before(error: ApiError) -> ApiError {
+    let never_run = matches!(
+        error.code,
+        ErrorCode::InvalidRequest
+            | ErrorCode::InvalidHeader
+            | ErrorCode::TooLarge
+            | ErrorCode::MethodNotAllowed
+    );
+    if never_run || error.execution != Execution::None {
+        return error;
+    }
+    ApiError {
+        execution: Execution::Unknown,
+        ..error
+    }
+}
+
+/// Runs a request under its key once, or gives the answer of the request that did. Its errors
+/// are answers already: they say what the claim says.
 pub async fn run(
     shared: &Arc<Shared>,
     tenant: TenantName,
     key: String,
     request: Dispatch,
-) -> Result<Response<BoxBody>, ApiError> {
+) -> Response<BoxBody> {
     let claim = Claim {
         key: ClaimKey { tenant, key },
         proposer: ClaimToken(rand::random()),
@@ -69,7 +89,11 @@
     // Not cancelled with its caller: a claim must not be left behind without a run, and whether
     // it ran has to be recorded.
     let task = actix_rt::spawn(claim_and_run(shared.clone(), claim, request));
-    task.await.unwrap_or_else(|_| Err(in_doubt()))
+    let result = task.await.unwrap_or_else(|_| Err(in_doubt()));
+    result.unwrap_or_else(|error| {
+        shared.metrics.count_error(&error);
+        response::of_error(&error)
+    })
 }
 
 async fn claim_and_run(
@@ -80,9 +104,9 @@
     match commit(&shared, &claim, digest(&request)).await? {
         ClaimOutcome::Granted => {
             let answer = run_claimed(&shared, claim, request).await?;
-            Ok(response(answer, false))
+            Ok(respond(answer, false))
         }
-        ClaimOutcome::Settled(answer) => Ok(response(answer, true)),
+        ClaimOutcome::Settled(answer) => Ok(respond(answer, true)),
         ClaimOutcome::Conflict => Err(ApiError::not_run(
             ErrorCode::Conflict,
             "This Idempotency-Key was used for another request.",
@@ -188,7 +212,7 @@
     warn!(shared.log, "gateway: Outcome of a claim not recorded.");
 }
 
-fn response(answer: ClaimedAnswer, replayed: bool) -> Response<BoxBody> {
+fn respond(answer: ClaimedAnswer, replayed: bool) -> Response<BoxBody> {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let mut builder = Response::build(status);
     builder.insert_header((CONTENT_TYPE, answer.content_type));
--- a/crates/firshore-server/src/gateway/completions.rs
+++ b/crates/firshore-server/src/gateway/completions.rs
@@ -68,7 +68,7 @@
     };
     if let Some(key) = claimed_key {
         let tenant = metadata.name.as_str().into();
-        return claim::run(shared, tenant, key, dispatch).await;
+        return Ok(claim::run(shared, tenant, key, dispatch).await);
     }
     let answer = dispatch::send(shared, &dispatch).await?;
     let caller = request.conn_data::<Rc<CallerConnection>>().cloned();
--- a/crates/firshore-server/src/gateway/mod.rs
+++ b/crates/firshore-server/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 use crate::gateway::deadline::Deadline;
 use crate::shared::Shared;
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, Method, Request, Response, StatusCode, Version};
+use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use firshore_types::error::{ApiError, ErrorCode, Execution};
 use futures_util::StreamExt;
@@ -37,6 +37,7 @@
     let caller = request.conn_data::<Rc<CallerConnection>>().cloned();
     // Clients of HTTP/1.0 cannot be asked whether they are still there.
     let watched = caller.filter(|_| request.version() == Version::HTTP_11);
+    let claimed = terms::asks_for_claim(request.headers());
     let work = route(&shared, request);
     let result = match watched {
         None => work.await,
@@ -50,6 +51,11 @@
         },
     };
     let mut response = result.unwrap_or_else(|error| {
+        let error = if claimed {
+            claim::refused_before(error)
+        } else {
+            error
+        };
         shared.metrics.count_error(&error);
         response::of_error(&error)
     });
--- a/crates/firshore-server/src/gateway/terms.rs
+++ b/crates/firshore-server/src/gateway/terms.rs
@@ -41,6 +41,11 @@
     }
 }
 
+/// Whether a request with these headers is to be claimed by the journal.
+pub fn asks_for_claim(headers: &HeaderMap) -> bool {
+    headers.contains_key(KEY_HEADER) && matches!(repeatable(headers), Ok(false))
+}
+
 fn repeatable(headers: &HeaderMap) -> Result<bool, ApiError> {
     let mut repeatable = true;
     for value in headers.get_all(REPEATABLE_HEADER) {
--- a/crates/firshore-server/tests/gateway_contract.rs
+++ b/crates/firshore-server/tests/gateway_contract.rs
@@ -597,6 +597,29 @@
     }
 }
 
+#[test]
+fn a_refusal_before_the_claim_is_looked_up_does_not_deny_an_earlier_run() {
+    let engine = BackEnd::start(|stream, _, _| {
+        put(stream, &whole());
+        true
+    });
+    let fixture = Fixture::start(&[engine.address], "");
+    let headers = "firshore-repeatable: no\r\nidempotency-key: bill-10\r\n";
+    assert_eq!(fixture.ask(&completion(headers, false)).status(), 200);
+    // The same request at a node that does not know the key's tenant or the model yet.
+    let behind = completion(headers, false).replace(KEY, "another-key");
+    let reply = fixture.ask(&behind);
+    assert_eq!(reply.status(), 401);
+    assert_eq!(reply.header("firshore-execution"), Some("unknown"));
+    let behind = completion(headers, false).replace("boundary-llm", "boundary-lln");
+    let reply = fixture.ask(&behind);
+    assert_eq!(reply.status(), 404);
+    assert_eq!(reply.header("firshore-execution"), Some("unknown"));
+    let invalid = request("POST /v1/completions", headers, "{{");
+    let reply = fixture.ask(&invalid);
+    assert_eq!(reply.header("firshore-execution"), Some("none"));
+}
+
 #[test]
 fn a_key_in_use_is_refused_while_its_request_runs_and_outlives_its_caller() {
     let (release, gate) = std::sync::mpsc::channel::<()>();
