Overhead experiment; callers' connections send each token at once

The experiment's first run showed streams of 32 tokens at 80 µs an iteration taking 44 ms straight and through the node: neither server had set TCP_NODELAY, so each small write waited for a delayed acknowledgement. Both set it now. The engine stand-in polls its clock when its iterations are shorter than the timer tells.

--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -4,6 +4,7 @@
 pub mod configuration_size;
 mod failures;
 pub mod node_cost;
+mod overhead;
 pub mod routing;
 
 use argh::FromArgs;
@@ -64,6 +65,11 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "overhead",
+        measures: "time that one node adds to a short and a streamed request, and requests a second it reaches",
+        run: overhead::run,
+    },
     Entry {
         name: "routing",
         measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
--- a/crates/firshore-lab/src/stand_in/engine/driver.rs
+++ b/crates/firshore-lab/src/stand_in/engine/driver.rs
@@ -18,6 +18,9 @@
 /// Longest sleep when nothing is due.
 const IDLE_SLEEP: Duration = Duration::from_secs(1);
 
+/// Shorter waits cannot be left to the timer.
+const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// One line of the execution log as `GET /executions` gives it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ExecutionLine {
@@ -57,10 +60,14 @@
     origin_unix_ms: u64,
     changed: Notify,
     weight_store: Option<SocketAddr>,
+    /// Iterations are shorter than the timer can tell: the driver polls the clock while it works.
+    is_fast: bool,
 }
 
 impl Driver {
     pub(super) fn new(name: &str, options: EngineOptions) -> Self {
+        let settings = &options.settings;
+        let shortest = Duration::from_micros(settings.scaled(settings.iteration_base));
         let inner = Inner {
             engine: Engine::new(options.settings, options.seed),
             answers: HashMap::new(),
@@ -73,6 +80,7 @@
             origin_unix_ms: unix_milliseconds(),
             changed: Notify::new(),
             weight_store: options.weight_store,
+            is_fast: shortest < TIMER_RESOLUTION,
         }
     }
 
@@ -177,6 +185,10 @@
             Some(at) => Duration::from_micros(at.saturating_sub(driver.now())),
             None => IDLE_SLEEP,
         };
+        if sleep < TIMER_RESOLUTION && !sleep.is_zero() && driver.is_fast {
+            tokio::task::yield_now().await;
+            continue;
+        }
         tokio::select! {
             () = driver.changed.notified() => {}
             () = actix_rt::time::sleep(sleep) => {}
--- a/crates/firshore-lab/src/stand_in/server.rs
+++ b/crates/firshore-lab/src/stand_in/server.rs
@@ -58,6 +58,7 @@
                         on_worker();
                         let handler = handler.clone();
                         HttpService::build()
+                            .tcp_nodelay(true)
                             .on_connect_ext(ConnectionWatch::attach)
                             .finish(handler)
                             .tcp()
--- a/crates/firshore-server/src/serving.rs
+++ b/crates/firshore-server/src/serving.rs
@@ -45,6 +45,8 @@
                 })
                 .h1(move |request| gateway::handle(shared.clone(), request));
             fn_service(|stream: TcpStream| {
+                // Without this each token of a stream waits for the acknowledgement of the last.
+                let _ = stream.set_nodelay(true);
                 let peer = stream.peer_addr().ok();
                 ready(Ok::<_, DispatchError>((CallerStream::new(stream), peer)))
             })
