--- a/crates/firshore-lab/src/simulation/mod.rs
+++ b/crates/firshore-lab/src/simulation/mod.rs
@@ -3,5 +3,6 @@
 pub mod checker;
 pub mod command;
 pub mod faults;
+pub mod hollow;
 pub mod host;
 pub mod replication;
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod admin_jobs;
+pub mod admission;
 pub mod batch_runner;
 pub mod cli;
 pub mod clock;
@@ -14,6 +15,8 @@
 pub mod journal;
 pub mod keep_alive;
 pub mod leaving;
+pub mod limits;
+pub mod load_exchange;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/firshore-server/src/peers.rs
+++ b/crates/firshore-server/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections between nodes: a listener that answers peers and a client that asks them.
 
 use crate::configuration;
+use crate::limits;
 use crate::membership;
 use crate::shared::Shared;
 use firshore_protocol::error::ProtocolError;
@@ -242,6 +243,11 @@
             membership::received(&shared, envelope);
             continue;
         }
+        if let Request::LoadDigest(digest) = &frame.request {
+            let now = shared.clock.now();
+            shared.router.lock().digest(now, digest);
+            continue;
+        }
         if let Request::OnlineArrival(engine) = frame.request {
             shared.online_arrivals.received(engine);
             continue;
@@ -291,6 +297,9 @@
         Request::MachineList { from, message } => {
             Response::MachineList(configuration::machines::answer(shared, from, message))
         }
+        Request::LimitDemands { from, demands } => {
+            Response::LimitGrants(limits::answer(shared, from, &demands))
+        }
         Request::ConfigurationInForce => {
             Response::ConfigurationInForce(configuration::status::own(shared))
         }
@@ -298,8 +307,9 @@
             let journal = shared.journal.as_ref();
             Response::ReplicaIdentity(journal.and_then(|journal| journal.identity(group)))
         }
-        Request::Replication { .. } | Request::Gossip(_) | Request::OnlineArrival(_) => {
-            Response::Received
-        }
+        Request::Replication { .. }
+        | Request::Gossip(_)
+        | Request::LoadDigest(_)
+        | Request::OnlineArrival(_) => Response::Received,
     }
 }
