--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -3,7 +3,9 @@
 mod colocation;
 pub mod configuration_size;
 mod convergence;
+pub mod durability;
 mod failures;
+pub mod journal;
 pub mod node_cost;
 mod overhead;
 pub mod routing;
@@ -61,11 +63,21 @@
         measures: "time until a change is in force everywhere, and what control costs a node, with hollow nodes",
         run: convergence::run,
     },
+    Entry {
+        name: "durability",
+        measures: "accepted items kept by real processes with killed leaders, wiped disks and torn files",
+        run: durability::run,
+    },
     Entry {
         name: "failures",
         measures: "promises kept by real processes under planned stops and failures",
         run: failures::run,
     },
+    Entry {
+        name: "journal",
+        measures: "rates, bytes on disk for each item and recovery of one journal group",
+        run: journal::run,
+    },
     Entry {
         name: "node-cost",
         measures: "processor time of one node for each request and each streamed token",
