Arrivals stop before the listener closes, so that a planned stop resets no connection

Cause: closing a listener resets the connections that wait to be accepted, and the signal to close idle connections came at the same moment, so a caller whose connection was made just then got an empty close. Ruled out: the relay and the pool; the failing reply had no byte at all. Change: new handshakes are dropped first by a filter on the listener (their senders try again and are refused, which means not run), accepted connections get 300 ms to bring their request, and only then the server stops. A handshake in flight at that instant remains; a kept-alive connection may still see its idle close, as HTTP/1.1 allows.

--- a/crates/firshore-server/src/node.rs
+++ b/crates/firshore-server/src/node.rs
@@ -20,7 +20,7 @@
 use firshore_types::ids::InstanceId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -30,6 +30,9 @@
 /// Time for peers to hear that the node leaves before it closes its listeners.
 const LEAVE_GRACE: Duration = Duration::from_millis(1500);
 
+/// Time for accepted connections to bring their first request before idle ones are closed.
+const ARRIVAL_GRACE: Duration = Duration::from_millis(300);
+
 /// A running node.
 pub struct Node {
     /// Callers' address.
@@ -169,6 +172,7 @@
     actix_rt::spawn(load_exchange::run(shared.clone()));
     actix_rt::spawn(admission::run(shared.clone()));
     let runner = actix_rt::spawn(batch_runner::run(shared.clone()));
+    let arrivals = sockets.callers.try_clone();
     let callers = serving::callers(&shared, sockets.callers);
     let admin = serving::admin(&shared, sockets.admin);
     let (callers_handle, admin_handle) = (callers.handle(), admin.handle());
@@ -178,6 +182,11 @@
     info!(log, "node: Leaving.");
     membership::leave(&shared);
     actix_rt::time::sleep(LEAVE_GRACE).await;
+    let stopped = arrivals.and_then(|listener| serving::stop_arrivals(&listener));
+    if let Err(error) = stopped {
+        warn!(log, "node: Arrivals not stopped; connections may be reset."; "reason" => %error);
+    }
+    actix_rt::time::sleep(ARRIVAL_GRACE).await;
     info!(log, "node: Finishing."; "seconds_at_most" => shared.settings.limits.leave_seconds);
     shared.leaving.close();
     callers_handle.stop(true).await;
--- a/crates/firshore-server/src/serving.rs
+++ b/crates/firshore-server/src/serving.rs
@@ -8,12 +8,20 @@
 use actix_http::{HttpService, KeepAlive};
 use actix_server::Server;
 use actix_service::{ServiceFactoryExt, fn_service};
+use socket2::{SockFilter, SockRef};
 use std::future::ready;
+use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// Filter instruction that returns a constant (`BPF_RET | BPF_K`).
+const BPF_RETURN_CONSTANT: u16 = 0x06;
+
+/// Bytes of a packet that a filter keeps: none, so the packet is dropped.
+const BPF_DROP: u32 = 0;
+
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 
 /// Longest time for the head of a request to arrive.
@@ -56,6 +64,16 @@
         .run()
 }
 
+/// Lets no new connection arrive at `listener`, while those that have arrived are still accepted.
+///
+/// Closing a listener resets the connections that wait to be accepted, and with them requests whose
+/// senders saw their connection made. So new handshakes are dropped first: their senders try again
+/// a second later and are then refused, which tells them that nothing was run.
+pub fn stop_arrivals(listener: &TcpListener) -> io::Result<()> {
+    let drop_all = SockFilter::new(BPF_RETURN_CONSTANT, 0, 0, BPF_DROP);
+    SockRef::from(listener).attach_filter(&[drop_all])
+}
+
 /// Serves operators.
 pub fn admin(shared: &Arc<Shared>, listener: TcpListener) -> Server {
     let shared = shared.clone();
