Experiment 'failures' counts each sending that was broken off, and refusals apart

And a keyed request whose first sending broke off and whose second was answered was not counted. Ruled out: counting 'unknown' as broken off (refusals of keyed requests say it for an earlier sending). The old measure was wrong in both directions; the new one looks at every sending: connection lost, or an error after the request was dispatched.

--- a/crates/firshore-lab/src/experiment/failures/load.rs
+++ b/crates/firshore-lab/src/experiment/failures/load.rs
@@ -59,6 +59,22 @@
     pub kind: Kind,
     /// When it ended.
     pub phase: Phase,
+    /// Whether any of its sendings was accepted and then broken off.
+    pub cut_off: bool,
+}
+
+/// Statuses of refusals from before anything was sent to an engine. Those of requests with a key
+/// say `unknown` all the same: an earlier sending may have run.
+const REFUSAL_STATUSES: [&str; 4] = ["409 ", "429 ", "503 ", "507 "];
+
+fn is_cut_off(outcome: Option<&CallOutcome>) -> bool {
+    match outcome {
+        Some(CallOutcome::Lost(_)) => true,
+        Some(CallOutcome::Failed(reason)) => !REFUSAL_STATUSES
+            .iter()
+            .any(|status| reason.starts_with(status)),
+        _ => false,
+    }
 }
 
 /// What the callers share.
@@ -106,7 +122,8 @@
         while !self.stop.get() {
             count += 1;
             let request = draw(&mut random, format!("c{number}-{count}"));
-            let outcome = self.outcome(&mut random, &request).await;
+            let mut cut_off = false;
+            let outcome = self.outcome(&mut random, &request, &mut cut_off).await;
             if let Some(outcome) = outcome {
                 self.seen.borrow_mut().push(Seen {
                     record: CallRecord {
@@ -116,6 +133,7 @@
                     },
                     kind: request.kind,
                     phase: self.phase.get(),
+                    cut_off,
                 });
             }
             let pause = random.random_range(0..THINK_MILLISECONDS);
@@ -124,8 +142,14 @@
     }
 
     /// The outcome, or `None` if no node took the request.
-    async fn outcome(&self, random: &mut ChaCha8Rng, request: &Request) -> Option<CallOutcome> {
+    async fn outcome(
+        &self,
+        random: &mut ChaCha8Rng,
+        request: &Request,
+        cut_off: &mut bool,
+    ) -> Option<CallOutcome> {
         let mut outcome = self.send(random, request).await;
+        *cut_off |= is_cut_off(outcome.as_ref());
         for _ in 1..RESENDS {
             let settled = matches!(
                 outcome,
@@ -135,7 +159,9 @@
                 break;
             }
             actix_rt::time::sleep(RESEND_PAUSE).await;
-            outcome = self.send(random, request).await.or(outcome);
+            let again = self.send(random, request).await;
+            *cut_off |= is_cut_off(again.as_ref());
+            outcome = again.or(outcome);
         }
         outcome
     }
--- a/crates/firshore-lab/src/experiment/failures/mod.rs
+++ b/crates/firshore-lab/src/experiment/failures/mod.rs
@@ -113,13 +113,7 @@
     let broken_count = |wanted: &dyn Fn(&BrokenPromise) -> bool| {
         broken.iter().filter(|one| wanted(one)).count() as f64
     };
-    let cut_off = |one: &Seen| {
-        let lost = matches!(
-            one.record.outcome,
-            CallOutcome::Lost(_) | CallOutcome::Failed(_)
-        );
-        one.phase == Phase::Planned && lost
-    };
+    let cut_off = |one: &Seen| one.phase == Phase::Planned && one.cut_off;
     let zero = [
         ("requests_cut_off_by_planned_stops", count(&cut_off)),
         ("planned_stops_not_ended_with_0", stops.unclean as f64),
