Leases are named by job, item and token; looking for work in vain enters no log

Every idle engine's look for work was a log entry with its disk write. Change: renewals name refused leases in full; the runner's tables are keyed so; the leader answers a lease request that would grant nothing, and a tick with nothing due, from its state.

--- a/crates/firshore-batch/src/command.rs
+++ b/crates/firshore-batch/src/command.rs
@@ -48,12 +48,12 @@
     pub attempt: u64,
 }
 
-/// Fences one lease: no two leases ever have the same token.
+/// Fences one lease: no two leases of one job ever have the same token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LeaseToken(pub u64);
 
-/// Names one lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Names one lease, in whichever journal group its job is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseReference {
     /// Job.
     pub job: JobId,
@@ -219,7 +219,7 @@
     /// Leases that were not prolonged: their items must stop.
     Renewed {
         /// Leases that lapsed, or whose job has been stopped.
-        refused: Vec<LeaseToken>,
+        refused: Vec<LeaseReference>,
     },
     /// Whether the item may be sent, once.
     Start {
--- a/crates/firshore-batch/src/table.rs
+++ b/crates/firshore-batch/src/table.rs
@@ -6,7 +6,7 @@
 };
 use crate::job::{Governance, JobSummary, NamedResult};
 use crate::job_state::Job;
-use crate::queue::ReadyQueue;
+use crate::queue::{QueueEntry, ReadyQueue};
 use crate::upload::Upload;
 use firshore_types::ids::JobId;
 use serde::{Deserialize, Serialize};
@@ -136,6 +136,36 @@
         job.map_or_else(Vec::new, |job| job.output(position, count, bytes))
     }
 
+    /// The outcome of an action that would change nothing, so that it need not enter the log.
+    /// `now` is the leader's clock in Unix milliseconds.
+    pub fn without_effect(&self, action: &Action, now: u64) -> Option<Outcome> {
+        match action {
+            Action::Lease(request) => {
+                let again = self.grants.contains_key(&request.id);
+                let idle = !again && self.next_job(request).is_none();
+                idle.then(|| Outcome::Leased(Vec::new()))
+            }
+            Action::Renew { leases, .. } if leases.is_empty() => Some(Outcome::Renewed {
+                refused: Vec::new(),
+            }),
+            Action::Tick => (!self.needs_tick(now)).then_some(Outcome::Done),
+            _ => None,
+        }
+    }
+
+    fn needs_tick(&self, now: u64) -> bool {
+        let due = |job: &Job| !job.status.is_terminal() || job.may_be_deleted(now);
+        !self.uploads.is_empty() || !self.grants.is_empty() || self.jobs.values().any(due)
+    }
+
+    fn next_job(&self, request: &LeaseRequest) -> Option<QueueEntry> {
+        let eligible = |id: &JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|job| job.may_run_on(&request.engine_labels))
+        };
+        self.queue.next(&request.models, eligible)
+    }
+
     /// Bytes held beside the texts of items and results.
     pub fn overhead_bytes(&self) -> usize {
         self.jobs.values().map(Job::overhead_bytes).sum()
@@ -225,11 +255,7 @@
         let expires_at = self.now + duration;
         let mut leases: Vec<ItemLease> = Vec::new();
         while (leases.len() as u32) < request.count {
-            let eligible = |id: &JobId| {
-                let job = self.jobs.get(id);
-                job.is_some_and(|job| job.may_run_on(&request.engine_labels))
-            };
-            let Some(entry) = self.queue.next(&request.models, eligible) else {
+            let Some(entry) = self.next_job(request) else {
                 break;
             };
             let wanted = (request.count - leases.len() as u32).min(TURN_ITEMS);
@@ -275,7 +301,7 @@
                 .get_mut(&lease.job)
                 .is_some_and(|job| job.renew(lease, expires_at));
             if !renewed {
-                refused.push(lease.token);
+                refused.push(lease.clone());
             }
         }
         Outcome::Renewed { refused }
--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -52,6 +52,18 @@
 }
 
 impl JournalState {
+    /// The outcome of a command that would change nothing, so that it need not enter the log.
+    /// `now` is the leader's clock in Unix milliseconds.
+    pub fn without_effect(&self, command: &Command, now: u64) -> Option<Outcome> {
+        match command {
+            Command::Batch(command) => {
+                let outcome = self.jobs.without_effect(&command.action, now);
+                outcome.map(Outcome::Batch)
+            }
+            Command::Claim(_) | Command::RaiseFloor(_) => None,
+        }
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: Command) -> Outcome {
         match command {
--- a/crates/firshore-server/src/batch_runner/engine.rs
+++ b/crates/firshore-server/src/batch_runner/engine.rs
@@ -11,7 +11,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use firshore_batch::command::{
-    Action, HandbackReason, LeaseRequest, LeaseRequestId, LeaseToken, Outcome,
+    Action, HandbackReason, LeaseReference, LeaseRequest, LeaseRequestId, Outcome,
 };
 use firshore_batch::headroom::{EngineOccupancy, HeadroomController};
 use firshore_types::declaration::EngineRole;
@@ -96,7 +96,7 @@
     takes_batch: bool,
     controller: HeadroomController,
     ready: VecDeque<ReadyItem>,
-    running: HashMap<LeaseToken, Rc<HeldLease>>,
+    running: HashMap<LeaseReference, Rc<HeldLease>>,
     /// When the first of `ready` began to wait in vain, in boot-time milliseconds.
     held_since: Option<u64>,
     pull_pause: u64,
@@ -214,7 +214,7 @@
             }
             state
                 .running
-                .insert(item.lease.reference().token, item.lease.clone());
+                .insert(item.lease.reference().clone(), item.lease.clone());
             actix_rt::spawn(self.clone().run_item(context.clone(), item));
         }
         state.hand_back_what_waits_in_vain(context, allowed);
@@ -237,7 +237,7 @@
     fn ended(&self, context: &Context, item: ReadyItem, report: RunReport) {
         let mut state = self.state.borrow_mut();
         let own_before = state.running.len() as u32;
-        state.running.remove(&item.lease.reference().token);
+        state.running.remove(item.lease.reference());
         if let Some(headers) = &report.headers {
             state.take_headers(headers, own_before);
         }
--- a/crates/firshore-server/src/batch_runner/leases.rs
+++ b/crates/firshore-server/src/batch_runner/leases.rs
@@ -6,7 +6,7 @@
 
 use super::Context;
 use crate::journal;
-use firshore_batch::command::{Action, ItemLease, LeaseReference, LeaseToken, Outcome};
+use firshore_batch::command::{Action, ItemLease, LeaseReference, Outcome};
 use rustix::time::{ClockId, clock_gettime};
 use slog::warn;
 use std::cell::{Cell, RefCell};
@@ -100,7 +100,7 @@
 /// All leases that this node holds.
 #[derive(Default)]
 pub(crate) struct Leases {
-    held: RefCell<HashMap<LeaseToken, Rc<HeldLease>>>,
+    held: RefCell<HashMap<LeaseReference, Rc<HeldLease>>>,
 }
 
 impl Leases {
@@ -110,21 +110,21 @@
 
     /// Takes a lease in that was asked for at `asked_at` (boot-time milliseconds).
     pub(super) fn add(&self, granted: ItemLease, asked_at: u64) -> Rc<HeldLease> {
-        let token = granted.lease.token;
+        let reference = granted.lease.clone();
         let lease = Rc::new(HeldLease {
             granted,
             valid_until: Cell::new(asked_at + LEASE_MILLISECONDS),
             stop: watch::Sender::new(None),
         });
-        self.held.borrow_mut().insert(token, lease.clone());
+        self.held.borrow_mut().insert(reference, lease.clone());
         lease
     }
 
     /// Forgets leases whose end the journal has committed.
-    pub(super) fn settled(&self, tokens: impl IntoIterator<Item = LeaseToken>) {
+    pub(super) fn settled(&self, leases: &[Rc<HeldLease>]) {
         let mut held = self.held.borrow_mut();
-        for token in tokens {
-            held.remove(&token);
+        for lease in leases {
+            held.remove(lease.reference());
         }
     }
 
@@ -157,7 +157,7 @@
     match journal::propose(&context.shared, action).await {
         Ok(Outcome::Renewed { refused }) => {
             for lease in leases {
-                if refused.contains(&lease.reference().token) {
+                if refused.contains(lease.reference()) {
                     lease.stop(Stop::Revoked);
                 } else {
                     lease.valid_until.set(asked_at + LEASE_MILLISECONDS);
--- a/crates/firshore-server/src/batch_runner/settlement.rs
+++ b/crates/firshore-server/src/batch_runner/settlement.rs
@@ -101,8 +101,7 @@
         if !self.handbacks.is_empty() {
             commit(context, Action::Return(self.handbacks)).await;
         }
-        let tokens = self.leases.iter().map(|lease| lease.reference().token);
-        context.leases.settled(tokens);
+        context.leases.settled(&self.leases);
     }
 }
 
--- a/crates/firshore-server/src/journal/driver.rs
+++ b/crates/firshore-server/src/journal/driver.rs
@@ -308,7 +308,13 @@
             let _ = answer.send(Err(JournalRefusal::StorageFull));
             return;
         }
-        command.stamp(unix_milliseconds());
+        let now = unix_milliseconds();
+        // Looking for work where there is none costs no log entry.
+        if let Some(outcome) = self.state.read().without_effect(&command, now) {
+            let _ = answer.send(Ok(outcome));
+            return;
+        }
+        command.stamp(now);
         let mut bytes = Vec::new();
         ciborium::into_writer(&command, &mut bytes).expect("commands serialise to memory");
         match self.replica.propose(bytes) {
