--- a/crates/firshore-lab/src/demo.rs
+++ b/crates/firshore-lab/src/demo.rs
@@ -130,6 +130,11 @@
 impl Fleet {
     /// Starts platform, back ends and nodes.
     pub fn start(topology: &Topology) -> std::io::Result<Self> {
+        Self::start_with(topology, &JournalSettings::default())
+    }
+
+    /// Starts them with other settings of the journal.
+    pub fn start_with(topology: &Topology, journal: &JournalSettings) -> std::io::Result<Self> {
         let platform = Platform::start(any_port())?;
         let mut engines = Vec::new();
         let mut machines = Vec::new();
@@ -157,7 +162,8 @@
         for zone in &topology.zones {
             for number in 0..topology.nodes_per_zone {
                 let seeds = nodes.iter().map(|node| node.peers).collect();
-                let settings = settings(topology, zone, number, platform.server.address, seeds);
+                let mut settings = settings(topology, zone, number, platform.server.address, seeds);
+                settings.journal = journal.clone();
                 nodes.push(Node::start(settings, logging::silent())?);
             }
         }
