--- a/crates/firshore-lab/tests/batch_jobs.rs
+++ b/crates/firshore-lab/tests/batch_jobs.rs
@@ -1,8 +1,8 @@
 //! Batch jobs through real sockets: submission, resubmission, output, cancellation.
 
 use actix_http::Method;
-use actix_http::header::{AUTHORIZATION, HeaderName};
-use firshore_lab::demo::{self, Fleet, call};
+use firshore_lab::fleet::{Fleet, FleetOptions, read_declarations};
+use firshore_lab::http::Call;
 use firshore_lab::stand_in::engine::ExecutionLine;
 use firshore_lab::topology::Topology;
 use firshore_server::clock::unix_milliseconds;
@@ -13,7 +13,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-const KEY: &str = "Bearer co-op-key";
+const KEY: &str = "co-op-key";
 const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Two nodes, two engines, two journal groups.
@@ -27,7 +27,12 @@
         groups: 2,
         ..JournalSettings::default()
     };
-    (Fleet::start_with(&topology, &journal).unwrap(), folder)
+    let options = FleetOptions {
+        journal,
+        delays: false,
+        ..FleetOptions::default()
+    };
+    (Fleet::start(&topology, &options).unwrap(), folder)
 }
 
 fn lines(count: usize, tokens: usize) -> String {
@@ -40,13 +45,12 @@
 }
 
 async fn ask(node: SocketAddr, method: Method, path: &str, key: &str, body: &str) -> (u16, String) {
-    let headers = [
-        (AUTHORIZATION, KEY.to_owned()),
-        (HeaderName::from_static("idempotency-key"), key.to_owned()),
-    ];
-    call(node, method, path, &headers, body.to_owned())
-        .await
-        .unwrap()
+    let call = Call::new(node, method, path)
+        .key(KEY)
+        .header("idempotency-key", key)
+        .body(body.to_owned());
+    let answer = call.send().await.unwrap();
+    (answer.status(), answer.text())
 }
 
 async fn submit(node: SocketAddr, key: &str, body: &str) -> (u16, Value) {
@@ -70,16 +74,9 @@
 
 async fn executions(fleet: &Fleet) -> Vec<ExecutionLine> {
     let mut all = Vec::new();
-    for engine in &fleet.engines {
-        let answer = call(
-            engine.address,
-            Method::GET,
-            "/executions",
-            &[],
-            String::new(),
-        )
-        .await;
-        let lines: Vec<ExecutionLine> = serde_json::from_str(&answer.unwrap().1).unwrap();
+    for engine in fleet.engines() {
+        let answer = Call::get(engine.server.address, "/executions").send().await;
+        let lines: Vec<ExecutionLine> = answer.unwrap().json().unwrap();
         all.extend(lines);
     }
     all
@@ -178,9 +175,9 @@
 fn jobs_over_two_nodes_and_two_journal_groups() {
     let (fleet, folder) = fleet();
     actix_rt::System::new().block_on(async {
-        let declarations = demo::read_declarations(&folder).unwrap();
-        demo::apply(&fleet, declarations).await.unwrap();
-        let nodes: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.callers).collect();
+        let declarations = read_declarations(&folder).unwrap();
+        fleet.apply(declarations).await.unwrap();
+        let nodes: Vec<SocketAddr> = fleet.nodes.iter().map(|one| one.entrance).collect();
         resubmission_makes_one_job(&nodes).await;
         an_invalid_line_accepts_nothing(&nodes).await;
         nothing_starts_after_cancelled(&nodes, &fleet).await;
