Headroom: shorter quiet, rarer probes; leases of cancelled waiting items go back at once

Cause: an engine stayed closed to items for 200 ms after its last online request, though each load poll shows at once that it is gone; probing one item beside online every few seconds lengthened token gaps; items waiting for a busy engine kept a cancelled job's leases until they lapsed. Change: 60 ms of quiet; probing every 10 to 20 s of online load; revoked leases of waiting items are handed back at each look.

--- a/crates/firshore-batch/src/headroom.rs
+++ b/crates/firshore-batch/src/headroom.rs
@@ -6,7 +6,7 @@
 pub const STEP_MILLISECONDS: u64 = 200;
 
 /// Time without any online request after which an engine counts as quiet, in milliseconds.
-pub const QUIET_MILLISECONDS: u64 = 200;
+pub const QUIET_MILLISECONDS: u64 = 60;
 
 /// Slowdown of online requests that is accepted, as a share of their undisturbed time.
 pub const TOLERANCE: f64 = 0.04;
@@ -16,7 +16,7 @@
 
 /// Items added to an allowance below one at a step without samples: at one, an item runs and
 /// samples follow.
-const PROBE_INCREASE: f64 = 0.05;
+const PROBE_INCREASE: f64 = 0.01;
 
 /// Factor on the allowance at a step that found online requests slowed down.
 const DECREASE: f64 = 0.5;
--- a/crates/firshore-server/src/batch_runner/engine.rs
+++ b/crates/firshore-server/src/batch_runner/engine.rs
@@ -88,6 +88,16 @@
     resumes: bool,
 }
 
+impl ReadyItem {
+    fn hand_back(self, context: &Context) {
+        let reason = match self.resumes {
+            true => HandbackReason::Interrupted,
+            false => HandbackReason::NotRun,
+        };
+        context.settlement.hand_back(self.lease, reason);
+    }
+}
+
 #[derive(Default)]
 struct State {
     models: Vec<String>,
@@ -142,9 +152,7 @@
         self.released.set(true);
         let mut state = self.state.borrow_mut();
         for item in state.ready.drain(..) {
-            context
-                .settlement
-                .hand_back(item.lease, HandbackReason::Interrupted);
+            item.hand_back(context);
         }
         for lease in state.running.values() {
             if lease.granted.item.repeatable {
@@ -201,17 +209,13 @@
     /// Stops items beyond what may run, starts items up to it. Gives whether more are wanted.
     fn balance(self: &Rc<Self>, context: &Rc<Context>) -> bool {
         let mut state = self.state.borrow_mut();
+        state.hand_back_revoked(context);
         let allowed = state.allowed();
         state.yield_down_to(allowed);
         while (state.running.len() as u32) < allowed {
             let Some(item) = state.ready.pop_front() else {
                 break;
             };
-            if !item.lease.is_valid() {
-                let reason = HandbackReason::Interrupted;
-                context.settlement.hand_back(item.lease, reason);
-                continue;
-            }
             state
                 .running
                 .insert(item.lease.reference().clone(), item.lease.clone());
@@ -370,6 +374,21 @@
         }
     }
 
+    /// A cancelled job ends only once the leases of its waiting items are back too.
+    fn hand_back_revoked(&mut self, context: &Context) {
+        if self.ready.iter().all(|item| item.lease.is_valid()) {
+            return;
+        }
+        let ready = std::mem::take(&mut self.ready);
+        for item in ready {
+            if item.lease.is_valid() {
+                self.ready.push_back(item);
+            } else {
+                item.hand_back(context);
+            }
+        }
+    }
+
     fn hand_back_what_waits_in_vain(&mut self, context: &Context, allowed: u32) {
         let now = boot_milliseconds();
         if self.ready.is_empty() || allowed > 0 {
@@ -381,11 +400,7 @@
             return;
         }
         for item in self.ready.drain(..) {
-            let reason = match item.resumes {
-                true => HandbackReason::Interrupted,
-                false => HandbackReason::NotRun,
-            };
-            context.settlement.hand_back(item.lease, reason);
+            item.hand_back(context);
         }
     }
 
