--- a/crates/firshore-server/src/batch_runner/engine.rs
+++ b/crates/firshore-server/src/batch_runner/engine.rs
@@ -222,7 +222,7 @@
             actix_rt::spawn(self.clone().run_item(context.clone(), item));
         }
         state.hand_back_what_waits_in_vain(context, allowed);
-        let low = (state.ready.len() as u32) < allowed.div_ceil(4);
+        let low = (state.ready.len() as u32) < allowed.div_ceil(2);
         low && boot_milliseconds() >= state.pull_after
     }
 
@@ -279,7 +279,7 @@
             let mut state = self.state.borrow_mut();
             let allowed = state.allowed();
             let held = (state.ready.len() + state.running.len()) as u32;
-            let wanted = (allowed + allowed.div_ceil(2)).saturating_sub(held);
+            let wanted = (allowed * 2).saturating_sub(held);
             (state.models.clone(), wanted)
         };
         if count == 0 {
