--- a/crates/firshore-lab/src/experiment/overhead/mod.rs
+++ b/crates/firshore-lab/src/experiment/overhead/mod.rs
@@ -62,6 +62,7 @@
         delays: false,
         workers: WORKERS,
         seed: experiment.seed,
+        ..FleetOptions::default()
     };
     let fleet = Fleet::start(&topology(), &options)
         .map_err(|error| format!("The fleet did not start: {error}."))?;
