--- a/crates/firshore-lab/src/fleet.rs
+++ b/crates/firshore-lab/src/fleet.rs
@@ -53,6 +53,8 @@
     pub workers: usize,
     /// Seed of everything random.
     pub seed: u64,
+    /// The nodes' journal.
+    pub journal: JournalSettings,
 }
 
 impl Default for FleetOptions {
@@ -62,6 +64,7 @@
             delays: true,
             workers: 1,
             seed: 1,
+            journal: JournalSettings::default(),
         }
     }
 }
@@ -202,7 +205,7 @@
             storage: Some(Storage {
                 data_folder: folder,
             }),
-            journal: JournalSettings::default(),
+            journal: options.journal.clone(),
             log: LogSettings::default(),
             limits: LimitSettings {
                 workers: options.workers,
