--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -3,7 +3,9 @@
 mod colocation;
 pub mod configuration_size;
 mod failures;
+pub mod limits;
 pub mod node_cost;
+pub mod retry_budget;
 pub mod routing;
 
 use argh::FromArgs;
@@ -64,6 +66,16 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "limits",
+        measures: "how far limits shared among nodes are missed, and the memory of their tables",
+        run: limits::run,
+    },
+    Entry {
+        name: "retry-budget",
+        measures: "load on the fleet while a third of the engines fail, in simulated time",
+        run: retry_budget::run,
+    },
     Entry {
         name: "routing",
         measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
--- a/crates/firshore-routing/src/limits.rs
+++ b/crates/firshore-routing/src/limits.rs
@@ -26,8 +26,15 @@
 /// Time without requests after which a tenant's state is dropped, in milliseconds.
 pub const IDLE_MILLISECONDS: u64 = 30_000;
 
-/// Weight of the latest interval in the demand.
-const DEMAND_WEIGHT: f32 = 0.5;
+/// Least number of requests that may be saved up. With one only, a node whose share is less than a
+/// request a second loses a quarter of it to the chance of arrivals.
+pub const LEAST_BURST: f32 = 2.0;
+
+/// Weight of the latest interval in the demand, as long as it differs by chance only.
+const DEMAND_WEIGHT: f32 = 0.2;
+
+/// Standard deviations of a Poisson count beyond which a difference is no chance.
+const DEMAND_DEVIATIONS: f32 = 3.0;
 
 /// A tenant under certain limits, by hash, as tables and messages hold it. Policies may limit a
 /// tenant differently at different services; each such limit is counted on its own.
@@ -159,7 +166,7 @@
 
     fn refill(&mut self, now: u64, rate: f32) {
         let earned = rate * now.saturating_sub(self.refilled_at) as f32 / 1_000.0;
-        let most = (rate * BURST_MILLISECONDS / 1_000.0).max(1.0);
+        let most = (rate * BURST_MILLISECONDS / 1_000.0).max(LEAST_BURST);
         self.tokens = (self.tokens + earned).min(most);
         self.refilled_at = now;
     }
@@ -223,9 +230,14 @@
         let mut demands = Vec::new();
         for (tenant, state) in &mut self.tenants {
             let arrived = state.arrivals as f32 * 1_000.0 / EXCHANGE_MILLISECONDS as f32;
-            state.demand += DEMAND_WEIGHT * (arrived - state.demand);
+            let chance = DEMAND_DEVIATIONS * state.demand.max(1.0).sqrt();
+            if (arrived - state.demand).abs() > chance {
+                state.demand = arrived;
+            } else {
+                state.demand += DEMAND_WEIGHT * (arrived - state.demand);
+            }
             let wanted = Share {
-                rate: state.demand.max(arrived),
+                rate: state.demand,
                 concurrent: state.peak + state.refused_at_once,
             };
             state.arrivals = 0;
