--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 pub mod journal;
 pub mod limits;
 pub mod node_cost;
+mod overhead;
 pub mod retry_budget;
 pub mod routing;
 
@@ -93,6 +94,9 @@
         name: "retry-budget",
         measures: "load on the fleet while a third of the engines fail, in simulated time",
         run: retry_budget::run,
+        name: "overhead",
+        measures: "time that one node adds to a short and a streamed request, and requests a second it reaches",
+        run: overhead::run,
     },
     Entry {
         name: "routing",
