--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -94,6 +94,8 @@
         name: "retry-budget",
         measures: "load on the fleet while a third of the engines fail, in simulated time",
         run: retry_budget::run,
+    },
+    Entry {
         name: "overhead",
         measures: "time that one node adds to a short and a streamed request, and requests a second it reaches",
         run: overhead::run,
