--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -6,8 +6,10 @@
 pub mod durability;
 mod failures;
 pub mod journal;
+pub mod limits;
 pub mod node_cost;
 mod overhead;
+pub mod retry_budget;
 pub mod routing;
 
 use argh::FromArgs;
@@ -83,6 +85,16 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "limits",
+        measures: "how far limits shared among nodes are missed, and the memory of their tables",
+        run: limits::run,
+    },
+    Entry {
+        name: "retry-budget",
+        measures: "load on the fleet while a third of the engines fail, in simulated time",
+        run: retry_budget::run,
+    },
     Entry {
         name: "overhead",
         measures: "time that one node adds to a short and a streamed request, and requests a second it reaches",
