--- a/crates/firshore-membership/src/membership.rs
+++ b/crates/firshore-membership/src/membership.rs
@@ -2,17 +2,16 @@
 
 use crate::budget::ByteBudget;
 use crate::member::{Member, MemberState};
-use crate::message::{Claim, Envelope, MemberRecord, Message, Rumour, Sequence};
+use crate::message::{Envelope, Message, Rumour, Sequence};
 use crate::probe::{Probe, Relay};
 use crate::rumours::RumourQueue;
 use crate::schedule::{Distance, Schedule};
 use crate::table::MemberTable;
 use crate::timing::{
-    ANNOUNCE_FANOUT, BUDGET_BURST_BYTES, BUDGET_BYTES_PER_SECOND, COMPARE_INTERVAL_MILLISECONDS,
-    JOIN_INTERVAL_MILLISECONDS, MAXIMUM_LOCAL_HEALTH, MAXIMUM_RUMOUR_BYTES, PAUSE_MILLISECONDS,
+    BUDGET_BURST_BYTES, BUDGET_BYTES_PER_SECOND, COMPARE_INTERVAL_MILLISECONDS,
+    JOIN_INTERVAL_MILLISECONDS, MAXIMUM_LOCAL_HEALTH, PAUSE_MILLISECONDS,
     PROBE_INTERVAL_MILLISECONDS, RECONNECT_INTERVAL_MILLISECONDS, REGION_SILENCE_MILLISECONDS,
-    REGION_UNANSWERED_PROBES, STALE_MILLISECONDS, SUSPICION_MILLISECONDS, TOMBSTONE_MILLISECONDS,
-    TRANSMISSIONS_PER_DECADE,
+    REGION_UNANSWERED_PROBES, STALE_MILLISECONDS, TOMBSTONE_MILLISECONDS,
 };
 use firshore_types::ids::{InstanceId, RegionName};
 use rand::RngExt;
@@ -76,8 +75,8 @@
 /// Members that are not given up, the own node not counted.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Size {
-    everywhere: usize,
-    in_region: usize,
+    pub(crate) everywhere: usize,
+    pub(crate) in_region: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -120,7 +119,7 @@
     next_join_at: u64,
     next_compare_at: u64,
     next_reconnect_at: u64,
-    outputs: Vec<Output>,
+    pub(crate) outputs: Vec<Output>,
 }
 
 impl Membership {
@@ -348,185 +347,6 @@
         }
     }
 
-    /// Whether this node may declare `member` failed by its own observation. Members of another
-    /// region are judged by their own region, so that a cut between regions fails nobody; only
-    /// where that region has no other member does everyone judge.
-    pub(crate) fn judges(&self, member: &Member) -> bool {
-        if member.region == self.table.own().region {
-            return true;
-        }
-        let peers = self.table.present();
-        let companions =
-            peers.filter(|peer| peer.region == member.region && peer.instance != member.instance);
-        companions.take(1).count() == 0
-    }
-
-    pub(crate) fn consider_record(
-        &mut self,
-        now: u64,
-        record: MemberRecord,
-        first_hand: bool,
-        spread: bool,
-    ) {
-        let claim = record.claim;
-        if self.table.member(claim.instance).is_some() {
-            self.consider_claim(now, claim);
-            return;
-        }
-        if claim.state == MemberState::Failed {
-            return;
-        }
-        let member = Member::from(record);
-        if first_hand {
-            self.supersede(now, &member);
-        }
-        let distance = Distance::between(self.table.own(), &member);
-        self.schedule.add(distance, member.instance, &mut self.rng);
-        self.table.insert(now, member.clone());
-        if member.state == MemberState::Suspect && self.judges(&member) {
-            self.suspects.insert(member.instance);
-        }
-        if spread {
-            self.rumours.add(member.instance, true);
-        }
-        self.outputs.push(Output::Changed(MemberChange {
-            member,
-            before: None,
-        }));
-    }
-
-    /// Gives up whoever had the address of a member that introduced itself. From hearsay one
-    /// cannot tell which of two came first; a probe of the earlier one will be refused.
-    fn supersede(&mut self, now: u64, member: &Member) {
-        let earlier: Vec<Claim> = self
-            .table
-            .present()
-            .filter(|other| other.peer_address == member.peer_address)
-            .map(Claim::of)
-            .collect();
-        for claim in earlier {
-            let state = MemberState::Failed;
-            self.change(now, Claim { state, ..claim });
-        }
-    }
-
-    pub(crate) fn consider_claim(&mut self, now: u64, claim: Claim) {
-        if claim.instance == self.table.own().instance {
-            self.refute(claim);
-            return;
-        }
-        let Some(entry) = self.table.get(claim.instance) else {
-            if claim.state != MemberState::Failed {
-                self.wanted.push(claim.instance);
-            }
-            return;
-        };
-        let member = &entry.member;
-        if !member.is_older_than(claim.incarnation, claim.state) {
-            return;
-        }
-        let accused = claim.state == MemberState::Failed && member.state != MemberState::Leaving;
-        if !accused || !self.judges(member) {
-            self.change(now, claim);
-            return;
-        }
-        // Another's verdict only starts this node's own suspicion: the accused gets its time to
-        // refute everywhere, which lets two halves of a healed partition merge.
-        let suspected = Claim {
-            state: MemberState::Suspect,
-            ..claim
-        };
-        if member.is_older_than(suspected.incarnation, suspected.state) {
-            self.change(now, suspected);
-        }
-    }
-
-    fn refute(&mut self, claim: Claim) {
-        let own = self.table.own();
-        let accused = matches!(claim.state, MemberState::Suspect | MemberState::Failed);
-        let newer = claim.incarnation > own.incarnation;
-        if newer || (accused && claim.incarnation == own.incarnation) {
-            let state = own.state;
-            self.table.set_own(claim.incarnation + 1, state);
-            self.spread_own(false);
-            self.worsen_local_health();
-        }
-    }
-
-    /// Changes a known member's state and passes it on.
-    pub(crate) fn change(&mut self, now: u64, claim: Claim) {
-        let Some(entry) = self.table.get(claim.instance) else {
-            return;
-        };
-        let before = entry.member.state;
-        let judged = self.judges(&entry.member);
-        self.table.set(now, claim);
-        self.rumours.add(claim.instance, false);
-        if claim.state == MemberState::Suspect && judged {
-            self.suspects.insert(claim.instance);
-        } else {
-            self.suspects.remove(&claim.instance);
-        }
-        if claim.state != before {
-            let member = self.table.member(claim.instance).expect("it is known");
-            self.outputs.push(Output::Changed(MemberChange {
-                member: member.clone(),
-                before: Some(before),
-            }));
-        }
-    }
-
-    fn expire_suspicions(&mut self, now: u64) {
-        if self.suspects.is_empty() {
-            return;
-        }
-        let timeout = self.suspicion_timeout();
-        let due: Vec<InstanceId> = self
-            .suspects
-            .iter()
-            .filter(|instance| {
-                let entry = self.table.get(**instance);
-                entry.is_none_or(|entry| now >= entry.changed_at + timeout)
-            })
-            .copied()
-            .collect();
-        for instance in due {
-            self.suspects.remove(&instance);
-            let Some(entry) = self.table.get(instance) else {
-                continue;
-            };
-            let claim = Claim::of(&entry.member);
-            if claim.state != MemberState::Suspect {
-                continue;
-            }
-            if entry.heard_at > entry.changed_at {
-                // It lives, though its refutation has not arrived: wait for that once more.
-                self.table.set(now, claim);
-                self.suspects.insert(instance);
-                self.urgent.push_back(instance);
-                continue;
-            }
-            let state = MemberState::Failed;
-            self.change(now, Claim { state, ..claim });
-        }
-    }
-
-    pub(crate) fn count_members(&mut self) {
-        let own = self.table.own();
-        let mut size = Size::default();
-        for member in self.table.present() {
-            size.everywhere += 1;
-            size.in_region += usize::from(member.region == own.region);
-        }
-        self.size = size;
-    }
-
-    fn suspicion_timeout(&self) -> u64 {
-        let decades = ((1 + self.size.in_region) as f64).log10().max(1.0);
-        let base = (SUSPICION_MILLISECONDS as f64 * decades) as u64;
-        base * (1 + self.local_health)
-    }
-
     fn expire_tombstones(&mut self, now: u64) {
         let expired: Vec<InstanceId> = self
             .table
@@ -550,81 +370,9 @@
         self.announce();
     }
 
-    /// Tells the own zone directly what this node is, without waiting for rumours.
-    fn announce(&mut self) {
-        let own = self.table.own();
-        let claim = Claim::of(own);
-        let told: Vec<Sender> = self
-            .table
-            .present()
-            .filter(|member| Distance::between(own, member) == Distance::Zone)
-            .take(ANNOUNCE_FANOUT)
-            .map(Sender::of)
-            .collect();
-        for receiver in told {
-            let rumours = vec![Rumour::Claim(claim)];
-            self.send(
-                receiver.address,
-                Some(receiver.instance),
-                Message::Notice,
-                rumours,
-            );
-        }
-    }
-
-    fn spread_own(&mut self, whole_record: bool) {
-        let own = self.table.own().instance;
-        self.rumours.add(own, whole_record);
-    }
-
     pub(crate) fn worsen_local_health(&mut self) {
         self.local_health = (self.local_health + 1).min(MAXIMUM_LOCAL_HEALTH);
     }
-
-    /// Answers the sender of a message.
-    pub(crate) fn answer(&mut self, sender: Sender, message: Message) {
-        self.send(sender.address, Some(sender.instance), message, Vec::new());
-    }
-
-    /// Sends a message with as many rumours as the budget allows, and with what this node holds
-    /// against the receiver, so that it can refute at once.
-    pub(crate) fn send(
-        &mut self,
-        to: SocketAddr,
-        receiver: Option<InstanceId>,
-        message: Message,
-        mut rumours: Vec<Rumour>,
-    ) {
-        let accusation = receiver
-            .and_then(|instance| self.table.get(instance))
-            .filter(|entry| {
-                let state = entry.member.state;
-                matches!(state, MemberState::Suspect | MemberState::Failed)
-            })
-            .map(|entry| Rumour::Claim(Claim::of(&entry.member)));
-        rumours.extend(accusation);
-        let own = self.table.own();
-        let mut envelope = Envelope {
-            from: own.instance,
-            from_address: own.peer_address,
-            to: receiver,
-            rumours,
-            message,
-        };
-        self.budget.spend(envelope.estimated_bytes());
-        let room = self.budget.available().min(MAXIMUM_RUMOUR_BYTES);
-        let limit = self.transmission_limit();
-        let passed_on = self.rumours.take(&self.table, room, limit);
-        let bytes = passed_on.iter().map(Rumour::estimated_bytes).sum();
-        self.budget.spend(bytes);
-        envelope.rumours.extend(passed_on);
-        self.outputs.push(Output::Send { to, envelope });
-    }
-
-    fn transmission_limit(&self) -> u32 {
-        let size = 2 + self.size.everywhere;
-        TRANSMISSIONS_PER_DECADE * (size as f64).log10().ceil() as u32
-    }
 }
 
 /// Whether a member's state lets it be given work.
--- a/crates/firshore-membership/tests/step.rs
+++ b/crates/firshore-membership/tests/step.rs
@@ -194,3 +194,20 @@
     budget.refill(1_000_000);
     assert_eq!(budget.available(), 1_000);
 }
+
+#[test]
+fn hints_are_tried_and_their_absence_changes_nothing() {
+    let mut node = node();
+    node.step(1_000, Input::Hints(vec![address(7)]));
+    let outputs = node.step(1_000, Input::Tick);
+    let tried = outputs.iter().any(|output| match output {
+        Output::Send { to, envelope } => {
+            *to == address(7) && matches!(envelope.message, Message::Join(_))
+        }
+        _ => false,
+    });
+    assert!(tried, "{outputs:?}");
+    let mut node = introduced();
+    node.step(1_000, Input::Hints(Vec::new()));
+    assert_eq!(node.alive(1_000).len(), 5);
+}
