--- a/crates/firshore-lab/tests/hollow.rs
+++ b/crates/firshore-lab/tests/hollow.rs
@@ -6,7 +6,8 @@
 
 #[test]
 fn rules_hold_for_a_bounded_set_of_seeds() {
-    let cases = [(1, 36), (2, 36), (3, 12), (4, 12)];
+    // 12, 23, 32 and 34 each broke a rule once.
+    let cases = [(2, 36), (12, 36), (23, 36), (32, 36), (34, 36), (3, 12)];
     std::thread::scope(|scope| {
         for (seed, nodes) in cases {
             scope.spawn(move || {
--- a/crates/firshore-membership/src/exchange.rs
+++ b/crates/firshore-membership/src/exchange.rs
@@ -5,8 +5,9 @@
 use crate::message::{Claim, MemberRecord, Message};
 use crate::schedule::Distance;
 use crate::table::bucket_of;
-use crate::timing::{JOIN_CONTACTS, MAXIMUM_RECORDS};
+use crate::timing::{BUDGET_RESERVE_BYTES, JOIN_CONTACTS, MAXIMUM_RECORDS, REMOTE_COMPARISONS};
 use firshore_types::ids::InstanceId;
+use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
 use std::collections::BTreeSet;
 
@@ -23,7 +24,7 @@
 impl Membership {
     pub(crate) fn handle(&mut self, now: u64, sender: Sender, message: Message) {
         match message {
-            Message::Ping(sequence) => self.answer(sender, Message::Ack(sequence)),
+            Message::Ping(sequence) => self.acknowledge(sender, sequence),
             Message::Ack(sequence) => self.acknowledged(now, sequence),
             Message::PingRequest { sequence, target } => self.relay(now, sender, sequence, target),
             Message::WrongInstance(instance) => self.address_reused(now, sender, instance),
@@ -75,7 +76,12 @@
     }
 
     pub(crate) fn start_comparison(&mut self) {
-        let Some(instance) = self.schedule.next(&self.table, &mut self.rng) else {
+        let remote = self.rng.random_ratio(1, REMOTE_COMPARISONS);
+        let far = remote
+            .then(|| self.schedule.next_remote(&self.table, &mut self.rng))
+            .flatten();
+        let near = || self.schedule.next(&self.table, &mut self.rng);
+        let Some(instance) = far.or_else(near) else {
             return;
         };
         let Some(member) = self.table.member(instance) else {
@@ -164,7 +170,7 @@
     }
 
     fn affords(&self, message: &Message) -> bool {
-        message.estimated_bytes() <= self.budget.available()
+        message.estimated_bytes() + BUDGET_RESERVE_BYTES <= self.budget.available()
     }
 
     fn answer_comparison(&mut self, sender: Sender, theirs: &[u32]) {
@@ -235,7 +241,8 @@
             records.extend(members.iter().copied().map(MemberRecord::from));
             buckets.push(index as u8);
         }
-        let more = buckets.len() < total;
+        // A node that is joining itself may lack the same members as the one that asks.
+        let more = buckets.len() < total || self.phase == Phase::Joining;
         let message = Message::View {
             buckets,
             records,
@@ -305,9 +312,20 @@
 
     fn take_records(&mut self, now: u64, sender: Sender, records: Vec<MemberRecord>) {
         let spread = self.phase == Phase::Current;
+        let mut newer = Vec::new();
         for record in records {
+            let claim = record.claim;
+            let held = self.table.member(claim.instance);
+            let outdated = held.filter(|member| {
+                (claim.incarnation, claim.state) < (member.incarnation, member.state)
+            });
+            newer.extend(outdated.map(MemberRecord::from));
             let first_hand = record.claim.instance == sender.instance;
             self.consider_record(now, record, first_hand, spread);
         }
+        let message = Message::Records(newer);
+        if self.is_fresh() && message.estimated_bytes() > 0 && self.affords(&message) {
+            self.answer(sender, message);
+        }
     }
 }
--- a/crates/firshore-membership/src/probe.rs
+++ b/crates/firshore-membership/src/probe.rs
@@ -3,7 +3,7 @@
 
 use crate::member::MemberState;
 use crate::membership::{Membership, Sender};
-use crate::message::{Claim, Message, Sequence};
+use crate::message::{Claim, Message, Rumour, Sequence};
 use crate::schedule::Distance;
 use crate::timing::{DIRECT_TIMEOUT_MILLISECONDS, INDIRECT_PROBES, PROBE_INTERVAL_MILLISECONDS};
 use firshore_types::ids::{InstanceId, RegionName};
@@ -165,6 +165,14 @@
         self.answer(target, Message::Ping(self.sequence));
     }
 
+    /// Answers a ping. The own claim goes with it whatever the budget, so that a prober that
+    /// suspects this node learns of its refutation at once.
+    pub(crate) fn acknowledge(&mut self, sender: Sender, sequence: Sequence) {
+        let own = Rumour::Claim(Claim::of(self.table.own()));
+        let receiver = Some(sender.instance);
+        self.send(sender.address, receiver, Message::Ack(sequence), vec![own]);
+    }
+
     pub(crate) fn acknowledged(&mut self, now: u64, sequence: Sequence) {
         if let Some(probe) = self.probe.filter(|probe| probe.sequence == sequence) {
             self.probe = None;
--- a/crates/firshore-membership/src/schedule.rs
+++ b/crates/firshore-membership/src/schedule.rs
@@ -78,6 +78,15 @@
             .find_map(|distance| self.next_at(distance, table, rng))
     }
 
+    /// The next member of another region.
+    pub(crate) fn next_remote(
+        &mut self,
+        table: &MemberTable,
+        rng: &mut impl RngExt,
+    ) -> Option<InstanceId> {
+        self.next_at(Distance::Remote, table, rng)
+    }
+
     fn next_at(
         &mut self,
         distance: Distance,
--- a/crates/firshore-membership/src/timing.rs
+++ b/crates/firshore-membership/src/timing.rs
@@ -30,7 +30,10 @@
 pub const TOMBSTONE_MILLISECONDS: u64 = 600_000;
 
 /// Distance between two comparisons of views, in milliseconds.
-pub const COMPARE_INTERVAL_MILLISECONDS: u64 = 30_000;
+pub const COMPARE_INTERVAL_MILLISECONDS: u64 = 10_000;
+
+/// One in so many comparisons crosses regions.
+pub const REMOTE_COMPARISONS: u32 = 3;
 
 /// Distance between two attempts to reach a failed member or an unknown seed, in milliseconds.
 pub const RECONNECT_INTERVAL_MILLISECONDS: u64 = 10_000;
@@ -65,6 +68,9 @@
 /// Bytes that an idle node saves up for a burst.
 pub const BUDGET_BURST_BYTES: u64 = 120_000;
 
+/// Bytes that comparisons and views leave for rumours.
+pub const BUDGET_RESERVE_BYTES: usize = 20_000;
+
 /// Groups of members that are compared by checksum.
 pub const BUCKETS: usize = 64;
 
