--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -7,6 +7,7 @@
 mod failures;
 pub mod journal;
 pub mod node_cost;
+mod overhead;
 pub mod routing;
 
 use argh::FromArgs;
@@ -82,6 +83,11 @@
         measures: "processor time of one node for each request and each streamed token",
         run: node_cost::run,
     },
+    Entry {
+        name: "overhead",
+        measures: "time that one node adds to a short and a streamed request, and requests a second it reaches",
+        run: overhead::run,
+    },
     Entry {
         name: "routing",
         measures: "time to first token and between tokens of four ways to choose an engine, in simulated time",
