--- a/crates/firshore-routing/src/speed.rs
+++ b/crates/firshore-routing/src/speed.rs
@@ -102,7 +102,7 @@
     }
 
     /// Takes in one observation of which a few may be far off: it counts as at most
-    /// [`LARGEST_DEVIATION`] times larger or smaller than the mean.
+    /// `LARGEST_DEVIATION` times larger or smaller than the mean.
     pub fn observe_bounded(&mut self, value: f32) {
         if self.observations > 0.0 {
             let low = self.value / LARGEST_DEVIATION;
--- a/crates/firshore-server/tests/exchange_contract.rs
+++ b/crates/firshore-server/tests/exchange_contract.rs
@@ -270,9 +270,11 @@
 
 #[test]
 fn a_refused_connection_is_the_only_sign_of_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // Bound but not listening: the port is refused and cannot become another process's.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
     let seen = actix_rt::System::new().block_on(observe(address, Method::POST));
     assert_eq!(seen, Seen::NotConnected);
 }
--- a/crates/firshore-server/tests/gateway_contract.rs
+++ b/crates/firshore-server/tests/gateway_contract.rs
@@ -4,8 +4,8 @@
 
 use std::net::SocketAddr;
 use support::{
-    BackEnd, DONE, Fixture, KEY, STREAM_HEAD, answer, chunk, completion, completion_of, event,
-    events, put, request,
+    BackEnd, DONE, Fixture, KEY, RefusingAddress, STREAM_HEAD, answer, chunk, completion,
+    completion_of, event, events, put, request,
 };
 
 const LLM_ANSWER: &str = "{\"choices\":[{\"text\":\"marker a b\"}]}";
@@ -336,9 +336,8 @@
 
 #[test]
 fn engines_that_cannot_be_reached_cost_nothing_but_a_try() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let gone = closed.local_addr().unwrap();
-    drop(closed);
+    let refusing = RefusingAddress::take();
+    let gone = refusing.address;
     let engine = BackEnd::start(|stream, _, _| {
         put(stream, &whole());
         true
--- a/crates/firshore-server/tests/support/mod.rs
+++ b/crates/firshore-server/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use firshore_types::machine::Machine;
 use firshore_types::validation::parse_declarations;
 use parking_lot::Mutex;
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -62,6 +63,28 @@
     }
 }
 
+/// An address on which connections are refused for as long as this value lives: its port is taken,
+/// so that no other process can get it, but nobody listens.
+pub struct RefusingAddress {
+    _socket: Socket,
+    /// The address.
+    pub address: SocketAddr,
+}
+
+impl RefusingAddress {
+    /// Takes a free port.
+    pub fn take() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Self {
+            _socket: socket,
+            address,
+        }
+    }
+}
+
 /// A back end that plays a script.
 pub struct BackEnd {
     /// Where it listens.
