Exchanges with back ends in a crate of their own; reading never waits for writing

Cause: the hop to back ends sat inside firshore-server, so nothing else could use it; a back end that answered before it had read a long request was only heard once the request had been written. Change: firshore-exchange holds exchange, framing, pool and keep-alive; one buffer pair is read and written at the same time; answers to another request of the connection can be read over; idle connections live as long as the back end's Keep-Alive says.

--- a/crates/firshore-server/src/engine/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -3,28 +3,26 @@
 //!
 //! A request is written to one connection once; nothing here sends it a second time.
 
-use super::framing::{self, BodyEnd, Framing};
-use super::pool;
+use crate::framing::{self, BodyEnd, Framing};
 use crate::keep_alive;
-use actix_codec::Framed;
+use crate::pool::{self, IdleConnection};
+use crate::wire::{Turn, Wire};
+use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{HOST, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri};
-use awc::http::uri::InvalidUri;
 use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Bytes asked for at once from a body that ends by close.
-const READ_BYTES: usize = 16 * 1024;
+/// Longest answer to somebody else's request that is read over, in bytes.
+const SURPLUS_BYTES: usize = 1024 * 1024;
 
 quick_error! {
     /// Failure of an exchange.
@@ -59,7 +57,7 @@
     method: Method,
     path: &str,
     address: SocketAddr,
-) -> Result<RequestHead, InvalidUri> {
+) -> Result<RequestHead, actix_http::uri::InvalidUri> {
     let mut head = RequestHead::default();
     head.method = method;
     head.uri = Uri::try_from(path)?;
@@ -82,6 +80,7 @@
 pub struct Connection {
     address: SocketAddr,
     stream: TcpStream,
+    reused: bool,
 }
 
 /// An answer whose head has arrived.
@@ -94,8 +93,8 @@
 
 enum Source {
     Ended,
-    Delimited(Framed<TcpStream, ClientPayloadCodec>),
-    ByClose(TcpStream, BytesMut),
+    Delimited(Wire, ClientPayloadCodec),
+    ByClose(Wire),
 }
 
 /// The rest of an answer. Dropping it before its end closes the connection, which cancels the
@@ -104,7 +103,8 @@
     address: SocketAddr,
     source: Source,
     end: BodyEnd,
-    reusable: bool,
+    /// How long the connection may be kept idle after the answer, if at all.
+    keep: Option<Duration>,
 }
 
 /// Opens a connection. Every failure here means that the request was not sent.
@@ -112,14 +112,22 @@
     if reuse == Reuse::Idle
         && let Some(stream) = pool::take(address)
     {
-        return Ok(Connection { address, stream });
+        return Ok(Connection {
+            address,
+            stream,
+            reused: true,
+        });
     }
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| ExchangeError::NotConnected("timed out".to_owned()))?
         .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
     keep_alive::set_up(&stream).map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
-    Ok(Connection { address, stream })
+    Ok(Connection {
+        address,
+        stream,
+        reused: false,
+    })
 }
 
 /// Sends a request once and waits for the head of its answer.
@@ -132,94 +140,141 @@
 }
 
 impl Connection {
+    /// Whether an earlier exchange used the connection.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Sends a request and waits for the head of its answer. Every failure here means that the
     /// request may have run.
     pub async fn send(self, head: RequestHead, body: Bytes) -> Result<Exchange, ExchangeError> {
+        self.send_expecting(head, body, |_| true).await
+    }
+
+    /// Like [`Self::send`], for back ends that may answer an earlier request of the connection
+    /// twice: whole answers for which `is_expected` does not hold are read over.
+    pub async fn send_expecting(
+        self,
+        head: RequestHead,
+        body: Bytes,
+        is_expected: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<Exchange, ExchangeError> {
         let method = head.method.clone();
-        let codec = ClientCodec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone));
-        let mut framed = Framed::new(self.stream, codec);
-        let written = write(&mut framed, head, body).await;
-        let head = match (read_head(&mut framed).await, &written) {
-            (Ok(head), _) => head,
-            (Err(_), Err(error)) => return Err(ExchangeError::Lost(error.to_string())),
-            (Err(error), Ok(())) => return Err(error),
-        };
-        // A back end that answers before it has read the request leaves the rest unread.
-        let whole = written.is_ok();
-        open_body(self.address, framed, &method, head, whole)
+        let mut codec = ClientCodec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone));
+        let mut wire = Wire::new(self.stream);
+        encode(&mut codec, &mut wire.output, head, body)?;
+        loop {
+            let head = read_head(&mut wire, &mut codec).await?;
+            if is_expected(&head) {
+                return open_body(self.address, wire, codec, &method, head);
+            }
+            (wire, codec) = read_over(self.address, wire, codec, &method, head).await?;
+        }
     }
 }
 
-/// Writes head and body with one call where they fit the buffer.
-async fn write(
-    framed: &mut Framed<TcpStream, ClientCodec>,
+/// Puts head and body into one buffer, so that they leave with one call where they fit.
+fn encode(
+    codec: &mut ClientCodec,
+    output: &mut BytesMut,
     head: RequestHead,
     body: Bytes,
-) -> std::io::Result<()> {
-    let size = BodySize::Sized(body.len() as u64);
-    framed
-        .feed(Message::Item((RequestHeadType::Owned(head), size)))
-        .await?;
+) -> Result<(), ExchangeError> {
+    let unsendable = |error: std::io::Error| ExchangeError::NotConnected(error.to_string());
+    let bodiless = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
+    let size = match bodiless {
+        true => BodySize::None,
+        false => BodySize::Sized(body.len() as u64),
+    };
+    let item = Message::Item((RequestHeadType::Owned(head), size));
+    codec.encode(item, output).map_err(unsendable)?;
     if !body.is_empty() {
-        framed.feed(Message::Chunk(Some(body))).await?;
-        framed.feed(Message::Chunk(None)).await?;
+        codec
+            .encode(Message::Chunk(Some(body)), output)
+            .map_err(unsendable)?;
+        codec
+            .encode(Message::Chunk(None), output)
+            .map_err(unsendable)?;
     }
-    SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(framed).await
+    Ok(())
 }
 
 /// The final head; interim ones (1xx) are passed over.
 async fn read_head(
-    framed: &mut Framed<TcpStream, ClientCodec>,
+    wire: &mut Wire,
+    codec: &mut ClientCodec,
 ) -> Result<ResponseHead, ExchangeError> {
+    let lost = |reason: String| ExchangeError::Lost(reason);
     loop {
-        match framed.next().await {
-            Some(Ok(head)) if head.status.as_u16() == 101 => {
-                let reason = "it switched protocols without being asked";
-                return Err(ExchangeError::Lost(reason.to_owned()));
-            }
-            Some(Ok(head)) if head.status.is_informational() => {}
-            Some(Ok(head)) => return Ok(head),
-            Some(Err(error)) => return Err(ExchangeError::Lost(error.to_string())),
-            None => {
-                let reason = "closed before the answer's head";
-                return Err(ExchangeError::Lost(reason.to_owned()));
+        match codec.decode(&mut wire.input) {
+            Ok(Some(head)) if head.status.as_u16() == 101 => {
+                return Err(lost("it switched protocols without being asked".to_owned()));
             }
+            Ok(Some(head)) if head.status.is_informational() => continue,
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => {}
+            Err(error) => return Err(lost(error.to_string())),
+        }
+        match wire.turn().await {
+            Ok(Turn::Progress) => {}
+            Ok(Turn::End) => return Err(lost("closed before the answer's head".to_owned())),
+            Err(error) => return Err(lost(error.to_string())),
+        }
+    }
+}
+
+/// Reads an answer that belongs to no request of ours, and gives the connection back.
+async fn read_over(
+    address: SocketAddr,
+    wire: Wire,
+    codec: ClientCodec,
+    method: &Method,
+    head: ResponseHead,
+) -> Result<(Wire, ClientCodec), ExchangeError> {
+    let reason = "it answered another request";
+    let mut exchange = open_body(address, wire, codec, method, head)?;
+    let mut length = 0;
+    while let Source::Delimited(wire, codec) = &mut exchange.body.source {
+        match read_chunk(wire, codec).await? {
+            Some(chunk) => length += chunk.len(),
+            None => break,
+        }
+        if length > SURPLUS_BYTES {
+            return Err(ExchangeError::Lost(reason.to_owned()));
         }
     }
+    match std::mem::replace(&mut exchange.body.source, Source::Ended) {
+        Source::Delimited(wire, codec) => Ok((wire, codec.into_message_codec())),
+        Source::ByClose(_) | Source::Ended => Err(ExchangeError::Lost(reason.to_owned())),
+    }
 }
 
 fn open_body(
     address: SocketAddr,
-    framed: Framed<TcpStream, ClientCodec>,
+    wire: Wire,
+    codec: ClientCodec,
     method: &Method,
     head: ResponseHead,
-    written: bool,
 ) -> Result<Exchange, ExchangeError> {
-    let reusable =
-        written && framed.codec_ref().keep_alive() && framing::may_keep_connection(&head);
+    // A back end that answers before it has read the request leaves the rest unread.
+    let reusable = wire.is_flushed() && codec.keep_alive() && framing::may_keep_connection(&head);
     let mut body = ExchangeBody {
         address,
         source: Source::Ended,
         end: BodyEnd::Delimited,
-        reusable,
+        keep: reusable.then(|| framing::idle_lifetime(&head)).flatten(),
     };
     match framing::of(method, &head) {
-        Framing::Empty => {
-            if reusable && framed.is_read_buf_empty() {
-                pool::put(address, framed.into_parts().io);
-            }
-        }
-        Framing::Delimited if framed.codec_ref().message_type() == MessageType::None => {
+        Framing::Empty => body.release(wire),
+        Framing::Delimited if codec.message_type() == MessageType::None => {
             let reason = "its answer's length and upgrade headers contradict each other";
             return Err(ExchangeError::Lost(reason.to_owned()));
         }
         Framing::Delimited => {
-            let framed = framed.into_map_codec(ClientCodec::into_payload_codec);
-            body.source = Source::Delimited(framed);
+            body.source = Source::Delimited(wire, codec.into_payload_codec());
         }
         Framing::ByClose => {
-            let parts = framed.into_parts();
-            body.source = Source::ByClose(parts.io, parts.read_buf);
+            body.source = Source::ByClose(wire);
             body.end = BodyEnd::ByClose;
         }
     }
@@ -236,11 +291,8 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         let result = match &mut self.source {
             Source::Ended => return Ok(None),
-            Source::Delimited(framed) => match framed.next().await {
-                Some(Ok(item)) => Ok(item),
-                Some(Err(_)) | None => Err(ExchangeError::CutOff),
-            },
-            Source::ByClose(stream, buffer) => read_until_close(stream, buffer).await,
+            Source::Delimited(wire, codec) => read_chunk(wire, codec).await,
+            Source::ByClose(wire) => read_until_close(wire).await,
         };
         if !matches!(result, Ok(Some(_))) {
             self.finish(result.is_ok());
@@ -262,23 +314,46 @@
 
     fn finish(&mut self, properly: bool) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
-        let Source::Delimited(framed) = source else {
-            return;
-        };
-        if properly && self.reusable && framed.is_read_buf_empty() {
-            pool::put(self.address, framed.into_parts().io);
+        if let Source::Delimited(wire, _) = source
+            && properly
+        {
+            self.release(wire);
+        }
+    }
+
+    /// Keeps the connection for another request, if nothing is left on it.
+    fn release(&self, wire: Wire) {
+        let quiet = wire.input.is_empty() && wire.is_flushed();
+        if let Some(lifetime) = self.keep.filter(|_| quiet) {
+            pool::put(self.address, IdleConnection::new(wire.stream, lifetime));
         }
     }
 }
 
-async fn read_until_close(
-    stream: &mut TcpStream,
-    buffer: &mut BytesMut,
+async fn read_chunk(
+    wire: &mut Wire,
+    codec: &mut ClientPayloadCodec,
 ) -> Result<Option<Bytes>, ExchangeError> {
-    if buffer.is_empty() {
-        buffer.reserve(READ_BYTES);
-        let read = stream.read_buf(buffer).await;
-        read.map_err(|_| ExchangeError::CutOff)?;
+    loop {
+        match codec.decode(&mut wire.input) {
+            Ok(Some(item)) => return Ok(item),
+            Ok(None) => {}
+            Err(_) => return Err(ExchangeError::CutOff),
+        }
+        match wire.turn().await {
+            Ok(Turn::Progress) => {}
+            Ok(Turn::End) | Err(_) => return Err(ExchangeError::CutOff),
+        }
+    }
+}
+
+async fn read_until_close(wire: &mut Wire) -> Result<Option<Bytes>, ExchangeError> {
+    while wire.input.is_empty() {
+        match wire.turn().await {
+            Ok(Turn::Progress) => {}
+            Ok(Turn::End) => return Ok(None),
+            Err(_) => return Err(ExchangeError::CutOff),
+        }
     }
-    Ok((!buffer.is_empty()).then(|| buffer.split().freeze()))
+    Ok(Some(wire.input.split().freeze()))
 }
--- a/crates/firshore-server/src/engine/framing.rs
+++ b/crates/firshore-exchange/src/framing.rs
@@ -5,6 +5,17 @@
 
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, ResponseHead, StatusCode, Version};
+use std::time::Duration;
+
+/// Longest time a connection stays idle if the back end does not say when it closes it. Shorter
+/// than the time usual for servers (5 s), so that it is rarely closed at the moment a request is
+/// written to it.
+const DEFAULT_IDLE_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Time before the announced close from which a connection is not used any more.
+const CLOSE_MARGIN: Duration = Duration::from_millis(500);
+
+const KEEP_ALIVE: &str = "keep-alive";
 
 /// How much can be known about a body's end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,3 +76,20 @@
         head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
     head.version == Version::HTTP_11 && !twice
 }
+
+/// How long the connection may be kept idle after this answer: a little less than the back end
+/// announces (`Keep-Alive: timeout=SECONDS`), or `None` if it closes it at once.
+pub fn idle_lifetime(head: &ResponseHead) -> Option<Duration> {
+    let Some(value) = head.headers.get(KEEP_ALIVE) else {
+        return Some(DEFAULT_IDLE_LIFETIME);
+    };
+    let parameters = value.to_str().unwrap_or_default().split(',');
+    let seconds = parameters
+        .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
+        .find_map(|digits| digits.trim().parse().ok());
+    match seconds {
+        None => Some(DEFAULT_IDLE_LIFETIME),
+        Some(0) => None,
+        Some(seconds) => Some(Duration::from_secs(seconds) - CLOSE_MARGIN),
+    }
+}
--- a/crates/firshore-server/src/engine/pool.rs
+++ b/crates/firshore-exchange/src/pool.rs
@@ -10,35 +10,42 @@
 
 const IDLE_CONNECTIONS_PER_BACKEND: usize = 64;
 
-/// Longest time a connection stays idle. Shorter than the keep-alive time usual for servers
-/// (5 s), so that it is rarely closed at the moment a request is written to it.
-const IDLE_LIFETIME: Duration = Duration::from_secs(3);
-
-struct Idle {
+/// A connection whose last answer was read to its end.
+pub(crate) struct IdleConnection {
     stream: TcpStream,
-    since: Instant,
+    usable_until: Instant,
+}
+
+impl IdleConnection {
+    /// A connection that the back end is expected to keep open for `lifetime` from now on.
+    pub(crate) fn new(stream: TcpStream, lifetime: Duration) -> Self {
+        Self {
+            stream,
+            usable_until: Instant::now() + lifetime,
+        }
+    }
+
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.usable_until
+    }
 }
 
 thread_local! {
-    static IDLE: RefCell<HashMap<SocketAddr, Vec<Idle>>> = RefCell::default();
+    static IDLE: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>> = RefCell::default();
 }
 
 /// The most recently used idle connection to `address` that is still open and quiet.
-pub fn take(address: SocketAddr) -> Option<TcpStream> {
+pub(crate) fn take(address: SocketAddr) -> Option<TcpStream> {
+    let now = Instant::now();
     IDLE.with_borrow_mut(|idle| {
         let connections = idle.get_mut(&address)?;
-        let found = loop {
-            let Some(newest) = connections.pop() else {
-                break None;
-            };
-            if newest.since.elapsed() > IDLE_LIFETIME {
-                connections.clear();
-                break None;
-            }
-            if is_quiet(&newest.stream) {
-                break Some(newest.stream);
+        let mut found = None;
+        while let Some(newest) = connections.pop() {
+            if newest.is_usable(now) && is_quiet(&newest.stream) {
+                found = Some(newest.stream);
+                break;
             }
-        };
+        }
         if connections.is_empty() {
             idle.remove(&address);
         }
@@ -47,15 +54,13 @@
 }
 
 /// Keeps a connection whose last answer was read to its end.
-pub fn put(address: SocketAddr, stream: TcpStream) {
+pub(crate) fn put(address: SocketAddr, connection: IdleConnection) {
+    let now = Instant::now();
     IDLE.with_borrow_mut(|idle| {
         let connections = idle.entry(address).or_default();
-        connections.retain(|one| one.since.elapsed() <= IDLE_LIFETIME);
+        connections.retain(|one| one.is_usable(now));
         if connections.len() < IDLE_CONNECTIONS_PER_BACKEND {
-            connections.push(Idle {
-                stream,
-                since: Instant::now(),
-            });
+            connections.push(connection);
         }
     });
 }
--- a/crates/firshore-server/tests/exchange_contract.rs
+++ b/crates/firshore-exchange/tests/exchange_contract.rs
@@ -3,8 +3,8 @@
 
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
-use firshore_server::engine::exchange::{self, ExchangeError, Reuse};
-use firshore_server::engine::framing::BodyEnd;
+use firshore_exchange::exchange::{self, ExchangeError, Reuse};
+use firshore_exchange::framing::BodyEnd;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
--- a/crates/firshore-lab/src/experiment/failures/load.rs
+++ b/crates/firshore-lab/src/experiment/failures/load.rs
@@ -5,7 +5,7 @@
 use actix_http::Method;
 use actix_http::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use bytes::Bytes;
-use firshore_server::engine::exchange::{self, Exchange, ExchangeError, Reuse};
+use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/firshore-lab/src/http.rs
+++ b/crates/firshore-lab/src/http.rs
@@ -3,7 +3,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, ResponseHead};
 use bytes::Bytes;
-use firshore_server::engine::exchange::{self, Exchange};
+use firshore_exchange::exchange::{self, Exchange};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 
--- a/crates/firshore-lab/src/stand_in/weight_store.rs
+++ b/crates/firshore-lab/src/stand_in/weight_store.rs
@@ -4,7 +4,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use bytes::Bytes;
-use firshore_server::engine::exchange;
+use firshore_exchange::exchange;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
--- a/crates/firshore-server/src/batch_runner/engine.rs
+++ b/crates/firshore-server/src/batch_runner/engine.rs
@@ -5,7 +5,6 @@
 use super::item::{Run, RunReport};
 use super::leases::{HeldLease, LEASE_MILLISECONDS, Stop, boot_milliseconds};
 use super::ownership::OwnedEngine;
-use crate::engine::exchange;
 use crate::journal;
 use actix_http::Method;
 use actix_http::header::HeaderMap;
@@ -14,6 +13,7 @@
     Action, HandbackReason, LeaseReference, LeaseRequest, LeaseRequestId, Outcome,
 };
 use firshore_batch::headroom::{EngineOccupancy, HeadroomController};
+use firshore_exchange::exchange;
 use firshore_types::declaration::EngineRole;
 use firshore_types::machine::Machine;
 use serde::Deserialize;
--- a/crates/firshore-server/src/batch_runner/item.rs
+++ b/crates/firshore-server/src/batch_runner/item.rs
@@ -3,12 +3,12 @@
 use super::Context;
 use super::answer::{RunEnd, interpret};
 use super::leases::HeldLease;
-use crate::engine::exchange::{self, Connection, ExchangeError, Reuse};
 use crate::journal;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use firshore_batch::command::{Action, Outcome};
+use firshore_exchange::exchange::{self, Connection, ExchangeError, Reuse};
 use std::net::SocketAddr;
 
 /// Longest answer taken as a result, in bytes.
--- a/crates/firshore-server/src/controller.rs
+++ b/crates/firshore-server/src/controller.rs
@@ -2,7 +2,6 @@
 //! engines' reports, sends fenced orders, logs what changes.
 
 use crate::configuration::await_members;
-use crate::engine::exchange;
 use crate::journal;
 use crate::shared::Shared;
 use actix_http::{Method, StatusCode};
@@ -11,6 +10,7 @@
 use firshore_controller::grouping::{self, ReportedEngine};
 use firshore_controller::order::{Fence, FencedOrder};
 use firshore_controller::plan::EngineView;
+use firshore_exchange::exchange;
 use firshore_types::declaration::EngineRole;
 use firshore_types::ids::MachineName;
 use firshore_types::machine::{Machine, MachineState};
--- a/crates/firshore-server/src/engine/cancellation.rs
+++ b/crates/firshore-server/src/engine/cancellation.rs
@@ -3,10 +3,10 @@
 //! Closing the connection tells most engines, but one that has not answered yet may not notice,
 //! so that the run is also cancelled by its identifier.
 
-use super::exchange;
 use actix_http::Method;
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use firshore_exchange::exchange;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
--- a/crates/firshore-server/src/engine/liveness.rs
+++ b/crates/firshore-server/src/engine/liveness.rs
@@ -3,9 +3,9 @@
 //! A paused process keeps its connections open, and a long wait for a first token looks the
 //! same, so a back end that says nothing for a while is asked for its load.
 
-use super::exchange::{self, Reuse};
 use actix_http::Method;
 use bytes::Bytes;
+use firshore_exchange::exchange::{self, Reuse};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/firshore-server/src/engine/mod.rs
+++ b/crates/firshore-server/src/engine/mod.rs
@@ -1,7 +1,4 @@
 //! The hop to back ends: one request on one connection, exactly once.
 
 pub mod cancellation;
-pub mod exchange;
-pub mod framing;
 pub mod liveness;
-mod pool;
--- a/crates/firshore-server/src/gateway/application.rs
+++ b/crates/firshore-server/src/gateway/application.rs
@@ -1,7 +1,6 @@
 //! Small application services, passed through.
 
 use crate::admission;
-use crate::engine::framing::BodyEnd;
 use crate::gateway::classify::BackendKind;
 use crate::gateway::dispatch::{self, Answer, AnswerBody, Delivery, Dispatch, Outbound};
 use crate::gateway::terms::Terms;
@@ -11,6 +10,7 @@
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, ResponseHead};
+use firshore_exchange::framing::BodyEnd;
 use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode};
 use std::sync::Arc;
--- a/crates/firshore-server/src/gateway/classify.rs
+++ b/crates/firshore-server/src/gateway/classify.rs
@@ -1,8 +1,8 @@
 //! What a back end's answer, or its absence, means for the request.
 
-use crate::engine::exchange::ExchangeError;
 use actix_http::header::HeaderName;
 use actix_http::{ResponseHead, StatusCode};
+use firshore_exchange::exchange::ExchangeError;
 use firshore_routing::endpoint::Outcome;
 use firshore_routing::retry::AttemptEnd;
 use firshore_types::error::Execution;
--- a/crates/firshore-server/src/gateway/connection.rs
+++ b/crates/firshore-server/src/gateway/connection.rs
@@ -6,7 +6,7 @@
 //! 9110, section 15.2) are written from time to time. A caller that still waits reads over
 //! them; the machine of one that closed answers with a reset, and the next write fails.
 
-use crate::keep_alive;
+use firshore_exchange::keep_alive;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -1,8 +1,6 @@
 //! Sends a request to a chosen back end, and again where the retry policy allows it.
 
 use crate::engine::cancellation::{EngineRun, REQUEST_ID_HEADER};
-use crate::engine::exchange::{self, Exchange, ExchangeBody, ExchangeError, Reuse};
-use crate::engine::framing::BodyEnd;
 use crate::engine::liveness;
 use crate::gateway::classify::{self, BackendKind, Verdict};
 use crate::gateway::deadline::Deadline;
@@ -13,6 +11,8 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, ResponseHead};
 use bytes::Bytes;
+use firshore_exchange::exchange::{self, Exchange, ExchangeBody, ExchangeError, Reuse};
+use firshore_exchange::framing::BodyEnd;
 use firshore_routing::endpoint::Outcome;
 use firshore_routing::retry::{AttemptEnd, Attempts, Decision};
 use firshore_types::error::{ApiError, ErrorCode, Execution};
--- a/crates/firshore-server/src/gateway/relay.rs
+++ b/crates/firshore-server/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 //! so that no caller takes it for whole.
 
 use crate::engine::cancellation::{EngineRun, REQUEST_ID_HEADER};
-use crate::engine::exchange::{self, ExchangeBody, Reuse};
 use crate::engine::liveness;
 use crate::gateway::classify::{self, Verdict};
 use crate::gateway::connection::CallerConnection;
@@ -16,6 +15,7 @@
 use crate::shared::Shared;
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use firshore_exchange::exchange::{self, ExchangeBody, Reuse};
 use firshore_routing::endpoint::Outcome;
 use firshore_types::error::{ApiError, ErrorCode, Execution};
 use futures_util::Stream;
--- a/crates/firshore-server/src/lib.rs
+++ b/crates/firshore-server/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod engine;
 pub mod gateway;
 pub mod journal;
-pub mod keep_alive;
 pub mod leaving;
 pub mod limits;
 pub mod load_exchange;
--- a/crates/firshore-server/src/load_exchange.rs
+++ b/crates/firshore-server/src/load_exchange.rs
@@ -1,9 +1,9 @@
 //! Back ends' load and cache events: read by the owner of each, told to the nodes of its zone.
 
-use crate::engine::exchange;
 use crate::shared::Shared;
 use actix_http::Method;
 use bytes::Bytes;
+use firshore_exchange::exchange;
 use firshore_protocol::message::Request;
 use firshore_routing::digest::{LoadDigest, LoadEntry, NameHash};
 use firshore_routing::load::LoadReport;
