--- /dev/null
+++ b/crates/firshore-adapter/src/backend.rs
@@ -0,0 +1,91 @@
+//! Back ends: who they are, what they are told with a request, and what their answers say.
+
+use actix_http::ResponseHead;
+use actix_http::header::HeaderMap;
+use firshore_types::ids::{ServiceName, ZoneName};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Identity of one run of a back end's process. An address may be reused; an incarnation never is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub String);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// A back end as the directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// Identity.
+    pub incarnation: Incarnation,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone it stands in.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it has said that it is about to leave.
+    pub leaving: bool,
+}
+
+/// Load that a back end tells with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests under way.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// Whether an answer says that the request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// The back end says that it did not and will not run it.
+    No,
+    /// It ran, or nothing says that it did not.
+    Maybe,
+    /// The back end vouches for the answer as its own.
+    Yes,
+}
+
+/// What an answer's head says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Another incarnation holds the address.
+    pub misdirected: bool,
+    /// Load, where it is told.
+    pub load: Option<ReportedLoad>,
+}
+
+/// What a request is sent with.
+#[derive(Clone, Copy, Debug)]
+pub struct SendTerms<'a> {
+    /// The only incarnation that may run it.
+    pub incarnation: &'a Incarnation,
+    /// Time left for it.
+    pub remaining: Duration,
+    /// Number of the last event that is held already, where a stream is to go on.
+    pub resume_after: Option<u64>,
+}
+
+/// How requests to back ends and their answers are written. Called for every send and answer.
+pub trait BackendDialect {
+    /// Sets the headers that tell a back end `terms`; the caller's other headers stay.
+    fn write_terms(&self, headers: &mut HeaderMap, terms: &SendTerms<'_>);
+
+    /// Reads the head of an answer.
+    fn read_answer(&self, head: &ResponseHead) -> AnswerHead;
+
+    /// Whether an answer belongs to the request with these headers.
+    fn answers(&self, request: &HeaderMap, head: &ResponseHead) -> bool;
+}
--- /dev/null
+++ b/crates/firshore-adapter/src/jobs.rs
@@ -0,0 +1,114 @@
+//! Batch jobs over HTTP: their calls, what is submitted, what is read.
+
+use actix_http::Method;
+use actix_http::header::HeaderMap;
+use firshore_types::payload::Payload;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+quick_error! {
+    /// Why a call about a job cannot be understood.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum JobCallError {
+        /// A part of it is missing or unusable.
+        Invalid(reason: String) {
+            display("The call cannot be used: {reason}. Correct it and send it again.")
+        }
+    }
+}
+
+/// One item as it is submitted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobItem {
+    /// Identifier, unique within the job.
+    pub id: String,
+    /// Path that it is sent to.
+    pub path: String,
+    /// Headers that it is sent with.
+    pub headers: Vec<(String, String)>,
+    /// Body that it is sent with.
+    pub body: Payload,
+    /// Tokens of the prompt and at most of the output, together.
+    pub tokens: u64,
+}
+
+/// A call about a job, other than its submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobCall {
+    /// Read results from a position on; wait for one up to `wait`.
+    Results {
+        /// Job.
+        job: String,
+        /// First position wanted.
+        from: u64,
+        /// Longest wait for a result.
+        wait: Duration,
+    },
+    /// Read the body of an item that has no result yet.
+    Body {
+        /// Job.
+        job: String,
+        /// Item.
+        item: String,
+    },
+    /// End the job.
+    End {
+        /// Job.
+        job: String,
+    },
+}
+
+/// What became of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemOutcome {
+    /// It ran to its end; the data of its events in order.
+    Done(Vec<String>),
+    /// It is given up.
+    GivenUp,
+}
+
+/// A result at its position.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// Item.
+    pub item: String,
+    /// What became of it.
+    pub outcome: ItemOutcome,
+}
+
+/// A part of a job's results.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResultPage {
+    /// Items of the job.
+    pub total: u64,
+    /// Position of the first result.
+    pub from: u64,
+    /// Results in order of position.
+    pub results: Vec<ItemResult>,
+}
+
+/// How calls about jobs are read and answered. Called for requests on routes that take jobs, and
+/// for requests that no route matches.
+pub trait JobDialect {
+    /// The call that a request makes, or `None` if it is about no job.
+    fn read_call(
+        &self,
+        method: &Method,
+        path: &str,
+        query: &str,
+        headers: &HeaderMap,
+    ) -> Option<Result<JobCall, JobCallError>>;
+
+    /// The identifier under which a job is submitted.
+    fn job_id(&self, headers: &HeaderMap) -> Option<String>;
+
+    /// Reads the items of a submission.
+    fn read_submission(&self, body: &[u8]) -> Result<Vec<JobItem>, JobCallError>;
+
+    /// Writes results; the content type is that of JSON.
+    fn write_results(&self, page: &ResultPage) -> Vec<u8>;
+
+    /// Header under which an item's identifier is sent.
+    fn item_id_header(&self) -> &'static str;
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/choice.rs
@@ -0,0 +1,83 @@
+//! Which back end of a service runs a request. No I/O.
+//!
+//! Requests that share the beginning of a prompt meet at the same back end from every gateway
+//! without talk: back ends are ranked by a hash of the shared parts and their identity
+//! (rendezvous hashing, Thaler and Ravishankar 1998), and the first that is not busy takes it
+//! (bounded loads, Mirrokni, Thorup and Zadimoghaddam 2018). Other requests go to the back end
+//! with the lowest load, at home where loads are alike.
+
+use firshore_adapter::caller::PromptPart;
+use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Load up to which a back end keeps the requests that its hash draws.
+const AFFINITY_LOAD: f32 = 0.75;
+
+/// Load that another zone's distance weighs.
+const OTHER_ZONE_PENALTY: f32 = 0.1;
+
+/// Width of the random part of a score, so that gateways with the same picture do not all choose
+/// the same back end.
+const JITTER: f32 = 0.06;
+
+/// A back end that may take the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Hash of its identity.
+    pub identity: u64,
+    /// Requests that it is believed to hold, per slot.
+    pub load: f32,
+    /// Whether it stands in the gateway's zone.
+    pub at_home: bool,
+}
+
+/// The hash under which requests that share the beginning of their prompt meet: of all parts but
+/// the last, which is the request's own.
+pub fn affinity_key(prompt: &[PromptPart]) -> Option<u64> {
+    let shared = match prompt {
+        [] => return None,
+        [only] => std::slice::from_ref(only),
+        [shared @ .., _] => shared,
+    };
+    let chain = |seed: u64, part: &PromptPart| xxh3_64_with_seed(&part.hash.to_le_bytes(), seed);
+    Some(shared.iter().fold(0, chain))
+}
+
+/// Position of the candidate to take; `None` if there is none.
+pub fn choose(
+    candidates: &[Candidate],
+    affinity: Option<u64>,
+    random: &mut impl Rng,
+) -> Option<usize> {
+    if let Some(key) = affinity
+        && let Some(found) = by_affinity(candidates, key)
+    {
+        return Some(found);
+    }
+    by_load(candidates, random)
+}
+
+fn by_affinity(candidates: &[Candidate], key: u64) -> Option<usize> {
+    let rank = |candidate: &Candidate| xxh3_64_with_seed(&candidate.identity.to_le_bytes(), key);
+    candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.load < AFFINITY_LOAD)
+        .max_by_key(|(_, candidate)| rank(candidate))
+        .map(|(position, _)| position)
+}
+
+fn by_load(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
+    let mut best: Option<(usize, f32)> = None;
+    for (position, candidate) in candidates.iter().enumerate() {
+        let distance = match candidate.at_home {
+            true => 0.0,
+            false => OTHER_ZONE_PENALTY,
+        };
+        let score = candidate.load + distance + random.random_range(0.0..JITTER);
+        if best.is_none_or(|(_, lowest)| score < lowest) {
+            best = Some((position, score));
+        }
+    }
+    best.map(|(position, _)| position)
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -0,0 +1,284 @@
+//! Back ends as this node believes them to be: who is there, how loaded, and whether they are
+//! trusted with new requests. No I/O; the time is passed in.
+
+use crate::attempts::Attempts;
+use crate::choice::{self, Candidate};
+use firshore_adapter::backend::{Backend, Incarnation, ReportedLoad};
+use firshore_types::ids::{ServiceName, ZoneName};
+use rand::Rng;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Age at which a back end's report about others' requests counts for nothing.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Failures in a row after which a back end gets no new requests for a while.
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// Time without new requests after the first ejection; doubled with each further one.
+const EJECTION: Duration = Duration::from_millis(500);
+
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// How a back end's handling of a request reflects on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Impression {
+    /// It answered.
+    Answered,
+    /// It said that it is full.
+    Full,
+    /// It could not be reached, or another process has its address.
+    Unreachable,
+    /// It broke off or gave no usable answer.
+    Broke,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    others: u32,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    backend: Backend,
+    identity: u64,
+    in_flight: u32,
+    report: Option<Report>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl State {
+    fn new(backend: Backend) -> Self {
+        Self {
+            identity: xxh3_64(backend.incarnation.0.as_bytes()),
+            backend,
+            in_flight: 0,
+            report: None,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Requests of other gateways, by the last report, which fades with age.
+    fn others(&self, now: Instant) -> f32 {
+        let Some(report) = self.report else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(report.at);
+        let faded = 1.0 - age.as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
+        report.others as f32 * faded.max(0.0)
+    }
+
+    fn load(&self, now: Instant) -> f32 {
+        (self.in_flight as f32 + self.others(now)) / self.backend.slots.max(1) as f32
+    }
+
+    fn eject(&mut self, now: Instant) {
+        let length = EJECTION * 2_u32.saturating_pow(self.ejections.min(8));
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected_until = Some(now + length.min(LONGEST_EJECTION));
+    }
+}
+
+/// What a request needs of a back end.
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Sends so far.
+    pub attempts: &'a Attempts,
+    /// Hash under which requests with the same beginning meet.
+    pub affinity: Option<u64>,
+}
+
+/// All back ends.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneName,
+    states: HashMap<Incarnation, State>,
+    by_service: HashMap<ServiceName, Vec<Incarnation>>,
+}
+
+impl Fleet {
+    /// No back ends, seen from a zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            states: HashMap::new(),
+            by_service: HashMap::new(),
+        }
+    }
+
+    /// Takes in a whole listing.
+    pub fn replace(&mut self, backends: Vec<Backend>) {
+        let listed: HashSet<Incarnation> =
+            backends.iter().map(|one| one.incarnation.clone()).collect();
+        self.states.retain(|one, _| listed.contains(one));
+        for backend in backends {
+            self.insert_state(backend);
+        }
+        self.index();
+    }
+
+    /// Takes in a back end that was added or has changed.
+    pub fn upsert(&mut self, backend: Backend) {
+        self.insert_state(backend);
+        self.index();
+    }
+
+    /// Takes in that a back end is not listed any more: it gets no new requests.
+    pub fn remove(&mut self, incarnation: &Incarnation) {
+        self.states.remove(incarnation);
+        self.index();
+    }
+
+    fn insert_state(&mut self, backend: Backend) {
+        match self.states.get_mut(&backend.incarnation) {
+            Some(state) => state.backend = backend,
+            None => {
+                let incarnation = backend.incarnation.clone();
+                self.states.insert(incarnation, State::new(backend));
+            }
+        }
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for (incarnation, state) in &self.states {
+            let of_service = self
+                .by_service
+                .entry(state.backend.service.clone())
+                .or_default();
+            of_service.push(incarnation.clone());
+        }
+        for incarnations in self.by_service.values_mut() {
+            incarnations.sort();
+        }
+    }
+
+    /// Number of back ends.
+    pub fn len(&self) -> usize {
+        self.states.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
+    /// The back end that takes a request; `None` if none may.
+    pub fn choose(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        random: &mut impl Rng,
+    ) -> Option<Backend> {
+        let incarnations = self.by_service.get(wanted.service)?;
+        let usable: Vec<&State> = incarnations
+            .iter()
+            .filter(|one| wanted.attempts.allows(one))
+            .filter_map(|one| self.states.get(one))
+            .filter(|state| !state.backend.leaving)
+            .collect();
+        let trusted: Vec<&State> = usable
+            .iter()
+            .filter(|state| !state.is_ejected(now))
+            .copied()
+            .collect();
+        // If all are ejected, the cause is more likely on this side: any is better than none.
+        let states = if trusted.is_empty() { usable } else { trusted };
+        let candidates: Vec<Candidate> = states
+            .iter()
+            .map(|state| Candidate {
+                identity: state.identity,
+                load: state.load(now),
+                at_home: state.backend.zone == self.zone,
+            })
+            .collect();
+        let position = choice::choose(&candidates, wanted.affinity, random)?;
+        Some(states[position].backend.clone())
+    }
+
+    /// Whether the directory still lists the back end as one that takes new requests.
+    pub fn takes_requests(&self, incarnation: &Incarnation) -> bool {
+        let state = self.states.get(incarnation);
+        state.is_some_and(|state| !state.backend.leaving)
+    }
+
+    /// Load of a back end in requests per slot, as believed.
+    pub fn load(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
+        self.states.get(incarnation).map(|state| state.load(now))
+    }
+
+    /// Back ends of a service that take new requests.
+    pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Backend> {
+        let incarnations = self.by_service.get(service).into_iter().flatten();
+        incarnations
+            .filter_map(|one| self.states.get(one))
+            .map(|state| &state.backend)
+            .filter(|backend| !backend.leaving)
+    }
+
+    /// A request is about to be sent.
+    pub fn started(&mut self, incarnation: &Incarnation) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.in_flight += 1;
+        }
+    }
+
+    /// A request has ended, however.
+    pub fn ended(&mut self, incarnation: &Incarnation) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in the load that an answer told.
+    pub fn reported(&mut self, now: Instant, incarnation: &Incarnation, load: ReportedLoad) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            let all = load.running + load.waiting;
+            state.report = Some(Report {
+                others: all.saturating_sub(state.in_flight),
+                at: now,
+            });
+        }
+    }
+
+    /// Takes in how a back end handled a request. Returns whether it is ejected by that.
+    pub fn observed(&mut self, now: Instant, incarnation: &Incarnation, seen: Impression) -> bool {
+        let Some(state) = self.states.get_mut(incarnation) else {
+            return false;
+        };
+        match seen {
+            Impression::Answered => {
+                state.failures = 0;
+                state.ejections = 0;
+                state.ejected_until = None;
+                return false;
+            }
+            Impression::Full => {
+                state.report = Some(Report {
+                    others: state.backend.slots * 2,
+                    at: now,
+                });
+                return false;
+            }
+            Impression::Unreachable => state.failures = FAILURES_TO_EJECT,
+            Impression::Broke => state.failures += 1,
+        }
+        if state.failures < FAILURES_TO_EJECT {
+            return false;
+        }
+        state.eject(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -0,0 +1,149 @@
+//! What the requests of a node share.
+
+use crate::fleet::{Fleet, Impression};
+use crate::leaving::Leaving;
+use crate::split::Split;
+use firshore_adapter::Adapter;
+use firshore_adapter::backend::Incarnation;
+use firshore_adapter::configuration::ServingConfiguration;
+use firshore_adapter::jobs::{JobItem, ResultPage};
+use firshore_adapter::route::Route;
+use firshore_types::error::ApiError;
+use firshore_types::ids::ZoneName;
+use firshore_types::payload::Payload;
+use futures_util::future::LocalBoxFuture;
+use rand::rngs::StdRng;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A result of the journal.
+pub type JobAnswer<'a, T> = LocalBoxFuture<'a, Result<T, ApiError>>;
+
+/// Keeps batch jobs. Called from callers' requests; answers only what lasts.
+pub trait JobService {
+    /// Takes a job in; taking the same job again changes nothing.
+    fn submit<'a>(
+        &'a self,
+        route: Arc<Route>,
+        job: String,
+        items: Vec<JobItem>,
+    ) -> JobAnswer<'a, ()>;
+
+    /// Results from a position on; waits up to `wait` for one. `None`: no such job.
+    fn results<'a>(
+        &'a self,
+        job: String,
+        from: u64,
+        wait: Duration,
+    ) -> JobAnswer<'a, Option<ResultPage>>;
+
+    /// Body of an item without a result. `None`: no such item, or it has a result.
+    fn body<'a>(&'a self, job: String, item: String) -> JobAnswer<'a, Option<Payload>>;
+
+    /// Ends a job. `false`: no such job.
+    fn end<'a>(&'a self, job: String) -> JobAnswer<'a, bool>;
+}
+
+/// Shared by all connections of a node.
+pub struct Gateway {
+    /// Root of the log.
+    pub log: Logger,
+    /// The environment.
+    pub adapter: Adapter,
+    /// Back ends.
+    pub fleet: RefCell<Fleet>,
+    /// The node's way out.
+    pub leaving: Leaving,
+    /// Batch jobs, where the node can reach them.
+    pub jobs: Option<Rc<dyn JobService>>,
+    /// Random numbers.
+    pub random: RefCell<StdRng>,
+    /// Division of requests among services.
+    pub split: RefCell<Split>,
+    configuration: RefCell<Option<Arc<ServingConfiguration>>>,
+    requests_open: Cell<usize>,
+}
+
+/// Counts a request as open until dropped.
+pub struct OpenRequest<'a> {
+    gateway: &'a Gateway,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        let open = self.gateway.requests_open.get();
+        self.gateway.requests_open.set(open - 1);
+    }
+}
+
+impl Gateway {
+    /// A gateway that knows no configuration yet.
+    pub fn new(
+        log: Logger,
+        adapter: Adapter,
+        zone: ZoneName,
+        jobs: Option<Rc<dyn JobService>>,
+        random: StdRng,
+    ) -> Self {
+        Self {
+            log,
+            adapter,
+            fleet: Fleet::new(zone).into(),
+            leaving: Leaving::default(),
+            jobs,
+            random: random.into(),
+            split: RefCell::default(),
+            configuration: RefCell::default(),
+            requests_open: Cell::new(0),
+        }
+    }
+
+    /// A request has arrived.
+    pub fn open_request(&self) -> OpenRequest<'_> {
+        self.requests_open.set(self.requests_open.get() + 1);
+        OpenRequest { gateway: self }
+    }
+
+    /// Requests that have arrived and are not answered yet.
+    pub fn requests_open(&self) -> usize {
+        self.requests_open.get()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<ServingConfiguration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Puts a configuration into force, unless a newer one is.
+    pub fn configure(&self, configuration: ServingConfiguration) {
+        let mut current = self.configuration.borrow_mut();
+        let version = configuration.version;
+        if let Some(current) = current.as_ref()
+            && current.version >= version
+        {
+            return;
+        }
+        info!(self.log, "configuration: In force."; "version" => version,
+            "routes" => configuration.routes.len());
+        *current = Some(Arc::new(configuration));
+    }
+
+    /// Whether the node can serve requests.
+    pub fn is_ready(&self) -> bool {
+        self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty()
+    }
+
+    /// Takes in how a back end handled a request.
+    pub fn observed(&self, incarnation: &Incarnation, seen: Impression) {
+        let ejected = self
+            .fleet
+            .borrow_mut()
+            .observed(Instant::now(), incarnation, seen);
+        if ejected {
+            warn!(self.log, "fleet: Back end ejected."; "backend" => %incarnation, "seen" => ?seen);
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/refusal.rs
@@ -0,0 +1,84 @@
+//! The node's own answers: refusals that promise that nothing ran, and failures that do not.
+
+use crate::caller_connection::{CallerConnection, CallerGone};
+use actix_http::StatusCode;
+use actix_http::body::BodySize;
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use bytes::Bytes;
+use firshore_types::error::{ApiError, ErrorCode, Execution};
+use std::time::Duration;
+
+/// An answer of the node's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Kind, message and whether the request ran.
+    pub error: ApiError,
+    /// Time after which another try is sensible.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A request that has not run and never will; worth another try after a while.
+    pub fn not_run(code: ErrorCode, message: impl Into<String>, retry_after: Duration) -> Self {
+        Self {
+            error: ApiError::not_run(code, message),
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// A request that may have run.
+    pub fn maybe_run(code: ErrorCode, message: impl Into<String>) -> Self {
+        Self {
+            error: ApiError::maybe_run(code, message),
+            retry_after: None,
+        }
+    }
+
+    /// Whether it promises that the request has not run.
+    pub fn promises_not_run(&self) -> bool {
+        self.error.execution == Execution::None
+    }
+
+    /// Status that carries it.
+    pub fn status(&self) -> StatusCode {
+        StatusCode::from_u16(self.error.code.status()).expect("codes have valid statuses")
+    }
+
+    /// Writes it as the answer.
+    pub async fn write(
+        &self,
+        connection: &mut CallerConnection,
+        close: bool,
+    ) -> Result<(), CallerGone> {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(wait) = self.retry_after {
+            headers.insert(RETRY_AFTER, seconds(wait));
+        }
+        let body = Bytes::from(self.error.body());
+        let size = BodySize::Sized(body.len() as u64);
+        connection.put_head(self.status(), headers, size, close);
+        connection.put_chunk(body);
+        connection.put_end();
+        connection.flush().await
+    }
+}
+
+impl From<ApiError> for Refusal {
+    fn from(error: ApiError) -> Self {
+        let wait = error.retry_after_seconds;
+        Self {
+            retry_after: wait.map(|seconds| Duration::from_secs(seconds.into())),
+            error,
+        }
+    }
+}
+
+/// Whole seconds where they are whole, a decimal fraction otherwise.
+fn seconds(wait: Duration) -> HeaderValue {
+    let text = match wait.subsec_millis() {
+        0 => wait.as_secs().to_string(),
+        _ => format!("{:.3}", wait.as_secs_f64()),
+    };
+    HeaderValue::from_str(&text).expect("digits are valid in headers")
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/serve.rs
@@ -0,0 +1,235 @@
+//! Callers' connections: accepts them, finds the route of each request, and hands it on.
+
+use crate::caller_connection::{CallerConnection, CallerRequest, Incoming};
+use crate::forward::{self, Handled};
+use crate::gateway::Gateway;
+use crate::leaving::Phase;
+use crate::refusal::Refusal;
+use actix_http::StatusCode;
+use actix_http::body::BodySize;
+use actix_http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use bytes::Bytes;
+use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
+use firshore_adapter::jobs::JobCall;
+use firshore_adapter::route::Route;
+use firshore_types::error::{ApiError, ErrorCode};
+use slog::{info, warn};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time after which a caller of a node without a configuration should come back.
+const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+
+/// Answer that a handler has for a caller.
+enum Answer {
+    Empty(StatusCode),
+    Json(Bytes),
+    Octets(Bytes),
+    Refused(Refusal),
+}
+
+/// Accepts callers until the node closes.
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    let closing = gateway.leaving.reached(Phase::Closing);
+    tokio::pin!(closing);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closing => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve(gateway.clone(), stream));
+            }
+            Err(error) => {
+                warn!(gateway.log, "serve: Connection not accepted."; "reason" => %error);
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let mut connection = CallerConnection::new(stream);
+    loop {
+        let limits = match gateway.configuration() {
+            Some(configuration) => configuration.limits,
+            None => CallerLimits::default(),
+        };
+        let closing = gateway.leaving.reached(Phase::Closing);
+        let handled = match connection.read_request(&limits, closing).await {
+            Incoming::Request(request) => handle(&gateway, *request, &mut connection).await,
+            Incoming::Closed => Handled::Close,
+            Incoming::Unusable(error) => {
+                info!(gateway.log, "serve: Request unusable."; "reason" => %error);
+                let _ = Refusal::from(error).write(&mut connection, true).await;
+                Handled::Close
+            }
+        };
+        if handled == Handled::Close {
+            return;
+        }
+    }
+}
+
+async fn handle(
+    gateway: &Gateway,
+    request: CallerRequest,
+    connection: &mut CallerConnection,
+) -> Handled {
+    let _open = gateway.open_request();
+    let Some(configuration) = gateway.configuration() else {
+        let message = "The node does not know a configuration yet.";
+        let refusal = Refusal::not_run(ErrorCode::Unavailable, message, UNCONFIGURED_RETRY);
+        return answer(gateway, Answer::Refused(refusal), connection).await;
+    };
+    match find_route(&configuration, &request) {
+        Some(route) if route.jobs.is_none() => {
+            forward::forward(gateway, route, request, connection).await
+        }
+        Some(route) => {
+            let reply = submit(gateway, route, request).await;
+            answer(gateway, reply, connection).await
+        }
+        None => {
+            let reply = without_route(gateway, &configuration, &request).await;
+            answer(gateway, reply, connection).await
+        }
+    }
+}
+
+fn find_route(configuration: &ServingConfiguration, request: &CallerRequest) -> Option<Arc<Route>> {
+    let host = request.headers.get(HOST)?.to_str().ok()?;
+    let route = configuration.routes.find(host, request.uri.path())?;
+    Some(route.clone())
+}
+
+/// Requests on no route are calls about jobs, or for nothing that is declared.
+async fn without_route(
+    gateway: &Gateway,
+    configuration: &ServingConfiguration,
+    request: &CallerRequest,
+) -> Answer {
+    let dialect = &gateway.adapter.jobs;
+    let query = request.uri.query().unwrap_or_default();
+    let path = request.uri.path();
+    match dialect.read_call(&request.method, path, query, &request.headers) {
+        None => {
+            let version = configuration.version;
+            info!(gateway.log, "serve: No route."; "version" => version,
+                "host" => ?request.headers.get(HOST), "path" => path);
+            let message = format!("No route for '{path}' in version {version}.");
+            Answer::from(ApiError::not_run(ErrorCode::NotFound, message))
+        }
+        Some(Err(error)) => Answer::from(ApiError::not_run(
+            ErrorCode::InvalidRequest,
+            error.to_string(),
+        )),
+        Some(Ok(call)) => match job_call(gateway, call).await {
+            Ok(answer) => answer,
+            Err(error) => Answer::from(error),
+        },
+    }
+}
+
+fn unreachable_jobs() -> ApiError {
+    ApiError::not_run(
+        ErrorCode::JournalUnavailable,
+        "The node keeps no batch jobs.",
+    )
+    .retry_after(1)
+}
+
+async fn submit(gateway: &Gateway, route: Arc<Route>, request: CallerRequest) -> Answer {
+    let invalid = |reason: String| {
+        info!(gateway.log, "serve: Job unusable."; "reason" => &reason);
+        Answer::from(ApiError::not_run(ErrorCode::InvalidRequest, reason))
+    };
+    let dialect = &gateway.adapter.jobs;
+    let Some(job) = dialect.job_id(&request.headers) else {
+        return invalid("The job has no identifier.".to_owned());
+    };
+    let items = match dialect.read_submission(&request.body) {
+        Ok(items) => items,
+        Err(error) => return invalid(error.to_string()),
+    };
+    let Some(jobs) = &gateway.jobs else {
+        return Answer::from(unreachable_jobs());
+    };
+    let count = items.len();
+    match jobs.submit(route.clone(), job.clone(), items).await {
+        Ok(()) => {
+            info!(gateway.log, "jobs: Accepted."; "job" => job, "route" => &route.name,
+                "items" => count, "age_ms" => request.arrived.elapsed().as_millis() as u64);
+            Answer::Empty(StatusCode::ACCEPTED)
+        }
+        Err(error) => {
+            info!(gateway.log, "jobs: Not accepted."; "job" => job, "route" => &route.name,
+                "reason" => %error, "age_ms" => request.arrived.elapsed().as_millis() as u64);
+            Answer::from(error)
+        }
+    }
+}
+
+async fn job_call(gateway: &Gateway, call: JobCall) -> Result<Answer, ApiError> {
+    let jobs = gateway.jobs.as_ref().ok_or_else(unreachable_jobs)?;
+    let unknown = |job: &str| {
+        info!(gateway.log, "jobs: Unknown."; "job" => job);
+        ApiError::not_run(ErrorCode::NotFound, format!("No job '{job}'."))
+    };
+    match call {
+        JobCall::Results { job, from, wait } => {
+            let page = jobs.results(job.clone(), from, wait).await?;
+            let page = page.ok_or_else(|| unknown(&job))?;
+            let body = gateway.adapter.jobs.write_results(&page);
+            Ok(Answer::Json(body.into()))
+        }
+        JobCall::Body { job, item } => {
+            let body = jobs.body(job.clone(), item).await?;
+            let body = body.ok_or_else(|| unknown(&job))?;
+            Ok(Answer::Octets(Bytes::copy_from_slice(&body.0)))
+        }
+        JobCall::End { job } => match jobs.end(job.clone()).await? {
+            true => Ok(Answer::Empty(StatusCode::OK)),
+            false => Err(unknown(&job)),
+        },
+    }
+}
+
+impl From<ApiError> for Answer {
+    fn from(error: ApiError) -> Self {
+        Self::Refused(error.into())
+    }
+}
+
+async fn answer(gateway: &Gateway, answer: Answer, connection: &mut CallerConnection) -> Handled {
+    let close = gateway.leaving.is_leaving();
+    let (status, content_type, body) = match answer {
+        Answer::Empty(status) => (status, None, Bytes::new()),
+        Answer::Json(body) => (StatusCode::OK, Some("application/json"), body),
+        Answer::Octets(body) => (StatusCode::OK, Some("application/octet-stream"), body),
+        Answer::Refused(refusal) => {
+            return match refusal.write(connection, close).await {
+                Ok(()) if connection.keeps_open() => Handled::KeepOpen,
+                _ => Handled::Close,
+            };
+        }
+    };
+    let mut headers = HeaderMap::new();
+    if let Some(content_type) = content_type {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    }
+    let size = BodySize::Sized(body.len() as u64);
+    connection.put_head(status, headers, size, close);
+    connection.put_chunk(body);
+    connection.put_end();
+    match connection.flush().await {
+        Ok(()) if connection.keeps_open() => Handled::KeepOpen,
+        _ => Handled::Close,
+    }
+}
--- /dev/null
+++ b/crates/firshore-gateway/src/split.rs
@@ -0,0 +1,47 @@
+//! Divides a route's requests among its services by weight, evenly at every moment: smooth
+//! weighted round robin, in which a service's credit grows by its weight with each request and the
+//! one with most credit pays for it.
+
+use firshore_adapter::route::{Route, WeightedService};
+use firshore_types::ids::ServiceName;
+use std::collections::HashMap;
+
+/// Credits by route.
+#[derive(Debug, Default)]
+pub struct Split {
+    credits: HashMap<String, Vec<Credit>>,
+}
+
+#[derive(Debug)]
+struct Credit {
+    service: WeightedService,
+    credit: i64,
+}
+
+impl Split {
+    /// The service that runs the next request of `route`.
+    pub fn next(&mut self, route: &Route) -> ServiceName {
+        if let [only] = route.services.as_slice() {
+            return only.service.clone();
+        }
+        let credits = self.credits.entry(route.name.clone()).or_default();
+        let unchanged = credits.iter().map(|one| &one.service).eq(&route.services);
+        if !unchanged {
+            let start = |service: &WeightedService| Credit {
+                service: service.clone(),
+                credit: 0,
+            };
+            *credits = route.services.iter().map(start).collect();
+        }
+        let total: i64 = route.services.iter().map(|one| i64::from(one.weight)).sum();
+        for one in credits.iter_mut() {
+            one.credit += i64::from(one.service.weight);
+        }
+        let richest = credits
+            .iter_mut()
+            .max_by_key(|one| one.credit)
+            .expect("a route has a service");
+        richest.credit -= total;
+        richest.service.service.clone()
+    }
+}
--- /dev/null
+++ b/crates/firshore-logging/src/lib.rs
@@ -0,0 +1,94 @@
+//! The log: short sentences, each behind the fixed prefix of its part, written by a thread of its
+//! own. A reader that is slow delays nobody: lines that do not fit the queue are dropped and counted
+//! in a line that says so.
+#![deny(missing_docs, unsafe_code)]
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Level, Logger, o};
+
+/// How the node logs.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Text or JSON.
+    pub format: LogFormat,
+    /// Least severe level written.
+    pub level: LogLevel,
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// One readable line an event.
+    #[default]
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Severity of log lines.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the node handles.
+    Warning,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Every decision.
+    Debug,
+}
+
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Destination {
+    /// Standard output.
+    Output,
+    /// Standard error.
+    Error,
+}
+
+/// Builds the root logger; it writes on a thread of its own.
+pub fn root(settings: &LogSettings, destination: Destination) -> Logger {
+    let level = match settings.level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    match destination {
+        Destination::Output => formatted(settings.format, level, std::io::stdout()),
+        Destination::Error => formatted(settings.format, level, std::io::stderr()),
+    }
+}
+
+fn formatted(
+    format: LogFormat,
+    level: Level,
+    writer: impl std::io::Write + Send + 'static,
+) -> Logger {
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(writer);
+            finish(slog_term::FullFormat::new(decorator).build().fuse(), level)
+        }
+        LogFormat::Json => finish(slog_json::Json::default(writer).fuse(), level),
+    }
+}
+
+/// A logger that writes nothing, for tests and the lab.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn finish<D>(drain: D, level: Level) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain).build().fuse();
+    Logger::root(slog::LevelFilter::new(queue, level).fuse(), o!())
+}
--- /dev/null
+++ b/crates/firshore-node/src/lib.rs
@@ -0,0 +1,10 @@
+//! A node as it runs in an environment that an adapter translates: observes versioned objects,
+//! serves callers, keeps batch jobs where it has a disk, and leaves without cutting anything off.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod command_line;
+pub mod node;
+pub mod observation;
+pub mod readiness;
+pub mod settings;
+mod watcher;
--- /dev/null
+++ b/crates/firshore-node/src/node.rs
@@ -0,0 +1,192 @@
+//! Puts a node together and runs it until it is told to stop.
+
+use crate::observation::Learned;
+use crate::readiness;
+use crate::settings::Settings;
+use crate::watcher;
+use firshore_adapter::Adapter;
+use firshore_adapter::backend::Incarnation;
+use firshore_adapter::objects::{Change, Object};
+use firshore_gateway::gateway::Gateway;
+use firshore_gateway::serve;
+use firshore_logging::Destination;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slog::{Logger, info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Part of the grace in which the node still accepts, until nobody sends new connections.
+const ANNOUNCED_SHARE: f64 = 0.35;
+
+/// Time kept for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// How often the node looks whether its last request has ended.
+const FINISH_POLL: Duration = Duration::from_millis(50);
+
+/// Runs a node on this thread until it has left.
+pub fn run(
+    settings: Settings,
+    path: PathBuf,
+    adapter: impl FnOnce(SocketAddr) -> Adapter,
+) -> io::Result<()> {
+    let log = firshore_logging::root(&settings.log, Destination::Output);
+    let adapter = adapter(settings.objects.address);
+    actix_rt::System::new().block_on(live(settings, path, adapter, log))
+}
+
+async fn live(settings: Settings, path: PathBuf, adapter: Adapter, log: Logger) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let random = StdRng::seed_from_u64(rand::random());
+    let gateway = Rc::new(Gateway::new(
+        log.clone(),
+        adapter,
+        settings.zone.clone(),
+        None,
+        random,
+    ));
+    follow_environment(&gateway);
+    let callers = start_listeners(&settings, &gateway).await?;
+    info!(log, "node: Started."; "name" => %settings.name, "zone" => %settings.zone,
+        "version" => env!("CARGO_PKG_VERSION"));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => reload(&path, &log),
+        }
+    }
+    leave(&settings, &gateway, callers).await;
+    info!(log, "node: Stopped.");
+    Ok(())
+}
+
+/// Reads the settings again. What a running node can take over is taken over; the rest waits for
+/// its next start.
+fn reload(path: &std::path::Path, log: &Logger) {
+    match Settings::read(path) {
+        Ok(_) => info!(log, "node: Settings read again."),
+        Err(error) => warn!(log, "node: Settings kept."; "reason" => %error),
+    }
+}
+
+type Callers = Option<actix_rt::task::JoinHandle<()>>;
+
+async fn start_listeners(settings: &Settings, gateway: &Rc<Gateway>) -> io::Result<Callers> {
+    if let Some(address) = settings.listen.readiness {
+        let listener = TcpListener::bind(address).await?;
+        actix_rt::spawn(readiness::accept(gateway.clone(), listener));
+    }
+    let Some(address) = settings.listen.callers else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await?;
+    let accepting = serve::accept(gateway.clone(), listener);
+    Ok(Some(actix_rt::spawn(accepting)))
+}
+
+/// Says that the node leaves, goes on accepting for a while, then finishes what runs.
+async fn leave(settings: &Settings, gateway: &Rc<Gateway>, callers: Callers) {
+    let grace = settings.leave.grace();
+    let end = tokio::time::Instant::now() + grace.saturating_sub(END_MARGIN);
+    gateway.leaving.begin();
+    info!(gateway.log, "node: Leaving."; "grace_ms" => grace.as_millis() as u64);
+    actix_rt::time::sleep(grace.mul_f64(ANNOUNCED_SHARE)).await;
+    gateway.leaving.close();
+    if let Some(callers) = callers {
+        let _ = callers.await;
+    }
+    while gateway.requests_open() > 0 && tokio::time::Instant::now() < end {
+        actix_rt::time::sleep(FINISH_POLL).await;
+    }
+    info!(gateway.log, "node: Finished."; "cut_off" => gateway.requests_open());
+}
+
+fn follow_environment(gateway: &Rc<Gateway>) {
+    let decoder = gateway.adapter.decoder.clone();
+    let for_backends = gateway.clone();
+    actix_rt::spawn(watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        decoder.backend_kind().to_owned(),
+        move |learned| learn_backends(&for_backends, learned),
+    ));
+    let for_configuration = gateway.clone();
+    actix_rt::spawn(watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        decoder.configuration_kind().to_owned(),
+        move |learned| learn_configuration(&for_configuration, learned),
+    ));
+}
+
+fn learn_backends(gateway: &Gateway, learned: Learned) {
+    match learned {
+        Learned::All(objects) => {
+            let decoded = objects
+                .iter()
+                .map(|object| gateway.adapter.decoder.backend(object));
+            let backends = decoded.filter_map(|backend| match backend {
+                Ok(backend) => Some(backend),
+                Err(error) => {
+                    warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error);
+                    None
+                }
+            });
+            let backends: Vec<_> = backends.collect();
+            info!(gateway.log, "fleet: Back ends listed."; "count" => backends.len());
+            gateway.fleet.borrow_mut().replace(backends);
+        }
+        Learned::Changed(changes) => {
+            for change in changes {
+                learn_backend(gateway, change);
+            }
+        }
+    }
+}
+
+fn learn_backend(gateway: &Gateway, change: Change) {
+    match change {
+        Change::Removed(name) => {
+            info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
+            gateway.fleet.borrow_mut().remove(&Incarnation(name));
+        }
+        Change::Written(object) => match gateway.adapter.decoder.backend(&object) {
+            Ok(backend) => {
+                info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
+                    "service" => %backend.service, "leaving" => backend.leaving,
+                    "revision" => object.revision);
+                gateway.fleet.borrow_mut().upsert(backend);
+            }
+            Err(error) => warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error),
+        },
+    }
+}
+
+fn learn_configuration(gateway: &Gateway, learned: Learned) {
+    let written: Vec<Object> = match learned {
+        Learned::All(objects) => objects,
+        Learned::Changed(changes) => changes
+            .into_iter()
+            .filter_map(|change| match change {
+                Change::Written(object) => Some(object),
+                Change::Removed(_) => None,
+            })
+            .collect(),
+    };
+    let name = gateway.adapter.decoder.configuration_name();
+    for object in written.iter().filter(|object| object.name == name) {
+        match gateway.adapter.decoder.configuration(object) {
+            Ok(configuration) => gateway.configure(configuration),
+            Err(error) => warn!(gateway.log, "configuration: Refused."; "reason" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/observation.rs
@@ -0,0 +1,196 @@
+//! Follows all objects of one kind: lists them in pages, then watches from the revision of the
+//! first page, and lists anew when the store has forgotten the changes since. No I/O.
+//!
+//! What was seen is never taken back: an object that a listing shows in an older revision than was
+//! seen before is passed over.
+
+use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page, Revision};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Pause after the first failure; doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// What to ask the store next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// A page after a name.
+    List(Option<String>),
+    /// Changes after a revision.
+    Watch(Revision),
+}
+
+/// What was learned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Learned {
+    /// All objects there are.
+    All(Vec<Object>),
+    /// Changes since.
+    Changed(Vec<Change>),
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Listing {
+        gathered: Vec<Object>,
+        /// Revision of the first page: what changed while later pages were read is watched again.
+        revision: Option<Revision>,
+    },
+    Watching(Revision),
+}
+
+/// State of the observation.
+#[derive(Debug)]
+pub struct Observation {
+    phase: Phase,
+    seen: HashMap<String, Revision>,
+    failures: u32,
+}
+
+impl Default for Observation {
+    fn default() -> Self {
+        Self {
+            phase: Phase::Listing {
+                gathered: Vec::new(),
+                revision: None,
+            },
+            seen: HashMap::new(),
+            failures: 0,
+        }
+    }
+}
+
+impl Observation {
+    /// What to ask next.
+    pub fn question(&self) -> Question {
+        match &self.phase {
+            Phase::Listing { gathered, .. } => {
+                Question::List(gathered.last().map(|object| object.name.clone()))
+            }
+            Phase::Watching(revision) => Question::Watch(*revision),
+        }
+    }
+
+    /// Pause before the next question: none unless the store failed.
+    pub fn pause(&self) -> Duration {
+        match self.failures {
+            0 => Duration::ZERO,
+            failures => {
+                let doubled = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(10) - 1);
+                doubled.min(LONGEST_PAUSE)
+            }
+        }
+    }
+
+    /// Whether the store answered last time.
+    pub fn is_connected(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// Revision up to which changes are known.
+    pub fn revision(&self) -> Option<Revision> {
+        match &self.phase {
+            Phase::Listing { .. } => None,
+            Phase::Watching(revision) => Some(*revision),
+        }
+    }
+
+    /// Takes in a page.
+    pub fn listed(&mut self, page: Result<Page, ObjectError>) -> Option<Learned> {
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                self.failed(&error);
+                return None;
+            }
+        };
+        self.failures = 0;
+        let Phase::Listing { gathered, revision } = &mut self.phase else {
+            return None;
+        };
+        let first = *revision.get_or_insert(page.revision);
+        let empty = page.objects.is_empty();
+        gathered.extend(page.objects);
+        if page.more && !empty {
+            return None;
+        }
+        let listed = std::mem::take(gathered);
+        self.phase = Phase::Watching(first);
+        Some(Learned::All(self.newest(listed)))
+    }
+
+    /// Objects that are not older than what was seen; remembers just these.
+    fn newest(&mut self, listed: Vec<Object>) -> Vec<Object> {
+        let seen = std::mem::take(&mut self.seen);
+        let is_newest = |object: &Object| {
+            let before = seen.get(&object.name).copied().unwrap_or(0);
+            object.revision >= before
+        };
+        for object in &listed {
+            let before = seen.get(&object.name).copied().unwrap_or(0);
+            self.seen
+                .insert(object.name.clone(), object.revision.max(before));
+        }
+        listed.into_iter().filter(|one| is_newest(one)).collect()
+    }
+
+    /// Takes in changes.
+    pub fn watched(&mut self, changes: Result<Changes, ObjectError>) -> Option<Learned> {
+        let changes = match changes {
+            Ok(changes) => changes,
+            Err(error) => {
+                self.failed(&error);
+                return None;
+            }
+        };
+        self.failures = 0;
+        let Phase::Watching(revision) = &mut self.phase else {
+            return None;
+        };
+        *revision = changes.revision.max(*revision);
+        let fresh: Vec<Change> = changes
+            .changes
+            .into_iter()
+            .filter(|change| self.is_fresh(change))
+            .collect();
+        for change in &fresh {
+            self.remember(change);
+        }
+        (!fresh.is_empty()).then_some(Learned::Changed(fresh))
+    }
+
+    fn is_fresh(&self, change: &Change) -> bool {
+        match change {
+            Change::Removed(_) => true,
+            Change::Written(object) => {
+                let before = self.seen.get(&object.name).copied().unwrap_or(0);
+                object.revision >= before
+            }
+        }
+    }
+
+    fn remember(&mut self, change: &Change) {
+        match change {
+            Change::Written(object) => {
+                self.seen.insert(object.name.clone(), object.revision);
+            }
+            Change::Removed(name) => {
+                self.seen.remove(name);
+            }
+        }
+    }
+
+    fn failed(&mut self, error: &ObjectError) {
+        if *error == ObjectError::HistoryGone {
+            self.phase = Phase::Listing {
+                gathered: Vec::new(),
+                revision: None,
+            };
+            // Lost history is no failure of the store: what changed is wanted at once.
+            return;
+        }
+        self.failures += 1;
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/settings.rs
@@ -0,0 +1,188 @@
+//! Settings of a node: a TOML file that the environment fills in.
+
+use firshore_logging::LogSettings;
+use firshore_types::ids::{NodeName, RegionName, ZoneName};
+use quick_error::quick_error;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+quick_error! {
+    /// Why settings cannot be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file cannot be read.
+        Read(path: PathBuf, error: std::io::Error) {
+            display("The settings file {} cannot be read: {error}. Give its path with --settings.", path.display())
+        }
+        /// The file is not TOML of the expected shape.
+        Parse(path: PathBuf, error: toml::de::Error) {
+            display("The settings file {} is invalid: {error} Correct the key that is named.", path.display())
+        }
+        /// A value is unusable.
+        Invalid(key: &'static str, value: String, remedy: &'static str) {
+            display("Setting {key} = '{value}' cannot be used. {remedy}")
+        }
+    }
+}
+
+/// Everything a node is told at its start.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name, unique in the cluster.
+    pub name: NodeName,
+    /// Region it stands in.
+    pub region: RegionName,
+    /// Zone it stands in.
+    pub zone: ZoneName,
+    /// Sockets.
+    pub listen: Listen,
+    /// Store of versioned objects.
+    pub objects: Objects,
+    /// Other nodes.
+    pub cluster: Cluster,
+    /// Disk, on the nodes that have one.
+    pub storage: Option<Storage>,
+    /// The way out.
+    #[serde(default)]
+    pub leave: Leave,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP; absent on nodes that serve no callers.
+    pub callers: Option<SocketAddr>,
+    /// Where the node tells whether it is ready; absent where nobody asks.
+    pub readiness: Option<SocketAddr>,
+    /// Other nodes.
+    pub peers: SocketAddr,
+}
+
+/// Store of versioned objects.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Objects {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// How nodes found the cluster and trust each other.
+#[derive(Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Cluster {
+    /// Shared secret of at least 16 bytes.
+    pub secret: String,
+    /// Whether the whole cluster starts for the first time, with empty disks.
+    #[serde(default)]
+    pub first_start: bool,
+    /// Disks that may be lost at once with nothing lost.
+    #[serde(default = "one")]
+    pub tolerated_disk_losses: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl std::fmt::Debug for Cluster {
+    /// Leaves the secret out, so that settings can be logged.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Cluster")
+            .field("first_start", &self.first_start)
+            .field("tolerated_disk_losses", &self.tolerated_disk_losses)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The data folder.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Storage {
+    /// Folder for everything the node keeps on disk.
+    pub data_folder: PathBuf,
+}
+
+/// The way out.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Leave {
+    /// Time between the request to stop and the kill, in seconds.
+    pub grace_seconds: f64,
+}
+
+impl Default for Leave {
+    fn default() -> Self {
+        Self { grace_seconds: 8.0 }
+    }
+}
+
+impl Leave {
+    /// Time between the request to stop and the kill.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_seconds)
+    }
+}
+
+/// Shortest secret accepted, in bytes.
+const MINIMUM_SECRET_BYTES: usize = 16;
+
+/// Shortest time between the request to stop and the kill that allows an orderly end.
+const MINIMUM_GRACE_SECONDS: f64 = 1.0;
+
+/// Most disks that may be lost at once: more needs groups of more than seven.
+const MAXIMUM_DISK_LOSSES: u32 = 3;
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Read(path.to_owned(), error))?;
+        let settings: Self =
+            toml::from_str(&text).map_err(|error| SettingsError::Parse(path.to_owned(), error))?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks what the types cannot.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if self.cluster.secret.len() < MINIMUM_SECRET_BYTES {
+            return Err(SettingsError::Invalid(
+                "cluster.secret",
+                "(hidden)".to_owned(),
+                "Set at least 16 random bytes, the same on every node.",
+            ));
+        }
+        if self.cluster.tolerated_disk_losses > MAXIMUM_DISK_LOSSES {
+            return Err(SettingsError::Invalid(
+                "cluster.tolerated_disk_losses",
+                self.cluster.tolerated_disk_losses.to_string(),
+                "Set 0 to 3.",
+            ));
+        }
+        let grace = self.leave.grace_seconds;
+        if !grace.is_finite() || grace < MINIMUM_GRACE_SECONDS {
+            return Err(SettingsError::Invalid(
+                "leave.grace_seconds",
+                grace.to_string(),
+                "Set at least 1.",
+            ));
+        }
+        if self.name.as_str().is_empty() {
+            return Err(SettingsError::Invalid(
+                "name",
+                String::new(),
+                "Give each node a name of its own.",
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/watcher.rs
@@ -0,0 +1,61 @@
+//! Asks the store what an [`Observation`] wants to know, for as long as the node lives.
+
+use crate::observation::{Learned, Observation, Question};
+use firshore_adapter::objects::{ObjectError, ObjectStore};
+use rand::RngExt;
+use slog::{Logger, info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Wait asked of the store for a change. Long, as calls are dear and waiting is not.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Follows all objects of `kind` and hands on what is learned.
+pub async fn follow(
+    log: Logger,
+    store: Rc<dyn ObjectStore>,
+    kind: String,
+    learn: impl Fn(Learned),
+) {
+    let mut observation = Observation::default();
+    loop {
+        let pause = observation.pause();
+        if !pause.is_zero() {
+            // Nodes that lost the store together must not return together.
+            let spread = pause.mul_f64(rand::rng().random_range(0.5..1.0));
+            actix_rt::time::sleep(spread).await;
+        }
+        let connected = observation.is_connected();
+        let learned = match observation.question() {
+            Question::List(after) => {
+                let page = store.list(&kind, after.as_deref()).await;
+                note(&log, &kind, connected, page.as_ref().err());
+                observation.listed(page)
+            }
+            Question::Watch(revision) => {
+                let changes = store.watch(&kind, revision, WATCH_WAIT).await;
+                note(&log, &kind, connected, changes.as_ref().err());
+                observation.watched(changes)
+            }
+        };
+        if !connected && observation.is_connected() {
+            info!(log, "objects: Store answers again."; "kind" => &kind,
+                "revision" => observation.revision());
+        }
+        if let Some(learned) = learned {
+            learn(learned);
+        }
+    }
+}
+
+fn note(log: &Logger, kind: &str, connected: bool, error: Option<&ObjectError>) {
+    match error {
+        Some(ObjectError::HistoryGone) => {
+            info!(log, "objects: History gone; listing anew."; "kind" => kind);
+        }
+        Some(error) if connected => {
+            warn!(log, "objects: Store does not answer."; "kind" => kind, "reason" => %error);
+        }
+        _ => {}
+    }
+}
--- a/crates/firshore-server/src/cli/serve.rs
+++ b/crates/firshore-server/src/cli/serve.rs
@@ -44,7 +44,7 @@
         settings
             .validate()
             .map_err(|error| Failure::Invalid(error.to_string()))?;
-        let log = logging::root(&settings.log);
+        let log = logging::root(&settings.log, logging::Destination::Error);
         let signals = Signals::watch();
         let node = Node::start(settings, log)
             .map_err(|error| Failure::Failed(format!("The node cannot start: {error}.")))?;
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of a node: a TOML file, some of whose values flags override.
 
+pub use firshore_logging::{LogFormat, LogLevel, LogSettings};
 use firshore_types::ids::{NodeName, RegionName, ZoneName};
 use quick_error::quick_error;
 use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -136,42 +137,6 @@
     }
 }
 
-/// How the node logs.
-#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, default)]
-pub struct LogSettings {
-    /// Text or JSON.
-    pub format: LogFormat,
-    /// Least severe level written.
-    pub level: LogLevel,
-}
-
-/// Form of log lines.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "lowercase")]
-pub enum LogFormat {
-    /// One readable line an event.
-    #[default]
-    Text,
-    /// One JSON object an event.
-    Json,
-}
-
-/// Severity of log lines.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "lowercase")]
-pub enum LogLevel {
-    /// Failures that need an operator.
-    Error,
-    /// Failures that the node handles.
-    Warning,
-    /// Changes of state.
-    #[default]
-    Info,
-    /// Every decision.
-    Debug,
-}
-
 /// Limits on what is held in memory.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/firshore-types/src/error.rs
+++ b/crates/firshore-types/src/error.rs
@@ -75,6 +75,10 @@
     MethodNotAllowed = "method_not_allowed", 405, "Use the method that the reference gives for this path.";
     /// The change or key was used for something else.
     Conflict = "conflict", 409, "Read the current state, then decide whether to send a new change or use a new key.";
+    /// The head of the request did not arrive in time.
+    RequestTimeout = "request_timeout", 408, "Send the whole request again, without pauses.";
+    /// The head of the request exceeds the limit.
+    HeadTooLarge = "head_too_large", 431, "Send fewer or shorter headers, within the limit that the message gives.";
     /// The body exceeds the limit.
     TooLarge = "too_large", 413, "Send a body within the limit that the message gives.";
     /// The tenant's rate or concurrency limit is reached.
--- a/crates/firshore-types/src/lib.rs
+++ b/crates/firshore-types/src/lib.rs
@@ -16,5 +16,7 @@
 pub mod ids;
 pub mod labels;
 pub mod machine;
+pub mod payload;
 pub mod policy;
+
 pub mod validation;
