--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -3,6 +3,7 @@
 use crate::claim::{ClaimCommand, ClaimOutcome, ClaimTable};
 use firshore_batch::command as batch;
 use firshore_batch::table::JobTable;
+use firshore_log::machine::StateMachine;
 use firshore_types::ids::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -28,18 +29,6 @@
     Floor(Revision),
 }
 
-impl Command {
-    /// Stamps the leader's clock, in Unix milliseconds, on a command that is about to enter the
-    /// log. Every replica then applies the same time.
-    pub fn stamp(&mut self, now: u64) {
-        match self {
-            Self::Batch(command) => command.at = now,
-            Self::Claim(ClaimCommand::Claim { at, .. }) => *at = now,
-            Self::Claim(_) | Self::RaiseFloor(_) => {}
-        }
-    }
-}
-
 /// Everything a journal group keeps.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct JournalState {
@@ -51,10 +40,11 @@
     pub floor: Revision,
 }
 
-impl JournalState {
-    /// The outcome of a command that would change nothing, so that it need not enter the log.
-    /// `now` is the leader's clock in Unix milliseconds.
-    pub fn without_effect(&self, command: &Command, now: u64) -> Option<Outcome> {
+impl StateMachine for JournalState {
+    type Command = Command;
+    type Outcome = Outcome;
+
+    fn without_effect(&self, command: &Command, now: u64) -> Option<Outcome> {
         match command {
             Command::Batch(command) => {
                 let outcome = self.jobs.without_effect(&command.action, now);
@@ -64,8 +54,28 @@
         }
     }
 
-    /// Applies a committed command.
-    pub fn apply(&mut self, command: Command) -> Outcome {
+    fn stamp(command: &mut Command, now: u64) {
+        match command {
+            Command::Batch(command) => command.at = now,
+            Command::Claim(ClaimCommand::Claim { at, .. }) => *at = now,
+            Command::Claim(_) | Command::RaiseFloor(_) => {}
+        }
+    }
+
+    fn needs_space(command: &Command) -> bool {
+        match command {
+            Command::Batch(command) => matches!(
+                command.action,
+                batch::Action::Open { .. }
+                    | batch::Action::Append { .. }
+                    | batch::Action::Seal { .. }
+            ),
+            Command::Claim(command) => matches!(command, ClaimCommand::Claim { .. }),
+            Command::RaiseFloor(_) => false,
+        }
+    }
+
+    fn apply(&mut self, command: Command) -> Outcome {
         match command {
             Command::Batch(command) => Outcome::Batch(self.jobs.apply(command)),
             Command::Claim(command) => Outcome::Claim(self.claims.apply(command)),
--- a/crates/firshore-server/src/journal/driver.rs
+++ b/crates/firshore-log/src/driver.rs
@@ -1,14 +1,10 @@
 //! The thread of one replica: takes inputs in batches, writes each batch in one transaction, sends
 //! messages, applies committed commands, takes snapshots. Workers never wait for the disk.
 
-use super::disk_space;
-use super::group::GroupStatus;
-use crate::clock::unix_milliseconds;
-use crate::shared::Shared;
-use firshore_batch::command::Action;
-use firshore_journal::claim::ClaimCommand;
-use firshore_journal::state::{Command, JournalState, Outcome};
-use firshore_protocol::message::{JournalRefusal, Request};
+use crate::disk_space;
+use crate::group::GroupStatus;
+use crate::machine::{ReplicaSettings, SharedState, StateMachine, Transport};
+use crate::refusal::JournalRefusal;
 use firshore_replication::error::{ReplicaError, StorageError};
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
@@ -22,12 +18,11 @@
 use rand::RngExt;
 use slog::{Logger, error, info, warn};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
-use std::time::Duration;
-use tokio::sync::oneshot;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, watch};
 
 /// Time between ticks of the replica.
 const TICK: Duration = Duration::from_millis(20);
@@ -35,25 +30,26 @@
 /// Most inputs written in one transaction.
 const MAXIMUM_BATCH: usize = 512;
 
-/// Log in memory at which a snapshot is taken, in bytes, unless the last snapshot was larger.
-const SNAPSHOT_AFTER_BYTES: usize = 32 * 1024 * 1024;
-
 /// How often the status, the addresses of peers and the free space are looked at, in milliseconds.
 const SURVEY_INTERVAL: u64 = 200;
 
 /// Pause before a full disk is tried again.
 const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
 
-/// State of the machine, as readers share it.
-pub type SharedState = Arc<RwLock<JournalState>>;
-
 /// Where the answer to a read goes.
-pub type ReadAnswer = oneshot::Sender<Result<SharedState, JournalRefusal>>;
+pub(crate) type ReadAnswer<M> = oneshot::Sender<Result<SharedState<M>, JournalRefusal>>;
 
-type ProposalAnswer = oneshot::Sender<Result<Outcome, JournalRefusal>>;
+type ProposalAnswer<M> = oneshot::Sender<Result<<M as StateMachine>::Outcome, JournalRefusal>>;
+
+/// Milliseconds since the Unix epoch by the machine's wall clock.
+fn unix_milliseconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
 
 /// What the thread is given.
-pub enum Input {
+pub(crate) enum Input<M: StateMachine> {
     /// A message from another replica.
     Received {
         /// Node that holds the replica.
@@ -64,12 +60,12 @@
     /// Commit a command.
     Propose {
         /// Command.
-        command: Command,
+        command: M::Command,
         /// Where its outcome goes.
-        answer: ProposalAnswer,
+        answer: ProposalAnswer<M>,
     },
     /// Give the state with everything committed before now.
-    Read(ReadAnswer),
+    Read(ReadAnswer<M>),
     /// Become a founding replica.
     Found(Membership),
     /// Change the membership.
@@ -80,15 +76,15 @@
     Stop,
 }
 
-struct PendingProposal {
+struct PendingProposal<M: StateMachine> {
     term: Term,
-    answer: ProposalAnswer,
+    answer: ProposalAnswer<M>,
 }
 
-struct WaitingRead {
+struct WaitingRead<M> {
     /// Index that must be applied; unknown until the leader is confirmed.
     index: Option<LogIndex>,
-    answer: ReadAnswer,
+    answer: ReadAnswer<M>,
 }
 
 struct FinishedSnapshot {
@@ -96,28 +92,45 @@
     data: Vec<u8>,
 }
 
+/// What a replica is run with, beside its storage.
+pub(crate) struct Environment {
+    pub(crate) log: Logger,
+    pub(crate) group: GroupId,
+    pub(crate) path: PathBuf,
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) transport: Box<dyn Transport>,
+    pub(crate) status: Arc<RwLock<Arc<GroupStatus>>>,
+    /// Told the index of each entry applied last, and of each change of leadership.
+    pub(crate) applied: watch::Sender<LogIndex>,
+    pub(crate) start: Instant,
+}
+
+impl Environment {
+    /// Milliseconds since the replica's start, by the steady clock.
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+}
+
 /// The thread's state.
-pub struct Driver {
-    shared: Arc<Shared>,
+pub(crate) struct Driver<'a, M: StateMachine> {
+    environment: &'a mut Environment,
     log: Logger,
-    group: GroupId,
-    path: PathBuf,
     storage: RedbStorage,
     replica: Replica,
-    state: SharedState,
+    state: SharedState<M>,
+    published: &'a RwLock<SharedState<M>>,
     applied: LogIndex,
     committed: VecDeque<Entry>,
-    proposals: BTreeMap<LogIndex, PendingProposal>,
-    reads: BTreeMap<ReadToken, WaitingRead>,
+    proposals: BTreeMap<LogIndex, PendingProposal<M>>,
+    reads: BTreeMap<ReadToken, WaitingRead<M>>,
     next_read: ReadToken,
     snapshot: Option<Receiver<FinishedSnapshot>>,
-    addresses: BTreeMap<NodeName, SocketAddr>,
     /// Nodes that replicas wrote from: an empty replica knows no membership yet.
     senders: BTreeMap<DiskId, NodeName>,
     survey_due: u64,
     full: bool,
     led: bool,
-    status: Arc<RwLock<Arc<GroupStatus>>>,
 }
 
 enum Flow {
@@ -133,107 +146,105 @@
     Full,
 }
 
-fn restore(
-    shared: &Shared,
+fn restore<M: StateMachine>(
+    now: u64,
     path: &Path,
     storage: &RedbStorage,
-) -> Result<(Replica, JournalState), StorageError> {
+) -> Result<(Replica, M), StorageError> {
     let stored = storage.load()?;
     let state = match &stored.snapshot {
-        None => JournalState::default(),
+        None => M::default(),
         Some(snapshot) => ciborium::from_reader(&*snapshot.data.0).map_err(|error| {
             let reason = format!("its snapshot cannot be read by this version ({error})");
             StorageError::Database(path.to_owned(), reason)
         })?,
     };
-    let now = shared.clock.now();
     let seed = rand::rng().random();
     let replica = Replica::restore(now, storage.disk(), Timing::default(), stored, seed);
     Ok((replica, state))
 }
 
-impl Driver {
-    /// Runs until told to stop. After a full disk it starts again from what the disk holds, as
-    /// after a crash: a storage whose write failed cannot be used further.
-    pub fn run(
-        shared: Arc<Shared>,
-        group: GroupId,
-        path: &Path,
-        mut storage: RedbStorage,
-        inputs: Receiver<Input>,
-        status: Arc<RwLock<Arc<GroupStatus>>>,
-    ) {
-        let log = shared.log.new(slog::o!("group" => group.0));
-        let mut full = false;
-        loop {
-            let disk = storage.disk();
-            let ended = Self::session(&shared, group, path, storage, &status, full, &inputs);
-            match ended {
-                Ok(End::Stopped) => return info!(log, "journal: Replica ended."),
-                Ok(End::Full) => warn!(log, "journal: Disk full."; "file" => %path.display()),
-                Err(reason) => {
-                    error!(log, "journal: Replica stopped."; "reason" => %reason);
-                    let mut last = GroupStatus::clone(&status.read());
-                    last.leads = false;
-                    last.stopped = Some(reason.to_string());
-                    *status.write() = Arc::new(last);
-                    return;
-                }
+/// Runs a replica until it is told to stop. After a full disk it starts again from what the disk
+/// holds, as after a crash: a storage whose write failed cannot be used further.
+pub(crate) fn run<M: StateMachine>(
+    mut environment: Environment,
+    mut storage: RedbStorage,
+    inputs: Receiver<Input<M>>,
+    published: Arc<RwLock<SharedState<M>>>,
+) {
+    let log = environment.log.clone();
+    let mut full = false;
+    loop {
+        let disk = storage.disk();
+        match session(&mut environment, storage, full, &inputs, &published) {
+            Ok(End::Stopped) => return info!(log, "journal: Replica ended."),
+            Ok(End::Full) => {
+                warn!(log, "journal: Disk full."; "file" => %environment.path.display());
+            }
+            Err(reason) => {
+                error!(log, "journal: Replica stopped."; "reason" => %reason);
+                let mut last = GroupStatus::clone(&environment.status.read());
+                last.leads = false;
+                last.stopped = Some(reason.to_string());
+                *environment.status.write() = Arc::new(last);
+                return;
             }
-            full = true;
-            std::thread::sleep(FULL_DISK_PAUSE);
-            storage = match RedbStorage::open(path, disk) {
-                Ok(storage) => storage,
-                Err(reason) => return error!(log, "journal: Replica stopped."; "reason" => %reason),
-            };
         }
+        full = true;
+        std::thread::sleep(FULL_DISK_PAUSE);
+        storage = match RedbStorage::open(&environment.path, disk) {
+            Ok(storage) => storage,
+            Err(reason) => return error!(log, "journal: Replica stopped."; "reason" => %reason),
+        };
     }
+}
 
-    fn session(
-        shared: &Arc<Shared>,
-        group: GroupId,
-        path: &Path,
-        storage: RedbStorage,
-        status: &Arc<RwLock<Arc<GroupStatus>>>,
-        full: bool,
-        inputs: &Receiver<Input>,
-    ) -> Result<End, StorageError> {
-        let (replica, state) = restore(shared, path, &storage)?;
-        let mut driver = Self {
-            log: shared.log.new(slog::o!("group" => group.0)),
-            group,
-            path: path.to_owned(),
-            storage,
-            applied: replica.status().commit,
-            replica,
-            state: Arc::new(RwLock::new(state)),
-            committed: VecDeque::new(),
-            proposals: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            next_read: 0,
-            snapshot: None,
-            addresses: BTreeMap::new(),
-            senders: BTreeMap::new(),
-            survey_due: 0,
-            full,
-            led: false,
-            status: status.clone(),
-            shared: shared.clone(),
-        };
-        info!(driver.log, "journal: Replica started."; "disk" => %driver.storage.disk());
-        let ended = loop {
-            match driver.turn(inputs) {
-                Ok(Flow::Continue) => {}
-                Ok(Flow::Stop) => break Ok(End::Stopped),
-                Err(StorageError::Full(_)) => break Ok(End::Full),
-                Err(reason) => break Err(reason),
-            }
-        };
-        driver.fail_everything();
-        ended
+fn session<M: StateMachine>(
+    environment: &mut Environment,
+    storage: RedbStorage,
+    full: bool,
+    inputs: &Receiver<Input<M>>,
+    published: &RwLock<SharedState<M>>,
+) -> Result<End, StorageError> {
+    let (replica, state) = restore(environment.now(), &environment.path, &storage)?;
+    let mut driver = Driver {
+        log: environment.log.clone(),
+        environment,
+        storage,
+        applied: replica.status().commit,
+        replica,
+        state: Arc::new(RwLock::new(state)),
+        published,
+        committed: VecDeque::new(),
+        proposals: BTreeMap::new(),
+        reads: BTreeMap::new(),
+        next_read: 0,
+        snapshot: None,
+        senders: BTreeMap::new(),
+        survey_due: 0,
+        full,
+        led: false,
+    };
+    driver.publish_state();
+    info!(driver.log, "journal: Replica started."; "disk" => %driver.storage.disk());
+    let ended = loop {
+        match driver.turn(inputs) {
+            Ok(Flow::Continue) => {}
+            Ok(Flow::Stop) => break Ok(End::Stopped),
+            Err(StorageError::Full(_)) => break Ok(End::Full),
+            Err(reason) => break Err(reason),
+        }
+    };
+    driver.fail_everything();
+    ended
+}
+
+impl<M: StateMachine> Driver<'_, M> {
+    fn publish_state(&self) {
+        *self.published.write() = self.state.clone();
     }
 
-    fn turn(&mut self, inputs: &Receiver<Input>) -> Result<Flow, StorageError> {
+    fn turn(&mut self, inputs: &Receiver<Input<M>>) -> Result<Flow, StorageError> {
         match inputs.recv_timeout(TICK) {
             Ok(input) => {
                 if let Flow::Stop = self.take_batch(input, inputs) {
@@ -243,13 +254,13 @@
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return Ok(Flow::Stop),
         }
-        self.replica.tick(self.shared.clock.now());
+        self.replica.tick(self.environment.now());
         self.settle()?;
         self.survey();
         Ok(Flow::Continue)
     }
 
-    fn take_batch(&mut self, first: Input, inputs: &Receiver<Input>) -> Flow {
+    fn take_batch(&mut self, first: Input<M>, inputs: &Receiver<Input<M>>) -> Flow {
         let mut next = Some(first);
         let mut taken = 0;
         while let Some(input) = next {
@@ -269,11 +280,11 @@
         Flow::Continue
     }
 
-    fn take(&mut self, input: Input) -> Flow {
+    fn take(&mut self, input: Input<M>) -> Flow {
         match input {
             Input::Received { node, envelope } => {
                 self.senders.insert(envelope.from, node);
-                self.replica.receive(self.shared.clock.now(), envelope);
+                self.replica.receive(self.environment.now(), envelope);
             }
             Input::Propose { command, answer } => self.propose(command, answer),
             Input::Read(answer) => self.read(answer),
@@ -299,12 +310,12 @@
         JournalRefusal::NotLeader { leader }
     }
 
-    fn propose(&mut self, mut command: Command, answer: ProposalAnswer) {
+    fn propose(&mut self, mut command: M::Command, answer: ProposalAnswer<M>) {
         if !self.replica.leads() {
             let _ = answer.send(Err(self.not_leader()));
             return;
         }
-        if self.full && needs_space(&command) {
+        if self.full && M::needs_space(&command) {
             let _ = answer.send(Err(JournalRefusal::StorageFull));
             return;
         }
@@ -314,7 +325,7 @@
             let _ = answer.send(Ok(outcome));
             return;
         }
-        command.stamp(now);
+        M::stamp(&mut command, now);
         let mut bytes = Vec::new();
         ciborium::into_writer(&command, &mut bytes).expect("commands serialise to memory");
         match self.replica.propose(bytes) {
@@ -332,7 +343,7 @@
         }
     }
 
-    fn read(&mut self, answer: ReadAnswer) {
+    fn read(&mut self, answer: ReadAnswer<M>) {
         self.next_read += 1;
         match self.replica.read(self.next_read) {
             Ok(()) => {
@@ -356,7 +367,13 @@
         let founded = self
             .storage
             .write(&StoredState::founding(membership))
-            .and_then(|()| restore(&self.shared, &self.path, &self.storage));
+            .and_then(|()| {
+                restore::<M>(
+                    self.environment.now(),
+                    &self.environment.path,
+                    &self.storage,
+                )
+            });
         match founded {
             Ok((replica, _)) => {
                 self.replica = replica;
@@ -429,25 +446,21 @@
                 .get(&envelope.to)
                 .map(|replica| replica.node.clone())
                 .or_else(|| self.senders.get(&envelope.to).cloned());
-            let address = node.and_then(|node| self.addresses.get(&node).copied());
-            if let Some(address) = address {
-                let request = Request::Replication {
-                    group: self.group,
-                    node: self.shared.settings.name.clone(),
-                    envelope,
-                };
-                self.shared.peers.notify(address, request);
+            if let Some(node) = node {
+                let group = self.environment.group;
+                self.environment.transport.send(group, &node, envelope);
             }
         }
     }
 
     fn install(&mut self, index: LogIndex, data: &[u8]) -> Result<(), StorageError> {
-        let state: JournalState = ciborium::from_reader(data).map_err(|error| {
+        let state: M = ciborium::from_reader(data).map_err(|error| {
             let reason = format!("the leader's snapshot cannot be read by this version ({error})");
-            StorageError::Database(self.path.clone(), reason)
+            StorageError::Database(self.environment.path.clone(), reason)
         })?;
         // Readers that hold the former state keep it: it is never set back under them.
         self.state = Arc::new(RwLock::new(state));
+        self.publish_state();
         self.applied = index;
         self.committed.clear();
         self.snapshot = None;
@@ -469,10 +482,12 @@
         while let Some(entry) = self.committed.pop_front() {
             self.apply(&mut state, &entry)?;
         }
+        drop(state);
+        self.environment.applied.send_replace(self.applied);
         Ok(())
     }
 
-    fn apply(&mut self, state: &mut JournalState, entry: &Entry) -> Result<(), StorageError> {
+    fn apply(&mut self, state: &mut M, entry: &Entry) -> Result<(), StorageError> {
         self.applied = entry.index;
         let pending = self.proposals.remove(&entry.index);
         let outcome = match &entry.content {
@@ -480,7 +495,7 @@
                 let command = ciborium::from_reader(&*payload.0).map_err(|error| {
                     let index = entry.index;
                     let reason = format!("entry {index} cannot be read by this version ({error})");
-                    StorageError::Database(self.path.clone(), reason)
+                    StorageError::Database(self.environment.path.clone(), reason)
                 })?;
                 Some(state.apply(command))
             }
@@ -512,7 +527,11 @@
 
     /// Encodes the state on another thread once the log has grown.
     fn start_snapshot(&mut self) {
-        let limit = SNAPSHOT_AFTER_BYTES.max(self.replica.snapshot_bytes());
+        let limit = self
+            .environment
+            .settings
+            .snapshot_after_bytes
+            .max(self.replica.snapshot_bytes());
         let due = self.replica.log_bytes() > limit && self.replica.covers(self.applied);
         if self.snapshot.is_some() || !due {
             return;
@@ -557,7 +576,7 @@
     }
 
     fn survey(&mut self) {
-        let now = self.shared.clock.now();
+        let now = self.environment.now();
         let leads = self.replica.leads();
         if leads != self.led {
             self.led = leads;
@@ -571,18 +590,18 @@
             return;
         }
         self.survey_due = now + SURVEY_INTERVAL;
-        let members = self.shared.members.lock().alive(now);
-        self.addresses = members
-            .into_iter()
-            .map(|member| (member.name, member.peer_address))
-            .collect();
+        self.environment.transport.refresh();
         self.look_at_space();
         self.publish();
     }
 
     fn look_at_space(&mut self) {
-        let free = self.path.parent().and_then(disk_space::free_bytes);
-        let reserve = self.shared.settings.journal.reserve_bytes;
+        let free = self
+            .environment
+            .path
+            .parent()
+            .and_then(disk_space::free_bytes);
+        let reserve = self.environment.settings.reserve_bytes;
         let full = free.is_some_and(|free| free < reserve);
         if full != self.full {
             self.full = full;
@@ -596,7 +615,7 @@
 
     fn publish(&self) {
         let replica = self.replica.status();
-        let limit = self.shared.settings.journal.replace_after_seconds * 1_000;
+        let limit = self.environment.settings.replace_after.as_millis() as u64;
         let caught_up = replica
             .membership
             .replicas
@@ -622,18 +641,7 @@
             full: self.full,
             stopped: None,
         };
-        *self.status.write() = Arc::new(status);
-    }
-}
-
-/// Whether a command takes new work in; results and ends of accepted work may use the reserve.
-fn needs_space(command: &Command) -> bool {
-    match command {
-        Command::Batch(command) => matches!(
-            command.action,
-            Action::Open { .. } | Action::Append { .. } | Action::Seal { .. }
-        ),
-        Command::Claim(command) => matches!(command, ClaimCommand::Claim { .. }),
-        Command::RaiseFloor(_) => false,
+        *self.environment.status.write() = Arc::new(status);
+        self.environment.applied.send_replace(self.applied);
     }
 }
--- a/crates/firshore-server/src/journal/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -1,9 +1,8 @@
 //! The handle of one replica; the replica itself lives on a thread of its own.
 
-use super::driver::{Driver, Input, ReadAnswer, SharedState};
-use crate::shared::Shared;
-use firshore_journal::state::{Command, Outcome};
-use firshore_protocol::message::JournalRefusal;
+use crate::driver::{self, Environment, Input, ReadAnswer};
+use crate::machine::{ReplicaSettings, SharedState, StateMachine, Transport};
+use crate::refusal::JournalRefusal;
 use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
@@ -14,13 +13,14 @@
 use firshore_types::ids::NodeName;
 use parking_lot::{Mutex, RwLock};
 use rand::RngExt;
+use slog::Logger;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread::JoinHandle;
-use std::time::Duration;
-use tokio::sync::oneshot;
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, watch};
 
 /// Longest wait for another replica to take over when the node leaves.
 const STEP_ASIDE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -79,23 +79,25 @@
     }
 }
 
-struct Parked {
+struct Parked<M: StateMachine> {
     storage: RedbStorage,
-    inputs: Receiver<Input>,
+    inputs: Receiver<Input<M>>,
 }
 
 /// One replica of a group on this node's disk.
-pub struct Group {
+pub struct Group<M: StateMachine> {
     id: GroupId,
     path: PathBuf,
-    inputs: Sender<Input>,
+    inputs: Sender<Input<M>>,
     status: Arc<RwLock<Arc<GroupStatus>>>,
+    state: Arc<RwLock<SharedState<M>>>,
+    applied: watch::Sender<LogIndex>,
     founding: Mutex<Option<Membership>>,
-    parked: Mutex<Option<Parked>>,
+    parked: Mutex<Option<Parked<M>>>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
-impl Group {
+impl<M: StateMachine> Group<M> {
     /// Opens the storage of a group below `folder` and checks it.
     pub fn open(folder: &Path, id: GroupId) -> Result<Self, StorageError> {
         let path = folder.join(format!("journal-{id}.redb"));
@@ -108,6 +110,8 @@
             path,
             inputs: sender,
             status: Arc::new(RwLock::new(Arc::new(status))),
+            state: Arc::default(),
+            applied: watch::Sender::new(0),
             founding: Mutex::new(None),
             parked: Mutex::new(Some(Parked { storage, inputs })),
             thread: Mutex::new(None),
@@ -115,17 +119,38 @@
     }
 
     /// Starts the replica's thread.
-    pub fn start(&self, shared: Arc<Shared>) {
+    pub fn start(&self, log: &Logger, settings: ReplicaSettings, transport: Box<dyn Transport>) {
         let Some(parked) = self.parked.lock().take() else {
             return;
         };
-        let (id, path, status) = (self.id, self.path.clone(), self.status.clone());
+        let environment = Environment {
+            log: log.new(slog::o!("group" => self.id.0)),
+            group: self.id,
+            path: self.path.clone(),
+            settings,
+            transport,
+            status: self.status.clone(),
+            applied: self.applied.clone(),
+            start: Instant::now(),
+        };
+        let state = self.state.clone();
         let thread = std::thread::Builder::new()
-            .name(format!("journal-{id}"))
-            .spawn(move || Driver::run(shared, id, &path, parked.storage, parked.inputs, status));
+            .name(format!("journal-{}", self.id))
+            .spawn(move || driver::run(environment, parked.storage, parked.inputs, state));
         *self.thread.lock() = thread.ok();
     }
 
+    /// The state as this replica has applied it, which may lag behind what is committed. What it
+    /// holds is committed and stays.
+    pub fn applied_state(&self) -> SharedState<M> {
+        self.state.read().clone()
+    }
+
+    /// Wakes with every entry applied and every change of leadership.
+    pub fn changes(&self) -> watch::Receiver<LogIndex> {
+        self.applied.subscribe()
+    }
+
     /// The group's number.
     pub fn id(&self) -> GroupId {
         self.id
@@ -161,15 +186,15 @@
     }
 
     /// Commits a command and returns its outcome.
-    pub async fn propose(&self, command: Command) -> Result<Outcome, JournalRefusal> {
+    pub async fn propose(&self, command: M::Command) -> Result<M::Outcome, JournalRefusal> {
         let (answer, received) = oneshot::channel();
         let _ = self.inputs.send(Input::Propose { command, answer });
         received.await.unwrap_or(Err(JournalRefusal::Unsettled))
     }
 
     /// The state with everything committed before now.
-    pub async fn read(&self) -> Result<SharedState, JournalRefusal> {
-        let (answer, received): (ReadAnswer, _) = oneshot::channel();
+    pub async fn read(&self) -> Result<SharedState<M>, JournalRefusal> {
+        let (answer, received): (ReadAnswer<M>, _) = oneshot::channel();
         let _ = self.inputs.send(Input::Read(answer));
         let lost = JournalRefusal::NotLeader { leader: None };
         received.await.unwrap_or(Err(lost))
--- /dev/null
+++ b/crates/firshore-log/src/refusal.rs
@@ -0,0 +1,18 @@
+//! Why a leader did not do as asked.
+
+use firshore_types::ids::NodeName;
+use serde::{Deserialize, Serialize};
+
+/// Why a journal group's leader did not do as asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JournalRefusal {
+    /// The peer does not lead the group; nothing was done.
+    NotLeader {
+        /// Node that leads, as far as the peer knows.
+        leader: Option<NodeName>,
+    },
+    /// A disk is full; nothing was done.
+    StorageFull,
+    /// The peer lost its leadership meanwhile: the command may or may not take effect.
+    Unsettled,
+}
--- a/crates/firshore-server/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Where the replicas of a group are placed.
 
+use firshore_log::placement::{Candidate, GroupView, founders};
 use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
-use firshore_server::journal::placement::{Candidate, GroupView, founders};
 
 fn replica(number: u64, zone: &str, role: ReplicaRole) -> (DiskId, ReplicaInfo) {
     let info = ReplicaInfo {
--- a/crates/firshore-protocol/src/lib.rs
+++ b/crates/firshore-protocol/src/lib.rs
@@ -4,7 +4,6 @@
 //! secret; after it, each frame is a length (four bytes, big endian) and a CBOR body.
 #![deny(missing_docs, unsafe_code)]
 
-pub mod error;
-pub mod frame;
-pub mod handshake;
+pub use firshore_link::{error, frame, handshake};
+
 pub mod message;
--- a/crates/firshore-protocol/src/message.rs
+++ b/crates/firshore-protocol/src/message.rs
@@ -4,6 +4,8 @@
 use firshore_config::machine_list::MachineListMessage;
 use firshore_config::message::{Message as ConfigurationMessage, NodeConfiguration};
 use firshore_journal::state::{Command, Outcome};
+pub use firshore_link::NOTICE;
+pub use firshore_log::refusal::JournalRefusal;
 use firshore_membership::message::Envelope as GossipEnvelope;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::{DiskId, GroupId, Membership as GroupMembership};
@@ -12,28 +14,11 @@
 use firshore_types::ids::{InstanceId, JobId, MachineName, NodeName};
 use serde::{Deserialize, Serialize};
 
-/// Correlation of a notice, which is not answered.
-pub const NOTICE: u64 = 0;
-
-/// A question or notice to a peer, with a number that its answer repeats.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct RequestFrame {
-    /// Chosen by the sender, unique on the connection; [`NOTICE`] if no answer is expected.
-    #[serde(rename = "c")]
-    pub correlation: u64,
-    /// Content.
-    #[serde(rename = "r")]
-    pub request: Request,
-}
+/// A question or notice to a peer.
+pub type RequestFrame = firshore_link::RequestFrame<Request>;
 
 /// The answer to a request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ResponseFrame {
-    /// The request's number.
-    pub correlation: u64,
-    /// Content.
-    pub response: Response,
-}
+pub type ResponseFrame = firshore_link::ResponseFrame<Response>;
 
 /// What a node asks of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -110,20 +95,6 @@
     },
 }
 
-/// Why a journal group's leader did not do as asked.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum JournalRefusal {
-    /// The peer does not lead the group; nothing was done.
-    NotLeader {
-        /// Node that leads, as far as the peer knows.
-        leader: Option<NodeName>,
-    },
-    /// A disk is full; nothing was done.
-    StorageFull,
-    /// The peer lost its leadership meanwhile: the command may or may not take effect.
-    Unsettled,
-}
-
 /// The replica that a node's disk holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaIdentity {
--- a/crates/firshore-server/src/journal/founding.rs
+++ b/crates/firshore-server/src/journal/founding.rs
@@ -1,7 +1,7 @@
 //! Founds a group once: the first replicas are named by an object in the object API that can only
 //! be created, never replaced. Every later change is committed in the group's own log.
 
-use super::group::Group;
+use super::Group;
 use super::maintenance::{own_candidate, survey};
 use super::placement::{self, Candidate, TARGET_VOTERS};
 use crate::platform::object_api::{ObjectApi, ObjectError};
--- a/crates/firshore-server/src/journal/maintenance.rs
+++ b/crates/firshore-server/src/journal/maintenance.rs
@@ -1,7 +1,7 @@
 //! Upkeep of the groups on this node: founding, placement of replicas, forgetting old claims.
 
+use super::Group;
 use super::founding;
-use super::group::Group;
 use super::placement::{Candidate, GroupView};
 use crate::clock::unix_milliseconds;
 use crate::shared::Shared;
--- a/crates/firshore-server/src/journal/mod.rs
+++ b/crates/firshore-server/src/journal/mod.rs
@@ -2,17 +2,17 @@
 //! spread over groups; each group is a replicated log on the disks of three nodes.
 
 mod client;
-mod disk_space;
-mod driver;
 mod founding;
-mod group;
 mod maintenance;
-pub mod placement;
 pub mod report;
 mod split;
+mod transport;
 
 pub use client::Leaders;
-pub use group::{Group, GroupStatus};
+pub use firshore_log::{GroupStatus, placement};
+
+/// A replica of the product's journal.
+pub type Group = firshore_log::Group<JournalState>;
 
 use crate::shared::Shared;
 use client::{ask, unexpected};
@@ -52,7 +52,11 @@
             return;
         };
         for group in &journal.groups {
-            group.start(shared.clone());
+            group.start(
+                &shared.log,
+                transport::settings(shared),
+                transport::new(shared),
+            );
         }
         actix_rt::spawn(maintenance::run(shared.clone()));
     }
