--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -98,6 +98,8 @@
     pub attempts: &'a Attempts,
     /// Hash under which requests with the same beginning meet.
     pub affinity: Option<u64>,
+    /// Load in requests per slot from which on a back end is left alone.
+    pub load_limit: f32,
 }
 
 /// All back ends.
@@ -196,6 +198,10 @@
             .collect();
         // If all are ejected, the cause is more likely on this side: any is better than none.
         let states = if trusted.is_empty() { usable } else { trusted };
+        let states: Vec<&State> = states
+            .into_iter()
+            .filter(|state| state.load(now) < wanted.load_limit)
+            .collect();
         let candidates: Vec<Candidate> = states
             .iter()
             .map(|state| Candidate {
--- a/crates/firshore-gateway/src/forward.rs
+++ b/crates/firshore-gateway/src/forward.rs
@@ -208,6 +208,7 @@
             service: &self.service,
             attempts: &self.attempts,
             affinity,
+            load_limit: f32::INFINITY,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
@@ -237,7 +238,7 @@
         connection: &mut CallerConnection,
     ) -> Result<Sent, Interrupted> {
         self.attempts.sending(&backend.incarnation);
-        let _in_flight = InFlight::start(self.gateway, backend);
+        let _in_flight = self.gateway.in_flight(&backend.incarnation);
         let connecting = exchange::connect(backend.address, Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
             Ok(to_backend) => to_backend,
@@ -555,23 +556,3 @@
     }
     Ok((read.freeze(), true))
 }
-
-/// Counts a request as under way at a back end until dropped.
-struct InFlight<'a> {
-    gateway: &'a Gateway,
-    backend: &'a Backend,
-}
-
-impl<'a> InFlight<'a> {
-    fn start(gateway: &'a Gateway, backend: &'a Backend) -> Self {
-        gateway.fleet.borrow_mut().started(&backend.incarnation);
-        Self { gateway, backend }
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.ended(&self.backend.incarnation);
-    }
-}
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -54,7 +54,7 @@
     /// The environment.
     pub adapter: Adapter,
     /// Back ends.
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
     /// The node's way out.
     pub leaving: Leaving,
     /// Batch jobs, where the node can reach them.
@@ -67,6 +67,18 @@
     requests_open: Cell<usize>,
 }
 
+/// Counts a request as under way at a back end until dropped.
+pub struct InFlight {
+    fleet: Rc<RefCell<Fleet>>,
+    incarnation: Incarnation,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.fleet.borrow_mut().ended(&self.incarnation);
+    }
+}
+
 /// Counts a request as open until dropped.
 pub struct OpenRequest<'a> {
     gateway: &'a Gateway,
@@ -91,7 +103,7 @@
         Self {
             log,
             adapter,
-            fleet: Fleet::new(zone).into(),
+            fleet: Rc::new(RefCell::new(Fleet::new(zone))),
             leaving: Leaving::default(),
             jobs,
             random: random.into(),
@@ -101,6 +113,15 @@
         }
     }
 
+    /// A request is about to be sent to a back end.
+    pub fn in_flight(&self, incarnation: &Incarnation) -> InFlight {
+        self.fleet.borrow_mut().started(incarnation);
+        InFlight {
+            fleet: self.fleet.clone(),
+            incarnation: incarnation.clone(),
+        }
+    }
+
     /// A request has arrived.
     pub fn open_request(&self) -> OpenRequest<'_> {
         self.requests_open.set(self.requests_open.get() + 1);
--- /dev/null
+++ b/crates/firshore-jobs/src/job.rs
@@ -0,0 +1,130 @@
+//! One job.
+
+use crate::command::{ItemIndex, JobHeader};
+use firshore_adapter::jobs::{ItemOutcome, ItemResult, JobItem, ResultPage};
+use firshore_types::payload::Payload;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredItem {
+    item: JobItem,
+    finished: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredResult {
+    item: ItemIndex,
+    outcome: ItemOutcome,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Job {
+    pub(crate) header: JobHeader,
+    pub(crate) submitted_at: u64,
+    ended: bool,
+    items: Vec<StoredItem>,
+    results: Vec<StoredResult>,
+}
+
+fn size(outcome: &ItemOutcome) -> usize {
+    match outcome {
+        ItemOutcome::Done(events) => events.iter().map(String::len).sum(),
+        ItemOutcome::GivenUp => 0,
+    }
+}
+
+impl Job {
+    pub(crate) fn new(header: JobHeader, items: Vec<JobItem>, submitted_at: u64) -> Self {
+        let items = items.into_iter().map(|item| StoredItem {
+            item,
+            finished: false,
+        });
+        Self {
+            header,
+            submitted_at,
+            ended: false,
+            items: items.collect(),
+            results: Vec::new(),
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        !self.ended && self.results.len() < self.items.len()
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    pub(crate) fn result_count(&self) -> u64 {
+        self.results.len() as u64
+    }
+
+    pub(crate) fn complete(&mut self, index: ItemIndex, outcome: ItemOutcome) {
+        if self.ended {
+            return;
+        }
+        let Some(item) = self.items.get_mut(index as usize) else {
+            return;
+        };
+        if item.finished {
+            return;
+        }
+        item.finished = true;
+        // From here on only the result is read.
+        item.item.body = Vec::new().into();
+        item.item.headers = Vec::new();
+        self.results.push(StoredResult {
+            item: index,
+            outcome,
+        });
+    }
+
+    pub(crate) fn end(&mut self) {
+        self.ended = true;
+        for item in self.items.iter_mut().filter(|item| !item.finished) {
+            item.item.body = Vec::new().into();
+        }
+    }
+
+    pub(crate) fn unfinished(&self) -> impl Iterator<Item = (ItemIndex, &JobItem)> {
+        let open = self.is_open();
+        let items = self.items.iter().enumerate();
+        items
+            .filter(move |(_, item)| open && !item.finished)
+            .map(|(index, item)| (index as ItemIndex, &item.item))
+    }
+
+    pub(crate) fn is_unfinished(&self, index: ItemIndex) -> bool {
+        let item = self.items.get(index as usize);
+        !self.ended && item.is_some_and(|item| !item.finished)
+    }
+
+    pub(crate) fn body(&self, id: &str) -> Option<Payload> {
+        if self.ended {
+            return None;
+        }
+        let item = self.items.iter().find(|item| item.item.id == id)?;
+        (!item.finished).then(|| item.item.body.clone())
+    }
+
+    /// Results from a position on, of about `bytes` at most, but one at least if there is one.
+    pub(crate) fn page(&self, from: u64, bytes: usize) -> ResultPage {
+        let mut held = 0;
+        let wanted = self.results.iter().skip(from as usize);
+        let results = wanted.take_while(|result| {
+            let first = held == 0;
+            held += size(&result.outcome) + 1;
+            first || held <= bytes
+        });
+        let results = results.map(|result| ItemResult {
+            item: self.items[result.item as usize].item.id.clone(),
+            outcome: result.outcome.clone(),
+        });
+        ResultPage {
+            total: self.items.len() as u64,
+            from,
+            results: results.collect(),
+        }
+    }
+}
--- a/crates/firshore-log/src/driver.rs
+++ b/crates/firshore-log/src/driver.rs
@@ -636,6 +636,7 @@
             last: replica.last,
             silent: self.replica.silent(limit).into_iter().collect(),
             caught_up: caught_up.collect(),
+            membership_committed: replica.membership_committed,
             membership: replica.membership,
             file_bytes: self.storage.file_bytes(),
             full: self.full,
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -47,6 +47,8 @@
     pub last: Position,
     /// Replicas in force.
     pub membership: Membership,
+    /// Whether the change that gave these replicas is committed.
+    pub membership_committed: bool,
     /// On the leader: replicas silent for longer than the limit.
     pub silent: BTreeSet<DiskId>,
     /// On the leader: replicas that hold everything committed.
@@ -70,6 +72,7 @@
             commit: 0,
             last: Position::default(),
             membership: Membership::default(),
+            membership_committed: false,
             silent: BTreeSet::new(),
             caught_up: BTreeSet::new(),
             file_bytes: 0,
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -5,12 +5,19 @@
 use firshore_types::ids::{NodeName, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Replicas that a group is to have.
+/// Replicas that a group is to have unless told otherwise.
 pub const TARGET_VOTERS: usize = 3;
 
+/// Replicas that a group needs so that losing `disks` of them at once loses nothing.
+pub fn voters_for(disks: u32) -> usize {
+    2 * disks as usize + 1
+}
+
 /// What the leader of a group knows of it.
 #[derive(Clone, Debug)]
 pub struct GroupView {
+    /// Replicas that the group is to have.
+    pub target: usize,
     /// Disk of the leader.
     pub own: DiskId,
     /// Replicas in force.
@@ -73,11 +80,16 @@
         shared?.into_iter().find(|disk| *disk != self.own)
     }
 
+    /// Whether a replica is on its way into the group.
+    pub fn has_learner(&self) -> bool {
+        self.learner().is_some()
+    }
+
     /// Whether a disk is wanted: too few voters, a silent one, or two in one zone.
     pub fn wants_candidate(&self) -> bool {
         self.learner().is_none()
-            && self.voters().count() <= TARGET_VOTERS
-            && (self.live_voters().count() < TARGET_VOTERS || self.redundant().is_some())
+            && self.voters().count() <= self.target
+            && (self.live_voters().count() < self.target || self.redundant().is_some())
     }
 
     /// The next change, if one is due.
@@ -85,7 +97,7 @@
         if let Some(learner) = self.learner() {
             return self.settle_learner(learner);
         }
-        if self.voters().count() > TARGET_VOTERS {
+        if self.voters().count() > self.target {
             return self.superfluous().map(MembershipChange::Remove);
         }
         if !self.wants_candidate() {
@@ -124,18 +136,18 @@
         open.sort_by_key(|one| (zones.contains(&one.zone), one.node.clone()));
         // Two voters need both: a lone voter waits until it can become three.
         let voters = self.voters().count();
-        if voters == 1 && open.len() + 1 < TARGET_VOTERS {
+        if voters == 1 && open.len() + 1 < self.target {
             return None;
         }
         let best = open.first()?;
         let spreads = !zones.contains(&best.zone);
-        (spreads || self.live_voters().count() < TARGET_VOTERS).then_some(best)
+        (spreads || self.live_voters().count() < self.target).then_some(best)
     }
 }
 
-/// The founding replicas: up to three, in different zones where there are as many, in order of
-/// node. Fewer than three disks found a group of one.
-pub fn founders(candidates: &[Candidate], own: &Candidate) -> Membership {
+/// The founding replicas: up to `target`, in different zones where there are as many, in order of
+/// node. Fewer disks found a group of one.
+pub fn founders(candidates: &[Candidate], own: &Candidate, target: usize) -> Membership {
     let mut sorted: Vec<&Candidate> = candidates.iter().collect();
     sorted.sort_by(|one, other| one.node.cmp(&other.node));
     let mut chosen: Vec<&Candidate> = Vec::new();
@@ -144,12 +156,12 @@
             let same_zone = chosen.iter().any(|one| one.zone == candidate.zone);
             let taken = chosen.iter().any(|one| one.node == candidate.node);
             let unfit = taken || (spread && same_zone);
-            if !unfit && chosen.len() < TARGET_VOTERS {
+            if !unfit && chosen.len() < target {
                 chosen.push(candidate);
             }
         }
     }
-    if chosen.len() < TARGET_VOTERS {
+    if chosen.len() < target {
         chosen = vec![own];
     }
     let replicas = chosen
--- a/crates/firshore-log/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Where the replicas of a group are placed.
 
-use firshore_log::placement::{Candidate, GroupView, founders};
+use firshore_log::placement::{Candidate, GroupView, TARGET_VOTERS, founders};
 use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
 
 fn replica(number: u64, zone: &str, role: ReplicaRole) -> (DiskId, ReplicaInfo) {
@@ -25,6 +25,7 @@
         .iter()
         .map(|(number, zone, role)| replica(*number, zone, *role));
     GroupView {
+        target: TARGET_VOTERS,
         own: DiskId(1),
         membership: Membership {
             replicas: replicas.collect(),
@@ -133,7 +134,7 @@
         candidate(4, "c"),
     ];
     let chosen = |candidates: &[Candidate]| {
-        let membership = founders(candidates, &candidates[0]);
+        let membership = founders(candidates, &candidates[0], TARGET_VOTERS);
         let disks: Vec<u64> = membership.voters().map(|disk| disk.0).collect();
         disks
     };
--- /dev/null
+++ b/crates/firshore-node/src/journal/client.rs
@@ -0,0 +1,200 @@
+//! Asks the journal's leader, wherever it is: follows hints, tries other nodes, and gives up after
+//! a while. Everything asked may be asked again, so a lost answer is asked for again.
+
+use super::PeerClient;
+use super::messages::{PeerRequest, PeerResponse};
+use super::registry::Registry;
+use firshore_adapter::jobs::{JobItem, ResultPage};
+use firshore_adapter::route::Route;
+use firshore_gateway::gateway::{JobAnswer, JobService};
+use firshore_jobs::command::JobHeader;
+use firshore_link::client::PeerError;
+use firshore_log::refusal::JournalRefusal;
+use firshore_types::error::{ApiError, ErrorCode};
+use firshore_types::ids::NodeName;
+use firshore_types::payload::Payload;
+use futures_util::FutureExt;
+use rand::RngExt;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Longest time for one question, all tries together, beyond any wait asked for.
+const DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// Longest wait for one node's answer, beyond any wait asked for.
+const TRY_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after every node was asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(80);
+
+/// The journal as seen from a node that serves callers.
+pub struct JournalClient {
+    registry: Rc<Registry>,
+    peers: PeerClient,
+    leader: RefCell<Option<NodeName>>,
+}
+
+enum Tried {
+    Answered(PeerResponse),
+    Elsewhere(Option<NodeName>),
+    Full,
+    NotSent,
+    Unknown,
+}
+
+fn unavailable(unknown: bool) -> ApiError {
+    let message = "No leader of the journal answered in time.";
+    match unknown {
+        // No promise can be given, so not the status of one.
+        true => ApiError::maybe_run(ErrorCode::DeadlineExceeded, message),
+        false => ApiError::not_run(ErrorCode::JournalUnavailable, message).retry_after(1),
+    }
+}
+
+fn unexpected() -> ApiError {
+    let message = "A peer answered with another kind of message.";
+    ApiError::maybe_run(ErrorCode::Internal, message)
+}
+
+impl JournalClient {
+    /// Asks the nodes that `registry` lists.
+    pub fn new(registry: Rc<Registry>, peers: PeerClient) -> Self {
+        Self {
+            registry,
+            peers,
+            leader: RefCell::default(),
+        }
+    }
+
+    async fn ask(&self, request: PeerRequest, wait: Duration) -> Result<PeerResponse, ApiError> {
+        let deadline = Instant::now() + DEADLINE + wait;
+        let mut unknown = false;
+        let mut hint = self.leader.borrow().clone();
+        let mut round: Vec<NodeName> = Vec::new();
+        loop {
+            if Instant::now() >= deadline {
+                return Err(unavailable(request.changes() && unknown));
+            }
+            let Some(target) = hint.take().or_else(|| round.pop()) else {
+                actix_rt::time::sleep(ROUND_PAUSE).await;
+                round = self.nodes();
+                continue;
+            };
+            match self.try_one(&target, request.clone(), wait).await {
+                Tried::Answered(response) => {
+                    *self.leader.borrow_mut() = Some(target);
+                    return Ok(response);
+                }
+                Tried::Full => {
+                    let message = "The journal's disk has no space left for new work.";
+                    return Err(ApiError::not_run(ErrorCode::JournalUnavailable, message));
+                }
+                Tried::Elsewhere(leader) => hint = leader.filter(|leader| *leader != target),
+                Tried::NotSent => *self.leader.borrow_mut() = None,
+                Tried::Unknown => {
+                    unknown = true;
+                    *self.leader.borrow_mut() = None;
+                }
+            }
+        }
+    }
+
+    /// The nodes to ask, in a random order.
+    fn nodes(&self) -> Vec<NodeName> {
+        let mut names = self.registry.names();
+        if !names.is_empty() {
+            let first = rand::rng().random_range(0..names.len());
+            names.rotate_left(first);
+        }
+        names
+    }
+
+    async fn try_one(&self, target: &NodeName, request: PeerRequest, wait: Duration) -> Tried {
+        let Some(address) = self.registry.address(target) else {
+            return Tried::NotSent;
+        };
+        let call = self.peers.call(address, request);
+        match timeout(TRY_TIMEOUT + wait, call).await {
+            Ok(Ok(PeerResponse::Refused(refusal))) => match refusal {
+                JournalRefusal::NotLeader { leader } => Tried::Elsewhere(leader),
+                JournalRefusal::StorageFull => Tried::Full,
+                JournalRefusal::Unsettled => Tried::Unknown,
+            },
+            Ok(Ok(response)) => Tried::Answered(response),
+            Ok(Err(PeerError::NotSent)) => Tried::NotSent,
+            Ok(Err(PeerError::Unanswered)) | Err(_) => Tried::Unknown,
+        }
+    }
+}
+
+impl JobService for JournalClient {
+    fn submit<'a>(
+        &'a self,
+        route: Arc<Route>,
+        job: String,
+        items: Vec<JobItem>,
+    ) -> JobAnswer<'a, ()> {
+        async move {
+            let terms = route.jobs;
+            let give_up_after =
+                terms.map_or(u64::MAX, |terms| terms.give_up_after.as_millis() as u64);
+            let header = JobHeader {
+                job,
+                host: route.host.clone(),
+                attempts: route.attempts,
+                give_up_after,
+            };
+            let request = PeerRequest::Submit { header, items };
+            match self.ask(request, Duration::ZERO).await? {
+                PeerResponse::Done => Ok(()),
+                _ => Err(unexpected()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn results<'a>(
+        &'a self,
+        job: String,
+        from: u64,
+        wait: Duration,
+    ) -> JobAnswer<'a, Option<ResultPage>> {
+        async move {
+            let request = PeerRequest::Results {
+                job,
+                from,
+                wait: wait.as_millis() as u64,
+            };
+            match self.ask(request, wait).await? {
+                PeerResponse::Results(page) => Ok(page),
+                _ => Err(unexpected()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn body<'a>(&'a self, job: String, item: String) -> JobAnswer<'a, Option<Payload>> {
+        async move {
+            let request = PeerRequest::Body { job, item };
+            match self.ask(request, Duration::ZERO).await? {
+                PeerResponse::Body(body) => Ok(body),
+                _ => Err(unexpected()),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn end<'a>(&'a self, job: String) -> JobAnswer<'a, bool> {
+        async move {
+            match self.ask(PeerRequest::End { job }, Duration::ZERO).await? {
+                PeerResponse::Done => Ok(true),
+                PeerResponse::UnknownJob => Ok(false),
+                _ => Err(unexpected()),
+            }
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -0,0 +1,173 @@
+//! Upkeep of the replica on this node: registration, founding, placement, retirements, forgetting
+//! old jobs.
+
+use super::Journal;
+use super::registry::NodeRecord;
+use super::retirement::Retirements;
+use firshore_adapter::Adapter;
+use firshore_jobs::command::Action;
+use firshore_log::GroupStatus;
+use firshore_log::placement::{self, Candidate, GroupView};
+use firshore_replication::types::{DiskId, MembershipChange};
+use firshore_types::ids::NodeName;
+use slog::info;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Time between looks.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time that a job with nothing left to run is kept after its submission.
+const RETENTION: Duration = Duration::from_secs(900);
+
+/// Time between commands that forget old jobs.
+const FORGET_INTERVAL: Duration = Duration::from_secs(60);
+
+/// What upkeep needs beside the journal.
+pub struct Upkeep {
+    /// The journal.
+    pub journal: Rc<Journal>,
+    /// The environment.
+    pub adapter: Adapter,
+    /// This node.
+    pub node: NodeName,
+    /// What this node registers.
+    pub record: NodeRecord,
+    /// Nodes that are to be emptied.
+    pub retirements: Rc<Retirements>,
+}
+
+/// Runs until the node ends.
+pub async fn run(upkeep: Upkeep) {
+    let mut forget_at = Instant::now() + FORGET_INTERVAL;
+    loop {
+        upkeep.look().await;
+        if Instant::now() >= forget_at {
+            forget_at = Instant::now() + FORGET_INTERVAL;
+            upkeep.forget().await;
+        }
+        actix_rt::time::sleep(INTERVAL).await;
+    }
+}
+
+impl Upkeep {
+    async fn look(&self) {
+        let registry = &self.journal.registry;
+        if !registry.is_listed() {
+            return;
+        }
+        registry.register(&self.node, &self.record).await;
+        let status = self.journal.replica.status();
+        if !status.holds_log {
+            self.found().await;
+        } else if status.leads {
+            self.place(&status).await;
+            self.retirements
+                .report(&self.adapter, &status, &self.journal.log)
+                .await;
+        }
+    }
+
+    /// Takes part in the founding: the first of enough nodes names the founders.
+    async fn found(&self) {
+        let registry = &self.journal.registry;
+        if let Some(founders) = registry.founding() {
+            return self.journal.replica.found(founders);
+        }
+        let candidates = registry.candidates();
+        let enough = candidates.len() >= self.journal.target;
+        let first = candidates
+            .iter()
+            .min_by(|one, other| one.node.cmp(&other.node));
+        let Some(own) = first.filter(|one| enough && one.node == self.node) else {
+            return;
+        };
+        let founders = placement::founders(&candidates, own, self.journal.target);
+        info!(self.journal.log, "journal: Naming founders."; "count" => founders.replicas.len());
+        registry.found(&founders).await;
+    }
+
+    /// Keeps as many replicas as are to be, on disks that are there.
+    async fn place(&self, status: &Arc<GroupStatus>) {
+        let candidates = self.journal.registry.candidates();
+        let leaving = self.retirements.open();
+        if leaving.contains(&self.node) {
+            // The next leader takes this replica out of the group.
+            return self.journal.replica.step_aside().await;
+        }
+        let usable: Vec<Candidate> = candidates
+            .iter()
+            .filter(|candidate| !leaving.contains(&candidate.node))
+            .cloned()
+            .collect();
+        let view = GroupView {
+            target: self.journal.target,
+            own: status.disk,
+            membership: status.membership.clone(),
+            silent: self.unusable(status, &candidates, &leaving),
+            caught_up: status.caught_up.clone(),
+        };
+        if let Some(change) = view.next_change(&usable) {
+            return self.journal.replica.change(change);
+        }
+        if let Some(change) = self.without_replacement(status, &view, &leaving) {
+            self.journal.replica.change(change);
+        }
+    }
+
+    /// Replicas that are to be replaced: silent ones, those whose node has another disk by now,
+    /// and those on nodes that are to be emptied.
+    fn unusable(
+        &self,
+        status: &GroupStatus,
+        candidates: &[Candidate],
+        leaving: &BTreeSet<NodeName>,
+    ) -> BTreeSet<DiskId> {
+        let mut unusable = status.silent.clone();
+        for (disk, replica) in &status.membership.replicas {
+            let present = candidates.iter().find(|one| one.node == replica.node);
+            let superseded = present.is_some_and(|one| one.disk != *disk);
+            if superseded || leaving.contains(&replica.node) {
+                unusable.insert(*disk);
+            }
+        }
+        unusable
+    }
+
+    /// A node that is to be emptied goes even if no disk can take its place, as long as the others
+    /// hold everything.
+    fn without_replacement(
+        &self,
+        status: &GroupStatus,
+        view: &GroupView,
+        leaving: &BTreeSet<NodeName>,
+    ) -> Option<MembershipChange> {
+        if view.has_learner() {
+            return None;
+        }
+        let mut voters = status.membership.replicas.iter();
+        let (disk, _) = voters.find(|(_, replica)| leaving.contains(&replica.node))?;
+        let others = status.membership.voters().filter(|other| other != disk);
+        let held = others
+            .filter(|other| *other == status.disk || status.caught_up.contains(other))
+            .count();
+        if *disk == status.disk || held + 1 < status.membership.voters().count() {
+            return None;
+        }
+        Some(MembershipChange::Remove(*disk))
+    }
+
+    async fn forget(&self) {
+        if !self.journal.replica.status().leads {
+            return;
+        }
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let before = now.unwrap_or_default().saturating_sub(RETENTION);
+        let forget = Action::Forget {
+            before: before.as_millis() as u64,
+        };
+        let _ = self.journal.replica.propose(forget.into()).await;
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -0,0 +1,78 @@
+//! Messages between nodes.
+
+use firshore_adapter::jobs::{JobItem, ResultPage};
+use firshore_jobs::command::JobHeader;
+use firshore_log::refusal::JournalRefusal;
+use firshore_replication::message::Envelope;
+use firshore_replication::types::GroupId;
+use firshore_types::ids::NodeName;
+use firshore_types::payload::Payload;
+use serde::{Deserialize, Serialize};
+
+/// What a node asks of a peer. All but replication is answered by the journal's leader only.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// A message between replicas; a notice.
+    #[serde(rename = "r")]
+    Replication {
+        /// Group.
+        #[serde(rename = "g")]
+        group: GroupId,
+        /// Node of the sender.
+        #[serde(rename = "n")]
+        node: NodeName,
+        /// Content.
+        #[serde(rename = "e")]
+        envelope: Envelope,
+    },
+    /// Take a job in.
+    Submit {
+        /// What is known of it.
+        header: JobHeader,
+        /// Its items.
+        items: Vec<JobItem>,
+    },
+    /// Results of a job from a position on.
+    Results {
+        /// Job.
+        job: String,
+        /// First position wanted.
+        from: u64,
+        /// Longest wait for a result in milliseconds.
+        wait: u64,
+    },
+    /// Body of an item without a result.
+    Body {
+        /// Job.
+        job: String,
+        /// Item.
+        item: String,
+    },
+    /// End a job.
+    End {
+        /// Job.
+        job: String,
+    },
+}
+
+impl PeerRequest {
+    /// Whether it changes something, so that an answer that is missing leaves that unknown.
+    pub fn changes(&self) -> bool {
+        matches!(self, Self::Submit { .. } | Self::End { .. })
+    }
+}
+
+/// What a peer answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerResponse {
+    /// It is done, or was before.
+    Done,
+    /// There is no such job.
+    UnknownJob,
+    /// Results, if there is such a job.
+    Results(Option<ResultPage>),
+    /// A body, if there is such an item without a result.
+    Body(Option<Payload>),
+    /// The peer did not do as asked.
+    Refused(JournalRefusal),
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -0,0 +1,94 @@
+//! The journal of batch jobs: one replicated log on the disks of the cluster, found through
+//! objects of the product's own.
+
+pub mod client;
+pub mod maintenance;
+pub mod messages;
+pub mod registry;
+pub mod retirement;
+mod service;
+mod transport;
+
+use crate::settings::{Settings, Storage};
+use firshore_jobs::table::JobTable;
+use firshore_link::handshake::ClusterSecret;
+use firshore_link::{client as link, listener};
+use firshore_log::Group;
+use firshore_log::machine::ReplicaSettings;
+use firshore_log::placement;
+use firshore_replication::types::GroupId;
+use messages::{PeerRequest, PeerResponse};
+use registry::Registry;
+use slog::Logger;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// The only group. Larger clusters need more.
+pub const GROUP: GroupId = GroupId(0);
+
+/// Silence of a replica after which another disk takes its place.
+const REPLACE_AFTER: Duration = Duration::from_secs(6);
+
+/// Free space of the data folder below which new jobs are refused, in bytes.
+const RESERVE_BYTES: u64 = 32 * 1024 * 1024;
+
+/// Log in memory at which a snapshot is taken, in bytes.
+const SNAPSHOT_AFTER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Handle through which peers are asked.
+pub type PeerClient = link::PeerClient<PeerRequest, PeerResponse>;
+
+/// The replica on this node's disk.
+pub type Replica = Group<JobTable>;
+
+/// The journal as a node with a disk holds it.
+pub struct Journal {
+    /// The replica.
+    pub replica: Rc<Replica>,
+    /// Nodes and founders as the store lists them.
+    pub registry: Rc<Registry>,
+    target: usize,
+    log: Logger,
+}
+
+impl Journal {
+    /// Opens the replica on the disk, starts it and answers peers.
+    pub async fn start(
+        settings: &Settings,
+        storage: &Storage,
+        registry: Rc<Registry>,
+        peers: &PeerClient,
+        log: &Logger,
+    ) -> io::Result<Rc<Self>> {
+        std::fs::create_dir_all(&storage.data_folder)?;
+        let replica = Group::open(&storage.data_folder, GROUP)
+            .map_err(|error| io::Error::other(error.to_string()))?;
+        let replica = Rc::new(replica);
+        let transport = transport::new(settings.name.clone(), registry.addresses(), peers.clone());
+        let replica_settings = ReplicaSettings {
+            replace_after: REPLACE_AFTER,
+            reserve_bytes: RESERVE_BYTES,
+            snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
+        };
+        replica.start(log, replica_settings, transport);
+        let listener = TcpListener::bind(settings.listen.peers).await?;
+        let handler = Rc::new(service::Service::new(replica.clone()));
+        let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
+        actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
+        let journal = Rc::new(Self {
+            replica,
+            registry,
+            target: placement::voters_for(settings.cluster.tolerated_disk_losses),
+            log: log.clone(),
+        });
+        Ok(journal)
+    }
+
+    /// Hands leadership over and ends the replica.
+    pub async fn stop(&self) {
+        self.replica.step_aside().await;
+        self.replica.stop();
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -0,0 +1,194 @@
+//! Nodes with a disk, and the founders of the journal, as objects in the store tell.
+//!
+//! A node writes its own object once; all read them by watching. The founding object is created
+//! once and never changed: who creates it decides.
+
+use crate::observation::Learned;
+use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
+use firshore_log::placement::Candidate;
+use firshore_replication::types::{DiskId, Membership};
+use firshore_types::ids::{NodeName, ZoneName};
+use parking_lot::RwLock;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, info, warn};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Kind of the product's own objects.
+pub const KIND: &str = "firshore";
+
+const NODE_PREFIX: &str = "node.";
+const FOUNDING: &str = "group.0";
+
+/// Where nodes listen for peers, shared with the replica's thread.
+pub type Addresses = Arc<RwLock<BTreeMap<NodeName, SocketAddr>>>;
+
+/// A node with a disk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Zone it stands in.
+    pub zone: ZoneName,
+    /// Identity of its disk.
+    pub disk: DiskId,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    listed: bool,
+    nodes: BTreeMap<NodeName, (Revision, NodeRecord)>,
+    founding: Option<Membership>,
+}
+
+/// What the store lists.
+pub struct Registry {
+    store: Rc<dyn ObjectStore>,
+    log: Logger,
+    known: RefCell<Known>,
+    addresses: Addresses,
+}
+
+impl Registry {
+    /// Nothing is known yet.
+    pub fn new(store: Rc<dyn ObjectStore>, log: Logger) -> Self {
+        Self {
+            store,
+            log,
+            known: RefCell::default(),
+            addresses: Addresses::default(),
+        }
+    }
+
+    /// Where nodes listen.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses.clone()
+    }
+
+    /// Names of the nodes with a disk.
+    pub fn names(&self) -> Vec<NodeName> {
+        self.known.borrow().nodes.keys().cloned().collect()
+    }
+
+    /// Where a node listens.
+    pub fn address(&self, node: &NodeName) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        known.nodes.get(node).map(|(_, record)| record.address)
+    }
+
+    /// The founders of the journal, once they are named.
+    pub fn founding(&self) -> Option<Membership> {
+        self.known.borrow().founding.clone()
+    }
+
+    /// Disks that could hold a replica.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let known = self.known.borrow();
+        let nodes = known.nodes.iter();
+        let candidates = nodes.map(|(node, (_, record))| Candidate {
+            disk: record.disk,
+            node: node.clone(),
+            zone: record.zone.clone(),
+        });
+        candidates.collect()
+    }
+
+    /// Whether the store has been listed.
+    pub fn is_listed(&self) -> bool {
+        self.known.borrow().listed
+    }
+
+    /// Takes in what was observed.
+    pub fn learn(&self, learned: Learned) {
+        match learned {
+            Learned::All(objects) => {
+                *self.known.borrow_mut() = Known {
+                    listed: true,
+                    ..Known::default()
+                };
+                for object in &objects {
+                    self.take(object);
+                }
+            }
+            Learned::Changed(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Written(object) => self.take(&object),
+                        Change::Removed(name) => self.forget(&name),
+                    }
+                }
+            }
+        }
+        let known = self.known.borrow();
+        let nodes = known.nodes.iter();
+        *self.addresses.write() = nodes
+            .map(|(name, (_, record))| (name.clone(), record.address))
+            .collect();
+    }
+
+    fn take(&self, object: &Object) {
+        let mut known = self.known.borrow_mut();
+        if object.name == FOUNDING {
+            match Membership::deserialize(&object.spec) {
+                Ok(founding) => known.founding = Some(founding),
+                Err(error) => {
+                    warn!(self.log, "registry: Founders unreadable."; "reason" => %error);
+                }
+            }
+            return;
+        }
+        let Some(name) = object.name.strip_prefix(NODE_PREFIX) else {
+            return;
+        };
+        match NodeRecord::deserialize(&object.spec) {
+            Ok(record) => {
+                info!(self.log, "registry: Node."; "node" => name, "disk" => %record.disk,
+                    "address" => %record.address, "revision" => object.revision);
+                known.nodes.insert(name.into(), (object.revision, record));
+            }
+            Err(error) => {
+                warn!(self.log, "registry: Node unreadable."; "node" => name, "reason" => %error);
+            }
+        }
+    }
+
+    fn forget(&self, object: &str) {
+        if let Some(name) = object.strip_prefix(NODE_PREFIX) {
+            self.known.borrow_mut().nodes.remove(&NodeName::from(name));
+        }
+    }
+
+    /// Writes a node's own record, if the store does not list it as it is.
+    pub async fn register(&self, node: &NodeName, record: &NodeRecord) {
+        let listed = self.known.borrow().nodes.get(node).cloned();
+        if listed.as_ref().is_some_and(|(_, listed)| listed == record) {
+            return;
+        }
+        let name = format!("{NODE_PREFIX}{node}");
+        let spec = serde_json::to_value(record).expect("records serialise");
+        let written = match listed {
+            None => self.store.create(KIND, &name, spec).await,
+            Some((revision, _)) => self.store.replace(KIND, &name, revision, spec).await,
+        };
+        self.note("Node registered.", written);
+    }
+
+    /// Names the founders, unless somebody has.
+    pub async fn found(&self, founders: &Membership) {
+        let spec = serde_json::to_value(founders).expect("memberships serialise");
+        let created = self.store.create(KIND, FOUNDING, spec).await;
+        self.note("Founders named.", created);
+    }
+
+    /// The store's own listing, not the answer, tells what was done.
+    fn note(&self, what: &'static str, written: Result<(), ObjectError>) {
+        match written {
+            Ok(()) => info!(self.log, "registry: {}", what),
+            Err(error) => warn!(self.log, "registry: Not written."; "what" => what,
+                "reason" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -0,0 +1,103 @@
+//! Nodes that operators want emptied, and how far that is.
+
+use crate::observation::Learned;
+use firshore_adapter::Adapter;
+use firshore_adapter::decode::{Retirement, RetirementProgress};
+use firshore_adapter::objects::{Change, Object, Revision};
+use firshore_log::GroupStatus;
+use firshore_types::ids::NodeName;
+use slog::{Logger, info, warn};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+struct Wish {
+    revision: Revision,
+    retirement: Retirement,
+    /// Progress that was written last by this node.
+    written: Option<RetirementProgress>,
+}
+
+/// Wishes to empty nodes, as the store lists them.
+#[derive(Debug, Default)]
+pub struct Retirements {
+    wishes: RefCell<BTreeMap<NodeName, Wish>>,
+}
+
+impl Retirements {
+    /// Takes in what was observed.
+    pub fn learn(&self, adapter: &Adapter, log: &Logger, learned: Learned) {
+        match learned {
+            Learned::All(objects) => {
+                self.wishes.borrow_mut().clear();
+                for object in &objects {
+                    self.take(adapter, log, object);
+                }
+            }
+            Learned::Changed(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Written(object) => self.take(adapter, log, &object),
+                        Change::Removed(name) => {
+                            self.wishes.borrow_mut().remove(&NodeName(name));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&self, adapter: &Adapter, log: &Logger, object: &Object) {
+        match adapter.decoder.retirement(object) {
+            Ok(retirement) => {
+                info!(log, "retirement: Listed."; "node" => &retirement.node,
+                    "done" => retirement.done, "revision" => object.revision);
+                let node = NodeName(retirement.node.clone());
+                let mut wishes = self.wishes.borrow_mut();
+                let written = wishes.get(&node).and_then(|wish| wish.written);
+                let wish = Wish {
+                    revision: object.revision,
+                    retirement,
+                    written,
+                };
+                wishes.insert(node, wish);
+            }
+            Err(error) => warn!(log, "retirement: Unreadable."; "reason" => %error),
+        }
+    }
+
+    /// Nodes that are to be emptied, those that are empty included: they take nothing new.
+    pub fn open(&self) -> BTreeSet<NodeName> {
+        self.wishes.borrow().keys().cloned().collect()
+    }
+
+    /// Tells the operators how far the emptying is. Called by the leader only: it is done once the
+    /// committed group does not count the node any more.
+    pub async fn report(&self, adapter: &Adapter, status: &GroupStatus, log: &Logger) {
+        let wishes = self.wishes.borrow().clone();
+        for (node, wish) in wishes.iter().filter(|(_, wish)| !wish.retirement.done) {
+            let mut replicas = status.membership.replicas.values();
+            let holds = replicas.any(|replica| replica.node == *node);
+            let progress = match holds || !status.membership_committed {
+                true => RetirementProgress::Running,
+                false => RetirementProgress::Done,
+            };
+            if wish.written == Some(progress) {
+                continue;
+            }
+            let status = adapter.decoder.retirement_status(progress);
+            let kind = adapter.decoder.retirement_kind();
+            let written = adapter
+                .objects
+                .replace_status(kind, node.as_str(), wish.revision, status)
+                .await;
+            info!(log, "retirement: Reported."; "node" => %node, "progress" => ?progress,
+                "written" => written.is_ok());
+            if written.is_ok()
+                && let Some(wish) = self.wishes.borrow_mut().get_mut(node)
+            {
+                wish.written = Some(progress);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/journal/transport.rs
@@ -0,0 +1,40 @@
+//! How replicas reach each other: at the addresses that the registry lists.
+
+use super::PeerClient;
+use super::messages::PeerRequest;
+use super::registry::Addresses;
+use firshore_log::machine::Transport;
+use firshore_replication::message::Envelope;
+use firshore_replication::types::GroupId;
+use firshore_types::ids::NodeName;
+
+struct PeerTransport {
+    own: NodeName,
+    addresses: Addresses,
+    peers: PeerClient,
+}
+
+/// The transport of a node's replica.
+pub fn new(own: NodeName, addresses: Addresses, peers: PeerClient) -> Box<dyn Transport> {
+    Box::new(PeerTransport {
+        own,
+        addresses,
+        peers,
+    })
+}
+
+impl Transport for PeerTransport {
+    fn refresh(&mut self) {}
+
+    fn send(&self, group: GroupId, node: &NodeName, envelope: Envelope) {
+        let Some(address) = self.addresses.read().get(node).copied() else {
+            return;
+        };
+        let request = PeerRequest::Replication {
+            group,
+            node: self.own.clone(),
+            envelope,
+        };
+        self.peers.notify(address, request);
+    }
+}
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -3,8 +3,10 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod command_line;
+pub mod journal;
 pub mod node;
 pub mod observation;
 pub mod readiness;
+pub mod runner;
 pub mod settings;
 mod watcher;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -1,14 +1,22 @@
 //! Puts a node together and runs it until it is told to stop.
 
+use crate::journal::client::JournalClient;
+use crate::journal::maintenance::{self, Upkeep};
+use crate::journal::registry::{self, NodeRecord, Registry};
+use crate::journal::retirement::Retirements;
+use crate::journal::{Journal, PeerClient};
 use crate::observation::Learned;
 use crate::readiness;
-use crate::settings::Settings;
+use crate::runner::Runner;
+use crate::settings::{Settings, Storage};
 use crate::watcher;
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
+use firshore_link::client;
+use firshore_link::handshake::ClusterSecret;
 use firshore_logging::Destination;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -45,15 +53,25 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
+    let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
+    let (peers, calls) = PeerClient::new();
+    actix_rt::spawn(client::run(calls, secret));
+    let registry = Rc::new(Registry::new(adapter.objects.clone(), log.clone()));
+    let jobs = JournalClient::new(registry.clone(), peers.clone());
     let random = StdRng::seed_from_u64(rand::random());
     let gateway = Rc::new(Gateway::new(
         log.clone(),
         adapter,
         settings.zone.clone(),
-        None,
+        Some(Rc::new(jobs)),
         random,
     ));
     follow_environment(&gateway);
+    follow_registry(&gateway, &registry);
+    let journal = match &settings.storage {
+        Some(storage) => Some(start_journal(&settings, storage, &gateway, registry, &peers).await?),
+        None => None,
+    };
     let callers = start_listeners(&settings, &gateway).await?;
     info!(log, "node: Started."; "name" => %settings.name, "zone" => %settings.zone,
         "version" => env!("CARGO_PKG_VERSION"));
@@ -64,6 +82,9 @@
             _ = hang_up.recv() => reload(&path, &log),
         }
     }
+    if let Some(journal) = &journal {
+        journal.stop().await;
+    }
     leave(&settings, &gateway, callers).await;
     info!(log, "node: Stopped.");
     Ok(())
@@ -93,6 +114,57 @@
     Ok(Some(actix_rt::spawn(accepting)))
 }
 
+/// The journal and what runs its items, on a node with a disk.
+struct JournalNode {
+    journal: Rc<Journal>,
+    runner: Rc<Runner>,
+}
+
+impl JournalNode {
+    /// Hands leadership over, so that another node goes on with the items.
+    async fn stop(&self) {
+        self.journal.stop().await;
+        self.runner.stop_all();
+    }
+}
+
+async fn start_journal(
+    settings: &Settings,
+    storage: &Storage,
+    gateway: &Rc<Gateway>,
+    registry: Rc<Registry>,
+    peers: &PeerClient,
+) -> io::Result<JournalNode> {
+    let journal = Journal::start(settings, storage, registry, peers, &gateway.log).await?;
+    let retirements = Rc::new(Retirements::default());
+    let learning = (gateway.clone(), retirements.clone());
+    actix_rt::spawn(watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        gateway.adapter.decoder.retirement_kind().to_owned(),
+        move |learned| {
+            learning
+                .1
+                .learn(&learning.0.adapter, &learning.0.log, learned)
+        },
+    ));
+    let upkeep = Upkeep {
+        journal: journal.clone(),
+        adapter: gateway.adapter.clone(),
+        node: settings.name.clone(),
+        record: NodeRecord {
+            address: settings.listen.peers,
+            zone: settings.zone.clone(),
+            disk: journal.replica.status().disk,
+        },
+        retirements,
+    };
+    actix_rt::spawn(maintenance::run(upkeep));
+    let runner = Runner::new(gateway.clone(), journal.replica.clone());
+    actix_rt::spawn(runner.clone().run());
+    Ok(JournalNode { journal, runner })
+}
+
 /// Says that the node leaves, goes on accepting for a while, then finishes what runs.
 async fn leave(settings: &Settings, gateway: &Rc<Gateway>, callers: Callers) {
     let grace = settings.leave.grace();
@@ -110,6 +182,16 @@
     info!(gateway.log, "node: Finished."; "cut_off" => gateway.requests_open());
 }
 
+fn follow_registry(gateway: &Rc<Gateway>, registry: &Rc<Registry>) {
+    let registry = registry.clone();
+    actix_rt::spawn(watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        registry::KIND.to_owned(),
+        move |learned| registry.learn(learned),
+    ));
+}
+
 fn follow_environment(gateway: &Rc<Gateway>) {
     let decoder = gateway.adapter.decoder.clone();
     let for_backends = gateway.clone();
--- /dev/null
+++ b/crates/firshore-node/src/runner/item.rs
@@ -0,0 +1,187 @@
+//! One run of one item at one back end.
+
+use super::Work;
+use super::progress::{ItemProgress, RunEnd};
+use crate::journal::Replica;
+use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
+use bytes::Bytes;
+use firshore_adapter::backend::{Backend, Ran, SendTerms};
+use firshore_adapter::jobs::{ItemOutcome, JobItem};
+use firshore_exchange::exchange::{self, Exchange, Reuse};
+use firshore_gateway::fleet::Impression;
+use firshore_gateway::gateway::{Gateway, InFlight};
+use firshore_jobs::command::{Action, Completion};
+use slog::info;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Time that a run gets.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+/// Longest wait for the head of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Longest pause between parts of a stream.
+const GAP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause before a result is proposed again.
+const PROPOSE_PAUSE: Duration = Duration::from_millis(100);
+
+/// One run.
+pub(crate) struct ItemRun {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) replica: Rc<Replica>,
+    pub(crate) work: Work,
+    pub(crate) progress: Rc<RefCell<ItemProgress>>,
+    pub(crate) in_flight: InFlight,
+    pub(crate) backend: Backend,
+}
+
+/// The headers that an item is sent with; names and values that HTTP does not allow are left out.
+pub(crate) fn headers(item: &JobItem) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::try_from(name.as_str());
+        let value = HeaderValue::from_str(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+impl ItemRun {
+    /// Runs the item once and lists its result, if there is one.
+    pub(crate) async fn run(self) {
+        let started = Instant::now();
+        let resumed_after = self.progress.borrow().last_event();
+        let end = self.send().await;
+        let header = &self.work.header;
+        let outcome = self.progress.borrow_mut().ended(
+            Instant::now(),
+            end,
+            header.attempts,
+            Duration::from_millis(header.give_up_after),
+        );
+        info!(self.gateway.log, "runner: Run ended."; "job" => &header.job,
+            "item" => &self.work.item.id, "backend" => %self.backend.incarnation, "end" => ?end,
+            "resumed_after" => resumed_after, "run_ms" => started.elapsed().as_millis() as u64,
+            "settled" => outcome.is_some());
+        drop(self.in_flight);
+        if let Some(outcome) = outcome {
+            list(&self.replica, &self.work, outcome).await;
+        }
+    }
+
+    fn request_head(&self) -> Option<RequestHead> {
+        let item = &self.work.item;
+        let mut head = RequestHead::default();
+        head.method = Method::POST;
+        head.uri = Uri::try_from(item.path.as_str()).ok()?;
+        head.headers = headers(item);
+        head.headers
+            .insert(HOST, HeaderValue::from_str(&self.work.header.host).ok()?);
+        let id = HeaderName::from_static(self.gateway.adapter.jobs.item_id_header());
+        head.headers
+            .insert(id, HeaderValue::from_str(&item.id).ok()?);
+        let terms = SendTerms {
+            incarnation: &self.backend.incarnation,
+            remaining: RUN_TIME,
+            resume_after: self.progress.borrow().last_event(),
+        };
+        let dialect = &self.gateway.adapter.backend;
+        dialect.write_terms(&mut head.headers, &terms);
+        Some(head)
+    }
+
+    async fn send(&self) -> RunEnd {
+        let Some(head) = self.request_head() else {
+            return RunEnd::Impossible;
+        };
+        let incarnation = &self.backend.incarnation;
+        let Ok(connection) = exchange::connect(self.backend.address, Reuse::Idle).await else {
+            self.gateway.observed(incarnation, Impression::Unreachable);
+            return RunEnd::NotRun;
+        };
+        let dialect = self.gateway.adapter.backend.clone();
+        let sent = head.headers.clone();
+        let is_expected = |answer: &ResponseHead| dialect.answers(&sent, answer);
+        let body = Bytes::copy_from_slice(&self.work.item.body.0);
+        let sending = connection.send_expecting(head, body, is_expected);
+        match timeout(HEAD_TIMEOUT, sending).await {
+            Ok(Ok(exchange)) => self.take_answer(exchange).await,
+            Ok(Err(_)) | Err(_) => {
+                self.gateway.observed(incarnation, Impression::Broke);
+                RunEnd::Broken
+            }
+        }
+    }
+
+    async fn take_answer(&self, exchange: Exchange) -> RunEnd {
+        let incarnation = &self.backend.incarnation;
+        let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
+        if let Some(load) = answer.load {
+            let mut fleet = self.gateway.fleet.borrow_mut();
+            fleet.reported(Instant::now(), incarnation, load);
+        }
+        if answer.ran == Ran::No {
+            let seen = match answer.misdirected {
+                true => Impression::Unreachable,
+                false => Impression::Full,
+            };
+            self.gateway.observed(incarnation, seen);
+            return RunEnd::NotRun;
+        }
+        if answer.ran != Ran::Yes {
+            return RunEnd::Broken;
+        }
+        match exchange.head.status {
+            status if status.is_success() => self.read_stream(exchange).await,
+            StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+            StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+            _ => RunEnd::Broken,
+        }
+    }
+
+    async fn read_stream(&self, mut exchange: Exchange) -> RunEnd {
+        let incarnation = &self.backend.incarnation;
+        loop {
+            match timeout(GAP_TIMEOUT, exchange.body.next()).await {
+                Ok(Ok(Some(chunk))) => {
+                    if self.progress.borrow_mut().feed(&chunk).is_err() {
+                        return RunEnd::Broken;
+                    }
+                }
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) | Err(_) => {
+                    self.gateway.observed(incarnation, Impression::Broke);
+                    return RunEnd::Broken;
+                }
+            }
+        }
+        self.gateway.observed(incarnation, Impression::Answered);
+        match self.progress.borrow().holds_part() {
+            true => RunEnd::Broken,
+            false => RunEnd::Whole,
+        }
+    }
+}
+
+/// Lists a result: proposes it until it is committed or this node does not lead any more.
+async fn list(replica: &Replica, work: &Work, outcome: ItemOutcome) {
+    loop {
+        let completion = Completion {
+            job: work.header.job.clone(),
+            item: work.index,
+            outcome: outcome.clone(),
+        };
+        let proposed = replica.propose(Action::Complete(vec![completion]).into());
+        if proposed.await.is_ok() || !replica.status().leads {
+            return;
+        }
+        actix_rt::time::sleep(PROPOSE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -0,0 +1,238 @@
+//! Runs the items of batch jobs, on the node whose replica leads the journal.
+//!
+//! Items go only into room that online requests leave: a back end gets one while its load, as last
+//! told, is below a limit. What an item has produced is kept here, so that a run that breaks off or
+//! is stopped goes on after its last event; a new leader starts from what is listed.
+
+mod item;
+mod progress;
+
+use crate::journal::Replica;
+use firshore_adapter::backend::Backend;
+use firshore_adapter::jobs::JobItem;
+use firshore_gateway::attempts::Attempts;
+use firshore_gateway::choice::affinity_key;
+use firshore_gateway::fleet::Wanted;
+use firshore_gateway::gateway::Gateway;
+use firshore_jobs::command::{ItemIndex, JobHeader};
+use item::ItemRun;
+use progress::ItemProgress;
+use slog::info;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Load in requests per slot from which on a back end gets no item.
+const LOAD_LIMIT: f32 = 0.75;
+
+/// Time between looks for room while items wait.
+const ROOM_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Time between looks while nothing changes.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// An item's job and its position there.
+pub(crate) type ItemKey = (String, ItemIndex);
+
+/// An item that is to be run.
+#[derive(Clone)]
+pub(crate) struct Work {
+    pub(crate) header: JobHeader,
+    pub(crate) index: ItemIndex,
+    pub(crate) item: JobItem,
+}
+
+impl Work {
+    fn key(&self) -> ItemKey {
+        (self.header.job.clone(), self.index)
+    }
+}
+
+struct Running {
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The items that this node runs.
+pub struct Runner {
+    gateway: Rc<Gateway>,
+    replica: Rc<Replica>,
+    running: RefCell<HashMap<ItemKey, Running>>,
+    progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
+    /// Wakes the scheduler when a run has ended.
+    ended: Notify,
+}
+
+impl Runner {
+    /// Runs items of this replica's journal while it leads.
+    pub fn new(gateway: Rc<Gateway>, replica: Rc<Replica>) -> Rc<Self> {
+        Rc::new(Self {
+            gateway,
+            replica,
+            running: RefCell::default(),
+            progress: RefCell::default(),
+            ended: Notify::new(),
+        })
+    }
+
+    /// Runs until the node ends.
+    pub async fn run(self: Rc<Self>) {
+        let mut changes = self.replica.changes();
+        let mut leads_since_term = None;
+        loop {
+            let waiting = match self.leads(&mut leads_since_term).await {
+                true => self.schedule(),
+                false => {
+                    self.stop_all();
+                    false
+                }
+            };
+            let interval = match waiting {
+                true => ROOM_INTERVAL,
+                false => IDLE_INTERVAL,
+            };
+            let _ = timeout(interval, async {
+                tokio::select! {
+                    _ = changes.changed(), if !waiting => {}
+                    () = self.ended.notified() => {}
+                }
+            })
+            .await;
+        }
+    }
+
+    /// Whether this replica leads and has applied what was committed before it did.
+    async fn leads(&self, confirmed_term: &mut Option<u64>) -> bool {
+        let status = self.replica.status();
+        if !status.leads {
+            *confirmed_term = None;
+            return false;
+        }
+        if *confirmed_term == Some(status.term) {
+            return true;
+        }
+        let confirmed = self.replica.read().await.is_ok();
+        if confirmed {
+            *confirmed_term = Some(status.term);
+            info!(self.gateway.log, "runner: Runs items."; "term" => status.term);
+        }
+        confirmed
+    }
+
+    /// Ends every run; what was produced is kept only while this node leads.
+    pub fn stop_all(&self) {
+        let stopped = self.running.borrow().len();
+        if stopped > 0 {
+            info!(self.gateway.log, "runner: Runs stopped."; "count" => stopped);
+        }
+        self.running.borrow_mut().clear();
+        self.progress.borrow_mut().clear();
+    }
+
+    /// Starts what there is room for; tells whether items wait for room.
+    fn schedule(self: &Rc<Self>) -> bool {
+        let state = self.replica.applied_state();
+        self.stop_closed(|key| state.read().is_open(&key.0, key.1));
+        let now = Instant::now();
+        let mut waiting = false;
+        let idle: Vec<Work> = {
+            let state = state.read();
+            let running = self.running.borrow();
+            let items = state.open_items().into_iter();
+            let idle = items.filter(|one| {
+                let key = (one.header.job.clone(), one.index);
+                !running.contains_key(&key)
+            });
+            idle.map(|one| Work {
+                header: one.header.clone(),
+                index: one.index,
+                item: one.item.clone(),
+            })
+            .collect()
+        };
+        for work in idle {
+            waiting |= !self.try_start(now, work);
+        }
+        waiting
+    }
+
+    /// Stops runs of items that are not wanted any more.
+    fn stop_closed(&self, is_open: impl Fn(&ItemKey) -> bool) {
+        let mut running = self.running.borrow_mut();
+        running.retain(|key, _| {
+            let open = is_open(key);
+            if !open {
+                info!(self.gateway.log, "runner: Run ended."; "job" => &key.0, "item" => key.1,
+                    "reason" => "not open");
+            }
+            open
+        });
+        self.progress.borrow_mut().retain(|key, _| is_open(key));
+    }
+
+    /// Starts an item if it may run now and there is room.
+    fn try_start(self: &Rc<Self>, now: Instant, work: Work) -> bool {
+        let key = work.key();
+        let progress = self
+            .progress
+            .borrow_mut()
+            .entry(key.clone())
+            .or_insert_with(|| Rc::new(RefCell::new(ItemProgress::new(now))))
+            .clone();
+        if progress.borrow().is_paused(now) {
+            return false;
+        }
+        let Some(backend) = self.choose(now, &work) else {
+            return false;
+        };
+        let run = ItemRun {
+            gateway: self.gateway.clone(),
+            replica: self.replica.clone(),
+            work,
+            progress,
+            // Counted from now on, so that the next item sees it.
+            in_flight: self.gateway.in_flight(&backend.incarnation),
+            backend,
+        };
+        let runner = self.clone();
+        let ended = key.clone();
+        let task = actix_rt::spawn(async move {
+            run.run().await;
+            // The entry is this task's own handle: it is let go, not aborted.
+            runner.running.borrow_mut().remove(&ended);
+            runner.ended.notify_one();
+        });
+        self.running.borrow_mut().insert(key, Running { task });
+        true
+    }
+
+    /// A back end with room, of the service that the item's route names now.
+    fn choose(&self, now: Instant, work: &Work) -> Option<Backend> {
+        let configuration = self.gateway.configuration()?;
+        let path = work.item.path.split('?').next().unwrap_or_default();
+        let route = configuration.routes.find(&work.header.host, path)?;
+        let route = Arc::clone(route);
+        let service = self.gateway.split.borrow_mut().next(&route);
+        let headers = item::headers(&work.item);
+        let terms = self.gateway.adapter.caller.read_terms(&headers);
+        let attempts = Attempts::new(route.repetition, u32::MAX);
+        let wanted = Wanted {
+            service: &service,
+            attempts: &attempts,
+            affinity: affinity_key(&terms.prompt),
+            load_limit: LOAD_LIMIT,
+        };
+        let mut random = self.gateway.random.borrow_mut();
+        let fleet = self.gateway.fleet.borrow();
+        fleet.choose(now, &wanted, &mut *random)
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -0,0 +1,97 @@
+//! How far an item is: what it has produced, how often it failed, when it may run again. No I/O.
+
+use firshore_adapter::jobs::ItemOutcome;
+use firshore_gateway::events::{EventFault, EventStream, data_of};
+use std::time::{Duration, Instant};
+
+/// Pause after a run that did not end well; doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// How a run of an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Its stream came to its end.
+    Whole,
+    /// The back end did not run it.
+    NotRun,
+    /// It broke off, or gave no usable answer.
+    Broken,
+    /// The back end ran it and failed.
+    Failed,
+    /// The back end says that it can never be done.
+    Impossible,
+}
+
+/// Progress of one item.
+#[derive(Debug)]
+pub struct ItemProgress {
+    stream: EventStream,
+    produced: Vec<String>,
+    failures: u32,
+    troubles: u32,
+    known_since: Instant,
+    not_before: Instant,
+}
+
+impl ItemProgress {
+    /// An item that was first seen now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            stream: EventStream::default(),
+            produced: Vec::new(),
+            failures: 0,
+            troubles: 0,
+            known_since: now,
+            not_before: now,
+        }
+    }
+
+    /// Whether it may not run yet.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        now < self.not_before
+    }
+
+    /// Number of the last event that is held.
+    pub fn last_event(&self) -> Option<u64> {
+        self.stream.last()
+    }
+
+    /// Takes in a part of the stream.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), EventFault> {
+        let events = self.stream.feed(bytes)?;
+        self.produced.extend(data_of(&events));
+        Ok(())
+    }
+
+    /// Whether the stream stopped inside an event.
+    pub fn holds_part(&self) -> bool {
+        self.stream.holds_part()
+    }
+
+    /// Takes in the end of a run. Returns what becomes of the item, if that is settled.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        end: RunEnd,
+        attempts: u32,
+        give_up_after: Duration,
+    ) -> Option<ItemOutcome> {
+        self.stream.broken_off();
+        match end {
+            RunEnd::Whole => return Some(ItemOutcome::Done(std::mem::take(&mut self.produced))),
+            RunEnd::Impossible => return Some(ItemOutcome::GivenUp),
+            RunEnd::Failed => self.failures += 1,
+            RunEnd::NotRun | RunEnd::Broken => self.troubles += 1,
+        }
+        // This node's knowledge is never older than the submission, so nothing is given up early.
+        let expired = now.saturating_duration_since(self.known_since) >= give_up_after;
+        if self.failures >= attempts.max(1) || expired {
+            return Some(ItemOutcome::GivenUp);
+        }
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.troubles.min(10));
+        self.not_before = now + pause.min(LONGEST_PAUSE);
+        None
+    }
+}
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -136,6 +136,8 @@
     pub last: Position,
     /// Replicas in force.
     pub membership: Membership,
+    /// Whether the change that gave these replicas is committed, as far as known here.
+    pub membership_committed: bool,
 }
 
 /// One replica.
@@ -225,6 +227,7 @@
             commit: self.commit,
             last: self.log.last(),
             membership: self.log.membership(),
+            membership_committed: self.log.membership_index() <= self.commit,
         }
     }
 
--- a/crates/firshore-server/src/journal/founding.rs
+++ b/crates/firshore-server/src/journal/founding.rs
@@ -71,7 +71,7 @@
     if !(enough || patient) {
         return;
     }
-    let membership = placement::founders(found, own);
+    let membership = placement::founders(found, own, TARGET_VOTERS);
     if membership.replicas.len() < TARGET_VOTERS {
         warn!(shared.log, "journal: Fewer than three disks; a lost one loses jobs."; "group" => group.id().0);
     }
@@ -93,5 +93,5 @@
         warn!(shared.log, "journal: Not alone; remove journal.standalone."; "disks" => disks);
         return;
     }
-    group.found(placement::founders(&[], &own));
+    group.found(placement::founders(&[], &own, TARGET_VOTERS));
 }
--- a/crates/firshore-server/src/journal/maintenance.rs
+++ b/crates/firshore-server/src/journal/maintenance.rs
@@ -2,7 +2,7 @@
 
 use super::Group;
 use super::founding;
-use super::placement::{Candidate, GroupView};
+use super::placement::{Candidate, GroupView, TARGET_VOTERS};
 use crate::clock::unix_milliseconds;
 use crate::shared::Shared;
 use firshore_journal::claim::ClaimCommand;
@@ -48,6 +48,7 @@
 async fn place(shared: &Shared, group: &Group) {
     let status = group.status();
     let view = GroupView {
+        target: TARGET_VOTERS,
         own: status.disk,
         membership: status.membership.clone(),
         silent: status.silent.clone(),
