--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -176,16 +176,23 @@
     async fn read_some(&mut self) -> io::Result<()> {
         loop {
             self.stream.readable().await?;
-            self.input.reserve(READ_BYTES);
-            match self.stream.try_read_buf(&mut self.input) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(_) => return Ok(()),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
+            if self.try_read()? > 0 {
+                return Ok(());
             }
         }
     }
 
+    /// Reads what has arrived: 0 bytes if nothing has, an error if the caller has closed.
+    fn try_read(&mut self) -> io::Result<usize> {
+        self.input.reserve(READ_BYTES);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(count) => Ok(count),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Resolves once the caller has closed its connection.
     pub async fn left(&mut self) {
         while self.read_some().await.is_ok() {
@@ -252,10 +259,11 @@
             false => Interest::READABLE | Interest::WRITABLE,
         };
         let ready = self.stream.ready(interest).await.map_err(|_| CallerGone)?;
-        if ready.is_writable() {
-            return Ok(());
+        if ready.is_readable() && !full {
+            // Readiness may be stale: a second wait for bytes here would miss the room.
+            self.try_read().map_err(|_| CallerGone)?;
         }
-        self.read_some().await.map_err(|_| CallerGone)
+        Ok(())
     }
 
     /// Whether the connection may carry another request.
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -132,7 +132,11 @@
         )),
         Some(Ok(call)) => match job_call(gateway, call).await {
             Ok(answer) => answer,
-            Err(error) => Answer::from(error),
+            Err(error) => {
+                info!(gateway.log, "jobs: Call not answered."; "path" => path,
+                    "reason" => %error, "age_ms" => request.arrived.elapsed().as_millis() as u64);
+                Answer::from(error)
+            }
         },
     }
 }
