--- a/crates/firshore-exchange/src/keep_alive.rs
+++ b/crates/firshore-exchange/src/keep_alive.rs
@@ -6,17 +6,17 @@
 use tokio::net::TcpStream;
 
 /// Quiet time before a connection is probed.
-const IDLE: Duration = Duration::from_secs(5);
+const IDLE: Duration = Duration::from_secs(1);
 
-const INTERVAL: Duration = Duration::from_secs(2);
+const INTERVAL: Duration = Duration::from_secs(1);
 
-const PROBES: u32 = 3;
+const PROBES: u32 = 2;
 
 /// Longest time for sent bytes to be acknowledged.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(12);
+const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
 
 /// Sets a connection up for requests and answers: sent without delay, and ended by the kernel
-/// about 11 s after the other machine vanished.
+/// about 3 s after the other machine vanished.
 pub fn set_up(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- /dev/null
+++ b/crates/firshore-node/src/environment.rs
@@ -0,0 +1,111 @@
+//! What a node learns from the environment's objects: back ends and the configuration.
+
+use crate::observation::{Learned, Terms};
+use crate::settings::Objects;
+use crate::task::Task;
+use crate::watcher;
+use firshore_adapter::backend::Incarnation;
+use firshore_adapter::objects::{Change, Object};
+use firshore_gateway::gateway::Gateway;
+use slog::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause after a change of the back ends. One that leaves must get nothing new within two seconds.
+const BACKEND_SPACING: Duration = Duration::from_millis(1_200);
+
+/// Pause after a change of the configuration, which must be in force within two seconds.
+const CONFIGURATION_SPACING: Duration = Duration::from_millis(400);
+
+/// Terms on which a kind is observed.
+pub fn terms(objects: &Objects, spacing: Duration) -> Terms {
+    Terms {
+        history: Duration::from_secs_f64(objects.history_seconds),
+        spacing,
+    }
+}
+
+/// Follows back ends and the configuration until the tasks are dropped.
+pub fn follow(gateway: &Rc<Gateway>, objects: &Objects) -> [Task; 2] {
+    let decoder = gateway.adapter.decoder.clone();
+    let for_backends = gateway.clone();
+    let backends = watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        decoder.backend_kind().to_owned(),
+        terms(objects, BACKEND_SPACING),
+        move |learned| learn_backends(&for_backends, learned),
+    );
+    let for_configuration = gateway.clone();
+    let configuration = watcher::follow(
+        gateway.log.clone(),
+        gateway.adapter.objects.clone(),
+        decoder.configuration_kind().to_owned(),
+        terms(objects, CONFIGURATION_SPACING),
+        move |learned| learn_configuration(&for_configuration, learned),
+    );
+    [Task::spawn(backends), Task::spawn(configuration)]
+}
+
+fn learn_backends(gateway: &Gateway, learned: Learned) {
+    match learned {
+        Learned::All(objects) => {
+            let decoded = objects
+                .iter()
+                .map(|object| gateway.adapter.decoder.backend(object));
+            let backends = decoded.filter_map(|backend| match backend {
+                Ok(backend) => Some(backend),
+                Err(error) => {
+                    warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error);
+                    None
+                }
+            });
+            let backends: Vec<_> = backends.collect();
+            info!(gateway.log, "fleet: Back ends listed."; "count" => backends.len());
+            gateway.fleet.borrow_mut().replace(backends);
+        }
+        Learned::Changed(changes) => {
+            for change in changes {
+                learn_backend(gateway, change);
+            }
+        }
+    }
+}
+
+fn learn_backend(gateway: &Gateway, change: Change) {
+    match change {
+        Change::Removed(name) => {
+            info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
+            gateway.fleet.borrow_mut().remove(&Incarnation(name));
+        }
+        Change::Written(object) => match gateway.adapter.decoder.backend(&object) {
+            Ok(backend) => {
+                info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
+                    "service" => %backend.service, "leaving" => backend.leaving,
+                    "revision" => object.revision);
+                gateway.fleet.borrow_mut().upsert(backend);
+            }
+            Err(error) => warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error),
+        },
+    }
+}
+
+fn learn_configuration(gateway: &Gateway, learned: Learned) {
+    let written: Vec<Object> = match learned {
+        Learned::All(objects) => objects,
+        Learned::Changed(changes) => changes
+            .into_iter()
+            .filter_map(|change| match change {
+                Change::Written(object) => Some(object),
+                Change::Removed(_) => None,
+            })
+            .collect(),
+    };
+    let name = gateway.adapter.decoder.configuration_name();
+    for object in written.iter().filter(|object| object.name == name) {
+        match gateway.adapter.decoder.configuration(object) {
+            Ok(configuration) => gateway.configure(configuration),
+            Err(error) => warn!(gateway.log, "configuration: Refused."; "reason" => %error),
+        }
+    }
+}
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -74,12 +74,19 @@
         let mut unknown = false;
         let mut hint = self.leader.borrow().clone();
         let mut round: Vec<NodeName> = Vec::new();
+        let mut rounds = 0;
         loop {
             if Instant::now() >= deadline {
                 return Err(unavailable(request.changes() && unknown));
             }
             let Some(target) = hint.take().or_else(|| round.pop()) else {
-                actix_rt::time::sleep(ROUND_PAUSE).await;
+                if rounds > 0 {
+                    actix_rt::time::sleep(ROUND_PAUSE).await;
+                }
+                if rounds > 0 || self.registry.names().is_empty() {
+                    self.registry.refresh().await;
+                }
+                rounds += 1;
                 round = self.nodes();
                 continue;
             };
--- /dev/null
+++ b/crates/firshore-node/src/journal/duties.rs
@@ -0,0 +1,87 @@
+//! What only the leader of the journal follows: calls to the store are dear, and its followers
+//! learn what they need when they lead.
+
+use super::Journal;
+use super::registry::KIND;
+use super::retirement::Retirements;
+use crate::environment;
+use crate::settings::Objects;
+use crate::task::Task;
+use crate::watcher;
+use firshore_gateway::gateway::Gateway;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time between looks while nothing changes.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Pause after a change of the nodes or of the wishes to empty some.
+const SPACING: Duration = Duration::from_millis(500);
+
+/// What a leader follows.
+pub struct Duties {
+    /// Back ends and configuration.
+    pub gateway: Rc<Gateway>,
+    /// The journal.
+    pub journal: Rc<Journal>,
+    /// Nodes that are to be emptied.
+    pub retirements: Rc<Retirements>,
+    /// The store.
+    pub objects: Objects,
+    /// Whether nothing else follows back ends and configuration on this node.
+    pub follows_environment: bool,
+}
+
+impl Duties {
+    /// Runs until the node ends.
+    pub async fn run(self) {
+        let mut changes = self.journal.replica.changes();
+        let mut tasks: Vec<Task> = Vec::new();
+        loop {
+            let leads = self.journal.replica.status().leads;
+            if leads && tasks.is_empty() {
+                tasks = self.follow();
+            }
+            if !leads && !tasks.is_empty() {
+                tasks.clear();
+                self.forget();
+            }
+            let _ = timeout(INTERVAL, changes.changed()).await;
+        }
+    }
+
+    fn follow(&self) -> Vec<Task> {
+        let terms = environment::terms(&self.objects, SPACING);
+        let store = &self.gateway.adapter.objects;
+        let log = &self.gateway.log;
+        let registry = self.journal.registry.clone();
+        let nodes = watcher::follow(
+            log.clone(),
+            store.clone(),
+            KIND.to_owned(),
+            terms,
+            move |learned| registry.learn(learned),
+        );
+        let (retirements, gateway) = (self.retirements.clone(), self.gateway.clone());
+        let wishes = watcher::follow(
+            log.clone(),
+            store.clone(),
+            self.gateway.adapter.decoder.retirement_kind().to_owned(),
+            terms,
+            move |learned| retirements.learn(&gateway.adapter, &gateway.log, learned),
+        );
+        let mut tasks = vec![Task::spawn(nodes), Task::spawn(wishes)];
+        if self.follows_environment {
+            tasks.extend(environment::follow(&self.gateway, &self.objects));
+        }
+        tasks
+    }
+
+    /// What is not followed any more must not be acted on.
+    fn forget(&self) {
+        if self.follows_environment {
+            self.gateway.fleet.borrow_mut().replace(Vec::new());
+        }
+    }
+}
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -55,11 +55,16 @@
 impl Upkeep {
     async fn look(&self) {
         let registry = &self.journal.registry;
+        let status = self.journal.replica.status();
+        let lost = status.leader.is_none() || !registry.is_registered(&self.node, &self.record);
+        if (lost && !status.leads) || registry.is_unsettled() {
+            // Without a leader, nodes may be missed: another address, or other nodes.
+            registry.refresh().await;
+        }
         if !registry.is_listed() {
             return;
         }
         registry.register(&self.node, &self.record).await;
-        let status = self.journal.replica.status();
         if !status.holds_log {
             self.found().await;
         } else if status.leads {
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -1,6 +1,7 @@
 //! Nodes with a disk, and the founders of the journal, as objects in the store tell.
 //!
-//! A node writes its own object once; all read them by watching. The founding object is created
+//! A node writes its own object once. The journal's leader reads them by watching, other nodes by
+//! listing when they miss something. The founding object is created
 //! once and never changed: who creates it decides.
 
 use crate::observation::Learned;
@@ -11,11 +12,12 @@
 use parking_lot::RwLock;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Kind of the product's own objects.
 pub const KIND: &str = "firshore";
@@ -37,6 +39,9 @@
     pub disk: DiskId,
 }
 
+/// Shortest time between two listings.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(1_000);
+
 #[derive(Debug, Default)]
 struct Known {
     listed: bool,
@@ -50,6 +55,9 @@
     log: Logger,
     known: RefCell<Known>,
     addresses: Addresses,
+    refreshed_at: Cell<Option<Instant>>,
+    /// Something was written that no listing has shown yet.
+    unsettled: Cell<bool>,
 }
 
 impl Registry {
@@ -60,6 +68,23 @@
             log,
             known: RefCell::default(),
             addresses: Addresses::default(),
+            refreshed_at: Cell::new(None),
+            unsettled: Cell::new(false),
+        }
+    }
+
+    /// Lists the nodes anew, unless that was done a moment ago.
+    pub async fn refresh(&self) {
+        let now = Instant::now();
+        let recent = |at: Instant| now.duration_since(at) < REFRESH_INTERVAL;
+        if self.refreshed_at.get().is_some_and(recent) {
+            return;
+        }
+        self.refreshed_at.set(Some(now));
+        // Nodes with disks are few: one page holds them all.
+        match self.store.list(KIND, None).await {
+            Ok(page) => self.learn(Learned::All(page.objects)),
+            Err(error) => warn!(self.log, "registry: Not listed."; "reason" => %error),
         }
     }
 
@@ -101,17 +126,25 @@
         self.known.borrow().listed
     }
 
+    /// Whether a write waits for the listing that shows what became of it.
+    pub fn is_unsettled(&self) -> bool {
+        self.unsettled.get()
+    }
+
     /// Takes in what was observed.
     pub fn learn(&self, learned: Learned) {
+        self.unsettled.set(false);
         match learned {
             Learned::All(objects) => {
-                *self.known.borrow_mut() = Known {
-                    listed: true,
-                    ..Known::default()
-                };
                 for object in &objects {
                     self.take(object);
                 }
+                let listed: BTreeSet<&str> = objects.iter().map(|one| one.name.as_str()).collect();
+                let mut known = self.known.borrow_mut();
+                known.listed = true;
+                known
+                    .nodes
+                    .retain(|node, _| listed.contains(format!("{NODE_PREFIX}{node}").as_str()));
             }
             Learned::Changed(changes) => {
                 for change in changes {
@@ -145,8 +178,11 @@
         };
         match NodeRecord::deserialize(&object.spec) {
             Ok(record) => {
-                info!(self.log, "registry: Node."; "node" => name, "disk" => %record.disk,
-                    "address" => %record.address, "revision" => object.revision);
+                let before = known.nodes.get(&NodeName::from(name));
+                if before.is_none_or(|(_, before)| *before != record) {
+                    info!(self.log, "registry: Node."; "node" => name, "disk" => %record.disk,
+                        "address" => %record.address, "revision" => object.revision);
+                }
                 known.nodes.insert(name.into(), (object.revision, record));
             }
             Err(error) => {
@@ -161,12 +197,21 @@
         }
     }
 
+    /// Whether the store lists this record.
+    pub fn is_registered(&self, node: &NodeName, record: &NodeRecord) -> bool {
+        let known = self.known.borrow();
+        known
+            .nodes
+            .get(node)
+            .is_some_and(|(_, listed)| listed == record)
+    }
+
     /// Writes a node's own record, if the store does not list it as it is.
     pub async fn register(&self, node: &NodeName, record: &NodeRecord) {
-        let listed = self.known.borrow().nodes.get(node).cloned();
-        if listed.as_ref().is_some_and(|(_, listed)| listed == record) {
+        if self.is_unsettled() || self.is_registered(node, record) {
             return;
         }
+        let listed = self.known.borrow().nodes.get(node).cloned();
         let name = format!("{NODE_PREFIX}{node}");
         let spec = serde_json::to_value(record).expect("records serialise");
         let written = match listed {
@@ -178,6 +223,9 @@
 
     /// Names the founders, unless somebody has.
     pub async fn found(&self, founders: &Membership) {
+        if self.is_unsettled() {
+            return;
+        }
         let spec = serde_json::to_value(founders).expect("memberships serialise");
         let created = self.store.create(KIND, FOUNDING, spec).await;
         self.note("Founders named.", created);
@@ -185,6 +233,8 @@
 
     /// The store's own listing, not the answer, tells what was done.
     fn note(&self, what: &'static str, written: Result<(), ObjectError>) {
+        self.unsettled.set(true);
+        self.refreshed_at.set(None);
         match written {
             Ok(()) => info!(self.log, "registry: {}", what),
             Err(error) => warn!(self.log, "registry: Not written."; "what" => what,
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -3,10 +3,12 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod command_line;
+mod environment;
 pub mod journal;
 pub mod node;
 pub mod observation;
 pub mod readiness;
 pub mod runner;
 pub mod settings;
+mod task;
 mod watcher;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -1,18 +1,16 @@
 //! Puts a node together and runs it until it is told to stop.
 
+use crate::environment;
 use crate::journal::client::JournalClient;
+use crate::journal::duties::Duties;
 use crate::journal::maintenance::{self, Upkeep};
-use crate::journal::registry::{self, NodeRecord, Registry};
+use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
 use crate::journal::{Journal, PeerClient};
-use crate::observation::Learned;
 use crate::readiness;
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
-use crate::watcher;
 use firshore_adapter::Adapter;
-use firshore_adapter::backend::Incarnation;
-use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
 use firshore_link::client;
@@ -66,13 +64,15 @@
         Some(Rc::new(jobs)),
         random,
     ));
-    follow_environment(&gateway);
-    follow_registry(&gateway, &registry);
     let journal = match &settings.storage {
         Some(storage) => Some(start_journal(&settings, storage, &gateway, registry, &peers).await?),
         None => None,
     };
     let callers = start_listeners(&settings, &gateway).await?;
+    // A node without callers follows the environment only while it runs items.
+    let _following = callers
+        .is_some()
+        .then(|| environment::follow(&gateway, &settings.objects));
     info!(log, "node: Started."; "name" => %settings.name, "zone" => %settings.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     loop {
@@ -137,17 +137,14 @@
 ) -> io::Result<JournalNode> {
     let journal = Journal::start(settings, storage, registry, peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
-    let learning = (gateway.clone(), retirements.clone());
-    actix_rt::spawn(watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        gateway.adapter.decoder.retirement_kind().to_owned(),
-        move |learned| {
-            learning
-                .1
-                .learn(&learning.0.adapter, &learning.0.log, learned)
-        },
-    ));
+    let duties = Duties {
+        gateway: gateway.clone(),
+        journal: journal.clone(),
+        retirements: retirements.clone(),
+        objects: settings.objects.clone(),
+        follows_environment: settings.listen.callers.is_none(),
+    };
+    actix_rt::spawn(duties.run());
     let upkeep = Upkeep {
         journal: journal.clone(),
         adapter: gateway.adapter.clone(),
@@ -181,94 +178,3 @@
     }
     info!(gateway.log, "node: Finished."; "cut_off" => gateway.requests_open());
 }
-
-fn follow_registry(gateway: &Rc<Gateway>, registry: &Rc<Registry>) {
-    let registry = registry.clone();
-    actix_rt::spawn(watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        registry::KIND.to_owned(),
-        move |learned| registry.learn(learned),
-    ));
-}
-
-fn follow_environment(gateway: &Rc<Gateway>) {
-    let decoder = gateway.adapter.decoder.clone();
-    let for_backends = gateway.clone();
-    actix_rt::spawn(watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        decoder.backend_kind().to_owned(),
-        move |learned| learn_backends(&for_backends, learned),
-    ));
-    let for_configuration = gateway.clone();
-    actix_rt::spawn(watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        decoder.configuration_kind().to_owned(),
-        move |learned| learn_configuration(&for_configuration, learned),
-    ));
-}
-
-fn learn_backends(gateway: &Gateway, learned: Learned) {
-    match learned {
-        Learned::All(objects) => {
-            let decoded = objects
-                .iter()
-                .map(|object| gateway.adapter.decoder.backend(object));
-            let backends = decoded.filter_map(|backend| match backend {
-                Ok(backend) => Some(backend),
-                Err(error) => {
-                    warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error);
-                    None
-                }
-            });
-            let backends: Vec<_> = backends.collect();
-            info!(gateway.log, "fleet: Back ends listed."; "count" => backends.len());
-            gateway.fleet.borrow_mut().replace(backends);
-        }
-        Learned::Changed(changes) => {
-            for change in changes {
-                learn_backend(gateway, change);
-            }
-        }
-    }
-}
-
-fn learn_backend(gateway: &Gateway, change: Change) {
-    match change {
-        Change::Removed(name) => {
-            info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
-            gateway.fleet.borrow_mut().remove(&Incarnation(name));
-        }
-        Change::Written(object) => match gateway.adapter.decoder.backend(&object) {
-            Ok(backend) => {
-                info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
-                    "service" => %backend.service, "leaving" => backend.leaving,
-                    "revision" => object.revision);
-                gateway.fleet.borrow_mut().upsert(backend);
-            }
-            Err(error) => warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error),
-        },
-    }
-}
-
-fn learn_configuration(gateway: &Gateway, learned: Learned) {
-    let written: Vec<Object> = match learned {
-        Learned::All(objects) => objects,
-        Learned::Changed(changes) => changes
-            .into_iter()
-            .filter_map(|change| match change {
-                Change::Written(object) => Some(object),
-                Change::Removed(_) => None,
-            })
-            .collect(),
-    };
-    let name = gateway.adapter.decoder.configuration_name();
-    for object in written.iter().filter(|object| object.name == name) {
-        match gateway.adapter.decoder.configuration(object) {
-            Ok(configuration) => gateway.configure(configuration),
-            Err(error) => warn!(gateway.log, "configuration: Refused."; "reason" => %error),
-        }
-    }
-}
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -1,5 +1,8 @@
 //! Follows all objects of one kind: lists them in pages, then watches from the revision of the
-//! first page, and lists anew when the store has forgotten the changes since. No I/O.
+//! first page, and lists anew whenever a watch fails. No I/O.
+//!
+//! A watch that was cut is not gone on with: the store may have dropped its history meanwhile, and
+//! tells so only with the next change.
 //!
 //! What was seen is never taken back: an object that a listing shows in an older revision than was
 //! seen before is passed over.
@@ -13,6 +16,22 @@
 
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// Part of the store's history after which a watch is renewed, so that its revision is not
+/// forgotten while other kinds change.
+const RENEWAL_SHARE: f64 = 0.9;
+
+/// Wait asked for where nothing at all has changed during the last one.
+const CALM_WAIT: Duration = Duration::from_secs(30);
+
+/// What an observation is told about its store and kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Age at which the store may forget changes.
+    pub history: Duration,
+    /// Pause after a change, so that changes in quick succession are asked for together.
+    pub spacing: Duration,
+}
+
 /// What to ask the store next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Question {
@@ -41,28 +60,41 @@
     Watching(Revision),
 }
 
+impl Phase {
+    fn listing() -> Self {
+        Self::Listing {
+            gathered: Vec::new(),
+            revision: None,
+        }
+    }
+}
+
 /// State of the observation.
 #[derive(Debug)]
 pub struct Observation {
+    terms: Terms,
     phase: Phase,
     seen: HashMap<String, Revision>,
     failures: u32,
+    /// The last watch brought changes.
+    changed: bool,
+    /// The store's revision did not move during the last watch.
+    calm: bool,
 }
 
-impl Default for Observation {
-    fn default() -> Self {
+impl Observation {
+    /// Nothing is known yet.
+    pub fn new(terms: Terms) -> Self {
         Self {
-            phase: Phase::Listing {
-                gathered: Vec::new(),
-                revision: None,
-            },
+            terms,
+            phase: Phase::listing(),
             seen: HashMap::new(),
             failures: 0,
+            changed: false,
+            calm: false,
         }
     }
-}
 
-impl Observation {
     /// What to ask next.
     pub fn question(&self) -> Question {
         match &self.phase {
@@ -73,9 +105,18 @@
         }
     }
 
-    /// Pause before the next question: none unless the store failed.
+    /// Longest wait for a change to ask for.
+    pub fn wait(&self) -> Duration {
+        match self.calm {
+            true => CALM_WAIT,
+            false => self.terms.history.mul_f64(RENEWAL_SHARE).min(CALM_WAIT),
+        }
+    }
+
+    /// Pause before the next question.
     pub fn pause(&self) -> Duration {
         match self.failures {
+            0 if self.changed => self.terms.spacing,
             0 => Duration::ZERO,
             failures => {
                 let doubled = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(10) - 1);
@@ -149,6 +190,8 @@
         let Phase::Watching(revision) = &mut self.phase else {
             return None;
         };
+        self.changed = !changes.changes.is_empty();
+        self.calm = changes.revision <= *revision;
         *revision = changes.revision.max(*revision);
         let fresh: Vec<Change> = changes
             .changes
@@ -183,14 +226,12 @@
     }
 
     fn failed(&mut self, error: &ObjectError) {
-        if *error == ObjectError::HistoryGone {
-            self.phase = Phase::Listing {
-                gathered: Vec::new(),
-                revision: None,
-            };
-            // Lost history is no failure of the store: what changed is wanted at once.
-            return;
+        self.phase = Phase::listing();
+        self.changed = false;
+        self.calm = false;
+        // Lost history is no failure of the store: what changed is wanted at once.
+        if *error != ObjectError::HistoryGone {
+            self.failures += 1;
         }
-        self.failures += 1;
     }
 }
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -8,6 +8,7 @@
 mod progress;
 
 use crate::journal::Replica;
+use crate::task::Task;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::jobs::JobItem;
 use firshore_gateway::attempts::Attempts;
@@ -52,21 +53,11 @@
     }
 }
 
-struct Running {
-    task: actix_rt::task::JoinHandle<()>,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// The items that this node runs.
 pub struct Runner {
     gateway: Rc<Gateway>,
     replica: Rc<Replica>,
-    running: RefCell<HashMap<ItemKey, Running>>,
+    running: RefCell<HashMap<ItemKey, Task>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
     /// Wakes the scheduler when a run has ended.
     ended: Notify,
@@ -205,13 +196,13 @@
         };
         let runner = self.clone();
         let ended = key.clone();
-        let task = actix_rt::spawn(async move {
+        let task = Task::spawn(async move {
             run.run().await;
             // The entry is this task's own handle: it is let go, not aborted.
             runner.running.borrow_mut().remove(&ended);
             runner.ended.notify_one();
         });
-        self.running.borrow_mut().insert(key, Running { task });
+        self.running.borrow_mut().insert(key, task);
         true
     }
 
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -72,6 +72,13 @@
 pub struct Objects {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Age at which it may forget changes, in seconds.
+    #[serde(default = "default_history_seconds")]
+    pub history_seconds: f64,
+}
+
+fn default_history_seconds() -> f64 {
+    20.0
 }
 
 /// How nodes found the cluster and trust each other.
@@ -138,6 +145,9 @@
 /// Shortest time between the request to stop and the kill that allows an orderly end.
 const MINIMUM_GRACE_SECONDS: f64 = 1.0;
 
+/// Shortest history of the store that can be watched.
+const MINIMUM_HISTORY_SECONDS: f64 = 1.0;
+
 /// Most disks that may be lost at once: more needs groups of more than seven.
 const MAXIMUM_DISK_LOSSES: u32 = 3;
 
@@ -168,6 +178,14 @@
                 "Set 0 to 3.",
             ));
         }
+        let history = self.objects.history_seconds;
+        if !history.is_finite() || history < MINIMUM_HISTORY_SECONDS {
+            return Err(SettingsError::Invalid(
+                "objects.history_seconds",
+                history.to_string(),
+                "Set at least 1.",
+            ));
+        }
         let grace = self.leave.grace_seconds;
         if !grace.is_finite() || grace < MINIMUM_GRACE_SECONDS {
             return Err(SettingsError::Invalid(
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -1,23 +1,20 @@
 //! Asks the store what an [`Observation`] wants to know, for as long as the node lives.
 
-use crate::observation::{Learned, Observation, Question};
+use crate::observation::{Learned, Observation, Question, Terms};
 use firshore_adapter::objects::{ObjectError, ObjectStore};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Wait asked of the store for a change. Long, as calls are dear and waiting is not.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 
 /// Follows all objects of `kind` and hands on what is learned.
 pub async fn follow(
     log: Logger,
     store: Rc<dyn ObjectStore>,
     kind: String,
+    terms: Terms,
     learn: impl Fn(Learned),
 ) {
-    let mut observation = Observation::default();
+    let mut observation = Observation::new(terms);
     loop {
         let pause = observation.pause();
         if !pause.is_zero() {
@@ -33,7 +30,7 @@
                 observation.listed(page)
             }
             Question::Watch(revision) => {
-                let changes = store.watch(&kind, revision, WATCH_WAIT).await;
+                let changes = store.watch(&kind, revision, observation.wait()).await;
                 note(&log, &kind, connected, changes.as_ref().err());
                 observation.watched(changes)
             }
--- /dev/null
+++ b/crates/firshore-node/tests/observation.rs
@@ -0,0 +1,146 @@
+//! How objects are followed through everything that a store may do.
+
+use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page};
+use firshore_node::observation::{Learned, Observation, Question, Terms};
+use std::time::Duration;
+
+fn terms() -> Terms {
+    Terms {
+        history: Duration::from_secs(20),
+        spacing: Duration::from_secs(1),
+    }
+}
+
+fn object(name: &str, revision: u64) -> Object {
+    Object {
+        name: name.to_owned(),
+        revision,
+        ..Object::default()
+    }
+}
+
+fn page(objects: &[(&str, u64)], more: bool, revision: u64) -> Result<Page, ObjectError> {
+    Ok(Page {
+        objects: objects.iter().map(|(name, at)| object(name, *at)).collect(),
+        more,
+        revision,
+    })
+}
+
+fn changes(written: &[(&str, u64)], revision: u64) -> Result<Changes, ObjectError> {
+    let written = written.iter().map(|(name, at)| object(name, *at));
+    Ok(Changes {
+        changes: written.map(Change::Written).collect(),
+        revision,
+    })
+}
+
+fn names(learned: Option<Learned>) -> Vec<String> {
+    match learned {
+        None => Vec::new(),
+        Some(Learned::All(objects)) => objects.into_iter().map(|one| one.name).collect(),
+        Some(Learned::Changed(changes)) => changes
+            .into_iter()
+            .map(|change| match change {
+                Change::Written(object) => object.name,
+                Change::Removed(name) => format!("-{name}"),
+            })
+            .collect(),
+    }
+}
+
+fn watching() -> Observation {
+    let mut observation = Observation::new(terms());
+    observation.listed(page(&[("a", 5), ("b", 7)], false, 10));
+    observation
+}
+
+#[test]
+fn pages_are_put_together_and_watched_from_the_first() {
+    let mut observation = Observation::new(terms());
+    assert_eq!(observation.question(), Question::List(None));
+    assert_eq!(observation.listed(page(&[("a", 5)], true, 10)), None);
+    assert_eq!(observation.question(), Question::List(Some("a".to_owned())));
+    let learned = observation.listed(page(&[("b", 12)], false, 13));
+    assert_eq!(names(learned), ["a", "b"]);
+    assert_eq!(observation.question(), Question::Watch(10));
+}
+
+#[test]
+fn every_failure_of_a_watch_leads_to_a_listing() {
+    // A store that has forgotten its history says so only with the next change: a watch that
+    // goes on from an old revision may miss what happened while it was cut.
+    let failures = [
+        ObjectError::HistoryGone,
+        ObjectError::Unanswered("reset".to_owned()),
+        ObjectError::Refused("503".to_owned()),
+    ];
+    for failure in failures {
+        let mut observation = watching();
+        assert_eq!(observation.watched(Err(failure.clone())), None);
+        assert_eq!(observation.question(), Question::List(None), "{failure}");
+        let learned = observation.listed(page(&[("a", 5), ("b", 11)], false, 12));
+        assert_eq!(names(learned), ["a", "b"], "{failure}");
+    }
+}
+
+#[test]
+fn what_was_seen_is_never_taken_back() {
+    let mut observation = watching();
+    assert_eq!(names(observation.watched(changes(&[("b", 11)], 11))), ["b"]);
+    assert_eq!(observation.watched(changes(&[("b", 7)], 12)), None);
+    let _ = observation.watched(Err(ObjectError::HistoryGone));
+    let stale = observation.listed(page(&[("a", 5), ("b", 7)], false, 12));
+    assert_eq!(names(stale), ["a"], "b is older than was seen");
+}
+
+#[test]
+fn what_is_gone_may_come_back() {
+    let mut observation = watching();
+    let gone = Changes {
+        changes: vec![Change::Removed("b".to_owned())],
+        revision: 11,
+    };
+    assert_eq!(names(observation.watched(Ok(gone))), ["-b"]);
+    assert_eq!(names(observation.watched(changes(&[("b", 12)], 12))), ["b"]);
+}
+
+#[test]
+fn failures_are_answered_with_growing_pauses() {
+    let mut observation = Observation::new(terms());
+    assert_eq!(observation.pause(), Duration::ZERO);
+    let mut last = Duration::ZERO;
+    for _ in 0..4 {
+        observation.listed(Err(ObjectError::Refused("429".to_owned())));
+        assert!(observation.pause() > last);
+        last = observation.pause();
+    }
+    for _ in 0..40 {
+        observation.listed(Err(ObjectError::Unanswered("cut".to_owned())));
+    }
+    assert!(observation.pause() <= Duration::from_secs(2));
+    observation.listed(page(&[], false, 1));
+    assert_eq!(observation.pause(), Duration::ZERO);
+}
+
+#[test]
+fn changes_in_quick_succession_are_asked_for_together() {
+    let mut observation = watching();
+    assert_eq!(observation.pause(), Duration::ZERO);
+    let _ = observation.watched(changes(&[("b", 11)], 11));
+    assert_eq!(observation.pause(), terms().spacing);
+    let _ = observation.watched(changes(&[], 11));
+    assert_eq!(observation.pause(), Duration::ZERO);
+}
+
+#[test]
+fn waits_stay_within_the_history_unless_nothing_changes_at_all() {
+    let mut observation = watching();
+    assert!(observation.wait() < terms().history);
+    let _ = observation.watched(changes(&[], 14));
+    assert!(observation.wait() < terms().history, "others changed");
+    let _ = observation.watched(changes(&[], 14));
+    assert!(observation.wait() > terms().history, "nothing changed");
+    let _ = observation.watched(changes(&[("b", 15)], 15));
+    assert!(observation.wait() < terms().history);
+}
