--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -225,6 +225,15 @@
         self.states.get(incarnation).map(|state| state.load(now))
     }
 
+    /// Requests at a back end beyond a load; `None` if there are none.
+    pub fn excess(&self, now: Instant, incarnation: &Incarnation, load: f32) -> Option<usize> {
+        let state = self.states.get(incarnation)?;
+        let held = state.in_flight + state.others(now).round() as u32;
+        let allowed = (state.backend.slots as f32 * load).round() as u32;
+        let excess = held.checked_sub(allowed)?;
+        (excess > 0).then_some(excess as usize)
+    }
+
     /// Back ends of a service that take new requests.
     pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Backend> {
         let incarnations = self.by_service.get(service).into_iter().flatten();
@@ -234,6 +243,20 @@
             .filter(|backend| !backend.leaving)
     }
 
+    /// Requests of this node under way at each back end.
+    pub fn in_flight(&self) -> impl Iterator<Item = (Incarnation, u32)> {
+        let states = self.states.iter();
+        states.map(|(incarnation, state)| (incarnation.clone(), state.in_flight))
+    }
+
+    /// Takes in what other nodes have under way; back ends that are not named are idle.
+    pub fn learned_others(&mut self, now: Instant, others: &HashMap<Incarnation, u32>) {
+        for (incarnation, state) in &mut self.states {
+            let others = others.get(incarnation).copied().unwrap_or(0);
+            state.report = Some(Report { others, at: now });
+        }
+    }
+
     /// A request is about to be sent.
     pub fn started(&mut self, incarnation: &Incarnation) {
         if let Some(state) = self.states.get_mut(incarnation) {
--- /dev/null
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -0,0 +1,310 @@
+//! Decisions on the path of a request: sends, shares, events, back ends.
+
+use firshore_adapter::backend::{Backend, Incarnation, ReportedLoad};
+use firshore_adapter::caller::PromptPart;
+use firshore_adapter::route::{Repetition, Route, RouteTable, WeightedService};
+use firshore_gateway::attempts::{Attempts, Next, SendEnd};
+use firshore_gateway::choice::affinity_key;
+use firshore_gateway::events::{EventFault, EventStream, data_of};
+use firshore_gateway::fleet::{Fleet, Impression, Wanted};
+use firshore_gateway::split::Split;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+fn incarnation(name: &str) -> Incarnation {
+    Incarnation(name.to_owned())
+}
+
+fn backend(name: &str, zone: &str) -> Backend {
+    Backend {
+        incarnation: incarnation(name),
+        service: "llm".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        slots: 10,
+        leaving: false,
+    }
+}
+
+fn fleet(names: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new("here".into());
+    fleet.replace(names.iter().map(|name| backend(name, "here")).collect());
+    fleet
+}
+
+fn chosen(
+    fleet: &Fleet,
+    now: Instant,
+    attempts: &Attempts,
+    affinity: Option<u64>,
+) -> Option<String> {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let service = "llm".into();
+    let wanted = Wanted {
+        service: &service,
+        attempts,
+        affinity,
+        load_limit: f32::INFINITY,
+    };
+    let found = fleet.choose(now, &wanted, &mut random);
+    found.map(|backend| backend.incarnation.0)
+}
+
+fn route(services: &[(&str, u32)]) -> Route {
+    let services = services.iter().map(|(name, weight)| WeightedService {
+        service: (*name).into(),
+        weight: *weight,
+    });
+    Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        services: services.collect(),
+        repetition: Repetition::Idempotent,
+        streams: false,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        attempts: 1,
+        priority: 0,
+        prefix_affinity: false,
+        jobs: None,
+    }
+}
+
+#[test]
+fn sends_follow_from_what_may_have_run() {
+    use Next::{FailMaybeRun, PassOn, RefuseNotRun, SendAgain};
+    use Repetition::{AtMostOnce, Idempotent, Resumable};
+    use SendEnd::{BrokenOff, Failed, Lost, NotRun, NotSent};
+    // Each send goes to another back end.
+    let cases: [(&str, Repetition, u32, &[SendEnd], Next); 15] = [
+        ("not sent", AtMostOnce, 1, &[NotSent], SendAgain),
+        ("not run", AtMostOnce, 1, &[NotRun], SendAgain),
+        ("refused by all", AtMostOnce, 1, &[NotRun; 5], RefuseNotRun),
+        ("lost, once at most", AtMostOnce, 3, &[Lost], FailMaybeRun),
+        ("failed, once at most", AtMostOnce, 3, &[Failed], PassOn),
+        (
+            "broken off, once at most",
+            AtMostOnce,
+            3,
+            &[BrokenOff],
+            FailMaybeRun,
+        ),
+        ("lost, one attempt", Idempotent, 1, &[Lost], FailMaybeRun),
+        ("lost, two attempts", Idempotent, 2, &[Lost], SendAgain),
+        (
+            "lost twice, two attempts",
+            Idempotent,
+            2,
+            &[Lost, Lost],
+            FailMaybeRun,
+        ),
+        ("failed, two attempts", Idempotent, 2, &[Failed], SendAgain),
+        (
+            "failed twice, two attempts",
+            Idempotent,
+            2,
+            &[Failed, Failed],
+            PassOn,
+        ),
+        (
+            "lost, then refused by all",
+            Idempotent,
+            2,
+            &[Lost, NotRun, NotRun, NotRun, NotRun],
+            FailMaybeRun,
+        ),
+        ("broken off", Resumable, 2, &[BrokenOff], SendAgain),
+        (
+            "broken off, one attempt: the same back end",
+            Resumable,
+            1,
+            &[BrokenOff],
+            SendAgain,
+        ),
+        ("failed stream", Resumable, 2, &[Failed], PassOn),
+    ];
+    for (name, repetition, limit, ends, expected) in cases {
+        let mut attempts = Attempts::new(repetition, limit);
+        let mut next = Next::SendAgain;
+        for (number, end) in ends.iter().enumerate() {
+            assert_eq!(next, Next::SendAgain, "{name}: send {number}");
+            let backend = incarnation(&format!("b{number}"));
+            assert!(attempts.allows(&backend), "{name}: send {number}");
+            attempts.sending(&backend);
+            next = attempts.ended(&backend, *end);
+        }
+        assert_eq!(next, expected, "{name}");
+    }
+}
+
+#[test]
+fn attempts_bound_back_ends_not_sends() {
+    let mut attempts = Attempts::new(Repetition::Resumable, 1);
+    let (one, other) = (incarnation("one"), incarnation("other"));
+    attempts.sending(&one);
+    assert_eq!(attempts.ended(&one, SendEnd::BrokenOff), Next::SendAgain);
+    assert!(attempts.allows(&one) && !attempts.allows(&other));
+    attempts.sending(&one);
+    assert_eq!(attempts.ended(&one, SendEnd::NotRun), Next::SendAgain);
+    assert!(attempts.may_have_run(), "its first part ran");
+    assert!(!attempts.allows(&other));
+}
+
+#[test]
+fn shares_are_exact_over_every_round() {
+    let mut split = Split::default();
+    let route = route(&[("a", 90), ("b", 10)]);
+    for round in 0..5 {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for _ in 0..10 {
+            *counts.entry(split.next(&route).0).or_default() += 1;
+        }
+        let expected = BTreeMap::from([("a".to_owned(), 9), ("b".to_owned(), 1)]);
+        assert_eq!(counts, expected, "round {round}");
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let named = |name: &str, host: &str, prefix: &str| Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        ..route(&[("s", 1)])
+    };
+    let table = RouteTable::new([
+        named("short", "a.example", "/x/"),
+        named("long", "a.example", "/x/y/"),
+        named("other", "b.example", "/"),
+    ]);
+    let cases = [
+        ("a.example", "/x/y/z", Some("long")),
+        ("A.Example:80", "/x/z", Some("short")),
+        ("a.example", "/x", None),
+        ("b.example", "/x", Some("other")),
+        ("c.example", "/x/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = table.find(host, path).map(|route| route.name.as_str());
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn requests_with_the_same_beginning_meet_while_there_is_room() {
+    let part = |hash| PromptPart { hash, tokens: 100 };
+    let key = affinity_key(&[part(1), part(2), part(30)]);
+    assert_eq!(key, affinity_key(&[part(1), part(2), part(31)]));
+    assert_ne!(key, affinity_key(&[part(1), part(3), part(30)]));
+    assert_eq!(affinity_key(&[]), None);
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let names = ["a", "b", "c", "d"];
+    let mut here = fleet(&names);
+    let elsewhere = fleet(&names);
+    let home = chosen(&here, now, &attempts, key).unwrap();
+    assert_eq!(chosen(&elsewhere, now, &attempts, key), Some(home.clone()));
+    for _ in 0..8 {
+        here.started(&incarnation(&home));
+    }
+    let second = chosen(&here, now, &attempts, key).unwrap();
+    assert_ne!(second, home, "a busy back end is passed over");
+    here.remove(&incarnation(&home));
+    assert_eq!(
+        chosen(&here, now, &attempts, key),
+        Some(second),
+        "the rest stays"
+    );
+}
+
+#[test]
+fn the_least_loaded_back_end_takes_a_request() {
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let mut fleet = fleet(&["a", "b", "c"]);
+    let others = HashMap::from([(incarnation("a"), 4), (incarnation("b"), 2)]);
+    fleet.learned_others(now, &others);
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("c"));
+    for _ in 0..3 {
+        fleet.started(&incarnation("c"));
+    }
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
+    let later = now + Duration::from_secs(3);
+    assert_ne!(
+        chosen(&fleet, later, &attempts, None).as_deref(),
+        Some("c"),
+        "what others had under way is out of date, what this node has is not"
+    );
+}
+
+#[test]
+fn an_answer_tells_only_what_others_have_under_way() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a"]);
+    fleet.started(&incarnation("a"));
+    let load = ReportedLoad {
+        running: 3,
+        waiting: 0,
+        slots: 10,
+    };
+    fleet.reported(now, &incarnation("a"), load);
+    assert_eq!(fleet.load(now, &incarnation("a")), Some(0.3));
+    assert_eq!(fleet.excess(now, &incarnation("a"), 0.9), None);
+    assert_eq!(fleet.excess(now, &incarnation("a"), 0.1), Some(2));
+}
+
+#[test]
+fn back_ends_that_leave_or_are_gone_get_nothing() {
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.upsert(Backend {
+        leaving: true,
+        ..backend("a", "here")
+    });
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
+    fleet.remove(&incarnation("b"));
+    assert_eq!(chosen(&fleet, now, &attempts, None), None);
+}
+
+#[test]
+fn ejected_back_ends_come_back() {
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let mut fleet = fleet(&["a", "b"]);
+    assert!(fleet.observed(now, &incarnation("a"), Impression::Unreachable));
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
+    assert!(fleet.observed(now, &incarnation("b"), Impression::Unreachable));
+    assert!(
+        chosen(&fleet, now, &attempts, None).is_some(),
+        "any is better than none"
+    );
+    fleet.observed(now, &incarnation("b"), Impression::Answered);
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
+    let later = now + Duration::from_secs(5);
+    fleet.started(&incarnation("b"));
+    assert_eq!(chosen(&fleet, later, &attempts, None).as_deref(), Some("a"));
+}
+
+#[test]
+fn events_pass_whole_and_in_order() {
+    let mut stream = EventStream::after(None);
+    assert!(stream.feed(b"id: 1\ndata: a").unwrap().is_empty());
+    assert!(stream.holds_part());
+    let whole = stream.feed(b"\n\nid: 2\ndata: b\n\nid: 3").unwrap();
+    assert_eq!(&whole[..], b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(data_of(&whole), ["a", "b"]);
+    assert_eq!(stream.last(), Some(2));
+    stream.broken_off();
+    let rest = stream.feed(b"id: 3\ndata: c\ndata: d\n\n").unwrap();
+    assert_eq!(data_of(&rest), ["c\nd"]);
+    for wrong in ["id: 3\ndata: c\n\n", "id: 5\ndata: e\n\n"] {
+        let mut stream = EventStream::after(Some(3));
+        let found = if wrong.starts_with("id: 3") { 3 } else { 5 };
+        let fault = EventFault::OutOfOrder(4, found);
+        assert_eq!(stream.feed(wrong.as_bytes()), Err(fault));
+    }
+}
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -4,6 +4,8 @@
 use super::PeerClient;
 use super::messages::{PeerRequest, PeerResponse};
 use super::registry::Registry;
+use crate::load_table::BackendCount;
+use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_gateway::gateway::{JobAnswer, JobService};
@@ -16,6 +18,7 @@
 use futures_util::FutureExt;
 use rand::RngExt;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -32,6 +35,7 @@
 
 /// The journal as seen from a node that serves callers.
 pub struct JournalClient {
+    node: NodeName,
     registry: Rc<Registry>,
     peers: PeerClient,
     leader: RefCell<Option<NodeName>>,
@@ -60,9 +64,10 @@
 }
 
 impl JournalClient {
-    /// Asks the nodes that `registry` lists.
-    pub fn new(registry: Rc<Registry>, peers: PeerClient) -> Self {
+    /// Asks the nodes that `registry` lists, on behalf of `node`.
+    pub fn new(node: NodeName, registry: Rc<Registry>, peers: PeerClient) -> Self {
         Self {
+            node,
             registry,
             peers,
             leader: RefCell::default(),
@@ -109,6 +114,42 @@
         }
     }
 
+    /// Tells the leader what this node has under way, and learns what all others have. Asks once:
+    /// what is missed is told again a moment later.
+    pub async fn exchange_load(
+        &self,
+        counts: Vec<BackendCount>,
+    ) -> Option<HashMap<Incarnation, u32>> {
+        let leader = self.leader.borrow().clone();
+        let target = match leader.or_else(|| self.nodes().pop()) {
+            Some(target) => target,
+            None => {
+                self.registry.refresh().await;
+                return None;
+            }
+        };
+        let request = PeerRequest::Load {
+            node: self.node.clone(),
+            counts,
+        };
+        match self.try_one(&target, request, Duration::ZERO).await {
+            Tried::Answered(PeerResponse::Load(counts)) => {
+                *self.leader.borrow_mut() = Some(target);
+                let counts = counts.into_iter();
+                let others = counts.map(|one| (Incarnation(one.backend), one.count));
+                Some(others.collect())
+            }
+            Tried::Elsewhere(leader) => {
+                *self.leader.borrow_mut() = leader;
+                None
+            }
+            _ => {
+                self.leader.borrow_mut().take();
+                None
+            }
+        }
+    }
+
     /// The nodes to ask, in a random order.
     fn nodes(&self) -> Vec<NodeName> {
         let mut names = self.registry.names();
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes.
 
+use crate::load_table::BackendCount;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_jobs::command::JobHeader;
 use firshore_log::refusal::JournalRefusal;
@@ -53,6 +54,16 @@
         /// Job.
         job: String,
     },
+    /// What the sender has under way at back ends.
+    #[serde(rename = "l")]
+    Load {
+        /// Sender.
+        #[serde(rename = "n")]
+        node: NodeName,
+        /// Requests at each back end that is not idle.
+        #[serde(rename = "c")]
+        counts: Vec<BackendCount>,
+    },
 }
 
 impl PeerRequest {
@@ -73,6 +84,9 @@
     Results(Option<ResultPage>),
     /// A body, if there is such an item without a result.
     Body(Option<Payload>),
+    /// What all others have under way.
+    #[serde(rename = "l")]
+    Load(Vec<BackendCount>),
     /// The peer did not do as asked.
     Refused(JournalRefusal),
 }
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -7,7 +7,7 @@
 pub mod messages;
 pub mod registry;
 pub mod retirement;
-mod service;
+pub mod service;
 mod transport;
 
 use crate::settings::{Settings, Storage};
@@ -20,6 +20,7 @@
 use firshore_replication::types::GroupId;
 use messages::{PeerRequest, PeerResponse};
 use registry::Registry;
+use service::{Loads, Service};
 use slog::Logger;
 use std::io;
 use std::rc::Rc;
@@ -48,6 +49,8 @@
 pub struct Journal {
     /// The replica.
     pub replica: Rc<Replica>,
+    /// What nodes have under way at back ends.
+    pub loads: Rc<Loads>,
     /// Nodes and founders as the store lists them.
     pub registry: Rc<Registry>,
     target: usize,
@@ -75,11 +78,13 @@
         };
         replica.start(log, replica_settings, transport);
         let listener = TcpListener::bind(settings.listen.peers).await?;
-        let handler = Rc::new(service::Service::new(replica.clone()));
+        let loads = Rc::<Loads>::default();
+        let handler = Rc::new(Service::new(replica.clone(), loads.clone()));
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
         actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
         let journal = Rc::new(Self {
             replica,
+            loads,
             registry,
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
             log: log.clone(),
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -2,15 +2,21 @@
 
 use super::messages::{PeerRequest, PeerResponse};
 use super::{GROUP, Replica};
+use crate::load_table::{BackendCount, LoadTable, as_counts};
+use firshore_adapter::backend::Incarnation;
 use firshore_jobs::command::{Action, Outcome};
 use firshore_jobs::table::JobTable;
 use firshore_link::listener::Handler;
 use firshore_log::machine::SharedState;
 use firshore_log::refusal::JournalRefusal;
+use firshore_types::ids::NodeName;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 /// Bytes of results in one answer, beyond which it ends.
@@ -22,12 +28,38 @@
 /// What a node with a replica answers.
 pub struct Service {
     replica: Rc<Replica>,
+    loads: Rc<Loads>,
+}
+
+/// What nodes have under way, and a wake-up for whoever acts on it.
+#[derive(Default)]
+pub struct Loads {
+    /// What nodes told.
+    pub table: RefCell<LoadTable>,
+    /// Items of this node at each back end.
+    pub own: RefCell<HashMap<Incarnation, u32>>,
+    /// Woken when a node has told.
+    pub told: Notify,
+}
+
+impl Loads {
+    /// Takes in what a node told, and answers with what all others have under way.
+    fn exchange(&self, node: NodeName, counts: Vec<BackendCount>) -> Vec<BackendCount> {
+        let now = Instant::now().into_std();
+        self.table.borrow_mut().told(now, node.clone(), counts);
+        let mut others = self.table.borrow().others(now, Some(&node));
+        for (backend, count) in self.own.borrow().iter() {
+            *others.entry(backend.clone()).or_default() += count;
+        }
+        self.told.notify_one();
+        as_counts(others)
+    }
 }
 
 impl Service {
     /// Answers for this replica.
-    pub fn new(replica: Rc<Replica>) -> Self {
-        Self { replica }
+    pub fn new(replica: Rc<Replica>, loads: Rc<Loads>) -> Self {
+        Self { replica, loads }
     }
 }
 
@@ -45,6 +77,15 @@
 
     fn answer(&self, request: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
         let replica = self.replica.clone();
+        if let PeerRequest::Load { node, counts } = request {
+            let answer = match replica.status() {
+                status if status.leads => PeerResponse::Load(self.loads.exchange(node, counts)),
+                status => PeerResponse::Refused(JournalRefusal::NotLeader {
+                    leader: status.leader.clone(),
+                }),
+            };
+            return std::future::ready(answer).boxed_local();
+        }
         async move {
             let answered = answer(&replica, request).await;
             answered.unwrap_or_else(PeerResponse::Refused)
@@ -68,7 +109,7 @@
             let body = state.read().body(&job, &item);
             Ok(PeerResponse::Body(body))
         }
-        PeerRequest::Replication { .. } => Ok(PeerResponse::Done),
+        PeerRequest::Replication { .. } | PeerRequest::Load { .. } => Ok(PeerResponse::Done),
     }
 }
 
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod command_line;
 mod environment;
 pub mod journal;
+mod load_exchange;
+pub mod load_table;
 pub mod node;
 pub mod observation;
 pub mod readiness;
--- /dev/null
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -0,0 +1,35 @@
+//! Tells the journal's leader what this node has under way at back ends, and learns from its answer
+//! what all others have.
+
+use crate::journal::client::JournalClient;
+use crate::load_table::as_counts;
+use firshore_gateway::gateway::Gateway;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time between exchanges while requests are under way.
+const BUSY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between exchanges otherwise.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs until the node ends.
+pub async fn run(gateway: Rc<Gateway>, journal: Rc<JournalClient>) {
+    let mut was_busy = false;
+    loop {
+        let own = as_counts(gateway.fleet.borrow().in_flight());
+        let busy = !own.is_empty();
+        // An idle node tells so once, then looks from time to time.
+        let tells = busy || was_busy || gateway.requests_open() > 0;
+        if tells && let Some(others) = journal.exchange_load(own).await {
+            let mut fleet = gateway.fleet.borrow_mut();
+            fleet.learned_others(Instant::now(), &others);
+        }
+        was_busy = busy;
+        let interval = match busy {
+            true => BUSY_INTERVAL,
+            false => IDLE_INTERVAL,
+        };
+        actix_rt::time::sleep(interval).await;
+    }
+}
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -7,6 +7,7 @@
 use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
 use crate::journal::{Journal, PeerClient};
+use crate::load_exchange;
 use crate::readiness;
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
@@ -55,13 +56,17 @@
     let (peers, calls) = PeerClient::new();
     actix_rt::spawn(client::run(calls, secret));
     let registry = Rc::new(Registry::new(adapter.objects.clone(), log.clone()));
-    let jobs = JournalClient::new(registry.clone(), peers.clone());
+    let jobs = Rc::new(JournalClient::new(
+        settings.name.clone(),
+        registry.clone(),
+        peers.clone(),
+    ));
     let random = StdRng::seed_from_u64(rand::random());
     let gateway = Rc::new(Gateway::new(
         log.clone(),
         adapter,
         settings.zone.clone(),
-        Some(Rc::new(jobs)),
+        Some(jobs.clone()),
         random,
     ));
     let journal = match &settings.storage {
@@ -73,6 +78,9 @@
     let _following = callers
         .is_some()
         .then(|| environment::follow(&gateway, &settings.objects));
+    if callers.is_some() {
+        actix_rt::spawn(load_exchange::run(gateway.clone(), jobs));
+    }
     info!(log, "node: Started."; "name" => %settings.name, "zone" => %settings.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     loop {
@@ -157,7 +165,7 @@
         retirements,
     };
     actix_rt::spawn(maintenance::run(upkeep));
-    let runner = Runner::new(gateway.clone(), journal.replica.clone());
+    let runner = Runner::new(gateway.clone(), &journal);
     actix_rt::spawn(runner.clone().run());
     Ok(JournalNode { journal, runner })
 }
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -1,15 +1,17 @@
 //! Runs the items of batch jobs, on the node whose replica leads the journal.
 //!
-//! Items go only into room that online requests leave: a back end gets one while its load, as last
-//! told, is below a limit. What an item has produced is kept here, so that a run that breaks off or
+//! Items go only into room that online requests leave: a back end gets one while its load, as all
+//! nodes told a moment ago, is below a limit; where online requests need the room, the newest runs
+//! are stopped. What an item has produced is kept here, so that a run that breaks off or
 //! is stopped goes on after its last event; a new leader starts from what is listed.
 
 mod item;
-mod progress;
+pub mod progress;
 
-use crate::journal::Replica;
+use crate::journal::service::Loads;
+use crate::journal::{Journal, Replica};
 use crate::task::Task;
-use firshore_adapter::backend::Backend;
+use firshore_adapter::backend::{Backend, Incarnation};
 use firshore_adapter::jobs::JobItem;
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::choice::affinity_key;
@@ -30,6 +32,9 @@
 /// Load in requests per slot from which on a back end gets no item.
 const LOAD_LIMIT: f32 = 0.75;
 
+/// Load in requests per slot above which runs are stopped.
+const PREEMPTION_LOAD: f32 = 0.9;
+
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -53,22 +58,30 @@
     }
 }
 
+struct Run {
+    _task: Task,
+    backend: Incarnation,
+    started: Instant,
+}
+
 /// The items that this node runs.
 pub struct Runner {
     gateway: Rc<Gateway>,
     replica: Rc<Replica>,
-    running: RefCell<HashMap<ItemKey, Task>>,
+    loads: Rc<Loads>,
+    running: RefCell<HashMap<ItemKey, Run>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
     /// Wakes the scheduler when a run has ended.
     ended: Notify,
 }
 
 impl Runner {
-    /// Runs items of this replica's journal while it leads.
-    pub fn new(gateway: Rc<Gateway>, replica: Rc<Replica>) -> Rc<Self> {
+    /// Runs items of this journal while its replica leads.
+    pub fn new(gateway: Rc<Gateway>, journal: &Journal) -> Rc<Self> {
         Rc::new(Self {
             gateway,
-            replica,
+            replica: journal.replica.clone(),
+            loads: journal.loads.clone(),
             running: RefCell::default(),
             progress: RefCell::default(),
             ended: Notify::new(),
@@ -81,7 +94,10 @@
         let mut leads_since_term = None;
         loop {
             let waiting = match self.leads(&mut leads_since_term).await {
-                true => self.schedule(),
+                true => {
+                    self.give_way();
+                    self.schedule()
+                }
                 false => {
                     self.stop_all();
                     false
@@ -95,6 +111,7 @@
                 tokio::select! {
                     _ = changes.changed(), if !waiting => {}
                     () = self.ended.notified() => {}
+                    () = self.loads.told.notified(), if !waiting => {}
                 }
             })
             .await;
@@ -129,6 +146,41 @@
         self.progress.borrow_mut().clear();
     }
 
+    /// Takes in what nodes have under way, and stops the newest runs where it is too much.
+    fn give_way(&self) {
+        let now = Instant::now();
+        let online = self.loads.table.borrow().others(now, None);
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        fleet.learned_others(now, &online);
+        *self.loads.own.borrow_mut() = fleet.in_flight().collect();
+        let excess: HashMap<Incarnation, usize> = online
+            .into_keys()
+            .filter_map(|backend| {
+                let excess = fleet.excess(now, &backend, PREEMPTION_LOAD)?;
+                Some((backend, excess))
+            })
+            .collect();
+        drop(fleet);
+        for (backend, count) in excess {
+            self.stop_newest(&backend, count);
+        }
+    }
+
+    fn stop_newest(&self, backend: &Incarnation, count: usize) {
+        let mut running = self.running.borrow_mut();
+        let mut at_backend: Vec<(Instant, ItemKey)> = running
+            .iter()
+            .filter(|(_, run)| run.backend == *backend)
+            .map(|(key, run)| (run.started, key.clone()))
+            .collect();
+        at_backend.sort_by_key(|(started, _)| std::cmp::Reverse(*started));
+        for (_, key) in at_backend.into_iter().take(count) {
+            info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
+                "backend" => %backend, "reason" => "online requests");
+            running.remove(&key);
+        }
+    }
+
     /// Starts what there is room for; tells whether items wait for room.
     fn schedule(self: &Rc<Self>) -> bool {
         let state = self.replica.applied_state();
@@ -185,6 +237,8 @@
         let Some(backend) = self.choose(now, &work) else {
             return false;
         };
+        progress.borrow_mut().starts();
+        let chosen = backend.incarnation.clone();
         let run = ItemRun {
             gateway: self.gateway.clone(),
             replica: self.replica.clone(),
@@ -202,7 +256,12 @@
             runner.running.borrow_mut().remove(&ended);
             runner.ended.notify_one();
         });
-        self.running.borrow_mut().insert(key, task);
+        let run = Run {
+            _task: task,
+            backend: chosen,
+            started: now,
+        };
+        self.running.borrow_mut().insert(key, run);
         true
     }
 
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -58,6 +58,11 @@
         self.stream.last()
     }
 
+    /// A run starts: what an earlier one left of an event it was stopped in is dropped.
+    pub fn starts(&mut self) {
+        self.stream.broken_off();
+    }
+
     /// Takes in a part of the stream.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<(), EventFault> {
         let events = self.stream.feed(bytes)?;
