The survivor of a pair goes on alone once its fellow's disk is gone; voters are recorded in the store first

A pair needs both votes, so the group never led again, though the survivor held every committed entry. Chosen: every change of voters is first recorded in the store under compare-and-set; a survivor whose fellow's node has another disk by now, and whose log names just the recorded pair, records itself as the only voter and goes on; it takes the new disk in, and promises nothing until two disks hold everything. Tests: continue_alone (2), a_lone_voter_takes_one_more_where_promises_need_two.

--- a/crates/firshore-log/src/driver.rs
+++ b/crates/firshore-log/src/driver.rs
@@ -70,6 +70,8 @@
     Found(Membership),
     /// Change the membership.
     Change(MembershipChange),
+    /// Go on without the only other voter.
+    ContinueAlone,
     /// Hand leadership over.
     StepAside,
     /// End.
@@ -290,6 +292,14 @@
             Input::Read(answer) => self.read(answer),
             Input::Found(membership) => self.found(membership),
             Input::Change(change) => self.change(&change),
+            Input::ContinueAlone => match self.replica.continue_alone() {
+                Ok(position) => {
+                    warn!(self.log, "journal: Goes on alone."; "index" => position.index);
+                }
+                Err(reason) => {
+                    info!(self.log, "journal: Does not go on alone."; "reason" => %reason);
+                }
+            },
             Input::StepAside => {
                 if let Some(target) = self.replica.transfer_target() {
                     let _ = self.replica.transfer_leadership(target);
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -188,6 +188,12 @@
         let _ = self.inputs.send(Input::Change(change));
     }
 
+    /// Goes on without the only other voter, whose disk is gone for good; see
+    /// [`firshore_replication::replica::Replica::continue_alone`] for what must be certain.
+    pub fn continue_alone(&self) {
+        let _ = self.inputs.send(Input::ContinueAlone);
+    }
+
     /// Commits a command and returns its outcome.
     pub async fn propose(&self, command: M::Command) -> Result<M::Outcome, JournalRefusal> {
         let (answer, received) = oneshot::channel();
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -18,6 +18,8 @@
 pub struct GroupView {
     /// Replicas that the group is to have.
     pub target: usize,
+    /// Replicas that the group must have even if it cannot have all: as many as promises need.
+    pub least: usize,
     /// Disk of the leader.
     pub own: DiskId,
     /// Replicas in force.
@@ -134,9 +136,10 @@
             .filter(|one| !nodes.contains(&one.node))
             .collect();
         open.sort_by_key(|one| (zones.contains(&one.zone), one.node.clone()));
-        // Two voters need both: a lone voter waits until it can become three.
+        // Two voters need both: a lone voter waits until it can become three, unless promises
+        // need two.
         let voters = self.voters().count();
-        if voters == 1 && open.len() + 1 < self.target {
+        if voters == 1 && self.least < 2 && open.len() + 1 < self.target {
             return None;
         }
         let best = open.first()?;
--- a/crates/firshore-log/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -26,6 +26,7 @@
         .map(|(number, zone, role)| replica(*number, zone, *role));
     GroupView {
         target: TARGET_VOTERS,
+        least: 1,
         own: DiskId(1),
         membership: Membership {
             replicas: replicas.collect(),
@@ -142,3 +143,15 @@
     assert_eq!(chosen(&all[..3]), [1, 2, 3]);
     assert_eq!(chosen(&all[..2]), [1]);
 }
+
+#[test]
+fn a_lone_voter_takes_one_more_where_promises_need_two() {
+    let lone = view(&[(1, "a", V)], &[], &[]);
+    let spare = [candidate(2, "b")];
+    assert_eq!(lone.next_change(&spare), None);
+    let promising = GroupView { least: 2, ..lone };
+    assert!(matches!(
+        promising.next_change(&spare),
+        Some(MembershipChange::AddLearner(DiskId(2), _))
+    ));
+}
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -8,7 +8,7 @@
 use firshore_jobs::command::Action;
 use firshore_log::GroupStatus;
 use firshore_log::placement::{self, Candidate, GroupView};
-use firshore_replication::types::{DiskId, MembershipChange};
+use firshore_replication::types::{DiskId, Membership, MembershipChange};
 use firshore_types::ids::NodeName;
 use slog::info;
 use std::collections::BTreeSet;
@@ -39,6 +39,25 @@
     pub retirements: Rc<Retirements>,
 }
 
+fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
+    membership.voters().collect()
+}
+
+/// The voters once a change is in force.
+fn voters_after(membership: &Membership, change: &MembershipChange) -> BTreeSet<DiskId> {
+    let mut voters = voters_of(membership);
+    match change {
+        MembershipChange::AddLearner(..) => {}
+        MembershipChange::Promote(disk) => {
+            voters.insert(*disk);
+        }
+        MembershipChange::Remove(disk) => {
+            voters.remove(disk);
+        }
+    }
+    voters
+}
+
 /// Runs until the node ends.
 pub async fn run(upkeep: Upkeep) {
     let mut forget_at = Instant::now() + FORGET_INTERVAL;
@@ -67,6 +86,8 @@
         registry.register(&self.node, &self.record).await;
         if !status.holds_log {
             self.found().await;
+        } else if status.leader.is_none() && !status.leads {
+            self.go_on_alone(&status).await;
         } else if status.leads {
             self.place(&status).await;
             self.retirements
@@ -96,7 +117,8 @@
 
     /// Keeps as many replicas as are to be, on disks that are there.
     async fn place(&self, status: &Arc<GroupStatus>) {
-        let candidates = self.journal.registry.candidates();
+        let registry = &self.journal.registry;
+        let candidates = registry.candidates();
         let leaving = self.retirements.open();
         if leaving.contains(&self.node) {
             // The next leader takes this replica out of the group.
@@ -109,16 +131,47 @@
             .collect();
         let view = GroupView {
             target: self.journal.target,
+            least: self.journal.least,
             own: status.disk,
             membership: status.membership.clone(),
             silent: self.unusable(status, &candidates, &leaving),
             caught_up: status.caught_up.clone(),
         };
-        if let Some(change) = view.next_change(&usable) {
-            return self.journal.replica.change(change);
+        let change = view
+            .next_change(&usable)
+            .or_else(|| self.without_replacement(status, &view, &leaving));
+        let Some(change) = change else {
+            return;
+        };
+        let voters = voters_after(&status.membership, &change);
+        if voters != voters_of(&status.membership) && !registry.records_voters(&voters) {
+            return registry.record_voters(&voters).await;
+        }
+        self.journal.replica.change(change);
+    }
+
+    /// Goes on without the only other voter if its node has another disk by now: every committed
+    /// entry needed both, and the record of the voters shows that there was no third.
+    async fn go_on_alone(&self, status: &GroupStatus) {
+        let registry = &self.journal.registry;
+        let pair = voters_of(&status.membership);
+        let mut others = status.membership.replicas.iter();
+        let other = others.find(|(disk, _)| **disk != status.disk && pair.contains(disk));
+        let Some((other_disk, other)) = other else {
+            return;
+        };
+        let candidates = registry.candidates();
+        let present = candidates.iter().find(|one| one.node == other.node);
+        let gone = present.is_some_and(|one| one.disk != *other_disk);
+        if pair.len() != 2 || !pair.contains(&status.disk) || !gone {
+            return;
+        }
+        let alone = BTreeSet::from([status.disk]);
+        if registry.records_voters(&alone) {
+            return self.journal.replica.continue_alone();
         }
-        if let Some(change) = self.without_replacement(status, &view, &leaving) {
-            self.journal.replica.change(change);
+        if registry.records_voters(&pair) {
+            registry.record_voters(&alone).await;
         }
     }
 
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -45,6 +45,10 @@
 /// The replica on this node's disk.
 pub type Replica = Group<JobTable>;
 
+fn may_promise(replica: &Replica, least: usize) -> bool {
+    replica.status().membership.voters().count() >= least
+}
+
 /// The journal as a node with a disk holds it.
 pub struct Journal {
     /// The replica.
@@ -53,7 +57,10 @@
     pub loads: Rc<Loads>,
     /// Nodes and founders as the store lists them.
     pub registry: Rc<Registry>,
+    /// Replicas that the group is to have.
     target: usize,
+    /// Replicas without which nothing is promised.
+    least: usize,
     log: Logger,
 }
 
@@ -79,7 +86,8 @@
         replica.start(log, replica_settings, transport);
         let listener = TcpListener::bind(settings.listen.peers).await?;
         let loads = Rc::<Loads>::default();
-        let handler = Rc::new(Service::new(replica.clone(), loads.clone()));
+        let least = settings.cluster.tolerated_disk_losses as usize + 1;
+        let handler = Rc::new(Service::new(replica.clone(), loads.clone(), least));
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
         actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
         let journal = Rc::new(Self {
@@ -87,11 +95,17 @@
             loads,
             registry,
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
+            least,
             log: log.clone(),
         });
         Ok(journal)
     }
 
+    /// Whether what is committed lies on as many disks as promises need.
+    pub fn may_promise(&self) -> bool {
+        may_promise(&self.replica, self.least)
+    }
+
     /// Hands leadership over and ends the replica.
     pub async fn stop(&self) {
         self.replica.step_aside().await;
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -24,6 +24,7 @@
 
 const NODE_PREFIX: &str = "node.";
 const FOUNDING: &str = "group.0";
+const VOTERS: &str = "voters.0";
 
 /// Where nodes listen for peers, shared with the replica's thread.
 pub type Addresses = Arc<RwLock<BTreeMap<NodeName, SocketAddr>>>;
@@ -47,6 +48,16 @@
     listed: bool,
     nodes: BTreeMap<NodeName, (Revision, NodeRecord)>,
     founding: Option<Membership>,
+    voters: Option<(Revision, VoterRecord)>,
+}
+
+/// The voters of the journal, written before any change of them enters the log.
+///
+/// A voter whose only fellow has lost its disk may go on alone only if this record names just the
+/// two: otherwise its fellow may have committed entries with a third.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct VoterRecord {
+    voters: BTreeSet<DiskId>,
 }
 
 /// What the store lists.
@@ -109,6 +120,31 @@
         self.known.borrow().founding.clone()
     }
 
+    /// Whether the record of the voters names just these.
+    pub fn records_voters(&self, voters: &BTreeSet<DiskId>) -> bool {
+        let known = self.known.borrow();
+        let record = known.voters.as_ref();
+        record.is_some_and(|(_, record)| record.voters == *voters)
+    }
+
+    /// Records the voters, if nobody else has meanwhile. The next listing tells what was recorded.
+    pub async fn record_voters(&self, voters: &BTreeSet<DiskId>) {
+        if self.is_unsettled() {
+            return;
+        }
+        let record = VoterRecord {
+            voters: voters.clone(),
+        };
+        let spec = serde_json::to_value(&record).expect("records serialise");
+        let known = self.known.borrow().voters.as_ref().map(|(at, _)| *at);
+        let written = match known {
+            None => self.store.create(KIND, VOTERS, spec).await,
+            Some(revision) => self.store.replace(KIND, VOTERS, revision, spec).await,
+        };
+        info!(self.log, "registry: Recording voters."; "voters" => ?voters);
+        self.note("Voters recorded.", written);
+    }
+
     /// Disks that could hold a replica.
     pub fn candidates(&self) -> Vec<Candidate> {
         let known = self.known.borrow();
@@ -173,6 +209,15 @@
             }
             return;
         }
+        if object.name == VOTERS {
+            match VoterRecord::deserialize(&object.spec) {
+                Ok(record) => known.voters = Some((object.revision, record)),
+                Err(error) => {
+                    warn!(self.log, "registry: Voters unreadable."; "reason" => %error);
+                }
+            }
+            return;
+        }
         let Some(name) = object.name.strip_prefix(NODE_PREFIX) else {
             return;
         };
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -29,6 +29,7 @@
 pub struct Service {
     replica: Rc<Replica>,
     loads: Rc<Loads>,
+    least: usize,
 }
 
 /// What nodes have under way, and a wake-up for whoever acts on it.
@@ -57,9 +58,13 @@
 }
 
 impl Service {
-    /// Answers for this replica.
-    pub fn new(replica: Rc<Replica>, loads: Rc<Loads>) -> Self {
-        Self { replica, loads }
+    /// Answers for this replica; promises need `least` disks.
+    pub fn new(replica: Rc<Replica>, loads: Rc<Loads>, least: usize) -> Self {
+        Self {
+            replica,
+            loads,
+            least,
+        }
     }
 }
 
@@ -86,6 +91,11 @@
             };
             return std::future::ready(answer).boxed_local();
         }
+        if request.changes() && !super::may_promise(&replica, self.least) {
+            // Too few disks to keep a promise on; others may have them soon.
+            let refusal = JournalRefusal::NotLeader { leader: None };
+            return std::future::ready(PeerResponse::Refused(refusal)).boxed_local();
+        }
         async move {
             let answered = answer(&replica, request).await;
             answered.unwrap_or_else(PeerResponse::Refused)
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -165,7 +165,7 @@
         retirements,
     };
     actix_rt::spawn(maintenance::run(upkeep));
-    let runner = Runner::new(gateway.clone(), &journal);
+    let runner = Runner::new(gateway.clone(), journal.clone());
     actix_rt::spawn(runner.clone().run());
     Ok(JournalNode { journal, runner })
 }
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -68,6 +68,7 @@
 pub struct Runner {
     gateway: Rc<Gateway>,
     replica: Rc<Replica>,
+    journal: Rc<Journal>,
     loads: Rc<Loads>,
     running: RefCell<HashMap<ItemKey, Run>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
@@ -77,11 +78,12 @@
 
 impl Runner {
     /// Runs items of this journal while its replica leads.
-    pub fn new(gateway: Rc<Gateway>, journal: &Journal) -> Rc<Self> {
+    pub fn new(gateway: Rc<Gateway>, journal: Rc<Journal>) -> Rc<Self> {
         Rc::new(Self {
             gateway,
             replica: journal.replica.clone(),
             loads: journal.loads.clone(),
+            journal,
             running: RefCell::default(),
             progress: RefCell::default(),
             ended: Notify::new(),
@@ -121,7 +123,7 @@
     /// Whether this replica leads and has applied what was committed before it did.
     async fn leads(&self, confirmed_term: &mut Option<u64>) -> bool {
         let status = self.replica.status();
-        if !status.leads {
+        if !status.leads || !self.journal.may_promise() {
             *confirmed_term = None;
             return false;
         }
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -4,6 +4,7 @@
 use super::{Replica, Role};
 use crate::error::ReplicaError;
 use crate::progress::ProgressState;
+use crate::storage::HardState;
 use crate::types::{
     DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
 };
@@ -29,6 +30,31 @@
         Ok(position)
     }
 
+    /// Goes on without the only other voter, whose disk is gone for good.
+    ///
+    /// Every committed entry needed both voters, so this replica holds it. The caller has to be
+    /// certain that the other disk never comes back, and that the voters known here are the latest:
+    /// a third voter could have committed entries with the other one.
+    pub fn continue_alone(&mut self) -> Result<Position, ReplicaError> {
+        let membership = self.log.membership();
+        let pair = membership.voters().count() == 2 && membership.is_voter(self.disk);
+        if self.leads() || !pair {
+            return Err(ReplicaError::InvalidChange);
+        }
+        let mut alone = Membership::default();
+        if let Some(own) = membership.replicas.get(&self.disk) {
+            alone.replicas.insert(self.disk, own.clone());
+        }
+        self.set_hard_state(HardState {
+            term: self.hard_state.term + 1,
+            vote: Some(self.disk),
+        });
+        self.become_leader();
+        let position = self.append_as_leader(EntryContent::Membership(alone));
+        self.follow_membership();
+        Ok(position)
+    }
+
     fn changed(&self, change: &MembershipChange) -> Result<Membership, ReplicaError> {
         let mut membership = self.log.membership();
         match change {
--- /dev/null
+++ b/crates/firshore-replication/tests/continue_alone.rs
@@ -0,0 +1,73 @@
+//! A pair of voters of which one has lost its disk.
+
+use firshore_replication::error::ReplicaError;
+use firshore_replication::replica::{Replica, Timing};
+use firshore_replication::storage::StoredState;
+use firshore_replication::types::{DiskId, EntryContent, Membership, ReplicaInfo, ReplicaRole};
+
+fn membership(disks: &[u64]) -> Membership {
+    let replicas = disks.iter().map(|disk| {
+        let info = ReplicaInfo {
+            node: format!("node-{disk}").as_str().into(),
+            zone: "z".into(),
+            role: ReplicaRole::Voter,
+        };
+        (DiskId(*disk), info)
+    });
+    Membership {
+        replicas: replicas.collect(),
+    }
+}
+
+/// A founding replica on disk 1.
+fn replica(disks: &[u64]) -> Replica {
+    let batch = StoredState::founding(membership(disks));
+    let stored = StoredState {
+        hard_state: batch.hard_state.unwrap(),
+        entries: batch.append,
+        ..StoredState::default()
+    };
+    Replica::restore(0, DiskId(1), Timing::default(), stored, 1)
+}
+
+/// Commands committed, as the machine above gets them.
+fn settle(replica: &mut Replica) -> Vec<Vec<u8>> {
+    let mut commands = Vec::new();
+    loop {
+        let output = replica.take_output();
+        if output.is_empty() {
+            return commands;
+        }
+        replica.written();
+        for entry in output.committed {
+            if let EntryContent::Command(payload) = entry.content {
+                commands.push(payload.0.to_vec());
+            }
+        }
+    }
+}
+
+#[test]
+fn the_survivor_of_a_pair_commits_alone() {
+    let mut survivor = replica(&[1, 2]);
+    survivor.tick(5_000);
+    settle(&mut survivor);
+    assert!(!survivor.leads(), "it needs the other's vote");
+    survivor.continue_alone().unwrap();
+    settle(&mut survivor);
+    assert!(survivor.leads());
+    let status = survivor.status();
+    assert_eq!(status.membership, membership(&[1]));
+    assert!(status.membership_committed);
+    survivor.propose(b"next".to_vec()).unwrap();
+    assert_eq!(settle(&mut survivor), [b"next"]);
+}
+
+#[test]
+fn no_other_group_loses_its_quorum() {
+    for disks in [&[1, 2, 3][..], &[1], &[2, 3]] {
+        let mut replica = replica(disks);
+        let refused = replica.continue_alone();
+        assert_eq!(refused, Err(ReplicaError::InvalidChange), "{disks:?}");
+    }
+}
--- a/crates/firshore-server/src/journal/maintenance.rs
+++ b/crates/firshore-server/src/journal/maintenance.rs
@@ -49,6 +49,7 @@
     let status = group.status();
     let view = GroupView {
         target: TARGET_VOTERS,
+        least: 1,
         own: status.disk,
         membership: status.membership.clone(),
         silent: status.silent.clone(),
