Fault tables through the seam: forwarding, batch jobs on three disks; two faults they found

firshore-stand-in: a store of objects in memory with faults, back ends that play scripts byte by byte, a plain dialect behind the same seam as the platform's adapter. Found: (1) the registry read one page of the store only, so that with more objects than a page holds nodes were missed (a_job_outlives_the_kill_of_its_leader hung); now all pages. (2) The leader of a pair whose fellow lost its disk added the new disk, which it could not commit, and recorded three voters for a change that never entered the log; after that it could not go on alone (a_retired_node_and_a_disk_lost_right_after_lose_nothing hung). Now no change is decided while another is uncommitted.

--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -129,6 +129,10 @@
             .filter(|candidate| !leaving.contains(&candidate.node))
             .cloned()
             .collect();
+        if !status.membership_committed {
+            // Nothing is recorded that might never enter the log.
+            return;
+        }
         let view = GroupView {
             target: self.journal.target,
             least: self.journal.least,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -61,6 +61,7 @@
     target: usize,
     /// Replicas without which nothing is promised.
     least: usize,
+    listening: actix_rt::task::JoinHandle<()>,
     log: Logger,
 }
 
@@ -89,13 +90,14 @@
         let least = settings.cluster.tolerated_disk_losses as usize + 1;
         let handler = Rc::new(Service::new(replica.clone(), loads.clone(), least));
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
-        actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
+        let listening = actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
         let journal = Rc::new(Self {
             replica,
             loads,
             registry,
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
             least,
+            listening,
             log: log.clone(),
         });
         Ok(journal)
@@ -106,6 +108,12 @@
         may_promise(&self.replica, self.least)
     }
 
+    /// Ends the replica and stops answering peers, without handing anything over.
+    pub fn kill(&self) {
+        self.listening.abort();
+        self.replica.stop();
+    }
+
     /// Hands leadership over and ends the replica.
     pub async fn stop(&self) {
         self.replica.step_aside().await;
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -92,13 +92,25 @@
             return;
         }
         self.refreshed_at.set(Some(now));
-        // Nodes with disks are few: one page holds them all.
-        match self.store.list(KIND, None).await {
-            Ok(page) => self.learn(Learned::All(page.objects)),
+        match self.list().await {
+            Ok(objects) => self.learn(Learned::All(objects)),
             Err(error) => warn!(self.log, "registry: Not listed."; "reason" => %error),
         }
     }
 
+    async fn list(&self) -> Result<Vec<Object>, ObjectError> {
+        let mut objects: Vec<Object> = Vec::new();
+        loop {
+            let after = objects.last().map(|object| object.name.clone());
+            let page = self.store.list(KIND, after.as_deref()).await?;
+            let last = !page.more || page.objects.is_empty();
+            objects.extend(page.objects);
+            if last {
+                return Ok(objects);
+            }
+        }
+    }
+
     /// Where nodes listen.
     pub fn addresses(&self) -> Addresses {
         self.addresses.clone()
--- /dev/null
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -0,0 +1,273 @@
+//! A plain dialect, translated to the product's seam.
+
+use crate::store::MemoryStore;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, ResponseHead};
+use firshore_adapter::Adapter;
+use firshore_adapter::backend::{
+    AnswerHead, Backend, BackendDialect, Incarnation, Ran, ReportedLoad, SendTerms,
+};
+use firshore_adapter::caller::{CallerDialect, PromptPart, RequestTerms};
+use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
+use firshore_adapter::decode::{DecodeError, Decoder, Retirement, RetirementProgress};
+use firshore_adapter::jobs::{JobCall, JobCallError, JobDialect, JobItem, ResultPage};
+use firshore_adapter::objects::Object;
+use firshore_adapter::route::{JobTerms, Repetition, Route, RouteTable, WeightedService};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Identifier of a request.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Milliseconds left.
+pub const DEADLINE: &str = "x-deadline-ms";
+/// Incarnation that a request is meant for.
+pub const INCARNATION: &str = "x-incarnation";
+/// Mark of a back end that did not run a request.
+pub const NOT_RUN: &str = "x-not-run";
+/// A back end's word for its answer.
+pub const SIGNATURE: &str = "x-signature";
+/// Running, waiting, slots.
+pub const LOAD: &str = "x-load";
+/// Last event held.
+pub const RESUME_AFTER: &str = "x-resume-after";
+/// Parts of the prompt, by commas.
+pub const PROMPT: &str = "x-prompt";
+
+/// Kind of back ends.
+pub const BACKENDS: &str = "backends";
+/// Kind of the configuration.
+pub const CONFIGURATION: &str = "configuration";
+/// Kind of retirements.
+pub const RETIREMENTS: &str = "emptyings";
+
+/// The adapter over a store.
+pub fn adapter(store: Rc<MemoryStore>) -> Adapter {
+    Adapter {
+        caller: Rc::new(Plain),
+        jobs: Rc::new(Plain),
+        backend: Rc::new(Plain),
+        objects: store,
+        decoder: Rc::new(Plain),
+    }
+}
+
+/// The dialect.
+pub struct Plain;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+impl CallerDialect for Plain {
+    fn read_terms(&self, headers: &HeaderMap) -> RequestTerms {
+        let parts = text(headers, PROMPT).unwrap_or_default().split(',');
+        let parts = parts.filter_map(|part| part.parse().ok());
+        RequestTerms {
+            id: text(headers, REQUEST_ID).unwrap_or_default().to_owned(),
+            deadline: number(headers, DEADLINE).map(Duration::from_millis),
+            prompt: parts.map(|hash| PromptPart { hash, tokens: 100 }).collect(),
+            resume_after: number(headers, RESUME_AFTER),
+        }
+    }
+}
+
+impl BackendDialect for Plain {
+    fn write_terms(&self, headers: &mut HeaderMap, terms: &SendTerms<'_>) {
+        let mut set = |name: &'static str, value: String| {
+            let value = HeaderValue::from_str(&value).expect("the value is text");
+            headers.insert(HeaderName::from_static(name), value);
+        };
+        set(INCARNATION, terms.incarnation.0.clone());
+        set(DEADLINE, terms.remaining.as_millis().to_string());
+        if let Some(last) = terms.resume_after {
+            set(RESUME_AFTER, last.to_string());
+        }
+    }
+
+    fn read_answer(&self, head: &ResponseHead) -> AnswerHead {
+        let misdirected = head.status.as_u16() == 421;
+        let ran = match (misdirected || head.headers().contains_key(NOT_RUN), head) {
+            (true, _) => Ran::No,
+            (false, head) if head.headers().contains_key(SIGNATURE) => Ran::Yes,
+            _ => Ran::Maybe,
+        };
+        let load = text(head.headers(), LOAD).and_then(|load| {
+            let mut numbers = load.split(',').map(|number| number.parse().ok());
+            Some(ReportedLoad {
+                running: numbers.next()??,
+                waiting: numbers.next()??,
+                slots: numbers.next()??,
+            })
+        });
+        AnswerHead {
+            ran,
+            misdirected,
+            load,
+        }
+    }
+
+    fn answers(&self, request: &HeaderMap, head: &ResponseHead) -> bool {
+        let answered = text(head.headers(), REQUEST_ID);
+        answered.is_none() || answered == text(request, REQUEST_ID)
+    }
+}
+
+impl JobDialect for Plain {
+    fn read_call(
+        &self,
+        method: &Method,
+        path: &str,
+        query: &str,
+        _headers: &HeaderMap,
+    ) -> Option<Result<JobCall, JobCallError>> {
+        let job = path.strip_prefix("/jobs/")?.to_owned();
+        if method == Method::DELETE {
+            return Some(Ok(JobCall::End { job }));
+        }
+        Some(Ok(JobCall::Results {
+            job,
+            from: query.parse().unwrap_or(0),
+            wait: Duration::ZERO,
+        }))
+    }
+
+    fn job_id(&self, headers: &HeaderMap) -> Option<String> {
+        text(headers, REQUEST_ID).map(str::to_owned)
+    }
+
+    fn read_submission(&self, body: &[u8]) -> Result<Vec<JobItem>, JobCallError> {
+        serde_json::from_slice(body).map_err(|error| JobCallError::Invalid(error.to_string()))
+    }
+
+    fn write_results(&self, page: &ResultPage) -> Vec<u8> {
+        serde_json::to_vec(page).expect("results serialise")
+    }
+
+    fn item_id_header(&self) -> &'static str {
+        REQUEST_ID
+    }
+}
+
+#[derive(Deserialize)]
+struct PlainBackend {
+    service: String,
+    address: std::net::SocketAddr,
+    slots: u32,
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct PlainConfiguration {
+    version: u64,
+    routes: Vec<PlainRoute>,
+}
+
+#[derive(Deserialize)]
+struct PlainRoute {
+    prefix: String,
+    service: String,
+    repetition: String,
+    timeout: u64,
+    attempts: u32,
+}
+
+/// Host of every route.
+pub const HOST: &str = "a.example";
+
+impl PlainRoute {
+    fn translate(self) -> Route {
+        let repetition = match self.repetition.as_str() {
+            "idempotent" => Repetition::Idempotent,
+            "resumable" | "job" => Repetition::Resumable,
+            _ => Repetition::AtMostOnce,
+        };
+        let jobs = (self.repetition == "job").then_some(JobTerms {
+            give_up_after: Duration::from_secs(60),
+        });
+        Route {
+            name: self.prefix.clone(),
+            host: HOST.to_owned(),
+            path_prefix: self.prefix,
+            services: vec![WeightedService {
+                service: self.service.as_str().into(),
+                weight: 1,
+            }],
+            streams: matches!(self.repetition.as_str(), "resumable" | "stream" | "job"),
+            repetition,
+            timeout: Duration::from_millis(self.timeout),
+            objective: Duration::from_millis(self.timeout),
+            attempts: self.attempts,
+            priority: 0,
+            prefix_affinity: false,
+            jobs,
+        }
+    }
+}
+
+fn read<'de, T: Deserialize<'de>>(object: &'de Object) -> Result<T, DecodeError> {
+    let decoded = T::deserialize(&object.spec);
+    decoded.map_err(|error| DecodeError::Invalid(object.name.clone(), error.to_string()))
+}
+
+impl Decoder for Plain {
+    fn backend_kind(&self) -> &str {
+        BACKENDS
+    }
+
+    fn configuration_kind(&self) -> &str {
+        CONFIGURATION
+    }
+
+    fn configuration_name(&self) -> &str {
+        "newest"
+    }
+
+    fn retirement_kind(&self) -> &str {
+        RETIREMENTS
+    }
+
+    fn backend(&self, object: &Object) -> Result<Backend, DecodeError> {
+        let backend: PlainBackend = read(object)?;
+        Ok(Backend {
+            incarnation: Incarnation(object.name.clone()),
+            service: backend.service.as_str().into(),
+            address: backend.address,
+            zone: "here".into(),
+            slots: backend.slots,
+            leaving: backend.leaving,
+        })
+    }
+
+    fn configuration(&self, object: &Object) -> Result<ServingConfiguration, DecodeError> {
+        let configuration: PlainConfiguration = read(object)?;
+        let routes = configuration.routes.into_iter().map(PlainRoute::translate);
+        Ok(ServingConfiguration {
+            version: configuration.version,
+            routes: RouteTable::new(routes),
+            services: HashMap::new(),
+            limits: CallerLimits::default(),
+        })
+    }
+
+    fn retirement(&self, object: &Object) -> Result<Retirement, DecodeError> {
+        Ok(Retirement {
+            node: object.name.clone(),
+            within: Duration::from_secs(10),
+            done: object.status == json!("done"),
+        })
+    }
+
+    fn retirement_status(&self, progress: RetirementProgress) -> Value {
+        match progress {
+            RetirementProgress::Running => json!("running"),
+            RetirementProgress::Done => json!("done"),
+        }
+    }
+}
