--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -1,6 +1,8 @@
 //! Messages between nodes.
 
 use crate::load_table::BackendCount;
+use crate::runner::ItemKey;
+use crate::runner::handover::ProgressDelta;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_jobs::command::JobHeader;
 use firshore_log::refusal::JournalRefusal;
@@ -54,6 +56,9 @@
         /// Job.
         job: String,
     },
+    /// What items that the sender runs have produced since it told last.
+    #[serde(rename = "p")]
+    Progress(Vec<ProgressDelta>),
     /// What the sender has under way at back ends.
     #[serde(rename = "l")]
     Load {
@@ -84,6 +89,9 @@
     Results(Option<ResultPage>),
     /// A body, if there is such an item without a result.
     Body(Option<Payload>),
+    /// Items of which something before is missing.
+    #[serde(rename = "p")]
+    Gaps(Vec<ItemKey>),
     /// What all others have under way.
     #[serde(rename = "l")]
     Load(Vec<BackendCount>),
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -10,6 +10,7 @@
 pub mod service;
 mod transport;
 
+use crate::runner::handover::HeldItems;
 use crate::settings::{Settings, Storage};
 use firshore_jobs::table::JobTable;
 use firshore_link::handshake::ClusterSecret;
@@ -18,10 +19,12 @@
 use firshore_log::machine::ReplicaSettings;
 use firshore_log::placement;
 use firshore_replication::types::GroupId;
+use firshore_types::ids::NodeName;
 use messages::{PeerRequest, PeerResponse};
 use registry::Registry;
 use service::{Loads, Service};
 use slog::Logger;
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,12 +58,15 @@
     pub replica: Rc<Replica>,
     /// What nodes have under way at back ends.
     pub loads: Rc<Loads>,
+    /// What items of another leader have produced.
+    pub held_items: Rc<RefCell<HeldItems>>,
     /// Nodes and founders as the store lists them.
     pub registry: Rc<Registry>,
     /// Replicas that the group is to have.
     target: usize,
     /// Replicas without which nothing is promised.
     least: usize,
+    peers: PeerClient,
     listening: actix_rt::task::JoinHandle<()>,
     log: Logger,
 }
@@ -87,14 +93,22 @@
         replica.start(log, replica_settings, transport);
         let listener = TcpListener::bind(settings.listen.peers).await?;
         let loads = Rc::<Loads>::default();
+        let held_items = Rc::<RefCell<HeldItems>>::default();
         let least = settings.cluster.tolerated_disk_losses as usize + 1;
-        let handler = Rc::new(Service::new(replica.clone(), loads.clone(), least));
+        let handler = Rc::new(Service::new(
+            replica.clone(),
+            loads.clone(),
+            held_items.clone(),
+            least,
+        ));
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
         let listening = actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
         let journal = Rc::new(Self {
             replica,
             loads,
+            held_items,
             registry,
+            peers: peers.clone(),
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
             least,
             listening,
@@ -103,6 +117,12 @@
         Ok(journal)
     }
 
+    /// Asks another node; `None` if it gives no answer.
+    pub async fn ask(&self, node: &NodeName, request: PeerRequest) -> Option<PeerResponse> {
+        let address = self.registry.address(node)?;
+        self.peers.call(address, request).await.ok()
+    }
+
     /// Whether what is committed lies on as many disks as promises need.
     pub fn may_promise(&self) -> bool {
         may_promise(&self.replica, self.least)
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -3,6 +3,7 @@
 use super::messages::{PeerRequest, PeerResponse};
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
+use crate::runner::handover::{HeldItems, ProgressDelta};
 use firshore_adapter::backend::Incarnation;
 use firshore_jobs::command::{Action, Outcome};
 use firshore_jobs::table::JobTable;
@@ -29,6 +30,7 @@
 pub struct Service {
     replica: Rc<Replica>,
     loads: Rc<Loads>,
+    held_items: Rc<RefCell<HeldItems>>,
     least: usize,
 }
 
@@ -59,15 +61,33 @@
 
 impl Service {
     /// Answers for this replica; promises need `least` disks.
-    pub fn new(replica: Rc<Replica>, loads: Rc<Loads>, least: usize) -> Self {
+    pub fn new(
+        replica: Rc<Replica>,
+        loads: Rc<Loads>,
+        held_items: Rc<RefCell<HeldItems>>,
+        least: usize,
+    ) -> Self {
         Self {
             replica,
             loads,
+            held_items,
             least,
         }
     }
 }
 
+impl Service {
+    /// Takes in what items of the leader's have produced.
+    fn progress(&self, deltas: Vec<ProgressDelta>) -> PeerResponse {
+        let mut held = self.held_items.borrow_mut();
+        let gaps = held.told(deltas);
+        let state = self.replica.applied_state();
+        let state = state.read();
+        held.keep(|(job, index)| state.is_open(job, *index));
+        PeerResponse::Gaps(gaps)
+    }
+}
+
 impl Handler<PeerRequest, PeerResponse> for Service {
     fn notice(&self, request: PeerRequest) {
         if let PeerRequest::Replication {
@@ -82,6 +102,9 @@
 
     fn answer(&self, request: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
         let replica = self.replica.clone();
+        if let PeerRequest::Progress(deltas) = request {
+            return std::future::ready(self.progress(deltas)).boxed_local();
+        }
         if let PeerRequest::Load { node, counts } = request {
             let answer = match replica.status() {
                 status if status.leads => PeerResponse::Load(self.loads.exchange(node, counts)),
@@ -119,7 +142,9 @@
             let body = state.read().body(&job, &item);
             Ok(PeerResponse::Body(body))
         }
-        PeerRequest::Replication { .. } | PeerRequest::Load { .. } => Ok(PeerResponse::Done),
+        PeerRequest::Replication { .. } | PeerRequest::Load { .. } | PeerRequest::Progress(_) => {
+            Ok(PeerResponse::Done)
+        }
     }
 }
 
--- /dev/null
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -0,0 +1,117 @@
+//! What items have produced, kept by nodes that may lead next, so that a new leader goes on where
+//! the last one was. No I/O.
+//!
+//! Nothing here is promised: what is missing is made again. What is held is always the beginning of
+//! an item's output, as the engine numbers its events.
+
+use super::ItemKey;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// What an item has produced since it was told last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressDelta {
+    /// Job.
+    #[serde(rename = "j")]
+    pub job: String,
+    /// Position of the item in the job.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Events that were told before.
+    #[serde(rename = "o")]
+    pub offset: usize,
+    /// Data of the events since.
+    #[serde(rename = "e")]
+    pub events: Vec<String>,
+    /// Number of the last event.
+    #[serde(rename = "l")]
+    pub last: Option<u64>,
+}
+
+/// What one item has produced, as told by its leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HeldProgress {
+    /// Data of its events.
+    pub events: Vec<String>,
+    /// Number of the last one.
+    pub last: Option<u64>,
+}
+
+/// Progress that other nodes told.
+#[derive(Debug, Default)]
+pub struct HeldItems {
+    items: HashMap<ItemKey, HeldProgress>,
+}
+
+impl HeldItems {
+    /// Takes in what a leader told. Returns the items of which something before is missing: they
+    /// have to be told from the start.
+    pub fn told(&mut self, deltas: Vec<ProgressDelta>) -> Vec<ItemKey> {
+        let mut gaps = Vec::new();
+        for delta in deltas {
+            let key = (delta.job, delta.index);
+            let held = self.items.entry(key.clone()).or_default();
+            if delta.offset > held.events.len() {
+                self.items.remove(&key);
+                gaps.push(key);
+                continue;
+            }
+            held.events.truncate(delta.offset);
+            held.events.extend(delta.events);
+            held.last = delta.last;
+        }
+        gaps
+    }
+
+    /// Forgets items that are not to be run any more.
+    pub fn keep(&mut self, is_open: impl Fn(&ItemKey) -> bool) {
+        self.items.retain(|key, _| is_open(key));
+    }
+
+    /// Gives everything to a node that leads now.
+    pub fn take(&mut self) -> HashMap<ItemKey, HeldProgress> {
+        std::mem::take(&mut self.items)
+    }
+}
+
+/// How much of each item one other node has been told.
+#[derive(Debug, Default)]
+pub struct Told {
+    lengths: HashMap<ItemKey, usize>,
+}
+
+impl Told {
+    /// What the node has not been told of an item with these events.
+    pub fn delta(
+        &self,
+        key: &ItemKey,
+        events: &[String],
+        last: Option<u64>,
+    ) -> Option<ProgressDelta> {
+        let offset = self.lengths.get(key).copied().unwrap_or(0);
+        let rest = events.get(offset..).filter(|rest| !rest.is_empty())?;
+        Some(ProgressDelta {
+            job: key.0.clone(),
+            index: key.1,
+            offset,
+            events: rest.to_vec(),
+            last,
+        })
+    }
+
+    /// The node has answered: it holds what was sent, but for the gaps that it names.
+    pub fn answered(&mut self, sent: &[ProgressDelta], gaps: Vec<ItemKey>) {
+        for delta in sent {
+            let key = (delta.job.clone(), delta.index);
+            self.lengths.insert(key, delta.offset + delta.events.len());
+        }
+        for key in gaps {
+            self.lengths.remove(&key);
+        }
+    }
+
+    /// Forgets items that are not to be run any more.
+    pub fn keep(&mut self, is_open: impl Fn(&ItemKey) -> bool) {
+        self.lengths.retain(|key, _| is_open(key));
+    }
+}
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Items go only into room that online requests leave: a back end gets one while its load, as all
 //! nodes told a moment ago, is below a limit; where online requests need the room, the newest runs
-//! are stopped. What an item has produced is kept here, so that a run that breaks off or
-//! is stopped goes on after its last event; a new leader starts from what is listed.
+//! are stopped. What an item has produced is kept here and told to the other replicas' nodes, so
+//! that a run that breaks off or is stopped goes on after its last event, also under a new leader.
 
+pub mod handover;
 mod item;
 pub mod progress;
 
+use crate::journal::messages::{PeerRequest, PeerResponse};
 use crate::journal::service::Loads;
 use crate::journal::{Journal, Replica};
 use crate::task::Task;
@@ -18,6 +20,9 @@
 use firshore_gateway::fleet::Wanted;
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
+use firshore_types::ids::NodeName;
+use futures_util::future::join_all;
+use handover::{ProgressDelta, Told};
 use item::ItemRun;
 use progress::ItemProgress;
 use slog::info;
@@ -41,8 +46,14 @@
 /// Time between looks while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two rounds in which other nodes are told what items have produced.
+const TELL_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Longest wait for a node that is told.
+const TELL_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// An item's job and its position there.
-pub(crate) type ItemKey = (String, ItemIndex);
+pub type ItemKey = (String, ItemIndex);
 
 /// An item that is to be run.
 #[derive(Clone)]
@@ -92,6 +103,7 @@
 
     /// Runs until the node ends.
     pub async fn run(self: Rc<Self>) {
+        let _telling = Task::spawn(self.clone().tell_others());
         let mut changes = self.replica.changes();
         let mut leads_since_term = None;
         loop {
@@ -133,11 +145,69 @@
         let confirmed = self.replica.read().await.is_ok();
         if confirmed {
             *confirmed_term = Some(status.term);
+            self.take_over();
             info!(self.gateway.log, "runner: Runs items."; "term" => status.term);
         }
         confirmed
     }
 
+    /// Goes on with what the last leader told.
+    fn take_over(&self) {
+        let now = Instant::now();
+        let held = self.journal.held_items.borrow_mut().take();
+        let mut progress = self.progress.borrow_mut();
+        for (key, held) in held {
+            let begun = Rc::new(RefCell::new(ItemProgress::begun(now, held)));
+            progress.insert(key, begun);
+        }
+    }
+
+    /// Tells the nodes of the other replicas what items have produced, while this node leads.
+    async fn tell_others(self: Rc<Self>) {
+        let mut told: HashMap<NodeName, Told> = HashMap::new();
+        loop {
+            actix_rt::time::sleep(TELL_INTERVAL).await;
+            let status = self.replica.status();
+            if !status.leads {
+                told.clear();
+                continue;
+            }
+            let replicas = status.membership.replicas.iter();
+            let others = replicas.filter(|(disk, _)| **disk != status.disk);
+            let others: Vec<NodeName> = others.map(|(_, replica)| replica.node.clone()).collect();
+            told.retain(|node, _| others.contains(node));
+            let telling = others.into_iter().map(|node| {
+                let told = told.remove(&node).unwrap_or_default();
+                self.tell(node, told)
+            });
+            told = join_all(telling).await.into_iter().collect();
+        }
+    }
+
+    /// Tells one node what it does not know yet.
+    async fn tell(&self, node: NodeName, mut told: Told) -> (NodeName, Told) {
+        let deltas: Vec<ProgressDelta> = {
+            let progress = self.progress.borrow();
+            told.keep(|key| progress.contains_key(key));
+            let deltas = progress.iter().filter_map(|(key, progress)| {
+                let progress = progress.borrow();
+                told.delta(key, progress.produced(), progress.last_event())
+            });
+            deltas.collect()
+        };
+        if deltas.is_empty() {
+            return (node, told);
+        }
+        let request = PeerRequest::Progress(deltas.clone());
+        let call = self.journal.ask(&node, request);
+        match timeout(TELL_TIMEOUT, call).await {
+            Ok(Some(PeerResponse::Gaps(gaps))) => told.answered(&deltas, gaps),
+            // It may hold anything: it is told from the start.
+            _ => told = Told::default(),
+        }
+        (node, told)
+    }
+
     /// Ends every run; what was produced is kept only while this node leads.
     pub fn stop_all(&self) {
         let stopped = self.running.borrow().len();
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -1,5 +1,6 @@
 //! How far an item is: what it has produced, how often it failed, when it may run again. No I/O.
 
+use super::handover::HeldProgress;
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_gateway::events::{EventFault, EventStream, data_of};
 use std::time::{Duration, Instant};
@@ -48,6 +49,20 @@
         }
     }
 
+    /// An item that another node has begun.
+    pub fn begun(now: Instant, held: HeldProgress) -> Self {
+        Self {
+            stream: EventStream::after(held.last),
+            produced: held.events,
+            ..Self::new(now)
+        }
+    }
+
+    /// Data of the events that are held.
+    pub fn produced(&self) -> &[String] {
+        &self.produced
+    }
+
     /// Whether it may not run yet.
     pub fn is_paused(&self, now: Instant) -> bool {
         now < self.not_before
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -3,6 +3,7 @@
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
+use firshore_node::runner::handover::{HeldItems, ProgressDelta, Told};
 use firshore_node::runner::progress::{ItemProgress, RunEnd};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -85,3 +86,64 @@
     table.told(later, "two".into(), told("a", 1));
     assert_eq!(sums(table.others(later, None)), told("a", 1));
 }
+
+fn events(range: std::ops::RangeInclusive<u64>) -> Vec<String> {
+    range.map(|number| format!("e{number}")).collect()
+}
+
+#[test]
+fn what_is_told_in_parts_is_held_whole() {
+    let key = ("job".to_owned(), 3);
+    let mut told = Told::default();
+    let mut held = HeldItems::default();
+    for last in [2, 5] {
+        let delta = told.delta(&key, &events(1..=last), Some(last)).unwrap();
+        let gaps = held.told(vec![delta.clone()]);
+        assert!(gaps.is_empty());
+        told.answered(&[delta], gaps);
+    }
+    assert_eq!(told.delta(&key, &events(1..=5), Some(5)), None);
+    let all = held.take();
+    assert_eq!(all[&key].events, events(1..=5));
+    assert_eq!(all[&key].last, Some(5));
+    let begun = ItemProgress::begun(Instant::now(), all[&key].clone());
+    assert_eq!(begun.last_event(), Some(5));
+}
+
+#[test]
+fn a_gap_is_named_and_told_from_the_start() {
+    let key = ("job".to_owned(), 3);
+    let mut told = Told::default();
+    let mut held = HeldItems::default();
+    let first = told.delta(&key, &events(1..=2), Some(2)).unwrap();
+    // The answer came from a node that was started anew right after.
+    told.answered(&[first], Vec::new());
+    let second = told.delta(&key, &events(1..=4), Some(4)).unwrap();
+    let gaps = held.told(vec![second.clone()]);
+    assert_eq!(gaps, std::slice::from_ref(&key));
+    told.answered(&[second], gaps);
+    let whole = told.delta(&key, &events(1..=4), Some(4)).unwrap();
+    assert_eq!(whole.offset, 0);
+    assert!(held.told(vec![whole]).is_empty());
+    assert_eq!(held.take()[&key].events, events(1..=4));
+}
+
+#[test]
+fn a_new_leader_that_starts_over_replaces_what_was_held() {
+    let key = ("job".to_owned(), 3);
+    let mut held = HeldItems::default();
+    let delta = |offset, events: Vec<String>, last| ProgressDelta {
+        job: "job".to_owned(),
+        index: 3,
+        offset,
+        events,
+        last: Some(last),
+    };
+    held.told(vec![delta(0, events(1..=5), 5)]);
+    held.told(vec![delta(0, events(1..=2), 2)]);
+    held.keep(|open| *open == key);
+    assert_eq!(held.take()[&key].events, events(1..=2));
+    held.told(vec![delta(0, events(1..=2), 2)]);
+    held.keep(|_| false);
+    assert!(held.take().is_empty());
+}
