--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -1,8 +1,8 @@
 //! Runs the items of batch jobs, on the node whose replica leads the journal.
 //!
 //! Items go only into room that online requests leave: a back end gets one while its load, as all
-//! nodes told a moment ago, is below a limit; where online requests need the room, the newest runs
-//! are stopped. What an item has produced is kept here and told to the other replicas' nodes, so
+//! nodes told a moment ago, is below a limit; where online requests need the room, the runs
+//! that have produced least are stopped. What an item has produced is kept here and told to the other replicas' nodes, so
 //! that a run that breaks off or is stopped goes on after its last event, also under a new leader.
 
 pub mod handover;
@@ -72,7 +72,6 @@
 struct Run {
     _task: Task,
     backend: Incarnation,
-    started: Instant,
 }
 
 /// The items that this node runs.
@@ -218,7 +217,7 @@
         self.progress.borrow_mut().clear();
     }
 
-    /// Takes in what nodes have under way, and stops the newest runs where it is too much.
+    /// Takes in what nodes have under way, and stops runs where it is too much.
     fn give_way(&self) {
         let now = Instant::now();
         let online = self.loads.table.borrow().others(now, None);
@@ -234,21 +233,26 @@
             .collect();
         drop(fleet);
         for (backend, count) in excess {
-            self.stop_newest(&backend, count);
+            self.stop_least_advanced(&backend, count);
         }
     }
 
-    fn stop_newest(&self, backend: &Incarnation, count: usize) {
+    /// Stops the runs at a back end that have produced least: one that is nearly done would be
+    /// finished by a back end that notices the close late, and then be run in vain.
+    fn stop_least_advanced(&self, backend: &Incarnation, count: usize) {
+        let progress = self.progress.borrow();
+        let produced = |key: &ItemKey| {
+            let progress = progress.get(key);
+            progress.map_or(0, |progress| progress.borrow().produced().len())
+        };
         let mut running = self.running.borrow_mut();
-        let mut at_backend: Vec<(Instant, ItemKey)> = running
-            .iter()
-            .filter(|(_, run)| run.backend == *backend)
-            .map(|(key, run)| (run.started, key.clone()))
-            .collect();
-        at_backend.sort_by_key(|(started, _)| std::cmp::Reverse(*started));
-        for (_, key) in at_backend.into_iter().take(count) {
+        let at_backend = running.iter().filter(|(_, run)| run.backend == *backend);
+        let mut keys: Vec<ItemKey> = at_backend.map(|(key, _)| key.clone()).collect();
+        keys.sort_by_key(produced);
+        for key in keys.into_iter().take(count) {
             info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
-                "backend" => %backend, "reason" => "online requests");
+                "backend" => %backend, "produced" => produced(&key),
+                "reason" => "online requests");
             running.remove(&key);
         }
     }
@@ -331,7 +335,6 @@
         let run = Run {
             _task: task,
             backend: chosen,
-            started: now,
         };
         self.running.borrow_mut().insert(key, run);
         true
