A long watch is asked for only right after an answer

One gateway asked for its watch of the configuration at 12.05 s, after the pause that follows a change; the silent store swallowed it and never answered, also after it was back at 16.5 s, while watches that had waited before went on. The call timed out at 32.1 s; version 34 of 17.4 s was not in force for 15 s. Ruled out: a dead connection (the store's machine acknowledges, keep-alive finds nothing), a stale listing (none was made). Change: after a pause a watch of 0.6 s comes first, and only its answer is followed by a long one; the configuration is watched without pauses. Test: a_long_watch_is_asked_for_only_right_after_an_answer (fails before).

--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -14,8 +14,8 @@
 /// Pause after a change of the back ends. One that leaves must get nothing new within two seconds.
 const BACKEND_SPACING: Duration = Duration::from_millis(1_200);
 
-/// Pause after a change of the configuration, which must be in force within two seconds.
-const CONFIGURATION_SPACING: Duration = Duration::from_millis(400);
+/// Pause after a change of the configuration: none, as each has to be in force everywhere at once.
+const CONFIGURATION_SPACING: Duration = Duration::ZERO;
 
 /// Terms on which a kind is observed.
 pub fn terms(objects: &Objects, spacing: Duration) -> Terms {
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -4,6 +4,10 @@
 //! A watch that was cut is not gone on with: the store may have dropped its history meanwhile, and
 //! tells so only with the next change.
 //!
+//! A store that falls silent swallows what it is asked meanwhile, and never answers that, while
+//! watches that waited before go on. So a long watch is asked for only right after an answer; after
+//! a pause, a short one comes first.
+//!
 //! What was seen is never taken back: an object that a listing shows in an older revision than was
 //! seen before is passed over.
 
@@ -23,6 +27,12 @@
 /// Wait asked for where nothing at all has changed during the last one.
 const CALM_WAIT: Duration = Duration::from_secs(30);
 
+/// Wait asked for after a pause.
+const PROVING_WAIT: Duration = Duration::from_millis(600);
+
+/// Factor by which the pause after a change is longer while everything is only just being created.
+const CREATION_FACTOR: u32 = 2;
+
 /// What an observation is told about its store and kind.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -80,6 +90,8 @@
     changed: bool,
     /// The store's revision did not move during the last watch.
     calm: bool,
+    /// The first listing was empty: the objects are being created.
+    creation: bool,
 }
 
 impl Observation {
@@ -92,6 +104,7 @@
             failures: 0,
             changed: false,
             calm: false,
+            creation: false,
         }
     }
 
@@ -107,6 +120,9 @@
 
     /// Longest wait for a change to ask for.
     pub fn wait(&self) -> Duration {
+        if !self.pause().is_zero() {
+            return PROVING_WAIT;
+        }
         match self.calm {
             true => CALM_WAIT,
             false => self.terms.history.mul_f64(RENEWAL_SHARE).min(CALM_WAIT),
@@ -116,6 +132,7 @@
     /// Pause before the next question.
     pub fn pause(&self) -> Duration {
         match self.failures {
+            0 if self.changed && self.creation => self.terms.spacing * CREATION_FACTOR,
             0 if self.changed => self.terms.spacing,
             0 => Duration::ZERO,
             failures => {
@@ -158,6 +175,7 @@
             return None;
         }
         let listed = std::mem::take(gathered);
+        self.creation = listed.is_empty();
         self.phase = Phase::Watching(first);
         Some(Learned::All(self.newest(listed)))
     }
@@ -191,6 +209,7 @@
             return None;
         };
         self.changed = !changes.changes.is_empty();
+        self.creation &= self.changed || self.seen.is_empty();
         self.calm = changes.revision <= *revision;
         *revision = changes.revision.max(*revision);
         let fresh: Vec<Change> = changes
--- a/crates/firshore-node/tests/observation.rs
+++ b/crates/firshore-node/tests/observation.rs
@@ -144,3 +144,35 @@
     let _ = observation.watched(changes(&[("b", 15)], 15));
     assert!(observation.wait() < terms().history);
 }
+
+#[test]
+fn a_long_watch_is_asked_for_only_right_after_an_answer() {
+    // A store that is silent swallows what it is asked: a watch asked for after a pause may be
+    // swallowed without a sign, so it must be short.
+    let short = Duration::from_secs(1);
+    let mut observation = watching();
+    assert!(observation.pause().is_zero() && observation.wait() > short);
+    let _ = observation.watched(changes(&[("b", 11)], 11));
+    assert!(!observation.pause().is_zero() && observation.wait() < short);
+    let _ = observation.watched(changes(&[], 11));
+    assert!(observation.pause().is_zero() && observation.wait() > short);
+    let hasty = Terms {
+        spacing: Duration::ZERO,
+        ..terms()
+    };
+    let mut observation = Observation::new(hasty);
+    observation.listed(page(&[("a", 5)], false, 10));
+    let _ = observation.watched(changes(&[("a", 11)], 11));
+    assert!(observation.pause().is_zero() && observation.wait() > short);
+}
+
+#[test]
+fn objects_that_are_only_just_created_are_waited_for_together() {
+    let mut observation = Observation::new(terms());
+    observation.listed(page(&[], false, 1));
+    let _ = observation.watched(changes(&[("a", 2)], 2));
+    assert!(observation.pause() > terms().spacing);
+    let _ = observation.watched(changes(&[], 2));
+    let _ = observation.watched(changes(&[("a", 3)], 3));
+    assert_eq!(observation.pause(), terms().spacing);
+}
