--- a/crates/firshore-node/src/command_line.rs
+++ b/crates/firshore-node/src/command_line.rs
@@ -1,9 +1,13 @@
-//! The command line: `serve` runs a node, `check` reads its settings and says what is wrong.
+//! The command line: `serve` runs a node, `check` reads its settings and says what is wrong,
+//! `explain` tells from logs what happened to a request, job or item.
 
+use crate::explain::{self, Explanation};
 use crate::node;
 use crate::settings::Settings;
 use argh::FromArgs;
 use firshore_adapter::Adapter;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,6 +27,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Explain(Explain),
 }
 
 /// Run a node until it is told to stop.
@@ -43,11 +48,69 @@
     settings: PathBuf,
 }
 
+/// Tell from log files what happened to a request, job or item.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// identifier of the request, job or item
+    #[argh(positional)]
+    id: String,
+    /// log files of the nodes; standard input if there are none
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
+impl Explain {
+    fn run(&self) -> ExitCode {
+        let opened: io::Result<Vec<Box<dyn BufRead>>> = match self.logs.is_empty() {
+            true => Ok(vec![Box::new(io::stdin().lock())]),
+            false => self.logs.iter().map(open_log).collect(),
+        };
+        let explained = opened.and_then(|logs| explain::explain(&self.id, logs));
+        match explained {
+            Ok(explanation) => self.print(&explanation),
+            Err(error) => {
+                eprintln!("The logs cannot be read: {error}. Check the paths.");
+                ExitCode::from(UNUSABLE)
+            }
+        }
+    }
+
+    fn print(&self, explanation: &Explanation) -> ExitCode {
+        for line in &explanation.lines {
+            println!("{line}");
+        }
+        if explanation.skipped > 0 {
+            eprintln!(
+                "{} lines are no log lines and were skipped.",
+                explanation.skipped
+            );
+        }
+        if !explanation.lines.is_empty() {
+            return ExitCode::SUCCESS;
+        }
+        let nodes: Vec<&str> = explanation.nodes.iter().map(String::as_str).collect();
+        eprintln!(
+            "No line concerns '{}'. A request that ended well at its first send writes none. Logs of \
+             these nodes were read: {}.",
+            self.id,
+            nodes.join(", ")
+        );
+        ExitCode::FAILURE
+    }
+}
+
+fn open_log(path: &PathBuf) -> io::Result<Box<dyn BufRead>> {
+    let file = File::open(path)?;
+    Ok(Box::new(BufReader::new(file)))
+}
+
 /// Runs the program. `adapter` meets the environment, whose store of objects listens at the
 /// address given.
 pub fn run(adapter: impl FnOnce(SocketAddr) -> Adapter) -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let path = match &arguments.command {
+        Command::Explain(explain) => return explain.run(),
         Command::Serve(serve) => &serve.settings,
         Command::Check(check) => &check.settings,
     };
@@ -59,7 +122,7 @@
         }
     };
     match arguments.command {
-        Command::Check(_) => {
+        Command::Check(_) | Command::Explain(_) => {
             println!("The settings can be used.");
             ExitCode::SUCCESS
         }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -44,6 +44,7 @@
     adapter: impl FnOnce(SocketAddr) -> Adapter,
 ) -> io::Result<()> {
     let log = firshore_logging::root(&settings.log, Destination::Output);
+    let log = log.new(slog::o!("node" => settings.name.to_string()));
     let adapter = adapter(settings.objects.address);
     actix_rt::System::new().block_on(live(settings, path, adapter, log))
 }
@@ -81,7 +82,7 @@
     if callers.is_some() {
         actix_rt::spawn(load_exchange::run(gateway.clone(), jobs));
     }
-    info!(log, "node: Started."; "name" => %settings.name, "zone" => %settings.zone,
+    info!(log, "node: Started."; "zone" => %settings.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     loop {
         tokio::select! {
@@ -176,9 +177,9 @@
     let end = tokio::time::Instant::now() + grace.saturating_sub(END_MARGIN);
     gateway.leaving.begin();
     info!(gateway.log, "node: Leaving."; "grace_ms" => grace.as_millis() as u64);
-    actix_rt::time::sleep(grace.mul_f64(ANNOUNCED_SHARE)).await;
-    gateway.leaving.close();
     if let Some(callers) = callers {
+        actix_rt::time::sleep(grace.mul_f64(ANNOUNCED_SHARE)).await;
+        gateway.leaving.close();
         let _ = callers.await;
     }
     while gateway.requests_open() > 0 && tokio::time::Instant::now() < end {
--- /dev/null
+++ b/crates/firshore-node/tests/settings.rs
@@ -0,0 +1,82 @@
+//! Settings that can be used, and what is said of those that cannot.
+
+use firshore_node::settings::{Settings, SettingsError};
+use std::io::Write;
+
+const USABLE: &str = "name = 'n'\nregion = 'r'\nzone = 'z'\n\
+    [listen]\ncallers = '127.0.0.1:1'\npeers = '127.0.0.1:2'\n\
+    [objects]\naddress = '127.0.0.1:3'\nhistory_seconds = 20\n\
+    [cluster]\nsecret = 'sixteen bytes of secret'\ntolerated_disk_losses = 1\n\
+    [leave]\ngrace_seconds = 8\n";
+
+fn read(text: &str) -> Result<Settings, SettingsError> {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    file.write_all(text.as_bytes()).unwrap();
+    Settings::read(file.path())
+}
+
+#[test]
+fn usable_settings_are_read() {
+    let settings = read(USABLE).unwrap();
+    assert_eq!(settings.leave.grace().as_secs(), 8);
+    assert!(settings.storage.is_none() && settings.listen.readiness.is_none());
+    let shown = format!("{settings:?}");
+    assert!(!shown.contains("sixteen bytes"), "the secret is not shown");
+}
+
+#[test]
+fn unusable_settings_name_the_key_and_the_remedy() {
+    let cases = [
+        (
+            "secret = 'sixteen bytes of secret'",
+            "secret = 'short'",
+            "cluster.secret",
+            "16 random bytes",
+        ),
+        (
+            "tolerated_disk_losses = 1",
+            "tolerated_disk_losses = 4",
+            "tolerated_disk_losses",
+            "Set 0 to 3",
+        ),
+        (
+            "grace_seconds = 8",
+            "grace_seconds = 0.5",
+            "leave.grace_seconds",
+            "at least 1",
+        ),
+        (
+            "history_seconds = 20",
+            "history_seconds = 0",
+            "objects.history_seconds",
+            "at least 1",
+        ),
+        ("name = 'n'", "name = ''", "name", "a name of its own"),
+        (
+            "callers = '127.0.0.1:1'",
+            "callers = 'nowhere'",
+            "callers",
+            "Correct the key",
+        ),
+        (
+            "zone = 'z'",
+            "zone = 'z'\nplanet = 'p'",
+            "planet",
+            "Correct the key",
+        ),
+        ("region = 'r'\n", "", "region", "Correct the key"),
+    ];
+    for (usable, unusable, key, remedy) in cases {
+        let error = read(&USABLE.replace(usable, unusable))
+            .unwrap_err()
+            .to_string();
+        assert!(error.contains(key), "{unusable}: {error}");
+        assert!(error.contains(remedy), "{unusable}: {error}");
+    }
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = Settings::read("/nowhere/node.toml".as_ref()).unwrap_err();
+    assert!(error.to_string().contains("/nowhere/node.toml"));
+}
