--- a/crates/firshore-log/src/driver.rs
+++ b/crates/firshore-log/src/driver.rs
@@ -8,7 +8,7 @@
 use firshore_replication::error::{ReplicaError, StorageError};
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
-use firshore_replication::replica::{Output, ReadToken, Replica, Timing};
+use firshore_replication::replica::{Output, ReadToken, Replica};
 use firshore_replication::storage::{Storage, StoredState};
 use firshore_replication::types::{
     DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange, Term,
@@ -18,7 +18,7 @@
 use rand::RngExt;
 use slog::{Logger, error, info, warn};
 use std::collections::{BTreeMap, VecDeque};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -149,8 +149,7 @@
 }
 
 fn restore<M: StateMachine>(
-    now: u64,
-    path: &Path,
+    environment: &Environment,
     storage: &RedbStorage,
 ) -> Result<(Replica, M), StorageError> {
     let stored = storage.load()?;
@@ -158,11 +157,12 @@
         None => M::default(),
         Some(snapshot) => ciborium::from_reader(&*snapshot.data.0).map_err(|error| {
             let reason = format!("its snapshot cannot be read by this version ({error})");
-            StorageError::Database(path.to_owned(), reason)
+            StorageError::Database(environment.path.clone(), reason)
         })?,
     };
     let seed = rand::rng().random();
-    let replica = Replica::restore(now, storage.disk(), Timing::default(), stored, seed);
+    let timing = environment.settings.timing;
+    let replica = Replica::restore(environment.now(), storage.disk(), timing, stored, seed);
     Ok((replica, state))
 }
 
@@ -208,7 +208,7 @@
     inputs: &Receiver<Input<M>>,
     published: &RwLock<SharedState<M>>,
 ) -> Result<End, StorageError> {
-    let (replica, state) = restore(environment.now(), &environment.path, &storage)?;
+    let (replica, state) = restore(environment, &storage)?;
     let mut driver = Driver {
         log: environment.log.clone(),
         environment,
@@ -377,13 +377,7 @@
         let founded = self
             .storage
             .write(&StoredState::founding(membership))
-            .and_then(|()| {
-                restore::<M>(
-                    self.environment.now(),
-                    &self.environment.path,
-                    &self.storage,
-                )
-            });
+            .and_then(|()| restore::<M>(self.environment, &self.storage));
         match founded {
             Ok((replica, _)) => {
                 self.replica = replica;
--- a/crates/firshore-log/src/machine.rs
+++ b/crates/firshore-log/src/machine.rs
@@ -1,6 +1,7 @@
 //! What a group's log is applied to, and how its replicas reach each other.
 
 use firshore_replication::message::Envelope;
+use firshore_replication::replica::Timing;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
 use parking_lot::RwLock;
@@ -48,6 +49,8 @@
 /// What a replica is told at its start.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaSettings {
+    /// Elections, heartbeats, sizes of messages.
+    pub timing: Timing,
     /// Silence of a replica after which another disk takes its place.
     pub replace_after: Duration,
     /// Free space of the data folder below which new work is refused, in bytes.
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -18,6 +18,7 @@
 use firshore_log::Group;
 use firshore_log::machine::ReplicaSettings;
 use firshore_log::placement;
+use firshore_replication::replica::Timing;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
 use messages::{PeerRequest, PeerResponse};
@@ -36,6 +37,12 @@
 /// Silence of a replica after which another disk takes its place.
 const REPLACE_AFTER: Duration = Duration::from_secs(6);
 
+/// Silence of a leader after which an election starts, in milliseconds. Jobs are to be accepted
+/// within some hundred milliseconds, also when a leader is lost.
+const ELECTION_TIMEOUT: u64 = 400;
+
+const HEARTBEAT_INTERVAL: u64 = 80;
+
 /// Free space of the data folder below which new jobs are refused, in bytes.
 const RESERVE_BYTES: u64 = 32 * 1024 * 1024;
 
@@ -86,6 +93,11 @@
         let replica = Rc::new(replica);
         let transport = transport::new(settings.name.clone(), registry.addresses(), peers.clone());
         let replica_settings = ReplicaSettings {
+            timing: Timing {
+                election_timeout: ELECTION_TIMEOUT,
+                heartbeat_interval: HEARTBEAT_INTERVAL,
+                ..Timing::default()
+            },
             replace_after: REPLACE_AFTER,
             reserve_bytes: RESERVE_BYTES,
             snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
--- a/crates/firshore-server/src/journal/transport.rs
+++ b/crates/firshore-server/src/journal/transport.rs
@@ -4,6 +4,7 @@
 use firshore_log::machine::{ReplicaSettings, Transport};
 use firshore_protocol::message::Request;
 use firshore_replication::message::Envelope;
+use firshore_replication::replica::Timing;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
 use std::collections::BTreeMap;
@@ -31,6 +32,7 @@
 pub fn settings(shared: &Shared) -> ReplicaSettings {
     let journal = &shared.settings.journal;
     ReplicaSettings {
+        timing: Timing::default(),
         replace_after: Duration::from_secs(journal.replace_after_seconds),
         reserve_bytes: journal.reserve_bytes,
         snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
