A silent replica is replaced within the time after which another disk may be lost

Change: cluster.catch_up_seconds is a setting (the platform's bound); a replica that is silent for 0.3 of it is replaced if another disk is there. Elections after 300 ms. Test: a_new_disk_holds_everything_before_another_may_be_lost (hangs with 6 s, passes).

--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -28,20 +28,20 @@
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// The only group. Larger clusters need more.
 pub const GROUP: GroupId = GroupId(0);
 
-/// Silence of a replica after which another disk takes its place.
-const REPLACE_AFTER: Duration = Duration::from_secs(6);
+/// Part of the time in which a new disk has to hold everything that a replica may be silent before
+/// another disk takes its place: the rest is for learning and for the changes of the group.
+const SILENCE_SHARE: f64 = 0.3;
 
 /// Silence of a leader after which an election starts, in milliseconds. Jobs are to be accepted
 /// within some hundred milliseconds, also when a leader is lost.
-const ELECTION_TIMEOUT: u64 = 400;
+const ELECTION_TIMEOUT: u64 = 300;
 
-const HEARTBEAT_INTERVAL: u64 = 80;
+const HEARTBEAT_INTERVAL: u64 = 60;
 
 /// Free space of the data folder below which new jobs are refused, in bytes.
 const RESERVE_BYTES: u64 = 32 * 1024 * 1024;
@@ -98,7 +98,7 @@
                 heartbeat_interval: HEARTBEAT_INTERVAL,
                 ..Timing::default()
             },
-            replace_after: REPLACE_AFTER,
+            replace_after: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
             reserve_bytes: RESERVE_BYTES,
             snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
         };
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -93,6 +93,21 @@
     /// Disks that may be lost at once with nothing lost.
     #[serde(default = "one")]
     pub tolerated_disk_losses: u32,
+    /// Time after which a node that is new, or back, must hold everything, in seconds: from then on
+    /// another disk may be lost.
+    #[serde(default = "default_catch_up_seconds")]
+    pub catch_up_seconds: f64,
+}
+
+fn default_catch_up_seconds() -> f64 {
+    5.0
+}
+
+impl Cluster {
+    /// Time after which a node that is new, or back, must hold everything.
+    pub fn catch_up(&self) -> Duration {
+        Duration::from_secs_f64(self.catch_up_seconds)
+    }
 }
 
 fn one() -> u32 {
@@ -148,6 +163,9 @@
 /// Shortest history of the store that can be watched.
 const MINIMUM_HISTORY_SECONDS: f64 = 1.0;
 
+/// Shortest time in which a new disk can be made to hold everything.
+const MINIMUM_CATCH_UP_SECONDS: f64 = 1.0;
+
 /// Most disks that may be lost at once: more needs groups of more than seven.
 const MAXIMUM_DISK_LOSSES: u32 = 3;
 
@@ -186,6 +204,14 @@
                 "Set at least 1.",
             ));
         }
+        let catch_up = self.cluster.catch_up_seconds;
+        if !catch_up.is_finite() || catch_up < MINIMUM_CATCH_UP_SECONDS {
+            return Err(SettingsError::Invalid(
+                "cluster.catch_up_seconds",
+                catch_up.to_string(),
+                "Set at least 1.",
+            ));
+        }
         let grace = self.leave.grace_seconds;
         if !grace.is_finite() || grace < MINIMUM_GRACE_SECONDS {
             return Err(SettingsError::Invalid(
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -31,6 +31,9 @@
 /// Guard against a test that hangs.
 const HANGS_AFTER: Duration = Duration::from_secs(60);
 
+/// Time after which a new disk must hold everything, by the default settings.
+const CATCH_UP: Duration = Duration::from_secs(5);
+
 const SECRET: &str = "sixteen bytes of secret";
 
 struct Node {
@@ -506,3 +509,20 @@
         cluster.whole().await;
     });
 }
+
+#[test]
+fn a_new_disk_holds_everything_before_another_may_be_lost() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.submit("job", 2).await;
+        let gone = cluster.leader().await;
+        cluster.kill(gone);
+        cluster.add().await;
+        // From here on another disk may be lost.
+        actix_rt::time::sleep(CATCH_UP).await;
+        let next = cluster.leader().await;
+        cluster.wipe(next).await;
+        let body = cluster.body("job", "i1").await;
+        assert_eq!(body.as_deref(), Some("body 1"));
+    });
+}
--- a/crates/firshore-node/tests/settings.rs
+++ b/crates/firshore-node/tests/settings.rs
@@ -51,6 +51,12 @@
             "objects.history_seconds",
             "at least 1",
         ),
+        (
+            "tolerated_disk_losses = 1",
+            "catch_up_seconds = 0",
+            "cluster.catch_up_seconds",
+            "at least 1",
+        ),
         ("name = 'n'", "name = ''", "name", "a name of its own"),
         (
             "callers = '127.0.0.1:1'",
