--- a/crates/firshore-gateway/src/events.rs
+++ b/crates/firshore-gateway/src/events.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Length of the first event with the blank line that ends it.
-fn event_length(buffer: &[u8]) -> Option<usize> {
+/// Length of the first whole event in `buffer`, with the blank line that ends it.
+pub fn event_length(buffer: &[u8]) -> Option<usize> {
     let mut line_start = 0;
     for (position, byte) in buffer.iter().enumerate() {
         if *byte != b'\n' {
--- a/crates/firshore-server/src/gateway/event_stream.rs
+++ b/crates/firshore-server/src/gateway/event_stream.rs
@@ -5,6 +5,7 @@
 //! token; a token that comes twice is dropped, and a gap is a fault.
 
 use bytes::{Bytes, BytesMut};
+use firshore_gateway::events::event_length;
 use quick_error::quick_error;
 
 /// Longest event in bytes.
@@ -122,22 +123,6 @@
     }
 }
 
-/// Length of the first event with the blank line that ends it.
-fn event_length(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            return Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    None
-}
-
 fn parse(raw: &[u8]) -> Event<'_> {
     let mut event = Event::default();
     for line in raw.split(|byte| *byte == b'\n') {
--- a/crates/firshore-server/src/settings.rs
+++ b/crates/firshore-server/src/settings.rs
@@ -2,32 +2,13 @@
 
 pub use firshore_logging::{LogFormat, LogLevel, LogSettings};
 use firshore_types::ids::{NodeName, RegionName, ZoneName};
-use quick_error::quick_error;
+pub use firshore_types::settings::SettingsError;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-quick_error! {
-    /// Why settings cannot be used.
-    #[derive(Debug)]
-    pub enum SettingsError {
-        /// The file cannot be read.
-        Read(path: PathBuf, error: std::io::Error) {
-            display("The settings file {} cannot be read: {error}. Give its path with --settings.", path.display())
-        }
-        /// The file is not TOML of the expected shape.
-        Parse(path: PathBuf, error: toml::de::Error) {
-            display("The settings file {} is invalid: {error} Correct it as docs/REFERENCE.md gives.", path.display())
-        }
-        /// A value is unusable.
-        Invalid(key: &'static str, value: String, remedy: &'static str) {
-            display("Setting {key} = '{value}' cannot be used. {remedy}")
-        }
-    }
-}
-
 /// Everything a node is told at its start.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/firshore-types/src/lib.rs
+++ b/crates/firshore-types/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod payload;
 pub mod policy;
 
+pub mod settings;
 pub mod validation;
