--- a/crates/firshore-gateway/src/forward.rs
+++ b/crates/firshore-gateway/src/forward.rs
@@ -14,7 +14,7 @@
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName};
 use actix_http::{RequestHead, ResponseHead};
 use bytes::{Bytes, BytesMut};
-use firshore_adapter::backend::{AnswerHead, Backend, Ran, SendTerms};
+use firshore_adapter::backend::{AnswerHead, Backend, Incarnation, Ran, SendTerms};
 use firshore_adapter::caller::RequestTerms;
 use firshore_adapter::route::{Repetition, Route};
 use firshore_exchange::exchange::{self, Exchange, ExchangeBody, ExchangeError, Reuse};
@@ -97,6 +97,8 @@
     attempts: Attempts,
     progress: Progress,
     failure: Option<KeptFailure>,
+    /// Where it was sent last.
+    sent_to: Option<Incarnation>,
 }
 
 /// Runs a request and answers it.
@@ -122,6 +124,7 @@
         request,
         terms,
         failure: None,
+        sent_to: None,
     };
     match forwarding.run(connection).await {
         Ok(handled) => handled,
@@ -238,6 +241,7 @@
         connection: &mut CallerConnection,
     ) -> Result<Sent, Interrupted> {
         self.attempts.sending(&backend.incarnation);
+        self.sent_to = Some(backend.incarnation.clone());
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
         let connecting = exchange::connect(backend.address, Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
@@ -513,9 +517,10 @@
 
     fn log_given_up(&self, refusal: Option<&Refusal>, reason: &'static str) {
         let status = refusal.map_or(0, |refusal| refusal.status().as_u16());
+        let sent_to = self.sent_to.as_ref().map(|backend| backend.0.as_str());
         info!(self.gateway.log, "forward: Given up."; "request" => &self.terms.id,
             "route" => &self.route.name, "service" => %self.service, "reason" => reason,
-            "status" => status, "sends" => self.attempts.sends(),
+            "backend" => sent_to, "status" => status, "sends" => self.attempts.sends(),
             "may_have_run" => self.attempts.may_have_run(), "age_ms" => self.age());
     }
 
--- a/crates/firshore-node/src/command_line.rs
+++ b/crates/firshore-node/src/command_line.rs
@@ -91,8 +91,8 @@
         }
         let nodes: Vec<&str> = explanation.nodes.iter().map(String::as_str).collect();
         eprintln!(
-            "No line concerns '{}'. A request that ended well at its first send writes none. Logs of \
-             these nodes were read: {}.",
+            "No line concerns '{}'. A request that ended well at its first send writes none, nor \
+             does one that was under way when its node ended. Logs of these nodes were read: {}.",
             self.id,
             nodes.join(", ")
         );
