A back end that has fallen silent gets nothing new

Change: a back end with requests under way from which nothing was heard for 600 ms is passed over while others are there; any byte brings it back. Ruled out: health checks (priced, and the answers tell enough). Test: a_back_end_that_has_fallen_silent_gets_nothing_new (fails before).

--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -21,6 +21,10 @@
 
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
+/// Time without a byte from a back end that has requests under way after which it gets no new ones.
+/// Engines answer something each few milliseconds, applications within half a second.
+const SILENCE: Duration = Duration::from_millis(600);
+
 /// How a back end's handling of a request reflects on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Impression {
@@ -49,6 +53,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Since when requests are under way and nothing was heard.
+    silent_since: Option<Instant>,
 }
 
 impl State {
@@ -61,9 +67,15 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            silent_since: None,
         }
     }
 
+    fn is_silent(&self, now: Instant) -> bool {
+        let since = self.silent_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
+    }
+
     fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
@@ -193,7 +205,7 @@
             .collect();
         let trusted: Vec<&State> = usable
             .iter()
-            .filter(|state| !state.is_ejected(now))
+            .filter(|state| !state.is_ejected(now) && !state.is_silent(now))
             .copied()
             .collect();
         // If all are ejected, the cause is more likely on this side: any is better than none.
@@ -258,9 +270,17 @@
     }
 
     /// A request is about to be sent.
-    pub fn started(&mut self, incarnation: &Incarnation) {
+    pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
         if let Some(state) = self.states.get_mut(incarnation) {
             state.in_flight += 1;
+            state.silent_since.get_or_insert(now);
+        }
+    }
+
+    /// Something of an answer has arrived.
+    pub fn heard(&mut self, now: Instant, incarnation: &Incarnation) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.silent_since = Some(now);
         }
     }
 
@@ -268,6 +288,9 @@
     pub fn ended(&mut self, incarnation: &Incarnation) {
         if let Some(state) = self.states.get_mut(incarnation) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            if state.in_flight == 0 {
+                state.silent_since = None;
+            }
         }
     }
 
--- a/crates/firshore-gateway/src/forward.rs
+++ b/crates/firshore-gateway/src/forward.rs
@@ -280,6 +280,7 @@
         exchange: Exchange,
         connection: &mut CallerConnection,
     ) -> Result<Sent, Interrupted> {
+        self.gateway.heard(&backend.incarnation);
         let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
         self.note_answer(backend, &answer);
         if answer.misdirected || answer.ran == Ran::No {
@@ -420,6 +421,7 @@
                 Ok(None) => break,
                 Err(error) => return Ok(self.stream_broke(backend, &error)),
             };
+            self.gateway.heard(&backend.incarnation);
             let events = match self.events_in(chunk) {
                 Ok(events) => events,
                 Err(error) => return Ok(self.stream_broke(backend, &error)),
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -115,7 +115,7 @@
 
     /// A request is about to be sent to a back end.
     pub fn in_flight(&self, incarnation: &Incarnation) -> InFlight {
-        self.fleet.borrow_mut().started(incarnation);
+        self.fleet.borrow_mut().started(Instant::now(), incarnation);
         InFlight {
             fleet: self.fleet.clone(),
             incarnation: incarnation.clone(),
@@ -157,6 +157,12 @@
         self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty()
     }
 
+    /// Something of a back end's answer has arrived.
+    pub fn heard(&self, incarnation: &Incarnation) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.heard(Instant::now(), incarnation);
+    }
+
     /// Takes in how a back end handled a request.
     pub fn observed(&self, incarnation: &Incarnation, seen: Impression) {
         let ejected = self
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -208,7 +208,7 @@
     let home = chosen(&here, now, &attempts, key).unwrap();
     assert_eq!(chosen(&elsewhere, now, &attempts, key), Some(home.clone()));
     for _ in 0..8 {
-        here.started(&incarnation(&home));
+        here.started(now, &incarnation(&home));
     }
     let second = chosen(&here, now, &attempts, key).unwrap();
     assert_ne!(second, home, "a busy back end is passed over");
@@ -229,7 +229,7 @@
     fleet.learned_others(now, &others);
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("c"));
     for _ in 0..3 {
-        fleet.started(&incarnation("c"));
+        fleet.started(now, &incarnation("c"));
     }
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
     let later = now + Duration::from_secs(3);
@@ -244,7 +244,7 @@
 fn an_answer_tells_only_what_others_have_under_way() {
     let now = Instant::now();
     let mut fleet = fleet(&["a"]);
-    fleet.started(&incarnation("a"));
+    fleet.started(now, &incarnation("a"));
     let load = ReportedLoad {
         running: 3,
         waiting: 0,
@@ -285,10 +285,33 @@
     fleet.observed(now, &incarnation("b"), Impression::Answered);
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
     let later = now + Duration::from_secs(5);
-    fleet.started(&incarnation("b"));
+    fleet.started(later, &incarnation("b"));
     assert_eq!(chosen(&fleet, later, &attempts, None).as_deref(), Some("a"));
 }
 
+#[test]
+fn a_back_end_that_has_fallen_silent_gets_nothing_new() {
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let mut fleet = fleet(&["a", "b"]);
+    let (silent, other) = (incarnation("a"), incarnation("b"));
+    fleet.started(now, &silent);
+    for _ in 0..3 {
+        fleet.started(now, &other);
+    }
+    let later = now + Duration::from_millis(700);
+    fleet.heard(later, &other);
+    assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("a"));
+    assert_eq!(chosen(&fleet, later, &attempts, None).as_deref(), Some("b"));
+    fleet.heard(later, &silent);
+    assert_eq!(chosen(&fleet, later, &attempts, None).as_deref(), Some("a"));
+    let much_later = later + Duration::from_secs(1);
+    fleet.heard(much_later, &other);
+    fleet.ended(&silent);
+    let idle = chosen(&fleet, much_later, &attempts, None);
+    assert_eq!(idle.as_deref(), Some("a"), "nothing is under way there");
+}
+
 #[test]
 fn events_pass_whole_and_in_order() {
     let mut stream = EventStream::after(None);
--- a/crates/firshore-gateway/tests/forwarding.rs
+++ b/crates/firshore-gateway/tests/forwarding.rs
@@ -203,7 +203,7 @@
                 .gateway
                 .fleet
                 .borrow_mut()
-                .started(&Incarnation(first));
+                .started(std::time::Instant::now(), &Incarnation(first));
             let got = ask(place.callers, path, "").await;
             assert!(matches(&got, &expected), "{path} {play:?}: {got:?}");
             assert_eq!(place.seen().len(), sends, "{path} {play:?}: sends");
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -122,6 +122,7 @@
 
     async fn take_answer(&self, exchange: Exchange) -> RunEnd {
         let incarnation = &self.backend.incarnation;
+        self.gateway.heard(incarnation);
         let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
         if let Some(load) = answer.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
@@ -151,6 +152,7 @@
         loop {
             match timeout(GAP_TIMEOUT, exchange.body.next()).await {
                 Ok(Ok(Some(chunk))) => {
+                    self.gateway.heard(incarnation);
                     if self.progress.borrow_mut().feed(&chunk).is_err() {
                         return RunEnd::Broken;
                     }
