--- /dev/null
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -0,0 +1,271 @@
+//! Carries one online request to a back end and its answer back.
+//!
+//! An answer is passed on as it is or not at all: small answers are read whole first, streams event
+//! by event; what breaks off after a part was passed on ends the caller's connection.
+
+mod give_up;
+mod headers;
+mod relay;
+
+use crate::attempts::{Attempts, Next, SendEnd};
+use crate::caller_connection::{CallerConnection, CallerRequest};
+use crate::choice::affinity_key;
+use crate::events::EventStream;
+use crate::fleet::{Impression, Wanted};
+use crate::gateway::Gateway;
+use actix_http::{RequestHead, ResponseHead};
+use bytes::Bytes;
+use firshore_adapter::backend::{AnswerHead, Backend, Incarnation, Ran, SendTerms};
+use firshore_adapter::caller::RequestTerms;
+use firshore_adapter::route::Route;
+use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
+use firshore_types::ids::ServiceName;
+use headers::end_to_end;
+use slog::{info, warn};
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time left under which a request is not sent any more.
+const LEAST_REMAINING: Duration = Duration::from_millis(5);
+
+/// What becomes of the caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handled {
+    /// It may carry another request.
+    KeepOpen,
+    /// It ends.
+    Close,
+}
+
+/// Why work for a caller was stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interrupted {
+    CallerLeft,
+    TimedOut,
+}
+
+/// How far the answer to the caller is.
+#[derive(Debug, Default)]
+struct Progress {
+    head_sent: bool,
+    events: EventStream,
+}
+
+/// A back end's failure, kept to be passed on if nothing better comes.
+struct KeptFailure {
+    head: ResponseHead,
+    body: Bytes,
+}
+
+/// What a send came to.
+enum Sent {
+    /// The caller has its answer, or is gone.
+    Handled(Handled),
+    /// The back end gave nothing to pass on.
+    Ended(SendEnd),
+}
+
+/// One request under way.
+struct Forwarding<'a> {
+    gateway: &'a Gateway,
+    route: Arc<Route>,
+    service: ServiceName,
+    request: CallerRequest,
+    terms: RequestTerms,
+    /// When the caller must have its answer.
+    deadline: Instant,
+    attempts: Attempts,
+    progress: Progress,
+    failure: Option<KeptFailure>,
+    /// Where it was sent last.
+    sent_to: Option<Incarnation>,
+}
+
+/// Runs a request and answers it.
+pub async fn forward(
+    gateway: &Gateway,
+    route: Arc<Route>,
+    request: CallerRequest,
+    connection: &mut CallerConnection,
+) -> Handled {
+    let terms = gateway.adapter.caller.read_terms(&request.headers);
+    let wait = terms.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let service = gateway.split.borrow_mut().next(&route);
+    let mut forwarding = Forwarding {
+        gateway,
+        service,
+        deadline: request.arrived + wait,
+        attempts: Attempts::new(route.repetition, route.attempts),
+        progress: Progress {
+            head_sent: false,
+            events: EventStream::after(terms.resume_after),
+        },
+        route,
+        request,
+        terms,
+        failure: None,
+        sent_to: None,
+    };
+    match forwarding.run(connection).await {
+        Ok(handled) => handled,
+        Err(interrupted) => forwarding.interrupted(interrupted, connection).await,
+    }
+}
+
+/// Waits for `work`, unless the caller leaves or the time is up.
+async fn guarded<T>(
+    connection: &mut CallerConnection,
+    deadline: Instant,
+    work: impl Future<Output = T>,
+) -> Result<T, Interrupted> {
+    tokio::select! {
+        biased;
+        result = work => Ok(result),
+        () = connection.left() => Err(Interrupted::CallerLeft),
+        () = actix_rt::time::sleep_until(deadline.into()) => Err(Interrupted::TimedOut),
+    }
+}
+
+impl Forwarding<'_> {
+    async fn run(&mut self, connection: &mut CallerConnection) -> Result<Handled, Interrupted> {
+        loop {
+            if self.remaining() < LEAST_REMAINING {
+                return Err(Interrupted::TimedOut);
+            }
+            let Some(backend) = self.choose() else {
+                let next = self.attempts.give_up();
+                return Ok(self.give_up(next, "no back end", connection).await);
+            };
+            let end = match self.send(&backend, connection).await? {
+                Sent::Handled(handled) => return Ok(handled),
+                Sent::Ended(end) => end,
+            };
+            let next = self.attempts.ended(&backend.incarnation, end);
+            info!(self.gateway.log, "forward: Send ended.";
+                "request" => &self.terms.id, "route" => &self.route.name,
+                "backend" => %backend.incarnation, "end" => ?end, "next" => ?next,
+                "sends" => self.attempts.sends(), "age_ms" => self.age());
+            if next != Next::SendAgain {
+                return Ok(self.give_up(next, "sends used up", connection).await);
+            }
+        }
+    }
+
+    fn age(&self) -> u64 {
+        self.request.arrived.elapsed().as_millis() as u64
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn choose(&self) -> Option<Backend> {
+        let affinity = match self.route.prefix_affinity {
+            true => affinity_key(&self.terms.prompt),
+            false => None,
+        };
+        let wanted = Wanted {
+            service: &self.service,
+            attempts: &self.attempts,
+            affinity,
+            load_limit: f32::INFINITY,
+        };
+        let mut random = self.gateway.random.borrow_mut();
+        let fleet = self.gateway.fleet.borrow();
+        fleet.choose(Instant::now(), &wanted, &mut *random)
+    }
+
+    fn request_head(&self, backend: &Backend) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.request.method.clone();
+        head.uri = self.request.uri.clone();
+        head.headers = end_to_end(&self.request.headers);
+        let terms = SendTerms {
+            incarnation: &backend.incarnation,
+            remaining: self.remaining(),
+            resume_after: self.progress.events.last(),
+        };
+        self.gateway
+            .adapter
+            .backend
+            .write_terms(&mut head.headers, &terms);
+        head
+    }
+
+    async fn send(
+        &mut self,
+        backend: &Backend,
+        connection: &mut CallerConnection,
+    ) -> Result<Sent, Interrupted> {
+        self.attempts.sending(&backend.incarnation);
+        self.sent_to = Some(backend.incarnation.clone());
+        let _in_flight = self.gateway.in_flight(&backend.incarnation);
+        let connecting = exchange::connect(backend.address, Reuse::Idle);
+        let to_backend = match guarded(connection, self.deadline, connecting).await? {
+            Ok(to_backend) => to_backend,
+            Err(_) => {
+                self.gateway
+                    .observed(&backend.incarnation, Impression::Unreachable);
+                return Ok(Sent::Ended(SendEnd::NotSent));
+            }
+        };
+        let head = self.request_head(backend);
+        let dialect = self.gateway.adapter.backend.clone();
+        let is_expected = |answer: &ResponseHead| dialect.answers(&self.request.headers, answer);
+        let sending = to_backend.send_expecting(head, self.request.body.clone(), is_expected);
+        match guarded(connection, self.deadline, sending).await? {
+            Ok(exchange) => self.take_answer(backend, exchange, connection).await,
+            Err(error) => Ok(self.lost(backend, &error)),
+        }
+    }
+
+    fn lost(&self, backend: &Backend, error: &ExchangeError) -> Sent {
+        self.gateway
+            .observed(&backend.incarnation, Impression::Broke);
+        warn!(self.gateway.log, "forward: Answer lost."; "request" => &self.terms.id,
+            "backend" => %backend.incarnation, "reason" => %error, "age_ms" => self.age());
+        let started = self.progress.events.last().is_some();
+        Sent::Ended(match started {
+            true => SendEnd::BrokenOff,
+            false => SendEnd::Lost,
+        })
+    }
+
+    async fn take_answer(
+        &mut self,
+        backend: &Backend,
+        exchange: Exchange,
+        connection: &mut CallerConnection,
+    ) -> Result<Sent, Interrupted> {
+        self.gateway.heard(&backend.incarnation);
+        let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
+        self.note_answer(backend, &answer);
+        if answer.misdirected || answer.ran == Ran::No {
+            return Ok(Sent::Ended(SendEnd::NotRun));
+        }
+        let success = exchange.head.status.is_success();
+        if success && answer.ran == Ran::Yes && self.route.streams {
+            return self.relay_stream(backend, exchange, connection).await;
+        }
+        if self.progress.head_sent {
+            // A stream was to go on and got something else.
+            return Ok(Sent::Ended(SendEnd::BrokenOff));
+        }
+        self.relay_whole(backend, exchange, answer.ran, connection)
+            .await
+    }
+
+    fn note_answer(&self, backend: &Backend, answer: &AnswerHead) {
+        if let Some(load) = answer.load {
+            let mut fleet = self.gateway.fleet.borrow_mut();
+            fleet.reported(Instant::now(), &backend.incarnation, load);
+        }
+        let seen = match (answer.misdirected, answer.ran) {
+            (true, _) => Impression::Unreachable,
+            (false, Ran::No) => Impression::Full,
+            (false, _) => return,
+        };
+        self.gateway.observed(&backend.incarnation, seen);
+    }
+}
--- a/crates/firshore-log/src/driver.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -1,15 +1,18 @@
 //! The thread of one replica: takes inputs in batches, writes each batch in one transaction, sends
 //! messages, applies committed commands, takes snapshots. Workers never wait for the disk.
 
-use crate::disk_space;
+mod requests;
+mod snapshot;
+mod survey;
+
 use crate::group::GroupStatus;
 use crate::machine::{ReplicaSettings, SharedState, StateMachine, Transport};
 use crate::refusal::JournalRefusal;
-use firshore_replication::error::{ReplicaError, StorageError};
+use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
 use firshore_replication::replica::{Output, ReadToken, Replica};
-use firshore_replication::storage::{Storage, StoredState};
+use firshore_replication::storage::Storage;
 use firshore_replication::types::{
     DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange, Term,
 };
@@ -30,9 +33,6 @@
 /// Most inputs written in one transaction.
 const MAXIMUM_BATCH: usize = 512;
 
-/// How often the status, the addresses of peers and the free space are looked at, in milliseconds.
-const SURVEY_INTERVAL: u64 = 200;
-
 /// Pause before a full disk is tried again.
 const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -310,95 +310,6 @@
         Flow::Continue
     }
 
-    fn not_leader(&self) -> JournalRefusal {
-        let status = self.replica.status();
-        let leader = status
-            .leader
-            .filter(|disk| *disk != self.replica.disk())
-            .and_then(|disk| status.membership.replicas.get(&disk))
-            .map(|replica| replica.node.clone());
-        JournalRefusal::NotLeader { leader }
-    }
-
-    fn propose(&mut self, mut command: M::Command, answer: ProposalAnswer<M>) {
-        if !self.replica.leads() {
-            let _ = answer.send(Err(self.not_leader()));
-            return;
-        }
-        if self.full && M::needs_space(&command) {
-            let _ = answer.send(Err(JournalRefusal::StorageFull));
-            return;
-        }
-        let now = unix_milliseconds();
-        // Looking for work where there is none costs no log entry.
-        if let Some(outcome) = self.state.read().without_effect(&command, now) {
-            let _ = answer.send(Ok(outcome));
-            return;
-        }
-        M::stamp(&mut command, now);
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&command, &mut bytes).expect("commands serialise to memory");
-        match self.replica.propose(bytes) {
-            Ok(position) => {
-                let term = position.term;
-                let pending = PendingProposal { term, answer };
-                // An older proposal at this index was lost: its term is over.
-                if let Some(lost) = self.proposals.insert(position.index, pending) {
-                    let _ = lost.answer.send(Err(JournalRefusal::Unsettled));
-                }
-            }
-            Err(_) => {
-                let _ = answer.send(Err(self.not_leader()));
-            }
-        }
-    }
-
-    fn read(&mut self, answer: ReadAnswer<M>) {
-        self.next_read += 1;
-        match self.replica.read(self.next_read) {
-            Ok(()) => {
-                let waiting = WaitingRead {
-                    index: None,
-                    answer,
-                };
-                self.reads.insert(self.next_read, waiting);
-            }
-            Err(_) => {
-                let _ = answer.send(Err(self.not_leader()));
-            }
-        }
-    }
-
-    fn found(&mut self, membership: Membership) {
-        let empty = self.storage.load().is_ok_and(|stored| stored.is_empty());
-        if !(empty && self.replica.is_empty()) {
-            return;
-        }
-        let founded = self
-            .storage
-            .write(&StoredState::founding(membership))
-            .and_then(|()| restore::<M>(self.environment, &self.storage));
-        match founded {
-            Ok((replica, _)) => {
-                self.replica = replica;
-                info!(self.log, "journal: Group founded.");
-            }
-            Err(reason) => warn!(self.log, "journal: Group not founded."; "reason" => %reason),
-        }
-    }
-
-    fn change(&mut self, change: &MembershipChange) {
-        match self.replica.change_membership(change) {
-            Ok(position) => {
-                info!(self.log, "journal: Replicas change."; "change" => ?change, "index" => position.index);
-            }
-            Err(ReplicaError::ChangePending | ReplicaError::NotLeader) => {}
-            Err(reason) => {
-                warn!(self.log, "journal: Replicas not changed."; "change" => ?change, "reason" => %reason);
-            }
-        }
-    }
-
     /// Carries out what the replica asks for until there is nothing left.
     fn settle(&mut self) -> Result<(), StorageError> {
         loop {
@@ -529,46 +440,6 @@
         }
     }
 
-    /// Encodes the state on another thread once the log has grown.
-    fn start_snapshot(&mut self) {
-        let limit = self
-            .environment
-            .settings
-            .snapshot_after_bytes
-            .max(self.replica.snapshot_bytes());
-        let due = self.replica.log_bytes() > limit && self.replica.covers(self.applied);
-        if self.snapshot.is_some() || !due {
-            return;
-        }
-        let (sender, receiver) = std::sync::mpsc::channel();
-        let (state, index) = (self.state.clone(), self.applied);
-        let encode = move || {
-            let mut data = Vec::new();
-            ciborium::into_writer(&*state.read(), &mut data).expect("the state serialises");
-            let _ = sender.send(FinishedSnapshot { index, data });
-        };
-        let thread = std::thread::Builder::new().name("journal-snapshot".to_owned());
-        if thread.spawn(encode).is_ok() {
-            self.snapshot = Some(receiver);
-        }
-    }
-
-    fn finish_snapshot(&mut self) {
-        let Some(receiver) = &self.snapshot else {
-            return;
-        };
-        match receiver.try_recv() {
-            Ok(finished) => {
-                self.snapshot = None;
-                let (index, bytes) = (finished.index, finished.data.len());
-                self.replica.compact(index, finished.data);
-                info!(self.log, "journal: Snapshot taken."; "index" => index, "bytes" => bytes);
-            }
-            Err(TryRecvError::Empty) => {}
-            Err(TryRecvError::Disconnected) => self.snapshot = None,
-        }
-    }
-
     fn fail_everything(&mut self) {
         for (_, pending) in std::mem::take(&mut self.proposals) {
             let _ = pending.answer.send(Err(JournalRefusal::Unsettled));
@@ -578,75 +449,4 @@
             let _ = read.answer.send(Err(refusal));
         }
     }
-
-    fn survey(&mut self) {
-        let now = self.environment.now();
-        let leads = self.replica.leads();
-        if leads != self.led {
-            self.led = leads;
-            let term = self.replica.status().term;
-            if leads {
-                info!(self.log, "journal: Leads."; "term" => term);
-            } else {
-                info!(self.log, "journal: Follows."; "term" => term);
-            }
-        } else if now < self.survey_due {
-            return;
-        }
-        self.survey_due = now + SURVEY_INTERVAL;
-        self.environment.transport.refresh();
-        self.look_at_space();
-        self.publish();
-    }
-
-    fn look_at_space(&mut self) {
-        let free = self
-            .environment
-            .path
-            .parent()
-            .and_then(disk_space::free_bytes);
-        let reserve = self.environment.settings.reserve_bytes;
-        let full = free.is_some_and(|free| free < reserve);
-        if full != self.full {
-            self.full = full;
-            if full {
-                warn!(self.log, "journal: Space is short."; "free" => free, "reserve" => reserve);
-            } else {
-                info!(self.log, "journal: Space is enough again."; "free" => free);
-            }
-        }
-    }
-
-    fn publish(&self) {
-        let replica = self.replica.status();
-        let limit = self.environment.settings.replace_after.as_millis() as u64;
-        let caught_up = replica
-            .membership
-            .replicas
-            .keys()
-            .copied()
-            .filter(|disk| self.replica.has_caught_up(*disk));
-        let leader = replica
-            .leader
-            .and_then(|disk| replica.membership.replicas.get(&disk))
-            .map(|leader| leader.node.clone());
-        let status = GroupStatus {
-            disk: self.storage.disk(),
-            holds_log: !self.replica.is_empty(),
-            leads: replica.leads,
-            leader,
-            term: replica.term,
-            commit: replica.commit,
-            last: replica.last,
-            silent: self.replica.silent(limit).into_iter().collect(),
-            caught_up: caught_up.collect(),
-            membership_committed: replica.membership_committed,
-            membership: replica.membership,
-            file_bytes: self.storage.file_bytes(),
-            full: self.full,
-            stopped: None,
-        };
-        *self.environment.status.write() = Arc::new(status);
-        self.environment.applied.send_replace(self.applied);
-    }
 }
