--- a/crates/firshore-types/src/settings.rs
+++ b/crates/firshore-types/src/settings.rs
@@ -13,7 +13,7 @@
         }
         /// The file is not TOML of the expected shape.
         Parse(path: PathBuf, error: toml::de::Error) {
-            display("The settings file {} is invalid: {error} Correct it as docs/REFERENCE.md gives.", path.display())
+            display("The settings file {} is invalid: {error} Correct the key that is named, as docs/REFERENCE.md gives.", path.display())
         }
         /// A value is unusable.
         Invalid(key: &'static str, value: String, remedy: &'static str) {
