One of a pair goes on alone when the other never comes back; disks that stay silent are passed over

Change: the record of voters in the store is marked settled once the change is known to be committed; of a settled pair the one that first records itself alone (compare-and-set) goes on, after 0.3 of the catch-up time without a leader. An unsettled record never allows it: until now a voter that had appended, but not committed, the removal of a third could have gone on without entries of the others. A learner that never answers is passed over for 30 s: the leader took the gone disk in and out without end, as it sorted first. Test: one_of_a_pair_goes_on_alone_when_the_other_never_comes_back (hung on both faults).

--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -2,7 +2,7 @@
 //! old jobs.
 
 use super::Journal;
-use super::registry::NodeRecord;
+use super::registry::{NodeRecord, VoterRecord};
 use super::retirement::Retirements;
 use firshore_adapter::Adapter;
 use firshore_jobs::command::Action;
@@ -11,7 +11,8 @@
 use firshore_replication::types::{DiskId, Membership, MembershipChange};
 use firshore_types::ids::NodeName;
 use slog::info;
-use std::collections::BTreeSet;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -25,6 +26,9 @@
 /// Time between commands that forget old jobs.
 const FORGET_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Time for which a disk that was taken in and stayed silent is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(30);
+
 /// What upkeep needs beside the journal.
 pub struct Upkeep {
     /// The journal.
@@ -37,6 +41,12 @@
     pub record: NodeRecord,
     /// Nodes that are to be emptied.
     pub retirements: Rc<Retirements>,
+    /// Time without a leader after which the other voter of a pair counts as gone.
+    pub patience: Duration,
+    /// Disks that were taken in and stayed silent, and until when they are passed over.
+    pub passed_over: RefCell<BTreeMap<DiskId, Instant>>,
+    /// Since when no leader is known.
+    pub leaderless_since: Cell<Option<Instant>>,
 }
 
 fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
@@ -75,6 +85,7 @@
     async fn look(&self) {
         let registry = &self.journal.registry;
         let status = self.journal.replica.status();
+        self.note_leader(status.leader.is_some());
         let lost = status.leader.is_none() || !registry.is_registered(&self.node, &self.record);
         if (lost && !status.leads) || registry.is_unsettled() {
             // Without a leader, nodes may be missed: another address, or other nodes.
@@ -96,6 +107,14 @@
         }
     }
 
+    fn note_leader(&self, known: bool) {
+        let since = match known {
+            true => None,
+            false => self.leaderless_since.get().or_else(|| Some(Instant::now())),
+        };
+        self.leaderless_since.set(since);
+    }
+
     /// Takes part in the founding: the first of enough nodes names the founders.
     async fn found(&self) {
         let registry = &self.journal.registry;
@@ -127,6 +146,7 @@
         let usable: Vec<Candidate> = candidates
             .iter()
             .filter(|candidate| !leaving.contains(&candidate.node))
+            .filter(|candidate| !self.is_passed_over(candidate.disk))
             .cloned()
             .collect();
         if !status.membership_committed {
@@ -144,39 +164,86 @@
         let change = view
             .next_change(&usable)
             .or_else(|| self.without_replacement(status, &view, &leaving));
+        let present = voters_of(&status.membership);
         let Some(change) = change else {
-            return;
+            return self.settle(present).await;
         };
         let voters = voters_after(&status.membership, &change);
-        if voters != voters_of(&status.membership) && !registry.records_voters(&voters) {
-            return registry.record_voters(&voters).await;
+        if voters != present && !self.is_recorded(&voters, false) {
+            let record = VoterRecord {
+                voters,
+                settled: false,
+            };
+            return registry.record_voters(&record).await;
+        }
+        if let MembershipChange::Remove(disk) = &change
+            && !present.contains(disk)
+        {
+            // A learner that never answered: its node is registered, but gone.
+            let until = Instant::now() + PASSED_OVER;
+            self.passed_over.borrow_mut().insert(*disk, until);
         }
         self.journal.replica.change(change);
     }
 
-    /// Goes on without the only other voter if its node has another disk by now: every committed
-    /// entry needed both, and the record of the voters shows that there was no third.
-    async fn go_on_alone(&self, status: &GroupStatus) {
+    fn is_passed_over(&self, disk: DiskId) -> bool {
+        let passed_over = self.passed_over.borrow();
+        passed_over
+            .get(&disk)
+            .is_some_and(|until| Instant::now() < *until)
+    }
+
+    fn is_recorded(&self, voters: &BTreeSet<DiskId>, settled: bool) -> bool {
+        let recorded = self.journal.registry.recorded_voters();
+        recorded.is_some_and(|record| record.voters == *voters && record.settled == settled)
+    }
+
+    /// Records that the change to these voters is committed.
+    async fn settle(&self, voters: BTreeSet<DiskId>) {
         let registry = &self.journal.registry;
-        let pair = voters_of(&status.membership);
-        let mut others = status.membership.replicas.iter();
-        let other = others.find(|(disk, _)| **disk != status.disk && pair.contains(disk));
-        let Some((other_disk, other)) = other else {
+        if registry.recorded_voters().is_none() || self.is_recorded(&voters, true) {
             return;
+        }
+        let record = VoterRecord {
+            voters,
+            settled: true,
         };
-        let candidates = registry.candidates();
-        let present = candidates.iter().find(|one| one.node == other.node);
-        let gone = present.is_some_and(|one| one.disk != *other_disk);
-        if pair.len() != 2 || !pair.contains(&status.disk) || !gone {
+        registry.record_voters(&record).await;
+    }
+
+    /// Goes on without the only other voter, once that has another disk or has been gone for a
+    /// while. Every committed entry needed both, the settled record shows that there was no third,
+    /// and of two that try only one can record itself.
+    async fn go_on_alone(&self, status: &GroupStatus) {
+        let pair = voters_of(&status.membership);
+        if pair.len() != 2 || !pair.contains(&status.disk) || !self.is_fellow_gone(status) {
             return;
         }
         let alone = BTreeSet::from([status.disk]);
-        if registry.records_voters(&alone) {
+        if self.is_recorded(&alone, false) {
             return self.journal.replica.continue_alone();
         }
-        if registry.records_voters(&pair) {
-            registry.record_voters(&alone).await;
+        if self.is_recorded(&pair, true) {
+            let record = VoterRecord {
+                voters: alone,
+                settled: false,
+            };
+            self.journal.registry.record_voters(&record).await;
+        }
+    }
+
+    /// Whether the other voter of a pair has lost its disk, or there was no leader for long.
+    fn is_fellow_gone(&self, status: &GroupStatus) -> bool {
+        let since = self.leaderless_since.get();
+        if since.is_some_and(|since| since.elapsed() >= self.patience) {
+            return true;
         }
+        let candidates = self.journal.registry.candidates();
+        let mut others = status.membership.replicas.iter();
+        others.any(|(disk, replica)| {
+            let present = candidates.iter().find(|one| one.node == replica.node);
+            *disk != status.disk && present.is_some_and(|one| one.disk != *disk)
+        })
     }
 
     /// Replicas that are to be replaced: silent ones, those whose node has another disk by now,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -35,7 +35,7 @@
 
 /// Part of the time in which a new disk has to hold everything that a replica may be silent before
 /// another disk takes its place: the rest is for learning and for the changes of the group.
-const SILENCE_SHARE: f64 = 0.3;
+pub const SILENCE_SHARE: f64 = 0.3;
 
 /// Silence of a leader after which an election starts, in milliseconds. Jobs are to be accepted
 /// within some hundred milliseconds, also when a leader is lost.
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -53,11 +53,15 @@
 
 /// The voters of the journal, written before any change of them enters the log.
 ///
-/// A voter whose only fellow has lost its disk may go on alone only if this record names just the
-/// two: otherwise its fellow may have committed entries with a third.
+/// A voter whose only fellow is gone may go on alone only if this record names just the two and is
+/// settled: otherwise its fellow may have committed entries with a third. As the record changes by
+/// compare-and-set, only one of the two can.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct VoterRecord {
-    voters: BTreeSet<DiskId>,
+pub struct VoterRecord {
+    /// Voters.
+    pub voters: BTreeSet<DiskId>,
+    /// Whether the change that made them voters is known to be committed.
+    pub settled: bool,
 }
 
 /// What the store lists.
@@ -132,28 +136,25 @@
         self.known.borrow().founding.clone()
     }
 
-    /// Whether the record of the voters names just these.
-    pub fn records_voters(&self, voters: &BTreeSet<DiskId>) -> bool {
+    /// The voters as recorded last.
+    pub fn recorded_voters(&self) -> Option<VoterRecord> {
         let known = self.known.borrow();
-        let record = known.voters.as_ref();
-        record.is_some_and(|(_, record)| record.voters == *voters)
+        known.voters.as_ref().map(|(_, record)| record.clone())
     }
 
     /// Records the voters, if nobody else has meanwhile. The next listing tells what was recorded.
-    pub async fn record_voters(&self, voters: &BTreeSet<DiskId>) {
+    pub async fn record_voters(&self, record: &VoterRecord) {
         if self.is_unsettled() {
             return;
         }
-        let record = VoterRecord {
-            voters: voters.clone(),
-        };
-        let spec = serde_json::to_value(&record).expect("records serialise");
+        let spec = serde_json::to_value(record).expect("records serialise");
         let known = self.known.borrow().voters.as_ref().map(|(at, _)| *at);
         let written = match known {
             None => self.store.create(KIND, VOTERS, spec).await,
             Some(revision) => self.store.replace(KIND, VOTERS, revision, spec).await,
         };
-        info!(self.log, "registry: Recording voters."; "voters" => ?voters);
+        info!(self.log, "registry: Recording voters."; "voters" => ?record.voters,
+            "settled" => record.settled);
         self.note("Voters recorded.", written);
     }
 
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::journal::maintenance::{self, Upkeep};
 use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
-use crate::journal::{Journal, PeerClient};
+use crate::journal::{Journal, PeerClient, SILENCE_SHARE};
 use crate::load_exchange;
 use crate::readiness;
 use crate::runner::Runner;
@@ -20,6 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -164,6 +165,9 @@
             disk: journal.replica.status().disk,
         },
         retirements,
+        patience: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
+        passed_over: RefCell::default(),
+        leaderless_since: Cell::new(None),
     };
     actix_rt::spawn(maintenance::run(upkeep));
     let runner = Runner::new(gateway.clone(), journal.clone());
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -11,7 +11,7 @@
 use firshore_node::journal::maintenance::{self, Upkeep};
 use firshore_node::journal::registry::{NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
-use firshore_node::journal::{Journal, PeerClient};
+use firshore_node::journal::{Journal, PeerClient, SILENCE_SHARE};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
 use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, RETIREMENTS, adapter};
@@ -21,6 +21,7 @@
 use rand::rngs::StdRng;
 use serde_json::json;
 use slog::{Discard, Logger, o};
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -113,6 +114,9 @@
             disk: journal.replica.status().disk,
         },
         retirements,
+        patience: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
+        passed_over: RefCell::default(),
+        leaderless_since: Cell::new(None),
     };
     let runner = Runner::new(gateway.clone(), journal.clone());
     let tasks = vec![
@@ -526,3 +530,24 @@
         assert_eq!(body.as_deref(), Some("body 1"));
     });
 }
+
+#[test]
+fn one_of_a_pair_goes_on_alone_when_the_other_never_comes_back() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.submit("job", 2).await;
+        cluster.store.put(RETIREMENTS, "n1", json!({}));
+        while cluster.store.object(RETIREMENTS, "n1").unwrap().status != json!("done") {
+            pause().await;
+        }
+        cluster.kill(1);
+        // The pair has to be known as such before one of it may be lost.
+        actix_rt::time::sleep(CATCH_UP).await;
+        cluster.kill(2);
+        cluster.add().await;
+        let body = cluster.body("job", "i0").await;
+        assert_eq!(body.as_deref(), Some("body 0"));
+        cluster.submit("next", 1).await;
+        cluster.whole().await;
+    });
+}
