--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -80,7 +80,6 @@
 pub struct Connection {
     address: SocketAddr,
     stream: TcpStream,
-    reused: bool,
 }
 
 /// An answer whose head has arrived.
@@ -112,22 +111,14 @@
     if reuse == Reuse::Idle
         && let Some(stream) = pool::take(address)
     {
-        return Ok(Connection {
-            address,
-            stream,
-            reused: true,
-        });
+        return Ok(Connection { address, stream });
     }
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| ExchangeError::NotConnected("timed out".to_owned()))?
         .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
     keep_alive::set_up(&stream).map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
-    Ok(Connection {
-        address,
-        stream,
-        reused: false,
-    })
+    Ok(Connection { address, stream })
 }
 
 /// Sends a request once and waits for the head of its answer.
@@ -140,11 +131,6 @@
 }
 
 impl Connection {
-    /// Whether an earlier exchange used the connection.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Sends a request and waits for the head of its answer. Every failure here means that the
     /// request may have run.
     pub async fn send(self, head: RequestHead, body: Bytes) -> Result<Exchange, ExchangeError> {
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -226,12 +226,6 @@
         Some(states[position].backend.clone())
     }
 
-    /// Whether the directory still lists the back end as one that takes new requests.
-    pub fn takes_requests(&self, incarnation: &Incarnation) -> bool {
-        let state = self.states.get(incarnation);
-        state.is_some_and(|state| !state.backend.leaving)
-    }
-
     /// Load of a back end in requests per slot, as believed.
     pub fn load(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
         self.states.get(incarnation).map(|state| state.load(now))
@@ -246,15 +240,6 @@
         (excess > 0).then_some(excess as usize)
     }
 
-    /// Back ends of a service that take new requests.
-    pub fn of_service<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Backend> {
-        let incarnations = self.by_service.get(service).into_iter().flatten();
-        incarnations
-            .filter_map(|one| self.states.get(one))
-            .map(|state| &state.backend)
-            .filter(|backend| !backend.leaving)
-    }
-
     /// Requests of this node under way at each back end.
     pub fn in_flight(&self) -> impl Iterator<Item = (Incarnation, u32)> {
         let states = self.states.iter();
--- a/crates/firshore-gateway/src/refusal.rs
+++ b/crates/firshore-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use actix_http::body::BodySize;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
-use firshore_types::error::{ApiError, ErrorCode, Execution};
+use firshore_types::error::{ApiError, ErrorCode};
 use std::time::Duration;
 
 /// An answer of the node's own.
@@ -34,11 +34,6 @@
         }
     }
 
-    /// Whether it promises that the request has not run.
-    pub fn promises_not_run(&self) -> bool {
-        self.error.execution == Execution::None
-    }
-
     /// Status that carries it.
     pub fn status(&self) -> StatusCode {
         StatusCode::from_u16(self.error.code.status()).expect("codes have valid statuses")
