--- a/crates/firshore-jobs/src/job.rs
+++ b/crates/firshore-jobs/src/job.rs
@@ -1,7 +1,9 @@
 //! One job.
 
 use crate::command::{ItemIndex, JobHeader};
-use firshore_adapter::jobs::{ItemOutcome, ItemResult, JobItem, ResultPage};
+use crate::listing::{ListedPage, ListedResult, ResultPlace};
+use firshore_adapter::jobs::{ItemOutcome, JobItem};
+use firshore_replication::types::LogIndex;
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +16,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct StoredResult {
     item: ItemIndex,
-    outcome: ItemOutcome,
+    place: ResultPlace,
+    /// Size of its text in bytes.
+    bytes: u32,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -60,7 +64,13 @@
         self.results.len() as u64
     }
 
-    pub(crate) fn complete(&mut self, index: ItemIndex, outcome: ItemOutcome) {
+    /// Entries of the log that hold results.
+    pub(crate) fn referenced(&self) -> impl Iterator<Item = LogIndex> + '_ {
+        self.results.iter().map(|result| result.place.entry)
+    }
+
+    /// Takes in a result that lies at `place`.
+    pub(crate) fn complete(&mut self, index: ItemIndex, outcome: &ItemOutcome, place: ResultPlace) {
         if self.ended {
             return;
         }
@@ -74,9 +84,11 @@
         // From here on only the result is read.
         item.item.body = Vec::new().into();
         item.item.headers = Vec::new();
+        item.item.path = String::new();
         self.results.push(StoredResult {
             item: index,
-            outcome,
+            place,
+            bytes: size(outcome) as u32,
         });
     }
 
@@ -84,6 +96,7 @@
         self.ended = true;
         for item in self.items.iter_mut().filter(|item| !item.finished) {
             item.item.body = Vec::new().into();
+            item.item.headers = Vec::new();
         }
     }
 
@@ -109,19 +122,19 @@
     }
 
     /// Results from a position on, of about `bytes` at most, but one at least if there is one.
-    pub(crate) fn page(&self, from: u64, bytes: usize) -> ResultPage {
+    pub(crate) fn page(&self, from: u64, bytes: usize) -> ListedPage {
         let mut held = 0;
         let wanted = self.results.iter().skip(from as usize);
         let results = wanted.take_while(|result| {
             let first = held == 0;
-            held += size(&result.outcome) + 1;
+            held += result.bytes as usize + 1;
             first || held <= bytes
         });
-        let results = results.map(|result| ItemResult {
+        let results = results.map(|result| ListedResult {
             item: self.items[result.item as usize].item.id.clone(),
-            outcome: result.outcome.clone(),
+            place: result.place,
         });
-        ResultPage {
+        ListedPage {
             total: self.items.len() as u64,
             from,
             results: results.collect(),
--- a/crates/firshore-jobs/src/lib.rs
+++ b/crates/firshore-jobs/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod command;
 mod job;
+pub mod listing;
 pub mod table;
--- /dev/null
+++ b/crates/firshore-jobs/src/listing.rs
@@ -0,0 +1,72 @@
+//! Results as the table lists them: which item stands at which position, and where its text lies.
+//!
+//! Texts stay in the entries of the log that brought them. The table names the entry, so that
+//! neither memory nor snapshots hold them.
+
+use crate::command::{Action, Command};
+use firshore_adapter::jobs::{ItemOutcome, ItemResult, ResultPage};
+use firshore_replication::types::LogIndex;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Where a result lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResultPlace {
+    /// Entry of the log.
+    #[serde(rename = "e")]
+    pub entry: LogIndex,
+    /// Position among the results of that entry.
+    #[serde(rename = "p")]
+    pub position: u32,
+}
+
+/// A result at its position in the job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedResult {
+    /// Item.
+    pub item: String,
+    /// Where what became of it lies.
+    pub place: ResultPlace,
+}
+
+/// A part of a job's results.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedPage {
+    /// Items of the job.
+    pub total: u64,
+    /// Position of the first result here.
+    pub from: u64,
+    /// Results.
+    pub results: Vec<ListedResult>,
+}
+
+fn outcome_at(commands: &BTreeMap<LogIndex, Command>, place: ResultPlace) -> Option<ItemOutcome> {
+    let Action::Complete(completions) = &commands.get(&place.entry)?.action else {
+        return None;
+    };
+    let completion = completions.get(place.position as usize)?;
+    Some(completion.outcome.clone())
+}
+
+impl ListedPage {
+    /// Entries that hold its results.
+    pub fn entries(&self) -> BTreeSet<LogIndex> {
+        let places = self.results.iter().map(|result| result.place);
+        places.map(|place| place.entry).collect()
+    }
+
+    /// The page with its results, from the commands of [`Self::entries`]; `None` if one is missing.
+    pub fn filled(self, commands: &BTreeMap<LogIndex, Command>) -> Option<ResultPage> {
+        let results = self.results.into_iter().map(|listed| {
+            Some(ItemResult {
+                outcome: outcome_at(commands, listed.place)?,
+                item: listed.item,
+            })
+        });
+        Some(ResultPage {
+            total: self.total,
+            from: self.from,
+            results: results.collect::<Option<_>>()?,
+        })
+    }
+}
--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -2,11 +2,13 @@
 
 use crate::command::{Action, Command, ItemIndex, JobHeader, Outcome};
 use crate::job::Job;
-use firshore_adapter::jobs::{JobItem, ResultPage};
+use crate::listing::{ListedPage, ResultPlace};
+use firshore_adapter::jobs::JobItem;
 use firshore_log::machine::StateMachine;
+use firshore_replication::types::LogIndex;
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An item that has no result yet.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +29,7 @@
 
 impl JobTable {
     /// Results of a job from a position on, of about `bytes` at most; `None`: no such job.
-    pub fn results(&self, job: &str, from: u64, bytes: usize) -> Option<ResultPage> {
+    pub fn results(&self, job: &str, from: u64, bytes: usize) -> Option<ListedPage> {
         self.jobs.get(job).map(|job| job.page(from, bytes))
     }
 
@@ -114,19 +116,27 @@
         matches!(command.action, Action::Submit { .. })
     }
 
-    fn apply(&mut self, command: Command) -> Outcome {
+    fn referenced(&self) -> BTreeSet<LogIndex> {
+        self.jobs.values().flat_map(Job::referenced).collect()
+    }
+
+    fn apply(&mut self, at: LogIndex, command: Command) -> Outcome {
         match command.action {
             Action::Submit { header, items } => {
                 let id = header.job.clone();
-                let at = command.at;
+                let submitted_at = command.at;
                 self.jobs
                     .entry(id)
-                    .or_insert_with(|| Job::new(header, items, at));
+                    .or_insert_with(|| Job::new(header, items, submitted_at));
             }
             Action::Complete(completions) => {
-                for one in completions {
+                for (position, one) in completions.iter().enumerate() {
+                    let place = ResultPlace {
+                        entry: at,
+                        position: position as u32,
+                    };
                     if let Some(job) = self.jobs.get_mut(&one.job) {
-                        job.complete(one.item, one.outcome);
+                        job.complete(one.item, &one.outcome, place);
                     }
                 }
             }
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -4,6 +4,8 @@
 use firshore_jobs::command::{Action, Command, Completion, JobHeader, Outcome};
 use firshore_jobs::table::JobTable;
 use firshore_log::machine::StateMachine;
+use firshore_replication::types::LogIndex;
+use std::collections::{BTreeMap, BTreeSet};
 
 const PAGE_BYTES: usize = 1_000;
 
@@ -45,18 +47,34 @@
     }])
 }
 
-fn applied(actions: Vec<Action>) -> JobTable {
-    let mut table = JobTable::default();
-    for action in actions {
-        table.apply(Command { at: 1_000, action });
+/// The log that a table is applied from: entry 1 is its first command.
+#[derive(Default)]
+struct Applied {
+    table: JobTable,
+    commands: BTreeMap<LogIndex, Command>,
+}
+
+impl Applied {
+    fn apply(&mut self, command: Command) -> Outcome {
+        let at = self.commands.len() as LogIndex + 1;
+        self.commands.insert(at, command.clone());
+        self.table.apply(at, command)
+    }
+
+    fn listed(&self, job: &str) -> Vec<(String, ItemOutcome)> {
+        let page = self.table.results(job, 0, PAGE_BYTES).unwrap();
+        let page = page.filled(&self.commands).unwrap();
+        let results = page.results.into_iter();
+        results.map(|one| (one.item, one.outcome)).collect()
     }
-    table
 }
 
-fn listed(table: &JobTable, job: &str) -> Vec<(String, ItemOutcome)> {
-    let page = table.results(job, 0, PAGE_BYTES).unwrap();
-    let results = page.results.into_iter();
-    results.map(|one| (one.item, one.outcome)).collect()
+fn applied(actions: Vec<Action>) -> Applied {
+    let mut applied = Applied::default();
+    for action in actions {
+        applied.apply(Command { at: 1_000, action });
+    }
+    applied
 }
 
 #[test]
@@ -72,8 +90,8 @@
         ("b".to_owned(), done("first of b")),
         ("a".to_owned(), ItemOutcome::GivenUp),
     ];
-    assert_eq!(listed(&table, "job"), expected);
-    assert!(table.open_items().is_empty());
+    assert_eq!(table.listed("job"), expected);
+    assert!(table.table.open_items().is_empty());
 }
 
 #[test]
@@ -83,7 +101,7 @@
         complete("job", 0, done("a")),
         submit("job", &["c"]),
     ]);
-    let page = table.results("job", 0, PAGE_BYTES).unwrap();
+    let page = table.table.results("job", 0, PAGE_BYTES).unwrap();
     assert_eq!((page.total, page.results.len()), (2, 1));
 }
 
@@ -97,19 +115,19 @@
         },
         complete("job", 1, done("b")),
     ]);
-    assert_eq!(listed(&table, "job"), vec![("a".to_owned(), done("a"))]);
-    assert!(!table.is_open("job", 1));
-    assert_eq!(table.body("job", "b"), None);
+    assert_eq!(table.listed("job"), vec![("a".to_owned(), done("a"))]);
+    assert!(!table.table.is_open("job", 1));
+    assert_eq!(table.table.body("job", "b"), None);
 }
 
 #[test]
 fn bodies_are_read_until_the_result_is_listed() {
     let mut table = applied(vec![submit("job", &["a"])]);
-    let body = table.body("job", "a").unwrap();
+    let body = table.table.body("job", "a").unwrap();
     assert_eq!(&*body.0, b"body of a");
-    assert_eq!(table.body("job", "b"), None);
+    assert_eq!(table.table.body("job", "b"), None);
     table.apply(complete("job", 0, done("a")).into());
-    assert_eq!(table.body("job", "a"), None);
+    assert_eq!(table.table.body("job", "a"), None);
 }
 
 #[test]
@@ -124,6 +142,7 @@
     let counts: Vec<usize> = (0..4)
         .map(|from| {
             table
+                .table
                 .results("job", from, PAGE_BYTES)
                 .unwrap()
                 .results
@@ -135,13 +154,13 @@
 
 #[test]
 fn commands_about_unknown_jobs_change_nothing() {
-    let mut table = JobTable::default();
+    let mut table = Applied::default();
     table.apply(complete("job", 0, done("a")).into());
     let end = Action::End {
         job: "job".to_owned(),
     };
     assert_eq!(table.apply(end.into()), Outcome::UnknownJob);
-    assert!(table.is_empty());
+    assert!(table.table.is_empty());
 }
 
 #[test]
@@ -153,26 +172,63 @@
     ]);
     let forget = |before| Command::from(Action::Forget { before });
     assert_eq!(
-        table.without_effect(&forget(1_000), 0),
+        table.table.without_effect(&forget(1_000), 0),
         Some(Outcome::Done),
         "nothing is older"
     );
-    assert_eq!(table.without_effect(&forget(1_001), 0), None);
+    assert_eq!(table.table.without_effect(&forget(1_001), 0), None);
     table.apply(forget(1_001));
-    assert!(table.results("open", 0, PAGE_BYTES).is_some());
-    assert!(table.results("whole", 0, PAGE_BYTES).is_none());
+    assert!(table.table.results("open", 0, PAGE_BYTES).is_some());
+    assert!(table.table.results("whole", 0, PAGE_BYTES).is_none());
 }
 
 #[test]
 fn a_snapshot_restores_the_same_table() {
-    let table = applied(vec![
+    let applied = applied(vec![
         submit("job", &["a", "b"]),
         complete("job", 1, done("b")),
     ]);
     let mut bytes = Vec::new();
-    ciborium::into_writer(&table, &mut bytes).unwrap();
-    let restored: JobTable = ciborium::from_reader(bytes.as_slice()).unwrap();
-    assert_eq!(listed(&restored, "job"), listed(&table, "job"));
-    assert_eq!(restored.open_items().len(), 1);
-    assert_eq!(restored.body("job", "a"), table.body("job", "a"));
+    ciborium::into_writer(&applied.table, &mut bytes).unwrap();
+    let restored = Applied {
+        table: ciborium::from_reader(bytes.as_slice()).unwrap(),
+        commands: applied.commands.clone(),
+    };
+    assert_eq!(restored.listed("job"), applied.listed("job"));
+    assert_eq!(restored.table.open_items().len(), 1);
+    let body = restored.table.body("job", "a");
+    assert_eq!(body, applied.table.body("job", "a"));
+}
+
+#[test]
+fn texts_stay_in_the_log_and_out_of_the_table() {
+    const ITEMS: u32 = 200;
+    const TEXT_BYTES: usize = 10_000;
+    let ids: Vec<String> = (0..ITEMS).map(|number| format!("item-{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut applied = applied(vec![submit("job", &ids)]);
+    let text = "x".repeat(TEXT_BYTES);
+    for item in 0..ITEMS {
+        applied.apply(complete("job", item, done(&text)).into());
+    }
+    let mut snapshot = Vec::new();
+    ciborium::into_writer(&applied.table, &mut snapshot).unwrap();
+    let per_item = snapshot.len() / ITEMS as usize;
+    assert!(
+        per_item < 250,
+        "{per_item} bytes of the table for each item"
+    );
+    let referenced = applied.table.referenced();
+    assert_eq!(referenced.len(), ITEMS as usize);
+    let forget = Action::Forget { before: u64::MAX };
+    applied.apply(forget.into());
+    assert!(applied.table.referenced().is_empty());
+}
+
+#[test]
+fn a_result_whose_entry_is_missing_is_not_shown_as_absent() {
+    let applied = applied(vec![submit("job", &["a"]), complete("job", 0, done("a"))]);
+    let page = applied.table.results("job", 0, PAGE_BYTES).unwrap();
+    assert_eq!(page.entries(), BTreeSet::from([2]));
+    assert_eq!(page.filled(&BTreeMap::new()), None);
 }
--- a/crates/firshore-journal/src/state.rs
+++ b/crates/firshore-journal/src/state.rs
@@ -4,6 +4,7 @@
 use firshore_batch::command as batch;
 use firshore_batch::table::JobTable;
 use firshore_log::machine::StateMachine;
+use firshore_replication::types::LogIndex;
 use firshore_types::ids::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -75,7 +76,7 @@
         }
     }
 
-    fn apply(&mut self, command: Command) -> Outcome {
+    fn apply(&mut self, _at: LogIndex, command: Command) -> Outcome {
         match command {
             Command::Batch(command) => Outcome::Batch(self.jobs.apply(command)),
             Command::Claim(command) => Outcome::Claim(self.claims.apply(command)),
--- a/crates/firshore-lab/src/simulation/host.rs
+++ b/crates/firshore-lab/src/simulation/host.rs
@@ -4,6 +4,7 @@
 use firshore_replication::replica::{Replica, Timing};
 use firshore_replication::storage::{StoredState, WriteBatch};
 use firshore_replication::types::{DiskId, LogIndex};
+use std::collections::BTreeSet;
 
 /// Small sizes, so that a short run meets snapshots, windows and lagging followers.
 pub const TIMING: Timing = Timing {
@@ -117,7 +118,7 @@
             // The machine's state is the index it has applied, padded to several parts.
             let mut data = applied.to_be_bytes().to_vec();
             data.resize(100, 0);
-            replica.compact(applied, data);
+            replica.compact(applied, data, BTreeSet::new());
         }
     }
 }
--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -1,6 +1,7 @@
 //! The thread of one replica: takes inputs in batches, writes each batch in one transaction, sends
 //! messages, applies committed commands, takes snapshots. Workers never wait for the disk.
 
+mod referenced;
 mod requests;
 mod snapshot;
 mod survey;
@@ -14,13 +15,15 @@
 use firshore_replication::replica::{Output, ReadToken, Replica};
 use firshore_replication::storage::Storage;
 use firshore_replication::types::{
-    DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange, Term,
+    DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange,
+    ReferencedCommand, Term,
 };
 use firshore_types::ids::NodeName;
 use parking_lot::RwLock;
 use rand::RngExt;
+use referenced::Transfer;
 use slog::{Logger, error, info, warn};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
@@ -39,6 +42,9 @@
 /// Where the answer to a read goes.
 pub(crate) type ReadAnswer<M> = oneshot::Sender<Result<SharedState<M>, JournalRefusal>>;
 
+/// Where commands that the state refers to go; those that are not there are left out.
+pub(crate) type LoadAnswer<M> = oneshot::Sender<BTreeMap<LogIndex, <M as StateMachine>::Command>>;
+
 type ProposalAnswer<M> = oneshot::Sender<Result<<M as StateMachine>::Outcome, JournalRefusal>>;
 
 /// Milliseconds since the Unix epoch by the machine's wall clock.
@@ -66,6 +72,13 @@
     },
     /// Give the state with everything committed before now.
     Read(ReadAnswer<M>),
+    /// Give the commands of entries that the state refers to.
+    Load {
+        /// Indexes of the entries.
+        indexes: BTreeSet<LogIndex>,
+        /// Where they go.
+        answer: LoadAnswer<M>,
+    },
     /// Become a founding replica.
     Found(Membership),
     /// Change the membership.
@@ -92,6 +105,7 @@
 struct FinishedSnapshot {
     index: LogIndex,
     data: Vec<u8>,
+    referenced: BTreeSet<LogIndex>,
 }
 
 /// What a replica is run with, beside its storage.
@@ -130,6 +144,12 @@
     snapshot: Option<Receiver<FinishedSnapshot>>,
     /// Nodes that replicas wrote from: an empty replica knows no membership yet.
     senders: BTreeMap<DiskId, NodeName>,
+    /// Replicas that get a snapshot, and the commands that it refers to before.
+    transfers: BTreeMap<DiskId, Transfer>,
+    /// Referenced commands received, to be written with the next batch.
+    received: Vec<ReferencedCommand>,
+    /// Answers to them, to be sent once they are durable.
+    receipts: Vec<Envelope>,
     survey_due: u64,
     full: bool,
     led: bool,
@@ -194,7 +214,8 @@
         }
         full = true;
         std::thread::sleep(FULL_DISK_PAUSE);
-        storage = match RedbStorage::open(&environment.path, disk) {
+        storage = match RedbStorage::open(&environment.path, disk, environment.settings.cache_bytes)
+        {
             Ok(storage) => storage,
             Err(reason) => return error!(log, "journal: Replica stopped."; "reason" => %reason),
         };
@@ -223,6 +244,9 @@
         next_read: 0,
         snapshot: None,
         senders: BTreeMap::new(),
+        transfers: BTreeMap::new(),
+        received: Vec::new(),
+        receipts: Vec::new(),
         survey_due: 0,
         full,
         led: false,
@@ -286,8 +310,9 @@
         match input {
             Input::Received { node, envelope } => {
                 self.senders.insert(envelope.from, node);
-                self.replica.receive(self.environment.now(), envelope);
+                self.receive(envelope);
             }
+            Input::Load { indexes, answer } => self.load(&indexes, answer),
             Input::Propose { command, answer } => self.propose(command, answer),
             Input::Read(answer) => self.read(answer),
             Input::Found(membership) => self.found(membership),
@@ -313,7 +338,9 @@
     /// Carries out what the replica asks for until there is nothing left.
     fn settle(&mut self) -> Result<(), StorageError> {
         loop {
-            let output = self.replica.take_output();
+            let mut output = self.replica.take_output();
+            output.writes.received = std::mem::take(&mut self.received);
+            output.messages.append(&mut self.receipts);
             if output.is_empty() {
                 break;
             }
@@ -350,12 +377,15 @@
         Ok(())
     }
 
-    fn send_all(&self, envelopes: Vec<Envelope>) {
+    fn send_all(&mut self, envelopes: Vec<Envelope>) {
         if envelopes.is_empty() {
             return;
         }
         let membership = self.replica.status().membership;
         for envelope in envelopes {
+            let Some(envelope) = self.referenced_first(envelope) else {
+                continue;
+            };
             let node = membership
                 .replicas
                 .get(&envelope.to)
@@ -412,7 +442,7 @@
                     let reason = format!("entry {index} cannot be read by this version ({error})");
                     StorageError::Database(self.environment.path.clone(), reason)
                 })?;
-                Some(state.apply(command))
+                Some(state.apply(entry.index, command))
             }
             EntryContent::Blank | EntryContent::Membership(_) => None,
         };
--- /dev/null
+++ b/crates/firshore-log/src/driver/referenced.rs
@@ -0,0 +1,160 @@
+//! Commands that the state refers to by the index of their entry: read for those who ask, and sent
+//! to a replica before a snapshot that refers to them.
+//!
+//! A referenced command is committed and never changes, so it may be sent at any time, by any
+//! leader, and more than once. A replica that has answered holds it durably: what it was sent for
+//! one snapshot is not sent again for the next.
+
+use super::{Driver, LoadAnswer};
+use crate::machine::StateMachine;
+use firshore_replication::message::{Envelope, Message};
+use firshore_replication::storage::Storage;
+use firshore_replication::types::{DiskId, LogIndex, ReferencedCommand};
+use slog::{info, warn};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes of commands in one message, about.
+const MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Time in milliseconds after which commands without an answer are sent again.
+const RESEND_AFTER: u64 = 500;
+
+/// What a replica has been sent of the commands that a snapshot refers to.
+#[derive(Debug, Default)]
+pub(super) struct Transfer {
+    /// It holds all up to here.
+    held: LogIndex,
+    /// When the last message was sent that it has not answered, in milliseconds.
+    sent_at: Option<u64>,
+    /// The first part of the snapshot, to be sent once all is held.
+    waiting: Option<Envelope>,
+}
+
+impl<M: StateMachine> Driver<'_, M> {
+    /// Takes in a message of another replica.
+    pub(super) fn receive(&mut self, envelope: Envelope) {
+        if envelope.to != self.storage.disk() {
+            return;
+        }
+        match envelope.message {
+            Message::ReferencedCommands(commands) => {
+                self.take_referenced(envelope.from, envelope.term, commands);
+            }
+            Message::ReferencedAnswer { through } => self.referenced_held(envelope.from, through),
+            _ => self.replica.receive(self.environment.now(), envelope),
+        }
+    }
+
+    fn take_referenced(&mut self, from: DiskId, term: u64, commands: Vec<ReferencedCommand>) {
+        let Some(last) = commands.last() else {
+            return;
+        };
+        self.receipts.push(Envelope {
+            from: self.storage.disk(),
+            to: from,
+            term,
+            message: Message::ReferencedAnswer {
+                through: last.index,
+            },
+        });
+        self.received.extend(commands);
+    }
+
+    fn referenced_held(&mut self, disk: DiskId, through: LogIndex) {
+        let leads = self.replica.leads();
+        let Some(transfer) = self.transfers.get_mut(&disk) else {
+            return;
+        };
+        transfer.held = transfer.held.max(through);
+        transfer.sent_at = None;
+        let waiting = transfer.waiting.take().filter(|_| leads);
+        if let Some(first_part) = waiting {
+            self.send_all(vec![first_part]);
+        }
+    }
+
+    /// What is to be sent in place of a message: before the first part of a snapshot go the
+    /// commands that it refers to. The replica sends the part again until it is answered.
+    pub(super) fn referenced_first(&mut self, envelope: Envelope) -> Option<Envelope> {
+        let Message::SnapshotChunk {
+            header, offset: 0, ..
+        } = &envelope.message
+        else {
+            return Some(envelope);
+        };
+        let through = header.position.index;
+        let now = self.environment.now();
+        let transfer = self.transfers.entry(envelope.to).or_default();
+        if transfer.sent_at.is_some_and(|at| now < at + RESEND_AFTER) {
+            return None;
+        }
+        let held = transfer.held;
+        let commands = self.lacking(held, through)?;
+        if commands.is_empty() {
+            return Some(envelope);
+        }
+        info!(self.log, "journal: Referenced commands sent."; "to" => %envelope.to,
+            "after" => held, "count" => commands.len());
+        let in_place = Envelope {
+            message: Message::ReferencedCommands(commands),
+            ..envelope
+        };
+        let transfer = self.transfers.entry(envelope.to).or_default();
+        transfer.sent_at = Some(now);
+        transfer.waiting = Some(envelope);
+        Some(in_place)
+    }
+
+    /// The next referenced commands after `held`; `None` if one cannot be read.
+    fn lacking(&self, held: LogIndex, through: LogIndex) -> Option<Vec<ReferencedCommand>> {
+        let referenced = self.state.read().referenced();
+        let mut commands = Vec::new();
+        let mut bytes = 0;
+        for index in referenced
+            .range(held + 1..)
+            .take_while(|index| **index <= through)
+        {
+            let command = match self.storage.command(*index) {
+                Ok(Some(command)) => command,
+                Ok(None) => {
+                    warn!(self.log, "journal: Referenced command missing."; "index" => index);
+                    return None;
+                }
+                Err(reason) => {
+                    warn!(self.log, "journal: Referenced command unreadable."; "index" => index,
+                        "reason" => %reason);
+                    return None;
+                }
+            };
+            bytes += command.0.len();
+            commands.push(ReferencedCommand {
+                index: *index,
+                command,
+            });
+            if bytes >= MESSAGE_BYTES {
+                break;
+            }
+        }
+        Some(commands)
+    }
+
+    /// Reads commands for those who hold the state.
+    pub(super) fn load(&self, indexes: &BTreeSet<LogIndex>, answer: LoadAnswer<M>) {
+        let mut commands = BTreeMap::new();
+        for index in indexes {
+            match self.storage.command(*index) {
+                Ok(Some(bytes)) => {
+                    if let Ok(command) = ciborium::from_reader(&*bytes.0) {
+                        commands.insert(*index, command);
+                    }
+                }
+                Ok(None) => {}
+                Err(reason) => {
+                    warn!(self.log, "journal: Referenced command unreadable."; "index" => index,
+                        "reason" => %reason);
+                }
+            }
+        }
+        let _ = answer.send(commands);
+    }
+}
--- a/crates/firshore-log/src/driver/snapshot.rs
+++ b/crates/firshore-log/src/driver/snapshot.rs
@@ -20,9 +20,14 @@
         let (sender, receiver) = std::sync::mpsc::channel();
         let (state, index) = (self.state.clone(), self.applied);
         let encode = move || {
+            let state = state.read();
             let mut data = Vec::new();
-            ciborium::into_writer(&*state.read(), &mut data).expect("the state serialises");
-            let _ = sender.send(FinishedSnapshot { index, data });
+            ciborium::into_writer(&*state, &mut data).expect("the state serialises");
+            let _ = sender.send(FinishedSnapshot {
+                index,
+                data,
+                referenced: state.referenced(),
+            });
         };
         let thread = std::thread::Builder::new().name("journal-snapshot".to_owned());
         if thread.spawn(encode).is_ok() {
@@ -38,8 +43,11 @@
             Ok(finished) => {
                 self.snapshot = None;
                 let (index, bytes) = (finished.index, finished.data.len());
-                self.replica.compact(index, finished.data);
-                info!(self.log, "journal: Snapshot taken."; "index" => index, "bytes" => bytes);
+                let referenced = finished.referenced.len();
+                self.replica
+                    .compact(index, finished.data, finished.referenced);
+                info!(self.log, "journal: Snapshot taken."; "index" => index, "bytes" => bytes,
+                    "referenced" => referenced);
             }
             Err(TryRecvError::Empty) => {}
             Err(TryRecvError::Disconnected) => self.snapshot = None,
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -14,7 +14,7 @@
 use parking_lot::{Mutex, RwLock};
 use rand::RngExt;
 use slog::Logger;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
@@ -102,9 +102,9 @@
 
 impl<M: StateMachine> Group<M> {
     /// Opens the storage of a group below `folder` and checks it.
-    pub fn open(folder: &Path, id: GroupId) -> Result<Self, StorageError> {
+    pub fn open(folder: &Path, id: GroupId, cache_bytes: usize) -> Result<Self, StorageError> {
         let path = folder.join(format!("journal-{id}.redb"));
-        let storage = RedbStorage::open(&path, DiskId(rand::rng().random()))?;
+        let storage = RedbStorage::open(&path, DiskId(rand::rng().random()), cache_bytes)?;
         let holds_log = !storage.load()?.is_empty();
         let status = GroupStatus::new(storage.disk(), holds_log);
         let (sender, inputs) = mpsc::channel();
@@ -209,6 +209,17 @@
         received.await.unwrap_or(Err(lost))
     }
 
+    /// The commands of entries that the state refers to. Those that are not there, or not any more,
+    /// are left out.
+    pub async fn load(&self, indexes: BTreeSet<LogIndex>) -> BTreeMap<LogIndex, M::Command> {
+        if indexes.is_empty() {
+            return BTreeMap::new();
+        }
+        let (answer, received) = oneshot::channel();
+        let _ = self.inputs.send(Input::Load { indexes, answer });
+        received.await.unwrap_or_default()
+    }
+
     /// Hands leadership to another replica, if this one leads and another is there.
     pub async fn step_aside(&self) {
         let status = self.status();
--- a/crates/firshore-log/src/machine.rs
+++ b/crates/firshore-log/src/machine.rs
@@ -2,11 +2,12 @@
 
 use firshore_replication::message::Envelope;
 use firshore_replication::replica::Timing;
-use firshore_replication::types::GroupId;
+use firshore_replication::types::{GroupId, LogIndex};
 use firshore_types::ids::NodeName;
 use parking_lot::RwLock;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,8 +31,15 @@
     /// of the disk.
     fn needs_space(command: &Self::Command) -> bool;
 
-    /// Applies a committed command.
-    fn apply(&mut self, command: Self::Command) -> Self::Outcome;
+    /// Applies the committed command of the entry at `at`.
+    fn apply(&mut self, at: LogIndex, command: Self::Command) -> Self::Outcome;
+
+    /// Entries whose commands hold what the state only refers to by their index, so that it need
+    /// not stay in memory or travel in snapshots. They can be read until a command is applied after
+    /// which they are not named any more; an entry that was not named at once never is.
+    fn referenced(&self) -> BTreeSet<LogIndex> {
+        BTreeSet::new()
+    }
 }
 
 /// State of a machine, as readers share it.
@@ -57,4 +65,6 @@
     pub reserve_bytes: u64,
     /// Log in memory at which a snapshot is taken, in bytes, unless the last one was larger.
     pub snapshot_after_bytes: usize,
+    /// Memory for pages of the database, in bytes.
+    pub cache_bytes: usize,
 }
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -46,8 +46,13 @@
 /// Free space of the data folder below which new jobs are refused, in bytes.
 const RESERVE_BYTES: u64 = 32 * 1024 * 1024;
 
-/// Log in memory at which a snapshot is taken, in bytes.
-const SNAPSHOT_AFTER_BYTES: usize = 16 * 1024 * 1024;
+/// Part of the node's memory for each of the log's entries before a snapshot, those after it, and
+/// the pages of the database.
+const MEMORY_SHARE: usize = 16;
+
+/// Bounds of that part, in bytes.
+const LEAST_LOG_BYTES: usize = 256 * 1024;
+const MOST_LOG_BYTES: usize = 8 * 1024 * 1024;
 
 /// Handle through which peers are asked.
 pub type PeerClient = link::PeerClient<PeerRequest, PeerResponse>;
@@ -55,6 +60,10 @@
 /// The replica on this node's disk.
 pub type Replica = Group<JobTable>;
 
+fn log_bytes(memory: usize) -> usize {
+    (memory / MEMORY_SHARE).clamp(LEAST_LOG_BYTES, MOST_LOG_BYTES)
+}
+
 fn may_promise(replica: &Replica, least: usize) -> bool {
     replica.status().membership.voters().count() >= least
 }
@@ -88,7 +97,8 @@
         log: &Logger,
     ) -> io::Result<Rc<Self>> {
         std::fs::create_dir_all(&storage.data_folder)?;
-        let replica = Group::open(&storage.data_folder, GROUP)
+        let log_bytes = log_bytes(settings.limits.memory_bytes());
+        let replica = Group::open(&storage.data_folder, GROUP, log_bytes)
             .map_err(|error| io::Error::other(error.to_string()))?;
         let replica = Rc::new(replica);
         let transport = transport::new(settings.name.clone(), registry.addresses(), peers.clone());
@@ -96,11 +106,13 @@
             timing: Timing {
                 election_timeout: ELECTION_TIMEOUT,
                 heartbeat_interval: HEARTBEAT_INTERVAL,
+                trailing_bytes: log_bytes,
                 ..Timing::default()
             },
             replace_after: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
             reserve_bytes: RESERVE_BYTES,
-            snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
+            snapshot_after_bytes: 2 * log_bytes,
+            cache_bytes: log_bytes,
         };
         replica.start(log, replica_settings, transport);
         let listener = TcpListener::bind(settings.listen.peers).await?;
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -172,8 +172,15 @@
         }
         state = replica.applied_state();
     }
-    let page = state.read().results(job, from, RESULT_BYTES);
-    Ok(PeerResponse::Results(page))
+    let Some(listed) = state.read().results(job, from, RESULT_BYTES) else {
+        return Ok(PeerResponse::Results(None));
+    };
+    let commands = replica.load(listed.entries()).await;
+    match listed.filled(&commands) {
+        Some(page) => Ok(PeerResponse::Results(Some(page))),
+        // Never shown as absent: the reader asks again.
+        None => Err(JournalRefusal::Unsettled),
+    }
 }
 
 fn waits(state: &SharedState<JobTable>, job: &str, from: u64) -> bool {
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -27,6 +27,9 @@
     pub cluster: Cluster,
     /// Disk, on the nodes that have one.
     pub storage: Option<Storage>,
+    /// What the machine has.
+    #[serde(default)]
+    pub limits: Limits,
     /// The way out.
     #[serde(default)]
     pub leave: Leave,
@@ -114,6 +117,30 @@
     pub data_folder: PathBuf,
 }
 
+/// What the machine has.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory that the node may use, in megabytes (2^20 bytes).
+    pub memory_megabytes: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_megabytes: 256.0,
+        }
+    }
+}
+
+impl Limits {
+    /// Memory that the node may use, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        const BYTES_PER_MEGABYTE: f64 = 1_048_576.0;
+        (self.memory_megabytes * BYTES_PER_MEGABYTE) as usize
+    }
+}
+
 /// The way out.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -141,6 +168,9 @@
 /// Shortest time between the request to stop and the kill that allows an orderly end.
 const MINIMUM_GRACE_SECONDS: f64 = 1.0;
 
+/// Least memory that a node can be run with, in megabytes.
+const MINIMUM_MEMORY_MEGABYTES: f64 = 16.0;
+
 /// Shortest history of the store that can be watched.
 const MINIMUM_HISTORY_SECONDS: f64 = 1.0;
 
@@ -193,6 +223,14 @@
                 "Set at least 1.",
             ));
         }
+        let memory = self.limits.memory_megabytes;
+        if !memory.is_finite() || memory < MINIMUM_MEMORY_MEGABYTES {
+            return Err(SettingsError::Invalid(
+                "limits.memory_megabytes",
+                memory.to_string(),
+                "Set at least 16.",
+            ));
+        }
         let grace = self.leave.grace_seconds;
         if !grace.is_finite() || grace < MINIMUM_GRACE_SECONDS {
             return Err(SettingsError::Invalid(
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -4,6 +4,7 @@
 use firshore_adapter::jobs::{ItemOutcome, JobItem};
 use firshore_adapter::route::{JobTerms, Repetition, Route, WeightedService};
 use firshore_gateway::gateway::{Gateway, JobService};
+use firshore_jobs::command::{Action, Completion};
 use firshore_link::client as link;
 use firshore_link::handshake::ClusterSecret;
 use firshore_node::journal::client::JournalClient;
@@ -66,7 +67,7 @@
     let text = format!(
         "name = 'n{number}'\nregion = 'r'\nzone = 'z{number}'\n[listen]\npeers = '{address}'\n\
          [objects]\naddress = '127.0.0.1:1'\n[cluster]\nsecret = '{SECRET}'\n\
-         [storage]\ndata_folder = '{}'\n",
+         [storage]\ndata_folder = '{}'\n[limits]\nmemory_megabytes = 16\n",
         folder.display()
     );
     toml::from_str(&text).unwrap()
@@ -213,6 +214,21 @@
         }
     }
 
+    /// Waits until the disk of a node votes and has applied all.
+    async fn votes(&self, number: usize) {
+        let node = self.nodes[number].as_ref().unwrap();
+        let disk = node.journal.replica.status().disk;
+        loop {
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            let status = leader.journal.replica.status();
+            let current = status.disk == disk || status.caught_up.contains(&disk);
+            if current && status.membership.is_voter(disk) {
+                return;
+            }
+            pause().await;
+        }
+    }
+
     /// Back ends that the leader knows.
     async fn backends_known(&self) -> usize {
         let leader = self.nodes[self.leader().await].as_ref().unwrap();
@@ -255,6 +271,38 @@
         }
     }
 
+    /// The result at a position.
+    async fn result(&self, job: &str, position: usize) -> (String, ItemOutcome) {
+        loop {
+            let from = position as u64;
+            let page = self.client.results(job.into(), from, Duration::ZERO).await;
+            if let Ok(Some(mut page)) = page
+                && !page.results.is_empty()
+            {
+                let first = page.results.swap_remove(0);
+                return (first.item, first.outcome);
+            }
+            pause().await;
+        }
+    }
+
+    /// Lists a result as a run would.
+    async fn complete(&self, job: &str, item: usize, outcome: &ItemOutcome) {
+        loop {
+            let completion = Completion {
+                job: job.to_owned(),
+                item: item as u32,
+                outcome: outcome.clone(),
+            };
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            let action = Action::Complete(vec![completion]);
+            if leader.journal.replica.propose(action.into()).await.is_ok() {
+                return;
+            }
+            pause().await;
+        }
+    }
+
     fn put_backend(&self, backend: &ScriptedBackend, leaving: bool) {
         let spec = json!({"service": "s", "address": backend.address, "slots": 10,
             "leaving": leaving});
@@ -551,3 +599,31 @@
         cluster.whole().await;
     });
 }
+
+#[test]
+fn results_beyond_the_memory_for_the_log_outlive_every_disk_in_turn() {
+    const TEXTS: usize = 60;
+    const TEXT_BYTES: usize = 100_000;
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.submit("job", TEXTS).await;
+        let expected: Vec<ItemOutcome> = (0..TEXTS)
+            .map(|number| ItemOutcome::Done(vec![number.to_string().repeat(TEXT_BYTES)]))
+            .collect();
+        for (number, outcome) in expected.iter().enumerate() {
+            cluster.complete("job", number, outcome).await;
+        }
+        for number in 0..3 {
+            cluster.wipe(number).await;
+            cluster.votes(number).await;
+            cluster.whole().await;
+        }
+        for (number, outcome) in expected.iter().enumerate() {
+            let listed = cluster.result("job", number).await;
+            assert!(
+                listed == (format!("i{number}"), outcome.clone()),
+                "{number}"
+            );
+        }
+    });
+}
--- a/crates/firshore-node/tests/settings.rs
+++ b/crates/firshore-node/tests/settings.rs
@@ -57,6 +57,12 @@
             "cluster.catch_up_seconds",
             "at least 1",
         ),
+        (
+            "[leave]",
+            "[limits]\nmemory_megabytes = 8\n[leave]",
+            "limits.memory_megabytes",
+            "at least 16",
+        ),
         ("name = 'n'", "name = ''", "name", "a name of its own"),
         (
             "callers = '127.0.0.1:1'",
--- a/crates/firshore-replication/src/message.rs
+++ b/crates/firshore-replication/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages between the replicas of a group (Ongaro and Ousterhout 2014, figures 2 and 13;
 //! Ongaro 2014, sections 3.10, 6.4 and 9.6).
 
-use crate::types::{DiskId, Entry, LogIndex, Payload, Position, SnapshotHeader, Term};
+use crate::types::{
+    DiskId, Entry, LogIndex, Payload, Position, ReferencedCommand, SnapshotHeader, Term,
+};
 use serde::{Deserialize, Serialize};
 
 /// A message with its sender, receiver and the sender's term.
@@ -80,6 +82,14 @@
         /// Bytes held of it.
         received: u64,
     },
+    /// Commands that a snapshot refers to, sent before it. What a replica does with them follows
+    /// from no term: they are committed, and stored beside the log.
+    ReferencedCommands(Vec<ReferencedCommand>),
+    /// Answer to [`Message::ReferencedCommands`], once they are durable.
+    ReferencedAnswer {
+        /// Index of the last one.
+        through: LogIndex,
+    },
     /// Asks the receiver to start an election at once, as the leader steps aside.
     TimeoutNow,
 }
--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -5,12 +5,16 @@
 use crate::checked;
 use crate::error::StorageError;
 use crate::storage::{HardState, Storage, StoredState, WriteBatch};
-use crate::types::{DiskId, Entry, LogIndex, Position, Snapshot, SnapshotHeader};
+use crate::types::{
+    DiskId, Entry, EntryContent, LogIndex, Payload, Position, Snapshot, SnapshotHeader,
+};
 use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+/// Commands of entries that left the log, to which the snapshot refers, and such of the leader's.
+const REFERENCED: TableDefinition<u64, &[u8]> = TableDefinition::new("referenced");
 const RECORDS: TableDefinition<&str, &[u8]> = TableDefinition::new("records");
 const SNAPSHOT: TableDefinition<u64, &[u8]> = TableDefinition::new("snapshot");
 
@@ -22,9 +26,6 @@
 /// Bytes of a snapshot in one row.
 const SNAPSHOT_ROW_BYTES: usize = 1024 * 1024;
 
-/// Memory for pages of the database, in bytes.
-const PAGE_CACHE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Storage of one replica on disk.
 pub struct RedbStorage {
     path: PathBuf,
@@ -34,13 +35,15 @@
 
 impl RedbStorage {
     /// Opens the database at `path`. If there is none, creates one with the identity `fresh`,
-    /// which must be random.
-    pub fn open(path: &Path, fresh: DiskId) -> Result<Self, StorageError> {
+    /// which must be random. Its pages take about `cache_bytes` of memory.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be opened or is damaged.
+    pub fn open(path: &Path, fresh: DiskId, cache_bytes: usize) -> Result<Self, StorageError> {
         let existed = path.exists();
         let opened = std::panic::catch_unwind(AssertUnwindSafe(|| {
-            Database::builder()
-                .set_cache_size(PAGE_CACHE_BYTES)
-                .create(path)
+            Database::builder().set_cache_size(cache_bytes).create(path)
         }));
         let database = match opened {
             Ok(Ok(database)) => database,
@@ -131,6 +134,7 @@
                 .open_table(RECORDS)?
                 .insert(DISK, checked::encode(&self.disk).as_slice())?;
             write.open_table(ENTRIES)?;
+            write.open_table(REFERENCED)?;
             write.open_table(SNAPSHOT)?;
             write.commit()?;
             Ok(())
@@ -153,6 +157,25 @@
         })
     }
 
+    fn referenced_command(&self, index: LogIndex) -> Result<Option<Vec<u8>>, StorageError> {
+        self.guarded(|| {
+            let read = self.database.begin_read()?;
+            let table = match read.open_table(REFERENCED) {
+                Ok(table) => table,
+                Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+                Err(error) => return Err(error.into()),
+            };
+            Ok(table.get(index)?.map(|row| row.value().to_vec()))
+        })
+    }
+
+    fn entry_row(&self, index: LogIndex) -> Result<Option<Vec<u8>>, StorageError> {
+        self.guarded(|| {
+            let table = self.database.begin_read()?.open_table(ENTRIES)?;
+            Ok(table.get(index)?.map(|row| row.value().to_vec()))
+        })
+    }
+
     fn load_entries(&self, base: Position) -> Result<Vec<Entry>, StorageError> {
         let mut entries = Vec::new();
         for (index, bytes) in self.rows(ENTRIES)? {
@@ -237,9 +260,27 @@
         })
     }
 
+    fn command(&self, index: LogIndex) -> Result<Option<Payload>, StorageError> {
+        if let Some(bytes) = self.referenced_command(index)? {
+            let command: Option<Payload> = checked::decode(&bytes);
+            let corrupt = || StorageError::CorruptEntry(self.path.clone(), index);
+            return command.ok_or_else(corrupt).map(Some);
+        }
+        let Some(bytes) = self.entry_row(index)? else {
+            return Ok(None);
+        };
+        let entry: Entry = checked::decode(&bytes)
+            .ok_or_else(|| StorageError::CorruptEntry(self.path.clone(), index))?;
+        Ok(match entry.content {
+            EntryContent::Command(command) => Some(command),
+            EntryContent::Blank | EntryContent::Membership(_) => None,
+        })
+    }
+
     fn write(&mut self, batch: &WriteBatch) -> Result<(), StorageError> {
         self.guarded(|| {
             let write = self.database.begin_write()?;
+            write_referenced(&write, batch)?;
             write_entries(&write, batch)?;
             write_records(&write, batch)?;
             if let Some(snapshot) = &batch.snapshot {
@@ -265,6 +306,34 @@
     Ok(())
 }
 
+/// Moves commands that the snapshot refers to out of the log, and forgets those that it does not
+/// refer to any more. Received ones beyond the position discarded stay for a snapshot to come.
+fn write_referenced(write: &redb::WriteTransaction, batch: &WriteBatch) -> Result<(), redb::Error> {
+    if batch.referenced.is_none() && batch.received.is_empty() {
+        return Ok(());
+    }
+    let mut table = write.open_table(REFERENCED)?;
+    for one in &batch.received {
+        table.insert(one.index, checked::encode(&one.command).as_slice())?;
+    }
+    let (Some(referenced), Some(base)) = (&batch.referenced, &batch.discard_through) else {
+        return Ok(());
+    };
+    table.retain_in(..=base.index, |index, _| referenced.contains(&index))?;
+    let entries = write.open_table(ENTRIES)?;
+    for row in entries.range(..=base.index)? {
+        let (index, bytes) = row?;
+        let entry: Option<Entry> = checked::decode(bytes.value());
+        let wanted = referenced.contains(&index.value());
+        if let (true, Some(EntryContent::Command(command))) =
+            (wanted, entry.map(|entry| entry.content))
+        {
+            table.insert(index.value(), checked::encode(&command).as_slice())?;
+        }
+    }
+    Ok(())
+}
+
 fn write_records(write: &redb::WriteTransaction, batch: &WriteBatch) -> Result<(), redb::Error> {
     let mut records = write.open_table(RECORDS)?;
     if let Some(hard_state) = &batch.hard_state {
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -304,7 +304,10 @@
                 self.take_snapshot_answer(from, index, received);
             }
             Message::TimeoutNow => self.take_over(),
-            Message::PreVote { .. } | Message::PreVoteAnswer { .. } => {}
+            Message::PreVote { .. }
+            | Message::PreVoteAnswer { .. }
+            | Message::ReferencedCommands(_)
+            | Message::ReferencedAnswer { .. } => {}
         }
     }
 
--- a/crates/firshore-replication/src/replica/snapshot.rs
+++ b/crates/firshore-replication/src/replica/snapshot.rs
@@ -5,6 +5,7 @@
 use crate::message::{AppendResult, Message};
 use crate::progress::ProgressState;
 use crate::types::{DiskId, LogIndex, Payload, Position, Snapshot, SnapshotHeader};
+use std::collections::BTreeSet;
 
 /// A snapshot being received.
 #[derive(Debug)]
@@ -15,8 +16,9 @@
 
 impl Replica {
     /// Takes in the machine's state after the entry at `index`, which was given out, and forgets
-    /// the entries that it stands for.
-    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
+    /// the entries that it stands for. The commands of entries that the state refers to by their
+    /// index stay in the storage.
+    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>, referenced: BTreeSet<LogIndex>) {
         let known = index > self.log.snapshot_index() && index <= self.given_out;
         let Some(term) = self.log.term(index).filter(|_| known) else {
             return;
@@ -33,6 +35,7 @@
             .compact(snapshot.clone(), self.timing.trailing_bytes);
         self.output.writes.snapshot = Some(snapshot);
         self.output.writes.discard_through = Some(base);
+        self.output.writes.referenced = Some(referenced);
     }
 
     pub(super) fn start_snapshot(&mut self, to: DiskId) {
@@ -171,6 +174,7 @@
         let output = &mut self.output;
         output.committed.clear();
         output.writes.append.clear();
+        output.writes.referenced = None;
         output.writes.truncate_from = Some(0);
         output.writes.discard_through = Some(position);
         output.writes.snapshot = Some(snapshot.clone());
--- a/crates/firshore-replication/src/storage.rs
+++ b/crates/firshore-replication/src/storage.rs
@@ -1,8 +1,11 @@
 //! What a replica keeps on disk, and the trait of the storage that keeps it.
 
 use crate::error::StorageError;
-use crate::types::{DiskId, Entry, LogIndex, Membership, Position, Snapshot, Term};
+use crate::types::{
+    DiskId, Entry, LogIndex, Membership, Payload, Position, ReferencedCommand, Snapshot, Term,
+};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// Term and vote: must be durable before any message that follows from them is sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +25,11 @@
     pub snapshot: Option<Snapshot>,
     /// Remove entries up to this position, and remember it.
     pub discard_through: Option<Position>,
+    /// With [`Self::discard_through`]: commands up to that position that the snapshot refers to.
+    /// They stay readable, all others up to there go.
+    pub referenced: Option<BTreeSet<LogIndex>>,
+    /// Commands received from the leader, to which a later snapshot of its refers.
+    pub received: Vec<ReferencedCommand>,
     /// Remove entries from this index on, before appending.
     pub truncate_from: Option<LogIndex>,
     /// Entries to append.
@@ -80,6 +88,13 @@
     /// Reads everything and checks it.
     fn load(&self) -> Result<StoredState, StorageError>;
 
+    /// The command of a committed entry, if it is kept in the log or referred to by the snapshot.
+    ///
+    /// # Errors
+    ///
+    /// When the storage cannot be read or the command is damaged.
+    fn command(&self, index: LogIndex) -> Result<Option<Payload>, StorageError>;
+
     /// Makes a batch durable, all of it or nothing.
     fn write(&mut self, batch: &WriteBatch) -> Result<(), StorageError>;
 }
--- a/crates/firshore-replication/src/types.rs
+++ b/crates/firshore-replication/src/types.rs
@@ -138,6 +138,17 @@
     }
 }
 
+/// A committed command that a snapshot refers to by its index instead of holding what it carried.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReferencedCommand {
+    /// Index of its entry.
+    #[serde(rename = "i")]
+    pub index: LogIndex,
+    /// The command, as the machine above encoded it.
+    #[serde(rename = "c")]
+    pub command: Payload,
+}
+
 /// A position in the log and the term of the entry there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
--- a/crates/firshore-replication/tests/redb_storage.rs
+++ b/crates/firshore-replication/tests/redb_storage.rs
@@ -5,14 +5,18 @@
 use firshore_replication::redb_storage::RedbStorage;
 use firshore_replication::storage::{HardState, Storage, StoredState, WriteBatch};
 use firshore_replication::types::{
-    DiskId, Entry, EntryContent, LogIndex, Membership, Position, Snapshot, SnapshotHeader,
+    DiskId, Entry, EntryContent, LogIndex, Membership, Position, ReferencedCommand, Snapshot,
+    SnapshotHeader,
 };
 use redb::{Database, ReadableDatabase, TableDefinition};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const RECORDS: TableDefinition<&str, &[u8]> = TableDefinition::new("records");
 
+const CACHE_BYTES: usize = 1024 * 1024;
+
 fn entry(index: LogIndex) -> Entry {
     Entry {
         index,
@@ -23,7 +27,7 @@
 
 fn filled(folder: &Path) -> (PathBuf, RedbStorage) {
     let path = folder.join("journal.redb");
-    let mut storage = RedbStorage::open(&path, DiskId(7)).expect("a new file opens");
+    let mut storage = RedbStorage::open(&path, DiskId(7), CACHE_BYTES).expect("a new file opens");
     let batch = WriteBatch {
         hard_state: Some(HardState {
             term: 2,
@@ -56,7 +60,7 @@
     };
     storage.write(&batch).expect("the batch is written");
     drop(storage);
-    let storage = RedbStorage::open(&path, DiskId(8)).expect("the file opens again");
+    let storage = RedbStorage::open(&path, DiskId(8), CACHE_BYTES).expect("the file opens again");
     assert_eq!(storage.disk(), DiskId(7));
     let stored = storage.load().expect("it is whole");
     assert_eq!(stored.hard_state.term, 2);
@@ -71,7 +75,7 @@
     let (path, storage) = filled(folder.path());
     drop(storage);
     std::fs::remove_file(&path).expect("the file is removed");
-    let storage = RedbStorage::open(&path, DiskId(8)).expect("a new file opens");
+    let storage = RedbStorage::open(&path, DiskId(8), CACHE_BYTES).expect("a new file opens");
     assert_eq!(storage.disk(), DiskId(8));
     assert_eq!(storage.load().expect("it is empty"), StoredState::default());
 }
@@ -112,7 +116,8 @@
         let (path, storage) = filled(folder.path());
         drop(storage);
         damage(&path, work);
-        let result = RedbStorage::open(&path, DiskId(8)).and_then(|storage| storage.load());
+        let result =
+            RedbStorage::open(&path, DiskId(8), CACHE_BYTES).and_then(|storage| storage.load());
         let message = result.expect_err("damage is noticed").to_string();
         assert!(message.contains(named), "{message}");
         assert!(message.contains("new replica"), "{message}");
@@ -128,7 +133,7 @@
     for share in [1, 2, 3, 5, 7, 9] {
         let cut = &whole[..whole.len() * share / 10];
         std::fs::write(&path, cut).expect("the file is cut");
-        match RedbStorage::open(&path, DiskId(8)).and_then(|storage| storage.load()) {
+        match RedbStorage::open(&path, DiskId(8), CACHE_BYTES).and_then(|storage| storage.load()) {
             Ok(stored) => assert_eq!(stored.entries.len(), 10, "{share} tenths"),
             Err(StorageError::Database(_, _)) => {}
             Err(other) => panic!("{share} tenths: {other}"),
@@ -151,6 +156,42 @@
     drop(write);
     assert!(database.begin_read().is_ok());
     drop(database);
-    let storage = RedbStorage::open(&path, DiskId(8)).expect("the file opens");
+    let storage = RedbStorage::open(&path, DiskId(8), CACHE_BYTES).expect("the file opens");
     assert_eq!(storage.load().expect("it is whole").entries.len(), 10);
 }
+
+#[test]
+fn commands_that_a_snapshot_refers_to_outlive_their_entries() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (path, mut storage) = filled(folder.path());
+    let discard = |index, referenced: &[LogIndex]| WriteBatch {
+        discard_through: Some(Position { index, term: 2 }),
+        referenced: Some(referenced.iter().copied().collect::<BTreeSet<_>>()),
+        ..WriteBatch::default()
+    };
+    storage.write(&discard(4, &[2, 3])).expect("written");
+    let received = WriteBatch {
+        received: vec![ReferencedCommand {
+            index: 40,
+            command: vec![40; 10].into(),
+        }],
+        ..WriteBatch::default()
+    };
+    storage.write(&received).expect("written");
+    storage.write(&discard(6, &[3, 6])).expect("written");
+    drop(storage);
+    let storage = RedbStorage::open(&path, DiskId(8), CACHE_BYTES).expect("the file opens again");
+    let held = |index| {
+        storage
+            .command(index)
+            .expect("readable")
+            .map(|one| one.0.len())
+    };
+    assert_eq!(held(1), None, "never referred to");
+    assert_eq!(held(2), None, "not referred to any more");
+    assert_eq!(held(3), Some(100), "referred to by both snapshots");
+    assert_eq!(held(6), Some(100), "left the log just now");
+    assert_eq!(held(8), Some(100), "still in the log");
+    assert_eq!(held(40), Some(10), "received for a snapshot to come");
+    assert_eq!(held(11), None, "never there");
+}
--- a/crates/firshore-server/src/journal/mod.rs
+++ b/crates/firshore-server/src/journal/mod.rs
@@ -41,7 +41,7 @@
     /// Opens the storage of every group and checks it.
     pub fn open(folder: &Path, groups: u32) -> Result<Self, StorageError> {
         let groups: Result<Vec<Group>, StorageError> = (0..groups)
-            .map(|number| Group::open(folder, GroupId(number)))
+            .map(|number| Group::open(folder, GroupId(number), transport::CACHE_BYTES))
             .collect();
         Ok(Self { groups: groups? })
     }
--- a/crates/firshore-server/src/journal/transport.rs
+++ b/crates/firshore-server/src/journal/transport.rs
@@ -15,6 +15,9 @@
 /// Log in memory at which a snapshot is taken, in bytes.
 const SNAPSHOT_AFTER_BYTES: usize = 32 * 1024 * 1024;
 
+/// Memory for pages of one group's database, in bytes.
+pub(super) const CACHE_BYTES: usize = 16 * 1024 * 1024;
+
 struct PeerTransport {
     shared: Arc<Shared>,
     addresses: BTreeMap<NodeName, SocketAddr>,
@@ -36,6 +39,7 @@
         replace_after: Duration::from_secs(journal.replace_after_seconds),
         reserve_bytes: journal.reserve_bytes,
         snapshot_after_bytes: SNAPSHOT_AFTER_BYTES,
+        cache_bytes: CACHE_BYTES,
     }
 }
 
