--- a/crates/firshore-gateway/src/events.rs
+++ b/crates/firshore-gateway/src/events.rs
@@ -41,6 +41,20 @@
     /// Takes in what arrived and returns the whole events in it.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, EventFault> {
         self.buffer.extend_from_slice(bytes);
+        let before = self.last;
+        let whole = self.follow_events().inspect_err(|_| {
+            // Nothing of what arrived is returned, so none of it counts as held.
+            self.last = before;
+        })?;
+        if self.buffer.len() - whole > MAXIMUM_EVENT_BYTES {
+            self.last = before;
+            return Err(EventFault::TooLong);
+        }
+        Ok(self.buffer.split_to(whole).freeze())
+    }
+
+    /// Follows the numbers of the whole events that are held, and returns their length.
+    fn follow_events(&mut self) -> Result<usize, EventFault> {
         let mut whole = 0;
         while let Some(length) = event_length(&self.buffer[whole..]) {
             let event = &self.buffer[whole..whole + length];
@@ -49,10 +63,7 @@
             }
             whole += length;
         }
-        if self.buffer.len() - whole > MAXIMUM_EVENT_BYTES {
-            return Err(EventFault::TooLong);
-        }
-        Ok(self.buffer.split_to(whole).freeze())
+        Ok(whole)
     }
 
     fn follow(&mut self, number: u64) -> Result<(), EventFault> {
--- a/crates/firshore-jobs/src/command.rs
+++ b/crates/firshore-jobs/src/command.rs
@@ -42,6 +42,15 @@
     },
     /// Lists results; only the first of an item counts, and none of a job that has ended.
     Complete(Vec<Completion>),
+    /// A back end ran an item and failed.
+    Failed {
+        /// Job.
+        job: String,
+        /// Item.
+        item: ItemIndex,
+        /// Random number of the run: proposed again after a lost answer, it counts once.
+        run: u64,
+    },
     /// Ends a job: what is listed stays, the rest is not owed.
     End {
         /// Job.
--- a/crates/firshore-jobs/src/job.rs
+++ b/crates/firshore-jobs/src/job.rs
@@ -11,6 +11,10 @@
 struct StoredItem {
     item: JobItem,
     finished: bool,
+    /// Back ends that ran it and failed.
+    failures: u32,
+    /// Run of the last failure.
+    failed_run: Option<u64>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -42,6 +46,8 @@
         let items = items.into_iter().map(|item| StoredItem {
             item,
             finished: false,
+            failures: 0,
+            failed_run: None,
         });
         Self {
             header,
@@ -92,6 +98,24 @@
         });
     }
 
+    /// Takes in that a back end failed on an item.
+    pub(crate) fn failed(&mut self, index: ItemIndex, run: u64) {
+        let Some(item) = self.items.get_mut(index as usize) else {
+            return;
+        };
+        if item.failed_run != Some(run) {
+            item.failed_run = Some(run);
+            item.failures += 1;
+        }
+    }
+
+    /// Back ends that failed on an item.
+    pub(crate) fn failures(&self, index: ItemIndex) -> u32 {
+        self.items
+            .get(index as usize)
+            .map_or(0, |item| item.failures)
+    }
+
     pub(crate) fn end(&mut self) {
         self.ended = true;
         for item in self.items.iter_mut().filter(|item| !item.finished) {
--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -65,6 +65,11 @@
         job.is_some_and(|job| job.is_unfinished(item))
     }
 
+    /// Back ends that ran an item and failed.
+    pub fn failures(&self, job: &str, item: ItemIndex) -> u32 {
+        self.jobs.get(job).map_or(0, |job| job.failures(item))
+    }
+
     /// Number of jobs.
     pub fn len(&self) -> usize {
         self.jobs.len()
@@ -100,7 +105,7 @@
                 None => Some(Outcome::UnknownJob),
                 Some(job) => job.is_ended().then_some(Outcome::Done),
             },
-            Action::Complete(_) => None,
+            Action::Complete(_) | Action::Failed { .. } => None,
             Action::Forget { before } => {
                 let nothing = !self.has_forgettable(*before);
                 nothing.then_some(Outcome::Done)
@@ -140,6 +145,11 @@
                     }
                 }
             }
+            Action::Failed { job, item, run } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.failed(item, run);
+                }
+            }
             Action::End { job } => match self.jobs.get_mut(&job) {
                 Some(job) => job.end(),
                 None => return Outcome::UnknownJob,
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -232,3 +232,21 @@
     assert_eq!(page.entries(), BTreeSet::from([2]));
     assert_eq!(page.filled(&BTreeMap::new()), None);
 }
+
+#[test]
+fn failures_of_back_ends_are_counted_for_each_item() {
+    let failed = |item, run| Action::Failed {
+        job: "job".to_owned(),
+        item,
+        run,
+    };
+    let applied = applied(vec![
+        submit("job", &["a", "b"]),
+        failed(1, 11),
+        failed(1, 12),
+        failed(1, 12),
+        failed(7, 13),
+    ]);
+    let failures = |item| applied.table.failures("job", item);
+    assert_eq!((failures(0), failures(1), failures(7)), (0, 2, 0));
+}
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -41,6 +41,14 @@
     leader: RefCell<Option<NodeName>>,
 }
 
+/// What the leader answers a node that tells its load.
+pub struct OthersLoad {
+    /// Requests that all other nodes have under way at each back end.
+    pub counts: HashMap<Incarnation, u32>,
+    /// Time until this node is to tell again.
+    pub pause: Duration,
+}
+
 enum Tried {
     Answered(PeerResponse),
     Elsewhere(Option<NodeName>),
@@ -116,10 +124,7 @@
 
     /// Tells the leader what this node has under way, and learns what all others have. Asks once:
     /// what is missed is told again a moment later.
-    pub async fn exchange_load(
-        &self,
-        counts: Vec<BackendCount>,
-    ) -> Option<HashMap<Incarnation, u32>> {
+    pub async fn exchange_load(&self, counts: Vec<BackendCount>) -> Option<OthersLoad> {
         let leader = self.leader.borrow().clone();
         let target = match leader.or_else(|| self.nodes().pop()) {
             Some(target) => target,
@@ -133,11 +138,14 @@
             counts,
         };
         match self.try_one(&target, request, Duration::ZERO).await {
-            Tried::Answered(PeerResponse::Load(counts)) => {
+            Tried::Answered(PeerResponse::Load { counts, pause }) => {
                 *self.leader.borrow_mut() = Some(target);
                 let counts = counts.into_iter();
                 let others = counts.map(|one| (Incarnation(one.backend), one.count));
-                Some(others.collect())
+                Some(OthersLoad {
+                    counts: others.collect(),
+                    pause: Duration::from_millis(pause),
+                })
             }
             Tried::Elsewhere(leader) => {
                 *self.leader.borrow_mut() = leader;
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -94,7 +94,14 @@
     Gaps(Vec<ItemKey>),
     /// What all others have under way.
     #[serde(rename = "l")]
-    Load(Vec<BackendCount>),
+    Load {
+        /// Requests at each back end that is not idle.
+        #[serde(rename = "c")]
+        counts: Vec<BackendCount>,
+        /// Milliseconds until the node is to tell again.
+        #[serde(rename = "p")]
+        pause: u64,
+    },
     /// The peer did not do as asked.
     Refused(JournalRefusal),
 }
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -26,6 +26,18 @@
 /// Longest wait for a result that is granted.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
+/// Exchanges of loads that the leader answers in a second, however many nodes there are.
+const EXCHANGES_PER_SECOND: u64 = 300;
+
+/// Shortest time between two exchanges of one node.
+const LEAST_EXCHANGE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time until a node is to tell again, when `nodes` of them do.
+fn exchange_pause(nodes: usize) -> Duration {
+    let fair = Duration::from_millis(1_000 * nodes as u64 / EXCHANGES_PER_SECOND);
+    fair.max(LEAST_EXCHANGE_PAUSE)
+}
+
 /// What a node with a replica answers.
 pub struct Service {
     replica: Rc<Replica>,
@@ -47,15 +59,19 @@
 
 impl Loads {
     /// Takes in what a node told, and answers with what all others have under way.
-    fn exchange(&self, node: NodeName, counts: Vec<BackendCount>) -> Vec<BackendCount> {
+    fn exchange(&self, node: NodeName, counts: Vec<BackendCount>) -> PeerResponse {
         let now = Instant::now().into_std();
-        self.table.borrow_mut().told(now, node.clone(), counts);
-        let mut others = self.table.borrow().others(now, Some(&node));
+        let mut table = self.table.borrow_mut();
+        table.told(now, node.clone(), counts);
+        let mut others = table.others(&node);
         for (backend, count) in self.own.borrow().iter() {
             *others.entry(backend.clone()).or_default() += count;
         }
         self.told.notify_one();
-        as_counts(others)
+        PeerResponse::Load {
+            counts: as_counts(others),
+            pause: exchange_pause(table.nodes()).as_millis() as u64,
+        }
     }
 }
 
@@ -107,7 +123,7 @@
         }
         if let PeerRequest::Load { node, counts } = request {
             let answer = match replica.status() {
-                status if status.leads => PeerResponse::Load(self.loads.exchange(node, counts)),
+                status if status.leads => self.loads.exchange(node, counts),
                 status => PeerResponse::Refused(JournalRefusal::NotLeader {
                     leader: status.leader.clone(),
                 }),
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -7,7 +7,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time between exchanges while requests are under way.
+/// Longest time between exchanges while requests are under way, whatever the leader says: what was
+/// told counts for nothing soon after.
+const LONGEST_BUSY_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Shortest time between exchanges while requests are under way.
 const BUSY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between exchanges otherwise.
@@ -16,6 +20,7 @@
 /// Runs until the node ends.
 pub async fn run(gateway: Rc<Gateway>, journal: Rc<JournalClient>) {
     let mut was_busy = false;
+    let mut busy_interval = BUSY_INTERVAL;
     loop {
         let own = as_counts(gateway.fleet.borrow().in_flight());
         let busy = !own.is_empty();
@@ -23,11 +28,12 @@
         let tells = busy || was_busy || gateway.requests_open() > 0;
         if tells && let Some(others) = journal.exchange_load(own).await {
             let mut fleet = gateway.fleet.borrow_mut();
-            fleet.learned_others(Instant::now(), &others);
+            fleet.learned_others(Instant::now(), &others.counts);
+            busy_interval = others.pause.clamp(BUSY_INTERVAL, LONGEST_BUSY_INTERVAL);
         }
         was_busy = busy;
         let interval = match busy {
-            true => BUSY_INTERVAL,
+            true => busy_interval,
             false => IDLE_INTERVAL,
         };
         actix_rt::time::sleep(interval).await;
--- a/crates/firshore-node/src/load_table.rs
+++ b/crates/firshore-node/src/load_table.rs
@@ -28,37 +28,75 @@
     at: Instant,
 }
 
-/// What nodes told.
+/// What nodes told, and its sum, which is kept up to date rather than made anew: each of many nodes
+/// asks for it some times a second.
 #[derive(Default)]
 pub struct LoadTable {
     nodes: HashMap<NodeName, Told>,
+    sums: HashMap<Incarnation, u32>,
+}
+
+fn subtract(sums: &mut HashMap<Incarnation, u32>, counts: &HashMap<Incarnation, u32>) {
+    for (backend, count) in counts {
+        if let Some(sum) = sums.get_mut(backend) {
+            *sum = sum.saturating_sub(*count);
+            if *sum == 0 {
+                sums.remove(backend);
+            }
+        }
+    }
 }
 
 impl LoadTable {
     /// Takes in what a node has under way.
     pub fn told(&mut self, now: Instant, node: NodeName, counts: Vec<BackendCount>) {
-        let counts = counts.into_iter();
-        let counts = counts
+        self.forget_old(now);
+        let counts: HashMap<Incarnation, u32> = counts
+            .into_iter()
             .map(|one| (Incarnation(one.backend), one.count))
             .collect();
-        self.nodes.insert(node, Told { counts, at: now });
-        self.nodes
-            .retain(|_, told| now.saturating_duration_since(told.at) < LIFETIME);
+        for (backend, count) in &counts {
+            match self.sums.get_mut(backend) {
+                Some(sum) => *sum += count,
+                None => {
+                    self.sums.insert(backend.clone(), *count);
+                }
+            }
+        }
+        if let Some(before) = self.nodes.insert(node, Told { counts, at: now }) {
+            subtract(&mut self.sums, &before.counts);
+        }
     }
 
-    /// Sums over all nodes but one.
-    pub fn others(&self, now: Instant, except: Option<&NodeName>) -> HashMap<Incarnation, u32> {
-        let mut sums: HashMap<Incarnation, u32> = HashMap::new();
-        for (node, told) in &self.nodes {
+    /// Forgets what was told too long ago.
+    pub fn forget_old(&mut self, now: Instant) {
+        let sums = &mut self.sums;
+        self.nodes.retain(|_, told| {
             let fresh = now.saturating_duration_since(told.at) < LIFETIME;
-            if !fresh || Some(node) == except {
-                continue;
-            }
-            for (backend, count) in &told.counts {
-                *sums.entry(backend.clone()).or_default() += count;
+            if !fresh {
+                subtract(sums, &told.counts);
             }
+            fresh
+        });
+    }
+
+    /// Sums over all nodes, as of the last call that changed anything.
+    pub fn sums(&self) -> &HashMap<Incarnation, u32> {
+        &self.sums
+    }
+
+    /// Sums over all nodes but one.
+    pub fn others(&self, node: &NodeName) -> HashMap<Incarnation, u32> {
+        let mut others = self.sums.clone();
+        if let Some(told) = self.nodes.get(node) {
+            subtract(&mut others, &told.counts);
         }
-        sums
+        others
+    }
+
+    /// Number of nodes that told a moment ago.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
     }
 }
 
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -1,7 +1,7 @@
 //! One run of one item at one back end.
 
 use super::Work;
-use super::progress::{ItemProgress, RunEnd};
+use super::progress::{ItemProgress, RunEnd, RunLimits};
 use crate::journal::Replica;
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
@@ -12,6 +12,7 @@
 use firshore_gateway::fleet::Impression;
 use firshore_gateway::gateway::{Gateway, InFlight};
 use firshore_jobs::command::{Action, Completion};
+use rand::RngExt;
 use slog::info;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -60,12 +61,19 @@
         let resumed_after = self.progress.borrow().last_event();
         let end = self.send().await;
         let header = &self.work.header;
-        let outcome = self.progress.borrow_mut().ended(
-            Instant::now(),
-            end,
-            header.attempts,
-            Duration::from_millis(header.give_up_after),
-        );
+        let limits = RunLimits {
+            attempts: header.attempts,
+            give_up_after: Duration::from_millis(header.give_up_after),
+        };
+        let failures = match end {
+            RunEnd::Failed => self.record_failure().await,
+            _ => 0,
+        };
+        let now = Instant::now();
+        let outcome = self
+            .progress
+            .borrow_mut()
+            .ended(now, end, failures, &limits);
         info!(self.gateway.log, "runner: Run ended."; "job" => &header.job,
             "item" => &self.work.item.id, "backend" => %self.backend.incarnation, "end" => ?end,
             "resumed_after" => resumed_after, "run_ms" => started.elapsed().as_millis() as u64,
@@ -76,6 +84,20 @@
         }
     }
 
+    /// Records that a back end failed on the item, so that the next leader knows too. Returns how
+    /// often that was.
+    async fn record_failure(&self) -> u32 {
+        let job = &self.work.header.job;
+        let failed = Action::Failed {
+            job: job.clone(),
+            item: self.work.index,
+            run: self.gateway.random.borrow_mut().random(),
+        };
+        commit(&self.replica, failed).await;
+        let state = self.replica.applied_state();
+        state.read().failures(job, self.work.index)
+    }
+
     fn request_head(&self) -> Option<RequestHead> {
         let item = &self.work.item;
         let mut head = RequestHead::default();
@@ -172,15 +194,20 @@
     }
 }
 
-/// Lists a result: proposes it until it is committed or this node does not lead any more.
+/// Lists a result.
 async fn list(replica: &Replica, work: &Work, outcome: ItemOutcome) {
+    let completion = Completion {
+        job: work.header.job.clone(),
+        item: work.index,
+        outcome,
+    };
+    commit(replica, Action::Complete(vec![completion])).await;
+}
+
+/// Proposes what may be proposed again, until it is committed or this node does not lead any more.
+async fn commit(replica: &Replica, action: Action) {
     loop {
-        let completion = Completion {
-            job: work.header.job.clone(),
-            item: work.index,
-            outcome: outcome.clone(),
-        };
-        let proposed = replica.propose(Action::Complete(vec![completion]).into());
+        let proposed = replica.propose(action.clone().into());
         if proposed.await.is_ok() || !replica.status().leads {
             return;
         }
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -20,14 +20,15 @@
 use firshore_gateway::fleet::Wanted;
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
-use firshore_types::ids::NodeName;
+use firshore_jobs::table::OpenItem;
+use firshore_types::ids::{NodeName, ServiceName};
 use futures_util::future::join_all;
 use handover::{ProgressDelta, Told};
 use item::ItemRun;
 use progress::ItemProgress;
 use slog::info;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,6 +44,12 @@
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Items started in one look: each costs processor time, and shows its load only a moment later.
+const MOST_STARTS: usize = 32;
+
+/// Items without room after which a look ends.
+const MOST_REFUSALS: usize = 64;
+
 /// Time between looks while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,9 +70,22 @@
     pub(crate) item: JobItem,
 }
 
-impl Work {
-    fn key(&self) -> ItemKey {
-        (self.header.job.clone(), self.index)
+/// One look at the items that wait.
+#[derive(Default)]
+struct Pass {
+    /// Whether items wait.
+    waiting: bool,
+    /// Items that were started.
+    started: usize,
+    /// Items for which there was no room.
+    refused: usize,
+    /// Services without room.
+    full: HashSet<ServiceName>,
+}
+
+impl Pass {
+    fn is_over(&self) -> bool {
+        self.started >= MOST_STARTS || self.refused >= MOST_REFUSALS
     }
 }
 
@@ -116,15 +136,16 @@
                     false
                 }
             };
-            let interval = match waiting {
-                true => ROOM_INTERVAL,
-                false => IDLE_INTERVAL,
-            };
-            let _ = timeout(interval, async {
+            // However often something changes: a pass looks at all items that wait.
+            actix_rt::time::sleep(ROOM_INTERVAL).await;
+            if waiting {
+                continue;
+            }
+            let _ = timeout(IDLE_INTERVAL, async {
                 tokio::select! {
-                    _ = changes.changed(), if !waiting => {}
+                    _ = changes.changed() => {}
                     () = self.ended.notified() => {}
-                    () = self.loads.told.notified(), if !waiting => {}
+                    () = self.loads.told.notified() => {}
                 }
             })
             .await;
@@ -141,6 +162,8 @@
         if *confirmed_term == Some(status.term) {
             return true;
         }
+        // It may have lost leadership in between, unnoticed: what runs is of another term.
+        self.stop_all();
         let confirmed = self.replica.read().await.is_ok();
         if confirmed {
             *confirmed_term = Some(status.term);
@@ -220,18 +243,21 @@
     /// Takes in what nodes have under way, and stops runs where it is too much.
     fn give_way(&self) {
         let now = Instant::now();
-        let online = self.loads.table.borrow().others(now, None);
+        let mut table = self.loads.table.borrow_mut();
+        table.forget_old(now);
+        let online = table.sums();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.learned_others(now, &online);
-        *self.loads.own.borrow_mut() = fleet.in_flight().collect();
+        fleet.learned_others(now, online);
+        *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
         let excess: HashMap<Incarnation, usize> = online
-            .into_keys()
+            .keys()
             .filter_map(|backend| {
-                let excess = fleet.excess(now, &backend, PREEMPTION_LOAD)?;
-                Some((backend, excess))
+                let excess = fleet.excess(now, backend, PREEMPTION_LOAD)?;
+                Some((backend.clone(), excess))
             })
             .collect();
         drop(fleet);
+        drop(table);
         for (backend, count) in excess {
             self.stop_least_advanced(&backend, count);
         }
@@ -262,26 +288,20 @@
         let state = self.replica.applied_state();
         self.stop_closed(|key| state.read().is_open(&key.0, key.1));
         let now = Instant::now();
-        let mut waiting = false;
-        let idle: Vec<Work> = {
-            let state = state.read();
-            let running = self.running.borrow();
-            let items = state.open_items().into_iter();
-            let idle = items.filter(|one| {
-                let key = (one.header.job.clone(), one.index);
-                !running.contains_key(&key)
-            });
-            idle.map(|one| Work {
-                header: one.header.clone(),
-                index: one.index,
-                item: one.item.clone(),
-            })
-            .collect()
-        };
-        for work in idle {
-            waiting |= !self.try_start(now, work);
+        let state = state.read();
+        let mut pass = Pass::default();
+        for one in state.open_items() {
+            let key = (one.header.job.clone(), one.index);
+            if self.running.borrow().contains_key(&key) {
+                continue;
+            }
+            pass.waiting = true;
+            if pass.is_over() {
+                break;
+            }
+            self.try_start(now, key, &one, &mut pass);
         }
-        waiting
+        pass.waiting
     }
 
     /// Stops runs of items that are not wanted any more.
@@ -299,21 +319,28 @@
     }
 
     /// Starts an item if it may run now and there is room.
-    fn try_start(self: &Rc<Self>, now: Instant, work: Work) -> bool {
-        let key = work.key();
-        let progress = self
-            .progress
-            .borrow_mut()
-            .entry(key.clone())
-            .or_insert_with(|| Rc::new(RefCell::new(ItemProgress::new(now))))
-            .clone();
-        if progress.borrow().is_paused(now) {
-            return false;
+    fn try_start(self: &Rc<Self>, now: Instant, key: ItemKey, one: &OpenItem<'_>, pass: &mut Pass) {
+        let known = self.progress.borrow().get(&key).cloned();
+        if known
+            .as_ref()
+            .is_some_and(|one| one.borrow().is_paused(now))
+        {
+            return;
         }
-        let Some(backend) = self.choose(now, &work) else {
-            return false;
+        let Some(backend) = self.choose(now, one, pass) else {
+            pass.refused += 1;
+            return;
         };
+        pass.started += 1;
+        let progress = known.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
+        let held = progress.clone();
+        self.progress.borrow_mut().insert(key.clone(), held);
         progress.borrow_mut().starts();
+        let work = Work {
+            header: one.header.clone(),
+            index: one.index,
+            item: one.item.clone(),
+        };
         let chosen = backend.incarnation.clone();
         let run = ItemRun {
             gateway: self.gateway.clone(),
@@ -337,17 +364,19 @@
             backend: chosen,
         };
         self.running.borrow_mut().insert(key, run);
-        true
     }
 
     /// A back end with room, of the service that the item's route names now.
-    fn choose(&self, now: Instant, work: &Work) -> Option<Backend> {
+    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
         let configuration = self.gateway.configuration()?;
-        let path = work.item.path.split('?').next().unwrap_or_default();
-        let route = configuration.routes.find(&work.header.host, path)?;
+        let path = one.item.path.split('?').next().unwrap_or_default();
+        let route = configuration.routes.find(&one.header.host, path)?;
         let route = Arc::clone(route);
         let service = self.gateway.split.borrow_mut().next(&route);
-        let headers = item::headers(&work.item);
+        if pass.full.contains(&service) {
+            return None;
+        }
+        let headers = item::headers(one.item);
         let terms = self.gateway.adapter.caller.read_terms(&headers);
         let attempts = Attempts::new(route.repetition, u32::MAX);
         let wanted = Wanted {
@@ -358,6 +387,10 @@
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
-        fleet.choose(now, &wanted, &mut *random)
+        let chosen = fleet.choose(now, &wanted, &mut *random);
+        if chosen.is_none() {
+            pass.full.insert(service);
+        }
+        chosen
     }
 }
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -25,12 +25,20 @@
     Impossible,
 }
 
+/// When an item is given up.
+#[derive(Clone, Copy, Debug)]
+pub struct RunLimits {
+    /// Failures of back ends.
+    pub attempts: u32,
+    /// Time.
+    pub give_up_after: Duration,
+}
+
 /// Progress of one item.
 #[derive(Debug)]
 pub struct ItemProgress {
     stream: EventStream,
     produced: Vec<String>,
-    failures: u32,
     troubles: u32,
     known_since: Instant,
     not_before: Instant,
@@ -42,7 +50,6 @@
         Self {
             stream: EventStream::default(),
             produced: Vec::new(),
-            failures: 0,
             troubles: 0,
             known_since: now,
             not_before: now,
@@ -90,24 +97,29 @@
         self.stream.holds_part()
     }
 
-    /// Takes in the end of a run. Returns what becomes of the item, if that is settled.
+    /// Takes in the end of a run, after which back ends have failed on the item `failures` times.
+    /// Returns what becomes of the item, if that is settled.
     pub fn ended(
         &mut self,
         now: Instant,
         end: RunEnd,
-        attempts: u32,
-        give_up_after: Duration,
+        failures: u32,
+        limits: &RunLimits,
     ) -> Option<ItemOutcome> {
         self.stream.broken_off();
         match end {
-            RunEnd::Whole => return Some(ItemOutcome::Done(std::mem::take(&mut self.produced))),
+            RunEnd::Whole => {
+                // Nothing is held any more, so a further run would begin anew.
+                self.stream = EventStream::default();
+                return Some(ItemOutcome::Done(std::mem::take(&mut self.produced)));
+            }
             RunEnd::Impossible => return Some(ItemOutcome::GivenUp),
-            RunEnd::Failed => self.failures += 1,
+            RunEnd::Failed => {}
             RunEnd::NotRun | RunEnd::Broken => self.troubles += 1,
         }
         // This node's knowledge is never older than the submission, so nothing is given up early.
-        let expired = now.saturating_duration_since(self.known_since) >= give_up_after;
-        if self.failures >= attempts.max(1) || expired {
+        let expired = now.saturating_duration_since(self.known_since) >= limits.give_up_after;
+        if failures >= limits.attempts.max(1) || expired {
             return Some(ItemOutcome::GivenUp);
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.troubles.min(10));
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -4,12 +4,17 @@
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
 use firshore_node::runner::handover::{HeldItems, ProgressDelta, Told};
-use firshore_node::runner::progress::{ItemProgress, RunEnd};
+use firshore_node::runner::progress::{ItemProgress, RunEnd, RunLimits};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 const GIVE_UP: Duration = Duration::from_secs(60);
 
+const LIMITS: RunLimits = RunLimits {
+    attempts: 3,
+    give_up_after: GIVE_UP,
+};
+
 #[test]
 fn items_end_as_their_runs_allow() {
     use RunEnd::{Broken, Failed, Impossible, NotRun, Whole};
@@ -32,9 +37,11 @@
         let now = Instant::now();
         let mut progress = ItemProgress::new(now);
         let mut outcome = None;
+        let mut failures = 0;
         for end in ends {
             assert_eq!(outcome, None, "{name}");
-            outcome = progress.ended(now, *end, 3, GIVE_UP);
+            failures += u32::from(*end == Failed);
+            outcome = progress.ended(now, *end, failures, &LIMITS);
         }
         assert_eq!(outcome, expected, "{name}");
     }
@@ -49,9 +56,26 @@
     progress.starts();
     assert_eq!(progress.last_event(), Some(1));
     progress.feed(b"id: 2\ndata: b\n\n").unwrap();
-    let outcome = progress.ended(now, RunEnd::Whole, 3, GIVE_UP);
+    let outcome = progress.ended(now, RunEnd::Whole, 0, &LIMITS);
     let events = vec!["a".to_owned(), "b".to_owned()];
     assert_eq!(outcome, Some(ItemOutcome::Done(events)));
+    assert_eq!(
+        progress.last_event(),
+        None,
+        "what is handed out is not held any more"
+    );
+}
+
+#[test]
+fn a_part_of_a_stream_that_is_out_of_order_counts_for_nothing() {
+    let now = Instant::now();
+    let mut progress = ItemProgress::new(now);
+    progress.feed(b"id: 1\ndata: a\n\n").unwrap();
+    let spoiled = progress.feed(b"id: 2\ndata: b\n\nid: 4\ndata: d\n\n");
+    assert!(spoiled.is_err());
+    assert_eq!(progress.ended(now, RunEnd::Broken, 0, &LIMITS), None);
+    assert_eq!(progress.last_event(), Some(1));
+    assert_eq!(progress.produced(), ["a".to_owned()]);
 }
 
 #[test]
@@ -59,9 +83,9 @@
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
     let before = now + GIVE_UP - Duration::from_millis(1);
-    assert_eq!(progress.ended(before, RunEnd::Broken, 3, GIVE_UP), None);
+    assert_eq!(progress.ended(before, RunEnd::Broken, 0, &LIMITS), None);
     assert!(progress.is_paused(before));
-    let outcome = progress.ended(now + GIVE_UP, RunEnd::Broken, 3, GIVE_UP);
+    let outcome = progress.ended(now + GIVE_UP, RunEnd::Broken, 0, &LIMITS);
     assert_eq!(outcome, Some(ItemOutcome::GivenUp));
 }
 
@@ -80,11 +104,14 @@
     table.told(now, "two".into(), told("a", 4));
     table.told(now, "two".into(), told("a", 5));
     let sums = |sums: HashMap<Incarnation, u32>| as_counts(sums);
-    assert_eq!(sums(table.others(now, None)), told("a", 8));
-    assert_eq!(sums(table.others(now, Some(&"two".into()))), told("a", 3));
+    assert_eq!(sums(table.sums().clone()), told("a", 8));
+    assert_eq!(sums(table.others(&"two".into())), told("a", 3));
     let later = now + Duration::from_secs(2);
     table.told(later, "two".into(), told("a", 1));
-    assert_eq!(sums(table.others(later, None)), told("a", 1));
+    assert_eq!(sums(table.sums().clone()), told("a", 1));
+    assert_eq!(table.nodes(), 1);
+    table.forget_old(later + Duration::from_secs(2));
+    assert!(table.sums().is_empty());
 }
 
 fn events(range: std::ops::RangeInclusive<u64>) -> Vec<String> {
