What items have produced is told in messages of limited size

Cause: a node that leads anew told each replica all progress of all items in one message: at 500 runs about 4 MB, cloned twice and encoded, for four replicas at once.

Change: messages of 128 KB, eight a round for each node at most; the rest in the next rounds.

Ruled out: the log and its pages (3.7 MB each there), buffers of runs (about 16 KB each).

--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -28,6 +28,30 @@
     pub last: Option<u64>,
 }
 
+/// How far a delta goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToldThrough {
+    /// Item.
+    pub key: ItemKey,
+    /// Events that a node holds once it has taken the delta in.
+    pub events: usize,
+}
+
+impl ProgressDelta {
+    /// How far it goes.
+    pub fn through(&self) -> ToldThrough {
+        ToldThrough {
+            key: (self.job.clone(), self.index),
+            events: self.offset + self.events.len(),
+        }
+    }
+
+    /// Size of its events in bytes.
+    pub fn bytes(&self) -> usize {
+        self.events.iter().map(String::len).sum()
+    }
+}
+
 /// What one item has produced, as told by its leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeldProgress {
@@ -99,11 +123,26 @@
         })
     }
 
+    /// What the node has not been told of these items, up to about `limit` bytes of events.
+    pub fn deltas<'a>(
+        &self,
+        items: impl Iterator<Item = (&'a ItemKey, &'a [String], Option<u64>)>,
+        limit: usize,
+    ) -> Vec<ProgressDelta> {
+        let mut bytes = 0;
+        let untold = items.filter_map(|(key, events, last)| self.delta(key, events, last));
+        let within_limit = untold.take_while(|delta| {
+            let fits = bytes < limit;
+            bytes += delta.bytes();
+            fits
+        });
+        within_limit.collect()
+    }
+
     /// The node has answered: it holds what was sent, but for the gaps that it names.
-    pub fn answered(&mut self, sent: &[ProgressDelta], gaps: Vec<ItemKey>) {
-        for delta in sent {
-            let key = (delta.job.clone(), delta.index);
-            self.lengths.insert(key, delta.offset + delta.events.len());
+    pub fn answered(&mut self, sent: Vec<ToldThrough>, gaps: Vec<ItemKey>) {
+        for one in sent {
+            self.lengths.insert(one.key, one.events);
         }
         for key in gaps {
             self.lengths.remove(&key);
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -23,11 +23,11 @@
 use firshore_jobs::table::OpenItem;
 use firshore_types::ids::{NodeName, ServiceName};
 use futures_util::future::join_all;
-use handover::{ProgressDelta, Told};
+use handover::{ProgressDelta, Told, ToldThrough};
 use item::ItemRun;
 use progress::ItemProgress;
 use slog::info;
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -56,6 +56,12 @@
 /// Time between two rounds in which other nodes are told what items have produced.
 const TELL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Bytes of events in one message, about.
+const TELL_BYTES: usize = 128 * 1024;
+
+/// Messages to one node in a round.
+const MOST_TELLS: usize = 8;
+
 /// Longest wait for a node that is told.
 const TELL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -206,30 +212,40 @@
         }
     }
 
-    /// Tells one node what it does not know yet.
+    /// Tells one node what it does not know yet, in messages of limited size: a node that is told
+    /// for the first time lacks everything.
     async fn tell(&self, node: NodeName, mut told: Told) -> (NodeName, Told) {
-        let deltas: Vec<ProgressDelta> = {
-            let progress = self.progress.borrow();
-            told.keep(|key| progress.contains_key(key));
-            let deltas = progress.iter().filter_map(|(key, progress)| {
-                let progress = progress.borrow();
-                told.delta(key, progress.produced(), progress.last_event())
-            });
-            deltas.collect()
-        };
-        if deltas.is_empty() {
-            return (node, told);
-        }
-        let request = PeerRequest::Progress(deltas.clone());
-        let call = self.journal.ask(&node, request);
-        match timeout(TELL_TIMEOUT, call).await {
-            Ok(Some(PeerResponse::Gaps(gaps))) => told.answered(&deltas, gaps),
-            // It may hold anything: it is told from the start.
-            _ => told = Told::default(),
+        for _ in 0..MOST_TELLS {
+            let deltas = self.untold(&mut told);
+            if deltas.is_empty() {
+                break;
+            }
+            let sent: Vec<ToldThrough> = deltas.iter().map(ProgressDelta::through).collect();
+            let call = self.journal.ask(&node, PeerRequest::Progress(deltas));
+            match timeout(TELL_TIMEOUT, call).await {
+                Ok(Some(PeerResponse::Gaps(gaps))) => told.answered(sent, gaps),
+                _ => {
+                    // It may hold anything: it is told from the start.
+                    told = Told::default();
+                    break;
+                }
+            }
         }
         (node, told)
     }
 
+    /// What a node has not been told, as much as fits one message.
+    fn untold(&self, told: &mut Told) -> Vec<ProgressDelta> {
+        let progress = self.progress.borrow();
+        told.keep(|key| progress.contains_key(key));
+        let items = progress.iter().map(|(key, one)| (key, one.borrow()));
+        let items: Vec<(&ItemKey, Ref<'_, ItemProgress>)> = items.collect();
+        let items = items
+            .iter()
+            .map(|(key, one)| (*key, one.produced(), one.last_event()));
+        told.deltas(items, TELL_BYTES)
+    }
+
     /// Ends every run; what was produced is kept only while this node leads.
     pub fn stop_all(&self) {
         let stopped = self.running.borrow().len();
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -3,6 +3,7 @@
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
+use firshore_node::runner::ItemKey;
 use firshore_node::runner::handover::{HeldItems, ProgressDelta, Told};
 use firshore_node::runner::progress::{ItemProgress, RunEnd, RunLimits};
 use std::collections::HashMap;
@@ -127,7 +128,7 @@
         let delta = told.delta(&key, &events(1..=last), Some(last)).unwrap();
         let gaps = held.told(vec![delta.clone()]);
         assert!(gaps.is_empty());
-        told.answered(&[delta], gaps);
+        told.answered(vec![delta.through()], gaps);
     }
     assert_eq!(told.delta(&key, &events(1..=5), Some(5)), None);
     let all = held.take();
@@ -137,6 +138,33 @@
     assert_eq!(begun.last_event(), Some(5));
 }
 
+#[test]
+fn a_node_that_lacks_everything_is_told_in_messages_of_limited_size() {
+    const LIMIT: usize = 100;
+    let items: Vec<(ItemKey, Vec<String>)> = (0..50)
+        .map(|index| (("job".to_owned(), index), events(1..=10)))
+        .collect();
+    let mut told = Told::default();
+    let mut held = HeldItems::default();
+    let mut messages = 0;
+    loop {
+        let untold = items
+            .iter()
+            .map(|(key, events)| (key, events.as_slice(), Some(10)));
+        let deltas = told.deltas(untold, LIMIT);
+        if deltas.is_empty() {
+            break;
+        }
+        let bytes: usize = deltas.iter().map(ProgressDelta::bytes).sum();
+        assert!(bytes < LIMIT + 30, "{bytes} bytes in one message");
+        let sent = deltas.iter().map(ProgressDelta::through).collect();
+        told.answered(sent, held.told(deltas));
+        messages += 1;
+    }
+    assert_eq!(messages, 10);
+    assert_eq!(held.take().len(), items.len());
+}
+
 #[test]
 fn a_gap_is_named_and_told_from_the_start() {
     let key = ("job".to_owned(), 3);
@@ -144,11 +172,11 @@
     let mut held = HeldItems::default();
     let first = told.delta(&key, &events(1..=2), Some(2)).unwrap();
     // The answer came from a node that was started anew right after.
-    told.answered(&[first], Vec::new());
+    told.answered(vec![first.through()], Vec::new());
     let second = told.delta(&key, &events(1..=4), Some(4)).unwrap();
     let gaps = held.told(vec![second.clone()]);
     assert_eq!(gaps, std::slice::from_ref(&key));
-    told.answered(&[second], gaps);
+    told.answered(vec![second.through()], gaps);
     let whole = told.delta(&key, &events(1..=4), Some(4)).unwrap();
     assert_eq!(whole.offset, 0);
     assert!(held.told(vec![whole]).is_empty());
