--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -3,6 +3,7 @@
 use super::{Forwarding, Handled, Interrupted};
 use crate::attempts::Next;
 use crate::caller_connection::CallerConnection;
+use crate::metrics::RequestEnd;
 use crate::refusal::Refusal;
 use firshore_types::error::ErrorCode;
 use slog::info;
@@ -19,6 +20,7 @@
         connection: &mut CallerConnection,
     ) -> Handled {
         if self.progress.head_sent {
+            self.end = RequestEnd::BrokenOff;
             self.log_given_up(None, reason);
             return Handled::Close;
         }
@@ -45,11 +47,15 @@
     }
 
     pub(super) async fn answer_refusal(
-        &self,
+        &mut self,
         refusal: &Refusal,
         reason: &'static str,
         connection: &mut CallerConnection,
     ) -> Handled {
+        self.end = match refusal.promises_not_run() {
+            true => RequestEnd::Refused,
+            false => RequestEnd::Failed,
+        };
         self.log_given_up(Some(refusal), reason);
         let close = self.gateway.leaving.is_leaving();
         match refusal.write(connection, close).await {
@@ -73,10 +79,12 @@
         connection: &mut CallerConnection,
     ) -> Handled {
         if interrupted == Interrupted::CallerLeft {
+            self.end = RequestEnd::CallerLeft;
             self.log_given_up(None, "caller left");
             return Handled::Close;
         }
         if self.progress.head_sent {
+            self.end = RequestEnd::BrokenOff;
             self.log_given_up(None, "time is up");
             return Handled::Close;
         }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use crate::events::EventStream;
 use crate::fleet::{Impression, Wanted};
 use crate::gateway::Gateway;
+use crate::metrics::RequestEnd;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use firshore_adapter::backend::{AnswerHead, Backend, Incarnation, Ran, SendTerms};
@@ -80,6 +81,8 @@
     failure: Option<KeptFailure>,
     /// Where it was sent last.
     sent_to: Option<Incarnation>,
+    /// How it ended for the caller.
+    end: RequestEnd,
 }
 
 /// Runs a request and answers it.
@@ -106,11 +109,17 @@
         terms,
         failure: None,
         sent_to: None,
+        end: RequestEnd::Answered,
     };
-    match forwarding.run(connection).await {
+    let handled = match forwarding.run(connection).await {
         Ok(handled) => handled,
         Err(interrupted) => forwarding.interrupted(interrupted, connection).await,
-    }
+    };
+    let age = forwarding.request.arrived.elapsed();
+    gateway
+        .metrics
+        .request_ended(&forwarding.service, forwarding.end, age);
+    handled
 }
 
 /// Waits for `work`, unless the caller leaves or the time is up.
@@ -141,6 +150,7 @@
                 Sent::Handled(handled) => return Ok(handled),
                 Sent::Ended(end) => end,
             };
+            self.gateway.metrics.send_ended(end);
             let next = self.attempts.ended(&backend.incarnation, end);
             info!(self.gateway.log, "forward: Send ended.";
                 "request" => &self.terms.id, "route" => &self.route.name,
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -2,12 +2,14 @@
 
 use crate::fleet::{Fleet, Impression};
 use crate::leaving::Leaving;
+use crate::metrics::GatewayMetrics;
 use crate::split::Split;
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::configuration::ServingConfiguration;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_adapter::route::Route;
+use firshore_metrics::Builder;
 use firshore_types::error::ApiError;
 use firshore_types::ids::ZoneName;
 use firshore_types::payload::Payload;
@@ -61,6 +63,8 @@
     pub jobs: Option<Rc<dyn JobService>>,
     /// Random numbers.
     pub random: RefCell<StdRng>,
+    /// What is counted.
+    pub metrics: GatewayMetrics,
     /// Division of requests among services.
     pub split: RefCell<Split>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
@@ -92,13 +96,14 @@
 }
 
 impl Gateway {
-    /// A gateway that knows no configuration yet.
+    /// A gateway that knows no configuration yet. Its metrics are made by `builder`.
     pub fn new(
         log: Logger,
         adapter: Adapter,
         zone: ZoneName,
         jobs: Option<Rc<dyn JobService>>,
         random: StdRng,
+        builder: &mut Builder,
     ) -> Self {
         Self {
             log,
@@ -107,6 +112,7 @@
             leaving: Leaving::default(),
             jobs,
             random: random.into(),
+            metrics: GatewayMetrics::new(builder),
             split: RefCell::default(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
@@ -149,9 +155,17 @@
         }
         info!(self.log, "configuration: In force."; "version" => version,
             "routes" => configuration.routes.len());
+        self.metrics.configuration_version.set(version as i64);
         *current = Some(Arc::new(configuration));
     }
 
+    /// Brings the metrics up to date that are not counted as they change.
+    pub fn refresh_metrics(&self) {
+        let backends = self.fleet.borrow().len();
+        self.metrics.backends.set(backends as i64);
+        self.metrics.requests_open.set(self.requests_open() as i64);
+    }
+
     /// Whether the node can serve requests.
     pub fn is_ready(&self) -> bool {
         self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty()
@@ -170,6 +184,7 @@
             .borrow_mut()
             .observed(Instant::now(), incarnation, seen);
         if ejected {
+            self.metrics.ejections.inc();
             warn!(self.log, "fleet: Back end ejected."; "backend" => %incarnation, "seen" => ?seen);
         }
     }
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod gateway;
 pub mod leaving;
+pub mod metrics;
 pub mod refusal;
 pub mod serve;
 pub mod split;
--- /dev/null
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -0,0 +1,148 @@
+//! What a node counts about requests, back ends and batch jobs.
+//!
+//! Labels are of few values: services, and the ends of requests, sends and runs.
+
+use crate::attempts::SendEnd;
+use firshore_metrics::{Builder, Counter, EncodeLabelSet, Family, Gauge, Histogram};
+use firshore_types::ids::ServiceName;
+use std::time::Duration;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// With a back end's answer.
+    Answered,
+    /// With the promise that it has not run.
+    Refused,
+    /// With an error that promises nothing.
+    Failed,
+    /// In the middle of its answer.
+    BrokenOff,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl RequestEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::BrokenOff => "broken_off",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+/// Labels of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    service: String,
+    end: &'static str,
+}
+
+/// Labels of what has an end only.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    end: &'static str,
+}
+
+impl EndLabels {
+    /// Returns the labels of an end.
+    pub fn new(end: &'static str) -> Self {
+        Self { end }
+    }
+}
+
+/// Metrics of the part of a node that meets callers and back ends.
+pub struct GatewayMetrics {
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Histogram,
+    first_byte_seconds: Histogram,
+    sends: Family<EndLabels, Counter>,
+    jobs: Family<EndLabels, Counter>,
+    /// Times a back end was ejected.
+    pub ejections: Counter,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Requests that are open.
+    pub requests_open: Gauge,
+    /// Back ends that are listed.
+    pub backends: Gauge,
+}
+
+fn send_label(end: SendEnd) -> &'static str {
+    match end {
+        SendEnd::NotSent => "not_sent",
+        SendEnd::NotRun => "not_run",
+        SendEnd::Lost => "lost",
+        SendEnd::BrokenOff => "broken_off",
+        SendEnd::Failed => "failed",
+    }
+}
+
+impl GatewayMetrics {
+    /// Makes the metrics.
+    pub fn new(builder: &mut Builder) -> Self {
+        Self {
+            requests: builder.counters(
+                "requests",
+                "service, end",
+                "Online requests by service and by how they ended for their caller.",
+            ),
+            request_seconds: builder.seconds(
+                "request_seconds",
+                "Time from a request's arrival to the end of its answer.",
+            ),
+            first_byte_seconds: builder.seconds(
+                "first_byte_seconds",
+                "Time from a request's arrival to the first byte of a back end's answer.",
+            ),
+            sends: builder.counters(
+                "failed_sends",
+                "end",
+                "Sends to back ends that gave no answer to pass on, by what became of them.",
+            ),
+            jobs: builder.counters(
+                "jobs",
+                "end",
+                "Batch jobs handed in, by whether they were accepted.",
+            ),
+            ejections: builder.counter("ejections", "Times a back end was ejected."),
+            configuration_version: builder.gauge(
+                "configuration_version",
+                "Version of the configuration in force; 0 before the first.",
+            ),
+            requests_open: builder.gauge("requests_open", "Requests that are not answered yet."),
+            backends: builder.gauge("backends", "Back ends that are listed."),
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn request_ended(&self, service: &ServiceName, end: RequestEnd, age: Duration) {
+        let labels = RequestLabels {
+            service: service.to_string(),
+            end: end.label(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.request_seconds.observe(age.as_secs_f64());
+    }
+
+    /// Takes in that the first byte of an answer goes to its caller.
+    pub fn answer_began(&self, age: Duration) {
+        self.first_byte_seconds.observe(age.as_secs_f64());
+    }
+
+    /// Counts a send that gave no answer to pass on.
+    pub fn send_ended(&self, end: SendEnd) {
+        self.sends
+            .get_or_create(&EndLabels::new(send_label(end)))
+            .inc();
+    }
+
+    /// Counts a batch job that was handed in.
+    pub fn job_handed_in(&self, accepted: bool) {
+        let end = if accepted { "accepted" } else { "refused" };
+        self.jobs.get_or_create(&EndLabels::new(end)).inc();
+    }
+}
--- a/crates/firshore-gateway/src/refusal.rs
+++ b/crates/firshore-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use actix_http::body::BodySize;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
-use firshore_types::error::{ApiError, ErrorCode};
+use firshore_types::error::{ApiError, ErrorCode, Execution};
 use std::time::Duration;
 
 /// An answer of the node's own.
@@ -39,6 +39,11 @@
         StatusCode::from_u16(self.error.code.status()).expect("codes have valid statuses")
     }
 
+    /// Returns whether it promises that the request has not run and never will.
+    pub fn promises_not_run(&self) -> bool {
+        self.error.execution == Execution::None
+    }
+
     /// Writes it as the answer.
     pub async fn write(
         &self,
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -166,7 +166,9 @@
         return Answer::from(unreachable_jobs());
     };
     let count = items.len();
-    match jobs.submit(route.clone(), job.clone(), items).await {
+    let submitted = jobs.submit(route.clone(), job.clone(), items).await;
+    gateway.metrics.job_handed_in(submitted.is_ok());
+    match submitted {
         Ok(()) => {
             info!(gateway.log, "jobs: Accepted."; "job" => job, "route" => &route.name,
                 "items" => count, "age_ms" => request.arrived.elapsed().as_millis() as u64);
--- a/crates/firshore-gateway/tests/forwarding.rs
+++ b/crates/firshore-gateway/tests/forwarding.rs
@@ -4,6 +4,7 @@
 use firshore_adapter::objects::Object;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
+use firshore_metrics::Builder;
 use firshore_stand_in::adapter::{DEADLINE, Plain, REQUEST_ID, adapter};
 use firshore_stand_in::backend::{EVENTS, Play, ScriptedBackend, Seen};
 use firshore_stand_in::store::MemoryStore;
@@ -67,6 +68,7 @@
         "here".into(),
         None,
         StdRng::seed_from_u64(1),
+        &mut Builder::default(),
     ));
     gateway.configure(Plain.configuration(&configuration()).unwrap());
     let listed = backends.iter().map(|backend| Backend {
@@ -287,6 +289,7 @@
             "here".into(),
             None,
             StdRng::seed_from_u64(1),
+            &mut Builder::default(),
         ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let callers = listener.local_addr().unwrap();
--- /dev/null
+++ b/crates/firshore-node/src/metrics.rs
@@ -0,0 +1,143 @@
+//! What a node counts, and how it is told.
+
+use crate::journal::Journal;
+use crate::runner::Runner;
+use crate::runner::progress::RunEnd;
+use crate::status_listener::StatusAnswer;
+use actix_http::StatusCode;
+use firshore_gateway::gateway::Gateway;
+use firshore_gateway::metrics::EndLabels;
+use firshore_metrics::{Builder, Counter, Family, Gauge, MetricDescription, MetricSet};
+use std::rc::Rc;
+
+/// Metrics of the items that a node runs.
+pub struct RunnerMetrics {
+    runs: Family<EndLabels, Counter>,
+    /// Runs stopped so that online requests have room.
+    pub preemptions: Counter,
+}
+
+fn run_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Whole => "whole",
+        RunEnd::NotRun => "not_run",
+        RunEnd::Broken => "broken",
+        RunEnd::Failed => "failed",
+        RunEnd::Impossible => "impossible",
+    }
+}
+
+impl RunnerMetrics {
+    /// Makes the metrics.
+    pub fn new(builder: &mut Builder) -> Self {
+        Self {
+            runs: builder.counters("runs", "end", "Runs of batch items, by how they ended."),
+            preemptions: builder.counter(
+                "preemptions",
+                "Runs stopped so that online requests have room.",
+            ),
+        }
+    }
+
+    /// Counts the end of a run.
+    pub fn run_ended(&self, end: RunEnd) {
+        self.runs
+            .get_or_create(&EndLabels::new(run_label(end)))
+            .inc();
+    }
+}
+
+/// Metrics of the replica on a node's disk, as of the moment in which they are told.
+pub struct JournalMetrics {
+    leads: Gauge,
+    term: Gauge,
+    commit: Gauge,
+    voters: Gauge,
+    silent: Gauge,
+    file_bytes: Gauge,
+    jobs: Gauge,
+    running: Gauge,
+}
+
+impl JournalMetrics {
+    /// Makes the metrics.
+    pub fn new(builder: &mut Builder) -> Self {
+        Self {
+            leads: builder.gauge(
+                "journal_leads",
+                "Whether this replica leads (1) or not (0).",
+            ),
+            term: builder.gauge("journal_term", "Term of the replica."),
+            commit: builder.gauge("journal_commit", "Committed index of the replica."),
+            voters: builder.gauge("journal_voters", "Replicas that vote, as known here."),
+            silent: builder.gauge(
+                "journal_silent",
+                "On the leader: replicas silent for longer than the limit.",
+            ),
+            file_bytes: builder.gauge("journal_file_bytes", "Size of the database file in bytes."),
+            jobs: builder.gauge("journal_jobs", "Batch jobs that are kept."),
+            running: builder.gauge("items_running", "Batch items that this node runs."),
+        }
+    }
+
+    fn refresh(&self, node: &JournalNode) {
+        let status = node.journal.replica.status();
+        self.leads.set(status.leads.into());
+        self.term.set(status.term as i64);
+        self.commit.set(status.commit as i64);
+        self.voters.set(status.membership.voters().count() as i64);
+        self.silent.set(status.silent.len() as i64);
+        self.file_bytes.set(status.file_bytes as i64);
+        let state = node.journal.replica.applied_state();
+        self.jobs.set(state.read().len() as i64);
+        self.running.set(node.runner.running() as i64);
+    }
+}
+
+/// The journal and what runs its items, on a node with a disk.
+pub struct JournalNode {
+    /// The journal.
+    pub journal: Rc<Journal>,
+    /// What runs its items.
+    pub runner: Rc<Runner>,
+}
+
+/// Everything that a node counts.
+pub struct NodeMetrics {
+    gateway: Rc<Gateway>,
+    journal: Option<(JournalMetrics, Rc<JournalNode>)>,
+    set: MetricSet,
+}
+
+impl NodeMetrics {
+    /// Gathers what was made by `builder`, and the journal's where the node has a disk.
+    pub fn new(
+        mut builder: Builder,
+        gateway: Rc<Gateway>,
+        journal: Option<Rc<JournalNode>>,
+    ) -> Self {
+        let journal = journal.map(|node| (JournalMetrics::new(&mut builder), node));
+        Self {
+            gateway,
+            journal,
+            set: builder.finish(),
+        }
+    }
+
+    /// Returns name and meaning of each metric.
+    pub fn descriptions(&self) -> &[MetricDescription] {
+        self.set.descriptions()
+    }
+
+    /// Returns all metrics as they are now.
+    pub fn answer(&self) -> StatusAnswer {
+        self.gateway.refresh_metrics();
+        if let Some((metrics, node)) = &self.journal {
+            metrics.refresh(node);
+        }
+        StatusAnswer {
+            status: StatusCode::OK,
+            text: self.set.encode(),
+        }
+    }
+}
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -8,15 +8,18 @@
 use crate::journal::retirement::Retirements;
 use crate::journal::{Journal, PeerClient, SILENCE_SHARE};
 use crate::load_exchange;
+use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
+use crate::status_listener;
 use firshore_adapter::Adapter;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
 use firshore_link::client;
 use firshore_link::handshake::ClusterSecret;
 use firshore_logging::Destination;
+use firshore_metrics::Builder;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
@@ -64,18 +67,26 @@
         peers.clone(),
     ));
     let random = StdRng::seed_from_u64(rand::random());
+    let mut builder = Builder::default();
     let gateway = Rc::new(Gateway::new(
         log.clone(),
         adapter,
         settings.zone.clone(),
         Some(jobs.clone()),
         random,
+        &mut builder,
     ));
     let journal = match &settings.storage {
-        Some(storage) => Some(start_journal(&settings, storage, &gateway, registry, &peers).await?),
+        Some(storage) => {
+            let metrics = RunnerMetrics::new(&mut builder);
+            let journal =
+                start_journal(&settings, storage, &gateway, registry, &peers, metrics).await?;
+            Some(Rc::new(journal))
+        }
         None => None,
     };
-    let callers = start_listeners(&settings, &gateway).await?;
+    let metrics = NodeMetrics::new(builder, gateway.clone(), journal.clone());
+    let callers = start_listeners(&settings, &gateway, metrics).await?;
     // A node without callers follows the environment only while it runs items.
     let _following = callers
         .is_some()
@@ -111,10 +122,21 @@
 
 type Callers = Option<actix_rt::task::JoinHandle<()>>;
 
-async fn start_listeners(settings: &Settings, gateway: &Rc<Gateway>) -> io::Result<Callers> {
+async fn start_listeners(
+    settings: &Settings,
+    gateway: &Rc<Gateway>,
+    metrics: NodeMetrics,
+) -> io::Result<Callers> {
     if let Some(address) = settings.listen.readiness {
         let listener = TcpListener::bind(address).await?;
-        actix_rt::spawn(readiness::accept(gateway.clone(), listener));
+        let gateway = gateway.clone();
+        actix_rt::spawn(status_listener::accept(listener, move || {
+            readiness::answer(&gateway)
+        }));
+    }
+    if let Some(address) = settings.listen.metrics {
+        let listener = TcpListener::bind(address).await?;
+        actix_rt::spawn(status_listener::accept(listener, move || metrics.answer()));
     }
     let Some(address) = settings.listen.callers else {
         return Ok(None);
@@ -124,12 +146,6 @@
     Ok(Some(actix_rt::spawn(accepting)))
 }
 
-/// The journal and what runs its items, on a node with a disk.
-struct JournalNode {
-    journal: Rc<Journal>,
-    runner: Rc<Runner>,
-}
-
 impl JournalNode {
     /// Hands leadership over, so that another node goes on with the items.
     async fn stop(&self) {
@@ -144,6 +160,7 @@
     gateway: &Rc<Gateway>,
     registry: Rc<Registry>,
     peers: &PeerClient,
+    metrics: RunnerMetrics,
 ) -> io::Result<JournalNode> {
     let journal = Journal::start(settings, storage, registry, peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
@@ -170,7 +187,7 @@
         leaderless_since: Cell::new(None),
     };
     actix_rt::spawn(maintenance::run(upkeep));
-    let runner = Runner::new(gateway.clone(), journal.clone());
+    let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
     actix_rt::spawn(runner.clone().run());
     Ok(JournalNode { journal, runner })
 }
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -55,8 +55,8 @@
 }
 
 impl ItemRun {
-    /// Runs the item once and lists its result, if there is one.
-    pub(crate) async fn run(self) {
+    /// Runs the item once and lists its result, if there is one. Returns how the run ended.
+    pub(crate) async fn run(self) -> RunEnd {
         let started = Instant::now();
         let resumed_after = self.progress.borrow().last_event();
         let end = self.send().await;
@@ -82,6 +82,7 @@
         if let Some(outcome) = outcome {
             list(&self.replica, &self.work, outcome).await;
         }
+        end
     }
 
     /// Records that a back end failed on the item, so that the next leader knows too. Returns how
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -12,6 +12,7 @@
 use crate::journal::messages::{PeerRequest, PeerResponse};
 use crate::journal::service::Loads;
 use crate::journal::{Journal, Replica};
+use crate::metrics::RunnerMetrics;
 use crate::task::Task;
 use firshore_adapter::backend::{Backend, Incarnation};
 use firshore_adapter::jobs::JobItem;
@@ -106,6 +107,7 @@
     replica: Rc<Replica>,
     journal: Rc<Journal>,
     loads: Rc<Loads>,
+    metrics: RunnerMetrics,
     running: RefCell<HashMap<ItemKey, Run>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
     /// Wakes the scheduler when a run has ended.
@@ -114,8 +116,9 @@
 
 impl Runner {
     /// Runs items of this journal while its replica leads.
-    pub fn new(gateway: Rc<Gateway>, journal: Rc<Journal>) -> Rc<Self> {
+    pub fn new(gateway: Rc<Gateway>, journal: Rc<Journal>, metrics: RunnerMetrics) -> Rc<Self> {
         Rc::new(Self {
+            metrics,
             gateway,
             replica: journal.replica.clone(),
             loads: journal.loads.clone(),
@@ -246,6 +249,11 @@
         told.deltas(items, TELL_BYTES)
     }
 
+    /// Returns how many items run.
+    pub fn running(&self) -> usize {
+        self.running.borrow().len()
+    }
+
     /// Ends every run; what was produced is kept only while this node leads.
     pub fn stop_all(&self) {
         let stopped = self.running.borrow().len();
@@ -296,6 +304,7 @@
                 "backend" => %backend, "produced" => produced(&key),
                 "reason" => "online requests");
             running.remove(&key);
+            self.metrics.preemptions.inc();
         }
     }
 
@@ -370,7 +379,8 @@
         let runner = self.clone();
         let ended = key.clone();
         let task = Task::spawn(async move {
-            run.run().await;
+            let end = run.run().await;
+            runner.metrics.run_ended(end);
             // The entry is this task's own handle: it is let go, not aborted.
             runner.running.borrow_mut().remove(&ended);
             runner.ended.notify_one();
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -46,6 +46,8 @@
     pub callers: Option<SocketAddr>,
     /// Where the node tells whether it is ready; absent where nobody asks.
     pub readiness: Option<SocketAddr>,
+    /// Where the node tells its metrics; absent where nobody asks.
+    pub metrics: Option<SocketAddr>,
     /// Other nodes.
     pub peers: SocketAddr,
 }
--- /dev/null
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -0,0 +1,375 @@
+//! A cluster of nodes with disks in one process, for tests: nodes are killed, wiped and started again
+//! while a client hands jobs in and reads them.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use firshore_adapter::jobs::{ItemOutcome, JobItem};
+use firshore_adapter::route::{JobTerms, Repetition, Route, WeightedService};
+use firshore_gateway::gateway::{Gateway, JobService};
+use firshore_jobs::command::{Action, Completion};
+use firshore_link::client as link;
+use firshore_link::handshake::ClusterSecret;
+use firshore_metrics::Builder;
+use firshore_node::journal::client::JournalClient;
+use firshore_node::journal::duties::Duties;
+use firshore_node::journal::maintenance::{self, Upkeep};
+use firshore_node::journal::registry::{NodeRecord, Registry};
+use firshore_node::journal::retirement::Retirements;
+use firshore_node::journal::{Journal, PeerClient, SILENCE_SHARE};
+use firshore_node::metrics::RunnerMetrics;
+use firshore_node::runner::Runner;
+use firshore_node::settings::Settings;
+use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, adapter};
+use firshore_stand_in::backend::{EVENTS, ScriptedBackend};
+use firshore_stand_in::store::MemoryStore;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use slog::{Discard, Logger, o};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Guard against a test that hangs.
+pub const HANGS_AFTER: Duration = Duration::from_secs(60);
+
+/// Time after which a new disk must hold everything, by the default settings.
+pub const CATCH_UP: Duration = Duration::from_secs(5);
+
+pub const SECRET: &str = "sixteen bytes of secret";
+
+pub struct Node {
+    pub gateway: Rc<Gateway>,
+    pub journal: Rc<Journal>,
+    pub runner: Rc<Runner>,
+    pub tasks: Vec<actix_rt::task::JoinHandle<()>>,
+    pub address: SocketAddr,
+}
+
+pub struct Cluster {
+    pub store: Rc<MemoryStore>,
+    pub folders: Vec<TempDir>,
+    pub nodes: Vec<Option<Node>>,
+    pub client: Rc<JournalClient>,
+}
+
+pub fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// A port that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+pub fn settings(number: usize, folder: &std::path::Path, address: SocketAddr) -> Settings {
+    let text = format!(
+        "name = 'n{number}'\nregion = 'r'\nzone = 'z{number}'\n[listen]\npeers = '{address}'\n\
+         [objects]\naddress = '127.0.0.1:1'\n[cluster]\nsecret = '{SECRET}'\n\
+         [storage]\ndata_folder = '{}'\n[limits]\nmemory_megabytes = 16\n",
+        folder.display()
+    );
+    toml::from_str(&text).unwrap()
+}
+
+pub fn peers() -> PeerClient {
+    let (peers, calls) = PeerClient::new();
+    actix_rt::spawn(link::run(calls, ClusterSecret(SECRET.into())));
+    peers
+}
+
+pub async fn start_node(
+    number: usize,
+    folder: &std::path::Path,
+    store: &Rc<MemoryStore>,
+    address: SocketAddr,
+) -> Node {
+    let settings = settings(number, folder, address);
+    let registry = Rc::new(Registry::new(store.clone(), log()));
+    let storage = settings.storage.clone().unwrap();
+    let journal = Journal::start(&settings, &storage, registry, &peers(), &log()).await;
+    let journal = journal.unwrap();
+    let gateway = Rc::new(Gateway::new(
+        log(),
+        adapter(store.clone()),
+        settings.zone.clone(),
+        None,
+        StdRng::seed_from_u64(number as u64),
+        &mut Builder::default(),
+    ));
+    let retirements = Rc::new(Retirements::default());
+    let duties = Duties {
+        gateway: gateway.clone(),
+        journal: journal.clone(),
+        retirements: retirements.clone(),
+        objects: settings.objects.clone(),
+        follows_environment: true,
+    };
+    let upkeep = Upkeep {
+        journal: journal.clone(),
+        adapter: gateway.adapter.clone(),
+        node: settings.name.clone(),
+        record: NodeRecord {
+            address,
+            zone: settings.zone.clone(),
+            disk: journal.replica.status().disk,
+        },
+        retirements,
+        patience: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
+        passed_over: RefCell::default(),
+        leaderless_since: Cell::new(None),
+    };
+    let runner = Runner::new(
+        gateway.clone(),
+        journal.clone(),
+        RunnerMetrics::new(&mut Builder::default()),
+    );
+    let tasks = vec![
+        actix_rt::spawn(duties.run()),
+        actix_rt::spawn(maintenance::run(upkeep)),
+        actix_rt::spawn(runner.clone().run()),
+    ];
+    Node {
+        gateway,
+        journal,
+        runner,
+        tasks,
+        address,
+    }
+}
+
+impl Node {
+    /// Ends the node as a kill would: nothing is handed over.
+    pub fn kill(self) {
+        self.runner.stop_all();
+        for task in self.tasks {
+            task.abort();
+        }
+        self.journal.kill();
+    }
+}
+
+impl Cluster {
+    pub async fn start() -> Self {
+        let store = MemoryStore::new();
+        let registry = Rc::new(Registry::new(store.clone(), log()));
+        let client = JournalClient::new("caller".into(), registry, peers());
+        let mut cluster = Self {
+            store,
+            folders: Vec::new(),
+            nodes: Vec::new(),
+            client: Rc::new(client),
+        };
+        for _ in 0..3 {
+            cluster.add().await;
+        }
+        cluster
+    }
+
+    pub async fn add(&mut self) {
+        let folder = tempfile::tempdir().unwrap();
+        let number = self.nodes.len();
+        let node = start_node(number, folder.path(), &self.store, free_address()).await;
+        self.folders.push(folder);
+        self.nodes.push(Some(node));
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        self.nodes[number].take().unwrap().kill();
+    }
+
+    pub async fn restart(&mut self, number: usize) {
+        let folder = self.folders[number].path().to_owned();
+        let node = start_node(number, &folder, &self.store, free_address()).await;
+        self.nodes[number] = Some(node);
+    }
+
+    /// Ends a node, and starts it with an empty disk.
+    pub async fn wipe(&mut self, number: usize) {
+        self.kill(number);
+        self.folders[number] = tempfile::tempdir().unwrap();
+        self.restart(number).await;
+    }
+
+    pub async fn leader(&self) -> usize {
+        loop {
+            let leads = |node: &Option<Node>| {
+                let status = node.as_ref().map(|node| node.journal.replica.status());
+                status.is_some_and(|status| status.leads)
+            };
+            if let Some(leader) = self.nodes.iter().position(leads) {
+                return leader;
+            }
+            pause().await;
+        }
+    }
+
+    /// Waits until every node holds a voter that has applied all.
+    pub async fn whole(&self) {
+        loop {
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            let status = leader.journal.replica.status();
+            let voters = status.membership.voters().count();
+            let present = self.nodes.iter().flatten().count();
+            if voters == present && status.caught_up.len() + 1 == present {
+                return;
+            }
+            pause().await;
+        }
+    }
+
+    /// Waits until the disk of a node votes and has applied all.
+    pub async fn votes(&self, number: usize) {
+        let node = self.nodes[number].as_ref().unwrap();
+        let disk = node.journal.replica.status().disk;
+        loop {
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            let status = leader.journal.replica.status();
+            let current = status.disk == disk || status.caught_up.contains(&disk);
+            if current && status.membership.is_voter(disk) {
+                return;
+            }
+            pause().await;
+        }
+    }
+
+    /// Back ends that the leader knows.
+    pub async fn backends_known(&self) -> usize {
+        let leader = self.nodes[self.leader().await].as_ref().unwrap();
+        leader.gateway.fleet.borrow().len()
+    }
+
+    pub async fn submit(&self, job: &str, items: usize) {
+        while self
+            .client
+            .submit(route(), job.into(), self::items(items))
+            .await
+            .is_err()
+        {
+            pause().await;
+        }
+    }
+
+    /// Body of an item, as soon as somebody can tell.
+    pub async fn body(&self, job: &str, item: &str) -> Option<String> {
+        loop {
+            let body = self.client.body(job.into(), item.into()).await;
+            if let Ok(body) = body {
+                return body.map(|body| String::from_utf8(body.0.to_vec()).unwrap());
+            }
+            pause().await;
+        }
+    }
+
+    /// Results as soon as there are as many.
+    pub async fn results(&self, job: &str, count: usize) -> Vec<(String, ItemOutcome)> {
+        loop {
+            let page = self.client.results(job.into(), 0, Duration::ZERO).await;
+            if let Ok(Some(page)) = page
+                && page.results.len() >= count
+            {
+                let results = page.results.into_iter();
+                return results.map(|one| (one.item, one.outcome)).collect();
+            }
+            pause().await;
+        }
+    }
+
+    /// The result at a position.
+    pub async fn result(&self, job: &str, position: usize) -> (String, ItemOutcome) {
+        loop {
+            let from = position as u64;
+            let page = self.client.results(job.into(), from, Duration::ZERO).await;
+            if let Ok(Some(mut page)) = page
+                && !page.results.is_empty()
+            {
+                let first = page.results.swap_remove(0);
+                return (first.item, first.outcome);
+            }
+            pause().await;
+        }
+    }
+
+    /// Lists a result as a run would.
+    pub async fn complete(&self, job: &str, item: usize, outcome: &ItemOutcome) {
+        loop {
+            let completion = Completion {
+                job: job.to_owned(),
+                item: item as u32,
+                outcome: outcome.clone(),
+            };
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            let action = Action::Complete(vec![completion]);
+            if leader.journal.replica.propose(action.into()).await.is_ok() {
+                return;
+            }
+            pause().await;
+        }
+    }
+
+    pub fn put_backend(&self, backend: &ScriptedBackend, leaving: bool) {
+        let spec = json!({"service": "s", "address": backend.address, "slots": 10,
+            "leaving": leaving});
+        self.store.put(BACKENDS, &backend.name, spec);
+    }
+
+    pub fn configure(&self) {
+        let route = json!({"prefix": "/items/", "service": "s", "repetition": "job",
+            "timeout": 30_000, "attempts": 3});
+        let spec = json!({"version": 1, "routes": [route]});
+        self.store.put(CONFIGURATION, "newest", spec);
+    }
+}
+
+pub async fn pause() {
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+}
+
+pub fn route() -> Arc<Route> {
+    Arc::new(Route {
+        name: "items".to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: "/items/".to_owned(),
+        services: vec![WeightedService {
+            service: "s".into(),
+            weight: 1,
+        }],
+        repetition: Repetition::Resumable,
+        streams: true,
+        timeout: Duration::from_secs(30),
+        objective: Duration::from_secs(1),
+        attempts: 3,
+        priority: 1,
+        prefix_affinity: false,
+        jobs: Some(JobTerms {
+            give_up_after: Duration::from_secs(60),
+        }),
+    })
+}
+
+pub fn items(count: usize) -> Vec<JobItem> {
+    let items = (0..count).map(|number| JobItem {
+        id: format!("i{number}"),
+        path: format!("/items/{number}"),
+        headers: vec![("x-own".to_owned(), "kept".to_owned())],
+        body: format!("body {number}").into_bytes().into(),
+        tokens: 10,
+    });
+    items.collect()
+}
+
+pub fn whole() -> ItemOutcome {
+    let events = (1..=EVENTS).map(|number| format!("e{number}"));
+    ItemOutcome::Done(events.collect())
+}
+
+pub fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(async {
+        let ended = tokio::time::timeout(HANGS_AFTER, test).await;
+        ended.expect("the test hangs");
+    });
+}
--- a/crates/firshore-server/src/metrics.rs
+++ b/crates/firshore-server/src/metrics.rs
@@ -3,102 +3,10 @@
 //! A new metric is a field of [`Metrics`], made by the [`Builder`] with its name and what it
 //! means; the reference page's table is generated from the same call.
 
+use firshore_metrics::{
+    Builder, Counter, EncodeLabelSet, Family, Gauge, MetricDescription, MetricSet,
+};
 use firshore_types::error::ApiError;
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::Family;
-use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::{Metric, Registry};
-use std::fmt;
-
-/// Prefix of every metric's name.
-const PREFIX: &str = "firshore";
-
-/// Name and meaning of a metric, for the reference page.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MetricDescription {
-    /// Name as scraped.
-    pub name: String,
-    /// `counter` or `gauge`.
-    pub kind: &'static str,
-    /// Labels, if any, separated by commas.
-    pub labels: &'static str,
-    /// What it counts, with its unit.
-    pub meaning: &'static str,
-}
-
-/// Registers metrics and keeps their descriptions.
-pub struct Builder {
-    registry: Registry,
-    descriptions: Vec<MetricDescription>,
-}
-
-impl Default for Builder {
-    fn default() -> Self {
-        Self {
-            registry: Registry::with_prefix(PREFIX),
-            descriptions: Vec::new(),
-        }
-    }
-}
-
-impl Builder {
-    fn register(&mut self, description: MetricDescription, metric: impl Metric) {
-        let name = description.name.trim_start_matches(PREFIX);
-        let name = name.trim_start_matches('_').trim_end_matches("_total");
-        let help = description.meaning.trim_end_matches('.');
-        self.registry.register(name, help, metric);
-        self.descriptions.push(description);
-    }
-
-    /// A counter scraped as `firshore_{name}_total`.
-    pub fn counter(&mut self, name: &str, meaning: &'static str) -> Counter {
-        let counter = Counter::default();
-        let description = MetricDescription {
-            name: format!("{PREFIX}_{name}_total"),
-            kind: "counter",
-            labels: "",
-            meaning,
-        };
-        self.register(description, counter.clone());
-        counter
-    }
-
-    /// A counter for each set of labels.
-    pub fn counters<L>(
-        &mut self,
-        name: &str,
-        labels: &'static str,
-        meaning: &'static str,
-    ) -> Family<L, Counter>
-    where
-        L: EncodeLabelSet + fmt::Debug + Clone + Eq + std::hash::Hash + Send + Sync + 'static,
-    {
-        let family = Family::default();
-        let description = MetricDescription {
-            name: format!("{PREFIX}_{name}_total"),
-            kind: "counter",
-            labels,
-            meaning,
-        };
-        self.register(description, family.clone());
-        family
-    }
-
-    /// A gauge scraped as `firshore_{name}`.
-    pub fn gauge(&mut self, name: &str, meaning: &'static str) -> Gauge {
-        let gauge = Gauge::default();
-        let description = MetricDescription {
-            name: format!("{PREFIX}_{name}"),
-            kind: "gauge",
-            labels: "",
-            meaning,
-        };
-        self.register(description, gauge.clone());
-        gauge
-    }
-}
 
 /// Labels of [`Metrics::errors`].
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -129,8 +37,7 @@
     pub members_alive: Gauge,
     /// Rows of the machine list.
     pub machines: Gauge,
-    registry: Registry,
-    descriptions: Vec<MetricDescription>,
+    set: MetricSet,
 }
 
 impl Default for Metrics {
@@ -163,8 +70,7 @@
                 "Nodes that this node sees alive, itself included.",
             ),
             machines: builder.gauge("machines", "Back ends on the machine list, last read."),
-            registry: builder.registry,
-            descriptions: builder.descriptions,
+            set: builder.finish(),
         }
     }
 }
@@ -181,13 +87,11 @@
 
     /// All metrics in the text format of Prometheus.
     pub fn encode(&self) -> String {
-        let mut text = String::new();
-        encode(&mut text, &self.registry).expect("writing to a string succeeds");
-        text
+        self.set.encode()
     }
 
     /// Name and meaning of each metric.
     pub fn descriptions(&self) -> &[MetricDescription] {
-        &self.descriptions
+        self.set.descriptions()
     }
 }
