Short shared prompts go by load; the least loaded of a few drawn takes a request

Cause: requests whose prompts share 172 tokens (2 ms to read) were kept together at one back end up to 0.75 of its slots, where each token comes slower; a gateway without a hash to follow took the least loaded of all, as all other gateways with the same picture did.

Change: prompts meet only from 1,000 shared tokens on; by load, the least of four drawn at home and three elsewhere is taken.

Test changed: the prompts of the affinity test share 1,200 tokens instead of 200, and a short one is checked to have no key.

--- a/crates/firshore-gateway/src/choice.rs
+++ b/crates/firshore-gateway/src/choice.rs
@@ -4,18 +4,27 @@
 //! without talk: back ends are ranked by a hash of the shared parts and their identity
 //! (rendezvous hashing, Thaler and Ravishankar 1998), and the first that is not busy takes it
 //! (bounded loads, Mirrokni, Thorup and Zadimoghaddam 2018). Other requests go to the back end
-//! with the lowest load, at home where loads are alike.
+//! with the lowest load of a few drawn at random, at home where loads are alike.
 
 use firshore_adapter::caller::PromptPart;
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Load up to which a back end keeps the requests that its hash draws.
 const AFFINITY_LOAD: f32 = 0.75;
 
+/// Shared tokens from which on requests are to meet. Fewer are read anew within some milliseconds,
+/// which is less than a request loses at a back end that is busier than others.
+const LEAST_SHARED_TOKENS: u64 = 1_000;
+
 /// Load that another zone's distance weighs.
 const OTHER_ZONE_PENALTY: f32 = 0.1;
 
+/// Back ends drawn in the gateway's zone and outside of it, of which the least loaded is taken.
+const DRAWN_AT_HOME: usize = 4;
+const DRAWN_ELSEWHERE: usize = 3;
+
 /// Width of the random part of a score, so that gateways with the same picture do not all choose
 /// the same back end.
 const JITTER: f32 = 0.06;
@@ -39,6 +48,10 @@
         [only] => std::slice::from_ref(only),
         [shared @ .., _] => shared,
     };
+    let tokens: u64 = shared.iter().map(|part| u64::from(part.tokens)).sum();
+    if tokens < LEAST_SHARED_TOKENS {
+        return None;
+    }
     let chain = |seed: u64, part: &PromptPart| xxh3_64_with_seed(&part.hash.to_le_bytes(), seed);
     Some(shared.iter().fold(0, chain))
 }
@@ -67,9 +80,19 @@
         .map(|(position, _)| position)
 }
 
+/// The least loaded of a few drawn at random: gateways whose pictures are alike and a moment old would
+/// all choose the least loaded of all (Mitzenmacher 2000, "How useful is old information?").
 fn by_load(candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
+    let positions = |at_home: bool| {
+        let all = candidates.iter().enumerate();
+        let fitting = all.filter(move |(_, candidate)| candidate.at_home == at_home);
+        fitting.map(|(position, _)| position)
+    };
+    let mut drawn = positions(true).sample(random, DRAWN_AT_HOME);
+    drawn.extend(positions(false).sample(random, DRAWN_ELSEWHERE));
     let mut best: Option<(usize, f32)> = None;
-    for (position, candidate) in candidates.iter().enumerate() {
+    for position in drawn {
+        let candidate = &candidates[position];
         let distance = match candidate.at_home {
             true => 0.0,
             false => OTHER_ZONE_PENALTY,
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -195,11 +195,13 @@
 
 #[test]
 fn requests_with_the_same_beginning_meet_while_there_is_room() {
-    let part = |hash| PromptPart { hash, tokens: 100 };
+    let part = |hash| PromptPart { hash, tokens: 600 };
     let key = affinity_key(&[part(1), part(2), part(30)]);
     assert_eq!(key, affinity_key(&[part(1), part(2), part(31)]));
     assert_ne!(key, affinity_key(&[part(1), part(3), part(30)]));
     assert_eq!(affinity_key(&[]), None);
+    let short = [part(1), part(30)];
+    assert_eq!(affinity_key(&short), None, "not worth a busier back end");
     let now = Instant::now();
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let names = ["a", "b", "c", "d"];
@@ -220,6 +222,34 @@
     );
 }
 
+#[test]
+fn gateways_with_the_same_picture_do_not_all_choose_the_same_back_end() {
+    const GATEWAYS: u64 = 200;
+    let now = Instant::now();
+    let names: Vec<String> = (0..30).map(|number| format!("b{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut fleet = fleet(&names);
+    let others = names[1..].iter().map(|name| (incarnation(name), 2));
+    fleet.learned_others(now, &others.collect());
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let service = "llm".into();
+    let wanted = Wanted {
+        service: &service,
+        attempts: &attempts,
+        affinity: None,
+        load_limit: f32::INFINITY,
+    };
+    let to_the_idle_one = (0..GATEWAYS)
+        .filter(|gateway| {
+            let mut random = ChaCha8Rng::seed_from_u64(*gateway);
+            let found = fleet.choose(now, &wanted, &mut random).unwrap();
+            found.incarnation == incarnation("b0")
+        })
+        .count();
+    assert!(to_the_idle_one > 0, "it is found");
+    assert!(to_the_idle_one < 60, "{to_the_idle_one} of {GATEWAYS}");
+}
+
 #[test]
 fn the_least_loaded_back_end_takes_a_request() {
     let now = Instant::now();
