Pages of results are smaller, runs are bounded by the node's memory

Change: pages of 256 KB, whose texts are moved; at most one run for each 128 KB of memory.

Ruled out: the log, progress and what followers hold (2.4 MB), by the same trial.

--- a/crates/firshore-jobs/src/listing.rs
+++ b/crates/firshore-jobs/src/listing.rs
@@ -40,12 +40,17 @@
     pub results: Vec<ListedResult>,
 }
 
-fn outcome_at(commands: &BTreeMap<LogIndex, Command>, place: ResultPlace) -> Option<ItemOutcome> {
-    let Action::Complete(completions) = &commands.get(&place.entry)?.action else {
+/// Takes a result out of the entry that holds it: texts are long, so they are moved.
+fn take_outcome(
+    commands: &mut BTreeMap<LogIndex, Command>,
+    place: ResultPlace,
+) -> Option<ItemOutcome> {
+    let Action::Complete(completions) = &mut commands.get_mut(&place.entry)?.action else {
         return None;
     };
-    let completion = completions.get(place.position as usize)?;
-    Some(completion.outcome.clone())
+    let completion = completions.get_mut(place.position as usize)?;
+    let taken = std::mem::replace(&mut completion.outcome, ItemOutcome::GivenUp);
+    Some(taken)
 }
 
 impl ListedPage {
@@ -56,10 +61,10 @@
     }
 
     /// The page with its results, from the commands of [`Self::entries`]; `None` if one is missing.
-    pub fn filled(self, commands: &BTreeMap<LogIndex, Command>) -> Option<ResultPage> {
+    pub fn filled(self, mut commands: BTreeMap<LogIndex, Command>) -> Option<ResultPage> {
         let results = self.results.into_iter().map(|listed| {
             Some(ItemResult {
-                outcome: outcome_at(commands, listed.place)?,
+                outcome: take_outcome(&mut commands, listed.place)?,
                 item: listed.item,
             })
         });
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -63,7 +63,7 @@
 
     fn listed(&self, job: &str) -> Vec<(String, ItemOutcome)> {
         let page = self.table.results(job, 0, PAGE_BYTES).unwrap();
-        let page = page.filled(&self.commands).unwrap();
+        let page = page.filled(self.commands.clone()).unwrap();
         let results = page.results.into_iter();
         results.map(|one| (one.item, one.outcome)).collect()
     }
@@ -230,7 +230,7 @@
     let applied = applied(vec![submit("job", &["a"]), complete("job", 0, done("a"))]);
     let page = applied.table.results("job", 0, PAGE_BYTES).unwrap();
     assert_eq!(page.entries(), BTreeSet::from([2]));
-    assert_eq!(page.filled(&BTreeMap::new()), None);
+    assert_eq!(page.filled(BTreeMap::new()), None);
 }
 
 #[test]
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -20,8 +20,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
-/// Bytes of results in one answer, beyond which it ends.
-const RESULT_BYTES: usize = 900_000;
+/// Bytes of results in one answer, beyond which it ends. Several answers are made at once, each of
+/// which holds its texts as read, as decoded and as sent.
+const RESULT_BYTES: usize = 256 * 1024;
 
 /// Longest wait for a result that is granted.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
@@ -192,7 +193,7 @@
         return Ok(PeerResponse::Results(None));
     };
     let commands = replica.load(listed.entries()).await;
-    match listed.filled(&commands) {
+    match listed.filled(commands) {
         Some(page) => Ok(PeerResponse::Results(Some(page))),
         // Never shown as absent: the reader asks again.
         None => Err(JournalRefusal::Unsettled),
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -108,6 +108,7 @@
     journal: Rc<Journal>,
     loads: Rc<Loads>,
     metrics: RunnerMetrics,
+    most_runs: usize,
     running: RefCell<HashMap<ItemKey, Run>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
     /// Wakes the scheduler when a run has ended.
@@ -115,10 +116,16 @@
 }
 
 impl Runner {
-    /// Runs items of this journal while its replica leads.
-    pub fn new(gateway: Rc<Gateway>, journal: Rc<Journal>, metrics: RunnerMetrics) -> Rc<Self> {
+    /// Runs items of this journal while its replica leads, `most_runs` at once at most.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        journal: Rc<Journal>,
+        most_runs: usize,
+        metrics: RunnerMetrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
             metrics,
+            most_runs,
             gateway,
             replica: journal.replica.clone(),
             loads: journal.loads.clone(),
@@ -321,7 +328,8 @@
                 continue;
             }
             pass.waiting = true;
-            if pass.is_over() {
+            let all_run = self.running() >= self.most_runs;
+            if all_run || pass.is_over() {
                 break;
             }
             self.try_start(now, key, &one, &mut pass);
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -141,6 +141,11 @@
         const BYTES_PER_MEGABYTE: f64 = 1_048_576.0;
         (self.memory_megabytes * BYTES_PER_MEGABYTE) as usize
     }
+
+    /// Returns how many batch items the node runs at most at once.
+    pub fn most_runs(&self) -> usize {
+        self.memory_bytes() / BYTES_PER_RUN
+    }
 }
 
 /// The way out.
@@ -164,6 +169,10 @@
     }
 }
 
+/// Memory kept for each run of a batch item: its connection, its task and what it has produced take
+/// about a third of it.
+const BYTES_PER_RUN: usize = 128 * 1024;
+
 /// Shortest secret accepted, in bytes.
 const MINIMUM_SECRET_BYTES: usize = 16;
 
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -126,6 +126,7 @@
     let runner = Runner::new(
         gateway.clone(),
         journal.clone(),
+        settings.limits.most_runs(),
         RunnerMetrics::new(&mut Builder::default()),
     );
     let tasks = vec![
