--- a/crates/firshore-logging/src/lib.rs
+++ b/crates/firshore-logging/src/lib.rs
@@ -52,26 +52,29 @@
     Error,
 }
 
+impl LogLevel {
+    fn least_severe(self) -> Level {
+        match self {
+            Self::Error => Level::Error,
+            Self::Warning => Level::Warning,
+            Self::Info => Level::Info,
+            Self::Debug => Level::Debug,
+        }
+    }
+}
+
 /// Builds the root logger; it writes on a thread of its own.
 pub fn root(settings: &LogSettings, destination: Destination) -> Logger {
-    let level = match settings.level {
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-    };
     match destination {
-        Destination::Output => formatted(settings.format, level, std::io::stdout()),
-        Destination::Error => formatted(settings.format, level, std::io::stderr()),
+        Destination::Output => to_writer(settings, std::io::stdout()),
+        Destination::Error => to_writer(settings, std::io::stderr()),
     }
 }
 
-fn formatted(
-    format: LogFormat,
-    level: Level,
-    writer: impl std::io::Write + Send + 'static,
-) -> Logger {
-    match format {
+/// Builds a logger for any writer, which may block: only the logger's own thread waits for it.
+pub fn to_writer(settings: &LogSettings, writer: impl std::io::Write + Send + 'static) -> Logger {
+    let level = settings.level.least_severe();
+    match settings.format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(writer);
             finish(slog_term::FullFormat::new(decorator).build().fuse(), level)
