--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -8,64 +8,35 @@
 pub mod handover;
 mod item;
 pub mod progress;
+mod schedule;
+mod telling;
 
-use crate::journal::messages::{PeerRequest, PeerResponse};
 use crate::journal::service::Loads;
 use crate::journal::{Journal, Replica};
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::JobItem;
-use firshore_gateway::attempts::Attempts;
-use firshore_gateway::choice::affinity_key;
-use firshore_gateway::fleet::Wanted;
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
-use firshore_jobs::table::OpenItem;
-use firshore_types::ids::{NodeName, ServiceName};
-use futures_util::future::join_all;
-use handover::{ProgressDelta, Told, ToldThrough};
-use item::ItemRun;
 use progress::ItemProgress;
 use slog::info;
-use std::cell::{Ref, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Load in requests per slot from which on a back end gets no item.
-const LOAD_LIMIT: f32 = 0.75;
-
 /// Load in requests per slot above which runs are stopped.
 const PREEMPTION_LOAD: f32 = 0.9;
 
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Items started in one look: each costs processor time, and shows its load only a moment later.
-const MOST_STARTS: usize = 32;
-
-/// Items without room after which a look ends.
-const MOST_REFUSALS: usize = 64;
-
 /// Time between looks while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time between two rounds in which other nodes are told what items have produced.
-const TELL_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Bytes of events in one message, about.
-const TELL_BYTES: usize = 128 * 1024;
-
-/// Messages to one node in a round.
-const MOST_TELLS: usize = 8;
-
-/// Longest wait for a node that is told.
-const TELL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// An item's job and its position there.
 pub type ItemKey = (String, ItemIndex);
 
@@ -77,25 +48,6 @@
     pub(crate) item: JobItem,
 }
 
-/// One look at the items that wait.
-#[derive(Default)]
-struct Pass {
-    /// Whether items wait.
-    waiting: bool,
-    /// Items that were started.
-    started: usize,
-    /// Items for which there was no room.
-    refused: usize,
-    /// Services without room.
-    full: HashSet<ServiceName>,
-}
-
-impl Pass {
-    fn is_over(&self) -> bool {
-        self.started >= MOST_STARTS || self.refused >= MOST_REFUSALS
-    }
-}
-
 struct Run {
     _task: Task,
     backend: Incarnation,
@@ -200,62 +152,6 @@
         }
     }
 
-    /// Tells the nodes of the other replicas what items have produced, while this node leads.
-    async fn tell_others(self: Rc<Self>) {
-        let mut told: HashMap<NodeName, Told> = HashMap::new();
-        loop {
-            actix_rt::time::sleep(TELL_INTERVAL).await;
-            let status = self.replica.status();
-            if !status.leads {
-                told.clear();
-                continue;
-            }
-            let replicas = status.membership.replicas.iter();
-            let others = replicas.filter(|(disk, _)| **disk != status.disk);
-            let others: Vec<NodeName> = others.map(|(_, replica)| replica.node.clone()).collect();
-            told.retain(|node, _| others.contains(node));
-            let telling = others.into_iter().map(|node| {
-                let told = told.remove(&node).unwrap_or_default();
-                self.tell(node, told)
-            });
-            told = join_all(telling).await.into_iter().collect();
-        }
-    }
-
-    /// Tells one node what it does not know yet, in messages of limited size: a node that is told
-    /// for the first time lacks everything.
-    async fn tell(&self, node: NodeName, mut told: Told) -> (NodeName, Told) {
-        for _ in 0..MOST_TELLS {
-            let deltas = self.untold(&mut told);
-            if deltas.is_empty() {
-                break;
-            }
-            let sent: Vec<ToldThrough> = deltas.iter().map(ProgressDelta::through).collect();
-            let call = self.journal.ask(&node, PeerRequest::Progress(deltas));
-            match timeout(TELL_TIMEOUT, call).await {
-                Ok(Some(PeerResponse::Gaps(gaps))) => told.answered(sent, gaps),
-                _ => {
-                    // It may hold anything: it is told from the start.
-                    told = Told::default();
-                    break;
-                }
-            }
-        }
-        (node, told)
-    }
-
-    /// What a node has not been told, as much as fits one message.
-    fn untold(&self, told: &mut Told) -> Vec<ProgressDelta> {
-        let progress = self.progress.borrow();
-        told.keep(|key| progress.contains_key(key));
-        let items = progress.iter().map(|(key, one)| (key, one.borrow()));
-        let items: Vec<(&ItemKey, Ref<'_, ItemProgress>)> = items.collect();
-        let items = items
-            .iter()
-            .map(|(key, one)| (*key, one.produced(), one.last_event()));
-        told.deltas(items, TELL_BYTES)
-    }
-
     /// Returns how many items run.
     pub fn running(&self) -> usize {
         self.running.borrow().len()
@@ -315,28 +211,6 @@
         }
     }
 
-    /// Starts what there is room for; tells whether items wait for room.
-    fn schedule(self: &Rc<Self>) -> bool {
-        let state = self.replica.applied_state();
-        self.stop_closed(|key| state.read().is_open(&key.0, key.1));
-        let now = Instant::now();
-        let state = state.read();
-        let mut pass = Pass::default();
-        for one in state.open_items() {
-            let key = (one.header.job.clone(), one.index);
-            if self.running.borrow().contains_key(&key) {
-                continue;
-            }
-            pass.waiting = true;
-            let all_run = self.running() >= self.most_runs;
-            if all_run || pass.is_over() {
-                break;
-            }
-            self.try_start(now, key, &one, &mut pass);
-        }
-        pass.waiting
-    }
-
     /// Stops runs of items that are not wanted any more.
     fn stop_closed(&self, is_open: impl Fn(&ItemKey) -> bool) {
         let mut running = self.running.borrow_mut();
@@ -350,81 +224,4 @@
         });
         self.progress.borrow_mut().retain(|key, _| is_open(key));
     }
-
-    /// Starts an item if it may run now and there is room.
-    fn try_start(self: &Rc<Self>, now: Instant, key: ItemKey, one: &OpenItem<'_>, pass: &mut Pass) {
-        let known = self.progress.borrow().get(&key).cloned();
-        if known
-            .as_ref()
-            .is_some_and(|one| one.borrow().is_paused(now))
-        {
-            return;
-        }
-        let Some(backend) = self.choose(now, one, pass) else {
-            pass.refused += 1;
-            return;
-        };
-        pass.started += 1;
-        let progress = known.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
-        let held = progress.clone();
-        self.progress.borrow_mut().insert(key.clone(), held);
-        progress.borrow_mut().starts();
-        let work = Work {
-            header: one.header.clone(),
-            index: one.index,
-            item: one.item.clone(),
-        };
-        let chosen = backend.incarnation.clone();
-        let run = ItemRun {
-            gateway: self.gateway.clone(),
-            replica: self.replica.clone(),
-            work,
-            progress,
-            // Counted from now on, so that the next item sees it.
-            in_flight: self.gateway.in_flight(&backend.incarnation),
-            backend,
-        };
-        let runner = self.clone();
-        let ended = key.clone();
-        let task = Task::spawn(async move {
-            let end = run.run().await;
-            runner.metrics.run_ended(end);
-            // The entry is this task's own handle: it is let go, not aborted.
-            runner.running.borrow_mut().remove(&ended);
-            runner.ended.notify_one();
-        });
-        let run = Run {
-            _task: task,
-            backend: chosen,
-        };
-        self.running.borrow_mut().insert(key, run);
-    }
-
-    /// A back end with room, of the service that the item's route names now.
-    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
-        let configuration = self.gateway.configuration()?;
-        let path = one.item.path.split('?').next().unwrap_or_default();
-        let route = configuration.routes.find(&one.header.host, path)?;
-        let route = Arc::clone(route);
-        let service = self.gateway.split.borrow_mut().next(&route);
-        if pass.full.contains(&service) {
-            return None;
-        }
-        let headers = item::headers(one.item);
-        let terms = self.gateway.adapter.caller.read_terms(&headers);
-        let attempts = Attempts::new(route.repetition, u32::MAX);
-        let wanted = Wanted {
-            service: &service,
-            attempts: &attempts,
-            affinity: affinity_key(&terms.prompt),
-            load_limit: LOAD_LIMIT,
-        };
-        let mut random = self.gateway.random.borrow_mut();
-        let fleet = self.gateway.fleet.borrow();
-        let chosen = fleet.choose(now, &wanted, &mut *random);
-        if chosen.is_none() {
-            pass.full.insert(service);
-        }
-        chosen
-    }
 }
--- /dev/null
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -0,0 +1,146 @@
+//! Which items start, and where.
+
+use super::item::{self, ItemRun};
+use super::progress::ItemProgress;
+use super::{ItemKey, Run, Runner, Work};
+use crate::task::Task;
+use firshore_adapter::backend::Backend;
+use firshore_gateway::attempts::Attempts;
+use firshore_gateway::choice::affinity_key;
+use firshore_gateway::fleet::Wanted;
+use firshore_jobs::table::OpenItem;
+use firshore_types::ids::ServiceName;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Load in requests per slot from which on a back end gets no item.
+const LOAD_LIMIT: f32 = 0.75;
+
+/// Items started in one look: each costs processor time, and shows its load only a moment later.
+const MOST_STARTS: usize = 32;
+
+/// Items without room after which a look ends.
+const MOST_REFUSALS: usize = 64;
+
+/// One look at the items that wait.
+#[derive(Default)]
+struct Pass {
+    /// Whether items wait.
+    waiting: bool,
+    /// Items that were started.
+    started: usize,
+    /// Items for which there was no room.
+    refused: usize,
+    /// Services without room.
+    full: HashSet<ServiceName>,
+}
+
+impl Pass {
+    fn is_over(&self) -> bool {
+        self.started >= MOST_STARTS || self.refused >= MOST_REFUSALS
+    }
+}
+
+impl Runner {
+    /// Starts what there is room for; tells whether items wait for room.
+    pub(super) fn schedule(self: &Rc<Self>) -> bool {
+        let state = self.replica.applied_state();
+        self.stop_closed(|key| state.read().is_open(&key.0, key.1));
+        let now = Instant::now();
+        let state = state.read();
+        let mut pass = Pass::default();
+        for one in state.open_items() {
+            let key = (one.header.job.clone(), one.index);
+            if self.running.borrow().contains_key(&key) {
+                continue;
+            }
+            pass.waiting = true;
+            let all_run = self.running() >= self.most_runs;
+            if all_run || pass.is_over() {
+                break;
+            }
+            self.try_start(now, key, &one, &mut pass);
+        }
+        pass.waiting
+    }
+
+    /// Starts an item if it may run now and there is room.
+    fn try_start(self: &Rc<Self>, now: Instant, key: ItemKey, one: &OpenItem<'_>, pass: &mut Pass) {
+        let known = self.progress.borrow().get(&key).cloned();
+        if known
+            .as_ref()
+            .is_some_and(|one| one.borrow().is_paused(now))
+        {
+            return;
+        }
+        let Some(backend) = self.choose(now, one, pass) else {
+            pass.refused += 1;
+            return;
+        };
+        pass.started += 1;
+        let progress = known.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
+        let held = progress.clone();
+        self.progress.borrow_mut().insert(key.clone(), held);
+        progress.borrow_mut().starts();
+        let work = Work {
+            header: one.header.clone(),
+            index: one.index,
+            item: one.item.clone(),
+        };
+        let chosen = backend.incarnation.clone();
+        let run = ItemRun {
+            gateway: self.gateway.clone(),
+            replica: self.replica.clone(),
+            work,
+            progress,
+            // Counted from now on, so that the next item sees it.
+            in_flight: self.gateway.in_flight(&backend.incarnation),
+            backend,
+        };
+        let runner = self.clone();
+        let ended = key.clone();
+        let task = Task::spawn(async move {
+            let end = run.run().await;
+            runner.metrics.run_ended(end);
+            // The entry is this task's own handle: it is let go, not aborted.
+            runner.running.borrow_mut().remove(&ended);
+            runner.ended.notify_one();
+        });
+        let run = Run {
+            _task: task,
+            backend: chosen,
+        };
+        self.running.borrow_mut().insert(key, run);
+    }
+
+    /// A back end with room, of the service that the item's route names now.
+    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
+        let configuration = self.gateway.configuration()?;
+        let path = one.item.path.split('?').next().unwrap_or_default();
+        let route = configuration.routes.find(&one.header.host, path)?;
+        let route = Arc::clone(route);
+        let service = self.gateway.split.borrow_mut().next(&route);
+        if pass.full.contains(&service) {
+            return None;
+        }
+        let headers = item::headers(one.item);
+        let terms = self.gateway.adapter.caller.read_terms(&headers);
+        let attempts = Attempts::new(route.repetition, u32::MAX);
+        let wanted = Wanted {
+            service: &service,
+            attempts: &attempts,
+            affinity: affinity_key(&terms.prompt),
+            load_limit: LOAD_LIMIT,
+        };
+        let mut random = self.gateway.random.borrow_mut();
+        let fleet = self.gateway.fleet.borrow();
+        let chosen = fleet.choose(now, &wanted, &mut *random);
+        if chosen.is_none() {
+            pass.full.insert(service);
+        }
+        chosen
+    }
+}
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -218,37 +218,36 @@
                 "Set 0 to 3.",
             ));
         }
-        let history = self.objects.history_seconds;
-        if !history.is_finite() || history < MINIMUM_HISTORY_SECONDS {
-            return Err(SettingsError::Invalid(
+        let bounds = [
+            (
                 "objects.history_seconds",
-                history.to_string(),
+                self.objects.history_seconds,
+                MINIMUM_HISTORY_SECONDS,
                 "Set at least 1.",
-            ));
-        }
-        let catch_up = self.cluster.catch_up_seconds;
-        if !catch_up.is_finite() || catch_up < MINIMUM_CATCH_UP_SECONDS {
-            return Err(SettingsError::Invalid(
+            ),
+            (
                 "cluster.catch_up_seconds",
-                catch_up.to_string(),
+                self.cluster.catch_up_seconds,
+                MINIMUM_CATCH_UP_SECONDS,
                 "Set at least 1.",
-            ));
-        }
-        let memory = self.limits.memory_megabytes;
-        if !memory.is_finite() || memory < MINIMUM_MEMORY_MEGABYTES {
-            return Err(SettingsError::Invalid(
+            ),
+            (
                 "limits.memory_megabytes",
-                memory.to_string(),
+                self.limits.memory_megabytes,
+                MINIMUM_MEMORY_MEGABYTES,
                 "Set at least 16.",
-            ));
-        }
-        let grace = self.leave.grace_seconds;
-        if !grace.is_finite() || grace < MINIMUM_GRACE_SECONDS {
-            return Err(SettingsError::Invalid(
+            ),
+            (
                 "leave.grace_seconds",
-                grace.to_string(),
+                self.leave.grace_seconds,
+                MINIMUM_GRACE_SECONDS,
                 "Set at least 1.",
-            ));
+            ),
+        ];
+        for (key, value, minimum, remedy) in bounds {
+            if !value.is_finite() || value < minimum {
+                return Err(SettingsError::Invalid(key, value.to_string(), remedy));
+            }
         }
         if self.name.as_str().is_empty() {
             return Err(SettingsError::Invalid(
--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -87,15 +87,20 @@
         }
     }
 
-    fn record(&self, name: &'static str) -> Result<Option<Vec<u8>>, StorageError> {
+    /// The row under `key`, if the table and the row are there.
+    fn row<'k, K: redb::Key + 'static>(
+        &self,
+        table: TableDefinition<K, &'static [u8]>,
+        key: impl std::borrow::Borrow<K::SelfType<'k>>,
+    ) -> Result<Option<Vec<u8>>, StorageError> {
         self.guarded(|| {
             let read = self.database.begin_read()?;
-            let table = match read.open_table(RECORDS) {
+            let table = match read.open_table(table) {
                 Ok(table) => table,
                 Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
                 Err(error) => return Err(error.into()),
             };
-            Ok(table.get(name)?.map(|value| value.value().to_vec()))
+            Ok(table.get(key)?.map(|row| row.value().to_vec()))
         })
     }
 
@@ -104,7 +109,7 @@
         name: &'static str,
         described: &'static str,
     ) -> Result<Option<T>, StorageError> {
-        match self.record(name)? {
+        match self.row(RECORDS, name)? {
             None => Ok(None),
             Some(bytes) => checked::decode(&bytes)
                 .map(Some)
@@ -157,25 +162,6 @@
         })
     }
 
-    fn referenced_command(&self, index: LogIndex) -> Result<Option<Vec<u8>>, StorageError> {
-        self.guarded(|| {
-            let read = self.database.begin_read()?;
-            let table = match read.open_table(REFERENCED) {
-                Ok(table) => table,
-                Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
-                Err(error) => return Err(error.into()),
-            };
-            Ok(table.get(index)?.map(|row| row.value().to_vec()))
-        })
-    }
-
-    fn entry_row(&self, index: LogIndex) -> Result<Option<Vec<u8>>, StorageError> {
-        self.guarded(|| {
-            let table = self.database.begin_read()?.open_table(ENTRIES)?;
-            Ok(table.get(index)?.map(|row| row.value().to_vec()))
-        })
-    }
-
     fn load_entries(&self, base: Position) -> Result<Vec<Entry>, StorageError> {
         let mut entries = Vec::new();
         for (index, bytes) in self.rows(ENTRIES)? {
@@ -261,12 +247,12 @@
     }
 
     fn command(&self, index: LogIndex) -> Result<Option<Payload>, StorageError> {
-        if let Some(bytes) = self.referenced_command(index)? {
+        if let Some(bytes) = self.row(REFERENCED, index)? {
             let command: Option<Payload> = checked::decode(&bytes);
             let corrupt = || StorageError::CorruptEntry(self.path.clone(), index);
             return command.ok_or_else(corrupt).map(Some);
         }
-        let Some(bytes) = self.entry_row(index)? else {
+        let Some(bytes) = self.row(ENTRIES, index)? else {
             return Ok(None);
         };
         let entry: Entry = checked::decode(&bytes)
