A replica is answered where it writes from

A follower listed the nodes, then its leader's node came back at another address and led again. The follower heard it, so it saw no reason to list again, and sent its answers to the former address: mute, it counted as silent for as long as that leader lived (dump of all replicas: leader with one silent voter that knew the leader and held the same commit). A new machine whose node the store does not list to others yet is met the same way.

Change: each message between replicas carries where its sender listens.

Ruled out: the store (its fault was over), the disks (same commit on all three).

--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -11,6 +11,7 @@
 use firshore_types::ids::NodeName;
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What a node asks of a peer. All but replication is answered by the journal's leader only.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -24,6 +25,9 @@
         /// Node of the sender.
         #[serde(rename = "n")]
         node: NodeName,
+        /// Where that node listens for peers now.
+        #[serde(rename = "a")]
+        address: SocketAddr,
         /// Content.
         #[serde(rename = "e")]
         envelope: Envelope,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -101,7 +101,12 @@
         let replica = Group::open(&storage.data_folder, GROUP, log_bytes)
             .map_err(|error| io::Error::other(error.to_string()))?;
         let replica = Rc::new(replica);
-        let transport = transport::new(settings.name.clone(), registry.addresses(), peers.clone());
+        let transport = transport::new(
+            settings.name.clone(),
+            settings.listen.peers,
+            registry.addresses(),
+            peers.clone(),
+        );
         let replica_settings = ReplicaSettings {
             timing: Timing {
                 election_timeout: ELECTION_TIMEOUT,
@@ -123,6 +128,7 @@
             replica.clone(),
             loads.clone(),
             held_items.clone(),
+            registry.clone(),
             least,
         ));
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -120,6 +120,16 @@
         self.addresses.clone()
     }
 
+    /// Takes in where a node that writes to this one listens. It is to be answered there, also while
+    /// the store cannot be asked, or was asked before the node came to be or moved.
+    pub fn heard_from(&self, node: &NodeName, address: SocketAddr) {
+        if self.addresses.read().get(node) == Some(&address) {
+            return;
+        }
+        info!(self.log, "registry: Node heard."; "node" => %node, "address" => %address);
+        self.addresses.write().insert(node.clone(), address);
+    }
+
     /// Names of the nodes with a disk.
     pub fn names(&self) -> Vec<NodeName> {
         self.known.borrow().nodes.keys().cloned().collect()
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -1,6 +1,7 @@
 //! Answers peers about jobs, on the node whose replica leads.
 
 use super::messages::{PeerRequest, PeerResponse};
+use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
 use crate::runner::handover::{HeldItems, ProgressDelta};
@@ -44,6 +45,7 @@
     replica: Rc<Replica>,
     loads: Rc<Loads>,
     held_items: Rc<RefCell<HeldItems>>,
+    registry: Rc<Registry>,
     least: usize,
 }
 
@@ -82,12 +84,14 @@
         replica: Rc<Replica>,
         loads: Rc<Loads>,
         held_items: Rc<RefCell<HeldItems>>,
+        registry: Rc<Registry>,
         least: usize,
     ) -> Self {
         Self {
             replica,
             loads,
             held_items,
+            registry,
             least,
         }
     }
@@ -110,9 +114,11 @@
         if let PeerRequest::Replication {
             group: GROUP,
             node,
+            address,
             envelope,
         } = request
         {
+            self.registry.heard_from(&node, address);
             self.replica.received(node, envelope);
         }
     }
--- a/crates/firshore-node/src/journal/transport.rs
+++ b/crates/firshore-node/src/journal/transport.rs
@@ -7,17 +7,25 @@
 use firshore_replication::message::Envelope;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
+use std::net::SocketAddr;
 
 struct PeerTransport {
     own: NodeName,
+    own_address: SocketAddr,
     addresses: Addresses,
     peers: PeerClient,
 }
 
 /// The transport of a node's replica.
-pub fn new(own: NodeName, addresses: Addresses, peers: PeerClient) -> Box<dyn Transport> {
+pub fn new(
+    own: NodeName,
+    own_address: SocketAddr,
+    addresses: Addresses,
+    peers: PeerClient,
+) -> Box<dyn Transport> {
     Box::new(PeerTransport {
         own,
+        own_address,
         addresses,
         peers,
     })
@@ -33,6 +41,7 @@
         let request = PeerRequest::Replication {
             group,
             node: self.own.clone(),
+            address: self.own_address,
             envelope,
         };
         self.peers.notify(address, request);
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -39,7 +39,11 @@
 /// Time after which a new disk must hold everything, by the default settings.
 pub const CATCH_UP: Duration = Duration::from_secs(5);
 
-pub const SECRET: &str = "sixteen bytes of secret";
+/// A secret of this process: tests run side by side, and a port that one has left may be another's
+/// next.
+pub fn secret() -> String {
+    format!("sixteen bytes of secret {}", std::process::id())
+}
 
 pub struct Node {
     pub gateway: Rc<Gateway>,
@@ -69,8 +73,9 @@
 pub fn settings(number: usize, folder: &std::path::Path, address: SocketAddr) -> Settings {
     let text = format!(
         "name = 'n{number}'\nregion = 'r'\nzone = 'z{number}'\n[listen]\npeers = '{address}'\n\
-         [objects]\naddress = '127.0.0.1:1'\n[cluster]\nsecret = '{SECRET}'\n\
+         [objects]\naddress = '127.0.0.1:1'\n[cluster]\nsecret = '{}'\n\
          [storage]\ndata_folder = '{}'\n[limits]\nmemory_megabytes = 16\n",
+        secret(),
         folder.display()
     );
     toml::from_str(&text).unwrap()
@@ -78,7 +83,7 @@
 
 pub fn peers() -> PeerClient {
     let (peers, calls) = PeerClient::new();
-    actix_rt::spawn(link::run(calls, ClusterSecret(SECRET.into())));
+    actix_rt::spawn(link::run(calls, ClusterSecret(secret().into())));
     peers
 }
 
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -5,6 +5,10 @@
 
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_gateway::gateway::JobService;
+use firshore_node::journal::GROUP;
+use firshore_node::journal::messages::PeerRequest;
+use firshore_replication::message::{Envelope, Message};
+use firshore_replication::types::DiskId;
 use firshore_stand_in::adapter::{BACKENDS, RETIREMENTS};
 use firshore_stand_in::backend::{Play, ScriptedBackend};
 use firshore_stand_in::store::Fault;
@@ -273,3 +277,29 @@
         }
     });
 }
+
+#[test]
+fn a_peer_is_answered_where_it_writes_from() {
+    run(async {
+        let cluster = Cluster::start().await;
+        let node = cluster.nodes[0].as_ref().unwrap();
+        let elsewhere = free_address();
+        let notice = PeerRequest::Replication {
+            group: GROUP,
+            node: "moved".into(),
+            address: elsewhere,
+            envelope: Envelope {
+                from: DiskId(1),
+                to: DiskId(2),
+                term: 0,
+                message: Message::TimeoutNow,
+            },
+        };
+        // The store lists no such node: what it writes is all that is known of it.
+        let addresses = node.journal.registry.addresses();
+        while addresses.read().get(&"moved".into()) != Some(&elsewhere) {
+            peers().notify(node.address, notice.clone());
+            pause().await;
+        }
+    });
+}
--- a/crates/firshore-node/tests/soak.rs
+++ b/crates/firshore-node/tests/soak.rs
@@ -179,6 +179,7 @@
         let mut steps = vec![Step::Submit];
         steps.extend((1..STEPS).map(|_| draw(&mut soak.random)));
         for step in steps {
+            eprintln!("seed {seed}: {step:?}");
             soak.step(step).await;
         }
         soak.finish().await;
