Addresses that peers tell are ordered by the store's revision; a refusal never follows an unknown try

Cause 1: since peers tell where they listen, a late message of a node's former process could override the address of its new one. Messages carry the revision at which the store lists the address; what is older says nothing.

--- a/crates/firshore-log/src/driver/requests.rs
+++ b/crates/firshore-log/src/driver/requests.rs
@@ -26,16 +26,17 @@
             let _ = answer.send(Err(self.not_leader()));
             return;
         }
-        if self.full && M::needs_space(&command) {
-            let _ = answer.send(Err(JournalRefusal::StorageFull));
-            return;
-        }
         let now = unix_milliseconds();
-        // Looking for work where there is none costs no log entry.
+        // Looking for work where there is none costs no log entry, and what was taken in before is
+        // acknowledged again also when there is no space for more.
         if let Some(outcome) = self.state.read().without_effect(&command, now) {
             let _ = answer.send(Ok(outcome));
             return;
         }
+        if self.full && M::needs_space(&command) {
+            let _ = answer.send(Err(JournalRefusal::StorageFull));
+            return;
+        }
         M::stamp(&mut command, now);
         let mut bytes = Vec::new();
         ciborium::into_writer(&command, &mut bytes).expect("commands serialise to memory");
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -108,6 +108,8 @@
                     *self.leader.borrow_mut() = Some(target);
                     return Ok(response);
                 }
+                // What an earlier try may have done is not undone by a later refusal.
+                Tried::Full if unknown && request.changes() => return Err(unavailable(true)),
                 Tried::Full => {
                     let message = "The journal's disk has no space left for new work.";
                     return Err(ApiError::not_run(ErrorCode::JournalUnavailable, message));
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -4,6 +4,7 @@
 use crate::runner::ItemKey;
 use crate::runner::handover::ProgressDelta;
 use firshore_adapter::jobs::{JobItem, ResultPage};
+use firshore_adapter::objects::Revision;
 use firshore_jobs::command::JobHeader;
 use firshore_log::refusal::JournalRefusal;
 use firshore_replication::message::Envelope;
@@ -28,6 +29,9 @@
         /// Where that node listens for peers now.
         #[serde(rename = "a")]
         address: SocketAddr,
+        /// Revision at which the store lists it there; 0 while it has not seen that.
+        #[serde(rename = "v")]
+        revision: Revision,
         /// Content.
         #[serde(rename = "e")]
         envelope: Envelope,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -104,7 +104,7 @@
         let transport = transport::new(
             settings.name.clone(),
             settings.listen.peers,
-            registry.addresses(),
+            &registry,
             peers.clone(),
         );
         let replica_settings = ReplicaSettings {
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Kind of the product's own objects.
@@ -29,6 +30,10 @@
 /// Where nodes listen for peers, shared with the replica's thread.
 pub type Addresses = Arc<RwLock<BTreeMap<NodeName, SocketAddr>>>;
 
+/// Revision at which the store lists this node as it is, 0 while that was not seen; shared with the
+/// replica's thread.
+pub type OwnRevision = Arc<AtomicU64>;
+
 /// A node with a disk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -49,6 +54,8 @@
     nodes: BTreeMap<NodeName, (Revision, NodeRecord)>,
     founding: Option<Membership>,
     voters: Option<(Revision, VoterRecord)>,
+    /// Nodes that told where they listen themselves, and as of which revision.
+    heard: BTreeMap<NodeName, Revision>,
 }
 
 /// The voters of the journal, written before any change of them enters the log.
@@ -70,6 +77,7 @@
     log: Logger,
     known: RefCell<Known>,
     addresses: Addresses,
+    own_revision: OwnRevision,
     refreshed_at: Cell<Option<Instant>>,
     /// Something was written that no listing has shown yet.
     unsettled: Cell<bool>,
@@ -83,6 +91,7 @@
             log,
             known: RefCell::default(),
             addresses: Addresses::default(),
+            own_revision: OwnRevision::default(),
             refreshed_at: Cell::new(None),
             unsettled: Cell::new(false),
         }
@@ -120,16 +129,31 @@
         self.addresses.clone()
     }
 
-    /// Takes in where a node that writes to this one listens. It is to be answered there, also while
-    /// the store cannot be asked, or was asked before the node came to be or moved.
-    pub fn heard_from(&self, node: &NodeName, address: SocketAddr) {
+    /// Takes in where a node that writes to this one listens, as the store lists it at `revision`. It
+    /// is to be answered there, also while the store cannot be asked, or was asked before the node
+    /// came to be or moved. What is older than the listing known here is late and says nothing.
+    pub fn heard_from(&self, node: &NodeName, address: SocketAddr, revision: Revision) {
         if self.addresses.read().get(node) == Some(&address) {
             return;
         }
-        info!(self.log, "registry: Node heard."; "node" => %node, "address" => %address);
+        let known = self.known.borrow();
+        let listed = known.nodes.get(node).map_or(0, |(listed, _)| *listed);
+        let heard = known.heard.get(node).copied().unwrap_or(0);
+        drop(known);
+        if revision <= listed || revision < heard {
+            return;
+        }
+        info!(self.log, "registry: Node heard."; "node" => %node, "address" => %address,
+            "revision" => revision);
+        self.known.borrow_mut().heard.insert(node.clone(), revision);
         self.addresses.write().insert(node.clone(), address);
     }
 
+    /// Returns the revision at which the store lists this node, shared with the replica's thread.
+    pub fn own_revision(&self) -> OwnRevision {
+        self.own_revision.clone()
+    }
+
     /// Names of the nodes with a disk.
     pub fn names(&self) -> Vec<NodeName> {
         self.known.borrow().nodes.keys().cloned().collect()
@@ -276,10 +300,16 @@
 
     /// Writes a node's own record, if the store does not list it as it is.
     pub async fn register(&self, node: &NodeName, record: &NodeRecord) {
-        if self.is_unsettled() || self.is_registered(node, record) {
+        if self.is_unsettled() {
             return;
         }
+        if self.is_registered(node, record) {
+            let known = self.known.borrow();
+            let listed = known.nodes.get(node).map_or(0, |(listed, _)| *listed);
+            return self.own_revision.store(listed, Ordering::Relaxed);
+        }
         let listed = self.known.borrow().nodes.get(node).cloned();
+        self.own_revision.store(0, Ordering::Relaxed);
         let name = format!("{NODE_PREFIX}{node}");
         let spec = serde_json::to_value(record).expect("records serialise");
         let written = match listed {
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -115,10 +115,11 @@
             group: GROUP,
             node,
             address,
+            revision,
             envelope,
         } = request
         {
-            self.registry.heard_from(&node, address);
+            self.registry.heard_from(&node, address, revision);
             self.replica.received(node, envelope);
         }
     }
--- a/crates/firshore-node/src/journal/transport.rs
+++ b/crates/firshore-node/src/journal/transport.rs
@@ -2,16 +2,18 @@
 
 use super::PeerClient;
 use super::messages::PeerRequest;
-use super::registry::Addresses;
+use super::registry::{Addresses, OwnRevision, Registry};
 use firshore_log::machine::Transport;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 struct PeerTransport {
     own: NodeName,
     own_address: SocketAddr,
+    own_revision: OwnRevision,
     addresses: Addresses,
     peers: PeerClient,
 }
@@ -20,13 +22,14 @@
 pub fn new(
     own: NodeName,
     own_address: SocketAddr,
-    addresses: Addresses,
+    registry: &Registry,
     peers: PeerClient,
 ) -> Box<dyn Transport> {
     Box::new(PeerTransport {
         own,
         own_address,
-        addresses,
+        own_revision: registry.own_revision(),
+        addresses: registry.addresses(),
         peers,
     })
 }
@@ -42,6 +45,7 @@
             group,
             node: self.own.clone(),
             address: self.own_address,
+            revision: self.own_revision.load(Ordering::Relaxed),
             envelope,
         };
         self.peers.notify(address, request);
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -279,27 +279,37 @@
 }
 
 #[test]
-fn a_peer_is_answered_where_it_writes_from() {
+fn a_peer_is_answered_where_it_listened_last() {
     run(async {
         let cluster = Cluster::start().await;
         let node = cluster.nodes[0].as_ref().unwrap();
-        let elsewhere = free_address();
-        let notice = PeerRequest::Replication {
-            group: GROUP,
-            node: "moved".into(),
-            address: elsewhere,
-            envelope: Envelope {
-                from: DiskId(1),
-                to: DiskId(2),
-                term: 0,
-                message: Message::TimeoutNow,
-            },
-        };
-        // The store lists no such node: what it writes is all that is known of it.
         let addresses = node.journal.registry.addresses();
-        while addresses.read().get(&"moved".into()) != Some(&elsewhere) {
-            peers().notify(node.address, notice.clone());
+        let (first, second, late) = (free_address(), free_address(), free_address());
+        // The store lists no such node: what it writes is all that is known of it.
+        for (address, revision, expected) in [
+            (first, 100, first),
+            (second, 102, second),
+            (late, 101, second),
+        ] {
+            let notice = PeerRequest::Replication {
+                group: GROUP,
+                node: "moved".into(),
+                address,
+                revision,
+                envelope: Envelope {
+                    from: DiskId(1),
+                    to: DiskId(2),
+                    term: 0,
+                    message: Message::TimeoutNow,
+                },
+            };
+            node.journal
+                .registry
+                .heard_from(&"moved".into(), address, revision);
+            assert_eq!(addresses.read().get(&"moved".into()), Some(&expected));
+            peers().notify(node.address, notice);
             pause().await;
+            assert_eq!(addresses.read().get(&"moved".into()), Some(&expected));
         }
     });
 }
