A pair that is cut keeps both; a disk that stayed silent is tried again

The other records itself as the only voter after 1.44 s, goes on alone, takes the other in as a learner, which stays silent for 1.5 s, removes it and passes its disk over for 30 s. With one disk nothing is promised, so no item runs for the remaining 24 s. Ruled out: a lost disk (both whole), the store (both reach it; the compare-and-set let one of the two, as it should), a refused vote of the returning replica (it was never asked). Change: without a third disk that could take the place, one of a pair waits for the whole catch-up time, not 0.3 of it: alone it may promise nothing anyway. A disk that stayed silent as a learner is tried again after 0.5 s, then after doubled pauses, 8 s at most, in place of 30 s. Reads of listed results wait up to the catch-up time where a disk of a pair is lost for good and none replaces it.

--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -1,9 +1,11 @@
 //! Upkeep of the replica on this node: registration, founding, placement, retirements, forgetting
 //! old jobs.
 
-use super::Journal;
+use super::passed_over::PassedOver;
 use super::registry::{NodeRecord, VoterRecord};
 use super::retirement::Retirements;
+use super::{Journal, SILENCE_SHARE};
+use crate::observation::Learned;
 use firshore_adapter::Adapter;
 use firshore_jobs::command::Action;
 use firshore_log::GroupStatus;
@@ -12,7 +14,7 @@
 use firshore_types::ids::NodeName;
 use slog::info;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -26,8 +28,10 @@
 /// Time between commands that forget old jobs.
 const FORGET_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Time for which a disk that was taken in and stayed silent is passed over.
-const PASSED_OVER: Duration = Duration::from_secs(30);
+/// Part of the time in which a new disk has to hold everything after which one of a pair goes on
+/// without the other although no other disk could take its place: cuts mostly end sooner, and a
+/// lone replica may promise nothing, but lets what is listed be read.
+const LONE_SHARE: f64 = 1.0;
 
 /// What upkeep needs beside the journal.
 pub struct Upkeep {
@@ -41,10 +45,10 @@
     pub record: NodeRecord,
     /// Nodes that are to be emptied.
     pub retirements: Rc<Retirements>,
-    /// Time without a leader after which the other voter of a pair counts as gone.
-    pub patience: Duration,
-    /// Disks that were taken in and stayed silent, and until when they are passed over.
-    pub passed_over: RefCell<BTreeMap<DiskId, Instant>>,
+    /// Time in which a new disk has to hold everything.
+    pub catch_up: Duration,
+    /// Disks that were taken in and stayed silent.
+    pub passed_over: RefCell<PassedOver>,
     /// Since when no leader is known.
     pub leaderless_since: Cell<Option<Instant>>,
 }
@@ -143,12 +147,16 @@
             // The next leader takes this replica out of the group.
             return self.journal.replica.step_aside().await;
         }
+        let now = Instant::now();
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.forget(|disk| status.membership.is_voter(disk));
         let usable: Vec<Candidate> = candidates
             .iter()
             .filter(|candidate| !leaving.contains(&candidate.node))
-            .filter(|candidate| !self.is_passed_over(candidate.disk))
+            .filter(|candidate| !passed_over.holds(now, candidate.disk))
             .cloned()
             .collect();
+        drop(passed_over);
         if !status.membership_committed {
             // Nothing is recorded that might never enter the log.
             return;
@@ -180,19 +188,13 @@
             && !present.contains(disk)
         {
             // A learner that never answered: its node is registered, but gone.
-            let until = Instant::now() + PASSED_OVER;
-            self.passed_over.borrow_mut().insert(*disk, until);
+            let pause = self.passed_over.borrow_mut().stayed_silent(now, *disk);
+            info!(self.journal.log, "journal: Disk passed over."; "disk" => %disk,
+                "pause_ms" => pause.as_millis() as u64);
         }
         self.journal.replica.change(change);
     }
 
-    fn is_passed_over(&self, disk: DiskId) -> bool {
-        let passed_over = self.passed_over.borrow();
-        passed_over
-            .get(&disk)
-            .is_some_and(|until| Instant::now() < *until)
-    }
-
     fn is_recorded(&self, voters: &BTreeSet<DiskId>, settled: bool) -> bool {
         let recorded = self.journal.registry.recorded_voters();
         recorded.is_some_and(|record| record.voters == *voters && record.settled == settled)
@@ -219,6 +221,9 @@
         if pair.len() != 2 || !pair.contains(&status.disk) || !self.is_fellow_gone(status) {
             return;
         }
+        if !self.is_leaderless_for(LONE_SHARE) && !self.has_replacement(&pair).await {
+            return;
+        }
         let alone = BTreeSet::from([status.disk]);
         if self.is_recorded(&alone, false) {
             return self.journal.replica.continue_alone();
@@ -232,10 +237,35 @@
         }
     }
 
+    /// Whether no leader was known for this part of the time in which a disk has to catch up.
+    fn is_leaderless_for(&self, share: f64) -> bool {
+        let since = self.leaderless_since.get();
+        since.is_some_and(|since| since.elapsed() >= self.catch_up.mul_f64(share))
+    }
+
+    /// Whether a disk beyond these, on a node that is to stay, could hold a replica.
+    async fn has_replacement(&self, pair: &BTreeSet<DiskId>) -> bool {
+        let kind = self.adapter.decoder.retirement_kind();
+        match self.adapter.objects.list(kind, None).await {
+            // Only the leader follows these, and there is none.
+            Ok(page) => {
+                let listed = Learned::All(page.objects);
+                self.retirements
+                    .learn(&self.adapter, &self.journal.log, listed);
+            }
+            Err(_) => return false,
+        }
+        let leaving = self.retirements.open();
+        let candidates = self.journal.registry.candidates();
+        let mut staying = candidates
+            .iter()
+            .filter(|candidate| !leaving.contains(&candidate.node));
+        staying.any(|candidate| !pair.contains(&candidate.disk))
+    }
+
     /// Whether the other voter of a pair has lost its disk, or there was no leader for long.
     fn is_fellow_gone(&self, status: &GroupStatus) -> bool {
-        let since = self.leaderless_since.get();
-        if since.is_some_and(|since| since.elapsed() >= self.patience) {
+        if self.is_leaderless_for(SILENCE_SHARE) {
             return true;
         }
         let candidates = self.journal.registry.candidates();
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -5,6 +5,7 @@
 pub mod duties;
 pub mod maintenance;
 pub mod messages;
+pub mod passed_over;
 pub mod registry;
 pub mod retirement;
 pub mod service;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::journal::maintenance::{self, Upkeep};
 use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
-use crate::journal::{Journal, PeerClient, SILENCE_SHARE};
+use crate::journal::{Journal, PeerClient};
 use crate::load_exchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
@@ -182,7 +182,7 @@
             disk: journal.replica.status().disk,
         },
         retirements,
-        patience: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
+        catch_up: settings.cluster.catch_up(),
         passed_over: RefCell::default(),
         leaderless_since: Cell::new(None),
     };
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -14,7 +14,7 @@
 use firshore_node::journal::maintenance::{self, Upkeep};
 use firshore_node::journal::registry::{NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
-use firshore_node::journal::{Journal, PeerClient, SILENCE_SHARE};
+use firshore_node::journal::{Journal, PeerClient};
 use firshore_node::metrics::RunnerMetrics;
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
@@ -124,7 +124,7 @@
             disk: journal.replica.status().disk,
         },
         retirements,
-        patience: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
+        catch_up: settings.cluster.catch_up(),
         passed_over: RefCell::default(),
         leaderless_since: Cell::new(None),
     };
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -13,6 +13,7 @@
 use firshore_stand_in::backend::{Play, ScriptedBackend};
 use firshore_stand_in::store::Fault;
 use serde_json::json;
+use std::time::Duration;
 
 use cluster::*;
 
@@ -313,3 +314,40 @@
         }
     });
 }
+
+/// Time from the return of a node until the group must be whole again: the longest pause in which a
+/// silent disk is passed over is bounded by the time that it was away.
+const WHOLE_AGAIN: Duration = Duration::from_secs(8);
+
+async fn a_pair(cluster: &Cluster) {
+    cluster.store.put(RETIREMENTS, "n1", json!({}));
+    while cluster.store.object(RETIREMENTS, "n1").unwrap().status != json!("done") {
+        pause().await;
+    }
+}
+
+#[test]
+fn one_of_a_pair_that_was_away_is_taken_back() {
+    for away in [Duration::from_millis(2_500), Duration::from_millis(8_000)] {
+        run(async move {
+            let mut cluster = Cluster::start().await;
+            cluster.submit("job", 2).await;
+            a_pair(&cluster).await;
+            cluster.kill(1);
+            // The pair has to be known as such before one of it may be lost.
+            actix_rt::time::sleep(CATCH_UP).await;
+            let follower = 2 - cluster.leader().await;
+            cluster.kill(follower);
+            actix_rt::time::sleep(away).await;
+            cluster.restart(follower).await;
+            let whole = tokio::time::timeout(WHOLE_AGAIN, async {
+                cluster.submit("next", 1).await;
+                cluster.whole().await;
+            });
+            let whole = whole.await;
+            whole.unwrap_or_else(|_| panic!("not whole after {away:?} away"));
+            let body = cluster.body("job", "i1").await;
+            assert_eq!(body.as_deref(), Some("body 1"));
+        });
+    }
+}
