--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -148,15 +148,7 @@
             return self.journal.replica.step_aside().await;
         }
         let now = Instant::now();
-        let mut passed_over = self.passed_over.borrow_mut();
-        passed_over.forget(|disk| status.membership.is_voter(disk));
-        let usable: Vec<Candidate> = candidates
-            .iter()
-            .filter(|candidate| !leaving.contains(&candidate.node))
-            .filter(|candidate| !passed_over.holds(now, candidate.disk))
-            .cloned()
-            .collect();
-        drop(passed_over);
+        let usable = self.usable(now, status, &candidates, &leaving);
         if !status.membership_committed {
             // Nothing is recorded that might never enter the log.
             return;
@@ -195,6 +187,23 @@
         self.journal.replica.change(change);
     }
 
+    /// Disks on nodes that are to stay, but for those that stayed silent a moment ago.
+    fn usable(
+        &self,
+        now: Instant,
+        status: &GroupStatus,
+        candidates: &[Candidate],
+        leaving: &BTreeSet<NodeName>,
+    ) -> Vec<Candidate> {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.forget(|disk| status.membership.is_voter(disk));
+        let usable = candidates
+            .iter()
+            .filter(|candidate| !leaving.contains(&candidate.node))
+            .filter(|candidate| !passed_over.holds(now, candidate.disk));
+        usable.cloned().collect()
+    }
+
     fn is_recorded(&self, voters: &BTreeSet<DiskId>, settled: bool) -> bool {
         let recorded = self.journal.registry.recorded_voters();
         recorded.is_some_and(|record| record.voters == *voters && record.settled == settled)
