--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -155,6 +155,10 @@
             }
             _ => {
                 self.leader.borrow_mut().take();
+                if self.registry.address(&target).is_none() {
+                    // It came after the nodes were listed.
+                    self.registry.refresh().await;
+                }
                 None
             }
         }
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -17,6 +17,7 @@
 use futures_util::future::{LocalBoxFuture, pending, ready};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// A leader that is silent at first, then has no space.
@@ -37,25 +38,78 @@
     }
 }
 
+/// A follower that names the leader.
+struct FollowerOf(&'static str);
+
+impl Handler<PeerRequest, PeerResponse> for FollowerOf {
+    fn notice(&self, _: PeerRequest) {}
+
+    fn answer(&self, _: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
+        let leader = Some(self.0.into());
+        ready(PeerResponse::Refused(JournalRefusal::NotLeader { leader })).boxed_local()
+    }
+}
+
+/// A leader that takes loads in.
+struct Leader;
+
+impl Handler<PeerRequest, PeerResponse> for Leader {
+    fn notice(&self, _: PeerRequest) {}
+
+    fn answer(&self, _: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
+        let counts = Vec::new();
+        ready(PeerResponse::Load { counts, pause: 100 }).boxed_local()
+    }
+}
+
+/// Starts a node that answers as `handler` does, and registers it.
+async fn start_peer(
+    store: &MemoryStore,
+    node: &str,
+    handler: impl Handler<PeerRequest, PeerResponse> + 'static,
+) {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let secret = ClusterSecret(secret().into());
+    actix_rt::spawn(listener::run(listener, secret, Rc::new(handler), log()));
+    let record = NodeRecord {
+        address,
+        zone: "z".into(),
+        disk: DiskId(1),
+    };
+    let record = serde_json::to_value(&record).unwrap();
+    store.put(KIND, &format!("node.{node}"), record);
+}
+
+#[test]
+fn loads_reach_a_leader_that_came_after_the_nodes_were_listed() {
+    run(async {
+        let store = MemoryStore::new();
+        start_peer(&store, "old", FollowerOf("new")).await;
+        let registry = Rc::new(Registry::new(store.clone(), log()));
+        let client = JournalClient::new("caller".into(), registry.clone(), peers());
+        registry.refresh().await;
+        start_peer(&store, "new", Leader).await;
+        let told = async {
+            while client.exchange_load(Vec::new()).await.is_none() {
+                cluster::pause().await;
+            }
+        };
+        let told = tokio::time::timeout(Duration::from_secs(3), told).await;
+        told.expect("the leader is told within some looks");
+    });
+}
+
 #[test]
 fn a_full_disk_promises_nothing_about_a_try_that_was_not_answered() {
     let cases = [(0, Execution::None), (1, Execution::Unknown)];
     for (silent, expected) in cases {
         run(async move {
-            let address = free_address();
-            let listener = TcpListener::bind(address).await.unwrap();
             let handler = SilentThenFull {
                 silent: Cell::new(silent),
             };
-            let secret = ClusterSecret(secret().into());
-            actix_rt::spawn(listener::run(listener, secret, Rc::new(handler), log()));
             let store = MemoryStore::new();
-            let record = NodeRecord {
-                address,
-                zone: "z".into(),
-                disk: DiskId(1),
-            };
-            store.put(KIND, "node.n", serde_json::to_value(&record).unwrap());
+            start_peer(&store, "n", handler).await;
             let registry = Rc::new(Registry::new(store, log()));
             let client = JournalClient::new("caller".into(), registry, peers());
             let items = cluster::items(1);
