--- a/crates/firshore-adapter/src/route.rs
+++ b/crates/firshore-adapter/src/route.rs
@@ -20,6 +20,8 @@
 /// Terms of a route whose requests are batch jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobTerms {
+    /// Time from the submission in which callers want all results; `None` if the route says nothing.
+    pub due_after: Option<Duration>,
     /// Time from the submission after which an item without a result may be given up.
     pub give_up_after: Duration,
 }
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -90,8 +90,18 @@
         report.others as f32 * faded.max(0.0)
     }
 
+    /// Requests that it is believed to hold, in whole ones: a report that has only begun to fade is
+    /// not a free slot.
+    fn held(&self, now: Instant) -> u32 {
+        self.in_flight + self.others(now).round() as u32
+    }
+
     fn load(&self, now: Instant) -> f32 {
-        (self.in_flight as f32 + self.others(now)) / self.backend.slots.max(1) as f32
+        (self.in_flight as f32 + self.others(now)) / self.slots()
+    }
+
+    fn slots(&self) -> f32 {
+        self.backend.slots.max(1) as f32
     }
 
     fn eject(&mut self, now: Instant) {
@@ -212,7 +222,7 @@
         let states = if trusted.is_empty() { usable } else { trusted };
         let states: Vec<&State> = states
             .into_iter()
-            .filter(|state| state.load(now) < wanted.load_limit)
+            .filter(|state| (state.held(now) as f32) < state.slots() * wanted.load_limit)
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -231,12 +241,17 @@
         self.states.get(incarnation).map(|state| state.load(now))
     }
 
+    /// Returns whether a back end is believed to hold more requests than it works on at once.
+    pub fn is_crowded(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let state = self.states.get(incarnation);
+        state.is_some_and(|state| state.held(now) > state.backend.slots)
+    }
+
     /// Requests at a back end beyond a load; `None` if there are none.
     pub fn excess(&self, now: Instant, incarnation: &Incarnation, load: f32) -> Option<usize> {
         let state = self.states.get(incarnation)?;
-        let held = state.in_flight + state.others(now).round() as u32;
-        let allowed = (state.backend.slots as f32 * load).round() as u32;
-        let excess = held.checked_sub(allowed)?;
+        let allowed = (state.slots() * load).round() as u32;
+        let excess = state.held(now).checked_sub(allowed)?;
         (excess > 0).then_some(excess as usize)
     }
 
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// A result of the journal.
 pub type JobAnswer<'a, T> = LocalBoxFuture<'a, Result<T, ApiError>>;
@@ -65,6 +66,8 @@
     pub random: RefCell<StdRng>,
     /// What is counted.
     pub metrics: GatewayMetrics,
+    /// Woken when a request goes to a back end that has no slot free for it.
+    pub crowded: Notify,
     /// Division of requests among services.
     pub split: RefCell<Split>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
@@ -113,6 +116,7 @@
             jobs,
             random: random.into(),
             metrics: GatewayMetrics::new(builder),
+            crowded: Notify::new(),
             split: RefCell::default(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
@@ -121,7 +125,13 @@
 
     /// A request is about to be sent to a back end.
     pub fn in_flight(&self, incarnation: &Incarnation) -> InFlight {
-        self.fleet.borrow_mut().started(Instant::now(), incarnation);
+        let now = Instant::now();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.started(now, incarnation);
+        if fleet.is_crowded(now, incarnation) {
+            self.crowded.notify_one();
+        }
+        drop(fleet);
         InFlight {
             fleet: self.fleet.clone(),
             incarnation: incarnation.clone(),
--- a/crates/firshore-jobs/src/command.rs
+++ b/crates/firshore-jobs/src/command.rs
@@ -17,6 +17,9 @@
     pub attempts: u32,
     /// Time from the submission after which an item may be given up, in milliseconds.
     pub give_up_after: u64,
+    /// Time from the submission in which all results are wanted, in milliseconds.
+    #[serde(default)]
+    pub due_after: Option<u64>,
 }
 
 /// The result of one item.
--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -15,6 +15,8 @@
 pub struct OpenItem<'a> {
     /// What is known of its job.
     pub header: &'a JobHeader,
+    /// Clock of the leader that took the job in, in Unix milliseconds.
+    pub submitted_at: u64,
     /// Position in the job.
     pub index: ItemIndex,
     /// The item.
@@ -52,6 +54,7 @@
             let header = &job.header;
             job.unfinished().map(move |(index, item)| OpenItem {
                 header,
+                submitted_at: job.submitted_at,
                 index,
                 item,
             })
@@ -65,6 +68,11 @@
         job.is_some_and(|job| job.is_unfinished(item))
     }
 
+    /// Whether items of a job are still to be run.
+    pub fn is_job_open(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(Job::is_open)
+    }
+
     /// Back ends that ran an item and failed.
     pub fn failures(&self, job: &str, item: ItemIndex) -> u32 {
         self.jobs.get(job).map_or(0, |job| job.failures(item))
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -15,6 +15,7 @@
         host: "batch.example".to_owned(),
         attempts: 3,
         give_up_after: 60_000,
+        due_after: Some(20_000),
     }
 }
 
@@ -25,6 +26,7 @@
         headers: vec![("x-model".to_owned(), "m".to_owned())],
         body: format!("body of {id}").into_bytes().into(),
         tokens: 10,
+        expected_output: 0,
     }
 }
 
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -124,9 +124,13 @@
         }
     }
 
-    /// Tells the leader what this node has under way, and learns what all others have. Asks once:
+    /// Tells the leader what this node has under way, `urgent` if it finds no free slots, and learns what all others have. Asks once:
     /// what is missed is told again a moment later.
-    pub async fn exchange_load(&self, counts: Vec<BackendCount>) -> Option<OthersLoad> {
+    pub async fn exchange_load(
+        &self,
+        counts: Vec<BackendCount>,
+        urgent: bool,
+    ) -> Option<OthersLoad> {
         let leader = self.leader.borrow().clone();
         let target = match leader.or_else(|| self.nodes().pop()) {
             Some(target) => target,
@@ -138,6 +142,7 @@
         let request = PeerRequest::Load {
             node: self.node.clone(),
             counts,
+            urgent,
         };
         match self.try_one(&target, request, Duration::ZERO).await {
             Tried::Answered(PeerResponse::Load { counts, pause }) => {
@@ -203,7 +208,9 @@
             let terms = route.jobs;
             let give_up_after =
                 terms.map_or(u64::MAX, |terms| terms.give_up_after.as_millis() as u64);
+            let due_after = terms.and_then(|terms| terms.due_after);
             let header = JobHeader {
+                due_after: due_after.map(|due_after| due_after.as_millis() as u64),
                 job,
                 host: route.host.clone(),
                 attempts: route.attempts,
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -3,6 +3,7 @@
 use crate::load_table::BackendCount;
 use crate::runner::ItemKey;
 use crate::runner::handover::ProgressDelta;
+use crate::runner::progress_keeper::Leadership;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_adapter::objects::Revision;
 use firshore_jobs::command::JobHeader;
@@ -66,7 +67,14 @@
     },
     /// What items that the sender runs have produced since it told last.
     #[serde(rename = "p")]
-    Progress(Vec<ProgressDelta>),
+    Progress {
+        /// When the sender leads.
+        #[serde(rename = "l")]
+        leadership: Leadership,
+        /// What is new.
+        #[serde(rename = "d")]
+        deltas: Vec<ProgressDelta>,
+    },
     /// What the sender has under way at back ends.
     #[serde(rename = "l")]
     Load {
@@ -76,6 +84,9 @@
         /// Requests at each back end that is not idle.
         #[serde(rename = "c")]
         counts: Vec<BackendCount>,
+        /// Whether requests of the sender have found no free slot.
+        #[serde(rename = "u", default)]
+        urgent: bool,
     },
 }
 
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -11,7 +11,7 @@
 pub mod service;
 mod transport;
 
-use crate::runner::handover::HeldItems;
+use crate::runner::progress_keeper::ProgressKeeper;
 use crate::settings::{Settings, Storage};
 use firshore_jobs::table::JobTable;
 use firshore_link::handshake::ClusterSecret;
@@ -75,8 +75,8 @@
     pub replica: Rc<Replica>,
     /// What nodes have under way at back ends.
     pub loads: Rc<Loads>,
-    /// What items of another leader have produced.
-    pub held_items: Rc<RefCell<HeldItems>>,
+    /// What items have produced, as leaders told.
+    pub progress: Rc<RefCell<ProgressKeeper>>,
     /// Nodes and founders as the store lists them.
     pub registry: Rc<Registry>,
     /// Replicas that the group is to have.
@@ -123,12 +123,13 @@
         replica.start(log, replica_settings, transport);
         let listener = TcpListener::bind(settings.listen.peers).await?;
         let loads = Rc::<Loads>::default();
-        let held_items = Rc::<RefCell<HeldItems>>::default();
+        let progress = ProgressKeeper::open(&storage.data_folder)?;
+        let progress = Rc::new(RefCell::new(progress));
         let least = settings.cluster.tolerated_disk_losses as usize + 1;
         let handler = Rc::new(Service::new(
             replica.clone(),
             loads.clone(),
-            held_items.clone(),
+            progress.clone(),
             registry.clone(),
             least,
         ));
@@ -137,7 +138,7 @@
         let journal = Rc::new(Self {
             replica,
             loads,
-            held_items,
+            progress,
             registry,
             peers: peers.clone(),
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -4,7 +4,8 @@
 use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
-use crate::runner::handover::{HeldItems, ProgressDelta};
+use crate::runner::handover::ProgressDelta;
+use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
 use firshore_adapter::backend::Incarnation;
 use firshore_jobs::command::{Action, Outcome};
 use firshore_jobs::table::JobTable;
@@ -44,7 +45,7 @@
 pub struct Service {
     replica: Rc<Replica>,
     loads: Rc<Loads>,
-    held_items: Rc<RefCell<HeldItems>>,
+    progress: Rc<RefCell<ProgressKeeper>>,
     registry: Rc<Registry>,
     least: usize,
 }
@@ -58,11 +59,13 @@
     pub own: RefCell<HashMap<Incarnation, u32>>,
     /// Woken when a node has told.
     pub told: Notify,
+    /// Woken when a node's requests have found no free slot.
+    pub crowded: Notify,
 }
 
 impl Loads {
     /// Takes in what a node told, and answers with what all others have under way.
-    fn exchange(&self, node: NodeName, counts: Vec<BackendCount>) -> PeerResponse {
+    fn exchange(&self, node: NodeName, counts: Vec<BackendCount>, urgent: bool) -> PeerResponse {
         let now = Instant::now().into_std();
         let mut table = self.table.borrow_mut();
         table.told(now, node.clone(), counts);
@@ -71,6 +74,9 @@
             *others.entry(backend.clone()).or_default() += count;
         }
         self.told.notify_one();
+        if urgent {
+            self.crowded.notify_one();
+        }
         PeerResponse::Load {
             counts: as_counts(others),
             pause: exchange_pause(table.nodes()).as_millis() as u64,
@@ -83,14 +89,14 @@
     pub fn new(
         replica: Rc<Replica>,
         loads: Rc<Loads>,
-        held_items: Rc<RefCell<HeldItems>>,
+        progress: Rc<RefCell<ProgressKeeper>>,
         registry: Rc<Registry>,
         least: usize,
     ) -> Self {
         Self {
             replica,
             loads,
-            held_items,
+            progress,
             registry,
             least,
         }
@@ -99,12 +105,12 @@
 
 impl Service {
     /// Takes in what items of the leader's have produced.
-    fn progress(&self, deltas: Vec<ProgressDelta>) -> PeerResponse {
-        let mut held = self.held_items.borrow_mut();
-        let gaps = held.told(deltas);
+    fn progress(&self, leadership: Leadership, deltas: Vec<ProgressDelta>) -> PeerResponse {
+        let mut keeper = self.progress.borrow_mut();
+        let gaps = keeper.told(leadership, deltas);
         let state = self.replica.applied_state();
         let state = state.read();
-        held.keep(|(job, index)| state.is_open(job, *index));
+        keeper.keep(|(job, index)| state.is_open(job, *index));
         PeerResponse::Gaps(gaps)
     }
 }
@@ -126,12 +132,17 @@
 
     fn answer(&self, request: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
         let replica = self.replica.clone();
-        if let PeerRequest::Progress(deltas) = request {
-            return std::future::ready(self.progress(deltas)).boxed_local();
+        if let PeerRequest::Progress { leadership, deltas } = request {
+            return std::future::ready(self.progress(leadership, deltas)).boxed_local();
         }
-        if let PeerRequest::Load { node, counts } = request {
+        if let PeerRequest::Load {
+            node,
+            counts,
+            urgent,
+        } = request
+        {
             let answer = match replica.status() {
-                status if status.leads => self.loads.exchange(node, counts),
+                status if status.leads => self.loads.exchange(node, counts, urgent),
                 status => PeerResponse::Refused(JournalRefusal::NotLeader {
                     leader: status.leader.clone(),
                 }),
@@ -166,9 +177,9 @@
             let body = state.read().body(&job, &item);
             Ok(PeerResponse::Body(body))
         }
-        PeerRequest::Replication { .. } | PeerRequest::Load { .. } | PeerRequest::Progress(_) => {
-            Ok(PeerResponse::Done)
-        }
+        PeerRequest::Replication { .. }
+        | PeerRequest::Load { .. }
+        | PeerRequest::Progress { .. } => Ok(PeerResponse::Done),
     }
 }
 
--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -62,7 +62,7 @@
 }
 
 /// Progress that other nodes told.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct HeldItems {
     items: HashMap<ItemKey, HeldProgress>,
 }
@@ -92,9 +92,21 @@
         self.items.retain(|key, _| is_open(key));
     }
 
-    /// Gives everything to a node that leads now.
-    pub fn take(&mut self) -> HashMap<ItemKey, HeldProgress> {
-        std::mem::take(&mut self.items)
+    /// Everything that is held.
+    pub fn all(&self) -> HashMap<ItemKey, HeldProgress> {
+        self.items.clone()
+    }
+
+    /// Everything that is held, as it would be told from the start.
+    pub fn deltas(&self) -> Vec<ProgressDelta> {
+        let items = self.items.iter().map(|(key, held)| ProgressDelta {
+            job: key.0.clone(),
+            index: key.1,
+            offset: 0,
+            events: held.events.clone(),
+            last: held.last,
+        });
+        items.collect()
     }
 }
 
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -7,29 +7,40 @@
 
 pub mod handover;
 mod item;
+pub mod pace;
 pub mod progress;
+pub mod progress_file;
+pub mod progress_keeper;
 mod schedule;
 mod telling;
+pub mod urgency;
 
 use crate::journal::service::Loads;
 use crate::journal::{Journal, Replica};
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::backend::{Backend, Incarnation};
 use firshore_adapter::jobs::JobItem;
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
+use firshore_types::ids::ServiceName;
+use pace::PaceTable;
 use progress::ItemProgress;
 use slog::info;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
+use urgency::{DueTable, DueTime, ItemUrgency};
 
 /// Load in requests per slot above which runs are stopped.
-const PREEMPTION_LOAD: f32 = 0.9;
+const PREEMPTION_LOAD: f32 = 1.0;
+
+/// Load above which runs are stopped that have time.
+const PATIENT_PREEMPTION_LOAD: f32 = 1.0;
 
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
@@ -50,7 +61,10 @@
 
 struct Run {
     _task: Task,
-    backend: Incarnation,
+    backend: Backend,
+    due: DueTime,
+    /// Tokens that the submitter expects.
+    expected: u32,
 }
 
 /// The items that this node runs.
@@ -63,6 +77,12 @@
     most_runs: usize,
     running: RefCell<HashMap<ItemKey, Run>>,
     progress: RefCell<HashMap<ItemKey, Rc<RefCell<ItemProgress>>>>,
+    /// How often this process began to lead.
+    turn: Cell<u64>,
+    /// Whether it leads now and has taken over.
+    leading: Cell<bool>,
+    dues: RefCell<DueTable>,
+    paces: Rc<RefCell<PaceTable>>,
     /// Wakes the scheduler when a run has ended.
     ended: Notify,
 }
@@ -84,6 +104,10 @@
             journal,
             running: RefCell::default(),
             progress: RefCell::default(),
+            turn: Cell::default(),
+            leading: Cell::default(),
+            dues: RefCell::default(),
+            paces: Rc::default(),
             ended: Notify::new(),
         })
     }
@@ -94,7 +118,9 @@
         let mut changes = self.replica.changes();
         let mut leads_since_term = None;
         loop {
-            let waiting = match self.leads(&mut leads_since_term).await {
+            let leads = self.leads(&mut leads_since_term).await;
+            self.leading.set(leads);
+            let waiting = match leads {
                 true => {
                     self.give_way();
                     self.schedule()
@@ -105,7 +131,7 @@
                 }
             };
             // However often something changes: a pass looks at all items that wait.
-            actix_rt::time::sleep(ROOM_INTERVAL).await;
+            self.make_room(Instant::now() + ROOM_INTERVAL, leads).await;
             if waiting {
                 continue;
             }
@@ -120,6 +146,18 @@
         }
     }
 
+    /// Until the next look, gives way at once wherever online requests find no free slot.
+    async fn make_room(&self, next_look: Instant, leads: bool) {
+        while timeout_at(next_look.into(), self.loads.crowded.notified())
+            .await
+            .is_ok()
+        {
+            if leads {
+                self.give_way();
+            }
+        }
+    }
+
     /// Whether this replica leads and has applied what was committed before it did.
     async fn leads(&self, confirmed_term: &mut Option<u64>) -> bool {
         let status = self.replica.status();
@@ -144,7 +182,8 @@
     /// Goes on with what the last leader told.
     fn take_over(&self) {
         let now = Instant::now();
-        let held = self.journal.held_items.borrow_mut().take();
+        self.turn.set(self.turn.get() + 1);
+        let held = self.journal.progress.borrow().held();
         let mut progress = self.progress.borrow_mut();
         for (key, held) in held {
             let begun = Rc::new(RefCell::new(ItemProgress::begun(now, held)));
@@ -159,6 +198,7 @@
 
     /// Ends every run; what was produced is kept only while this node leads.
     pub fn stop_all(&self) {
+        self.leading.set(false);
         let stopped = self.running.borrow().len();
         if stopped > 0 {
             info!(self.gateway.log, "runner: Runs stopped."; "count" => stopped);
@@ -176,41 +216,97 @@
         let mut fleet = self.gateway.fleet.borrow_mut();
         fleet.learned_others(now, online);
         *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
-        let excess: HashMap<Incarnation, usize> = online
+        let excess: HashMap<Incarnation, (usize, usize)> = online
             .keys()
             .filter_map(|backend| {
-                let excess = fleet.excess(now, backend, PREEMPTION_LOAD)?;
-                Some((backend.clone(), excess))
+                let excess = fleet.excess(now, backend, PATIENT_PREEMPTION_LOAD)?;
+                let must = fleet.excess(now, backend, PREEMPTION_LOAD);
+                Some((backend.clone(), (excess, must.unwrap_or(0))))
             })
             .collect();
         drop(fleet);
         drop(table);
         for (backend, count) in excess {
-            self.stop_least_advanced(&backend, count);
+            self.stop_least_urgent(now, &backend, count);
         }
     }
 
-    /// Stops the runs at a back end that have produced least: one that is nearly done would be
-    /// finished by a back end that notices the close late, and then be run in vain.
-    fn stop_least_advanced(&self, backend: &Incarnation, count: usize) {
-        let progress = self.progress.borrow();
-        let produced = |key: &ItemKey| {
-            let progress = progress.get(key);
-            progress.map_or(0, |progress| progress.borrow().produced().len())
-        };
+    /// Stops the runs at a back end that can best wait: those that are late already, then those with
+    /// the most slack.
+    fn stop_least_urgent(
+        &self,
+        now: Instant,
+        backend: &Incarnation,
+        (count, must): (usize, usize),
+    ) {
         let mut running = self.running.borrow_mut();
-        let at_backend = running.iter().filter(|(_, run)| run.backend == *backend);
-        let mut keys: Vec<ItemKey> = at_backend.map(|(key, _)| key.clone()).collect();
-        keys.sort_by_key(produced);
-        for key in keys.into_iter().take(count) {
+        let at_backend = running
+            .iter()
+            .filter(|(_, run)| run.backend.incarnation == *backend);
+        let mut runs: Vec<(ItemUrgency, ItemKey)> = at_backend
+            .map(|(key, run)| {
+                let service = &run.backend.service;
+                (
+                    self.urgency(now, key, run.due, service, run.expected),
+                    key.clone(),
+                )
+            })
+            .collect();
+        runs.sort_by_key(|(urgency, _)| Reverse(*urgency));
+        for (number, (urgency, key)) in runs.into_iter().take(count).enumerate() {
+            let run = &running[&key];
+            if number >= must
+                && self.is_pressed(now, &key, run.due, &run.backend.service, run.expected)
+            {
+                continue;
+            }
             info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
-                "backend" => %backend, "produced" => produced(&key),
-                "reason" => "online requests");
+                "backend" => %backend, "produced" => self.produced(&key),
+                "urgency" => ?urgency, "reason" => "online requests");
             running.remove(&key);
             self.metrics.preemptions.inc();
         }
     }
 
+    /// Events of an item that are held.
+    fn produced(&self, key: &ItemKey) -> usize {
+        let progress = self.progress.borrow();
+        let progress = progress.get(key);
+        progress.map_or(0, |progress| progress.borrow().produced().len())
+    }
+
+    pub(super) fn is_pressed(
+        &self,
+        now: Instant,
+        key: &ItemKey,
+        due: DueTime,
+        service: &ServiceName,
+        expected: u32,
+    ) -> bool {
+        let paces = self.paces.borrow();
+        due.is_pressed(now, paces.remaining(service, expected, self.produced(key)))
+    }
+
+    /// How urgent an item is at back ends of a service.
+    fn urgency(
+        &self,
+        now: Instant,
+        key: &ItemKey,
+        due: DueTime,
+        service: &ServiceName,
+        expected: u32,
+    ) -> ItemUrgency {
+        let paces = self.paces.borrow();
+        let remaining = paces.remaining(service, expected, self.produced(key));
+        ItemUrgency::new(
+            now,
+            due,
+            remaining,
+            paces.stretch(service),
+            self.produced(key) > 0,
+        )
+    }
+
     /// Stops runs of items that are not wanted any more.
     fn stop_closed(&self, is_open: impl Fn(&ItemKey) -> bool) {
         let mut running = self.running.borrow_mut();
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -2,22 +2,28 @@
 
 use super::item::{self, ItemRun};
 use super::progress::ItemProgress;
+use super::urgency::{DueTime, ItemUrgency};
 use super::{ItemKey, Run, Runner, Work};
 use crate::task::Task;
 use firshore_adapter::backend::Backend;
+use firshore_adapter::route::Route;
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::choice::affinity_key;
 use firshore_gateway::fleet::Wanted;
 use firshore_jobs::table::OpenItem;
 use firshore_types::ids::ServiceName;
+use slog::info;
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Load in requests per slot from which on a back end gets no item.
-const LOAD_LIMIT: f32 = 0.75;
+const LOAD_LIMIT: f32 = 0.875;
+
+/// Load from which on a back end gets no item that has time.
+const PATIENT_LIMIT: f32 = 0.875;
 
 /// Items started in one look: each costs processor time, and shows its load only a moment later.
 const MOST_STARTS: usize = 32;
@@ -25,6 +31,14 @@
 /// Items without room after which a look ends.
 const MOST_REFUSALS: usize = 64;
 
+/// An item that does not run.
+struct WaitingItem<'a> {
+    urgency: ItemUrgency,
+    due: DueTime,
+    key: ItemKey,
+    one: OpenItem<'a>,
+}
+
 /// One look at the items that wait.
 #[derive(Default)]
 struct Pass {
@@ -35,7 +49,7 @@
     /// Items for which there was no room.
     refused: usize,
     /// Services without room.
-    full: HashSet<ServiceName>,
+    full: HashSet<(ServiceName, bool)>,
 }
 
 impl Pass {
@@ -51,24 +65,70 @@
         self.stop_closed(|key| state.read().is_open(&key.0, key.1));
         let now = Instant::now();
         let state = state.read();
+        self.dues.borrow_mut().keep(|job| state.is_job_open(job));
         let mut pass = Pass::default();
-        for one in state.open_items() {
-            let key = (one.header.job.clone(), one.index);
-            if self.running.borrow().contains_key(&key) {
-                continue;
-            }
+        for waiting in self.waiting(now, state.open_items()) {
             pass.waiting = true;
             let all_run = self.running() >= self.most_runs;
             if all_run || pass.is_over() {
                 break;
             }
-            self.try_start(now, key, &one, &mut pass);
+            self.try_start(now, &waiting, &mut pass);
         }
         pass.waiting
     }
 
+    /// Items that do not run, the most urgent first.
+    fn waiting<'a>(&self, now: Instant, items: Vec<OpenItem<'a>>) -> Vec<WaitingItem<'a>> {
+        let clock = SystemTime::now().duration_since(UNIX_EPOCH);
+        let clock = clock.unwrap_or_default();
+        let running = self.running.borrow();
+        let mut dues = self.dues.borrow_mut();
+        let mut services = HashMap::new();
+        let mut waiting = Vec::new();
+        for one in items {
+            let key = (one.header.job.clone(), one.index);
+            if running.contains_key(&key) {
+                continue;
+            }
+            let age = clock.saturating_sub(Duration::from_millis(one.submitted_at));
+            let due_after = one.header.due_after.map(Duration::from_millis);
+            let due = dues.due(now, &one.header.job, age, due_after);
+            let service = services
+                .entry(&one.header.job)
+                .or_insert_with(|| self.service(&one));
+            let expected = one.item.expected_output;
+            let urgency = match service {
+                Some(service) => self.urgency(now, &key, due, service, expected),
+                None => ItemUrgency::new(now, due, Duration::ZERO, 1.0, false),
+            };
+            waiting.push(WaitingItem {
+                urgency,
+                due,
+                key,
+                one,
+            });
+        }
+        waiting.sort_by_key(|item| item.urgency);
+        waiting
+    }
+
+    /// The first service of an item's route.
+    fn service(&self, one: &OpenItem<'_>) -> Option<ServiceName> {
+        let route = self.route(one)?;
+        route.services.first().map(|first| first.service.clone())
+    }
+
+    /// The route that an item's path and host name now.
+    fn route(&self, one: &OpenItem<'_>) -> Option<Arc<Route>> {
+        let configuration = self.gateway.configuration()?;
+        let path = one.item.path.split('?').next().unwrap_or_default();
+        configuration.routes.find(&one.header.host, path).cloned()
+    }
+
     /// Starts an item if it may run now and there is room.
-    fn try_start(self: &Rc<Self>, now: Instant, key: ItemKey, one: &OpenItem<'_>, pass: &mut Pass) {
+    fn try_start(self: &Rc<Self>, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) {
+        let (key, one) = (waiting.key.clone(), &waiting.one);
         let known = self.progress.borrow().get(&key).cloned();
         if known
             .as_ref()
@@ -76,7 +136,7 @@
         {
             return;
         }
-        let Some(backend) = self.choose(now, one, pass) else {
+        let Some(backend) = self.choose(now, waiting, pass) else {
             pass.refused += 1;
             return;
         };
@@ -84,18 +144,22 @@
         let progress = known.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
         let held = progress.clone();
         self.progress.borrow_mut().insert(key.clone(), held);
-        progress.borrow_mut().starts();
+        progress.borrow_mut().starts(now);
         let work = Work {
             header: one.header.clone(),
             index: one.index,
             item: one.item.clone(),
         };
-        let chosen = backend.incarnation.clone();
+        let chosen = backend.clone();
+        info!(self.gateway.log, "runner: Run started."; "job" => &key.0, "item" => key.1,
+            "backend" => %backend.incarnation, "produced" => self.produced(&key),
+            "urgency" => ?waiting.urgency);
         let run = ItemRun {
             gateway: self.gateway.clone(),
             replica: self.replica.clone(),
             work,
             progress,
+            paces: self.paces.clone(),
             // Counted from now on, so that the next item sees it.
             in_flight: self.gateway.in_flight(&backend.incarnation),
             backend,
@@ -112,18 +176,25 @@
         let run = Run {
             _task: task,
             backend: chosen,
+            due: waiting.due,
+            expected: one.item.expected_output,
         };
         self.running.borrow_mut().insert(key, run);
     }
 
     /// A back end with room, of the service that the item's route names now.
-    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
-        let configuration = self.gateway.configuration()?;
-        let path = one.item.path.split('?').next().unwrap_or_default();
-        let route = configuration.routes.find(&one.header.host, path)?;
-        let route = Arc::clone(route);
+    fn choose(&self, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) -> Option<Backend> {
+        let one = &waiting.one;
+        let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
-        if pass.full.contains(&service) {
+        let pressed = self.is_pressed(
+            now,
+            &waiting.key,
+            waiting.due,
+            &service,
+            one.item.expected_output,
+        );
+        if pass.full.contains(&(service.clone(), pressed)) {
             return None;
         }
         let headers = item::headers(one.item);
@@ -133,13 +204,13 @@
             service: &service,
             attempts: &attempts,
             affinity: affinity_key(&terms.prompt),
-            load_limit: LOAD_LIMIT,
+            load_limit: if pressed { LOAD_LIMIT } else { PATIENT_LIMIT },
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
         let chosen = fleet.choose(now, &wanted, &mut *random);
         if chosen.is_none() {
-            pass.full.insert(service);
+            pass.full.insert((service, pressed));
         }
         chosen
     }
--- a/crates/firshore-node/src/runner/telling.rs
+++ b/crates/firshore-node/src/runner/telling.rs
@@ -3,6 +3,7 @@
 
 use super::handover::{ProgressDelta, Told, ToldThrough};
 use super::progress::ItemProgress;
+use super::progress_keeper::Leadership;
 use super::{ItemKey, Runner};
 use crate::journal::messages::{PeerRequest, PeerResponse};
 use firshore_types::ids::NodeName;
@@ -29,35 +30,64 @@
     /// Tells the nodes of the other replicas what items have produced, while this node leads.
     pub(super) async fn tell_others(self: Rc<Self>) {
         let mut told: HashMap<NodeName, Told> = HashMap::new();
+        let mut kept = Told::default();
+        let mut leadership = Leadership::default();
         loop {
             actix_rt::time::sleep(TELL_INTERVAL).await;
             let status = self.replica.status();
-            if !status.leads {
-                told.clear();
+            if !status.leads || !self.leading.get() {
                 continue;
             }
+            let current = Leadership {
+                term: status.term,
+                turn: self.turn.get(),
+            };
+            if current != leadership {
+                // What was told before may be of other runs.
+                leadership = current;
+                told.clear();
+                kept = Told::default();
+            }
+            self.keep(leadership, &mut kept);
             let replicas = status.membership.replicas.iter();
             let others = replicas.filter(|(disk, _)| **disk != status.disk);
             let others: Vec<NodeName> = others.map(|(_, replica)| replica.node.clone()).collect();
             told.retain(|node, _| others.contains(node));
             let telling = others.into_iter().map(|node| {
                 let told = told.remove(&node).unwrap_or_default();
-                self.tell(node, told)
+                self.tell(leadership, node, told)
             });
             told = join_all(telling).await.into_iter().collect();
         }
     }
 
+    /// Keeps what items have produced on this node, for the case that all processes end.
+    fn keep(&self, leadership: Leadership, kept: &mut Told) {
+        let deltas = self.untold(kept, usize::MAX);
+        let sent: Vec<ToldThrough> = deltas.iter().map(ProgressDelta::through).collect();
+        let mut keeper = self.journal.progress.borrow_mut();
+        let gaps = keeper.told(leadership, deltas);
+        kept.answered(sent, gaps);
+        let progress = self.progress.borrow();
+        keeper.keep(|key| progress.contains_key(key));
+    }
+
     /// Tells one node what it does not know yet, in messages of limited size: a node that is told
     /// for the first time lacks everything.
-    async fn tell(&self, node: NodeName, mut told: Told) -> (NodeName, Told) {
+    async fn tell(
+        &self,
+        leadership: Leadership,
+        node: NodeName,
+        mut told: Told,
+    ) -> (NodeName, Told) {
         for _ in 0..MOST_TELLS {
-            let deltas = self.untold(&mut told);
+            let deltas = self.untold(&mut told, TELL_BYTES);
             if deltas.is_empty() {
                 break;
             }
             let sent: Vec<ToldThrough> = deltas.iter().map(ProgressDelta::through).collect();
-            let call = self.journal.ask(&node, PeerRequest::Progress(deltas));
+            let request = PeerRequest::Progress { leadership, deltas };
+            let call = self.journal.ask(&node, request);
             match timeout(TELL_TIMEOUT, call).await {
                 Ok(Some(PeerResponse::Gaps(gaps))) => told.answered(sent, gaps),
                 _ => {
@@ -70,8 +100,8 @@
         (node, told)
     }
 
-    /// What a node has not been told, as much as fits one message.
-    fn untold(&self, told: &mut Told) -> Vec<ProgressDelta> {
+    /// What has not been told, up to about `bytes` of events.
+    fn untold(&self, told: &mut Told, bytes: usize) -> Vec<ProgressDelta> {
         let progress = self.progress.borrow();
         told.keep(|key| progress.contains_key(key));
         let items = progress.iter().map(|(key, one)| (key, one.borrow()));
@@ -79,6 +109,6 @@
         let items = items
             .iter()
             .map(|(key, one)| (*key, one.produced(), one.last_event()));
-        told.deltas(items, TELL_BYTES)
+        told.deltas(items, bytes)
     }
 }
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -91,7 +91,7 @@
         registry.refresh().await;
         start_peer(&store, "new", Leader).await;
         let told = async {
-            while client.exchange_load(Vec::new()).await.is_none() {
+            while client.exchange_load(Vec::new(), false).await.is_none() {
                 cluster::pause().await;
             }
         };
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -352,6 +352,7 @@
         priority: 1,
         prefix_affinity: false,
         jobs: Some(JobTerms {
+            due_after: Some(Duration::from_secs(20)),
             give_up_after: Duration::from_secs(60),
         }),
     })
@@ -364,6 +365,7 @@
         headers: vec![("x-own".to_owned(), "kept".to_owned())],
         body: format!("body {number}").into_bytes().into(),
         tokens: 10,
+        expected_output: 0,
     });
     items.collect()
 }
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -52,9 +52,9 @@
 fn a_stopped_run_goes_on_after_its_last_whole_event() {
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
-    progress.starts();
+    progress.starts(now);
     progress.feed(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    progress.starts();
+    progress.starts(now);
     assert_eq!(progress.last_event(), Some(1));
     progress.feed(b"id: 2\ndata: b\n\n").unwrap();
     let outcome = progress.ended(now, RunEnd::Whole, 0, &LIMITS);
@@ -131,7 +131,7 @@
         told.answered(vec![delta.through()], gaps);
     }
     assert_eq!(told.delta(&key, &events(1..=5), Some(5)), None);
-    let all = held.take();
+    let all = held.all();
     assert_eq!(all[&key].events, events(1..=5));
     assert_eq!(all[&key].last, Some(5));
     let begun = ItemProgress::begun(Instant::now(), all[&key].clone());
@@ -162,7 +162,7 @@
         messages += 1;
     }
     assert_eq!(messages, 10);
-    assert_eq!(held.take().len(), items.len());
+    assert_eq!(held.all().len(), items.len());
 }
 
 #[test]
@@ -180,7 +180,7 @@
     let whole = told.delta(&key, &events(1..=4), Some(4)).unwrap();
     assert_eq!(whole.offset, 0);
     assert!(held.told(vec![whole]).is_empty());
-    assert_eq!(held.take()[&key].events, events(1..=4));
+    assert_eq!(held.all()[&key].events, events(1..=4));
 }
 
 #[test]
@@ -197,8 +197,8 @@
     held.told(vec![delta(0, events(1..=5), 5)]);
     held.told(vec![delta(0, events(1..=2), 2)]);
     held.keep(|open| *open == key);
-    assert_eq!(held.take()[&key].events, events(1..=2));
+    assert_eq!(held.all()[&key].events, events(1..=2));
     held.told(vec![delta(0, events(1..=2), 2)]);
     held.keep(|_| false);
-    assert!(held.take().is_empty());
+    assert!(held.all().is_empty());
 }
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -189,6 +189,7 @@
             _ => Repetition::AtMostOnce,
         };
         let jobs = (self.repetition == "job").then_some(JobTerms {
+            due_after: None,
             give_up_after: Duration::from_secs(60),
         });
         Route {
