--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -67,6 +67,14 @@
     Ended(SendEnd),
 }
 
+/// Where and when a request was sent last, and what was believed then.
+struct LastSend {
+    backend: Incarnation,
+    at: Instant,
+    /// Requests per slot that the back end was believed to hold.
+    load: f32,
+}
+
 /// One request under way.
 struct Forwarding<'a> {
     gateway: &'a Gateway,
@@ -79,8 +87,8 @@
     attempts: Attempts,
     progress: Progress,
     failure: Option<KeptFailure>,
-    /// Where it was sent last.
-    sent_to: Option<Incarnation>,
+    /// The last send.
+    last_send: Option<LastSend>,
     /// How it ended for the caller.
     end: RequestEnd,
 }
@@ -108,7 +116,7 @@
         request,
         terms,
         failure: None,
-        sent_to: None,
+        last_send: None,
         end: RequestEnd::Answered,
     };
     let handled = match forwarding.run(connection).await {
@@ -209,7 +217,13 @@
         connection: &mut CallerConnection,
     ) -> Result<Sent, Interrupted> {
         self.attempts.sending(&backend.incarnation);
-        self.sent_to = Some(backend.incarnation.clone());
+        let now = Instant::now();
+        let load = self.gateway.fleet.borrow().load(now, &backend.incarnation);
+        self.last_send = Some(LastSend {
+            backend: backend.incarnation.clone(),
+            at: now,
+            load: load.unwrap_or(0.0),
+        });
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
         let connecting = exchange::connect(backend.address, Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
@@ -266,6 +280,25 @@
             .await
     }
 
+    /// The caller's answer is about to begin: one that comes late is told in the log.
+    fn answer_begins(&self) {
+        let age = self.request.arrived.elapsed();
+        self.gateway.metrics.answer_began(age);
+        let Some(send) = self
+            .last_send
+            .as_ref()
+            .filter(|_| age > self.route.objective)
+        else {
+            return;
+        };
+        info!(self.gateway.log, "forward: Answer late."; "request" => &self.terms.id,
+            "route" => &self.route.name, "backend" => %send.backend,
+            "age_ms" => age.as_millis() as u64,
+            "objective_ms" => self.route.objective.as_millis() as u64,
+            "at_backend_ms" => send.at.elapsed().as_millis() as u64,
+            "load_when_sent" => send.load, "sends" => self.attempts.sends());
+    }
+
     fn note_answer(&self, backend: &Backend, answer: &AnswerHead) {
         if let Some(load) = answer.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -67,9 +67,7 @@
         body: Bytes,
         connection: &mut CallerConnection,
     ) -> Handled {
-        self.gateway
-            .metrics
-            .answer_began(self.request.arrived.elapsed());
+        self.answer_begins();
         let size = BodySize::Sized(body.len() as u64);
         let close = self.gateway.leaving.is_leaving();
         connection.put_head(head.status, end_to_end(&head.headers), size, close);
@@ -125,9 +123,7 @@
         let close = self.gateway.leaving.is_leaving();
         connection.put_head(head.status, headers, BodySize::Stream, close);
         self.progress.head_sent = true;
-        self.gateway
-            .metrics
-            .answer_began(self.request.arrived.elapsed());
+        self.answer_begins();
     }
 
     /// Passes events on as they come.
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -37,10 +37,10 @@
 use urgency::{DueTable, DueTime, ItemUrgency};
 
 /// Load in requests per slot above which runs are stopped.
-const PREEMPTION_LOAD: f32 = 1.0;
+const PREEMPTION_LOAD: f32 = 0.9;
 
 /// Load above which runs are stopped that have time.
-const PATIENT_PREEMPTION_LOAD: f32 = 1.0;
+const PATIENT_PREEMPTION_LOAD: f32 = 0.9;
 
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
