--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -27,6 +27,9 @@
 
 /// Keeps batch jobs. Called from callers' requests; answers only what lasts.
 pub trait JobService {
+    /// Whether anything that keeps jobs can be reached, as far as is known.
+    fn is_reachable(&self) -> bool;
+
     /// Takes a job in; taking the same job again changes nothing.
     fn submit<'a>(
         &'a self,
@@ -176,9 +179,11 @@
         self.metrics.requests_open.set(self.requests_open() as i64);
     }
 
-    /// Whether the node can serve requests.
+    /// Whether the node can serve requests, batch jobs included: one that is cut off from the journal
+    /// neither knows what others have under way nor can take jobs in.
     pub fn is_ready(&self) -> bool {
-        self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty()
+        let reaches_jobs = self.jobs.as_ref().is_none_or(|jobs| jobs.is_reachable());
+        self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty() && reaches_jobs
     }
 
     /// Something of a back end's answer has arrived.
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -2,6 +2,7 @@
 //! a while. Everything asked may be asked again, so a lost answer is asked for again.
 
 use super::PeerClient;
+use super::contact::PeerContact;
 use super::messages::{PeerRequest, PeerResponse};
 use super::registry::Registry;
 use crate::load_table::BackendCount;
@@ -17,7 +18,8 @@
 use firshore_types::payload::Payload;
 use futures_util::FutureExt;
 use rand::RngExt;
-use std::cell::RefCell;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,6 +41,9 @@
     registry: Rc<Registry>,
     peers: PeerClient,
     leader: RefCell<Option<NodeName>>,
+    contact: Cell<PeerContact>,
+    was_lost: Cell<bool>,
+    log: Logger,
 }
 
 /// What the leader answers a node that tells its load.
@@ -54,7 +59,9 @@
     Elsewhere(Option<NodeName>),
     Full,
     NotSent,
+    /// It answered that the outcome is not known.
     Unknown,
+    Unanswered,
 }
 
 fn unavailable(unknown: bool) -> ApiError {
@@ -73,12 +80,15 @@
 
 impl JournalClient {
     /// Asks the nodes that `registry` lists, on behalf of `node`.
-    pub fn new(node: NodeName, registry: Rc<Registry>, peers: PeerClient) -> Self {
+    pub fn new(node: NodeName, registry: Rc<Registry>, peers: PeerClient, log: Logger) -> Self {
         Self {
             node,
             registry,
             peers,
             leader: RefCell::default(),
+            contact: Cell::default(),
+            was_lost: Cell::default(),
+            log,
         }
     }
 
@@ -89,7 +99,7 @@
         let mut round: Vec<NodeName> = Vec::new();
         let mut rounds = 0;
         loop {
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || self.is_cut_off() {
                 return Err(unavailable(request.changes() && unknown));
             }
             let Some(target) = hint.take().or_else(|| round.pop()) else {
@@ -116,7 +126,7 @@
                 }
                 Tried::Elsewhere(leader) => hint = leader.filter(|leader| *leader != target),
                 Tried::NotSent => *self.leader.borrow_mut() = None,
-                Tried::Unknown => {
+                Tried::Unknown | Tried::Unanswered => {
                     unknown = true;
                     *self.leader.borrow_mut() = None;
                 }
@@ -179,7 +189,36 @@
         names
     }
 
+    /// Whether no node of the journal answers any more.
+    pub fn is_cut_off(&self) -> bool {
+        let lost = self.contact.get().is_lost(Instant::now());
+        if lost != self.was_lost.replace(lost) {
+            match lost {
+                true => warn!(self.log, "journal: Contact lost."; "node" => %self.node),
+                false => info!(self.log, "journal: Contact regained."; "node" => %self.node),
+            }
+        }
+        lost
+    }
+
+    fn note(&self, change: impl FnOnce(&mut PeerContact)) {
+        let mut contact = self.contact.get();
+        change(&mut contact);
+        self.contact.set(contact);
+    }
+
+    /// Asks one node, and takes in whether it answers at all.
     async fn try_one(&self, target: &NodeName, request: PeerRequest, wait: Duration) -> Tried {
+        let due = Instant::now() + wait;
+        self.note(|contact| contact.asked(due));
+        let tried = self.call(target, request, wait).await;
+        if !matches!(tried, Tried::NotSent | Tried::Unanswered) {
+            self.note(PeerContact::heard);
+        }
+        tried
+    }
+
+    async fn call(&self, target: &NodeName, request: PeerRequest, wait: Duration) -> Tried {
         let Some(address) = self.registry.address(target) else {
             return Tried::NotSent;
         };
@@ -192,12 +231,16 @@
             },
             Ok(Ok(response)) => Tried::Answered(response),
             Ok(Err(PeerError::NotSent)) => Tried::NotSent,
-            Ok(Err(PeerError::Unanswered)) | Err(_) => Tried::Unknown,
+            Ok(Err(PeerError::Unanswered)) | Err(_) => Tried::Unanswered,
         }
     }
 }
 
 impl JobService for JournalClient {
+    fn is_reachable(&self) -> bool {
+        !self.is_cut_off()
+    }
+
     fn submit<'a>(
         &'a self,
         route: Arc<Route>,
--- /dev/null
+++ b/crates/firshore-node/src/journal/contact.rs
@@ -0,0 +1,33 @@
+//! Whether a node reaches the nodes of the journal at all. No I/O; the time is passed in.
+
+use std::time::{Duration, Instant};
+
+/// Time without any answer after which the contact counts as lost: longer than a leader's loss leaves
+/// a question unanswered, since the other nodes answer meanwhile.
+const LOST_AFTER: Duration = Duration::from_secs(1);
+
+/// The contact to the journal's nodes, whichever answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerContact {
+    /// Since when an answer is due.
+    unanswered_since: Option<Instant>,
+}
+
+impl PeerContact {
+    /// Takes in that a question was asked, to be answered at `due` at the latest.
+    pub fn asked(&mut self, due: Instant) {
+        let since = self.unanswered_since.get_or_insert(due);
+        *since = due.min(*since);
+    }
+
+    /// Takes in that a node has answered, whatever it said.
+    pub fn heard(&mut self) {
+        self.unanswered_since = None;
+    }
+
+    /// Returns whether no node answers any more.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        let since = self.unanswered_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
+    }
+}
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -2,6 +2,7 @@
 //! objects of the product's own.
 
 pub mod client;
+pub mod contact;
 pub mod duties;
 pub mod maintenance;
 pub mod messages;
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -30,8 +30,9 @@
     loop {
         let own = as_counts(gateway.fleet.borrow().in_flight());
         let busy = !own.is_empty();
-        // An idle node tells so once, then looks from time to time.
-        let tells = busy || was_busy || gateway.requests_open() > 0;
+        // An idle node tells so once, then looks from time to time; one that is cut off asks on.
+        let cut_off = journal.is_cut_off();
+        let tells = busy || was_busy || gateway.requests_open() > 0 || cut_off;
         if tells && let Some(others) = journal.exchange_load(own, urgent).await {
             let mut fleet = gateway.fleet.borrow_mut();
             fleet.learned_others(Instant::now(), &others.counts);
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -65,6 +65,7 @@
         settings.name.clone(),
         registry.clone(),
         peers.clone(),
+        log.clone(),
     ));
     let random = StdRng::seed_from_u64(rand::random());
     let mut builder = Builder::default();
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -87,7 +87,7 @@
         let store = MemoryStore::new();
         start_peer(&store, "old", FollowerOf("new")).await;
         let registry = Rc::new(Registry::new(store.clone(), log()));
-        let client = JournalClient::new("caller".into(), registry.clone(), peers());
+        let client = JournalClient::new("caller".into(), registry.clone(), peers(), log());
         registry.refresh().await;
         start_peer(&store, "new", Leader).await;
         let told = async {
@@ -100,6 +100,54 @@
     });
 }
 
+/// A node that can fall silent.
+struct SilentWhile(Rc<Cell<bool>>);
+
+impl Handler<PeerRequest, PeerResponse> for SilentWhile {
+    fn notice(&self, _: PeerRequest) {}
+
+    fn answer(&self, _: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
+        match self.0.get() {
+            true => pending().boxed_local(),
+            false => {
+                let refusal = JournalRefusal::NotLeader { leader: None };
+                ready(PeerResponse::Refused(refusal)).boxed_local()
+            }
+        }
+    }
+}
+
+#[test]
+fn a_node_that_is_cut_off_says_so_and_refuses_jobs_at_once() {
+    run(async {
+        let silent = Rc::new(Cell::new(false));
+        let store = MemoryStore::new();
+        start_peer(&store, "n", SilentWhile(silent.clone())).await;
+        let registry = Rc::new(Registry::new(store, log()));
+        registry.refresh().await;
+        let client = JournalClient::new("caller".into(), registry, peers(), log());
+        // Without a leader, but in contact.
+        for _ in 0..60 {
+            client.exchange_load(Vec::new(), false).await;
+            cluster::pause().await;
+            assert!(client.is_reachable());
+        }
+        silent.set(true);
+        for _ in 0..3 {
+            client.exchange_load(Vec::new(), false).await;
+        }
+        assert!(!client.is_reachable());
+        let started = std::time::Instant::now();
+        let refused = client.submit(route(), "job".to_owned(), cluster::items(1));
+        let error = refused.await.expect_err("nobody answers");
+        assert_eq!(error.execution, Execution::None);
+        assert!(started.elapsed() < Duration::from_millis(50));
+        silent.set(false);
+        client.exchange_load(Vec::new(), false).await;
+        assert!(client.is_reachable());
+    });
+}
+
 #[test]
 fn a_full_disk_promises_nothing_about_a_try_that_was_not_answered() {
     let cases = [(0, Execution::None), (1, Execution::Unknown)];
@@ -111,7 +159,7 @@
             let store = MemoryStore::new();
             start_peer(&store, "n", handler).await;
             let registry = Rc::new(Registry::new(store, log()));
-            let client = JournalClient::new("caller".into(), registry, peers());
+            let client = JournalClient::new("caller".into(), registry, peers(), log());
             let items = cluster::items(1);
             let refused = client.submit(route(), "job".to_owned(), items).await;
             let error = refused.expect_err("there is no space");
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -163,7 +163,7 @@
     pub async fn start() -> Self {
         let store = MemoryStore::new();
         let registry = Rc::new(Registry::new(store.clone(), log()));
-        let client = JournalClient::new("caller".into(), registry, peers());
+        let client = JournalClient::new("caller".into(), registry, peers(), log());
         let mut cluster = Self {
             store,
             folders: Vec::new(),
