--- a/crates/firshore-adapter/src/jobs.rs
+++ b/crates/firshore-adapter/src/jobs.rs
@@ -31,9 +31,6 @@
     pub body: Payload,
     /// Tokens of the prompt and at most of the output, together.
     pub tokens: u64,
-    /// Tokens of the output that the submitter expects; 0 if it does not say.
-    #[serde(default)]
-    pub expected_output: u32,
 }
 
 /// A call about a job, other than its submission.
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -26,7 +26,6 @@
         headers: vec![("x-model".to_owned(), "m".to_owned())],
         body: format!("body of {id}").into_bytes().into(),
         tokens: 10,
-        expected_output: 0,
     }
 }
 
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -1,7 +1,6 @@
 //! One run of one item at one back end.
 
 use super::Work;
-use super::pace::{PaceTable, RunSample, WholeItem};
 use super::progress::{ItemProgress, RunEnd, RunLimits};
 use crate::journal::Replica;
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -38,7 +37,6 @@
     pub(crate) replica: Rc<Replica>,
     pub(crate) work: Work,
     pub(crate) progress: Rc<RefCell<ItemProgress>>,
-    pub(crate) paces: Rc<RefCell<PaceTable>>,
     pub(crate) in_flight: InFlight,
     pub(crate) backend: Backend,
 }
@@ -172,27 +170,7 @@
         }
     }
 
-    async fn read_stream(&self, exchange: Exchange) -> RunEnd {
-        let began = Instant::now();
-        let held = self.progress.borrow().produced().len();
-        let end = self.take_events(exchange).await;
-        let produced = self.progress.borrow().produced().len();
-        let sample = RunSample {
-            // The head comes with the first event.
-            events: (produced - held).saturating_sub(1),
-            streaming: began.elapsed(),
-            whole: (end == RunEnd::Whole).then(|| WholeItem {
-                events: produced,
-                expected: self.work.item.expected_output,
-                took: self.progress.borrow().took(Instant::now()),
-            }),
-        };
-        let service = &self.backend.service;
-        self.paces.borrow_mut().learn(service, &sample);
-        end
-    }
-
-    async fn take_events(&self, mut exchange: Exchange) -> RunEnd {
+    async fn read_stream(&self, mut exchange: Exchange) -> RunEnd {
         let incarnation = &self.backend.incarnation;
         loop {
             match timeout(GAP_TIMEOUT, exchange.body.next()).await {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -7,7 +7,6 @@
 
 pub mod handover;
 mod item;
-pub mod pace;
 pub mod progress;
 pub mod progress_file;
 pub mod progress_keeper;
@@ -19,12 +18,10 @@
 use crate::journal::{Journal, Replica};
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::JobItem;
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
-use firshore_types::ids::ServiceName;
-use pace::PaceTable;
 use progress::ItemProgress;
 use slog::info;
 use std::cell::{Cell, RefCell};
@@ -39,9 +36,6 @@
 /// Load in requests per slot above which runs are stopped.
 const PREEMPTION_LOAD: f32 = 0.9;
 
-/// Load above which runs are stopped that have time.
-const PATIENT_PREEMPTION_LOAD: f32 = 0.9;
-
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -61,10 +55,8 @@
 
 struct Run {
     _task: Task,
-    backend: Backend,
+    backend: Incarnation,
     due: DueTime,
-    /// Tokens that the submitter expects.
-    expected: u32,
 }
 
 /// The items that this node runs.
@@ -82,7 +74,6 @@
     /// Whether it leads now and has taken over.
     leading: Cell<bool>,
     dues: RefCell<DueTable>,
-    paces: Rc<RefCell<PaceTable>>,
     /// Wakes the scheduler when a run has ended.
     ended: Notify,
 }
@@ -107,7 +98,6 @@
             turn: Cell::default(),
             leading: Cell::default(),
             dues: RefCell::default(),
-            paces: Rc::default(),
             ended: Notify::new(),
         })
     }
@@ -216,12 +206,11 @@
         let mut fleet = self.gateway.fleet.borrow_mut();
         fleet.learned_others(now, online);
         *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
-        let excess: HashMap<Incarnation, (usize, usize)> = online
+        let excess: HashMap<Incarnation, usize> = online
             .keys()
             .filter_map(|backend| {
-                let excess = fleet.excess(now, backend, PATIENT_PREEMPTION_LOAD)?;
-                let must = fleet.excess(now, backend, PREEMPTION_LOAD);
-                Some((backend.clone(), (excess, must.unwrap_or(0))))
+                let excess = fleet.excess(now, backend, PREEMPTION_LOAD)?;
+                Some((backend.clone(), excess))
             })
             .collect();
         drop(fleet);
@@ -231,38 +220,22 @@
         }
     }
 
-    /// Stops the runs at a back end that can best wait: those that are late already, then those with
-    /// the most slack.
-    fn stop_least_urgent(
-        &self,
-        now: Instant,
-        backend: &Incarnation,
-        (count, must): (usize, usize),
-    ) {
+    /// Stops the least urgent runs at a back end, of those alike the least advanced: one that is nearly
+    /// done would be finished by a back end that notices the close late, and then be run in vain.
+    fn stop_least_urgent(&self, now: Instant, backend: &Incarnation, count: usize) {
         let mut running = self.running.borrow_mut();
-        let at_backend = running
-            .iter()
-            .filter(|(_, run)| run.backend.incarnation == *backend);
-        let mut runs: Vec<(ItemUrgency, ItemKey)> = at_backend
+        let at_backend = running.iter().filter(|(_, run)| run.backend == *backend);
+        let mut runs: Vec<(ItemUrgency, Reverse<usize>, ItemKey)> = at_backend
             .map(|(key, run)| {
-                let service = &run.backend.service;
-                (
-                    self.urgency(now, key, run.due, service, run.expected),
-                    key.clone(),
-                )
+                let produced = Reverse(self.produced(key));
+                (run.due.urgency(now), produced, key.clone())
             })
             .collect();
-        runs.sort_by_key(|(urgency, _)| Reverse(*urgency));
-        for (number, (urgency, key)) in runs.into_iter().take(count).enumerate() {
-            let run = &running[&key];
-            if number >= must
-                && self.is_pressed(now, &key, run.due, &run.backend.service, run.expected)
-            {
-                continue;
-            }
+        runs.sort();
+        for (urgency, produced, key) in runs.into_iter().rev().take(count) {
             info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
-                "backend" => %backend, "produced" => self.produced(&key),
-                "urgency" => ?urgency, "reason" => "online requests");
+                "backend" => %backend, "produced" => produced.0, "urgency" => ?urgency,
+                "reason" => "online requests");
             running.remove(&key);
             self.metrics.preemptions.inc();
         }
@@ -275,38 +248,6 @@
         progress.map_or(0, |progress| progress.borrow().produced().len())
     }
 
-    pub(super) fn is_pressed(
-        &self,
-        now: Instant,
-        key: &ItemKey,
-        due: DueTime,
-        service: &ServiceName,
-        expected: u32,
-    ) -> bool {
-        let paces = self.paces.borrow();
-        due.is_pressed(now, paces.remaining(service, expected, self.produced(key)))
-    }
-
-    /// How urgent an item is at back ends of a service.
-    fn urgency(
-        &self,
-        now: Instant,
-        key: &ItemKey,
-        due: DueTime,
-        service: &ServiceName,
-        expected: u32,
-    ) -> ItemUrgency {
-        let paces = self.paces.borrow();
-        let remaining = paces.remaining(service, expected, self.produced(key));
-        ItemUrgency::new(
-            now,
-            due,
-            remaining,
-            paces.stretch(service),
-            self.produced(key) > 0,
-        )
-    }
-
     /// Stops runs of items that are not wanted any more.
     fn stop_closed(&self, is_open: impl Fn(&ItemKey) -> bool) {
         let mut running = self.running.borrow_mut();
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -42,8 +42,6 @@
     troubles: u32,
     known_since: Instant,
     not_before: Instant,
-    /// When its first run started, if nothing had been made before.
-    begun_at: Option<Instant>,
 }
 
 impl ItemProgress {
@@ -55,7 +53,6 @@
             troubles: 0,
             known_since: now,
             not_before: now,
-            begun_at: None,
         }
     }
 
@@ -84,16 +81,8 @@
     }
 
     /// A run starts: what an earlier one left of an event it was stopped in is dropped.
-    pub fn starts(&mut self, now: Instant) {
+    pub fn starts(&mut self) {
         self.stream.broken_off();
-        if self.produced.is_empty() {
-            self.begun_at.get_or_insert(now);
-        }
-    }
-
-    /// Returns the time since its first run started, if all of it was made since.
-    pub fn took(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.begun_at?))
     }
 
     /// Takes in a part of the stream.
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -14,7 +14,8 @@
 use firshore_types::ids::ServiceName;
 use slog::info;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -22,9 +23,6 @@
 /// Load in requests per slot from which on a back end gets no item.
 const LOAD_LIMIT: f32 = 0.875;
 
-/// Load from which on a back end gets no item that has time.
-const PATIENT_LIMIT: f32 = 0.875;
-
 /// Items started in one look: each costs processor time, and shows its load only a moment later.
 const MOST_STARTS: usize = 32;
 
@@ -35,6 +33,8 @@
 struct WaitingItem<'a> {
     urgency: ItemUrgency,
     due: DueTime,
+    /// Events that are held.
+    produced: usize,
     key: ItemKey,
     one: OpenItem<'a>,
 }
@@ -49,7 +49,7 @@
     /// Items for which there was no room.
     refused: usize,
     /// Services without room.
-    full: HashSet<(ServiceName, bool)>,
+    full: HashSet<ServiceName>,
 }
 
 impl Pass {
@@ -84,7 +84,6 @@
         let clock = clock.unwrap_or_default();
         let running = self.running.borrow();
         let mut dues = self.dues.borrow_mut();
-        let mut services = HashMap::new();
         let mut waiting = Vec::new();
         for one in items {
             let key = (one.header.job.clone(), one.index);
@@ -94,31 +93,18 @@
             let age = clock.saturating_sub(Duration::from_millis(one.submitted_at));
             let due_after = one.header.due_after.map(Duration::from_millis);
             let due = dues.due(now, &one.header.job, age, due_after);
-            let service = services
-                .entry(&one.header.job)
-                .or_insert_with(|| self.service(&one));
-            let expected = one.item.expected_output;
-            let urgency = match service {
-                Some(service) => self.urgency(now, &key, due, service, expected),
-                None => ItemUrgency::new(now, due, Duration::ZERO, 1.0, false),
-            };
             waiting.push(WaitingItem {
-                urgency,
+                urgency: due.urgency(now),
                 due,
+                produced: self.produced(&key),
                 key,
                 one,
             });
         }
-        waiting.sort_by_key(|item| item.urgency);
+        waiting.sort_by_key(|item| (item.urgency, Reverse(item.produced)));
         waiting
     }
 
-    /// The first service of an item's route.
-    fn service(&self, one: &OpenItem<'_>) -> Option<ServiceName> {
-        let route = self.route(one)?;
-        route.services.first().map(|first| first.service.clone())
-    }
-
     /// The route that an item's path and host name now.
     fn route(&self, one: &OpenItem<'_>) -> Option<Arc<Route>> {
         let configuration = self.gateway.configuration()?;
@@ -136,7 +122,7 @@
         {
             return;
         }
-        let Some(backend) = self.choose(now, waiting, pass) else {
+        let Some(backend) = self.choose(now, one, pass) else {
             pass.refused += 1;
             return;
         };
@@ -144,22 +130,21 @@
         let progress = known.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
         let held = progress.clone();
         self.progress.borrow_mut().insert(key.clone(), held);
-        progress.borrow_mut().starts(now);
+        progress.borrow_mut().starts();
         let work = Work {
             header: one.header.clone(),
             index: one.index,
             item: one.item.clone(),
         };
-        let chosen = backend.clone();
+        let chosen = backend.incarnation.clone();
         info!(self.gateway.log, "runner: Run started."; "job" => &key.0, "item" => key.1,
-            "backend" => %backend.incarnation, "produced" => self.produced(&key),
+            "backend" => %backend.incarnation, "produced" => waiting.produced,
             "urgency" => ?waiting.urgency);
         let run = ItemRun {
             gateway: self.gateway.clone(),
             replica: self.replica.clone(),
             work,
             progress,
-            paces: self.paces.clone(),
             // Counted from now on, so that the next item sees it.
             in_flight: self.gateway.in_flight(&backend.incarnation),
             backend,
@@ -177,24 +162,15 @@
             _task: task,
             backend: chosen,
             due: waiting.due,
-            expected: one.item.expected_output,
         };
         self.running.borrow_mut().insert(key, run);
     }
 
     /// A back end with room, of the service that the item's route names now.
-    fn choose(&self, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) -> Option<Backend> {
-        let one = &waiting.one;
+    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
         let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
-        let pressed = self.is_pressed(
-            now,
-            &waiting.key,
-            waiting.due,
-            &service,
-            one.item.expected_output,
-        );
-        if pass.full.contains(&(service.clone(), pressed)) {
+        if pass.full.contains(&service) {
             return None;
         }
         let headers = item::headers(one.item);
@@ -204,13 +180,13 @@
             service: &service,
             attempts: &attempts,
             affinity: affinity_key(&terms.prompt),
-            load_limit: if pressed { LOAD_LIMIT } else { PATIENT_LIMIT },
+            load_limit: LOAD_LIMIT,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
         let chosen = fleet.choose(now, &wanted, &mut *random);
         if chosen.is_none() {
-            pass.full.insert((service, pressed));
+            pass.full.insert(service);
         }
         chosen
     }
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -365,7 +365,6 @@
         headers: vec![("x-own".to_owned(), "kept".to_owned())],
         body: format!("body {number}").into_bytes().into(),
         tokens: 10,
-        expected_output: 0,
     });
     items.collect()
 }
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -52,9 +52,9 @@
 fn a_stopped_run_goes_on_after_its_last_whole_event() {
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
-    progress.starts(now);
+    progress.starts();
     progress.feed(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    progress.starts(now);
+    progress.starts();
     assert_eq!(progress.last_event(), Some(1));
     progress.feed(b"id: 2\ndata: b\n\n").unwrap();
     let outcome = progress.ended(now, RunEnd::Whole, 0, &LIMITS);
--- /dev/null
+++ b/crates/firshore-node/tests/urgency.rs
@@ -0,0 +1,60 @@
+//! Which item goes first.
+
+use firshore_node::runner::urgency::{DueTable, ItemUrgency};
+use std::time::{Duration, Instant};
+
+const DUE_AFTER: Option<Duration> = Some(Duration::from_secs(18));
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+#[test]
+fn what_is_wanted_first_goes_first_and_what_is_late_last() {
+    let mut table = DueTable::default();
+    let start = Instant::now();
+    let late = table.due(start, "late", seconds(10), DUE_AFTER);
+    let later_still = table.due(start, "later still", seconds(12), DUE_AFTER);
+    let next = table.due(start, "next", seconds(5), DUE_AFTER);
+    let newest = table.due(start, "newest", seconds(0), DUE_AFTER);
+    let undated = table.due(start, "undated", seconds(17), None);
+    let now = start + seconds(9);
+    let mut jobs = [
+        ("late", late.urgency(now)),
+        ("newest", newest.urgency(now)),
+        ("undated", undated.urgency(now)),
+        ("later still", later_still.urgency(now)),
+        ("next", next.urgency(now)),
+    ];
+    jobs.sort_by_key(|(_, urgency)| *urgency);
+    let order = jobs.map(|(job, _)| job);
+    assert_eq!(order, ["next", "newest", "undated", "later still", "late"]);
+}
+
+#[test]
+fn an_item_is_late_from_the_moment_it_was_wanted() {
+    let mut table = DueTable::default();
+    let now = Instant::now();
+    let due = table.due(now, "job", seconds(8), DUE_AFTER);
+    let wanted = now + seconds(10);
+    assert_eq!(due.urgency(wanted), ItemUrgency::InTime(wanted));
+    let after = wanted + Duration::from_millis(1);
+    assert_eq!(due.urgency(after), ItemUrgency::Late(wanted));
+}
+
+#[test]
+fn a_clock_that_jumps_moves_no_job_that_is_known() {
+    let mut table = DueTable::default();
+    let now = Instant::now();
+    let due = table.due(now, "job", seconds(1), DUE_AFTER);
+    let later = now + seconds(3);
+    for age in [seconds(0), seconds(4), seconds(100_000)] {
+        assert_eq!(table.due(later, "job", age, DUE_AFTER), due, "{age:?} old");
+    }
+    // A clock so far ahead that the steady clock did not run yet at the submission.
+    let odd = table.due(now, "odd", Duration::from_secs(u64::MAX / 4), DUE_AFTER);
+    assert_eq!(odd.wanted, Some(now + seconds(18)));
+    table.keep(|job| job == "odd");
+    let anew = table.due(later, "job", seconds(4), DUE_AFTER);
+    assert_eq!(anew.wanted, due.wanted);
+}
