--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -36,6 +36,9 @@
 /// Load in requests per slot above which runs are stopped.
 const PREEMPTION_LOAD: f32 = 0.9;
 
+/// The same for items in danger of being late.
+const PRESSED_PREEMPTION_LOAD: f32 = 1.0;
+
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -53,6 +56,15 @@
     pub(crate) item: JobItem,
 }
 
+/// Requests at a back end beyond what is left to online requests.
+#[derive(Clone, Copy, Debug)]
+struct BackendExcess {
+    /// Beyond the room of items that have time.
+    all: usize,
+    /// Beyond the room of items in danger of being late.
+    pressed: usize,
+}
+
 struct Run {
     _task: Task,
     backend: Incarnation,
@@ -206,23 +218,28 @@
         let mut fleet = self.gateway.fleet.borrow_mut();
         fleet.learned_others(now, online);
         *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
-        let excess: HashMap<Incarnation, usize> = online
+        let excess: HashMap<Incarnation, BackendExcess> = online
             .keys()
             .filter_map(|backend| {
-                let excess = fleet.excess(now, backend, PREEMPTION_LOAD)?;
+                let excess = BackendExcess {
+                    all: fleet.excess(now, backend, PREEMPTION_LOAD)?,
+                    pressed: fleet
+                        .excess(now, backend, PRESSED_PREEMPTION_LOAD)
+                        .unwrap_or(0),
+                };
                 Some((backend.clone(), excess))
             })
             .collect();
         drop(fleet);
         drop(table);
-        for (backend, count) in excess {
-            self.stop_least_urgent(now, &backend, count);
+        for (backend, excess) in excess {
+            self.stop_least_urgent(now, &backend, excess);
         }
     }
 
     /// Stops the least urgent runs at a back end, of those alike the least advanced: one that is nearly
     /// done would be finished by a back end that notices the close late, and then be run in vain.
-    fn stop_least_urgent(&self, now: Instant, backend: &Incarnation, count: usize) {
+    fn stop_least_urgent(&self, now: Instant, backend: &Incarnation, excess: BackendExcess) {
         let mut running = self.running.borrow_mut();
         let at_backend = running.iter().filter(|(_, run)| run.backend == *backend);
         let mut runs: Vec<(ItemUrgency, Reverse<usize>, ItemKey)> = at_backend
@@ -232,7 +249,12 @@
             })
             .collect();
         runs.sort();
-        for (urgency, produced, key) in runs.into_iter().rev().take(count) {
+        for (number, (urgency, produced, key)) in
+            runs.into_iter().rev().take(excess.all).enumerate()
+        {
+            if number >= excess.pressed && running[&key].due.is_pressed(now) {
+                break;
+            }
             info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
                 "backend" => %backend, "produced" => produced.0, "urgency" => ?urgency,
                 "reason" => "online requests");
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -23,6 +23,9 @@
 /// Load in requests per slot from which on a back end gets no item.
 const LOAD_LIMIT: f32 = 0.875;
 
+/// The same for items in danger of being late.
+const PRESSED_LOAD_LIMIT: f32 = 1.0;
+
 /// Items started in one look: each costs processor time, and shows its load only a moment later.
 const MOST_STARTS: usize = 32;
 
@@ -49,7 +52,7 @@
     /// Items for which there was no room.
     refused: usize,
     /// Services without room.
-    full: HashSet<ServiceName>,
+    full: HashSet<(ServiceName, bool)>,
 }
 
 impl Pass {
@@ -122,7 +125,7 @@
         {
             return;
         }
-        let Some(backend) = self.choose(now, one, pass) else {
+        let Some(backend) = self.choose(now, waiting, pass) else {
             pass.refused += 1;
             return;
         };
@@ -167,10 +170,12 @@
     }
 
     /// A back end with room, of the service that the item's route names now.
-    fn choose(&self, now: Instant, one: &OpenItem<'_>, pass: &mut Pass) -> Option<Backend> {
+    fn choose(&self, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) -> Option<Backend> {
+        let one = &waiting.one;
         let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
-        if pass.full.contains(&service) {
+        let pressed = waiting.due.is_pressed(now);
+        if pass.full.contains(&(service.clone(), pressed)) {
             return None;
         }
         let headers = item::headers(one.item);
@@ -180,13 +185,17 @@
             service: &service,
             attempts: &attempts,
             affinity: affinity_key(&terms.prompt),
-            load_limit: LOAD_LIMIT,
+            load_limit: if pressed {
+                PRESSED_LOAD_LIMIT
+            } else {
+                LOAD_LIMIT
+            },
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
         let chosen = fleet.choose(now, &wanted, &mut *random);
         if chosen.is_none() {
-            pass.full.insert(service);
+            pass.full.insert((service, pressed));
         }
         chosen
     }
--- a/crates/firshore-node/src/runner/urgency.rs
+++ b/crates/firshore-node/src/runner/urgency.rs
@@ -8,6 +8,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+/// Part of the time until its results are wanted that a job can wait for room which online requests
+/// are not likely to need.
+const PATIENT_SHARE: f64 = 0.5;
+
 /// How urgent an item is; the most urgent is the least.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ItemUrgency {
@@ -26,9 +30,17 @@
     pub seen: Instant,
     /// When the results are wanted.
     pub wanted: Option<Instant>,
+    /// From when on its items may take the last slots.
+    pub pressed_from: Option<Instant>,
 }
 
 impl DueTime {
+    /// Returns whether the job's items are in danger of being late, but not late yet.
+    pub fn is_pressed(&self, now: Instant) -> bool {
+        let pressed = self.pressed_from.is_some_and(|from| now >= from);
+        pressed && self.wanted.is_some_and(|wanted| now <= wanted)
+    }
+
     /// Returns how urgent the job's items are.
     pub fn urgency(&self, now: Instant) -> ItemUrgency {
         match self.wanted {
@@ -65,6 +77,7 @@
         let due = DueTime {
             seen: now,
             wanted: due_after.map(|due_after| submitted + due_after),
+            pressed_from: due_after.map(|due_after| submitted + due_after.mul_f64(PATIENT_SHARE)),
         };
         self.jobs.insert(job.to_owned(), due);
         due
