--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -1,9 +1,10 @@
 //! Runs the items of batch jobs, on the node whose replica leads the journal.
 //!
 //! Items go only into room that online requests leave: a back end gets one while its load, as all
-//! nodes told a moment ago, is below a limit; where online requests need the room, the runs
-//! that have produced least are stopped. What an item has produced is kept here and told to the other replicas' nodes, so
-//! that a run that breaks off or is stopped goes on after its last event, also under a new leader.
+//! nodes told a moment ago, is below a limit; where online requests need the room, the least urgent
+//! runs are stopped. What an item has produced is kept here and on disk and told to the other
+//! replicas' nodes, so that a run that breaks off or is stopped goes on after its last event, also
+//! under a new leader and after the end of all processes.
 
 pub mod handover;
 mod item;
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -32,14 +32,20 @@
 /// Items without room after which a look ends.
 const MOST_REFUSALS: usize = 64;
 
+/// A job that is not finished.
+struct OpenJob<'a> {
+    urgency: ItemUrgency,
+    due: DueTime,
+    items: &'a [OpenItem<'a>],
+}
+
 /// An item that does not run.
 struct WaitingItem<'a> {
-    urgency: ItemUrgency,
     due: DueTime,
     /// Events that are held.
     produced: usize,
     key: ItemKey,
-    one: OpenItem<'a>,
+    one: &'a OpenItem<'a>,
 }
 
 /// One look at the items that wait.
@@ -51,7 +57,7 @@
     started: usize,
     /// Items for which there was no room.
     refused: usize,
-    /// Services without room.
+    /// Services without room, for items in danger of being late and for others.
     full: HashSet<(ServiceName, bool)>,
 }
 
@@ -69,42 +75,59 @@
         let now = Instant::now();
         let state = state.read();
         self.dues.borrow_mut().keep(|job| state.is_job_open(job));
+        let items = state.open_items();
         let mut pass = Pass::default();
-        for waiting in self.waiting(now, state.open_items()) {
-            pass.waiting = true;
-            let all_run = self.running() >= self.most_runs;
-            if all_run || pass.is_over() {
-                break;
+        for job in self.open_jobs(now, &items) {
+            for waiting in self.waiting(&job) {
+                pass.waiting = true;
+                let all_run = self.running() >= self.most_runs;
+                if all_run || pass.is_over() {
+                    return true;
+                }
+                self.try_start(now, &waiting, &mut pass);
             }
-            self.try_start(now, &waiting, &mut pass);
         }
         pass.waiting
     }
 
-    /// Items that do not run, the most urgent first.
-    fn waiting<'a>(&self, now: Instant, items: Vec<OpenItem<'a>>) -> Vec<WaitingItem<'a>> {
+    /// Jobs by urgency.
+    fn open_jobs<'a>(&self, now: Instant, items: &'a [OpenItem<'a>]) -> Vec<OpenJob<'a>> {
         let clock = SystemTime::now().duration_since(UNIX_EPOCH);
         let clock = clock.unwrap_or_default();
-        let running = self.running.borrow();
         let mut dues = self.dues.borrow_mut();
-        let mut waiting = Vec::new();
-        for one in items {
+        let of_jobs = items.chunk_by(|one, other| one.header.job == other.header.job);
+        let mut jobs: Vec<OpenJob> = of_jobs
+            .map(|items| {
+                let first = &items[0];
+                let age = clock.saturating_sub(Duration::from_millis(first.submitted_at));
+                let due_after = first.header.due_after.map(Duration::from_millis);
+                let due = dues.due(now, &first.header.job, age, due_after);
+                OpenJob {
+                    urgency: due.urgency(now),
+                    due,
+                    items,
+                }
+            })
+            .collect();
+        jobs.sort_by_key(|job| job.urgency);
+        jobs
+    }
+
+    /// Items of a job that do not run, the most advanced first.
+    fn waiting<'a>(&self, job: &OpenJob<'a>) -> Vec<WaitingItem<'a>> {
+        let running = self.running.borrow();
+        let items = job.items.iter().map(|one| {
             let key = (one.header.job.clone(), one.index);
-            if running.contains_key(&key) {
-                continue;
-            }
-            let age = clock.saturating_sub(Duration::from_millis(one.submitted_at));
-            let due_after = one.header.due_after.map(Duration::from_millis);
-            let due = dues.due(now, &one.header.job, age, due_after);
-            waiting.push(WaitingItem {
-                urgency: due.urgency(now),
-                due,
+            WaitingItem {
+                due: job.due,
                 produced: self.produced(&key),
                 key,
                 one,
-            });
-        }
-        waiting.sort_by_key(|item| (item.urgency, Reverse(item.produced)));
+            }
+        });
+        let waiting = items.filter(|item| !running.contains_key(&item.key));
+        let mut waiting: Vec<WaitingItem> = waiting.collect();
+        waiting.sort_by_key(|item| Reverse(item.produced));
         waiting
     }
 
@@ -117,7 +140,7 @@
 
     /// Starts an item if it may run now and there is room.
     fn try_start(self: &Rc<Self>, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) {
-        let (key, one) = (waiting.key.clone(), &waiting.one);
+        let (key, one) = (waiting.key.clone(), waiting.one);
         let known = self.progress.borrow().get(&key).cloned();
         if known
             .as_ref()
@@ -142,7 +165,7 @@
         let chosen = backend.incarnation.clone();
         info!(self.gateway.log, "runner: Run started."; "job" => &key.0, "item" => key.1,
             "backend" => %backend.incarnation, "produced" => waiting.produced,
-            "urgency" => ?waiting.urgency);
+            "urgency" => ?waiting.due.urgency(now));
         let run = ItemRun {
             gateway: self.gateway.clone(),
             replica: self.replica.clone(),
@@ -171,7 +194,7 @@
 
     /// A back end with room, of the service that the item's route names now.
     fn choose(&self, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) -> Option<Backend> {
-        let one = &waiting.one;
+        let one = waiting.one;
         let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
         let pressed = waiting.due.is_pressed(now);
