Tests take ports that no outgoing connection is given

Cause as far as known: free_address let go a port of the range that systems give to outgoing connections, and the node listened on it a moment later; start fails if it is taken meanwhile. Ruled out: the folder (a new one for each node). Change: ports below that range, another one with each call.

--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -30,6 +30,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -64,10 +65,24 @@
     Logger::root(Discard, o!())
 }
 
-/// A port that was free a moment ago.
+/// Ports that tests listen on: below those that systems give to outgoing connections, so that none of
+/// these takes a port between the look and the listener.
+const FIRST_PORT: u32 = 10_000;
+const PORT_COUNT: u32 = 20_000;
+
+/// A port that was free a moment ago, another one with each call in this process.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    // Tests of other processes run side by side: each begins elsewhere.
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let call = CALLS.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(call) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn settings(number: usize, folder: &std::path::Path, address: SocketAddr) -> Settings {
@@ -97,7 +112,7 @@
     let registry = Rc::new(Registry::new(store.clone(), log()));
     let storage = settings.storage.clone().unwrap();
     let journal = Journal::start(&settings, &storage, registry, &peers(), &log()).await;
-    let journal = journal.unwrap();
+    let journal = journal.expect("the port and the folder are free");
     let gateway = Rc::new(Gateway::new(
         log(),
         adapter(store.clone()),
