A lost contact is tried again where nothing else asks

Cause, found by reading: a client that has lost contact gave every question up unasked and relied on the exchange of loads to learn that it is back; where none runs (tests, tools) it would never ask again once the contact was lost, as when all nodes are down for over a second. Change: a question is given up unasked only within 1.5 s after another one was asked. Test: a_lost_contact_is_tried_again_where_nobody_else_asks.

--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -99,7 +99,7 @@
         let mut round: Vec<NodeName> = Vec::new();
         let mut rounds = 0;
         loop {
-            if Instant::now() >= deadline || self.is_cut_off() {
+            if Instant::now() >= deadline || self.contact.get().is_hopeless(Instant::now()) {
                 return Err(unavailable(request.changes() && unknown));
             }
             let Some(target) = hint.take().or_else(|| round.pop()) else {
@@ -134,8 +134,8 @@
         }
     }
 
-    /// Tells the leader what this node has under way, `urgent` if it finds no free slots, and learns what all others have. Asks once:
-    /// what is missed is told again a moment later.
+    /// Tells the leader what this node has under way, `urgent` if it finds no free slots, and learns
+    /// what all others have. Asks once: what is missed is told again a moment later.
     pub async fn exchange_load(
         &self,
         counts: Vec<BackendCount>,
@@ -209,8 +209,8 @@
 
     /// Asks one node, and takes in whether it answers at all.
     async fn try_one(&self, target: &NodeName, request: PeerRequest, wait: Duration) -> Tried {
-        let due = Instant::now() + wait;
-        self.note(|contact| contact.asked(due));
+        let now = Instant::now();
+        self.note(|contact| contact.asked(now, now + wait));
         let tried = self.call(target, request, wait).await;
         if !matches!(tried, Tried::NotSent | Tried::Unanswered) {
             self.note(PeerContact::heard);
