A stall of a replica's own process is no silence of the others

By reading: a leader looks every 300 ms whether it has heard a quorum within the last 300 ms. The same makes a follower stand for election before it reads the heartbeats that wait.

Ruled out: a safety problem; commits and reads need a quorum whatever the clock says.

Change: time between two ticks of a third of the election timeout or more counts as a stall of this replica; a leader then looks for a quorum one timeout later, a follower waits a third of it.

--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -47,6 +47,10 @@
     }
 }
 
+/// Part of the election timeout, as its divisor, that may pass between two ticks before the replica
+/// itself counts as stalled: ticks come every few milliseconds.
+const STALLS_PER_TIMEOUT: u64 = 3;
+
 /// Number that the caller gives a read.
 pub type ReadToken = u64;
 
@@ -146,6 +150,8 @@
     timing: Timing,
     random: ChaCha8Rng,
     now: u64,
+    /// When time passed last.
+    ticked_at: u64,
     hard_state: HardState,
     log: Log,
     /// Last index known to be durable here.
@@ -174,6 +180,7 @@
             timing,
             random: ChaCha8Rng::seed_from_u64(seed),
             now,
+            ticked_at: now,
             hard_state,
             durable: log.last().index,
             writing: None,
@@ -244,6 +251,11 @@
     /// Lets time pass to `now` (milliseconds).
     pub fn tick(&mut self, now: u64) {
         self.now = self.now.max(now);
+        let paused = self.now - self.ticked_at;
+        self.ticked_at = self.now;
+        if paused * STALLS_PER_TIMEOUT >= self.timing.election_timeout {
+            self.allow_for_stall();
+        }
         if self.leads() {
             self.tick_leader();
         } else if self.now >= self.election_due {
@@ -252,6 +264,21 @@
         }
     }
 
+    /// Time in which this replica itself did not run is no silence of the others: what they sent
+    /// meanwhile is yet to be read. Safety needs no clock, and the others elect another leader where
+    /// the stall was too long for them.
+    fn allow_for_stall(&mut self) {
+        match &mut self.role {
+            Role::Leader(leadership) => {
+                leadership.quorum_check_due = self.now + self.timing.election_timeout;
+            }
+            _ => {
+                let grace = self.timing.election_timeout / STALLS_PER_TIMEOUT;
+                self.election_due = self.election_due.max(self.now + grace);
+            }
+        }
+    }
+
     /// Appends a command if this replica leads. It is committed when it is given out with the same
     /// term at the position returned; another term there means that it was lost.
     pub fn propose(&mut self, command: Vec<u8>) -> Result<Position, ReplicaError> {
