Memory of a node with a disk is counted by use and bounded

Nothing bounded what jobs, events, runs and answers hold together: 1,040 runs at once were allowed from an estimate of 128 KB each of which only a third was thought to be used.

Ruled out: bodies (4 MB at most), messages that wait for a slow follower (entries are shared, the window is 16 messages).

Change: each use is counted and has a share of limits.memory_megabytes, 0.7 together: a job over its share is refused with the promise that nothing ran, before it enters the log; no new item starts while events take theirs; runs are bounded by what one was measured to take (815 of 1,040 at 130 MB); results are read as memory is free. The log's parts shrink where a node has under 190 MB. /metrics tells each use and the resident memory, the log one line each 2 s while a node runs items.

--- a/crates/firshore-adapter/src/jobs.rs
+++ b/crates/firshore-adapter/src/jobs.rs
@@ -33,6 +33,19 @@
     pub tokens: u64,
 }
 
+/// Bytes that the allocator and the containers add to each part of an item, about.
+const OVERHEAD_BYTES: usize = 64;
+
+impl JobItem {
+    /// Memory that it takes in bytes, about.
+    pub fn held_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers = headers.map(|(name, value)| name.len() + value.len() + OVERHEAD_BYTES);
+        let parts = self.id.len() + self.path.len() + self.body.0.len();
+        size_of::<Self>() + parts + headers.sum::<usize>()
+    }
+}
+
 /// A call about a job, other than its submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobCall {
--- a/crates/firshore-jobs/src/job.rs
+++ b/crates/firshore-jobs/src/job.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Memory that it takes in bytes, about.
+    pub(crate) fn held_bytes(&self) -> usize {
+        let items = self.items.iter().map(|item| item.item.held_bytes());
+        items.sum::<usize>() + self.results.len() * size_of::<StoredResult>()
+    }
+
     pub(crate) fn is_open(&self) -> bool {
         !self.ended && self.results.len() < self.items.len()
     }
@@ -157,6 +163,7 @@
         let results = results.map(|result| ListedResult {
             item: self.items[result.item as usize].item.id.clone(),
             place: result.place,
+            bytes: result.bytes,
         });
         ListedPage {
             total: self.items.len() as u64,
--- a/crates/firshore-jobs/src/listing.rs
+++ b/crates/firshore-jobs/src/listing.rs
@@ -27,6 +27,8 @@
     pub item: String,
     /// Where what became of it lies.
     pub place: ResultPlace,
+    /// Size of its text in bytes.
+    pub bytes: u32,
 }
 
 /// A part of a job's results.
@@ -54,6 +56,11 @@
 }
 
 impl ListedPage {
+    /// Size of the texts of its results in bytes.
+    pub fn bytes(&self) -> usize {
+        self.results.iter().map(|one| one.bytes as usize).sum()
+    }
+
     /// Entries that hold its results.
     pub fn entries(&self) -> BTreeSet<LogIndex> {
         let places = self.results.iter().map(|result| result.place);
--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -78,6 +78,16 @@
         self.jobs.get(job).map_or(0, |job| job.failures(item))
     }
 
+    /// Memory that the jobs take in bytes, about: bodies of items without a result for the most part.
+    pub fn held_bytes(&self) -> usize {
+        self.jobs.values().map(Job::held_bytes).sum()
+    }
+
+    /// Whether a job was taken in.
+    pub fn holds(&self, job: &str) -> bool {
+        self.jobs.contains_key(job)
+    }
+
     /// Number of jobs.
     pub fn len(&self) -> usize {
         self.jobs.len()
--- a/crates/firshore-log/src/driver/survey.rs
+++ b/crates/firshore-log/src/driver/survey.rs
@@ -76,6 +76,8 @@
             membership_committed: replica.membership_committed,
             membership: replica.membership,
             file_bytes: self.storage.file_bytes(),
+            log_bytes: self.replica.log_bytes(),
+            snapshot_bytes: self.replica.snapshot_bytes(),
             full: self.full,
             stopped: None,
         };
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -55,6 +55,10 @@
     pub caught_up: BTreeSet<DiskId>,
     /// Size of the database file in bytes.
     pub file_bytes: u64,
+    /// Entries of the log that are held in memory, in bytes.
+    pub log_bytes: usize,
+    /// The latest snapshot, which is held in memory, in bytes.
+    pub snapshot_bytes: usize,
     /// Whether new work is refused for lack of space.
     pub full: bool,
     /// Why the replica does not run, if it does not.
@@ -76,6 +80,8 @@
             silent: BTreeSet::new(),
             caught_up: BTreeSet::new(),
             file_bytes: 0,
+            log_bytes: 0,
+            snapshot_bytes: 0,
             full: false,
             stopped: None,
         }
--- a/crates/firshore-log/src/refusal.rs
+++ b/crates/firshore-log/src/refusal.rs
@@ -13,6 +13,8 @@
     },
     /// A disk is full; nothing was done.
     StorageFull,
+    /// The memory for new work is used up; nothing was done.
+    MemoryFull,
     /// The peer lost its leadership meanwhile: the command may or may not take effect.
     Unsettled,
 }
--- a/crates/firshore-metrics/src/lib.rs
+++ b/crates/firshore-metrics/src/lib.rs
@@ -105,6 +105,21 @@
         gauge
     }
 
+    /// Makes a gauge for each set of labels.
+    pub fn gauges<L>(
+        &mut self,
+        name: &str,
+        labels: &'static str,
+        meaning: &'static str,
+    ) -> Family<L, Gauge>
+    where
+        L: EncodeLabelSet + fmt::Debug + Clone + Eq + std::hash::Hash + Send + Sync + 'static,
+    {
+        let family = Family::default();
+        self.register(name, "gauge", labels, meaning, family.clone());
+        family
+    }
+
     /// Makes a histogram of times in seconds, scraped as `firshore_{name}`.
     pub fn seconds(&mut self, name: &str, meaning: &'static str) -> Histogram {
         let histogram = Histogram::new(SECONDS_BUCKETS);
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -35,6 +35,9 @@
 /// Pause after every node was asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
+const DISK_FULL: &str = "The journal's disk has no space left for new work.";
+const MEMORY_FULL: &str = "The journal's leader has no memory left for new work.";
+
 /// The journal as seen from a node that serves callers.
 pub struct JournalClient {
     node: NodeName,
@@ -57,7 +60,7 @@
 enum Tried {
     Answered(PeerResponse),
     Elsewhere(Option<NodeName>),
-    Full,
+    Full(&'static str),
     NotSent,
     /// It answered that the outcome is not known.
     Unknown,
@@ -119,9 +122,8 @@
                     return Ok(response);
                 }
                 // What an earlier try may have done is not undone by a later refusal.
-                Tried::Full if unknown && request.changes() => return Err(unavailable(true)),
-                Tried::Full => {
-                    let message = "The journal's disk has no space left for new work.";
+                Tried::Full(_) if unknown && request.changes() => return Err(unavailable(true)),
+                Tried::Full(message) => {
                     return Err(ApiError::not_run(ErrorCode::JournalUnavailable, message));
                 }
                 Tried::Elsewhere(leader) => hint = leader.filter(|leader| *leader != target),
@@ -226,7 +228,8 @@
         match timeout(TRY_TIMEOUT + wait, call).await {
             Ok(Ok(PeerResponse::Refused(refusal))) => match refusal {
                 JournalRefusal::NotLeader { leader } => Tried::Elsewhere(leader),
-                JournalRefusal::StorageFull => Tried::Full,
+                JournalRefusal::StorageFull => Tried::Full(DISK_FULL),
+                JournalRefusal::MemoryFull => Tried::Full(MEMORY_FULL),
                 JournalRefusal::Unsettled => Tried::Unknown,
             },
             Ok(Ok(response)) => Tried::Answered(response),
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -12,6 +12,7 @@
 pub mod service;
 mod transport;
 
+use crate::memory::{LOG_SHARE, MemoryBudget, MemoryLedger, MemoryUse};
 use crate::runner::progress_keeper::ProgressKeeper;
 use crate::settings::{Settings, Storage};
 use firshore_jobs::table::JobTable;
@@ -48,9 +49,9 @@
 /// Free space of the data folder below which new jobs are refused, in bytes.
 const RESERVE_BYTES: u64 = 32 * 1024 * 1024;
 
-/// Part of the node's memory for each of the log's entries before a snapshot, those after it, and
-/// the pages of the database.
-const MEMORY_SHARE: usize = 16;
+/// Parts that the log's share of the memory is divided into: entries kept before a snapshot, twice as
+/// many after it, and the pages of the database.
+const LOG_PARTS: f64 = 4.0;
 
 /// Bounds of that part, in bytes.
 const LEAST_LOG_BYTES: usize = 256 * 1024;
@@ -63,7 +64,8 @@
 pub type Replica = Group<JobTable>;
 
 fn log_bytes(memory: usize) -> usize {
-    (memory / MEMORY_SHARE).clamp(LEAST_LOG_BYTES, MOST_LOG_BYTES)
+    let part = memory as f64 * LOG_SHARE / LOG_PARTS;
+    (part as usize).clamp(LEAST_LOG_BYTES, MOST_LOG_BYTES)
 }
 
 fn may_promise(replica: &Replica, least: usize) -> bool {
@@ -84,6 +86,10 @@
     target: usize,
     /// Replicas without which nothing is promised.
     least: usize,
+    /// What is held for peers that wait.
+    pub ledger: MemoryLedger,
+    /// How the node's memory is divided.
+    pub budget: MemoryBudget,
     peers: PeerClient,
     listening: actix_rt::task::JoinHandle<()>,
     log: Logger,
@@ -127,13 +133,18 @@
         let progress = ProgressKeeper::open(&storage.data_folder)?;
         let progress = Rc::new(RefCell::new(progress));
         let least = settings.cluster.tolerated_disk_losses as usize + 1;
-        let handler = Rc::new(Service::new(
-            replica.clone(),
-            loads.clone(),
-            progress.clone(),
-            registry.clone(),
+        let ledger = MemoryLedger::default();
+        let budget = settings.limits.memory_budget();
+        let handler = Rc::new(Service {
+            replica: replica.clone(),
+            loads: loads.clone(),
+            progress: progress.clone(),
+            registry: registry.clone(),
             least,
-        ));
+            ledger: ledger.clone(),
+            budget,
+            log: log.clone(),
+        });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
         let listening = actix_rt::spawn(listener::run(listener, secret, handler, log.clone()));
         let journal = Rc::new(Self {
@@ -144,6 +155,8 @@
             peers: peers.clone(),
             target: placement::voters_for(settings.cluster.tolerated_disk_losses),
             least,
+            ledger,
+            budget,
             listening,
             log: log.clone(),
         });
@@ -161,6 +174,19 @@
         may_promise(&self.replica, self.least)
     }
 
+    /// What the journal takes of the node's memory, without what the runner holds.
+    pub fn memory_use(&self) -> MemoryUse {
+        let status = self.replica.status();
+        MemoryUse {
+            jobs: self.replica.applied_state().read().held_bytes(),
+            submissions: self.ledger.submissions.held(),
+            results: self.ledger.results.held(),
+            handover: self.progress.borrow().held_bytes(),
+            log: status.log_bytes + status.snapshot_bytes,
+            ..MemoryUse::default()
+        }
+    }
+
     /// Ends the replica and stops answering peers, without handing anything over.
     pub fn kill(&self) {
         self.listening.abort();
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -4,10 +4,13 @@
 use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
+use crate::memory::{MemoryBudget, MemoryLedger, MemoryUse};
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
 use firshore_adapter::backend::Incarnation;
-use firshore_jobs::command::{Action, Outcome};
+use firshore_adapter::jobs::JobItem;
+use firshore_jobs::command::{Action, JobHeader, Outcome};
+use firshore_jobs::listing::ListedPage;
 use firshore_jobs::table::JobTable;
 use firshore_link::listener::Handler;
 use firshore_log::machine::SharedState;
@@ -15,6 +18,7 @@
 use firshore_types::ids::NodeName;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use slog::{Logger, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -26,6 +30,10 @@
 /// which holds its texts as read, as decoded and as sent.
 const RESULT_BYTES: usize = 256 * 1024;
 
+/// Pause of an answer for which there is no memory yet: those before it are sent within some
+/// milliseconds.
+const RESULTS_PAUSE: Duration = Duration::from_millis(10);
+
 /// Longest wait for a result that is granted.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
@@ -42,12 +50,16 @@
 }
 
 /// What a node with a replica answers.
-pub struct Service {
-    replica: Rc<Replica>,
-    loads: Rc<Loads>,
-    progress: Rc<RefCell<ProgressKeeper>>,
-    registry: Rc<Registry>,
-    least: usize,
+pub(super) struct Service {
+    pub(super) replica: Rc<Replica>,
+    pub(super) loads: Rc<Loads>,
+    pub(super) progress: Rc<RefCell<ProgressKeeper>>,
+    pub(super) registry: Rc<Registry>,
+    /// Replicas without which nothing is promised.
+    pub(super) least: usize,
+    pub(super) ledger: MemoryLedger,
+    pub(super) budget: MemoryBudget,
+    pub(super) log: Logger,
 }
 
 /// What nodes have under way, and a wake-up for whoever acts on it.
@@ -84,25 +96,6 @@
     }
 }
 
-impl Service {
-    /// Answers for this replica; promises need `least` disks.
-    pub fn new(
-        replica: Rc<Replica>,
-        loads: Rc<Loads>,
-        progress: Rc<RefCell<ProgressKeeper>>,
-        registry: Rc<Registry>,
-        least: usize,
-    ) -> Self {
-        Self {
-            replica,
-            loads,
-            progress,
-            registry,
-            least,
-        }
-    }
-}
-
 impl Service {
     /// Takes in what items of the leader's have produced.
     fn progress(&self, leadership: Leadership, deltas: Vec<ProgressDelta>) -> PeerResponse {
@@ -113,6 +106,39 @@
         keeper.keep(|(job, index)| state.is_open(job, *index));
         PeerResponse::Gaps(gaps)
     }
+
+    /// Takes a job in, unless the memory for jobs is used up. One that is known already is taken in
+    /// again: it costs nothing.
+    fn submit(
+        &self,
+        header: JobHeader,
+        items: Vec<JobItem>,
+    ) -> LocalBoxFuture<'static, PeerResponse> {
+        let bytes = items.iter().map(JobItem::held_bytes).sum();
+        let state = self.replica.applied_state();
+        let state = state.read();
+        let used = MemoryUse {
+            jobs: state.held_bytes(),
+            submissions: self.ledger.submissions.held(),
+            ..MemoryUse::default()
+        };
+        let leads = self.replica.status().leads;
+        if leads && !state.holds(&header.job) && !self.budget.admits_job(&used, bytes) {
+            warn!(self.log, "journal: Job refused."; "job" => &header.job, "bytes" => bytes,
+                "held" => used.jobs, "committing" => used.submissions, "reason" => "memory");
+            let refusal = PeerResponse::Refused(JournalRefusal::MemoryFull);
+            return std::future::ready(refusal).boxed_local();
+        }
+        let counted = self.ledger.submissions.count(bytes);
+        let replica = self.replica.clone();
+        async move {
+            let action = Action::Submit { header, items };
+            let answered = propose(&replica, action).await;
+            drop(counted);
+            answered.unwrap_or_else(PeerResponse::Refused)
+        }
+        .boxed_local()
+    }
 }
 
 impl Handler<PeerRequest, PeerResponse> for Service {
@@ -154,30 +180,39 @@
             let refusal = JournalRefusal::NotLeader { leader: None };
             return std::future::ready(PeerResponse::Refused(refusal)).boxed_local();
         }
-        async move {
-            let answered = answer(&replica, request).await;
-            answered.unwrap_or_else(PeerResponse::Refused)
+        let ledger = self.ledger.clone();
+        let budget = self.budget;
+        match request {
+            PeerRequest::Submit { header, items } => self.submit(header, items),
+            request => async move {
+                let answered = answer(&replica, &ledger, budget, request).await;
+                answered.unwrap_or_else(PeerResponse::Refused)
+            }
+            .boxed_local(),
         }
-        .boxed_local()
     }
 }
 
-async fn answer(replica: &Replica, request: PeerRequest) -> Result<PeerResponse, JournalRefusal> {
+async fn answer(
+    replica: &Replica,
+    ledger: &MemoryLedger,
+    budget: MemoryBudget,
+    request: PeerRequest,
+) -> Result<PeerResponse, JournalRefusal> {
     match request {
-        PeerRequest::Submit { header, items } => {
-            propose(replica, Action::Submit { header, items }).await
-        }
         PeerRequest::End { job } => propose(replica, Action::End { job }).await,
         PeerRequest::Results { job, from, wait } => {
             let wait = Duration::from_millis(wait).min(LONGEST_WAIT);
-            results(replica, &job, from, wait).await
+            let listed = listed(replica, &job, from, wait).await?;
+            results(replica, ledger, budget, listed).await
         }
         PeerRequest::Body { job, item } => {
             let state = replica.read().await?;
             let body = state.read().body(&job, &item);
             Ok(PeerResponse::Body(body))
         }
-        PeerRequest::Replication { .. }
+        PeerRequest::Submit { .. }
+        | PeerRequest::Replication { .. }
         | PeerRequest::Load { .. }
         | PeerRequest::Progress { .. } => Ok(PeerResponse::Done),
     }
@@ -190,12 +225,13 @@
     })
 }
 
-async fn results(
+/// The results at a position, once there is one or the wait is over.
+async fn listed(
     replica: &Replica,
     job: &str,
     from: u64,
     wait: Duration,
-) -> Result<PeerResponse, JournalRefusal> {
+) -> Result<Option<ListedPage>, JournalRefusal> {
     let mut changes = replica.changes();
     let mut state = replica.read().await?;
     let deadline = Instant::now() + wait;
@@ -207,9 +243,25 @@
         }
         state = replica.applied_state();
     }
-    let Some(listed) = state.read().results(job, from, RESULT_BYTES) else {
+    let listed = state.read().results(job, from, RESULT_BYTES);
+    Ok(listed)
+}
+
+/// Reads the texts of results, when there is memory for them.
+async fn results(
+    replica: &Replica,
+    ledger: &MemoryLedger,
+    budget: MemoryBudget,
+    listed: Option<ListedPage>,
+) -> Result<PeerResponse, JournalRefusal> {
+    let Some(listed) = listed else {
         return Ok(PeerResponse::Results(None));
     };
+    let bytes = listed.bytes();
+    while !budget.admits_results(ledger.results.held(), bytes) {
+        actix_rt::time::sleep(RESULTS_PAUSE).await;
+    }
+    let _counted = ledger.results.count(bytes);
     let commands = replica.load(listed.entries()).await;
     match listed.filled(commands) {
         Some(page) => Ok(PeerResponse::Results(Some(page))),
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod journal;
 mod load_exchange;
 pub mod load_table;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod observation;
--- a/crates/firshore-node/src/metrics.rs
+++ b/crates/firshore-node/src/metrics.rs
@@ -1,13 +1,16 @@
 //! What a node counts, and how it is told.
 
 use crate::journal::Journal;
+use crate::memory;
 use crate::runner::Runner;
 use crate::runner::progress::RunEnd;
 use crate::status_listener::StatusAnswer;
 use actix_http::StatusCode;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::metrics::EndLabels;
-use firshore_metrics::{Builder, Counter, Family, Gauge, MetricDescription, MetricSet};
+use firshore_metrics::{
+    Builder, Counter, EncodeLabelSet, Family, Gauge, MetricDescription, MetricSet,
+};
 use std::rc::Rc;
 
 /// Metrics of the items that a node runs.
@@ -57,6 +60,14 @@
     file_bytes: Gauge,
     jobs: Gauge,
     running: Gauge,
+    memory: Family<UseLabels, Gauge>,
+    resident: Gauge,
+}
+
+/// Labels of a use of memory.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UseLabels {
+    purpose: &'static str,
 }
 
 impl JournalMetrics {
@@ -77,6 +88,15 @@
             file_bytes: builder.gauge("journal_file_bytes", "Size of the database file in bytes."),
             jobs: builder.gauge("journal_jobs", "Batch jobs that are kept."),
             running: builder.gauge("items_running", "Batch items that this node runs."),
+            memory: builder.gauges(
+                "memory_used_bytes",
+                "purpose",
+                "Memory that is counted, by what it is used for, in bytes.",
+            ),
+            resident: builder.gauge(
+                "memory_resident_bytes",
+                "Memory of the process that is resident, in bytes.",
+            ),
         }
     }
 
@@ -91,6 +111,15 @@
         let state = node.journal.replica.applied_state();
         self.jobs.set(state.read().len() as i64);
         self.running.set(node.runner.running() as i64);
+        let used = node.runner.memory_use();
+        for (purpose, bytes) in used.by_purpose() {
+            let gauge = self.memory.get_or_create(&UseLabels { purpose });
+            gauge.set(bytes as i64);
+        }
+        // Left as it was where the system does not tell.
+        if let Some(bytes) = memory::resident_bytes() {
+            self.resident.set(bytes as i64);
+        }
     }
 }
 
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -188,12 +188,7 @@
         leaderless_since: Cell::new(None),
     };
     actix_rt::spawn(maintenance::run(upkeep));
-    let runner = Runner::new(
-        gateway.clone(),
-        journal.clone(),
-        settings.limits.most_runs(),
-        metrics,
-    );
+    let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
     actix_rt::spawn(runner.clone().run());
     Ok(JournalNode { journal, runner })
 }
--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -8,6 +8,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
+/// Bytes that the allocator and the container add to each event, about.
+const EVENT_OVERHEAD_BYTES: usize = 40;
+
+/// Memory that events take in bytes, about.
+pub(super) fn event_bytes(events: &[String]) -> usize {
+    let bytes: usize = events.iter().map(String::len).sum();
+    bytes + events.len() * EVENT_OVERHEAD_BYTES
+}
+
 /// What an item has produced since it was told last.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressDelta {
@@ -92,6 +101,12 @@
         self.items.retain(|key, _| is_open(key));
     }
 
+    /// Memory that the held events take in bytes, about.
+    pub fn held_bytes(&self) -> usize {
+        let held = self.items.values();
+        held.map(|held| event_bytes(&held.events)).sum()
+    }
+
     /// Everything that is held.
     pub fn all(&self) -> HashMap<ItemKey, HeldProgress> {
         self.items.clone()
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::journal::service::Loads;
 use crate::journal::{Journal, Replica};
+use crate::memory::{self, MemoryUse};
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
 use firshore_adapter::backend::Incarnation;
@@ -46,6 +47,9 @@
 /// Time between looks while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two lines in the log about memory, while items run.
+const MEMORY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// An item's job and its position there.
 pub type ItemKey = (String, ItemIndex);
 
@@ -92,16 +96,11 @@
 }
 
 impl Runner {
-    /// Runs items of this journal while its replica leads, `most_runs` at once at most.
-    pub fn new(
-        gateway: Rc<Gateway>,
-        journal: Rc<Journal>,
-        most_runs: usize,
-        metrics: RunnerMetrics,
-    ) -> Rc<Self> {
+    /// Runs items of this journal while its replica leads, as many as its memory allows.
+    pub fn new(gateway: Rc<Gateway>, journal: Rc<Journal>, metrics: RunnerMetrics) -> Rc<Self> {
         Rc::new(Self {
             metrics,
-            most_runs,
+            most_runs: journal.budget.most_runs(),
             gateway,
             replica: journal.replica.clone(),
             loads: journal.loads.clone(),
@@ -118,6 +117,7 @@
     /// Runs until the node ends.
     pub async fn run(self: Rc<Self>) {
         let _telling = Task::spawn(self.clone().tell_others());
+        let _memory = Task::spawn(self.clone().log_memory());
         let mut changes = self.replica.changes();
         let mut leads_since_term = None;
         loop {
@@ -199,6 +199,37 @@
         self.running.borrow().len()
     }
 
+    /// Writes what the node's memory is used for into the log, while it runs items.
+    async fn log_memory(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(MEMORY_INTERVAL).await;
+            if !self.leading.get() {
+                continue;
+            }
+            let used = self.memory_use();
+            info!(self.gateway.log, "memory: Used."; "resident" => memory::resident_bytes(),
+                "counted" => used.sum(), "jobs" => used.jobs, "submissions" => used.submissions,
+                "progress" => used.progress, "handover" => used.handover, "runs" => self.running(),
+                "results" => used.results, "log" => used.log);
+        }
+    }
+
+    /// Memory that the events of items take in bytes.
+    fn progress_bytes(&self) -> usize {
+        let progress = self.progress.borrow();
+        let produced = progress.values().map(|one| one.borrow().held_bytes());
+        produced.sum()
+    }
+
+    /// Returns what the node's memory is used for.
+    pub fn memory_use(&self) -> MemoryUse {
+        MemoryUse {
+            progress: self.progress_bytes(),
+            runs: self.journal.budget.of_runs(self.running()),
+            ..self.journal.memory_use()
+        }
+    }
+
     /// Ends every run; what was produced is kept only while this node leads.
     pub fn stop_all(&self) {
         self.leading.set(false);
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -1,6 +1,6 @@
 //! How far an item is: what it has produced, how often it failed, when it may run again. No I/O.
 
-use super::handover::HeldProgress;
+use super::handover::{HeldProgress, event_bytes};
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_gateway::events::{EventFault, EventStream, data_of};
 use std::time::{Duration, Instant};
@@ -70,6 +70,11 @@
         &self.produced
     }
 
+    /// Memory that the held events take in bytes, about.
+    pub fn held_bytes(&self) -> usize {
+        event_bytes(&self.produced)
+    }
+
     /// Whether it may not run yet.
     pub fn is_paused(&self, now: Instant) -> bool {
         now < self.not_before
--- a/crates/firshore-node/src/runner/progress_keeper.rs
+++ b/crates/firshore-node/src/runner/progress_keeper.rs
@@ -69,6 +69,11 @@
         self.held.keep(is_open);
     }
 
+    /// Memory that the held events take in bytes, about.
+    pub fn held_bytes(&self) -> usize {
+        self.held.held_bytes()
+    }
+
     /// Everything, for a node that leads now.
     pub fn held(&self) -> HashMap<ItemKey, HeldProgress> {
         self.held.all()
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -57,6 +57,8 @@
     started: usize,
     /// Items for which there was no room.
     refused: usize,
+    /// Whether there is no memory for what further items produce.
+    no_memory: bool,
     /// Services without room, for items in danger of being late and for others.
     full: HashSet<(ServiceName, bool)>,
 }
@@ -76,7 +78,11 @@
         let state = state.read();
         self.dues.borrow_mut().keep(|job| state.is_job_open(job));
         let items = state.open_items();
-        let mut pass = Pass::default();
+        let budget = self.journal.budget;
+        let mut pass = Pass {
+            no_memory: !budget.admits_new_run(self.progress_bytes()),
+            ..Pass::default()
+        };
         for job in self.open_jobs(now, &items) {
             for waiting in self.waiting(&job) {
                 pass.waiting = true;
@@ -141,6 +147,9 @@
     /// Starts an item if it may run now and there is room.
     fn try_start(self: &Rc<Self>, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) {
         let (key, one) = (waiting.key.clone(), waiting.one);
+        if pass.no_memory && waiting.produced == 0 {
+            return;
+        }
         let known = self.progress.borrow().get(&key).cloned();
         if known
             .as_ref()
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node: a TOML file that the environment fills in.
 
+use crate::memory::MemoryBudget;
 use firshore_logging::LogSettings;
 use firshore_types::ids::{NodeName, RegionName, ZoneName};
 pub use firshore_types::settings::SettingsError;
@@ -142,9 +143,9 @@
         (self.memory_megabytes * BYTES_PER_MEGABYTE) as usize
     }
 
-    /// Returns how many batch items the node runs at most at once.
-    pub fn most_runs(&self) -> usize {
-        self.memory_bytes() / BYTES_PER_RUN
+    /// Returns how the memory is divided among its uses.
+    pub fn memory_budget(&self) -> MemoryBudget {
+        MemoryBudget::new(self.memory_bytes())
     }
 }
 
@@ -169,10 +170,6 @@
     }
 }
 
-/// Memory kept for each run of a batch item: its connection, its task and what it has produced take
-/// about a third of it.
-const BYTES_PER_RUN: usize = 128 * 1024;
-
 /// Shortest secret accepted, in bytes.
 const MINIMUM_SECRET_BYTES: usize = 16;
 
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -143,12 +143,8 @@
         passed_over: RefCell::default(),
         leaderless_since: Cell::new(None),
     };
-    let runner = Runner::new(
-        gateway.clone(),
-        journal.clone(),
-        settings.limits.most_runs(),
-        RunnerMetrics::new(&mut Builder::default()),
-    );
+    let metrics = RunnerMetrics::new(&mut Builder::default());
+    let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
     let tasks = vec![
         actix_rt::spawn(duties.run()),
         actix_rt::spawn(maintenance::run(upkeep)),
--- a/crates/firshore-node/tests/settings.rs
+++ b/crates/firshore-node/tests/settings.rs
@@ -20,7 +20,8 @@
     let settings = read(USABLE).unwrap();
     assert_eq!(settings.leave.grace().as_secs(), 8);
     assert!(settings.storage.is_none() && settings.listen.readiness.is_none());
-    assert_eq!(settings.limits.most_runs(), 2_048, "of 256 megabytes");
+    let budget = settings.limits.memory_budget();
+    assert_eq!(budget.most_runs(), 1_601, "of 256 megabytes");
     let shown = format!("{settings:?}");
     assert!(!shown.contains("sixteen bytes"), "the secret is not shown");
 }
