Relays: a few nodes with disks watch the store, all others ask them

A watch cache on two nodes with disks in each zone, chosen by a hash that all compute alike, needs no agreement and no register.

Change: a relay follows a kind while somebody asks for it, keeps objects and names of what is gone with the revision at which it learned of them, and answers lists and watches; a node asks the relays of its zone, then some of others, and the store itself only where none is of use, after a patience that is drawn. Never taken back: an asker names the revision that it knows, a relay that knows less asks the store anew or says so. A relay out of contact answers so at once; one whose watch was swallowed is told by the others that something has changed, and asks anew 0.3 s later.

Tests: 40 nodes cost the store as much as their relays do; a relay killed, refused, silent; all relays refused and back; a relay behind.

Open: loads still go to the one leader.

--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -1,11 +1,13 @@
 //! What a node learns from the environment's objects: back ends and the configuration.
 
 use crate::observation::{Learned, Terms};
+use crate::relay::RelayedKind;
+use crate::relay::store::{RelayAsker, RelayedStore};
 use crate::settings::Objects;
 use crate::task::Task;
-use crate::watcher;
+use crate::watcher::{self, Watcher};
 use firshore_adapter::backend::Incarnation;
-use firshore_adapter::objects::{Change, Object};
+use firshore_adapter::objects::{Change, Object, ObjectStore};
 use firshore_gateway::gateway::Gateway;
 use slog::{info, warn};
 use std::rc::Rc;
@@ -25,23 +27,79 @@
     }
 }
 
-/// Follows back ends and the configuration until the tasks are dropped.
+/// What nodes follow in the store, and on which terms.
+pub struct FollowedKinds {
+    backends: RelayedKind,
+    configuration: RelayedKind,
+}
+
+impl FollowedKinds {
+    /// The kinds as an environment names them.
+    pub fn new(gateway: &Gateway, objects: &Objects) -> Self {
+        let decoder = &gateway.adapter.decoder;
+        Self {
+            backends: RelayedKind {
+                name: decoder.backend_kind().to_owned(),
+                terms: terms(objects, BACKEND_SPACING),
+            },
+            configuration: RelayedKind {
+                name: decoder.configuration_kind().to_owned(),
+                terms: terms(objects, CONFIGURATION_SPACING),
+            },
+        }
+    }
+
+    /// Returns the kinds that relays pass on.
+    pub fn relayed(self) -> Vec<RelayedKind> {
+        vec![self.backends, self.configuration]
+    }
+}
+
+/// Follows back ends and the configuration in the store itself until the tasks are dropped.
 pub fn follow(gateway: &Rc<Gateway>, objects: &Objects) -> [Task; 2] {
-    let decoder = gateway.adapter.decoder.clone();
+    let kinds = FollowedKinds::new(gateway, objects);
+    let store = gateway.adapter.objects.clone();
+    follow_in(gateway, kinds, store.clone(), store)
+}
+
+/// Follows back ends and the configuration through relays until the tasks are dropped; the store itself
+/// is asked where there are none.
+pub fn follow_relayed(
+    gateway: &Rc<Gateway>,
+    objects: &Objects,
+    asker: impl Fn() -> RelayAsker,
+) -> [Task; 2] {
+    let mut kinds = FollowedKinds::new(gateway, objects);
+    let relayed = |kind: &mut RelayedKind| {
+        let direct = gateway.adapter.objects.clone();
+        let spacing = std::mem::take(&mut kind.terms.spacing);
+        RelayedStore::new(asker(), direct, spacing)
+    };
+    let backends = relayed(&mut kinds.backends);
+    let configuration = relayed(&mut kinds.configuration);
+    follow_in(gateway, kinds, backends, configuration)
+}
+
+fn follow_in(
+    gateway: &Rc<Gateway>,
+    kinds: FollowedKinds,
+    backend_store: Rc<dyn ObjectStore>,
+    configuration_store: Rc<dyn ObjectStore>,
+) -> [Task; 2] {
+    let watcher = |store: Rc<dyn ObjectStore>, kind: RelayedKind| Watcher {
+        log: gateway.log.clone(),
+        store,
+        kind: kind.name,
+        terms: kind.terms,
+        renewal: Rc::default(),
+    };
     let for_backends = gateway.clone();
-    let backends = watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        decoder.backend_kind().to_owned(),
-        terms(objects, BACKEND_SPACING),
-        move |learned| learn_backends(&for_backends, learned),
-    );
+    let backends = watcher::follow(watcher(backend_store, kinds.backends), move |learned| {
+        learn_backends(&for_backends, learned);
+    });
     let for_configuration = gateway.clone();
     let configuration = watcher::follow(
-        gateway.log.clone(),
-        gateway.adapter.objects.clone(),
-        decoder.configuration_kind().to_owned(),
-        terms(objects, CONFIGURATION_SPACING),
+        watcher(configuration_store, kinds.configuration),
         move |learned| learn_configuration(&for_configuration, learned),
     );
     [Task::spawn(backends), Task::spawn(configuration)]
--- a/crates/firshore-node/src/journal/duties.rs
+++ b/crates/firshore-node/src/journal/duties.rs
@@ -7,7 +7,7 @@
 use crate::environment;
 use crate::settings::Objects;
 use crate::task::Task;
-use crate::watcher;
+use crate::watcher::{self, Watcher};
 use firshore_gateway::gateway::Gateway;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,21 +56,19 @@
         let store = &self.gateway.adapter.objects;
         let log = &self.gateway.log;
         let registry = self.journal.registry.clone();
-        let nodes = watcher::follow(
-            log.clone(),
-            store.clone(),
-            KIND.to_owned(),
+        let watcher = |kind: &str| Watcher {
+            log: log.clone(),
+            store: store.clone(),
+            kind: kind.to_owned(),
             terms,
-            move |learned| registry.learn(learned),
-        );
+            renewal: Rc::default(),
+        };
+        let nodes = watcher::follow(watcher(KIND), move |learned| registry.learn(learned));
         let (retirements, gateway) = (self.retirements.clone(), self.gateway.clone());
-        let wishes = watcher::follow(
-            log.clone(),
-            store.clone(),
-            self.gateway.adapter.decoder.retirement_kind().to_owned(),
-            terms,
-            move |learned| retirements.learn(&gateway.adapter, &gateway.log, learned),
-        );
+        let kind = self.gateway.adapter.decoder.retirement_kind();
+        let wishes = watcher::follow(watcher(kind), move |learned| {
+            retirements.learn(&gateway.adapter, &gateway.log, learned);
+        });
         let mut tasks = vec![Task::spawn(nodes), Task::spawn(wishes)];
         if self.follows_environment {
             tasks.extend(environment::follow(&self.gateway, &self.objects));
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes.
 
 use crate::load_table::BackendCount;
+use crate::relay::cache::{RelayedChanges, RelayedPage};
 use crate::runner::ItemKey;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::Leadership;
@@ -15,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// What a node asks of a peer. All but replication is answered by the journal's leader only.
+/// What a node asks of a peer. What is about jobs, and loads, is answered by the journal's leader only.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// A message between replicas; a notice.
@@ -75,6 +76,42 @@
         #[serde(rename = "d")]
         deltas: Vec<ProgressDelta>,
     },
+    /// Objects of a kind, as a relay has observed them.
+    #[serde(rename = "o")]
+    List {
+        /// Kind.
+        #[serde(rename = "k")]
+        kind: String,
+        /// Name after which they are wanted.
+        #[serde(rename = "a")]
+        after: Option<String>,
+        /// Revision up to which the sender knows the store.
+        #[serde(rename = "r")]
+        known: Revision,
+    },
+    /// What changed of a kind, as a relay has observed it.
+    #[serde(rename = "w")]
+    Watch {
+        /// Kind.
+        #[serde(rename = "k")]
+        kind: String,
+        /// Revision up to which the sender knows the store.
+        #[serde(rename = "r")]
+        known: Revision,
+        /// Longest wait for a change in milliseconds.
+        #[serde(rename = "t")]
+        wait: u64,
+    },
+    /// The sender, a relay, has learned of a change; a notice.
+    #[serde(rename = "c")]
+    Changed {
+        /// Kind.
+        #[serde(rename = "k")]
+        kind: String,
+        /// Revision up to which the sender knows the store.
+        #[serde(rename = "r")]
+        revision: Revision,
+    },
     /// What the sender has under way at back ends.
     #[serde(rename = "l")]
     Load {
@@ -121,6 +158,18 @@
         #[serde(rename = "p")]
         pause: u64,
     },
+    /// Objects of a kind.
+    #[serde(rename = "o")]
+    Page(RelayedPage),
+    /// What changed of a kind, if anything.
+    #[serde(rename = "w")]
+    Changes(RelayedChanges),
+    /// What changed since then is not kept: list anew.
+    #[serde(rename = "h")]
+    HistoryGone,
+    /// The relay is out of contact with the store, or knows less of it than the sender.
+    #[serde(rename = "n")]
+    NoContact,
     /// The peer did not do as asked.
     Refused(JournalRefusal),
 }
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -13,6 +13,7 @@
 mod transport;
 
 use crate::memory::{LOG_SHARE, MemoryBudget, MemoryLedger, MemoryUse};
+use crate::relay::Relay;
 use crate::runner::progress_keeper::ProgressKeeper;
 use crate::settings::{Settings, Storage};
 use firshore_jobs::table::JobTable;
@@ -101,6 +102,7 @@
         settings: &Settings,
         storage: &Storage,
         registry: Rc<Registry>,
+        relay: Rc<Relay>,
         peers: &PeerClient,
         log: &Logger,
     ) -> io::Result<Rc<Self>> {
@@ -141,6 +143,7 @@
             progress: progress.clone(),
             registry: registry.clone(),
             least,
+            relay,
             ledger: ledger.clone(),
             budget,
             log: log.clone(),
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -5,6 +5,7 @@
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
 use crate::memory::{MemoryBudget, MemoryLedger, MemoryUse};
+use crate::relay::Relay;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
 use firshore_adapter::backend::Incarnation;
@@ -57,6 +58,7 @@
     pub(super) registry: Rc<Registry>,
     /// Replicas without which nothing is promised.
     pub(super) least: usize,
+    pub(super) relay: Rc<Relay>,
     pub(super) ledger: MemoryLedger,
     pub(super) budget: MemoryBudget,
     pub(super) log: Logger,
@@ -143,16 +145,22 @@
 
 impl Handler<PeerRequest, PeerResponse> for Service {
     fn notice(&self, request: PeerRequest) {
-        if let PeerRequest::Replication {
-            group: GROUP,
-            node,
-            address,
-            revision,
-            envelope,
-        } = request
-        {
-            self.registry.heard_from(&node, address, revision);
-            self.replica.received(node, envelope);
+        match request {
+            PeerRequest::Replication {
+                group: GROUP,
+                node,
+                address,
+                revision,
+                envelope,
+            } => {
+                self.registry.heard_from(&node, address, revision);
+                self.replica.received(node, envelope);
+            }
+            PeerRequest::Changed { kind, revision } => {
+                let relay = self.relay.clone();
+                actix_rt::spawn(async move { relay.heard(&kind, revision).await });
+            }
+            _ => {}
         }
     }
 
@@ -175,6 +183,18 @@
             };
             return std::future::ready(answer).boxed_local();
         }
+        let relay = self.relay.clone();
+        match request {
+            PeerRequest::List { kind, after, known } => {
+                return async move { relay.list(&kind, after.as_deref(), known).await }
+                    .boxed_local();
+            }
+            PeerRequest::Watch { kind, known, wait } => {
+                let wait = Duration::from_millis(wait);
+                return async move { relay.watch(&kind, known, wait).await }.boxed_local();
+            }
+            _ => {}
+        }
         if request.changes() && !super::may_promise(&replica, self.least) {
             // Too few disks to keep a promise on; others may have them soon.
             let refusal = JournalRefusal::NotLeader { leader: None };
@@ -214,6 +234,9 @@
         PeerRequest::Submit { .. }
         | PeerRequest::Replication { .. }
         | PeerRequest::Load { .. }
+        | PeerRequest::Changed { .. }
+        | PeerRequest::List { .. }
+        | PeerRequest::Watch { .. }
         | PeerRequest::Progress { .. } => Ok(PeerResponse::Done),
     }
 }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -1,15 +1,18 @@
 //! Puts a node together and runs it until it is told to stop.
 
-use crate::environment;
+use crate::environment::{self, FollowedKinds};
 use crate::journal::client::JournalClient;
 use crate::journal::duties::Duties;
 use crate::journal::maintenance::{self, Upkeep};
+use crate::journal::messages::PeerRequest;
 use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
 use crate::journal::{Journal, PeerClient};
 use crate::load_exchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
+use crate::relay::store::RelayAsker;
+use crate::relay::{Announce, Relay, ranking};
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
 use crate::status_listener;
@@ -20,6 +23,7 @@
 use firshore_link::handshake::ClusterSecret;
 use firshore_logging::Destination;
 use firshore_metrics::Builder;
+use firshore_types::ids::NodeName;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
@@ -77,6 +81,15 @@
         random,
         &mut builder,
     ));
+    let (asking, asked_nodes) = (peers.clone(), registry.clone());
+    let asker = || RelayAsker {
+        node: settings.name.clone(),
+        zone: settings.zone.clone(),
+        registry: asked_nodes.clone(),
+        peers: asking.clone(),
+        log: log.clone(),
+        passed_over: RefCell::default(),
+    };
     let journal = match &settings.storage {
         Some(storage) => {
             let metrics = RunnerMetrics::new(&mut builder);
@@ -91,7 +104,7 @@
     // A node without callers follows the environment only while it runs items.
     let _following = callers
         .is_some()
-        .then(|| environment::follow(&gateway, &settings.objects));
+        .then(|| environment::follow_relayed(&gateway, &settings.objects, asker));
     if callers.is_some() {
         actix_rt::spawn(load_exchange::run(gateway.clone(), jobs));
     }
@@ -163,7 +176,15 @@
     peers: &PeerClient,
     metrics: RunnerMetrics,
 ) -> io::Result<JournalNode> {
-    let journal = Journal::start(settings, storage, registry, peers, &gateway.log).await?;
+    let kinds = FollowedKinds::new(gateway, &settings.objects).relayed();
+    let relay = Relay::new(
+        gateway.adapter.objects.clone(),
+        gateway.log.clone(),
+        kinds,
+        announce_to_relays(&settings.name, &registry, peers),
+    );
+    actix_rt::spawn(relay.clone().tidy());
+    let journal = Journal::start(settings, storage, registry, relay, peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
     let duties = Duties {
         gateway: gateway.clone(),
@@ -193,6 +214,24 @@
     Ok(JournalNode { journal, runner })
 }
 
+/// Tells the relays of all zones, as far as they are known, of changes.
+fn announce_to_relays(own: &NodeName, registry: &Rc<Registry>, peers: &PeerClient) -> Announce {
+    let (own, registry, peers) = (own.clone(), registry.clone(), peers.clone());
+    Rc::new(move |kind, revision| {
+        let relays = ranking::relays(&registry.candidates());
+        for relay in relays.values().flatten().filter(|relay| **relay != own) {
+            let Some(address) = registry.address(relay) else {
+                continue;
+            };
+            let changed = PeerRequest::Changed {
+                kind: kind.to_owned(),
+                revision,
+            };
+            peers.notify(address, changed);
+        }
+    })
+}
+
 /// Says that the node leaves, goes on accepting for a while, then finishes what runs.
 async fn leave(settings: &Settings, gateway: &Rc<Gateway>, callers: Callers) {
     let grace = settings.leave.grace();
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -27,6 +27,9 @@
 /// Wait asked for where nothing at all has changed during the last one.
 const CALM_WAIT: Duration = Duration::from_secs(30);
 
+/// Wait asked for where somebody knows more of the store: what is there is wanted at once.
+const RENEWAL_WAIT: Duration = Duration::from_millis(1);
+
 /// Wait asked for after a pause.
 const PROVING_WAIT: Duration = Duration::from_millis(600);
 
@@ -92,6 +95,8 @@
     calm: bool,
     /// The first listing was empty: the objects are being created.
     creation: bool,
+    /// The watch that waited was given up to ask anew at once.
+    renewed: bool,
 }
 
 impl Observation {
@@ -105,6 +110,7 @@
             changed: false,
             calm: false,
             creation: false,
+            renewed: false,
         }
     }
 
@@ -118,8 +124,16 @@
         }
     }
 
+    /// The watch that waits is given up: the next one returns at once.
+    pub fn renew(&mut self) {
+        self.renewed = true;
+    }
+
     /// Longest wait for a change to ask for.
     pub fn wait(&self) -> Duration {
+        if self.renewed {
+            return RENEWAL_WAIT;
+        }
         if !self.pause().is_zero() {
             return PROVING_WAIT;
         }
@@ -131,6 +145,9 @@
 
     /// Pause before the next question.
     pub fn pause(&self) -> Duration {
+        if self.renewed {
+            return Duration::ZERO;
+        }
         match self.failures {
             0 if self.changed && self.creation => self.terms.spacing * CREATION_FACTOR,
             0 if self.changed => self.terms.spacing,
@@ -197,6 +214,7 @@
 
     /// Takes in changes.
     pub fn watched(&mut self, changes: Result<Changes, ObjectError>) -> Option<Learned> {
+        self.renewed = false;
         let changes = match changes {
             Ok(changes) => changes,
             Err(error) => {
@@ -245,6 +263,7 @@
     }
 
     fn failed(&mut self, error: &ObjectError) {
+        self.renewed = false;
         self.phase = Phase::listing();
         self.changed = false;
         self.calm = false;
--- /dev/null
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -0,0 +1,123 @@
+//! Requests under way at back ends, gathered by a relay: nodes of its zone tell it, it tells the
+//! journal's leader their sums, and tells each node what all others have.
+//!
+//! So what the leader does grows with the number of relays, not with the number of nodes, and a node's
+//! picture is as old as two short exchanges.
+
+use crate::journal::client::JournalClient;
+use crate::load_table::{BackendCount, LoadTable, as_counts};
+use firshore_adapter::backend::Incarnation;
+use firshore_types::ids::NodeName;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Time between two exchanges with the leader.
+const LEADER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The same where nodes find no free slot, or the last exchange failed.
+const URGENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Age at which what the leader told is not passed on any more: nodes ask the leader themselves.
+const LONGEST_AGE: Duration = Duration::from_millis(800);
+
+/// What a relay tells a node.
+#[derive(Debug)]
+pub struct RelayedLoad {
+    /// Requests that all others have under way at each back end.
+    pub others: Vec<BackendCount>,
+    /// Age of what the leader told.
+    pub age: Duration,
+    /// Nodes that tell this relay.
+    pub nodes: usize,
+}
+
+/// What the leader told last.
+struct FleetPicture {
+    /// Requests of all nodes that do not tell this relay.
+    counts: HashMap<Incarnation, u32>,
+    at: Instant,
+}
+
+/// Loads of the nodes that tell this one.
+#[derive(Default)]
+pub struct LoadRelay {
+    table: RefCell<LoadTable>,
+    picture: RefCell<Option<FleetPicture>>,
+    told: Notify,
+    crowded: Notify,
+}
+
+impl LoadRelay {
+    /// Takes in what a node has under way. Returns what all others have; `None` while the leader's
+    /// picture is missing or old.
+    pub fn exchange(
+        &self,
+        now: Instant,
+        node: NodeName,
+        counts: Vec<BackendCount>,
+        urgent: bool,
+    ) -> Option<RelayedLoad> {
+        let mut table = self.table.borrow_mut();
+        table.told(now, node.clone(), counts);
+        self.told.notify_one();
+        if urgent {
+            self.crowded.notify_one();
+        }
+        let picture = self.picture.borrow();
+        let picture = picture.as_ref()?;
+        let age = now.saturating_duration_since(picture.at);
+        if age > LONGEST_AGE {
+            return None;
+        }
+        let mut others = table.others(&node);
+        for (backend, count) in &picture.counts {
+            *others.entry(backend.clone()).or_default() += count;
+        }
+        Some(RelayedLoad {
+            others: as_counts(others),
+            age,
+            nodes: table.nodes(),
+        })
+    }
+
+    /// Takes in what the leader told at a moment.
+    pub fn learned(&self, at: Instant, counts: HashMap<Incarnation, u32>) {
+        *self.picture.borrow_mut() = Some(FleetPicture { counts, at });
+    }
+
+    /// Returns the sums of what nodes told a moment ago; `None` if none did.
+    pub fn sums(&self, now: Instant) -> Option<Vec<BackendCount>> {
+        let mut table = self.table.borrow_mut();
+        table.forget_old(now);
+        (table.nodes() > 0).then(|| as_counts(table.sums().clone()))
+    }
+
+    /// Exchanges sums with the leader for as long as nodes tell theirs, until the node ends. A node that
+    /// `leads` is told by the others itself.
+    pub async fn run(self: Rc<Self>, journal: Rc<JournalClient>, leads: impl Fn() -> bool) {
+        let mut urgent = false;
+        loop {
+            let sums = self.sums(Instant::now()).filter(|_| !leads());
+            let Some(sums) = sums else {
+                self.told.notified().await;
+                continue;
+            };
+            let asked_at = Instant::now();
+            let told = journal.tell_leader(sums, urgent, true).await;
+            let interval = match told {
+                Some(_) => LEADER_INTERVAL,
+                None => URGENT_INTERVAL,
+            };
+            if let Some(others) = told {
+                self.learned(asked_at, others.counts);
+            }
+            actix_rt::time::sleep(URGENT_INTERVAL).await;
+            let rest = interval - URGENT_INTERVAL;
+            urgent = timeout(rest, self.crowded.notified()).await.is_ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -0,0 +1,266 @@
+//! What the store holds, passed on from node to node: a few nodes with disks in each zone watch the
+//! store, all others ask these.
+//!
+//! A store's calls are dear and bounded, whoever makes them, and it may turn single nodes away. So a
+//! [`Relay`] follows a kind for as long as somebody asks it, and a [`store::RelayedStore`] asks relays
+//! first and the store itself only where none of them answers.
+
+pub mod cache;
+pub mod ranking;
+pub mod store;
+
+use crate::journal::messages::PeerResponse;
+use crate::observation::{Learned, Observation, Terms};
+use crate::task::Task;
+use crate::watcher::{self, Watcher};
+use cache::{CacheMiss, KindCache, RelayedChanges};
+use firshore_adapter::objects::{ObjectStore, Revision};
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
+
+/// Longest wait of an answer for the relay itself to learn what it lacks.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for a change that is granted.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// Time without a question after which a kind is not followed any more.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time after which a relay asks the store anew that another relay has learned more of: its own watch
+/// is answered within some milliseconds, unless it was lost.
+const HINT_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Shortest time between two renewals of a watch.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A kind that is relayed.
+#[derive(Clone, Debug)]
+pub struct RelayedKind {
+    /// Name.
+    pub name: String,
+    /// On which terms the store is asked.
+    pub terms: Terms,
+}
+
+/// Passes on what the store holds.
+pub struct Relay {
+    store: Rc<dyn ObjectStore>,
+    log: Logger,
+    kinds: Vec<RelayedKind>,
+    /// Tells the other relays that something of a kind has changed, and at which revision.
+    announce: Announce,
+    served: RefCell<HashMap<String, Rc<ServedKind>>>,
+}
+
+/// Tells other relays of a change.
+pub type Announce = Rc<dyn Fn(&str, Revision)>;
+
+/// A kind that is followed, because somebody asks for it.
+struct ServedKind {
+    cache: RefCell<KindCache>,
+    /// Whether the store answered last time.
+    connected: Cell<bool>,
+    /// Counts whatever may let an answer be given that waits.
+    steps: watch::Sender<u64>,
+    /// Wakes the watch that waits, to ask the store anew.
+    renewal: Rc<Notify>,
+    renewed_at: Cell<Option<Instant>>,
+    asked_at: Cell<Instant>,
+    following: RefCell<Option<Task>>,
+}
+
+impl ServedKind {
+    fn new() -> Self {
+        Self {
+            cache: RefCell::default(),
+            connected: Cell::new(true),
+            steps: watch::Sender::new(0),
+            renewal: Rc::default(),
+            renewed_at: Cell::new(None),
+            asked_at: Cell::new(Instant::now()),
+            following: RefCell::new(None),
+        }
+    }
+
+    /// Takes in what was learned. Returns the revision of a change that others may not know yet.
+    fn learn(&self, learned: Option<Learned>, observation: &Observation) -> Option<Revision> {
+        self.connected.set(observation.is_connected());
+        let mut cache = self.cache.borrow_mut();
+        let before = cache.changed_at();
+        if let Some(revision) = observation.revision() {
+            cache.learn(learned, revision);
+        }
+        self.steps.send_modify(|steps| *steps += 1);
+        let changed_at = cache.changed_at();
+        (changed_at > before).then_some(changed_at)
+    }
+
+    fn is_behind(&self, revision: Revision) -> bool {
+        let known = self.cache.borrow().revision();
+        known.is_some_and(|known| known < revision)
+    }
+
+    /// Asks the store anew, where somebody knows more of it than this node.
+    fn renew(&self) {
+        let now = Instant::now();
+        let recent = |at: Instant| now.duration_since(at) < RENEWAL_INTERVAL;
+        if self.renewed_at.get().is_some_and(recent) {
+            return;
+        }
+        self.renewed_at.set(Some(now));
+        self.renewal.notify_one();
+    }
+
+    /// Tries until there is an answer or the wait is over.
+    async fn answer(
+        &self,
+        wait: Duration,
+        try_answer: impl Fn(&KindCache) -> Result<Option<PeerResponse>, CacheMiss>,
+    ) -> PeerResponse {
+        let mut steps = self.steps.subscribe();
+        let start = Instant::now();
+        loop {
+            if !self.connected.get() {
+                return PeerResponse::NoContact;
+            }
+            let tried = try_answer(&self.cache.borrow());
+            let until = match tried {
+                Ok(Some(answer)) => return answer,
+                Ok(None) => start + wait,
+                Err(CacheMiss::Forgotten) => return PeerResponse::HistoryGone,
+                Err(CacheMiss::Empty) => start + CATCH_UP_WAIT,
+                Err(CacheMiss::Behind) => {
+                    self.renew();
+                    start + CATCH_UP_WAIT
+                }
+            };
+            if !matches!(timeout_at(until, steps.changed()).await, Ok(Ok(()))) {
+                return self.without_news(tried);
+            }
+        }
+    }
+
+    fn without_news(&self, tried: Result<Option<PeerResponse>, CacheMiss>) -> PeerResponse {
+        let revision = self.cache.borrow().revision();
+        match (tried, revision) {
+            (Ok(_), Some(revision)) => PeerResponse::Changes(RelayedChanges {
+                revision,
+                ..RelayedChanges::default()
+            }),
+            _ => PeerResponse::NoContact,
+        }
+    }
+}
+
+impl Relay {
+    /// A relay of these kinds, which tells other relays of changes by `announce`.
+    pub fn new(
+        store: Rc<dyn ObjectStore>,
+        log: Logger,
+        kinds: Vec<RelayedKind>,
+        announce: Announce,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            log,
+            kinds,
+            announce,
+            served: RefCell::default(),
+        })
+    }
+
+    /// Returns what is followed of a kind, which begins with the first question; `None` for a kind that
+    /// is not relayed.
+    fn served(&self, kind: &str) -> Option<Rc<ServedKind>> {
+        let relayed = self.kinds.iter().find(|one| one.name == kind);
+        let Some(relayed) = relayed else {
+            warn!(self.log, "relay: Question refused."; "kind" => kind,
+                "reason" => "a kind that is not relayed");
+            return None;
+        };
+        let mut served = self.served.borrow_mut();
+        let one = served
+            .entry(relayed.name.clone())
+            .or_insert_with(|| self.follow(relayed));
+        one.asked_at.set(Instant::now());
+        Some(one.clone())
+    }
+
+    fn follow(&self, relayed: &RelayedKind) -> Rc<ServedKind> {
+        info!(self.log, "relay: Kind followed."; "kind" => &relayed.name);
+        let served = Rc::new(ServedKind::new());
+        let watcher = Watcher {
+            log: self.log.clone(),
+            store: self.store.clone(),
+            kind: relayed.name.clone(),
+            terms: relayed.terms,
+            renewal: served.renewal.clone(),
+        };
+        let learning = Rc::downgrade(&served);
+        let (announce, kind) = (self.announce.clone(), relayed.name.clone());
+        let following = watcher::observe(watcher, move |learned, observation| {
+            let served = learning.upgrade();
+            if let Some(changed) = served.and_then(|served| served.learn(learned, observation)) {
+                announce(&kind, changed);
+            }
+        });
+        *served.following.borrow_mut() = Some(Task::spawn(following));
+        served
+    }
+
+    /// Answers with objects of a kind after a name, to who knows the store at `known`.
+    pub async fn list(&self, kind: &str, after: Option<&str>, known: Revision) -> PeerResponse {
+        let Some(served) = self.served(kind) else {
+            return PeerResponse::NoContact;
+        };
+        let page = |cache: &KindCache| cache.list(after, known).map(PeerResponse::Page).map(Some);
+        served.answer(CATCH_UP_WAIT, page).await
+    }
+
+    /// Answers with what changed of a kind, to who knows the store at `known`.
+    pub async fn watch(&self, kind: &str, known: Revision, wait: Duration) -> PeerResponse {
+        let Some(served) = self.served(kind) else {
+            return PeerResponse::NoContact;
+        };
+        let changes = |cache: &KindCache| {
+            let changes = cache.changes(known)?;
+            Ok(changes.map(PeerResponse::Changes))
+        };
+        served.answer(wait.min(LONGEST_WAIT), changes).await
+    }
+
+    /// Takes in that another relay has learned of a change. Where this one does not soon, its watch may
+    /// be lost: a store that falls silent, or a cut that nobody has noticed yet.
+    pub async fn heard(&self, kind: &str, changed: Revision) {
+        let served = self.served.borrow().get(kind).cloned();
+        let Some(served) = served.filter(|served| served.is_behind(changed)) else {
+            return;
+        };
+        actix_rt::time::sleep(HINT_PATIENCE).await;
+        if served.is_behind(changed) {
+            info!(self.log, "relay: Store asked anew."; "kind" => kind, "changed" => changed,
+                "known" => served.cache.borrow().revision());
+            served.renew();
+        }
+    }
+
+    /// Ends what nobody asks for any more, until the node ends.
+    pub async fn tidy(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(IDLE_TIMEOUT).await;
+            self.served.borrow_mut().retain(|kind, served| {
+                let asked = served.asked_at.get().elapsed() < IDLE_TIMEOUT;
+                if !asked {
+                    info!(self.log, "relay: Kind not followed any more."; "kind" => kind);
+                }
+                asked
+            });
+        }
+    }
+}
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -5,15 +5,42 @@
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use std::rc::Rc;
+use tokio::sync::Notify;
 
-/// Follows all objects of `kind` and hands on what is learned.
-pub async fn follow(
-    log: Logger,
-    store: Rc<dyn ObjectStore>,
-    kind: String,
-    terms: Terms,
-    learn: impl Fn(Learned),
-) {
+/// Who asks for a kind, and how.
+pub struct Watcher {
+    /// Log.
+    pub log: Logger,
+    /// Whom it asks.
+    pub store: Rc<dyn ObjectStore>,
+    /// Kind of the objects.
+    pub kind: String,
+    /// On which terms.
+    pub terms: Terms,
+    /// Wakes a watch that waits, to ask anew at once.
+    pub renewal: Rc<Notify>,
+}
+
+/// Follows all objects of a kind and hands on what is learned.
+pub async fn follow(watcher: Watcher, learn: impl Fn(Learned)) {
+    let step = |learned: Option<Learned>, _: &Observation| {
+        if let Some(learned) = learned {
+            learn(learned);
+        }
+    };
+    observe(watcher, step).await;
+}
+
+/// Follows all objects of a kind; tells after each answer what was learned, if anything, and how the
+/// observation stands.
+pub async fn observe(watcher: Watcher, step: impl Fn(Option<Learned>, &Observation)) {
+    let Watcher {
+        log,
+        store,
+        kind,
+        terms,
+        renewal,
+    } = watcher;
     let mut observation = Observation::new(terms);
     loop {
         let pause = observation.pause();
@@ -30,7 +57,14 @@
                 observation.listed(page)
             }
             Question::Watch(revision) => {
-                let changes = store.watch(&kind, revision, observation.wait()).await;
+                let watching = store.watch(&kind, revision, observation.wait());
+                let changes = tokio::select! {
+                    changes = watching => changes,
+                    () = renewal.notified() => {
+                        observation.renew();
+                        continue;
+                    }
+                };
                 note(&log, &kind, connected, changes.as_ref().err());
                 observation.watched(changes)
             }
@@ -39,9 +73,7 @@
             info!(log, "objects: Store answers again."; "kind" => &kind,
                 "revision" => observation.revision());
         }
-        if let Some(learned) = learned {
-            learn(learned);
-        }
+        step(learned, &observation);
     }
 }
 
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -12,10 +12,12 @@
 use firshore_node::journal::client::JournalClient;
 use firshore_node::journal::duties::Duties;
 use firshore_node::journal::maintenance::{self, Upkeep};
-use firshore_node::journal::registry::{NodeRecord, Registry};
+use firshore_node::journal::registry::{KIND, NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
 use firshore_node::journal::{Journal, PeerClient};
 use firshore_node::metrics::RunnerMetrics;
+use firshore_node::observation::Terms;
+use firshore_node::relay::{Relay, RelayedKind};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
 use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, adapter};
@@ -102,6 +104,18 @@
     peers
 }
 
+/// Kinds that the nodes of tests pass on.
+pub fn relayed_kinds() -> Vec<RelayedKind> {
+    let kinds = [BACKENDS, CONFIGURATION].map(|name| RelayedKind {
+        name: name.to_owned(),
+        terms: Terms {
+            history: Duration::from_secs(20),
+            spacing: Duration::from_millis(100),
+        },
+    });
+    kinds.to_vec()
+}
+
 pub async fn start_node(
     number: usize,
     folder: &std::path::Path,
@@ -111,7 +125,8 @@
     let settings = settings(number, folder, address);
     let registry = Rc::new(Registry::new(store.clone(), log()));
     let storage = settings.storage.clone().unwrap();
-    let journal = Journal::start(&settings, &storage, registry, &peers(), &log()).await;
+    let relay = Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {}));
+    let journal = Journal::start(&settings, &storage, registry, relay, &peers(), &log()).await;
     let journal = journal.expect("the port and the folder are free");
     let gateway = Rc::new(Gateway::new(
         log(),
@@ -254,6 +269,14 @@
         }
     }
 
+    /// Nodes that the store lists.
+    pub fn registered(&self) -> usize {
+        let names = (0..self.nodes.len()).map(|number| format!("node.n{number}"));
+        names
+            .filter(|name| self.store.object(KIND, name).is_some())
+            .count()
+    }
+
     /// Back ends that the leader knows.
     pub async fn backends_known(&self) -> usize {
         let leader = self.nodes[self.leader().await].as_ref().unwrap();
