A node without a replica does not list the nodes while nothing happens

Cause: upkeep lists the nodes each second where no leader is known.

Change: only a replica without a leader, a node that is not listed as it is, and one that waits for the founders look for nodes.

--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -90,9 +90,7 @@
         let registry = &self.journal.registry;
         let status = self.journal.replica.status();
         self.note_leader(status.leader.is_some());
-        let lost = status.leader.is_none() || !registry.is_registered(&self.node, &self.record);
-        if (lost && !status.leads) || registry.is_unsettled() {
-            // Without a leader, nodes may be missed: another address, or other nodes.
+        if self.misses_nodes(&status) || registry.is_unsettled() {
             registry.refresh().await;
         }
         if !registry.is_listed() {
@@ -111,6 +109,21 @@
         }
     }
 
+    /// Whether the nodes are to be listed anew: this one is not listed as it is, or a replica knows no
+    /// leader, which may be at another address or on another node. A node without a replica is found by
+    /// the leader, and has nothing to look for once founders are named.
+    fn misses_nodes(&self, status: &GroupStatus) -> bool {
+        let registry = &self.journal.registry;
+        if status.leads {
+            return false;
+        }
+        if !registry.is_registered(&self.node, &self.record) {
+            return true;
+        }
+        let holds_part = status.holds_log || registry.founding().is_none();
+        holds_part && status.leader.is_none()
+    }
+
     fn note_leader(&self, known: bool) {
         let since = match known {
             true => None,
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -351,3 +351,25 @@
         });
     }
 }
+
+#[test]
+fn nodes_without_a_replica_ask_the_store_nothing_while_nothing_happens() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.submit("job", 1).await;
+        cluster.whole().await;
+        for _ in 0..3 {
+            cluster.add().await;
+        }
+        let all = cluster.nodes.len();
+        while cluster.registered() < all {
+            pause().await;
+        }
+        // The last writes are read back, and the leader's watches return with them.
+        actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+        let before = cluster.store.calls();
+        actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+        let calls = cluster.store.calls() - before;
+        assert!(calls <= 1, "{calls} calls");
+    });
+}
