--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -12,6 +12,7 @@
 use firshore_gateway::gateway::{JobAnswer, JobService};
 use firshore_jobs::command::JobHeader;
 use firshore_link::client::PeerError;
+use firshore_log::placement::Candidate;
 use firshore_log::refusal::JournalRefusal;
 use firshore_types::error::{ApiError, ErrorCode};
 use firshore_types::ids::NodeName;
@@ -49,12 +50,26 @@
     log: Logger,
 }
 
-/// What the leader answers a node that tells its load.
+/// What the leader or a relay answers a node that tells its load.
 pub struct OthersLoad {
     /// Requests that all other nodes have under way at each back end.
     pub counts: HashMap<Incarnation, u32>,
     /// Time until this node is to tell again.
     pub pause: Duration,
+    /// Age of the oldest part of it.
+    pub age: Duration,
+}
+
+impl OthersLoad {
+    fn new(counts: Vec<BackendCount>, pause: u64, age: u64) -> Self {
+        let counts = counts.into_iter();
+        let counts = counts.map(|one| (Incarnation(one.backend), one.count));
+        Self {
+            counts: counts.collect(),
+            pause: Duration::from_millis(pause),
+            age: Duration::from_millis(age),
+        }
+    }
 }
 
 enum Tried {
@@ -136,14 +151,21 @@
         }
     }
 
-    /// Tells the leader what this node has under way, `urgent` if it finds no free slots, and learns
-    /// what all others have. Asks once: what is missed is told again a moment later.
-    pub async fn exchange_load(
+    /// Returns the leader, as far as known.
+    pub fn leader(&self) -> Option<NodeName> {
+        self.leader.borrow().clone()
+    }
+
+    /// Tells the leader what is under way, `urgent` if requests find no free slots, `sums` if a relay
+    /// does so for several nodes. Learns what all others have. Asks once: what is missed is told again a
+    /// moment later.
+    pub async fn tell_leader(
         &self,
         counts: Vec<BackendCount>,
         urgent: bool,
+        sums: bool,
     ) -> Option<OthersLoad> {
-        let leader = self.leader.borrow().clone();
+        let leader = self.leader();
         let target = match leader.or_else(|| self.nodes().pop()) {
             Some(target) => target,
             None => {
@@ -151,20 +173,10 @@
                 return None;
             }
         };
-        let request = PeerRequest::Load {
-            node: self.node.clone(),
-            counts,
-            urgent,
-        };
-        match self.try_one(&target, request, Duration::ZERO).await {
-            Tried::Answered(PeerResponse::Load { counts, pause }) => {
+        match self.tell(&target, counts, urgent, sums).await {
+            Tried::Answered(PeerResponse::Load { counts, pause, .. }) => {
                 *self.leader.borrow_mut() = Some(target);
-                let counts = counts.into_iter();
-                let others = counts.map(|one| (Incarnation(one.backend), one.count));
-                Some(OthersLoad {
-                    counts: others.collect(),
-                    pause: Duration::from_millis(pause),
-                })
+                Some(OthersLoad::new(counts, pause, 0))
             }
             Tried::Elsewhere(leader) => {
                 *self.leader.borrow_mut() = leader;
@@ -181,6 +193,54 @@
         }
     }
 
+    /// Tells a relay what this node has under way, and learns what all others have.
+    pub async fn tell_relay(
+        &self,
+        relay: &NodeName,
+        counts: Vec<BackendCount>,
+        urgent: bool,
+    ) -> Option<OthersLoad> {
+        match self.tell(relay, counts, urgent, false).await {
+            Tried::Answered(PeerResponse::Load {
+                counts,
+                pause,
+                age,
+                leader,
+            }) => {
+                if leader.is_some() {
+                    *self.leader.borrow_mut() = leader;
+                }
+                Some(OthersLoad::new(counts, pause, age))
+            }
+            Tried::Elsewhere(Some(leader)) => {
+                *self.leader.borrow_mut() = Some(leader);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    async fn tell(
+        &self,
+        target: &NodeName,
+        counts: Vec<BackendCount>,
+        urgent: bool,
+        sums: bool,
+    ) -> Tried {
+        let request = PeerRequest::Load {
+            node: self.node.clone(),
+            counts,
+            urgent,
+            sums,
+        };
+        self.try_one(target, request, Duration::ZERO).await
+    }
+
+    /// Returns the nodes with disks.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        self.registry.candidates()
+    }
+
     /// The nodes to ask, in a random order.
     fn nodes(&self) -> Vec<NodeName> {
         let mut names = self.registry.names();
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -124,6 +124,9 @@
         /// Whether requests of the sender have found no free slot.
         #[serde(rename = "u", default)]
         urgent: bool,
+        /// Whether these are sums that a relay tells, which only the leader takes in.
+        #[serde(rename = "s", default)]
+        sums: bool,
     },
 }
 
@@ -157,6 +160,12 @@
         /// Milliseconds until the node is to tell again.
         #[serde(rename = "p")]
         pause: u64,
+        /// Age of the oldest part of it in milliseconds.
+        #[serde(rename = "a", default)]
+        age: u64,
+        /// Node that leads, as far as the peer knows.
+        #[serde(rename = "n", default)]
+        leader: Option<NodeName>,
     },
     /// Objects of a kind.
     #[serde(rename = "o")]
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -14,8 +14,11 @@
 
 use crate::memory::{LOG_SHARE, MemoryBudget, MemoryLedger, MemoryUse};
 use crate::relay::Relay;
+use crate::relay::loads::LoadRelay;
 use crate::runner::progress_keeper::ProgressKeeper;
 use crate::settings::{Settings, Storage};
+use crate::task::Task;
+use client::JournalClient;
 use firshore_jobs::table::JobTable;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::{client as link, listener};
@@ -73,6 +76,16 @@
     replica.status().membership.voters().count() >= least
 }
 
+/// What a node with a disk passes on between other nodes.
+pub struct NodeRelays {
+    /// What the store holds.
+    pub objects: Rc<Relay>,
+    /// What nodes have under way.
+    pub loads: Rc<LoadRelay>,
+    /// The journal, asked on behalf of others.
+    pub jobs: Rc<JournalClient>,
+}
+
 /// The journal as a node with a disk holds it.
 pub struct Journal {
     /// The replica.
@@ -93,6 +106,7 @@
     pub budget: MemoryBudget,
     peers: PeerClient,
     listening: actix_rt::task::JoinHandle<()>,
+    _relaying: Task,
     log: Logger,
 }
 
@@ -102,7 +116,7 @@
         settings: &Settings,
         storage: &Storage,
         registry: Rc<Registry>,
-        relay: Rc<Relay>,
+        relays: NodeRelays,
         peers: &PeerClient,
         log: &Logger,
     ) -> io::Result<Rc<Self>> {
@@ -137,13 +151,18 @@
         let least = settings.cluster.tolerated_disk_losses as usize + 1;
         let ledger = MemoryLedger::default();
         let budget = settings.limits.memory_budget();
+        let leading = replica.clone();
+        let leads = move || leading.status().leads;
+        let relaying = relays.loads.clone().run(relays.jobs.clone(), leads);
         let handler = Rc::new(Service {
             replica: replica.clone(),
             loads: loads.clone(),
             progress: progress.clone(),
             registry: registry.clone(),
             least,
-            relay,
+            relay: relays.objects,
+            load_relay: relays.loads.clone(),
+            jobs: relays.jobs.clone(),
             ledger: ledger.clone(),
             budget,
             log: log.clone(),
@@ -161,6 +180,7 @@
             ledger,
             budget,
             listening,
+            _relaying: Task::spawn(relaying),
             log: log.clone(),
         });
         Ok(journal)
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -1,11 +1,13 @@
 //! Answers peers about jobs, on the node whose replica leads.
 
+use super::client::JournalClient;
 use super::messages::{PeerRequest, PeerResponse};
 use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{BackendCount, LoadTable, as_counts};
 use crate::memory::{MemoryBudget, MemoryLedger, MemoryUse};
 use crate::relay::Relay;
+use crate::relay::loads::LoadRelay;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
 use firshore_adapter::backend::Incarnation;
@@ -59,6 +61,9 @@
     /// Replicas without which nothing is promised.
     pub(super) least: usize,
     pub(super) relay: Rc<Relay>,
+    pub(super) load_relay: Rc<LoadRelay>,
+    /// The journal as this node asks it on behalf of others.
+    pub(super) jobs: Rc<JournalClient>,
     pub(super) ledger: MemoryLedger,
     pub(super) budget: MemoryBudget,
     pub(super) log: Logger,
@@ -94,6 +99,8 @@
         PeerResponse::Load {
             counts: as_counts(others),
             pause: exchange_pause(table.nodes()).as_millis() as u64,
+            age: 0,
+            leader: None,
         }
     }
 }
@@ -109,6 +116,36 @@
         PeerResponse::Gaps(gaps)
     }
 
+    /// Takes in what a node has under way: the leader what all tell it, other nodes what the nodes tell
+    /// for which they are a relay.
+    fn load(
+        &self,
+        node: NodeName,
+        counts: Vec<BackendCount>,
+        urgent: bool,
+        sums: bool,
+    ) -> PeerResponse {
+        let status = self.replica.status();
+        if status.leads {
+            return self.loads.exchange(node, counts, urgent);
+        }
+        let leader = self.jobs.leader().or_else(|| status.leader.clone());
+        let now = std::time::Instant::now();
+        let relayed = match sums {
+            true => None,
+            false => self.load_relay.exchange(now, node, counts, urgent),
+        };
+        match relayed {
+            None => PeerResponse::Refused(JournalRefusal::NotLeader { leader }),
+            Some(relayed) => PeerResponse::Load {
+                counts: relayed.others,
+                pause: exchange_pause(relayed.nodes).as_millis() as u64,
+                age: relayed.age.as_millis() as u64,
+                leader,
+            },
+        }
+    }
+
     /// Takes a job in, unless the memory for jobs is used up. One that is known already is taken in
     /// again: it costs nothing.
     fn submit(
@@ -173,14 +210,10 @@
             node,
             counts,
             urgent,
+            sums,
         } = request
         {
-            let answer = match replica.status() {
-                status if status.leads => self.loads.exchange(node, counts, urgent),
-                status => PeerResponse::Refused(JournalRefusal::NotLeader {
-                    leader: status.leader.clone(),
-                }),
-            };
+            let answer = self.load(node, counts, urgent, sums);
             return std::future::ready(answer).boxed_local();
         }
         let relay = self.relay.clone();
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -1,9 +1,14 @@
-//! Tells the journal's leader what this node has under way at back ends, and learns from its answer
-//! what all others have.
+//! Tells a relay what this node has under way at back ends, and learns from its answer what all others
+//! have; the journal's leader itself where no relay of its zone is of use.
 
-use crate::journal::client::JournalClient;
-use crate::load_table::as_counts;
+use crate::journal::client::{JournalClient, OthersLoad};
+use crate::load_table::{BackendCount, as_counts};
+use crate::relay::ranking;
 use firshore_gateway::gateway::Gateway;
+use firshore_types::ids::{NodeName, ZoneName};
+use slog::info;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -22,31 +27,86 @@
 /// Time between exchanges otherwise.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Runs until the node ends.
-pub async fn run(gateway: Rc<Gateway>, journal: Rc<JournalClient>) {
-    let mut was_busy = false;
-    let mut busy_interval = BUSY_INTERVAL;
-    let mut urgent = false;
-    loop {
-        let own = as_counts(gateway.fleet.borrow().in_flight());
-        let busy = !own.is_empty();
-        // An idle node tells so once, then looks from time to time; one that is cut off asks on.
-        let cut_off = journal.is_cut_off();
-        let tells = busy || was_busy || gateway.requests_open() > 0 || cut_off;
-        if tells && let Some(others) = journal.exchange_load(own, urgent).await {
-            let mut fleet = gateway.fleet.borrow_mut();
-            fleet.learned_others(Instant::now(), &others.counts);
-            busy_interval = others.pause.clamp(BUSY_INTERVAL, LONGEST_BUSY_INTERVAL);
-            fleet.set_picture_interval(busy_interval);
+/// Time for which a relay is passed over that gave no picture.
+const RELAY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Tells loads on behalf of a node that serves callers.
+pub struct LoadExchange {
+    gateway: Rc<Gateway>,
+    journal: Rc<JournalClient>,
+    node: NodeName,
+    zone: ZoneName,
+    /// Relays that gave no picture, and until when they are passed over.
+    passed_over: RefCell<HashMap<NodeName, Instant>>,
+}
+
+impl LoadExchange {
+    /// Tells what `gateway` has under way, as `node` in `zone`.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        journal: Rc<JournalClient>,
+        node: NodeName,
+        zone: ZoneName,
+    ) -> Self {
+        Self {
+            gateway,
+            journal,
+            node,
+            zone,
+            passed_over: RefCell::default(),
+        }
+    }
+
+    /// Runs until the node ends.
+    pub async fn run(self) {
+        let mut was_busy = false;
+        let mut busy_interval = BUSY_INTERVAL;
+        let mut urgent = false;
+        loop {
+            let own = as_counts(self.gateway.fleet.borrow().in_flight());
+            let busy = !own.is_empty();
+            // An idle node tells so once, then looks from time to time; one that is cut off asks on.
+            let cut_off = self.journal.is_cut_off();
+            let tells = busy || was_busy || self.gateway.requests_open() > 0 || cut_off;
+            if tells && let Some(others) = self.exchange(own, urgent).await {
+                let mut fleet = self.gateway.fleet.borrow_mut();
+                fleet.learned_others(Instant::now(), &others.counts);
+                busy_interval = others.pause.clamp(BUSY_INTERVAL, LONGEST_BUSY_INTERVAL);
+                fleet.set_picture_interval(busy_interval + others.age);
+            }
+            was_busy = busy;
+            let interval = match busy {
+                true => busy_interval,
+                false => IDLE_INTERVAL,
+            };
+            let least = busy_interval.mul_f64(URGENT_SHARE);
+            actix_rt::time::sleep(least).await;
+            let crowded = timeout(interval - least, self.gateway.crowded.notified());
+            urgent = crowded.await.is_ok();
         }
-        was_busy = busy;
-        let interval = match busy {
-            true => busy_interval,
-            false => IDLE_INTERVAL,
-        };
-        let least = busy_interval.mul_f64(URGENT_SHARE);
-        actix_rt::time::sleep(least).await;
-        let crowded = timeout(interval - least, gateway.crowded.notified());
-        urgent = crowded.await.is_ok();
+    }
+
+    async fn exchange(&self, own: Vec<BackendCount>, urgent: bool) -> Option<OthersLoad> {
+        if let Some(relay) = self.relay() {
+            if let Some(others) = self.journal.tell_relay(&relay, own.clone(), urgent).await {
+                return Some(others);
+            }
+            info!(self.gateway.log, "load: Relay passed over."; "relay" => %relay,
+                "pause_ms" => RELAY_PAUSE.as_millis() as u64);
+            let until = Instant::now() + RELAY_PAUSE;
+            self.passed_over.borrow_mut().insert(relay, until);
+        }
+        self.journal.tell_leader(own, urgent, false).await
+    }
+
+    /// The relay to tell: of this zone, and not passed over.
+    fn relay(&self) -> Option<NodeName> {
+        let now = Instant::now();
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, until| now < *until);
+        let candidates = self.journal.candidates();
+        let relays = ranking::at_home(&candidates, &self.zone, &self.node);
+        let mut usable = relays.into_iter();
+        usable.find(|relay| !passed_over.contains_key(relay))
     }
 }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -7,8 +7,8 @@
 use crate::journal::messages::PeerRequest;
 use crate::journal::registry::{NodeRecord, Registry};
 use crate::journal::retirement::Retirements;
-use crate::journal::{Journal, PeerClient};
-use crate::load_exchange;
+use crate::journal::{Journal, NodeRelays, PeerClient};
+use crate::load_exchange::LoadExchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
 use crate::relay::store::RelayAsker;
@@ -93,8 +93,10 @@
     let journal = match &settings.storage {
         Some(storage) => {
             let metrics = RunnerMetrics::new(&mut builder);
-            let journal =
-                start_journal(&settings, storage, &gateway, registry, &peers, metrics).await?;
+            let journal = start_journal(
+                &settings, storage, &gateway, registry, &jobs, &peers, metrics,
+            )
+            .await?;
             Some(Rc::new(journal))
         }
         None => None,
@@ -106,7 +108,9 @@
         .is_some()
         .then(|| environment::follow_relayed(&gateway, &settings.objects, asker));
     if callers.is_some() {
-        actix_rt::spawn(load_exchange::run(gateway.clone(), jobs));
+        let (node, zone) = (settings.name.clone(), settings.zone.clone());
+        let exchange = LoadExchange::new(gateway.clone(), jobs, node, zone);
+        actix_rt::spawn(exchange.run());
     }
     info!(log, "node: Started."; "zone" => %settings.zone,
         "version" => env!("CARGO_PKG_VERSION"));
@@ -173,6 +177,7 @@
     storage: &Storage,
     gateway: &Rc<Gateway>,
     registry: Rc<Registry>,
+    jobs: &Rc<JournalClient>,
     peers: &PeerClient,
     metrics: RunnerMetrics,
 ) -> io::Result<JournalNode> {
@@ -184,7 +189,12 @@
         announce_to_relays(&settings.name, &registry, peers),
     );
     actix_rt::spawn(relay.clone().tidy());
-    let journal = Journal::start(settings, storage, registry, relay, peers, &gateway.log).await?;
+    let relays = NodeRelays {
+        objects: relay,
+        loads: Rc::default(),
+        jobs: jobs.clone(),
+    };
+    let journal = Journal::start(settings, storage, registry, relays, peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
     let duties = Duties {
         gateway: gateway.clone(),
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! first and the store itself only where none of them answers.
 
 pub mod cache;
+pub mod loads;
 pub mod ranking;
 pub mod store;
 
--- a/crates/firshore-node/src/relay/ranking.rs
+++ b/crates/firshore-node/src/relay/ranking.rs
@@ -38,6 +38,13 @@
     zones
 }
 
+/// Returns the relays of a node's own zone, in the order in which it asks them.
+pub fn at_home(candidates: &[Candidate], zone: &ZoneName, asker: &NodeName) -> Vec<NodeName> {
+    let mut relays = relays(candidates).remove(zone).unwrap_or_default();
+    relays.sort_by_key(|relay| preference(asker, relay));
+    relays
+}
+
 /// Returns the relays that a node asks, in this order: those of its own zone first, each preferred by
 /// its share of the zone's nodes, then some of other zones.
 pub fn order(candidates: &[Candidate], zone: &ZoneName, asker: &NodeName) -> Vec<NodeName> {
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -58,7 +58,13 @@
 
     fn answer(&self, _: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
         let counts = Vec::new();
-        ready(PeerResponse::Load { counts, pause: 100 }).boxed_local()
+        ready(PeerResponse::Load {
+            counts,
+            pause: 100,
+            age: 0,
+            leader: None,
+        })
+        .boxed_local()
     }
 }
 
@@ -91,7 +97,7 @@
         registry.refresh().await;
         start_peer(&store, "new", Leader).await;
         let told = async {
-            while client.exchange_load(Vec::new(), false).await.is_none() {
+            while client.tell_leader(Vec::new(), false, false).await.is_none() {
                 cluster::pause().await;
             }
         };
@@ -128,13 +134,13 @@
         let client = JournalClient::new("caller".into(), registry, peers(), log());
         // Without a leader, but in contact.
         for _ in 0..60 {
-            client.exchange_load(Vec::new(), false).await;
+            client.tell_leader(Vec::new(), false, false).await;
             cluster::pause().await;
             assert!(client.is_reachable());
         }
         silent.set(true);
         for _ in 0..3 {
-            client.exchange_load(Vec::new(), false).await;
+            client.tell_leader(Vec::new(), false, false).await;
         }
         assert!(!client.is_reachable());
         let started = std::time::Instant::now();
@@ -143,7 +149,7 @@
         assert_eq!(error.execution, Execution::None);
         assert!(started.elapsed() < Duration::from_millis(50));
         silent.set(false);
-        client.exchange_load(Vec::new(), false).await;
+        client.tell_leader(Vec::new(), false, false).await;
         assert!(client.is_reachable());
     });
 }
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -14,7 +14,7 @@
 use firshore_node::journal::maintenance::{self, Upkeep};
 use firshore_node::journal::registry::{KIND, NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
-use firshore_node::journal::{Journal, PeerClient};
+use firshore_node::journal::{Journal, NodeRelays, PeerClient};
 use firshore_node::metrics::RunnerMetrics;
 use firshore_node::observation::Terms;
 use firshore_node::relay::{Relay, RelayedKind};
@@ -125,8 +125,13 @@
     let settings = settings(number, folder, address);
     let registry = Rc::new(Registry::new(store.clone(), log()));
     let storage = settings.storage.clone().unwrap();
-    let relay = Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {}));
-    let journal = Journal::start(&settings, &storage, registry, relay, &peers(), &log()).await;
+    let asked = JournalClient::new(settings.name.clone(), registry.clone(), peers(), log());
+    let relays = NodeRelays {
+        objects: Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {})),
+        loads: Rc::default(),
+        jobs: Rc::new(asked),
+    };
+    let journal = Journal::start(&settings, &storage, registry, relays, &peers(), &log()).await;
     let journal = journal.expect("the port and the folder are free");
     let gateway = Rc::new(Gateway::new(
         log(),
