A store that is down for all is asked by relays alone

A relay that says that it is out of contact was passed over for a while, and a round in which all were passed over counted as if there were no relay at all.

Change: why a relay is passed over is kept; relays out of contact are waited for 5 to 10 s before the store itself is asked, and the nodes are not listed anew meanwhile. Such a relay is named once in the log.

--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -41,7 +41,7 @@
 
 /// The same where relays answer, but are out of contact with the store: it is more likely to be down
 /// for all than to turn away just the relays.
-const OUTAGE_PATIENCE: Duration = Duration::from_millis(2_500);
+const OUTAGE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Asks for one kind on behalf of one node.
 pub struct RelayedStore {
@@ -70,7 +70,15 @@
     /// Log.
     pub log: Logger,
     /// Relays that were of no use a moment ago, and until when they are passed over.
-    pub passed_over: RefCell<HashMap<NodeName, Instant>>,
+    pub passed_over: RefCell<HashMap<NodeName, RelayPause>>,
+}
+
+/// For how long a relay is passed over, and why.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayPause {
+    until: Instant,
+    /// It answered, but was out of contact with the store.
+    out_of_contact: bool,
 }
 
 /// What came of asking relays.
@@ -89,30 +97,49 @@
         let order = ranking::order(&candidates, &self.zone, &self.node);
         let mut asked = Asked::Nobody;
         for relay in order {
-            let until = self.passed_over.borrow().get(&relay).copied();
-            if until.is_some_and(|until| now < until) {
+            let pause = self.passed_over.borrow().get(&relay).copied();
+            if let Some(pause) = pause.filter(|pause| now < pause.until) {
+                if pause.out_of_contact {
+                    asked = Asked::NoContact;
+                }
                 continue;
             }
             let Some(address) = self.registry.address(&relay) else {
                 continue;
             };
             let call = self.peers.call(address, request.clone());
-            let pause = match timeout(limit, call).await {
+            match timeout(limit, call).await {
                 Ok(Ok(PeerResponse::NoContact)) => {
                     asked = Asked::NoContact;
-                    CONTACT_PAUSE
+                    self.pass_over(relay, CONTACT_PAUSE, true);
                 }
                 Ok(Ok(answer)) => return Asked::Answered(answer),
-                Ok(Err(_)) | Err(_) => SILENCE_PAUSE,
-            };
-            info!(self.log, "relay: Passed over."; "relay" => %relay,
-                "in_contact" => !matches!(asked, Asked::NoContact),
-                "pause_ms" => pause.as_millis() as u64);
-            let until = Instant::now() + pause;
-            self.passed_over.borrow_mut().insert(relay, until);
+                Ok(Err(_)) | Err(_) => self.pass_over(relay, SILENCE_PAUSE, false),
+            }
         }
         asked
     }
+
+    fn pass_over(&self, relay: NodeName, pause: Duration, out_of_contact: bool) {
+        let before = self.passed_over.borrow().get(&relay).copied();
+        // A relay that stays without contact is named once.
+        if !(out_of_contact && before.is_some_and(|before| before.out_of_contact)) {
+            info!(self.log, "relay: Passed over."; "relay" => %relay,
+                "out_of_contact" => out_of_contact, "pause_ms" => pause.as_millis() as u64);
+        }
+        let pause = RelayPause {
+            until: Instant::now() + pause,
+            out_of_contact,
+        };
+        self.passed_over.borrow_mut().insert(relay, pause);
+    }
+
+    /// A relay was of use: all are named again when they are passed over next.
+    fn forget_pauses(&self) {
+        let now = Instant::now();
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, pause| now < pause.until);
+    }
 }
 
 fn decoded(objects: &[RelayedObject]) -> Result<Vec<Object>, ObjectError> {
@@ -195,6 +222,7 @@
     }
 
     fn relayed(&self) {
+        self.asker.forget_pauses();
         self.patient_until.set(None);
         if self.asks_store.replace(false) {
             info!(self.asker.log, "relay: Relays are asked again.");
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -412,3 +412,34 @@
         assert!(matches!(other, PeerResponse::NoContact), "not relayed");
     });
 }
+
+#[test]
+fn a_store_that_is_down_for_all_is_asked_by_relays_alone() {
+    run(async {
+        let store = MemoryStore::new();
+        put(&store, "a");
+        let relays = start_relays(&["z1", "z1", "z2"], &store).await;
+        let followers: Vec<Follower> = (0..20)
+            .map(|number| Follower::start(number, &store))
+            .collect();
+        join_all(followers.iter().map(|one| one.knows(&["a"]))).await;
+        let before = store.calls();
+        for relay in &relays {
+            relay.store.way.set(Way::Refused);
+        }
+        // Ends the watches that wait.
+        put(&store, "b");
+        actix_rt::time::sleep(Duration::from_secs(4)).await;
+        let own: usize = followers.iter().map(|one| one.own.calls.get()).sum();
+        let listings = store.calls() - before;
+        assert_eq!(
+            (own, listings),
+            (0, 0),
+            "neither back ends nor nodes are asked for"
+        );
+        for relay in &relays {
+            relay.store.way.set(Way::Open);
+        }
+        join_all(followers.iter().map(|one| one.knows(&["a", "b"]))).await;
+    });
+}
