--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -105,6 +105,11 @@
         (self.in_flight as f32 + self.others(now)) / self.slots()
     }
 
+    /// Requests that a load allows, in whole ones: what may start under a limit is not beyond it then.
+    fn allowed(&self, load: f32) -> u32 {
+        (self.slots() * load).round() as u32
+    }
+
     fn slots(&self) -> f32 {
         self.backend.slots.max(1) as f32
     }
@@ -125,7 +130,7 @@
     pub attempts: &'a Attempts,
     /// Hash under which requests with the same beginning meet.
     pub affinity: Option<u64>,
-    /// Load in requests per slot from which on a back end is left alone.
+    /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
 }
 
@@ -230,7 +235,7 @@
         let states = if trusted.is_empty() { usable } else { trusted };
         let states: Vec<&State> = states
             .into_iter()
-            .filter(|state| (state.held(now) as f32) < state.slots() * wanted.load_limit)
+            .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -258,8 +263,7 @@
     /// Requests at a back end beyond a load; `None` if there are none.
     pub fn excess(&self, now: Instant, incarnation: &Incarnation, load: f32) -> Option<usize> {
         let state = self.states.get(incarnation)?;
-        let allowed = (state.slots() * load).round() as u32;
-        let excess = state.held(now).checked_sub(allowed)?;
+        let excess = state.held(now).checked_sub(state.allowed(load))?;
         (excess > 0).then_some(excess as usize)
     }
 
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -431,3 +431,35 @@
     }
     assert_eq!(choose(&[], None, Placement::ByRoom, &mut random), None);
 }
+
+#[test]
+fn what_may_start_under_a_limit_is_not_beyond_it_then() {
+    let now = Instant::now();
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let service = "llm".into();
+    for slots in 1..=40 {
+        for load in [0.875, 0.9, 1.0] {
+            let mut fleet = Fleet::new("here".into());
+            let backend = Backend {
+                slots,
+                ..backend("b", "here")
+            };
+            fleet.replace(vec![backend]);
+            let wanted = Wanted {
+                service: &service,
+                attempts: &attempts,
+                affinity: None,
+                load_limit: load,
+            };
+            let mut random = ChaCha8Rng::seed_from_u64(1);
+            let mut started = 0;
+            while fleet.choose(now, &wanted, &mut random).is_some() {
+                fleet.started(now, &incarnation("b"));
+                started += 1;
+            }
+            let excess = fleet.excess(now, &incarnation("b"), load);
+            assert_eq!(excess, None, "{started} of {slots} slots at {load}");
+            assert!(started >= 1 && started <= slots, "{started} of {slots}");
+        }
+    }
+}
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -32,18 +32,23 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 use urgency::{DueTable, DueTime, ItemUrgency};
 
-/// Load in requests per slot above which runs are stopped.
-const PREEMPTION_LOAD: f32 = 0.9;
+/// Load in requests per slot up to which items start, and above which runs are stopped: it leaves one
+/// slot in ten to online requests.
+const ITEM_LOAD: f32 = 0.9;
 
 /// The same for items in danger of being late.
-const PRESSED_PREEMPTION_LOAD: f32 = 1.0;
+const PRESSED_ITEM_LOAD: f32 = 1.0;
 
 /// Time between looks for room while items wait.
 const ROOM_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Shortest time between two rounds in which runs give way, however many nodes find no free slot: a slot
+/// turns over in some tens of milliseconds.
+const GIVE_WAY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time between looks while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -70,6 +75,9 @@
     pressed: usize,
 }
 
+/// A run that may be stopped: the least urgent and least advanced is the greatest.
+type StoppableRun = (ItemUrgency, Reverse<usize>, ItemKey);
+
 struct Run {
     _task: Task,
     backend: Incarnation,
@@ -158,6 +166,8 @@
             if leads {
                 self.give_way();
             }
+            let pause = (Instant::now() + GIVE_WAY_INTERVAL).min(next_look);
+            sleep_until(pause.into()).await;
         }
     }
 
@@ -254,44 +264,47 @@
             .keys()
             .filter_map(|backend| {
                 let excess = BackendExcess {
-                    all: fleet.excess(now, backend, PREEMPTION_LOAD)?,
-                    pressed: fleet
-                        .excess(now, backend, PRESSED_PREEMPTION_LOAD)
-                        .unwrap_or(0),
+                    all: fleet.excess(now, backend, ITEM_LOAD)?,
+                    pressed: fleet.excess(now, backend, PRESSED_ITEM_LOAD).unwrap_or(0),
                 };
                 Some((backend.clone(), excess))
             })
             .collect();
         drop(fleet);
         drop(table);
-        for (backend, excess) in excess {
-            self.stop_least_urgent(now, &backend, excess);
-        }
+        self.stop_least_urgent(now, &excess);
     }
 
-    /// Stops the least urgent runs at a back end, of those alike the least advanced: one that is nearly
+    /// Stops the least urgent runs at back ends, of those alike the least advanced: one that is nearly
     /// done would be finished by a back end that notices the close late, and then be run in vain.
-    fn stop_least_urgent(&self, now: Instant, backend: &Incarnation, excess: BackendExcess) {
+    fn stop_least_urgent(&self, now: Instant, excess: &HashMap<Incarnation, BackendExcess>) {
         let mut running = self.running.borrow_mut();
-        let at_backend = running.iter().filter(|(_, run)| run.backend == *backend);
-        let mut runs: Vec<(ItemUrgency, Reverse<usize>, ItemKey)> = at_backend
-            .map(|(key, run)| {
+        // All runs are looked at once, however many back ends there are.
+        let mut at_backends: HashMap<&Incarnation, Vec<StoppableRun>> = HashMap::new();
+        for (key, run) in running.iter() {
+            if excess.contains_key(&run.backend) {
                 let produced = Reverse(self.produced(key));
-                (run.due.urgency(now), produced, key.clone())
-            })
-            .collect();
-        runs.sort();
-        for (number, (urgency, produced, key)) in
-            runs.into_iter().rev().take(excess.all).enumerate()
-        {
-            if number >= excess.pressed && running[&key].due.is_pressed(now) {
-                break;
+                let stoppable = (run.due.urgency(now), produced, key.clone());
+                at_backends.entry(&run.backend).or_default().push(stoppable);
+            }
+        }
+        let mut stopped = Vec::new();
+        for (backend, mut runs) in at_backends {
+            let excess = excess[backend];
+            runs.sort();
+            let least_urgent = runs.into_iter().rev().take(excess.all).enumerate();
+            let stops = least_urgent.take_while(|(number, (_, _, key))| {
+                *number < excess.pressed || !running[key].due.is_pressed(now)
+            });
+            stopped.extend(stops.map(|(_, run)| run));
+        }
+        for (urgency, produced, key) in stopped {
+            if let Some(run) = running.remove(&key) {
+                info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
+                    "backend" => %run.backend, "produced" => produced.0, "urgency" => ?urgency,
+                    "reason" => "online requests");
+                self.metrics.preemptions.inc();
             }
-            info!(self.gateway.log, "runner: Run stopped."; "job" => &key.0, "item" => key.1,
-                "backend" => %backend, "produced" => produced.0, "urgency" => ?urgency,
-                "reason" => "online requests");
-            running.remove(&key);
-            self.metrics.preemptions.inc();
         }
     }
 
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -3,7 +3,7 @@
 use super::item::{self, ItemRun};
 use super::progress::ItemProgress;
 use super::urgency::{DueTime, ItemUrgency};
-use super::{ItemKey, Run, Runner, Work};
+use super::{ITEM_LOAD, ItemKey, PRESSED_ITEM_LOAD, Run, Runner, Work};
 use crate::task::Task;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::route::Route;
@@ -20,12 +20,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Load in requests per slot from which on a back end gets no item.
-const LOAD_LIMIT: f32 = 0.875;
-
-/// The same for items in danger of being late.
-const PRESSED_LOAD_LIMIT: f32 = 1.0;
-
 /// Items started in one look: each costs processor time, and shows its load only a moment later.
 const MOST_STARTS: usize = 32;
 
@@ -217,10 +211,9 @@
             service: &service,
             attempts: &attempts,
             affinity: affinity_key(&terms.prompt),
-            load_limit: if pressed {
-                PRESSED_LOAD_LIMIT
-            } else {
-                LOAD_LIMIT
+            load_limit: match pressed {
+                true => PRESSED_ITEM_LOAD,
+                false => ITEM_LOAD,
             },
         };
         let mut random = self.gateway.random.borrow_mut();
