Relays learn of back ends after 0.6 s, and wait for their own pause before they ask anew

A relay that has just learned of a change pauses 1.2 s, so that changes in quick succession are asked for together; another relay that learned of the next one meanwhile counted as knowing more after 0.3 s.

Change: the pause is 0.6 s on relays, of which there are few, and counts before a relay asks anew. A relay whose watch was swallowed is found out 0.9 s after another one has learned of a change, still within the shortest bound for back ends that leave.

--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -16,6 +16,9 @@
 /// Pause after a change of the back ends. One that leaves must get nothing new within two seconds.
 const BACKEND_SPACING: Duration = Duration::from_millis(1_200);
 
+/// The same for a relay: there are few of them, and what they learn is passed on once more.
+const RELAY_SPACING: Duration = Duration::from_millis(600);
+
 /// Pause after a change of the configuration: none, as each has to be in force everywhere at once.
 const CONFIGURATION_SPACING: Duration = Duration::ZERO;
 
@@ -51,7 +54,11 @@
 
     /// Returns the kinds that relays pass on.
     pub fn relayed(self) -> Vec<RelayedKind> {
-        vec![self.backends, self.configuration]
+        let mut kinds = vec![self.backends, self.configuration];
+        for kind in &mut kinds {
+            kind.terms.spacing = kind.terms.spacing.min(RELAY_SPACING);
+        }
+        kinds
     }
 }
 
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -33,8 +33,8 @@
 /// Time without a question after which a kind is not followed any more.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time after which a relay asks the store anew that another relay has learned more of: its own watch
-/// is answered within some milliseconds, unless it was lost.
+/// Time beyond the pause after a change, after which a relay asks the store anew that another relay has
+/// learned more of: its own watch is answered within some milliseconds, unless it was lost.
 const HINT_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Shortest time between two renewals of a watch.
@@ -243,7 +243,9 @@
         let Some(served) = served.filter(|served| served.is_behind(changed)) else {
             return;
         };
-        actix_rt::time::sleep(HINT_PATIENCE).await;
+        let relayed = self.kinds.iter().find(|one| one.name == kind);
+        let spacing = relayed.map_or(Duration::ZERO, |one| one.terms.spacing);
+        actix_rt::time::sleep(spacing + HINT_PATIENCE).await;
         if served.is_behind(changed) {
             info!(self.log, "relay: Store asked anew."; "kind" => kind, "changed" => changed,
                 "known" => served.cache.borrow().revision());
