A relay looks each half a second whether it reaches the store

Ruled out: the gateways (they ask the next relay 0.2 ms after the first says that it is out of contact, and have the configuration 9 ms later).

Change: while a relay follows anything it asks the store each 0.5 s whether it answers, by a read that may be old; without an answer within 0.45 s it says that it is out of contact, and tells only what the asker does not know. Relays list the nodes once when they first learn of a change, so that they tell all others. A store that is down for all is now left to the relays for 8 to 16 s.

--- a/crates/firshore-adapter/src/objects.rs
+++ b/crates/firshore-adapter/src/objects.rs
@@ -114,6 +114,10 @@
         status: Value,
     ) -> Answer<'a, ()>;
 
+    /// Whether the store can be reached at all, as cheaply as it can be asked: what it answers says
+    /// nothing about objects.
+    fn reach<'a>(&'a self) -> Answer<'a, ()>;
+
     /// Changes of a kind after a revision; waits up to `wait` for one.
     fn watch<'a>(&'a self, kind: &'a str, after: Revision, wait: Duration) -> Answer<'a, Changes>;
 }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -188,7 +188,7 @@
         kinds,
         announce_to_relays(&settings.name, &registry, peers),
     );
-    actix_rt::spawn(relay.clone().tidy());
+    actix_rt::spawn(relay.clone().run());
     let relays = NodeRelays {
         objects: relay,
         loads: Rc::default(),
@@ -227,7 +227,13 @@
 /// Tells the relays of all zones, as far as they are known, of changes.
 fn announce_to_relays(own: &NodeName, registry: &Rc<Registry>, peers: &PeerClient) -> Announce {
     let (own, registry, peers) = (own.clone(), registry.clone(), peers.clone());
+    let listed = Cell::new(false);
     Rc::new(move |kind, revision| {
+        if !listed.replace(true) {
+            // Nodes that started later than this one may be relays too.
+            let registry = registry.clone();
+            actix_rt::spawn(async move { registry.refresh().await });
+        }
         let relays = ranking::relays(&registry.candidates());
         for relay in relays.values().flatten().filter(|relay| **relay != own) {
             let Some(address) = registry.address(relay) else {
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Longest wait of an answer for the relay itself to learn what it lacks.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
@@ -37,6 +37,14 @@
 /// learned more of: its own watch is answered within some milliseconds, unless it was lost.
 const HINT_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Time between two looks whether the store can be reached, while a kind is followed: a watch that waits
+/// tells nothing about that, and nodes rely on what a relay does not tell them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer to that. With the interval it is less than half of the shortest bound
+/// within which nodes must know of a change.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// Shortest time between two renewals of a watch.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -107,6 +115,22 @@
         known.is_some_and(|known| known < revision)
     }
 
+    /// The store cannot be reached: what is known is not told as current any more, and the watch that
+    /// waits is given up.
+    fn lose_contact(&self) {
+        if self.connected.replace(false) {
+            self.steps.send_modify(|steps| *steps += 1);
+            self.renew();
+        }
+    }
+
+    /// The store can be reached again: a watch that was asked for meanwhile may be lost.
+    fn regain_contact(&self) {
+        if !self.connected.get() {
+            self.renew();
+        }
+    }
+
     /// Asks the store anew, where somebody knows more of it than this node.
     fn renew(&self) {
         let now = Instant::now();
@@ -118,19 +142,22 @@
         self.renewal.notify_one();
     }
 
-    /// Tries until there is an answer or the wait is over.
+    /// Tries until there is an answer or the wait is over. Out of contact with the store, only `news` is
+    /// told: what the asker does not know, however old.
     async fn answer(
         &self,
         wait: Duration,
+        news: bool,
         try_answer: impl Fn(&KindCache) -> Result<Option<PeerResponse>, CacheMiss>,
     ) -> PeerResponse {
         let mut steps = self.steps.subscribe();
         let start = Instant::now();
         loop {
-            if !self.connected.get() {
+            let connected = self.connected.get();
+            let tried = try_answer(&self.cache.borrow());
+            if !connected && !(news && matches!(tried, Ok(Some(_)))) {
                 return PeerResponse::NoContact;
             }
-            let tried = try_answer(&self.cache.borrow());
             let until = match tried {
                 Ok(Some(answer)) => return answer,
                 Ok(None) => start + wait,
@@ -221,7 +248,7 @@
             return PeerResponse::NoContact;
         };
         let page = |cache: &KindCache| cache.list(after, known).map(PeerResponse::Page).map(Some);
-        served.answer(CATCH_UP_WAIT, page).await
+        served.answer(CATCH_UP_WAIT, false, page).await
     }
 
     /// Answers with what changed of a kind, to who knows the store at `known`.
@@ -233,7 +260,7 @@
             let changes = cache.changes(known)?;
             Ok(changes.map(PeerResponse::Changes))
         };
-        served.answer(wait.min(LONGEST_WAIT), changes).await
+        served.answer(wait.min(LONGEST_WAIT), true, changes).await
     }
 
     /// Takes in that another relay has learned of a change. Where this one does not soon, its watch may
@@ -253,17 +280,39 @@
         }
     }
 
-    /// Ends what nobody asks for any more, until the node ends.
-    pub async fn tidy(self: Rc<Self>) {
+    /// Looks whether the store can be reached while anything is followed, and ends what nobody asks for
+    /// any more, until the node ends.
+    pub async fn run(self: Rc<Self>) {
+        let mut reached = true;
         loop {
-            actix_rt::time::sleep(IDLE_TIMEOUT).await;
-            self.served.borrow_mut().retain(|kind, served| {
-                let asked = served.asked_at.get().elapsed() < IDLE_TIMEOUT;
-                if !asked {
-                    info!(self.log, "relay: Kind not followed any more."; "kind" => kind);
+            actix_rt::time::sleep(PROBE_INTERVAL).await;
+            self.tidy();
+            if self.served.borrow().is_empty() {
+                continue;
+            }
+            let answer = timeout(PROBE_TIMEOUT, self.store.reach()).await;
+            let reaches = matches!(answer, Ok(Ok(())));
+            if reached != reaches {
+                reached = reaches;
+                info!(self.log, "relay: Way to the store."; "open" => reaches);
+            }
+            let served: Vec<Rc<ServedKind>> = self.served.borrow().values().cloned().collect();
+            for one in served {
+                match reaches {
+                    true => one.regain_contact(),
+                    false => one.lose_contact(),
                 }
-                asked
-            });
+            }
         }
     }
+
+    fn tidy(&self) {
+        self.served.borrow_mut().retain(|kind, served| {
+            let asked = served.asked_at.get().elapsed() < IDLE_TIMEOUT;
+            if !asked {
+                info!(self.log, "relay: Kind not followed any more."; "kind" => kind);
+            }
+            asked
+        });
+    }
 }
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -41,7 +41,7 @@
 
 /// The same where relays answer, but are out of contact with the store: it is more likely to be down
 /// for all than to turn away just the relays.
-const OUTAGE_PATIENCE: Duration = Duration::from_secs(5);
+const OUTAGE_PATIENCE: Duration = Duration::from_secs(8);
 
 /// Asks for one kind on behalf of one node.
 pub struct RelayedStore {
@@ -301,6 +301,10 @@
         .boxed_local()
     }
 
+    fn reach<'a>(&'a self) -> Answer<'a, ()> {
+        self.direct.reach()
+    }
+
     fn get<'a>(&'a self, kind: &'a str, name: &'a str) -> Answer<'a, Option<Object>> {
         self.direct.get(kind, name)
     }
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -40,6 +40,7 @@
     store: Rc<MemoryStore>,
     way: Cell<Way>,
     calls: Cell<usize>,
+    probes: Cell<usize>,
 }
 
 impl OwnStore {
@@ -48,6 +49,7 @@
             store: store.clone(),
             way: Cell::new(Way::Open),
             calls: Cell::new(0),
+            probes: Cell::new(0),
         })
     }
 
@@ -90,6 +92,18 @@
         .boxed_local()
     }
 
+    fn reach<'a>(&'a self) -> Answer<'a, ()> {
+        async move {
+            self.probes.set(self.probes.get() + 1);
+            match self.way.get() {
+                Way::Open => Ok(()),
+                Way::Refused => Err(ObjectError::Refused("turned away".to_owned())),
+                Way::Silent => Err(no_answer(Duration::from_secs(1)).await),
+            }
+        }
+        .boxed_local()
+    }
+
     fn get<'a>(&'a self, kind: &'a str, name: &'a str) -> Answer<'a, Option<Object>> {
         self.store.get(kind, name)
     }
@@ -198,6 +212,7 @@
     ) -> Self {
         let own = OwnStore::new(store);
         let relay = Relay::new(own.clone(), log(), relayed_kinds(), announce(addresses));
+        actix_rt::spawn(relay.clone().run());
         let address = free_address();
         let listener = TcpListener::bind(address).await.unwrap();
         let dead = Rc::new(Cell::new(false));
@@ -369,6 +384,35 @@
     }
 }
 
+#[test]
+fn a_cut_that_no_other_relay_tells_of_is_noticed() {
+    run(async {
+        let store = MemoryStore::new();
+        put(&store, "a");
+        let relays = start_relays(&["z1", "z2"], &store).await;
+        let follower = Follower::start(1, &store);
+        follower.knows(&["a"]).await;
+        let used = in_use(&relays);
+        used.store.way.set(Way::Silent);
+        put(&store, "b");
+        // A watch that waits ends after 18 s only; nobody follows the other relay yet.
+        let known = tokio::time::timeout(Duration::from_secs(6), follower.knows(&["a", "b"]));
+        known.await.expect("the cut is noticed");
+        assert_eq!(follower.own.calls.get(), 0, "the other relay is asked");
+    });
+}
+
+#[test]
+fn a_relay_that_nobody_asks_asks_nothing() {
+    run(async {
+        let store = MemoryStore::new();
+        let relays = start_relays(&["z1"], &store).await;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        let asked = &relays[0].store;
+        assert_eq!((asked.calls.get(), asked.probes.get()), (0, 0));
+    });
+}
+
 #[test]
 fn the_store_itself_is_asked_where_no_relay_is_of_use_and_relays_again_afterwards() {
     run(async {
--- a/crates/firshore-stand-in/src/store.rs
+++ b/crates/firshore-stand-in/src/store.rs
@@ -240,6 +240,14 @@
         .boxed_local()
     }
 
+    fn reach<'a>(&'a self) -> Answer<'a, ()> {
+        async move {
+            self.arrive().await?;
+            self.leave(())
+        }
+        .boxed_local()
+    }
+
     fn watch<'a>(&'a self, kind: &'a str, after: Revision, wait: Duration) -> Answer<'a, Changes> {
         async move {
             self.arrive().await?;
