--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -155,7 +155,8 @@
         loop {
             let connected = self.connected.get();
             let tried = try_answer(&self.cache.borrow());
-            if !connected && !(news && matches!(tried, Ok(Some(_)))) {
+            let tells_news = news && matches!(tried, Ok(Some(_)));
+            if !connected && !tells_news {
                 return PeerResponse::NoContact;
             }
             let until = match tried {
