Test of the progress file: a folder is opened only once its former writer is done

Cause: the test opens the folder again and again while the thread of the dropped keeper still writes. Who opens cuts the file off after the last whole frame it has read; a frame written in between is lost, the next one follows a gap. In a node that cannot be: a folder is opened by one process at a time.

Ruled out: the keeper and the file, which are unchanged.

Change: the test reads copies of the file until it holds what is expected, and opens the folder then.

--- a/crates/firshore-node/tests/progress_file.rs
+++ b/crates/firshore-node/tests/progress_file.rs
@@ -4,7 +4,7 @@
 use firshore_node::runner::handover::ProgressDelta;
 use firshore_node::runner::progress_keeper::{Leadership, ProgressKeeper};
 use std::fs::OpenOptions;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -37,15 +37,25 @@
         .map_or(Vec::new(), |one| one.events.clone())
 }
 
-/// Opens the folder again and again until it holds as many events of an item.
+/// What the file holds now, read from a copy: whoever opens a folder cuts its file off after the last
+/// whole frame, which must not happen while the thread of a former keeper still writes there.
+fn held_now(folder: &Path, index: u32) -> Vec<String> {
+    let copy = tempfile::tempdir().unwrap();
+    if let Err(error) = std::fs::copy(folder.join(FILE), copy.path().join(FILE)) {
+        assert_eq!(error.kind(), ErrorKind::NotFound, "{error}");
+    }
+    events(&ProgressKeeper::open(copy.path()).unwrap(), index)
+}
+
+/// Opens the folder once its file holds as many events of an item.
 fn reopened(folder: &Path, index: u32, count: usize) -> ProgressKeeper {
     let started = Instant::now();
     loop {
-        let keeper = ProgressKeeper::open(folder).unwrap();
-        if events(&keeper, index).len() == count {
-            return keeper;
+        let held = held_now(folder, index);
+        if held.len() == count {
+            return ProgressKeeper::open(folder).unwrap();
         }
-        assert!(started.elapsed() < WRITTEN_WITHIN, "{:?}", keeper.held());
+        assert!(started.elapsed() < WRITTEN_WITHIN, "{held:?}");
         std::thread::sleep(Duration::from_millis(20));
     }
 }
