Loads go through relays only where the leader cannot hear all nodes each 100 ms

Change: a node tells the leader first.

Test: a_relay_is_told_only_where_the_leader_has_too_many_nodes_to_hear (a relay is told at once before).

--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -6,7 +6,7 @@
 mod environment;
 pub mod explain;
 pub mod journal;
-mod load_exchange;
+pub mod load_exchange;
 pub mod load_table;
 pub mod memory;
 pub mod metrics;
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -7,7 +7,7 @@
 use firshore_gateway::gateway::Gateway;
 use firshore_types::ids::{NodeName, ZoneName};
 use slog::info;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +36,8 @@
     journal: Rc<JournalClient>,
     node: NodeName,
     zone: ZoneName,
+    /// Whether the leader has too many nodes to hear each as often as it could tell.
+    crowded_leader: Cell<bool>,
     /// Relays that gave no picture, and until when they are passed over.
     passed_over: RefCell<HashMap<NodeName, Instant>>,
 }
@@ -53,6 +55,7 @@
             journal,
             node,
             zone,
+            crowded_leader: Cell::new(false),
             passed_over: RefCell::default(),
         }
     }
@@ -87,7 +90,8 @@
     }
 
     async fn exchange(&self, own: Vec<BackendCount>, urgent: bool) -> Option<OthersLoad> {
-        if let Some(relay) = self.relay() {
+        let relay = self.relay().filter(|_| self.crowded_leader.get());
+        if let Some(relay) = relay {
             if let Some(others) = self.journal.tell_relay(&relay, own.clone(), urgent).await {
                 return Some(others);
             }
@@ -96,7 +100,10 @@
             let until = Instant::now() + RELAY_PAUSE;
             self.passed_over.borrow_mut().insert(relay, until);
         }
-        self.journal.tell_leader(own, urgent, false).await
+        let told = self.journal.tell_leader(own, urgent, false).await?;
+        // A few nodes get younger pictures from the leader than through relays.
+        self.crowded_leader.set(told.pause > BUSY_INTERVAL);
+        Some(told)
     }
 
     /// The relay to tell: of this zone, and not passed over.
--- a/crates/firshore-node/tests/relay_loads.rs
+++ b/crates/firshore-node/tests/relay_loads.rs
@@ -4,14 +4,30 @@
 
 use cluster::*;
 use firshore_adapter::backend::Incarnation;
+use firshore_gateway::gateway::Gateway;
+use firshore_link::handshake::ClusterSecret;
+use firshore_link::listener::{self, Handler};
+use firshore_log::refusal::JournalRefusal;
+use firshore_metrics::Builder;
 use firshore_node::journal::client::JournalClient;
-use firshore_node::journal::registry::Registry;
+use firshore_node::journal::messages::{PeerRequest, PeerResponse};
+use firshore_node::journal::registry::{KIND, NodeRecord, Registry};
+use firshore_node::load_exchange::LoadExchange;
 use firshore_node::load_table::BackendCount;
 use firshore_node::relay::loads::LoadRelay;
+use firshore_replication::types::DiskId;
+use firshore_stand_in::adapter::adapter;
+use firshore_stand_in::store::MemoryStore;
 use firshore_types::ids::NodeName;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, ready};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 
 fn counts(counts: &[(&str, u32)]) -> Vec<BackendCount> {
     let counts = counts.iter().map(|(backend, count)| BackendCount {
@@ -87,7 +103,7 @@
     assert!(relay.sums(now + Duration::from_secs(5)).is_none());
 }
 
-fn node(name: &str, store: &Rc<firshore_stand_in::store::MemoryStore>) -> JournalClient {
+fn node(name: &str, store: &Rc<MemoryStore>) -> JournalClient {
     let registry = Rc::new(Registry::new(store.clone(), log()));
     JournalClient::new(name.into(), registry, peers(), log())
 }
@@ -128,3 +144,90 @@
         assert_eq!(known.journal.loads.table.borrow().nodes(), 2, "relays only");
     });
 }
+
+/// A node that takes loads in, and counts how often.
+struct LoadPeer {
+    told: Rc<Cell<u32>>,
+    pause: u64,
+    /// It names this node as the leader instead.
+    refers_to: Rc<RefCell<Option<NodeName>>>,
+}
+
+impl Handler<PeerRequest, PeerResponse> for LoadPeer {
+    fn notice(&self, _: PeerRequest) {}
+
+    fn answer(&self, _: PeerRequest) -> LocalBoxFuture<'static, PeerResponse> {
+        let leader = self.refers_to.borrow().clone();
+        if leader.is_some() {
+            let refusal = JournalRefusal::NotLeader { leader };
+            return ready(PeerResponse::Refused(refusal)).boxed_local();
+        }
+        self.told.set(self.told.get() + 1);
+        let answer = PeerResponse::Load {
+            counts: Vec::new(),
+            pause: self.pause,
+            age: 0,
+            leader: None,
+        };
+        ready(answer).boxed_local()
+    }
+}
+
+async fn start_peer(store: &MemoryStore, name: &str, zone: &str, peer: LoadPeer) {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.unwrap();
+    let secret = ClusterSecret(secret().into());
+    actix_rt::spawn(listener::run(listener, secret, Rc::new(peer), log()));
+    let record = NodeRecord {
+        address,
+        zone: zone.into(),
+        disk: DiskId(1),
+    };
+    let spec = serde_json::to_value(record).unwrap();
+    store.put(KIND, &format!("node.{name}"), spec);
+}
+
+#[test]
+fn a_relay_is_told_only_where_the_leader_has_too_many_nodes_to_hear() {
+    for (pause, through_relay) in [(100, false), (800, true)] {
+        run(async move {
+            let store = MemoryStore::new();
+            let (at_leader, at_relay) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+            let leader = LoadPeer {
+                told: at_leader.clone(),
+                pause,
+                refers_to: Rc::default(),
+            };
+            start_peer(&store, "leader", "far", leader).await;
+            let refers_to = Rc::new(RefCell::new(Some("leader".into())));
+            let relay = LoadPeer {
+                told: at_relay.clone(),
+                pause: 100,
+                refers_to: refers_to.clone(),
+            };
+            start_peer(&store, "relay", "home", relay).await;
+            let jobs = Rc::new(node("n", &store));
+            while jobs.tell_leader(Vec::new(), false, false).await.is_none() {
+                cluster::pause().await;
+            }
+            *refers_to.borrow_mut() = None;
+            let gateway = Rc::new(Gateway::new(
+                log(),
+                adapter(store.clone()),
+                "home".into(),
+                None,
+                StdRng::seed_from_u64(1),
+                &mut Builder::default(),
+            ));
+            let _open = gateway.open_request();
+            let exchange = LoadExchange::new(gateway.clone(), jobs, "n".into(), "home".into());
+            actix_rt::spawn(exchange.run());
+            let before = at_leader.get();
+            while at_leader.get() + at_relay.get() < before + 4 {
+                cluster::pause().await;
+            }
+            assert_eq!(at_relay.get() > 0, through_relay, "a pause of {pause} ms");
+            assert!(at_leader.get() > before, "the leader is told first");
+        });
+    }
+}
