Sight: the log and metrics tell how old what a node believes is, and from whom it has that

Cause: ages of beliefs had to be worked out from several nodes' output and the operators' record. Change: a belief a kind (configuration, back ends) is confirmed by each answer, as of the moment that the relay or the store answered for; relays tell how long they held a question and when they heard of the store last. No decision changes.

--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -172,7 +172,8 @@
             info!(self.gateway.log, "forward: Send ended.";
                 "request" => &self.terms.id, "route" => &self.route.name,
                 "backend" => %backend.incarnation, "end" => ?end, "next" => ?next,
-                "sends" => self.attempts.sends(), "age_ms" => self.age());
+                "sends" => self.attempts.sends(), "age_ms" => self.age(),
+                "backends_age_ms" => self.gateway.beliefs.backends.age_ms());
             if next != Next::SendAgain {
                 return Ok(self.give_up(next, "sends used up", connection).await);
             }
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What the requests of a node share.
 
+use crate::belief::Beliefs;
 use crate::fleet::{Fleet, Impression};
 use crate::leaving::Leaving;
 use crate::metrics::GatewayMetrics;
@@ -63,6 +64,8 @@
     pub log: Logger,
     /// The environment.
     pub adapter: Adapter,
+    /// As of when the store is known, and from whom.
+    pub beliefs: Rc<Beliefs>,
     /// Back ends.
     pub fleet: Rc<RefCell<Fleet>>,
     /// The node's way out.
@@ -123,6 +126,7 @@
         Self {
             log,
             adapter,
+            beliefs: Rc::default(),
             fleet: Rc::new(RefCell::new(Fleet::new(zone))),
             leaving: Leaving::default(),
             jobs,
@@ -239,6 +243,7 @@
         let backends = self.fleet.borrow().len();
         self.metrics.backends.set(backends as i64);
         self.metrics.requests_open.set(self.requests_open() as i64);
+        self.metrics.set_belief_ages(&self.beliefs);
     }
 
     /// Whether the node can serve requests, batch jobs included: one that is cut off from the journal
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod access;
 pub mod attempts;
+pub mod belief;
 pub mod caller_connection;
 pub mod choice;
 pub mod events;
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Labels are of few values: services, and the ends of requests, sends and runs.
 
 use crate::attempts::SendEnd;
+use crate::belief::Beliefs;
 use firshore_metrics::{Builder, Counter, EncodeLabelSet, Family, Gauge, Histogram};
 use firshore_types::ids::ServiceName;
 use std::time::Duration;
@@ -54,6 +55,12 @@
     }
 }
 
+/// Labels of a belief.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BeliefLabels {
+    kind: &'static str,
+}
+
 /// Metrics of the part of a node that meets callers and back ends.
 pub struct GatewayMetrics {
     requests: Family<RequestLabels, Counter>,
@@ -73,6 +80,7 @@
     pub requests_open: Gauge,
     /// Back ends that are listed.
     pub backends: Gauge,
+    belief_ages: Family<BeliefLabels, Gauge>,
 }
 
 fn send_label(end: SendEnd) -> &'static str {
@@ -127,6 +135,25 @@
             ),
             requests_open: builder.gauge("requests_open", "Requests that are not answered yet."),
             backends: builder.gauge("backends", "Back ends that are listed."),
+            belief_ages: builder.gauges(
+                "belief_age_milliseconds",
+                "kind",
+                "Time since the store was last known to hold what this node believes, in milliseconds; \
+                 -1 before the first answer.",
+            ),
+        }
+    }
+
+    /// Sets how old the beliefs of a node are now.
+    pub fn set_belief_ages(&self, beliefs: &Beliefs) {
+        let ages = [
+            ("configuration", &beliefs.configuration),
+            ("backends", &beliefs.backends),
+        ];
+        for (kind, belief) in ages {
+            let age = belief.age_ms().map_or(-1, |age| age as i64);
+            let gauge = self.belief_ages.get_or_create(&BeliefLabels { kind });
+            gauge.set(age);
         }
     }
 
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -167,7 +167,9 @@
     match dialect.read_call(&request.method, path, query, &request.headers) {
         None => {
             let version = configuration.version;
+            let belief = &gateway.beliefs.configuration;
             info!(gateway.log, "serve: No route."; "version" => version,
+                "configuration_age_ms" => belief.age_ms(), "source" => belief.source(),
                 "host" => ?request.headers.get(HOST), "path" => path);
             let message = format!("No route for '{path}' in version {version}.");
             Answer::from(ApiError::not_run(ErrorCode::NotFound, message))
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -8,6 +8,7 @@
 use crate::watcher::{self, Watcher};
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::objects::{Change, Object, ObjectStore};
+use firshore_gateway::belief::Belief;
 use firshore_gateway::gateway::Gateway;
 use slog::{info, warn};
 use std::rc::Rc;
@@ -77,13 +78,14 @@
     asker: impl Fn() -> RelayAsker,
 ) -> [Task; 2] {
     let mut kinds = FollowedKinds::new(gateway, objects);
-    let relayed = |kind: &mut RelayedKind| {
+    let relayed = |kind: &mut RelayedKind, belief: &Rc<Belief>| {
         let direct = gateway.adapter.objects.clone();
         let spacing = std::mem::take(&mut kind.terms.spacing);
-        RelayedStore::new(asker(), direct, spacing)
+        RelayedStore::new(asker(), direct, spacing, belief.clone())
     };
-    let backends = relayed(&mut kinds.backends);
-    let configuration = relayed(&mut kinds.configuration);
+    let beliefs = &gateway.beliefs;
+    let backends = relayed(&mut kinds.backends, &beliefs.backends);
+    let configuration = relayed(&mut kinds.configuration, &beliefs.configuration);
     follow_in(gateway, kinds, backends, configuration)
 }
 
--- a/crates/firshore-node/src/relay/cache.rs
+++ b/crates/firshore-node/src/relay/cache.rs
@@ -31,6 +31,17 @@
     pub json: Payload,
 }
 
+/// How old a relay's knowledge is, as it travels with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayContact {
+    /// Time for which the question was held, in milliseconds.
+    #[serde(rename = "h")]
+    pub held: u64,
+    /// Time since the relay last heard from the store when it answered, in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+}
+
 /// A part of a listing as it travels.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedPage {
@@ -43,6 +54,9 @@
     /// Revision of the store that is known to the relay.
     #[serde(rename = "r")]
     pub revision: Revision,
+    /// How old that is.
+    #[serde(rename = "c", default)]
+    pub contact: RelayContact,
 }
 
 /// Changes as they travel.
@@ -57,6 +71,9 @@
     /// Revision to go on from.
     #[serde(rename = "r")]
     pub revision: Revision,
+    /// How old what is told is.
+    #[serde(rename = "c", default)]
+    pub contact: RelayContact,
 }
 
 /// What a watch cache cannot answer.
@@ -251,6 +268,7 @@
             written: written.map(|kept| kept.object.clone()).collect(),
             removed: removed.map(|(name, _)| name.clone()).collect(),
             revision,
+            contact: RelayContact::default(),
         }))
     }
 }
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -14,7 +14,7 @@
 use crate::observation::{Learned, Observation, Terms};
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
-use cache::{CacheMiss, KindCache, RelayedChanges};
+use cache::{CacheMiss, KindCache, RelayContact, RelayedChanges};
 use firshore_adapter::objects::{ObjectStore, Revision};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
@@ -75,6 +75,8 @@
     cache: RefCell<KindCache>,
     /// Whether the store answered last time.
     connected: Cell<bool>,
+    /// When the store was heard of last.
+    heard_at: Cell<Instant>,
     /// Counts whatever may let an answer be given that waits.
     steps: watch::Sender<u64>,
     /// Wakes the watch that waits, to ask the store anew.
@@ -89,6 +91,7 @@
         Self {
             cache: RefCell::default(),
             connected: Cell::new(true),
+            heard_at: Cell::new(Instant::now()),
             steps: watch::Sender::new(0),
             renewal: Rc::default(),
             renewed_at: Cell::new(None),
@@ -100,6 +103,9 @@
     /// Takes in what was learned. Returns the revision of a change that others may not know yet.
     fn learn(&self, learned: Option<Learned>, observation: &Observation) -> Option<Revision> {
         self.connected.set(observation.is_connected());
+        if observation.is_connected() {
+            self.heard_at.set(Instant::now());
+        }
         let mut cache = self.cache.borrow_mut();
         let before = cache.changed_at();
         if let Some(revision) = observation.revision() {
@@ -124,10 +130,12 @@
         }
     }
 
-    /// The store can be reached again: a watch that was asked for meanwhile may be lost.
-    fn regain_contact(&self) {
-        if !self.connected.get() {
-            self.renew();
+    /// The store has answered what it was asked at `asked_at`. Where it could not be reached before, a
+    /// watch that was asked for meanwhile may be lost.
+    fn reached(&self, asked_at: Instant) {
+        match self.connected.get() {
+            true => self.heard_at.set(asked_at),
+            false => self.renew(),
         }
     }
 
@@ -142,9 +150,30 @@
         self.renewal.notify_one();
     }
 
+    /// Answers, and tells how old the answer is.
+    async fn answer(
+        &self,
+        wait: Duration,
+        news: bool,
+        try_answer: impl Fn(&KindCache) -> Result<Option<PeerResponse>, CacheMiss>,
+    ) -> PeerResponse {
+        let asked_at = Instant::now();
+        let mut answer = self.find_answer(wait, news, try_answer).await;
+        let contact = RelayContact {
+            held: asked_at.elapsed().as_millis() as u64,
+            age: self.heard_at.get().elapsed().as_millis() as u64,
+        };
+        match &mut answer {
+            PeerResponse::Page(page) => page.contact = contact,
+            PeerResponse::Changes(changes) => changes.contact = contact,
+            _ => {}
+        }
+        answer
+    }
+
     /// Tries until there is an answer or the wait is over. Out of contact with the store, only `news` is
     /// told: what the asker does not know, however old.
-    async fn answer(
+    async fn find_answer(
         &self,
         wait: Duration,
         news: bool,
@@ -291,6 +320,7 @@
             if self.served.borrow().is_empty() {
                 continue;
             }
+            let asked_at = Instant::now();
             let answer = timeout(PROBE_TIMEOUT, self.store.reach()).await;
             let reaches = matches!(answer, Ok(Ok(())));
             if reached != reaches {
@@ -300,7 +330,7 @@
             let served: Vec<Rc<ServedKind>> = self.served.borrow().values().cloned().collect();
             for one in served {
                 match reaches {
-                    true => one.regain_contact(),
+                    true => one.reached(asked_at),
                     false => one.lose_contact(),
                 }
             }
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -1,6 +1,6 @@
 //! The store as a node sees it that asks relays first.
 
-use super::cache::{RelayedChanges, RelayedObject, RelayedPage};
+use super::cache::{RelayContact, RelayedChanges, RelayedObject, RelayedPage};
 use super::ranking;
 use crate::journal::PeerClient;
 use crate::journal::messages::{PeerRequest, PeerResponse};
@@ -8,6 +8,7 @@
 use firshore_adapter::objects::{
     Answer, Change, Changes, Object, ObjectError, ObjectStore, Page, Revision,
 };
+use firshore_gateway::belief::{Belief, BeliefSource};
 use firshore_types::ids::{NodeName, ZoneName};
 use futures_util::FutureExt;
 use rand::RngExt;
@@ -16,8 +17,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
 
 /// Wait for a change that a relay is asked for: its silence is noticed soon after.
 const RELAY_WAIT: Duration = Duration::from_millis(700);
@@ -55,6 +56,10 @@
     patient_until: Cell<Option<Instant>>,
     watched_at: Cell<Option<Instant>>,
     asks_store: Cell<bool>,
+    /// As of when the kind is known.
+    belief: Rc<Belief>,
+    /// As of when the first page of the listing under way was.
+    listed_as_of: Cell<Option<Instant>>,
 }
 
 /// Who asks relays, and whom it would ask.
@@ -81,9 +86,31 @@
     out_of_contact: bool,
 }
 
+/// What a relay answered.
+struct RelayAnswer {
+    relay: NodeName,
+    /// When it was asked.
+    asked_at: Instant,
+    response: PeerResponse,
+}
+
+impl RelayAnswer {
+    /// The moment as of which the relay tells the store: not later than its answer was sent, however
+    /// long that was under way.
+    fn as_of(&self, contact: RelayContact) -> Instant {
+        let sent_at = self.asked_at + Duration::from_millis(contact.held);
+        let age = Duration::from_millis(contact.age);
+        sent_at.checked_sub(age).unwrap_or(self.asked_at)
+    }
+
+    fn source(&self) -> BeliefSource {
+        BeliefSource::Relay(self.relay.clone())
+    }
+}
+
 /// What came of asking relays.
 enum Asked {
-    Answered(PeerResponse),
+    Answered(RelayAnswer),
     /// Some answered that they are out of contact with the store.
     NoContact,
     Nobody,
@@ -91,7 +118,7 @@
 
 impl RelayAsker {
     /// Asks one relay after the other.
-    async fn ask(&self, request: &PeerRequest, limit: Duration) -> Asked {
+    async fn ask(&self, kind: &str, request: &PeerRequest, limit: Duration) -> Asked {
         let now = Instant::now();
         let candidates = self.registry.candidates();
         let order = ranking::order(&candidates, &self.zone, &self.node);
@@ -107,24 +134,41 @@
             let Some(address) = self.registry.address(&relay) else {
                 continue;
             };
+            let asked_at = Instant::now();
             let call = self.peers.call(address, request.clone());
             match timeout(limit, call).await {
                 Ok(Ok(PeerResponse::NoContact)) => {
                     asked = Asked::NoContact;
-                    self.pass_over(relay, CONTACT_PAUSE, true);
+                    self.pass_over(kind, relay, asked_at, CONTACT_PAUSE, true);
+                }
+                Ok(Ok(response)) => {
+                    return Asked::Answered(RelayAnswer {
+                        relay,
+                        asked_at,
+                        response,
+                    });
+                }
+                Ok(Err(_)) | Err(_) => {
+                    self.pass_over(kind, relay, asked_at, SILENCE_PAUSE, false);
                 }
-                Ok(Ok(answer)) => return Asked::Answered(answer),
-                Ok(Err(_)) | Err(_) => self.pass_over(relay, SILENCE_PAUSE, false),
             }
         }
         asked
     }
 
-    fn pass_over(&self, relay: NodeName, pause: Duration, out_of_contact: bool) {
+    fn pass_over(
+        &self,
+        kind: &str,
+        relay: NodeName,
+        asked_at: Instant,
+        pause: Duration,
+        out_of_contact: bool,
+    ) {
         let before = self.passed_over.borrow().get(&relay).copied();
         // A relay that stays without contact is named once.
         if !(out_of_contact && before.is_some_and(|before| before.out_of_contact)) {
-            info!(self.log, "relay: Passed over."; "relay" => %relay,
+            info!(self.log, "relay: Passed over."; "relay" => %relay, "kind" => kind,
+                "asked_ms" => asked_at.elapsed().as_millis() as u64,
                 "out_of_contact" => out_of_contact, "pause_ms" => pause.as_millis() as u64);
         }
         let pause = RelayPause {
@@ -156,9 +200,9 @@
     })
 }
 
-fn changes(relayed: RelayedChanges) -> Result<Changes, ObjectError> {
+fn changes(relayed: &RelayedChanges) -> Result<Changes, ObjectError> {
     let written = decoded(&relayed.written)?.into_iter().map(Change::Written);
-    let removed = relayed.removed.into_iter().map(Change::Removed);
+    let removed = relayed.removed.iter().cloned().map(Change::Removed);
     Ok(Changes {
         changes: written.chain(removed).collect(),
         revision: relayed.revision,
@@ -171,11 +215,12 @@
 
 impl RelayedStore {
     /// Asks relays through `asker`, and `direct` where there are none, for watches not more often than
-    /// each `direct_spacing`.
+    /// each `direct_spacing`. Tells `belief` as of when the kind is known.
     pub fn new(
         asker: RelayAsker,
         direct: Rc<dyn ObjectStore>,
         direct_spacing: Duration,
+        belief: Rc<Belief>,
     ) -> Rc<Self> {
         Rc::new(Self {
             asker,
@@ -185,13 +230,15 @@
             patient_until: Cell::new(None),
             watched_at: Cell::new(None),
             asks_store: Cell::new(false),
+            belief,
+            listed_as_of: Cell::new(None),
         })
     }
 
     /// Asks relays until one is of use or the patience is over; `None`: the store is to be asked.
-    async fn ask(&self, request: PeerRequest, limit: Duration) -> Option<PeerResponse> {
+    async fn ask(&self, kind: &str, request: PeerRequest, limit: Duration) -> Option<RelayAnswer> {
         loop {
-            let patience = match self.asker.ask(&request, limit).await {
+            let patience = match self.asker.ask(kind, &request, limit).await {
                 Asked::Answered(answer) => {
                     self.relayed();
                     return Some(answer);
@@ -200,7 +247,7 @@
                 Asked::Nobody => PATIENCE,
             };
             if self.is_patience_over(patience) {
-                self.direct();
+                self.direct(kind);
                 return None;
             }
             actix_rt::time::sleep(ROUND_PAUSE).await;
@@ -229,11 +276,12 @@
         }
     }
 
-    fn direct(&self) {
+    fn direct(&self, kind: &str) {
         if !self.asks_store.replace(true) {
             warn!(
                 self.asker.log,
-                "relay: No relay is of use; the store itself is asked."
+                "relay: No relay is of use; the store itself is asked.";
+                "kind" => kind, "belief_age_ms" => self.belief.age_ms()
             );
         }
     }
@@ -250,6 +298,16 @@
         Ok(())
     }
 
+    /// Takes in a page: the listing tells the store as of its first one.
+    fn confirm_page(&self, page: &Page, after: Option<&str>, as_of: Instant, source: BeliefSource) {
+        if after.is_none() {
+            self.listed_as_of.set(Some(as_of));
+        }
+        if let Some(as_of) = self.listed_as_of.get().filter(|_| !page.more) {
+            self.belief.confirm(as_of, source);
+        }
+    }
+
     async fn space(&self) {
         let next = self.watched_at.get().map(|at| at + self.direct_spacing);
         if let Some(wait) = next.and_then(|next| next.checked_duration_since(Instant::now())) {
@@ -267,12 +325,23 @@
                 after: after.map(str::to_owned),
                 known: self.known.get(),
             };
-            let page = match self.ask(request, ANSWER_MARGIN).await {
-                Some(PeerResponse::Page(relayed)) => page(&relayed)?,
-                Some(_) => return Err(unexpected()),
-                None => self.direct.list(kind, after).await?,
+            let asked_at = Instant::now();
+            let answer = self.ask(kind, request, ANSWER_MARGIN).await;
+            let (page, as_of, source) = match &answer {
+                Some(answer) => {
+                    let PeerResponse::Page(relayed) = &answer.response else {
+                        return Err(unexpected());
+                    };
+                    let as_of = answer.as_of(relayed.contact);
+                    (page(relayed)?, as_of, answer.source())
+                }
+                None => {
+                    let page = self.direct.list(kind, after).await?;
+                    (page, asked_at, BeliefSource::Store)
+                }
             };
             self.know(page.revision)?;
+            self.confirm_page(&page, after, as_of, source);
             Ok(page)
         }
         .boxed_local()
@@ -286,16 +355,27 @@
                 known: after,
                 wait: relay_wait.as_millis() as u64,
             };
-            let changes = match self.ask(request, relay_wait + ANSWER_MARGIN).await {
-                Some(PeerResponse::Changes(relayed)) => changes(relayed)?,
-                Some(PeerResponse::HistoryGone) => return Err(ObjectError::HistoryGone),
-                Some(_) => return Err(unexpected()),
+            let answer = self.ask(kind, request, relay_wait + ANSWER_MARGIN).await;
+            let (changes, as_of, source) = match answer {
+                Some(answer) => {
+                    let source = answer.source();
+                    let relayed = match &answer.response {
+                        PeerResponse::Changes(relayed) => relayed,
+                        PeerResponse::HistoryGone => return Err(ObjectError::HistoryGone),
+                        _ => return Err(unexpected()),
+                    };
+                    let as_of = answer.as_of(relayed.contact);
+                    (changes(relayed)?, as_of, source)
+                }
                 None => {
                     self.space().await;
-                    self.direct.watch(kind, after, wait).await?
+                    let asked_at = Instant::now();
+                    let changes = self.direct.watch(kind, after, wait).await?;
+                    (changes, asked_at, BeliefSource::Store)
                 }
             };
             self.know(changes.revision)?;
+            self.belief.confirm(as_of, source);
             Ok(changes)
         }
         .boxed_local()
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -7,6 +7,7 @@
 use firshore_adapter::objects::{
     Answer, Change, Changes, Object, ObjectError, ObjectStore, Page, Revision,
 };
+use firshore_gateway::belief::Belief;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::listener::{self, Handler};
 use firshore_node::journal::messages::{PeerRequest, PeerResponse};
@@ -252,6 +253,7 @@
 struct Follower {
     own: Rc<OwnStore>,
     known: Rc<RefCell<Vec<String>>>,
+    belief: Rc<Belief>,
     _following: actix_rt::task::JoinHandle<()>,
 }
 
@@ -286,7 +288,8 @@
             log: log(),
             passed_over: RefCell::default(),
         };
-        let relayed = RelayedStore::new(asker, own.clone(), Duration::ZERO);
+        let belief = Rc::<Belief>::default();
+        let relayed = RelayedStore::new(asker, own.clone(), Duration::ZERO, belief.clone());
         let known = Rc::new(RefCell::new(Vec::new()));
         let learning = known.clone();
         let kind = relayed_kinds().remove(0);
@@ -303,6 +306,7 @@
         Self {
             own,
             known,
+            belief,
             _following: actix_rt::spawn(following),
         }
     }
@@ -487,3 +491,23 @@
         join_all(followers.iter().map(|one| one.knows(&["a", "b"]))).await;
     });
 }
+
+#[test]
+fn a_relay_tells_how_old_its_contact_is() {
+    run(async {
+        let store = MemoryStore::new();
+        put(&store, "a");
+        let relays = start_relays(&["z1"], &store).await;
+        let follower = Follower::start(1, &store);
+        follower.knows(&["a"]).await;
+        while follower.belief.as_of().is_none() {
+            pause().await;
+        }
+        assert_eq!(follower.belief.source().as_deref(), Some("r0"));
+        // Nothing is heard of the store any more: what the relay tells is of before.
+        let closed_at = tokio::time::Instant::now();
+        relays[0].store.way.set(Way::Silent);
+        actix_rt::time::sleep(Duration::from_millis(400)).await;
+        assert!(follower.belief.as_of() <= Some(closed_at));
+    });
+}
