--- a/crates/firshore-link/src/client.rs
+++ b/crates/firshore-link/src/client.rs
@@ -5,6 +5,7 @@
 use crate::handshake::{self, ClusterSecret};
 use crate::{NOTICE, RequestFrame, ResponseFrame};
 use firshore_exchange::keep_alive;
+use futures_util::future::LocalBoxFuture;
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -146,6 +147,24 @@
     }
 }
 
+/// Serves a client's calls by a function instead of connections until every handle is gone, for
+/// simulations. Notices are served too; what the function answers them is dropped.
+pub async fn serve_with<Q: Message, A: Message>(
+    mut calls: PeerCalls<Q, A>,
+    answer: impl Fn(SocketAddr, Q) -> LocalBoxFuture<'static, Result<A, PeerError>>,
+) {
+    while let Some(call) = calls.receiver.recv().await {
+        let answering = answer(call.address, call.request);
+        let settled = call.answer;
+        actix_rt::spawn(async move {
+            let result = answering.await;
+            if let Some(settled) = settled {
+                let _ = settled.send(result);
+            }
+        });
+    }
+}
+
 async fn open(address: SocketAddr, secret: &ClusterSecret) -> Result<TcpStream, ProtocolError> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
