--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -18,7 +18,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Kind of the product's own objects.
 pub const KIND: &str = "firshore";
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -16,8 +16,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
 
 /// Wait for a change that a relay is asked for: its silence is noticed soon after.
 const RELAY_WAIT: Duration = Duration::from_millis(700);
