--- a/crates/firshore-node/tests/stale_sources.rs
+++ b/crates/firshore-node/tests/stale_sources.rs
@@ -74,12 +74,30 @@
     }
 }
 
-/// Plays a class, and tells what was oldest in it.
+/// One way in which those that inform a node may be lost.
+struct Class {
+    name: &'static str,
+    draw: Draw,
+}
+
+const fn class(name: &'static str, draw: Draw) -> Class {
+    Class { name, draw }
+}
+
+/// Plays classes.
 ///
 /// # Panics
 ///
-/// Panics if a follower in touch passed the bound, or took back what it knew.
-fn holds(class: &'static str, draw: Draw) {
+/// Panics if a follower in touch passed the bound, or took back what it knew, and tells of each class in
+/// which one did.
+fn hold(classes: &[Class]) {
+    let broken: Vec<String> = classes.iter().filter_map(broken_in).collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n\n"));
+}
+
+/// Plays a class, prints what was oldest in it, and tells what was broken, if anything was.
+fn broken_in(class: &Class) -> Option<String> {
+    let Class { name: class, draw } = *class;
     let mut oldest = [Duration::ZERO; 2];
     let mut broken = Vec::new();
     for seed in 0..seeds() {
@@ -105,13 +123,12 @@
     let worst = broken
         .iter()
         .find(|(_, played)| played.taken_back.is_some());
-    if let Some((scene, played)) = worst.or(broken.first()) {
-        let broken: Vec<u64> = broken.iter().map(|(scene, _)| scene.seed).collect();
-        panic!(
-            "{}\nseeds {broken:?} are broken; oldest: {ages}",
-            told(scene, played)
-        );
-    }
+    let (scene, played) = worst.or(broken.first())?;
+    let seeds: Vec<u64> = broken.iter().map(|(scene, _)| scene.seed).collect();
+    let told = told(scene, played);
+    Some(format!(
+        "{told}\nseeds {seeds:?} are broken; oldest: {ages}"
+    ))
 }
 
 fn told(scene: &Scene, played: &Played) -> String {
@@ -168,102 +185,65 @@
     vec![(at, Event::CutBegins), (at + DEAF, Event::CutEnds)]
 }
 
-#[test]
-fn where_nothing_happens_all_is_known_soon() {
-    holds("nothing happens", |_, _| Events::new());
+fn nothing(_: &mut StdRng, _: usize) -> Events {
+    Events::new()
 }
 
-#[test]
-fn all_relays_fall_silent_at_once() {
-    holds("all dark at once", |random, relays| {
-        end_all(random, relays, Health::Dark, 20, 1_000..12_000)
-    });
+fn all_dark(random: &mut StdRng, relays: usize) -> Events {
+    end_all(random, relays, Health::Dark, 20, 1_000..12_000)
 }
 
-#[test]
-fn all_relays_are_cut_off_at_once_and_go_on() {
-    holds("all cut off at once", |random, relays| {
-        reach_all(random, relays, Health::Dark, 12_000)
-    });
+fn all_cut_off(random: &mut StdRng, relays: usize) -> Events {
+    reach_all(random, relays, Health::Dark, 12_000)
 }
 
-#[test]
-fn relays_fall_silent_one_after_the_other() {
-    holds("dark one after the other", |random, relays| {
-        end_all(random, relays, Health::Dark, 5_000, 2_000..6_000)
-    });
+fn dark_in_turn(random: &mut StdRng, relays: usize) -> Events {
+    end_all(random, relays, Health::Dark, 5_000, 2_000..6_000)
 }
 
-#[test]
-fn all_relays_are_killed_and_come_back() {
-    holds("all killed", |random, relays| {
-        end_all(random, relays, Health::Reset, 200, 200..6_000)
-    });
+fn all_killed(random: &mut StdRng, relays: usize) -> Events {
+    end_all(random, relays, Health::Reset, 200, 200..6_000)
 }
 
-#[test]
-fn relays_are_slow() {
-    holds("relays slow", |random, relays| {
-        reach_all(random, relays, Health::Slow, 8_000)
-    });
+fn relays_slow(random: &mut StdRng, relays: usize) -> Events {
+    reach_all(random, relays, Health::Slow, 8_000)
 }
 
-#[test]
-fn relays_stand_still_for_a_while() {
-    holds("relays paused", |random, relays| {
-        reach_all(random, relays, Health::Stopped, 5_000)
-    });
+fn relays_paused(random: &mut StdRng, relays: usize) -> Events {
+    reach_all(random, relays, Health::Stopped, 5_000)
 }
 
-#[test]
-fn the_store_is_slow() {
-    holds("store slow", |random, _| {
-        let back = FIRST + random.random_range(1_000..8_000);
-        vec![
-            (FIRST, Event::Delays(Who::All, SLOWNESS)),
-            (back, Event::Delays(Who::All, Duration::ZERO)),
-        ]
-    });
+fn store_slow(random: &mut StdRng, _: usize) -> Events {
+    let back = FIRST + random.random_range(1_000..8_000);
+    vec![
+        (FIRST, Event::Delays(Who::All, SLOWNESS)),
+        (back, Event::Delays(Who::All, Duration::ZERO)),
+    ]
 }
 
-#[test]
-fn the_store_is_silent_for_all_and_comes_back() {
-    holds("store silent for all", |random, _| {
-        shut(random, Who::All, Way::Silent, 9_000)
-    });
+fn store_silent(random: &mut StdRng, _: usize) -> Events {
+    shut(random, Who::All, Way::Silent, 9_000)
 }
 
 /// So long that some nodes ask the store themselves meanwhile.
-#[test]
-fn the_store_is_silent_for_all_for_long() {
-    holds("store silent for long", |random, _| {
-        let back = FIRST + random.random_range(8_500..15_000);
-        vec![
-            (FIRST, Event::Ways(Who::All, Way::Silent)),
-            (back, Event::Ways(Who::All, Way::Open)),
-        ]
-    });
+fn store_silent_for_long(random: &mut StdRng, _: usize) -> Events {
+    let back = FIRST + random.random_range(8_500..15_000);
+    vec![
+        (FIRST, Event::Ways(Who::All, Way::Silent)),
+        (back, Event::Ways(Who::All, Way::Open)),
+    ]
 }
 
-#[test]
-fn the_store_is_silent_for_relays_alone() {
-    holds("store silent for relays", |random, _| {
-        shut(random, Who::Relays, Way::Silent, 9_000)
-    });
+fn store_silent_for_relays(random: &mut StdRng, _: usize) -> Events {
+    shut(random, Who::Relays, Way::Silent, 9_000)
 }
 
-#[test]
-fn the_store_turns_relays_away() {
-    holds("store refuses relays", |random, _| {
-        shut(random, Who::Relays, Way::Refused, 9_000)
-    });
+fn store_refuses_relays(random: &mut StdRng, _: usize) -> Events {
+    shut(random, Who::Relays, Way::Refused, 9_000)
 }
 
-#[test]
-fn watches_are_cut_and_history_is_gone() {
-    holds("watches cut", |random, _| {
-        cut(FIRST + random.random_range(0..500))
-    });
+fn watches_cut(random: &mut StdRng, _: usize) -> Events {
+    cut(FIRST + random.random_range(0..500))
 }
 
 /// A relay that nobody reached, nor it the store, is reached again while it is behind: it is still cut from
@@ -289,52 +269,38 @@
     events
 }
 
-#[test]
-fn a_relay_that_comes_back_behind_takes_nobody_back() {
-    holds("one relay back and behind", |random, _| {
-        come_back_behind(random, 1)
-    });
-}
-
-#[test]
-fn relays_that_come_back_behind_take_nobody_back() {
-    holds("relays back and behind", come_back_behind);
+fn one_relay_behind(random: &mut StdRng, _: usize) -> Events {
+    come_back_behind(random, 1)
 }
 
 /// Relays that were away start anew and read a copy that is behind, while watches at the store itself are
 /// cut: whoever asked it lists anew, at a relay that knows less.
-#[test]
-fn a_listing_that_is_behind_takes_nobody_back() {
-    holds("listed behind", |random, relays| {
-        let away = random.random_range(4_000..6_000);
-        let mut events = end_all(random, relays, Health::Reset, 20, away..away + 1);
-        let back = FIRST + away;
-        for relay in 0..relays {
-            events.push((back, Event::Lags(relay, true)));
-            events.push((back + 2_400, Event::Lags(relay, false)));
-        }
-        for number in 1..=6 {
-            let at = back + number * 400;
-            events.push((at, Event::CutBegins));
-            events.push((at + 60, Event::CutEnds));
-        }
-        events
-    });
+fn listed_behind(random: &mut StdRng, relays: usize) -> Events {
+    let away = random.random_range(4_000..6_000);
+    let mut events = end_all(random, relays, Health::Reset, 20, away..away + 1);
+    let back = FIRST + away;
+    for relay in 0..relays {
+        events.push((back, Event::Lags(relay, true)));
+        events.push((back + 2_400, Event::Lags(relay, false)));
+    }
+    for number in 1..=6 {
+        let at = back + number * 400;
+        events.push((at, Event::CutBegins));
+        events.push((at + 60, Event::CutEnds));
+    }
+    events
 }
 
-#[test]
-fn followers_start_while_relays_are_gone() {
-    holds("just started", |random, relays| {
-        let health = [Health::Dark, Health::Reset][random.random_range(0..2)];
-        let mut events = end_all(random, relays, health, 1_000, 200..8_000);
-        if random.random_bool(0.5) {
-            events.clear();
-        }
-        for _ in 0..3 {
-            events.push((FIRST + random.random_range(0..5_000), Event::Joins));
-        }
-        events
-    });
+fn just_started(random: &mut StdRng, relays: usize) -> Events {
+    let health = [Health::Dark, Health::Reset][random.random_range(0..2)];
+    let mut events = end_all(random, relays, health, 1_000, 200..8_000);
+    if random.random_bool(0.5) {
+        events.clear();
+    }
+    for _ in 0..3 {
+        events.push((FIRST + random.random_range(0..5_000), Event::Joins));
+    }
+    events
 }
 
 /// Draws one thing that happens from `at` on, for some seconds at most.
@@ -370,15 +336,54 @@
     }
 }
 
+fn mixtures(random: &mut StdRng, relays: usize) -> Events {
+    let count = random.random_range(4..=8);
+    let mut events = Events::new();
+    for _ in 0..count {
+        let at = FIRST + random.random_range(0..15_000);
+        events.extend(trouble(random, relays, at));
+    }
+    events
+}
+
 #[test]
-fn whatever_happens_together() {
-    holds("mixtures", |random, relays| {
-        let count = random.random_range(4..=8);
-        let mut events = Events::new();
-        for _ in 0..count {
-            let at = FIRST + random.random_range(0..15_000);
-            events.extend(trouble(random, relays, at));
-        }
-        events
-    });
+fn all_is_known_soon_where_relays_and_the_store_answer() {
+    hold(&[
+        class("nothing happens", nothing),
+        class("relays slow", relays_slow),
+        class("store slow", store_slow),
+        class("watches cut", watches_cut),
+    ]);
+}
+
+#[test]
+fn all_is_known_in_time_where_relays_are_lost() {
+    hold(&[
+        class("all dark at once", all_dark),
+        class("all cut off at once", all_cut_off),
+        class("dark one after the other", dark_in_turn),
+        class("all killed", all_killed),
+        class("relays paused", relays_paused),
+        class("just started", just_started),
+    ]);
+}
+
+#[test]
+fn all_is_known_in_time_where_the_store_is_shut_to_some_or_was_to_all() {
+    hold(&[
+        class("store silent for all", store_silent),
+        class("store silent for long", store_silent_for_long),
+        class("store silent for relays", store_silent_for_relays),
+        class("store refuses relays", store_refuses_relays),
+    ]);
+}
+
+#[test]
+fn nothing_is_taken_back_where_relays_are_behind_or_anything_happens_together() {
+    hold(&[
+        class("one relay back and behind", one_relay_behind),
+        class("relays back and behind", come_back_behind),
+        class("listed behind", listed_behind),
+        class("mixtures", mixtures),
+    ]);
 }
--- a/crates/firshore-node/tests/stale_world/machines.rs
+++ b/crates/firshore-node/tests/stale_world/machines.rs
@@ -306,7 +306,12 @@
             };
             let watcher = Watcher {
                 log: log(),
-                store: RelayedStore::new(asker, own.clone(), spaced(kind, DIRECT_SPACING)),
+                store: RelayedStore::new(
+                    asker,
+                    own.clone(),
+                    spaced(kind, DIRECT_SPACING),
+                    Rc::default(),
+                ),
                 kind: kind.to_owned(),
                 terms: terms(Duration::ZERO),
                 renewal: Rc::default(),
