--- a/crates/firshore-gateway/src/belief.rs
+++ b/crates/firshore-gateway/src/belief.rs
@@ -3,7 +3,7 @@
 //! Every decision rests on such a belief, and the log names its age beside the decision.
 
 use firshore_types::ids::NodeName;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct Belief {
     confirmation: RefCell<Option<Confirmation>>,
+    /// Age up to which decisions may rest on it; none: any.
+    longest_age: Cell<Option<Duration>>,
 }
 
 impl Belief {
@@ -63,6 +65,18 @@
         self.as_of().map(|as_of| as_of.elapsed())
     }
 
+    /// Sets up to which age decisions may rest on it.
+    pub fn limit_age(&self, longest_age: Duration) {
+        self.longest_age.set(Some(longest_age));
+    }
+
+    /// Returns whether the belief is older than decisions may rest on: what it denies may be there.
+    pub fn is_overdue(&self) -> bool {
+        let longest_age = self.longest_age.get();
+        let age = self.age();
+        matches!((age, longest_age), (Some(age), Some(longest)) if age > longest)
+    }
+
     /// Returns the age in milliseconds, for the log.
     pub fn age_ms(&self) -> Option<u64> {
         self.age().map(|age| age.as_millis() as u64)
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -105,7 +105,11 @@
             info!(gateway.log, "serve: Caller unknown."; "reason" => ?error,
                 "request" => gateway.adapter.caller.read_terms(&request.headers).id,
                 "key_digest" => access::key_digest(key), "version" => configuration.version,
+                "configuration_age_ms" => gateway.beliefs.configuration.age_ms(),
                 "path" => request.uri.path());
+            if gateway.beliefs.configuration.is_overdue() {
+                return answer(gateway, Answer::Refused(overdue()), connection).await;
+            }
             return answer(gateway, Answer::from(error.answer()), connection).await;
         }
     };
@@ -130,6 +134,13 @@
     }
 }
 
+/// Refuses what this node does not know, while it does not know whether it has been added since: a caller
+/// takes 404 or 401 for final, and another node may know better.
+fn overdue() -> Refusal {
+    let message = "The node has not heard of the configuration for too long.";
+    Refusal::not_run(ErrorCode::Unavailable, message, UNCONFIGURED_RETRY)
+}
+
 /// Refuses a request of a tenant that has used up its limit.
 fn over_limit(
     gateway: &Gateway,
@@ -171,6 +182,9 @@
             info!(gateway.log, "serve: No route."; "version" => version,
                 "configuration_age_ms" => belief.age_ms(), "source" => belief.source(),
                 "host" => ?request.headers.get(HOST), "path" => path);
+            if belief.is_overdue() {
+                return Answer::Refused(overdue());
+            }
             let message = format!("No route for '{path}' in version {version}.");
             Answer::from(ApiError::not_run(ErrorCode::NotFound, message))
         }
--- a/crates/firshore-gateway/tests/access.rs
+++ b/crates/firshore-gateway/tests/access.rs
@@ -4,6 +4,7 @@
 
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
+use firshore_gateway::belief::BeliefSource;
 use firshore_gateway::gateway::{JobAnswer, JobService};
 use firshore_stand_in::adapter::{KEY, TENANT};
 use firshore_stand_in::backend::Play;
@@ -20,6 +21,7 @@
 use support::{place, place_with_jobs, send};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Two tenants, one of them with two keys.
 fn tenants() -> Value {
@@ -324,3 +326,27 @@
         assert!(served > 20, "the pieces make no request that is served: {served}");
     });
 }
+
+/// What a node does not know may have been added since it heard of the configuration last: callers take
+/// 404 and 401 for final, so that neither is said then. What it knows is served on.
+#[test]
+fn nothing_is_refused_for_good_on_a_belief_that_is_overdue() {
+    actix_rt::System::new().block_on(async {
+        let place = place(configuration(1, &tenants()), &[&[]], Play::Whole).await;
+        let belief = &place.gateway.beliefs.configuration;
+        let unknown = [("/none/", key("key-a")), ("/own/", key("key-x"))];
+        let [no_route, no_key] = unknown.each_ref();
+        assert_eq!(status(place.callers, no_route.0, &no_route.1).await, 404);
+        belief.limit_age(Duration::from_millis(500));
+        belief.confirm(Instant::now(), BeliefSource::Store);
+        assert_eq!(status(place.callers, no_route.0, &no_route.1).await, 404);
+        assert_eq!(status(place.callers, no_key.0, &no_key.1).await, 401);
+        actix_rt::time::sleep(Duration::from_millis(600)).await;
+        for (path, headers) in &unknown {
+            assert_eq!(status(place.callers, path, headers).await, 503, "{path}");
+        }
+        assert_eq!(status(place.callers, "/own/", &key("key-a")).await, 200);
+        belief.confirm(Instant::now(), BeliefSource::Store);
+        assert_eq!(status(place.callers, no_route.0, &no_route.1).await, 404);
+    });
+}
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -2,27 +2,19 @@
 
 use crate::observation::{Learned, Terms};
 use crate::relay::RelayedKind;
+use crate::relay::budget::FreshnessBudget;
 use crate::relay::store::{RelayAsker, RelayedStore};
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
 use firshore_adapter::backend::Incarnation;
-use firshore_adapter::objects::{Change, Object, ObjectStore};
+use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::belief::Belief;
 use firshore_gateway::gateway::Gateway;
 use slog::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause after a change of the back ends. One that leaves must get nothing new within two seconds.
-const BACKEND_SPACING: Duration = Duration::from_millis(1_200);
-
-/// The same for a relay: there are few of them, and what they learn is passed on once more.
-const RELAY_SPACING: Duration = Duration::from_millis(600);
-
-/// Pause after a change of the configuration: none, as each has to be in force everywhere at once.
-const CONFIGURATION_SPACING: Duration = Duration::ZERO;
-
 /// Terms on which a kind is observed.
 pub fn terms(objects: &Objects, spacing: Duration) -> Terms {
     Terms {
@@ -31,7 +23,7 @@
     }
 }
 
-/// What nodes follow in the store, and on which terms.
+/// What nodes follow in the store, and how soon they must know of changes.
 pub struct FollowedKinds {
     backends: RelayedKind,
     configuration: RelayedKind,
@@ -41,74 +33,57 @@
     /// The kinds as an environment names them.
     pub fn new(gateway: &Gateway, objects: &Objects) -> Self {
         let decoder = &gateway.adapter.decoder;
+        let backends = FreshnessBudget::new(objects.leaving_bound());
+        let configuration = FreshnessBudget::new(objects.configuration_bound());
         Self {
             backends: RelayedKind {
                 name: decoder.backend_kind().to_owned(),
-                terms: terms(objects, BACKEND_SPACING),
+                terms: terms(objects, backends.relay_spacing()),
+                budget: backends,
             },
+            // No pause after a change: each configuration has to be in force everywhere at once.
             configuration: RelayedKind {
                 name: decoder.configuration_kind().to_owned(),
-                terms: terms(objects, CONFIGURATION_SPACING),
+                terms: terms(objects, Duration::ZERO),
+                budget: configuration,
             },
         }
     }
 
     /// Returns the kinds that relays pass on.
     pub fn relayed(self) -> Vec<RelayedKind> {
-        let mut kinds = vec![self.backends, self.configuration];
-        for kind in &mut kinds {
-            kind.terms.spacing = kind.terms.spacing.min(RELAY_SPACING);
-        }
-        kinds
+        vec![self.backends, self.configuration]
     }
 }
 
-/// Follows back ends and the configuration in the store itself until the tasks are dropped.
-pub fn follow(gateway: &Rc<Gateway>, objects: &Objects) -> [Task; 2] {
-    let kinds = FollowedKinds::new(gateway, objects);
-    let store = gateway.adapter.objects.clone();
-    follow_in(gateway, kinds, store.clone(), store)
-}
-
 /// Follows back ends and the configuration through relays until the tasks are dropped; the store itself
-/// is asked where there are none.
-pub fn follow_relayed(
+/// is asked where they do not tell in time.
+pub fn follow(
     gateway: &Rc<Gateway>,
     objects: &Objects,
     asker: impl Fn() -> RelayAsker,
 ) -> [Task; 2] {
-    let mut kinds = FollowedKinds::new(gateway, objects);
-    let relayed = |kind: &mut RelayedKind, belief: &Rc<Belief>| {
+    let kinds = FollowedKinds::new(gateway, objects);
+    let watcher = |kind: RelayedKind, belief: &Rc<Belief>| {
+        belief.limit_age(kind.budget.bound());
         let direct = gateway.adapter.objects.clone();
-        let spacing = std::mem::take(&mut kind.terms.spacing);
-        RelayedStore::new(asker(), direct, spacing, belief.clone())
+        Watcher {
+            log: gateway.log.clone(),
+            store: RelayedStore::new(asker(), direct, kind.budget, belief.clone()),
+            kind: kind.name,
+            // Relays pause after changes: what they tell is wanted at once.
+            terms: terms(objects, Duration::ZERO),
+            renewal: Rc::default(),
+        }
     };
     let beliefs = &gateway.beliefs;
-    let backends = relayed(&mut kinds.backends, &beliefs.backends);
-    let configuration = relayed(&mut kinds.configuration, &beliefs.configuration);
-    follow_in(gateway, kinds, backends, configuration)
-}
-
-fn follow_in(
-    gateway: &Rc<Gateway>,
-    kinds: FollowedKinds,
-    backend_store: Rc<dyn ObjectStore>,
-    configuration_store: Rc<dyn ObjectStore>,
-) -> [Task; 2] {
-    let watcher = |store: Rc<dyn ObjectStore>, kind: RelayedKind| Watcher {
-        log: gateway.log.clone(),
-        store,
-        kind: kind.name,
-        terms: kind.terms,
-        renewal: Rc::default(),
-    };
     let for_backends = gateway.clone();
-    let backends = watcher::follow(watcher(backend_store, kinds.backends), move |learned| {
+    let backends = watcher::follow(watcher(kinds.backends, &beliefs.backends), move |learned| {
         learn_backends(&for_backends, learned);
     });
     let for_configuration = gateway.clone();
     let configuration = watcher::follow(
-        watcher(configuration_store, kinds.configuration),
+        watcher(kinds.configuration, &beliefs.configuration),
         move |learned| learn_configuration(&for_configuration, learned),
     );
     [Task::spawn(backends), Task::spawn(configuration)]
--- a/crates/firshore-node/src/journal/duties.rs
+++ b/crates/firshore-node/src/journal/duties.rs
@@ -5,6 +5,7 @@
 use super::registry::KIND;
 use super::retirement::Retirements;
 use crate::environment;
+use crate::relay::store::RelayAsker;
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
@@ -29,10 +30,17 @@
     pub retirements: Rc<Retirements>,
     /// The store.
     pub objects: Objects,
-    /// Whether nothing else follows back ends and configuration on this node.
-    pub follows_environment: bool,
+    /// Who asks relays for back ends and the configuration; `None` where something else on this node
+    /// follows them.
+    ///
+    /// A leader that watched the store itself learned of a cut only when its connection was given up, 3 s
+    /// later, and ran items at back ends that had left meanwhile.
+    pub asker: Option<MakeAsker>,
 }
 
+/// Makes who asks relays, one for each kind.
+pub type MakeAsker = Rc<dyn Fn() -> RelayAsker>;
+
 impl Duties {
     /// Runs until the node ends.
     pub async fn run(self) {
@@ -70,15 +78,18 @@
             retirements.learn(&gateway.adapter, &gateway.log, learned);
         });
         let mut tasks = vec![Task::spawn(nodes), Task::spawn(wishes)];
-        if self.follows_environment {
-            tasks.extend(environment::follow(&self.gateway, &self.objects));
+        if let Some(asker) = &self.asker {
+            let asker = asker.clone();
+            tasks.extend(environment::follow(&self.gateway, &self.objects, || {
+                asker()
+            }));
         }
         tasks
     }
 
     /// What is not followed any more must not be acted on.
     fn forget(&self) {
-        if self.follows_environment {
+        if self.asker.is_some() {
             self.gateway.fleet.borrow_mut().replace(Vec::new());
         }
     }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::environment::{self, FollowedKinds};
 use crate::journal::client::JournalClient;
-use crate::journal::duties::Duties;
+use crate::journal::duties::{Duties, MakeAsker};
 use crate::journal::maintenance::{self, Upkeep};
 use crate::journal::messages::PeerRequest;
 use crate::journal::registry::{NodeRecord, Registry};
@@ -83,22 +83,17 @@
         random,
         &mut builder,
     ));
-    let (asking, asked_nodes) = (peers.clone(), registry.clone());
-    let asker = || RelayAsker {
-        node: settings.name.clone(),
-        zone: settings.zone.clone(),
-        registry: asked_nodes.clone(),
-        peers: asking.clone(),
-        log: log.clone(),
-        passed_over: RefCell::default(),
+    let asker = make_asker(&settings, &registry, &peers, &log);
+    let access = PeerAccess {
+        registry,
+        jobs: jobs.clone(),
+        peers,
+        asker: asker.clone(),
     };
     let journal = match &settings.storage {
         Some(storage) => {
             let metrics = RunnerMetrics::new(&mut builder);
-            let journal = start_journal(
-                &settings, storage, &gateway, registry, &jobs, &peers, metrics,
-            )
-            .await?;
+            let journal = start_journal(&settings, storage, &gateway, access, metrics).await?;
             Some(Rc::new(journal))
         }
         None => None,
@@ -108,7 +103,7 @@
     // A node without callers follows the environment only while it runs items.
     let _following = callers
         .is_some()
-        .then(|| environment::follow_relayed(&gateway, &settings.objects, asker));
+        .then(|| environment::follow(&gateway, &settings.objects, || asker()));
     if callers.is_some() {
         let (node, zone) = (settings.name.clone(), settings.zone.clone());
         let exchange = LoadExchange::new(gateway.clone(), jobs, node, zone);
@@ -174,36 +169,66 @@
     }
 }
 
+/// How a node meets other nodes.
+struct PeerAccess {
+    registry: Rc<Registry>,
+    jobs: Rc<JournalClient>,
+    peers: PeerClient,
+    asker: MakeAsker,
+}
+
+fn make_asker(
+    settings: &Settings,
+    registry: &Rc<Registry>,
+    peers: &PeerClient,
+    log: &Logger,
+) -> MakeAsker {
+    let (node, zone) = (settings.name.clone(), settings.zone.clone());
+    let (registry, peers, log) = (registry.clone(), peers.clone(), log.clone());
+    Rc::new(move || RelayAsker {
+        node: node.clone(),
+        zone: zone.clone(),
+        registry: registry.clone(),
+        peers: peers.clone(),
+        log: log.clone(),
+        passed_over: RefCell::default(),
+    })
+}
+
 async fn start_journal(
     settings: &Settings,
     storage: &Storage,
     gateway: &Rc<Gateway>,
-    registry: Rc<Registry>,
-    jobs: &Rc<JournalClient>,
-    peers: &PeerClient,
+    access: PeerAccess,
     metrics: RunnerMetrics,
 ) -> io::Result<JournalNode> {
+    let PeerAccess {
+        registry,
+        jobs,
+        peers,
+        asker,
+    } = access;
     let kinds = FollowedKinds::new(gateway, &settings.objects).relayed();
     let relay = Relay::new(
         gateway.adapter.objects.clone(),
         gateway.log.clone(),
         kinds,
-        announce_to_relays(&settings.name, &registry, peers),
+        announce_to_relays(&settings.name, &registry, &peers),
     );
     actix_rt::spawn(relay.clone().run());
     let relays = NodeRelays {
         objects: relay,
         loads: Rc::new(LoadRelay::new(settings.tenants.rate_span())),
-        jobs: jobs.clone(),
+        jobs,
     };
-    let journal = Journal::start(settings, storage, registry, relays, peers, &gateway.log).await?;
+    let journal = Journal::start(settings, storage, registry, relays, &peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
     let duties = Duties {
         gateway: gateway.clone(),
         journal: journal.clone(),
         retirements: retirements.clone(),
         objects: settings.objects.clone(),
-        follows_environment: settings.listen.callers.is_none(),
+        asker: settings.listen.callers.is_none().then_some(asker),
     };
     actix_rt::spawn(duties.run());
     let upkeep = Upkeep {
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Questions in a row that the store has not answered.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Whether the store answered last time.
     pub fn is_connected(&self) -> bool {
         self.failures == 0
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! [`Relay`] follows a kind for as long as somebody asks it, and a [`store::RelayedStore`] asks relays
 //! first and the store itself only where none of them answers.
 
+pub mod budget;
 pub mod cache;
 pub mod loads;
 pub mod ranking;
@@ -14,6 +15,7 @@
 use crate::observation::{Learned, Observation, Terms};
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
+use budget::FreshnessBudget;
 use cache::{CacheMiss, KindCache, RelayContact, RelayedChanges};
 use firshore_adapter::objects::{ObjectStore, Revision};
 use slog::{Logger, info, warn};
@@ -24,27 +26,12 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Longest wait of an answer for the relay itself to learn what it lacks.
-const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
-
 /// Longest wait for a change that is granted.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
 /// Time without a question after which a kind is not followed any more.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time beyond the pause after a change, after which a relay asks the store anew that another relay has
-/// learned more of: its own watch is answered within some milliseconds, unless it was lost.
-const HINT_PATIENCE: Duration = Duration::from_millis(300);
-
-/// Time between two looks whether the store can be reached, while a kind is followed: a watch that waits
-/// tells nothing about that, and nodes rely on what a relay does not tell them.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Longest wait for the answer to that. With the interval it is less than half of the shortest bound
-/// within which nodes must know of a change.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
-
 /// Shortest time between two renewals of a watch.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -55,6 +42,8 @@
     pub name: String,
     /// On which terms the store is asked.
     pub terms: Terms,
+    /// How soon changes must be known.
+    pub budget: FreshnessBudget,
 }
 
 /// Passes on what the store holds.
@@ -72,11 +61,14 @@
 
 /// A kind that is followed, because somebody asks for it.
 struct ServedKind {
+    budget: FreshnessBudget,
     cache: RefCell<KindCache>,
     /// Whether the store answered last time.
     connected: Cell<bool>,
-    /// When the store was heard of last.
+    /// When the store was heard of last, by an answer or a look that found nothing pending.
     heard_at: Cell<Instant>,
+    /// Until when nothing is asked after a change: what happens meanwhile is not known.
+    pauses_until: Cell<Instant>,
     /// Counts whatever may let an answer be given that waits.
     steps: watch::Sender<u64>,
     /// Wakes the watch that waits, to ask the store anew.
@@ -87,11 +79,13 @@
 }
 
 impl ServedKind {
-    fn new() -> Self {
+    fn new(budget: FreshnessBudget) -> Self {
         Self {
+            budget,
             cache: RefCell::default(),
             connected: Cell::new(true),
             heard_at: Cell::new(Instant::now()),
+            pauses_until: Cell::new(Instant::now()),
             steps: watch::Sender::new(0),
             renewal: Rc::default(),
             renewed_at: Cell::new(None),
@@ -102,10 +96,7 @@
 
     /// Takes in what was learned. Returns the revision of a change that others may not know yet.
     fn learn(&self, learned: Option<Learned>, observation: &Observation) -> Option<Revision> {
-        self.connected.set(observation.is_connected());
-        if observation.is_connected() {
-            self.heard_at.set(Instant::now());
-        }
+        self.note_contact(observation);
         let mut cache = self.cache.borrow_mut();
         let before = cache.changed_at();
         if let Some(revision) = observation.revision() {
@@ -116,6 +107,28 @@
         (changed_at > before).then_some(changed_at)
     }
 
+    /// Takes in whether the store has answered. A watch that failed once says nothing of the store, which
+    /// cuts those of all relays at the same moment: whoever asks waits for the listing that follows.
+    /// Without this, nodes passed all relays over for 0.8 s.
+    fn note_contact(&self, observation: &Observation) {
+        let now = Instant::now();
+        match observation.failures() {
+            0 if observation.revision().is_some() => {
+                self.connected.set(true);
+                self.heard_at.set(now);
+                self.pauses_until.set(now + observation.pause());
+            }
+            0 | 1 => {}
+            _ => self.connected.set(false),
+        }
+    }
+
+    /// Whether what is known here may be told as current: a relay whose process did not run for a while
+    /// finds out about the store only later.
+    fn is_current(&self) -> bool {
+        self.connected.get() && self.heard_at.get().elapsed() < self.budget.relay_age()
+    }
+
     fn is_behind(&self, revision: Revision) -> bool {
         let known = self.cache.borrow().revision();
         known.is_some_and(|known| known < revision)
@@ -133,9 +146,11 @@
     /// The store has answered what it was asked at `asked_at`. Where it could not be reached before, a
     /// watch that was asked for meanwhile may be lost.
     fn reached(&self, asked_at: Instant) {
-        match self.connected.get() {
-            true => self.heard_at.set(asked_at),
-            false => self.renew(),
+        if !self.connected.get() {
+            return self.renew();
+        }
+        if asked_at >= self.pauses_until.get() {
+            self.heard_at.set(asked_at.max(self.heard_at.get()));
         }
     }
 
@@ -182,20 +197,20 @@
         let mut steps = self.steps.subscribe();
         let start = Instant::now();
         loop {
-            let connected = self.connected.get();
+            let current = self.is_current();
             let tried = try_answer(&self.cache.borrow());
             let tells_news = news && matches!(tried, Ok(Some(_)));
-            if !connected && !tells_news {
+            if !current && !tells_news {
                 return PeerResponse::NoContact;
             }
             let until = match tried {
                 Ok(Some(answer)) => return answer,
                 Ok(None) => start + wait,
                 Err(CacheMiss::Forgotten) => return PeerResponse::HistoryGone,
-                Err(CacheMiss::Empty) => start + CATCH_UP_WAIT,
+                Err(CacheMiss::Empty) => start + self.budget.relay_wait(),
                 Err(CacheMiss::Behind) => {
                     self.renew();
-                    start + CATCH_UP_WAIT
+                    start + self.budget.relay_wait()
                 }
             };
             if !matches!(timeout_at(until, steps.changed()).await, Ok(Ok(()))) {
@@ -252,7 +267,7 @@
 
     fn follow(&self, relayed: &RelayedKind) -> Rc<ServedKind> {
         info!(self.log, "relay: Kind followed."; "kind" => &relayed.name);
-        let served = Rc::new(ServedKind::new());
+        let served = Rc::new(ServedKind::new(relayed.budget));
         let watcher = Watcher {
             log: self.log.clone(),
             store: self.store.clone(),
@@ -278,7 +293,8 @@
             return PeerResponse::NoContact;
         };
         let page = |cache: &KindCache| cache.list(after, known).map(PeerResponse::Page).map(Some);
-        served.answer(CATCH_UP_WAIT, false, page).await
+        let wait = served.budget.relay_wait();
+        served.answer(wait, false, page).await
     }
 
     /// Answers with what changed of a kind, to who knows the store at `known`.
@@ -302,7 +318,7 @@
         };
         let relayed = self.kinds.iter().find(|one| one.name == kind);
         let spacing = relayed.map_or(Duration::ZERO, |one| one.terms.spacing);
-        actix_rt::time::sleep(spacing + HINT_PATIENCE).await;
+        actix_rt::time::sleep(spacing + served.budget.hint_patience()).await;
         if served.is_behind(changed) {
             info!(self.log, "relay: Store asked anew."; "kind" => kind, "changed" => changed,
                 "known" => served.cache.borrow().revision());
@@ -313,15 +329,20 @@
     /// Looks whether the store can be reached while anything is followed, and ends what nobody asks for
     /// any more, until the node ends.
     pub async fn run(self: Rc<Self>) {
+        // The kind that must be known soonest decides.
+        let Some(budget) = self.kinds.iter().map(|kind| kind.budget).min() else {
+            return;
+        };
+        let (interval, limit) = (budget.probe_interval(), budget.probe_timeout());
         let mut reached = true;
         loop {
-            actix_rt::time::sleep(PROBE_INTERVAL).await;
+            actix_rt::time::sleep(interval).await;
             self.tidy();
             if self.served.borrow().is_empty() {
                 continue;
             }
             let asked_at = Instant::now();
-            let answer = timeout(PROBE_TIMEOUT, self.store.reach()).await;
+            let answer = timeout(limit, self.store.reach()).await;
             let reaches = matches!(answer, Ok(Ok(())));
             if reached != reaches {
                 reached = reaches;
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -1,5 +1,6 @@
 //! The store as a node sees it that asks relays first.
 
+use super::budget::{FreshnessBudget, StoreTurn};
 use super::cache::{RelayContact, RelayedChanges, RelayedObject, RelayedPage};
 use super::ranking;
 use crate::journal::PeerClient;
@@ -11,24 +12,17 @@
 use firshore_gateway::belief::{Belief, BeliefSource};
 use firshore_types::ids::{NodeName, ZoneName};
 use futures_util::FutureExt;
-use rand::RngExt;
 use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// Wait for a change that a relay is asked for: its silence is noticed soon after.
-const RELAY_WAIT: Duration = Duration::from_millis(700);
-
-/// Time that a relay's answer may take beyond the wait. A relay that lacks something itself asks the
-/// store meanwhile.
-const ANSWER_MARGIN: Duration = Duration::from_millis(600);
-
-/// Time for which a relay is passed over that was out of contact with the store.
-const CONTACT_PAUSE: Duration = Duration::from_millis(800);
+/// Time for which a relay is passed over that was out of contact with the store: it says so at once, and
+/// is back in contact soon after the store is.
+const CONTACT_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time for which a relay is passed over that gave no answer.
 const SILENCE_PAUSE: Duration = Duration::from_secs(2);
@@ -36,25 +30,19 @@
 /// Pause after which relays are tried again.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time without any relay after which a node asks the store itself: relays that were all killed are
-/// back within a second. Drawn between this and its double, so that nodes do not ask all together.
-const PATIENCE: Duration = Duration::from_millis(1_200);
-
-/// The same where relays answer, but are out of contact with the store: it is more likely to be down
-/// for all than to turn away just the relays.
-const OUTAGE_PATIENCE: Duration = Duration::from_secs(8);
-
-/// Asks for one kind on behalf of one node.
+/// Asks for one kind on behalf of one node: relays, and the store itself once what is known grows old.
+///
+/// Relays and the store are asked side by side, so that no wait for one of them delays the other.
 pub struct RelayedStore {
     asker: RelayAsker,
     direct: Rc<dyn ObjectStore>,
-    /// Shortest time between two watches that the store itself is asked for.
-    direct_spacing: Duration,
+    budget: FreshnessBudget,
     /// Revision up to which the store is known: older answers are refused.
     known: Cell<Revision>,
-    /// Until when relays are waited for, since none was of use.
-    patient_until: Cell<Option<Instant>>,
-    watched_at: Cell<Option<Instant>>,
+    /// When the store itself is asked.
+    turn: RefCell<StoreTurn>,
+    /// Rounds of questions that no relay has answered.
+    idle_rounds: Cell<u32>,
     asks_store: Cell<bool>,
     /// As of when the kind is known.
     belief: Rc<Belief>,
@@ -108,7 +96,7 @@
     }
 }
 
-/// What came of asking relays.
+/// What came of asking relays in turn.
 enum Asked {
     Answered(RelayAnswer),
     /// Some answered that they are out of contact with the store.
@@ -116,6 +104,18 @@
     Nobody,
 }
 
+/// What the store answered.
+struct StoreAnswer<T> {
+    asked_at: Instant,
+    told: T,
+}
+
+/// Who has answered first.
+enum Learnt<T> {
+    FromRelay(RelayAnswer),
+    FromStore(StoreAnswer<T>),
+}
+
 impl RelayAsker {
     /// Asks one relay after the other.
     async fn ask(&self, kind: &str, request: &PeerRequest, limit: Duration) -> Asked {
@@ -178,6 +178,12 @@
         self.passed_over.borrow_mut().insert(relay, pause);
     }
 
+    /// Whether a relay said a moment ago that it is out of contact with the store.
+    fn hears_of_outage(&self) -> bool {
+        let passed_over = self.passed_over.borrow();
+        passed_over.values().any(|pause| pause.out_of_contact)
+    }
+
     /// A relay was of use: all are named again when they are passed over next.
     fn forget_pauses(&self) {
         let now = Instant::now();
@@ -214,75 +220,117 @@
 }
 
 impl RelayedStore {
-    /// Asks relays through `asker`, and `direct` where there are none, for watches not more often than
-    /// each `direct_spacing`. Tells `belief` as of when the kind is known.
+    /// Asks relays through `asker`, and `direct` in time for `budget`. Tells `belief` as of when the kind
+    /// is known.
     pub fn new(
         asker: RelayAsker,
         direct: Rc<dyn ObjectStore>,
-        direct_spacing: Duration,
+        budget: FreshnessBudget,
         belief: Rc<Belief>,
     ) -> Rc<Self> {
+        let turn = StoreTurn::new(budget, Instant::now(), rand::random());
         Rc::new(Self {
             asker,
             direct,
-            direct_spacing,
+            budget,
             known: Cell::new(0),
-            patient_until: Cell::new(None),
-            watched_at: Cell::new(None),
+            turn: RefCell::new(turn),
+            idle_rounds: Cell::new(0),
             asks_store: Cell::new(false),
             belief,
             listed_as_of: Cell::new(None),
         })
     }
 
-    /// Asks relays until one is of use or the patience is over; `None`: the store is to be asked.
-    async fn ask(&self, kind: &str, request: PeerRequest, limit: Duration) -> Option<RelayAnswer> {
+    /// Asks relays until one is of use.
+    async fn ask_relays(&self, kind: &str, request: PeerRequest, wait: Duration) -> RelayAnswer {
+        let limit = wait + self.budget.answer_margin();
         loop {
-            let patience = match self.asker.ask(kind, &request, limit).await {
-                Asked::Answered(answer) => {
-                    self.relayed();
-                    return Some(answer);
-                }
-                Asked::NoContact => OUTAGE_PATIENCE,
-                Asked::Nobody => PATIENCE,
+            match self.asker.ask(kind, &request, limit).await {
+                Asked::Answered(answer) => return answer,
+                Asked::NoContact => {}
+                Asked::Nobody => self.look_for_relays(),
+            }
+            actix_rt::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Asks relays for a page until one tells what is not too old already: the next question would go to
+    /// the store at once, and this one would be asked again.
+    async fn ask_relays_for_page(&self, kind: &str, request: PeerRequest) -> RelayAnswer {
+        loop {
+            let wait = self.budget.relay_wait();
+            let answer = self.ask_relays(kind, request.clone(), wait).await;
+            let as_of = match &answer.response {
+                PeerResponse::Page(page) => answer.as_of(page.contact),
+                _ => return answer,
             };
-            if self.is_patience_over(patience) {
-                self.direct(kind);
-                return None;
+            let knows_nothing = self.belief.as_of().is_none();
+            if knows_nothing || Instant::now() < self.turn.borrow().due(Some(as_of)) {
+                return answer;
             }
             actix_rt::time::sleep(ROUND_PAUSE).await;
-            if matches!(patience, PATIENCE) {
-                // Relays may have come or moved since the nodes were listed.
-                self.asker.registry.refresh().await;
+        }
+    }
+
+    /// Relays may have come or moved since the nodes were listed. Asked for after 1, 2, 4 and so on rounds:
+    /// a listing is a call of the store. Nobody waits for it, as the store may be silent.
+    fn look_for_relays(&self) {
+        let rounds = self.idle_rounds.get().saturating_add(1);
+        self.idle_rounds.set(rounds);
+        if rounds.is_power_of_two() {
+            let registry = self.asker.registry.clone();
+            actix_rt::spawn(async move { registry.refresh().await });
+        }
+    }
+
+    /// Asks the store once it is due, until it answers.
+    async fn ask_store<'a, T>(
+        &'a self,
+        kind: &str,
+        question: impl Fn() -> Answer<'a, T>,
+    ) -> StoreAnswer<T> {
+        loop {
+            let due = self.turn.borrow().due(self.belief.as_of());
+            actix_rt::time::sleep_until(due).await;
+            self.note_direct(kind);
+            if !self.reaches_store().await {
+                self.turn.borrow_mut().failed(Instant::now());
+                continue;
+            }
+            let asked_at = Instant::now();
+            let answer = timeout(self.budget.store_timeout(), question()).await;
+            if let Ok(Ok(told)) = answer {
+                self.turn.borrow_mut().answered(rand::random());
+                return StoreAnswer { asked_at, told };
             }
+            self.turn.borrow_mut().failed(Instant::now());
         }
     }
 
-    fn is_patience_over(&self, patience: Duration) -> bool {
-        let now = Instant::now();
-        let until = self.patient_until.get().unwrap_or_else(|| {
-            let drawn = patience.mul_f64(rand::rng().random_range(1.0..2.0));
-            now + drawn
-        });
-        self.patient_until.set(Some(until));
-        now >= until
+    /// Whether the store can be reached, where there is reason to doubt it: that costs a part of a
+    /// question, and a store that is down is down for all nodes.
+    async fn reaches_store(&self) -> bool {
+        if !self.turn.borrow().has_failed() && !self.asker.hears_of_outage() {
+            return true;
+        }
+        let reached = timeout(self.budget.store_timeout(), self.direct.reach()).await;
+        matches!(reached, Ok(Ok(())))
     }
 
     fn relayed(&self) {
         self.asker.forget_pauses();
-        self.patient_until.set(None);
+        self.idle_rounds.set(0);
         if self.asks_store.replace(false) {
             info!(self.asker.log, "relay: Relays are asked again.");
         }
     }
 
-    fn direct(&self, kind: &str) {
+    fn note_direct(&self, kind: &str) {
         if !self.asks_store.replace(true) {
-            warn!(
-                self.asker.log,
-                "relay: No relay is of use; the store itself is asked.";
-                "kind" => kind, "belief_age_ms" => self.belief.age_ms()
-            );
+            warn!(self.asker.log, "relay: No relay is of use in time; the store itself is asked.";
+                "kind" => kind, "belief_age_ms" => self.belief.age_ms(),
+                "bound_ms" => self.budget.bound().as_millis() as u64);
         }
     }
 
@@ -307,14 +355,6 @@
             self.belief.confirm(as_of, source);
         }
     }
-
-    async fn space(&self) {
-        let next = self.watched_at.get().map(|at| at + self.direct_spacing);
-        if let Some(wait) = next.and_then(|next| next.checked_duration_since(Instant::now())) {
-            actix_rt::time::sleep(wait).await;
-        }
-        self.watched_at.set(Some(Instant::now()));
-    }
 }
 
 impl ObjectStore for RelayedStore {
@@ -325,20 +365,22 @@
                 after: after.map(str::to_owned),
                 known: self.known.get(),
             };
-            let asked_at = Instant::now();
-            let answer = self.ask(kind, request, ANSWER_MARGIN).await;
-            let (page, as_of, source) = match &answer {
-                Some(answer) => {
+            let learnt = tokio::select! {
+                answer = self.ask_relays_for_page(kind, request) => Learnt::FromRelay(answer),
+                answer = self.ask_store(kind, || self.direct.list(kind, after)) => {
+                    Learnt::FromStore(answer)
+                }
+            };
+            let (page, as_of, source) = match learnt {
+                Learnt::FromRelay(answer) => {
+                    self.relayed();
                     let PeerResponse::Page(relayed) = &answer.response else {
                         return Err(unexpected());
                     };
                     let as_of = answer.as_of(relayed.contact);
                     (page(relayed)?, as_of, answer.source())
                 }
-                None => {
-                    let page = self.direct.list(kind, after).await?;
-                    (page, asked_at, BeliefSource::Store)
-                }
+                Learnt::FromStore(answer) => (answer.told, answer.asked_at, BeliefSource::Store),
             };
             self.know(page.revision)?;
             self.confirm_page(&page, after, as_of, source);
@@ -347,35 +389,32 @@
         .boxed_local()
     }
 
+    /// Where relays tell nothing in time, the kind is to be listed anew from the store: an answer to a
+    /// watch proves nothing there, since a store that has forgotten its history tells so only with the
+    /// next change.
     fn watch<'a>(&'a self, kind: &'a str, after: Revision, wait: Duration) -> Answer<'a, Changes> {
         async move {
-            let relay_wait = wait.min(RELAY_WAIT);
+            let wait = wait.min(self.budget.relay_wait());
             let request = PeerRequest::Watch {
                 kind: kind.to_owned(),
                 known: after,
-                wait: relay_wait.as_millis() as u64,
+                wait: wait.as_millis() as u64,
             };
-            let answer = self.ask(kind, request, relay_wait + ANSWER_MARGIN).await;
-            let (changes, as_of, source) = match answer {
-                Some(answer) => {
-                    let source = answer.source();
-                    let relayed = match &answer.response {
-                        PeerResponse::Changes(relayed) => relayed,
-                        PeerResponse::HistoryGone => return Err(ObjectError::HistoryGone),
-                        _ => return Err(unexpected()),
-                    };
-                    let as_of = answer.as_of(relayed.contact);
-                    (changes(relayed)?, as_of, source)
-                }
-                None => {
-                    self.space().await;
-                    let asked_at = Instant::now();
-                    let changes = self.direct.watch(kind, after, wait).await?;
-                    (changes, asked_at, BeliefSource::Store)
-                }
+            let due = self.turn.borrow().due(self.belief.as_of());
+            let answer = self.ask_relays(kind, request, wait);
+            let Ok(answer) = timeout_at(due, answer).await else {
+                return Err(ObjectError::HistoryGone);
             };
+            self.relayed();
+            let relayed = match &answer.response {
+                PeerResponse::Changes(relayed) => relayed,
+                PeerResponse::HistoryGone => return Err(ObjectError::HistoryGone),
+                _ => return Err(unexpected()),
+            };
+            let changes = changes(relayed)?;
             self.know(changes.revision)?;
-            self.belief.confirm(as_of, source);
+            self.belief
+                .confirm(answer.as_of(relayed.contact), answer.source());
             Ok(changes)
         }
         .boxed_local()
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -65,6 +65,28 @@
     /// Age at which it may forget changes, in seconds.
     #[serde(default = "default_history_seconds")]
     pub history_seconds: f64,
+    /// Time within which a change of the configuration must be in force on every node, in milliseconds.
+    #[serde(default = "default_bound_milliseconds")]
+    pub configuration_bound_milliseconds: f64,
+    /// Time after which a back end that says that it leaves must get no new request, in milliseconds.
+    #[serde(default = "default_bound_milliseconds")]
+    pub leaving_bound_milliseconds: f64,
+}
+
+impl Objects {
+    /// Time within which a change of the configuration must be in force on every node.
+    pub fn configuration_bound(&self) -> Duration {
+        Duration::from_secs_f64(self.configuration_bound_milliseconds / 1_000.0)
+    }
+
+    /// Time after which a back end that says that it leaves must get no new request.
+    pub fn leaving_bound(&self) -> Duration {
+        Duration::from_secs_f64(self.leaving_bound_milliseconds / 1_000.0)
+    }
+}
+
+fn default_bound_milliseconds() -> f64 {
+    2_000.0
 }
 
 fn default_history_seconds() -> f64 {
@@ -212,6 +234,10 @@
 /// Shortest history of the store that can be watched.
 const MINIMUM_HISTORY_SECONDS: f64 = 1.0;
 
+/// Shortest time within which changes can be known: the shares of it that relays and the store have must
+/// be longer than an answer takes.
+const MINIMUM_BOUND_MILLISECONDS: f64 = 500.0;
+
 /// Shortest time in which a new disk can be made to hold everything.
 const MINIMUM_CATCH_UP_SECONDS: f64 = 1.0;
 
@@ -252,6 +278,18 @@
                 MINIMUM_HISTORY_SECONDS,
                 "Set at least 1.",
             ),
+            (
+                "objects.configuration_bound_milliseconds",
+                self.objects.configuration_bound_milliseconds,
+                MINIMUM_BOUND_MILLISECONDS,
+                "Set at least 500.",
+            ),
+            (
+                "objects.leaving_bound_milliseconds",
+                self.objects.leaving_bound_milliseconds,
+                MINIMUM_BOUND_MILLISECONDS,
+                "Set at least 500.",
+            ),
             (
                 "cluster.catch_up_seconds",
                 self.cluster.catch_up_seconds,
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -10,14 +10,16 @@
 use firshore_link::handshake::ClusterSecret;
 use firshore_metrics::Builder;
 use firshore_node::journal::client::JournalClient;
-use firshore_node::journal::duties::Duties;
+use firshore_node::journal::duties::{Duties, MakeAsker};
 use firshore_node::journal::maintenance::{self, Upkeep};
 use firshore_node::journal::registry::{KIND, NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
 use firshore_node::journal::{Journal, NodeRelays, PeerClient};
 use firshore_node::metrics::RunnerMetrics;
 use firshore_node::observation::Terms;
+use firshore_node::relay::budget::FreshnessBudget;
 use firshore_node::relay::loads::LoadRelay;
+use firshore_node::relay::store::RelayAsker;
 use firshore_node::relay::{Relay, RelayedKind};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
@@ -105,6 +107,24 @@
     peers
 }
 
+/// How soon the nodes of tests must know of changes.
+pub fn budget() -> FreshnessBudget {
+    FreshnessBudget::new(Duration::from_secs(2))
+}
+
+/// Makes who asks relays for a node of a test.
+fn asker(number: usize, registry: &Rc<Registry>) -> MakeAsker {
+    let registry = registry.clone();
+    Rc::new(move || RelayAsker {
+        node: format!("n{number}").as_str().into(),
+        zone: format!("z{number}").as_str().into(),
+        registry: registry.clone(),
+        peers: peers(),
+        log: log(),
+        passed_over: RefCell::default(),
+    })
+}
+
 /// Kinds that the nodes of tests pass on.
 pub fn relayed_kinds() -> Vec<RelayedKind> {
     let kinds = [BACKENDS, CONFIGURATION].map(|name| RelayedKind {
@@ -113,6 +133,7 @@
             history: Duration::from_secs(20),
             spacing: Duration::from_millis(100),
         },
+        budget: budget(),
     });
     kinds.to_vec()
 }
@@ -127,11 +148,13 @@
     let registry = Rc::new(Registry::new(store.clone(), log()));
     let storage = settings.storage.clone().unwrap();
     let asked = JournalClient::new(settings.name.clone(), registry.clone(), peers(), log());
+    let relay = Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {}));
     let relays = NodeRelays {
-        objects: Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {})),
+        objects: relay.clone(),
         loads: Rc::new(LoadRelay::new(Duration::from_secs(5))),
         jobs: Rc::new(asked),
     };
+    let make_asker = asker(number, &registry);
     let journal = Journal::start(&settings, &storage, registry, relays, &peers(), &log()).await;
     let journal = journal.expect("the port and the folder are free");
     let gateway = Rc::new(Gateway::new(
@@ -149,7 +172,7 @@
         journal: journal.clone(),
         retirements: retirements.clone(),
         objects: settings.objects.clone(),
-        follows_environment: true,
+        asker: Some(make_asker),
     };
     let upkeep = Upkeep {
         journal: journal.clone(),
@@ -168,6 +191,7 @@
     let metrics = RunnerMetrics::new(&mut Builder::default());
     let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
     let tasks = vec![
+        actix_rt::spawn(relay.run()),
         actix_rt::spawn(duties.run()),
         actix_rt::spawn(maintenance::run(upkeep)),
         actix_rt::spawn(runner.clone().run()),
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -404,9 +404,12 @@
         }
         // The last writes are read back, and the leader's watches return with them.
         actix_rt::time::sleep(Duration::from_millis(2_500)).await;
-        let before = cluster.store.calls();
+        let (before, probes_before) = (cluster.store.calls(), cluster.store.probes());
         actix_rt::time::sleep(Duration::from_millis(2_500)).await;
         let calls = cluster.store.calls() - before;
         assert!(calls <= 1, "{calls} calls");
+        // The relay that the leader asks looks whether the store can be reached, each 0.3 s.
+        let probes = cluster.store.probes() - probes_before;
+        assert!(probes <= 9, "{probes} looks");
     });
 }
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -289,7 +289,7 @@
             passed_over: RefCell::default(),
         };
         let belief = Rc::<Belief>::default();
-        let relayed = RelayedStore::new(asker, own.clone(), Duration::ZERO, belief.clone());
+        let relayed = RelayedStore::new(asker, own.clone(), budget(), belief.clone());
         let known = Rc::new(RefCell::new(Vec::new()));
         let learning = known.clone();
         let kind = relayed_kinds().remove(0);
@@ -311,6 +311,14 @@
         }
     }
 
+    /// Waits until it knows just these back ends, within the time that it has for a change and as much
+    /// again: tests run side by side.
+    async fn knows_in_time(&self, names: &[&str]) {
+        let limit = budget().bound() * 2;
+        let known = tokio::time::timeout(limit, self.knows(names)).await;
+        known.unwrap_or_else(|_| panic!("{names:?}: {:?}", self.known.borrow()));
+    }
+
     /// Waits until it knows just these back ends.
     async fn knows(&self, names: &[&str]) {
         loop {
@@ -361,15 +369,52 @@
         in_use(&relays).dead.set(true);
         put(&store, "b");
         follower.knows(&["a", "b"]).await;
+        assert_eq!(
+            follower.own.calls.get(),
+            0,
+            "the other relay of the zone tells"
+        );
+        // The one that is left stands in another zone.
         for relay in &relays[..2] {
             relay.dead.set(true);
         }
         put(&store, "c");
-        follower.knows(&["a", "b", "c"]).await;
-        assert_eq!(follower.own.calls.get(), 0);
+        follower.knows_in_time(&["a", "b", "c"]).await;
+        let asked = follower.own.calls.get();
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        put(&store, "d");
+        follower.knows_in_time(&["a", "b", "c", "d"]).await;
+        assert_eq!(
+            follower.own.calls.get(),
+            asked,
+            "the relay that is left tells"
+        );
     });
 }
 
+#[test]
+fn a_node_learns_in_time_whatever_becomes_of_its_relays() {
+    for way in [Way::Refused, Way::Silent] {
+        run(async move {
+            let store = MemoryStore::new();
+            put(&store, "a");
+            let relays = start_relays(&["z1", "z1", "z2"], &store).await;
+            let follower = Follower::start(1, &store);
+            follower.knows(&["a"]).await;
+            for relay in &relays {
+                relay.store.way.set(way);
+            }
+            put(&store, "b");
+            follower.knows_in_time(&["a", "b"]).await;
+            for relay in &relays {
+                relay.dead.set(true);
+            }
+            put(&store, "c");
+            follower.knows_in_time(&["a", "b", "c"]).await;
+        });
+    }
+}
+
 #[test]
 fn a_relay_out_of_contact_passes_on_nothing() {
     for way in [Way::Refused, Way::Silent] {
@@ -475,6 +520,9 @@
         for relay in &relays {
             relay.store.way.set(Way::Refused);
         }
+        for follower in &followers {
+            follower.own.way.set(Way::Refused);
+        }
         // Ends the watches that wait.
         put(&store, "b");
         actix_rt::time::sleep(Duration::from_secs(4)).await;
@@ -485,6 +533,9 @@
             (0, 0),
             "neither back ends nor nodes are asked for"
         );
+        // A look whether the store can be reached costs a tenth of a question.
+        let probes: usize = followers.iter().map(|one| one.own.probes.get()).sum();
+        assert!(probes <= 6 * followers.len(), "{probes} looks in 4 s");
         for relay in &relays {
             relay.store.way.set(Way::Open);
         }
--- a/crates/firshore-node/tests/settings.rs
+++ b/crates/firshore-node/tests/settings.rs
@@ -59,6 +59,18 @@
             "cluster.catch_up_seconds",
             "at least 1",
         ),
+        (
+            "history_seconds = 20",
+            "leaving_bound_milliseconds = 100",
+            "objects.leaving_bound_milliseconds",
+            "at least 500",
+        ),
+        (
+            "history_seconds = 20",
+            "configuration_bound_milliseconds = 0",
+            "objects.configuration_bound_milliseconds",
+            "at least 500",
+        ),
         (
             "[leave]",
             "[limits]\nmemory_megabytes = 8\n[leave]",
--- a/crates/firshore-node/tests/stale_world/machines.rs
+++ b/crates/firshore-node/tests/stale_world/machines.rs
@@ -8,6 +8,7 @@
 use firshore_node::journal::messages::{PeerRequest, PeerResponse};
 use firshore_node::journal::registry::Registry;
 use firshore_node::observation::{Learned, Terms};
+use firshore_node::relay::budget::FreshnessBudget;
 use firshore_node::relay::store::{RelayAsker, RelayedStore};
 use firshore_node::relay::{Announce, Relay, RelayedKind};
 use firshore_node::watcher::{self, Watcher};
@@ -32,11 +33,6 @@
 /// Age at which the store may forget changes, as the settings have it by default.
 const HISTORY: Duration = Duration::from_secs(20);
 
-/// Pauses after a change of back ends, as nodes in an environment have them: at relays, and where the
-/// store itself is asked.
-const RELAY_SPACING: Duration = Duration::from_millis(600);
-const DIRECT_SPACING: Duration = Duration::from_millis(1_200);
-
 /// How a machine is reached by others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -66,9 +62,10 @@
     }
 }
 
-fn spaced(kind: &str, spacing: Duration) -> Duration {
+/// Pause of a relay after a change, as nodes in an environment have it: for back ends only.
+fn relay_spacing(kind: &str, budget: FreshnessBudget) -> Duration {
     match kind {
-        BACKENDS => spacing,
+        BACKENDS => budget.relay_spacing(),
         _ => Duration::ZERO,
     }
 }
@@ -105,16 +102,23 @@
     pub own: Rc<OwnStore>,
     peers: PeerClient,
     others: Vec<SocketAddr>,
+    budget: FreshnessBudget,
     health: Rc<watch::Sender<Health>>,
     process: RefCell<Option<RelayProcess>>,
 }
 
 impl RelayNode {
-    pub fn start(own: Rc<OwnStore>, peers: PeerClient, others: Vec<SocketAddr>) -> Rc<Self> {
+    pub fn start(
+        own: Rc<OwnStore>,
+        peers: PeerClient,
+        others: Vec<SocketAddr>,
+        budget: FreshnessBudget,
+    ) -> Rc<Self> {
         let node = Rc::new(Self {
             own,
             peers,
             others,
+            budget,
             health: Rc::new(watch::Sender::new(Health::Up)),
             process: RefCell::new(None),
         });
@@ -143,7 +147,8 @@
     pub fn start_again(&self) {
         let kinds = KINDS.map(|kind| RelayedKind {
             name: kind.to_owned(),
-            terms: terms(spaced(kind, RELAY_SPACING)),
+            terms: terms(relay_spacing(kind, self.budget)),
+            budget: self.budget,
         });
         let relay = Relay::new(self.own.clone(), log(), kinds.to_vec(), self.announce());
         let process = RelayProcess {
@@ -291,7 +296,12 @@
 }
 
 impl Follower {
-    pub fn start(number: usize, own: Rc<OwnStore>, peers: PeerClient) -> Self {
+    pub fn start(
+        number: usize,
+        own: Rc<OwnStore>,
+        peers: PeerClient,
+        budget: FreshnessBudget,
+    ) -> Self {
         let name = format!("f{number}");
         let registry = Rc::new(Registry::new(own.clone(), log()));
         let knowledge: Rc<RefCell<Knowledge>> = Rc::default();
@@ -306,12 +316,7 @@
             };
             let watcher = Watcher {
                 log: log(),
-                store: RelayedStore::new(
-                    asker,
-                    own.clone(),
-                    spaced(kind, DIRECT_SPACING),
-                    Rc::default(),
-                ),
+                store: RelayedStore::new(asker, own.clone(), budget, Rc::default()),
                 kind: kind.to_owned(),
                 terms: terms(Duration::ZERO),
                 renewal: Rc::default(),
--- a/crates/firshore-node/tests/stale_world/mod.rs
+++ b/crates/firshore-node/tests/stale_world/mod.rs
@@ -5,6 +5,7 @@
 
 use firshore_node::journal::PeerClient;
 use firshore_node::journal::registry::{KIND, NodeRecord};
+use firshore_node::relay::budget::FreshnessBudget;
 use firshore_replication::types::DiskId;
 use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION};
 use firshore_stand_in::store::MemoryStore;
@@ -145,6 +146,7 @@
     lagging: Rc<MemoryStore>,
     cuts: Rc<Cuts>,
     peers: PeerClient,
+    budget: FreshnessBudget,
     relays: Vec<Rc<RelayNode>>,
     followers: Vec<Follower>,
     /// Changes that the copy of the store lacks.
@@ -163,7 +165,7 @@
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        World::new(scene).play(scene, bound).await
+        World::new(scene, bound).play(scene, bound).await
     })
 }
 
@@ -182,7 +184,8 @@
 }
 
 impl World {
-    fn new(scene: &Scene) -> Self {
+    fn new(scene: &Scene, bound: Duration) -> Self {
+        let budget = FreshnessBudget::new(bound);
         let (store, lagging, cuts) = (MemoryStore::new(), MemoryStore::new(), Cuts::new());
         let (peers, calls) = PeerClient::new();
         let addresses: Vec<SocketAddr> = (0..scene.zones.len()).map(address).collect();
@@ -190,7 +193,7 @@
             let own = OwnStore::new(&store, &lagging, &cuts);
             let others = addresses.iter().copied();
             let others = others.filter(|other| *other != addresses[number]).collect();
-            RelayNode::start(own, peers.clone(), others)
+            RelayNode::start(own, peers.clone(), others, budget)
         };
         let relays: Vec<Rc<RelayNode>> = (0..scene.zones.len()).map(start).collect();
         actix_rt::spawn(machines::serve(calls, addresses, relays.clone()));
@@ -199,6 +202,7 @@
             lagging,
             cuts,
             peers,
+            budget,
             relays,
             followers: Vec::new(),
             delayed: VecDeque::new(),
@@ -222,8 +226,8 @@
     fn join(&mut self) {
         let own = OwnStore::new(&self.store, &self.lagging, &self.cuts);
         let number = self.followers.len();
-        self.followers
-            .push(Follower::start(number, own, self.peers.clone()));
+        let follower = Follower::start(number, own, self.peers.clone(), self.budget);
+        self.followers.push(follower);
     }
 
     fn put(&mut self, kind: &'static str, name: String, spec: Value) {
--- a/crates/firshore-stand-in/src/store.rs
+++ b/crates/firshore-stand-in/src/store.rs
@@ -46,6 +46,7 @@
     changed: Notify,
     fault: Cell<Fault>,
     calls: Cell<usize>,
+    probes: Cell<usize>,
 }
 
 impl MemoryStore {
@@ -68,11 +69,16 @@
         self.changed.notify_waiters();
     }
 
-    /// Number of calls so far.
+    /// Number of calls so far, without those that only ask whether the store can be reached.
     pub fn calls(&self) -> usize {
         self.calls.get()
     }
 
+    /// Number of calls so far that only ask whether the store can be reached.
+    pub fn probes(&self) -> usize {
+        self.probes.get()
+    }
+
     /// Writes an object as operators or back ends do, whatever stands there.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let status = match self.object(kind, name) {
@@ -126,6 +132,10 @@
     /// Lets a fault have its way before a call is carried out.
     async fn arrive(&self) -> Result<(), ObjectError> {
         self.calls.set(self.calls.get() + 1);
+        self.suffer().await
+    }
+
+    async fn suffer(&self) -> Result<(), ObjectError> {
         match self.fault.get() {
             Fault::None | Fault::LosesAnswers => Ok(()),
             Fault::Refuses => Err(ObjectError::Refused("switched off".to_owned())),
@@ -242,7 +252,8 @@
 
     fn reach<'a>(&'a self) -> Answer<'a, ()> {
         async move {
-            self.arrive().await?;
+            self.probes.set(self.probes.get() + 1);
+            self.suffer().await?;
             self.leave(())
         }
         .boxed_local()
