Relays prove that their watches live; what nodes do without relays is bounded as a sum

Change: a look brings the store's revision: where it is beyond the watch's, or the watch was not answered for 1.25 of the bound, the watch is asked anew. Pauses and time-outs are shares of the bound, doubled with failures where that can help, reset by what relays tell. A leader that steps down forgets back ends and configuration; it watches nodes and retirements for 5 s at a time.

--- a/crates/firshore-adapter/src/objects.rs
+++ b/crates/firshore-adapter/src/objects.rs
@@ -114,9 +114,9 @@
         status: Value,
     ) -> Answer<'a, ()>;
 
-    /// Whether the store can be reached at all, as cheaply as it can be asked: what it answers says
-    /// nothing about objects.
-    fn reach<'a>(&'a self) -> Answer<'a, ()>;
+    /// A revision that the store had reached, perhaps seconds ago, asked for as cheaply as it can be: it
+    /// shows that the store can be reached, and may show that something has changed.
+    fn reach<'a>(&'a self) -> Answer<'a, Revision>;
 
     /// Changes of a kind after a revision; waits up to `wait` for one.
     fn watch<'a>(&'a self, kind: &'a str, after: Revision, wait: Duration) -> Answer<'a, Changes>;
--- a/crates/firshore-gateway/src/belief.rs
+++ b/crates/firshore-gateway/src/belief.rs
@@ -54,6 +54,11 @@
         *confirmation = Some(Confirmation { as_of, source });
     }
 
+    /// Nothing is known any more.
+    pub fn forget(&self) {
+        self.confirmation.borrow_mut().take();
+    }
+
     /// Returns the moment as of which the store is known; none before the first answer.
     pub fn as_of(&self) -> Option<Instant> {
         let confirmation = self.confirmation.borrow();
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -190,6 +190,15 @@
         *current = Some(Arc::new(configuration));
     }
 
+    /// Forgets back ends and the configuration, which nothing follows any more: whoever goes on later must
+    /// not act on what was in force now.
+    pub fn forget(&self) {
+        self.fleet.borrow_mut().replace(Vec::new());
+        self.configuration.borrow_mut().take();
+        self.beliefs.configuration.forget();
+        self.beliefs.backends.forget();
+    }
+
     /// Admits a request of a tenant.
     ///
     /// # Errors
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -1,9 +1,10 @@
 //! What a node learns from the environment's objects: back ends and the configuration.
 
-use crate::observation::{Learned, Terms};
+use crate::observation::{CALM_WAIT, Learned, Terms};
 use crate::relay::RelayedKind;
+use crate::relay::asker::RelayAsker;
 use crate::relay::budget::FreshnessBudget;
-use crate::relay::store::{RelayAsker, RelayedStore};
+use crate::relay::store::RelayedStore;
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
@@ -20,6 +21,8 @@
     Terms {
         history: Duration::from_secs_f64(objects.history_seconds),
         spacing,
+        creation_spacing: spacing * 2,
+        longest_wait: CALM_WAIT,
     }
 }
 
@@ -38,7 +41,11 @@
         Self {
             backends: RelayedKind {
                 name: decoder.backend_kind().to_owned(),
-                terms: terms(objects, backends.relay_spacing()),
+                // What is known must not grow older while everything is being created either.
+                terms: Terms {
+                    creation_spacing: backends.relay_spacing(),
+                    ..terms(objects, backends.relay_spacing())
+                },
                 budget: backends,
             },
             // No pause after a change: each configuration has to be in force everywhere at once.
--- a/crates/firshore-node/src/journal/duties.rs
+++ b/crates/firshore-node/src/journal/duties.rs
@@ -5,7 +5,8 @@
 use super::registry::KIND;
 use super::retirement::Retirements;
 use crate::environment;
-use crate::relay::store::RelayAsker;
+use crate::observation::Terms;
+use crate::relay::asker::RelayAsker;
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
@@ -20,6 +21,9 @@
 /// Pause after a change of the nodes or of the wishes to empty some.
 const SPACING: Duration = Duration::from_millis(500);
 
+/// Longest wait for a change of these, so that a swallowed watch is noticed: 24 calls a minute in all.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
 /// What a leader follows.
 pub struct Duties {
     /// Back ends and configuration.
@@ -60,7 +64,10 @@
     }
 
     fn follow(&self) -> Vec<Task> {
-        let terms = environment::terms(&self.objects, SPACING);
+        let terms = Terms {
+            longest_wait: LONGEST_WAIT,
+            ..environment::terms(&self.objects, SPACING)
+        };
         let store = &self.gateway.adapter.objects;
         let log = &self.gateway.log;
         let registry = self.journal.registry.clone();
@@ -90,7 +97,7 @@
     /// What is not followed any more must not be acted on.
     fn forget(&self) {
         if self.asker.is_some() {
-            self.gateway.fleet.borrow_mut().replace(Vec::new());
+            self.gateway.forget();
         }
     }
 }
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -98,17 +98,23 @@
         }
     }
 
-    /// Lists the nodes anew, unless that was done a moment ago.
-    pub async fn refresh(&self) {
+    /// Lists the nodes anew, unless that was done a moment ago. Returns whether they were listed.
+    pub async fn refresh(&self) -> bool {
         let now = Instant::now();
         let recent = |at: Instant| now.duration_since(at) < REFRESH_INTERVAL;
         if self.refreshed_at.get().is_some_and(recent) {
-            return;
+            return false;
         }
         self.refreshed_at.set(Some(now));
         match self.list().await {
-            Ok(objects) => self.learn(Learned::All(objects)),
-            Err(error) => warn!(self.log, "registry: Not listed."; "reason" => %error),
+            Ok(objects) => {
+                self.learn(Learned::All(objects));
+                true
+            }
+            Err(error) => {
+                warn!(self.log, "registry: Not listed."; "reason" => %error);
+                false
+            }
         }
     }
 
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -11,8 +11,8 @@
 use crate::load_exchange::LoadExchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
+use crate::relay::asker::RelayAsker;
 use crate::relay::loads::LoadRelay;
-use crate::relay::store::RelayAsker;
 use crate::relay::{Announce, Relay, ranking};
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
@@ -254,12 +254,16 @@
 /// Tells the relays of all zones, as far as they are known, of changes.
 fn announce_to_relays(own: &NodeName, registry: &Rc<Registry>, peers: &PeerClient) -> Announce {
     let (own, registry, peers) = (own.clone(), registry.clone(), peers.clone());
-    let listed = Cell::new(false);
+    let listed = Rc::new(Cell::new(false));
     Rc::new(move |kind, revision| {
-        if !listed.replace(true) {
+        if !listed.get() {
             // Nodes that started later than this one may be relays too.
-            let registry = registry.clone();
-            actix_rt::spawn(async move { registry.refresh().await });
+            let (registry, listed) = (registry.clone(), listed.clone());
+            actix_rt::spawn(async move {
+                if registry.refresh().await {
+                    listed.set(true);
+                }
+            });
         }
         let relays = ranking::relays(&registry.candidates());
         for relay in relays.values().flatten().filter(|relay| **relay != own) {
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -25,7 +25,7 @@
 const RENEWAL_SHARE: f64 = 0.9;
 
 /// Wait asked for where nothing at all has changed during the last one.
-const CALM_WAIT: Duration = Duration::from_secs(30);
+pub const CALM_WAIT: Duration = Duration::from_secs(30);
 
 /// Wait asked for where somebody knows more of the store: what is there is wanted at once.
 const RENEWAL_WAIT: Duration = Duration::from_millis(1);
@@ -33,9 +33,6 @@
 /// Wait asked for after a pause.
 const PROVING_WAIT: Duration = Duration::from_millis(600);
 
-/// Factor by which the pause after a change is longer while everything is only just being created.
-const CREATION_FACTOR: u32 = 2;
-
 /// What an observation is told about its store and kind.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -43,6 +40,10 @@
     pub history: Duration,
     /// Pause after a change, so that changes in quick succession are asked for together.
     pub spacing: Duration,
+    /// The same while everything is only just being created.
+    pub creation_spacing: Duration,
+    /// Longest wait asked for: a store that falls silent swallows a watch, which is noticed after it.
+    pub longest_wait: Duration,
 }
 
 /// What to ask the store next.
@@ -137,10 +138,11 @@
         if !self.pause().is_zero() {
             return PROVING_WAIT;
         }
-        match self.calm {
+        let wait = match self.calm {
             true => CALM_WAIT,
             false => self.terms.history.mul_f64(RENEWAL_SHARE).min(CALM_WAIT),
-        }
+        };
+        wait.min(self.terms.longest_wait)
     }
 
     /// Pause before the next question.
@@ -149,7 +151,7 @@
             return Duration::ZERO;
         }
         match self.failures {
-            0 if self.changed && self.creation => self.terms.spacing * CREATION_FACTOR,
+            0 if self.changed && self.creation => self.terms.creation_spacing,
             0 if self.changed => self.terms.spacing,
             0 => Duration::ZERO,
             failures => {
--- a/crates/firshore-node/src/relay/budget.rs
+++ b/crates/firshore-node/src/relay/budget.rs
@@ -15,8 +15,21 @@
 /// Share that a relay's answer may take beyond that.
 const ANSWER_MARGIN: f64 = 0.15;
 
+/// Share for which a relay is passed over that was out of contact with the store: it says so at once, and
+/// is back in contact soon after the store is.
+const CONTACT_PAUSE: f64 = 0.15;
+
+/// Share for which a relay is passed over that gave no answer.
+const SILENCE_PAUSE: f64 = 1.0;
+
+/// Longest share for which a relay is passed over: while all are, nodes ask the store themselves.
+const LONGEST_PAUSE: f64 = 2.0;
+
+/// Share after which relays are tried again.
+const ROUND_PAUSE: f64 = 0.1;
+
 /// Share for which a relay pauses after a change, so that changes in quick succession cost one call.
-const RELAY_SPACING: f64 = 0.2;
+const RELAY_SPACING: f64 = 0.18;
 
 /// Longest such pause, where the bound allows more.
 const LONGEST_SPACING: Duration = Duration::from_millis(600);
@@ -30,7 +43,14 @@
 
 /// Share for which a relay tells what it knows as current without having heard of the store: the pause
 /// after a change, and then two looks.
-const RELAY_AGE: f64 = 0.5;
+const RELAY_AGE: f64 = 0.55;
+
+/// Share for which looks at the store's revision stand for answers to a watch: what such a look tells may
+/// be old, and a swallowed watch is never answered. It costs a call for each kind and relay.
+const WATCH_TRUST: f64 = 1.25;
+
+/// Shortest share between two renewals of a watch: a slow store must have time to answer.
+const RENEWAL_INTERVAL: f64 = 0.5;
 
 /// Share beyond the pause after a change, after which a relay asks the store anew that another relay has
 /// learned more of: its own watch is answered within some milliseconds, unless it was lost.
@@ -51,9 +71,13 @@
 /// Share after which the store is asked again that gave no answer; doubled with each further failure.
 const FIRST_RETRY: f64 = 0.1;
 
-/// Longest pause between two tries, as a share: a store that is back is stable for longer than that
-/// before it is relied on.
-const LONGEST_RETRY: f64 = 1.5;
+/// Longest pause between two tries, as a share: with a look and an answer it is shorter than the time for
+/// which a store has to be back before nodes are held to know of its changes (3 s with a bound of 2 s).
+const LONGEST_RETRY: f64 = 0.7;
+
+/// Longest factor by which a try takes more time after tries that failed: a large listing from a slow store
+/// must come through at last.
+const LONGEST_FACTOR: u32 = 4;
 
 /// Time within which a change of one kind must be known, divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,6 +110,26 @@
         self.share(ANSWER_MARGIN)
     }
 
+    /// Returns for how long a relay is passed over that was out of contact with the store.
+    pub fn contact_pause(self) -> Duration {
+        self.share(CONTACT_PAUSE)
+    }
+
+    /// Returns for how long a relay is passed over that gave no answer.
+    pub fn silence_pause(self) -> Duration {
+        self.share(SILENCE_PAUSE)
+    }
+
+    /// Returns for how long a relay is passed over at most.
+    pub fn longest_pause(self) -> Duration {
+        self.share(LONGEST_PAUSE)
+    }
+
+    /// Returns the pause after which relays are tried again.
+    pub fn round_pause(self) -> Duration {
+        self.share(ROUND_PAUSE)
+    }
+
     /// Returns for how long a relay pauses after a change.
     pub fn relay_spacing(self) -> Duration {
         self.share(RELAY_SPACING).min(LONGEST_SPACING)
@@ -106,15 +150,20 @@
         self.share(RELAY_AGE)
     }
 
+    /// Returns for how long a watch without an answer is trusted.
+    pub fn watch_trust(self) -> Duration {
+        self.share(WATCH_TRUST)
+    }
+
+    /// Returns the shortest time between two renewals of a watch.
+    pub fn renewal_interval(self) -> Duration {
+        self.share(RENEWAL_INTERVAL)
+    }
+
     /// Returns how long a relay waits for its own watch once another relay has learned of a change.
     pub fn hint_patience(self) -> Duration {
         self.share(HINT_PATIENCE)
     }
-
-    /// Returns how long an answer of the store may take that a node asks itself.
-    pub fn store_timeout(self) -> Duration {
-        self.share(STORE_TIMEOUT)
-    }
 }
 
 /// When a node asks the store itself about one kind.
@@ -144,12 +193,15 @@
         }
     }
 
-    /// Returns when the store is to be asked by a node that knows it as of `as_of`.
-    pub fn due(&self, as_of: Option<Instant>) -> Instant {
-        let due = match as_of {
-            Some(as_of) => as_of + self.budget.share(between(STORE_PATIENCE, self.drawn)),
-            None => self.begun + self.budget.share(between(FIRST_PATIENCE, self.drawn)),
+    /// Returns when the store is to be asked by a node that knows it as of `as_of`; `doubted`: a look comes
+    /// first, and so earlier.
+    pub fn due(&self, as_of: Option<Instant>, doubted: bool) -> Instant {
+        let patience = match as_of {
+            Some(_) => between(STORE_PATIENCE, self.drawn),
+            None => between(FIRST_PATIENCE, self.drawn),
         };
+        let look = if doubted { PROBE_TIMEOUT } else { 0.0 };
+        let due = as_of.unwrap_or(self.begun) + self.budget.share(patience - look);
         let retry = self
             .failed_at
             .map(|failed_at| failed_at + self.retry_pause());
@@ -167,6 +219,20 @@
         self.failures > 0
     }
 
+    /// Returns how long an answer of the store may take.
+    pub fn timeout(&self) -> Duration {
+        let factor = 2_u32.saturating_pow(self.failures).min(LONGEST_FACTOR);
+        self.budget.share(STORE_TIMEOUT) * factor
+    }
+
+    /// Takes in that relays have told the store as of a moment: what failed before that is past.
+    pub fn relayed(&mut self, as_of: Instant) {
+        if self.failed_at.is_some_and(|failed_at| failed_at < as_of) {
+            self.failures = 0;
+            self.failed_at = None;
+        }
+    }
+
     /// Takes in that the store gave no answer.
     pub fn failed(&mut self, now: Instant) {
         self.failures += 1;
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -2,9 +2,10 @@
 //! store, all others ask these.
 //!
 //! A store's calls are dear and bounded, whoever makes them, and it may turn single nodes away. So a
-//! [`Relay`] follows a kind for as long as somebody asks it, and a [`store::RelayedStore`] asks relays
-//! first and the store itself only where none of them answers.
+//! [`Relay`] follows a kind for as long as somebody asks it, and a [`store::RelayedStore`] asks relays, and
+//! the store itself where they do not tell in time ([`budget`]).
 
+pub mod asker;
 pub mod budget;
 pub mod cache;
 pub mod loads;
@@ -32,9 +33,6 @@
 /// Time without a question after which a kind is not followed any more.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Shortest time between two renewals of a watch.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A kind that is relayed.
 #[derive(Clone, Debug)]
 pub struct RelayedKind {
@@ -63,10 +61,14 @@
 struct ServedKind {
     budget: FreshnessBudget,
     cache: RefCell<KindCache>,
-    /// Whether the store answered last time.
+    /// Whether the store is in reach, as far as is known.
     connected: Cell<bool>,
-    /// When the store was heard of last, by an answer or a look that found nothing pending.
+    /// Whether everything is listed and a watch is asked for, or is after the pause.
+    watches: Cell<bool>,
+    /// As of when the store is known.
     heard_at: Cell<Instant>,
+    /// When a listing or a watch was answered last.
+    answered_at: Cell<Instant>,
     /// Until when nothing is asked after a change: what happens meanwhile is not known.
     pauses_until: Cell<Instant>,
     /// Counts whatever may let an answer be given that waits.
@@ -80,23 +82,31 @@
 
 impl ServedKind {
     fn new(budget: FreshnessBudget) -> Self {
+        let now = Instant::now();
         Self {
             budget,
             cache: RefCell::default(),
             connected: Cell::new(true),
-            heard_at: Cell::new(Instant::now()),
-            pauses_until: Cell::new(Instant::now()),
+            watches: Cell::new(false),
+            heard_at: Cell::new(now),
+            answered_at: Cell::new(now),
+            pauses_until: Cell::new(now),
             steps: watch::Sender::new(0),
             renewal: Rc::default(),
             renewed_at: Cell::new(None),
-            asked_at: Cell::new(Instant::now()),
+            asked_at: Cell::new(now),
             following: RefCell::new(None),
         }
     }
 
     /// Takes in what was learned. Returns the revision of a change that others may not know yet.
-    fn learn(&self, learned: Option<Learned>, observation: &Observation) -> Option<Revision> {
-        self.note_contact(observation);
+    fn learn(
+        &self,
+        learned: Option<Learned>,
+        observation: &Observation,
+        as_of: Instant,
+    ) -> Option<Revision> {
+        self.note_contact(observation, as_of);
         let mut cache = self.cache.borrow_mut();
         let before = cache.changed_at();
         if let Some(revision) = observation.revision() {
@@ -107,19 +117,21 @@
         (changed_at > before).then_some(changed_at)
     }
 
-    /// Takes in whether the store has answered. A watch that failed once says nothing of the store, which
-    /// cuts those of all relays at the same moment: whoever asks waits for the listing that follows.
-    /// Without this, nodes passed all relays over for 0.8 s.
-    fn note_contact(&self, observation: &Observation) {
-        let now = Instant::now();
-        match observation.failures() {
-            0 if observation.revision().is_some() => {
-                self.connected.set(true);
-                self.heard_at.set(now);
-                self.pauses_until.set(now + observation.pause());
-            }
-            0 | 1 => {}
-            _ => self.connected.set(false),
+    /// Takes in whether the store has answered, as of when. A watch that failed once says nothing of the
+    /// store, which cuts those of all relays at the same moment: whoever asks waits for the listing that
+    /// follows. Without this, nodes passed all relays over for 0.8 s.
+    fn note_contact(&self, observation: &Observation, as_of: Instant) {
+        let failures = observation.failures();
+        let watches = failures == 0 && observation.revision().is_some();
+        self.watches.set(watches);
+        if watches {
+            let now = Instant::now();
+            self.connected.set(true);
+            self.heard_at.set(as_of);
+            self.answered_at.set(now);
+            self.pauses_until.set(now + observation.pause());
+        } else if failures > 1 {
+            self.connected.set(false);
         }
     }
 
@@ -143,21 +155,29 @@
         }
     }
 
-    /// The store has answered what it was asked at `asked_at`. Where it could not be reached before, a
-    /// watch that was asked for meanwhile may be lost.
-    fn reached(&self, asked_at: Instant) {
+    /// The store has answered what it was asked at `asked_at`, and had reached `revision`.
+    ///
+    /// That shows the way to the store, not that the watch lives: all relays' watches may be swallowed by
+    /// the same moment of silence. So it counts only where nothing has changed since the watch was
+    /// answered, and for a while only, since the revision may be old; else the store is asked anew.
+    fn reached(&self, asked_at: Instant, revision: Revision) {
         if !self.connected.get() {
             return self.renew();
         }
-        if asked_at >= self.pauses_until.get() {
-            self.heard_at.set(asked_at.max(self.heard_at.get()));
+        if !self.watches.get() || asked_at < self.pauses_until.get() {
+            return;
+        }
+        let trusted = self.answered_at.get().elapsed() < self.budget.watch_trust();
+        match trusted && !self.is_behind(revision) {
+            true => self.heard_at.set(asked_at.max(self.heard_at.get())),
+            false => self.renew(),
         }
     }
 
     /// Asks the store anew, where somebody knows more of it than this node.
     fn renew(&self) {
         let now = Instant::now();
-        let recent = |at: Instant| now.duration_since(at) < RENEWAL_INTERVAL;
+        let recent = |at: Instant| now.duration_since(at) < self.budget.renewal_interval();
         if self.renewed_at.get().is_some_and(recent) {
             return;
         }
@@ -277,9 +297,11 @@
         };
         let learning = Rc::downgrade(&served);
         let (announce, kind) = (self.announce.clone(), relayed.name.clone());
-        let following = watcher::observe(watcher, move |learned, observation| {
+        let following = watcher::observe(watcher, move |learned, observation, as_of| {
             let served = learning.upgrade();
-            if let Some(changed) = served.and_then(|served| served.learn(learned, observation)) {
+            if let Some(changed) =
+                served.and_then(|served| served.learn(learned, observation, as_of))
+            {
                 announce(&kind, changed);
             }
         });
@@ -343,16 +365,17 @@
             }
             let asked_at = Instant::now();
             let answer = timeout(limit, self.store.reach()).await;
-            let reaches = matches!(answer, Ok(Ok(())));
+            let revision = answer.ok().and_then(Result::ok);
+            let reaches = revision.is_some();
             if reached != reaches {
                 reached = reaches;
                 info!(self.log, "relay: Way to the store."; "open" => reaches);
             }
             let served: Vec<Rc<ServedKind>> = self.served.borrow().values().cloned().collect();
             for one in served {
-                match reaches {
-                    true => one.reached(asked_at),
-                    false => one.lose_contact(),
+                match revision {
+                    Some(revision) => one.reached(asked_at, revision),
+                    None => one.lose_contact(),
                 }
             }
         }
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -1,35 +1,21 @@
 //! The store as a node sees it that asks relays first.
 
+use super::asker::{Asked, RelayAnswer, RelayAsker};
 use super::budget::{FreshnessBudget, StoreTurn};
-use super::cache::{RelayContact, RelayedChanges, RelayedObject, RelayedPage};
-use super::ranking;
-use crate::journal::PeerClient;
+use super::cache::{RelayedChanges, RelayedObject, RelayedPage};
 use crate::journal::messages::{PeerRequest, PeerResponse};
-use crate::journal::registry::Registry;
 use firshore_adapter::objects::{
     Answer, Change, Changes, Object, ObjectError, ObjectStore, Page, Revision,
 };
 use firshore_gateway::belief::{Belief, BeliefSource};
-use firshore_types::ids::{NodeName, ZoneName};
 use futures_util::FutureExt;
 use serde_json::Value;
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Time for which a relay is passed over that was out of contact with the store: it says so at once, and
-/// is back in contact soon after the store is.
-const CONTACT_PAUSE: Duration = Duration::from_millis(300);
-
-/// Time for which a relay is passed over that gave no answer.
-const SILENCE_PAUSE: Duration = Duration::from_secs(2);
-
-/// Pause after which relays are tried again.
-const ROUND_PAUSE: Duration = Duration::from_millis(200);
-
 /// Asks for one kind on behalf of one node: relays, and the store itself once what is known grows old.
 ///
 /// Relays and the store are asked side by side, so that no wait for one of them delays the other.
@@ -43,6 +29,8 @@
     turn: RefCell<StoreTurn>,
     /// Rounds of questions that no relay has answered.
     idle_rounds: Cell<u32>,
+    /// The last round of questions ended with relays that are out of contact with the store.
+    doubted: Cell<bool>,
     asks_store: Cell<bool>,
     /// As of when the kind is known.
     belief: Rc<Belief>,
@@ -50,60 +38,6 @@
     listed_as_of: Cell<Option<Instant>>,
 }
 
-/// Who asks relays, and whom it would ask.
-pub struct RelayAsker {
-    /// The node that asks.
-    pub node: NodeName,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Nodes with disks.
-    pub registry: Rc<Registry>,
-    /// How they are asked.
-    pub peers: PeerClient,
-    /// Log.
-    pub log: Logger,
-    /// Relays that were of no use a moment ago, and until when they are passed over.
-    pub passed_over: RefCell<HashMap<NodeName, RelayPause>>,
-}
-
-/// For how long a relay is passed over, and why.
-#[derive(Clone, Copy, Debug)]
-pub struct RelayPause {
-    until: Instant,
-    /// It answered, but was out of contact with the store.
-    out_of_contact: bool,
-}
-
-/// What a relay answered.
-struct RelayAnswer {
-    relay: NodeName,
-    /// When it was asked.
-    asked_at: Instant,
-    response: PeerResponse,
-}
-
-impl RelayAnswer {
-    /// The moment as of which the relay tells the store: not later than its answer was sent, however
-    /// long that was under way.
-    fn as_of(&self, contact: RelayContact) -> Instant {
-        let sent_at = self.asked_at + Duration::from_millis(contact.held);
-        let age = Duration::from_millis(contact.age);
-        sent_at.checked_sub(age).unwrap_or(self.asked_at)
-    }
-
-    fn source(&self) -> BeliefSource {
-        BeliefSource::Relay(self.relay.clone())
-    }
-}
-
-/// What came of asking relays in turn.
-enum Asked {
-    Answered(RelayAnswer),
-    /// Some answered that they are out of contact with the store.
-    NoContact,
-    Nobody,
-}
-
 /// What the store answered.
 struct StoreAnswer<T> {
     asked_at: Instant,
@@ -116,82 +50,6 @@
     FromStore(StoreAnswer<T>),
 }
 
-impl RelayAsker {
-    /// Asks one relay after the other.
-    async fn ask(&self, kind: &str, request: &PeerRequest, limit: Duration) -> Asked {
-        let now = Instant::now();
-        let candidates = self.registry.candidates();
-        let order = ranking::order(&candidates, &self.zone, &self.node);
-        let mut asked = Asked::Nobody;
-        for relay in order {
-            let pause = self.passed_over.borrow().get(&relay).copied();
-            if let Some(pause) = pause.filter(|pause| now < pause.until) {
-                if pause.out_of_contact {
-                    asked = Asked::NoContact;
-                }
-                continue;
-            }
-            let Some(address) = self.registry.address(&relay) else {
-                continue;
-            };
-            let asked_at = Instant::now();
-            let call = self.peers.call(address, request.clone());
-            match timeout(limit, call).await {
-                Ok(Ok(PeerResponse::NoContact)) => {
-                    asked = Asked::NoContact;
-                    self.pass_over(kind, relay, asked_at, CONTACT_PAUSE, true);
-                }
-                Ok(Ok(response)) => {
-                    return Asked::Answered(RelayAnswer {
-                        relay,
-                        asked_at,
-                        response,
-                    });
-                }
-                Ok(Err(_)) | Err(_) => {
-                    self.pass_over(kind, relay, asked_at, SILENCE_PAUSE, false);
-                }
-            }
-        }
-        asked
-    }
-
-    fn pass_over(
-        &self,
-        kind: &str,
-        relay: NodeName,
-        asked_at: Instant,
-        pause: Duration,
-        out_of_contact: bool,
-    ) {
-        let before = self.passed_over.borrow().get(&relay).copied();
-        // A relay that stays without contact is named once.
-        if !(out_of_contact && before.is_some_and(|before| before.out_of_contact)) {
-            info!(self.log, "relay: Passed over."; "relay" => %relay, "kind" => kind,
-                "asked_ms" => asked_at.elapsed().as_millis() as u64,
-                "out_of_contact" => out_of_contact, "pause_ms" => pause.as_millis() as u64);
-        }
-        let pause = RelayPause {
-            until: Instant::now() + pause,
-            out_of_contact,
-        };
-        self.passed_over.borrow_mut().insert(relay, pause);
-    }
-
-    /// Whether a relay said a moment ago that it is out of contact with the store.
-    fn hears_of_outage(&self) -> bool {
-        let passed_over = self.passed_over.borrow();
-        passed_over.values().any(|pause| pause.out_of_contact)
-    }
-
-    /// A relay was of use: all are named again when they are passed over next.
-    fn forget_pauses(&self) {
-        let now = Instant::now();
-        let mut passed_over = self.passed_over.borrow_mut();
-        passed_over.retain(|_, pause| now < pause.until);
-    }
-}
-
 fn decoded(objects: &[RelayedObject]) -> Result<Vec<Object>, ObjectError> {
     let objects = objects.iter().map(RelayedObject::decode);
     let objects: Result<Vec<Object>, serde_json::Error> = objects.collect();
@@ -236,6 +94,7 @@
             known: Cell::new(0),
             turn: RefCell::new(turn),
             idle_rounds: Cell::new(0),
+            doubted: Cell::new(false),
             asks_store: Cell::new(false),
             belief,
             listed_as_of: Cell::new(None),
@@ -246,12 +105,12 @@
     async fn ask_relays(&self, kind: &str, request: PeerRequest, wait: Duration) -> RelayAnswer {
         let limit = wait + self.budget.answer_margin();
         loop {
-            match self.asker.ask(kind, &request, limit).await {
+            match self.asker.ask(kind, &request, limit, self.budget).await {
                 Asked::Answered(answer) => return answer,
-                Asked::NoContact => {}
+                Asked::NoContact => self.doubted.set(true),
                 Asked::Nobody => self.look_for_relays(),
             }
-            actix_rt::time::sleep(ROUND_PAUSE).await;
+            actix_rt::time::sleep(self.budget.round_pause()).await;
         }
     }
 
@@ -266,10 +125,10 @@
                 _ => return answer,
             };
             let knows_nothing = self.belief.as_of().is_none();
-            if knows_nothing || Instant::now() < self.turn.borrow().due(Some(as_of)) {
+            if knows_nothing || Instant::now() < self.turn.borrow().due(Some(as_of), false) {
                 return answer;
             }
-            actix_rt::time::sleep(ROUND_PAUSE).await;
+            actix_rt::time::sleep(self.budget.round_pause()).await;
         }
     }
 
@@ -291,15 +150,15 @@
         question: impl Fn() -> Answer<'a, T>,
     ) -> StoreAnswer<T> {
         loop {
-            let due = self.turn.borrow().due(self.belief.as_of());
-            actix_rt::time::sleep_until(due).await;
+            actix_rt::time::sleep_until(self.store_due()).await;
             self.note_direct(kind);
             if !self.reaches_store().await {
                 self.turn.borrow_mut().failed(Instant::now());
                 continue;
             }
             let asked_at = Instant::now();
-            let answer = timeout(self.budget.store_timeout(), question()).await;
+            let limit = self.turn.borrow().timeout();
+            let answer = timeout(limit, question()).await;
             if let Ok(Ok(told)) = answer {
                 self.turn.borrow_mut().answered(rand::random());
                 return StoreAnswer { asked_at, told };
@@ -311,16 +170,28 @@
     /// Whether the store can be reached, where there is reason to doubt it: that costs a part of a
     /// question, and a store that is down is down for all nodes.
     async fn reaches_store(&self) -> bool {
-        if !self.turn.borrow().has_failed() && !self.asker.hears_of_outage() {
+        if !self.is_doubted() {
             return true;
         }
-        let reached = timeout(self.budget.store_timeout(), self.direct.reach()).await;
-        matches!(reached, Ok(Ok(())))
+        let reached = timeout(self.budget.probe_timeout(), self.direct.reach()).await;
+        matches!(reached, Ok(Ok(_)))
+    }
+
+    fn is_doubted(&self) -> bool {
+        self.doubted.get() || self.turn.borrow().has_failed()
+    }
+
+    /// When the store itself is to be asked.
+    fn store_due(&self) -> Instant {
+        let as_of = self.belief.as_of();
+        self.turn.borrow().due(as_of, self.is_doubted())
     }
 
-    fn relayed(&self) {
-        self.asker.forget_pauses();
+    /// A relay has told the store as of a moment.
+    fn relayed(&self, as_of: Instant) {
         self.idle_rounds.set(0);
+        self.doubted.set(false);
+        self.turn.borrow_mut().relayed(as_of);
         if self.asks_store.replace(false) {
             info!(self.asker.log, "relay: Relays are asked again.");
         }
@@ -373,11 +244,11 @@
             };
             let (page, as_of, source) = match learnt {
                 Learnt::FromRelay(answer) => {
-                    self.relayed();
                     let PeerResponse::Page(relayed) = &answer.response else {
                         return Err(unexpected());
                     };
                     let as_of = answer.as_of(relayed.contact);
+                    self.relayed(as_of);
                     (page(relayed)?, as_of, answer.source())
                 }
                 Learnt::FromStore(answer) => (answer.told, answer.asked_at, BeliefSource::Store),
@@ -400,12 +271,10 @@
                 known: after,
                 wait: wait.as_millis() as u64,
             };
-            let due = self.turn.borrow().due(self.belief.as_of());
-            let answer = self.ask_relays(kind, request, wait);
-            let Ok(answer) = timeout_at(due, answer).await else {
+            let asking = self.ask_relays(kind, request, wait);
+            let Ok(answer) = timeout_at(self.store_due(), asking).await else {
                 return Err(ObjectError::HistoryGone);
             };
-            self.relayed();
             let relayed = match &answer.response {
                 PeerResponse::Changes(relayed) => relayed,
                 PeerResponse::HistoryGone => return Err(ObjectError::HistoryGone),
@@ -413,14 +282,15 @@
             };
             let changes = changes(relayed)?;
             self.know(changes.revision)?;
-            self.belief
-                .confirm(answer.as_of(relayed.contact), answer.source());
+            let as_of = answer.as_of(relayed.contact);
+            self.relayed(as_of);
+            self.belief.confirm(as_of, answer.source());
             Ok(changes)
         }
         .boxed_local()
     }
 
-    fn reach<'a>(&'a self) -> Answer<'a, ()> {
+    fn reach<'a>(&'a self) -> Answer<'a, Revision> {
         self.direct.reach()
     }
 
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -236,7 +236,7 @@
 
 /// Shortest time within which changes can be known: the shares of it that relays and the store have must
 /// be longer than an answer takes.
-const MINIMUM_BOUND_MILLISECONDS: f64 = 500.0;
+const MINIMUM_BOUND_MILLISECONDS: f64 = 1_000.0;
 
 /// Shortest time in which a new disk can be made to hold everything.
 const MINIMUM_CATCH_UP_SECONDS: f64 = 1.0;
@@ -282,13 +282,13 @@
                 "objects.configuration_bound_milliseconds",
                 self.objects.configuration_bound_milliseconds,
                 MINIMUM_BOUND_MILLISECONDS,
-                "Set at least 500.",
+                "Set at least 1000.",
             ),
             (
                 "objects.leaving_bound_milliseconds",
                 self.objects.leaving_bound_milliseconds,
                 MINIMUM_BOUND_MILLISECONDS,
-                "Set at least 500.",
+                "Set at least 1000.",
             ),
             (
                 "cluster.catch_up_seconds",
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -6,6 +6,7 @@
 use slog::{Logger, info, warn};
 use std::rc::Rc;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Who asks for a kind, and how.
 pub struct Watcher {
@@ -23,7 +24,7 @@
 
 /// Follows all objects of a kind and hands on what is learned.
 pub async fn follow(watcher: Watcher, learn: impl Fn(Learned)) {
-    let step = |learned: Option<Learned>, _: &Observation| {
+    let step = |learned: Option<Learned>, _: &Observation, _: Instant| {
         if let Some(learned) = learned {
             learn(learned);
         }
@@ -31,9 +32,10 @@
     observe(watcher, step).await;
 }
 
-/// Follows all objects of a kind; tells after each answer what was learned, if anything, and how the
-/// observation stands.
-pub async fn observe(watcher: Watcher, step: impl Fn(Option<Learned>, &Observation)) {
+/// Follows all objects of a kind; tells after each answer what was learned, if anything, how the
+/// observation stands, and as of when: a listing tells the store as its first page was asked for, an
+/// answer to a watch as it arrives.
+pub async fn observe(watcher: Watcher, step: impl Fn(Option<Learned>, &Observation, Instant)) {
     let Watcher {
         log,
         store,
@@ -42,6 +44,7 @@
         renewal,
     } = watcher;
     let mut observation = Observation::new(terms);
+    let mut as_of = Instant::now();
     loop {
         let pause = observation.pause();
         if !pause.is_zero() {
@@ -52,6 +55,9 @@
         let connected = observation.is_connected();
         let learned = match observation.question() {
             Question::List(after) => {
+                if after.is_none() {
+                    as_of = Instant::now();
+                }
                 let page = store.list(&kind, after.as_deref()).await;
                 note(&log, &kind, connected, page.as_ref().err());
                 observation.listed(page)
@@ -66,6 +72,7 @@
                     }
                 };
                 note(&log, &kind, connected, changes.as_ref().err());
+                as_of = Instant::now();
                 observation.watched(changes)
             }
         };
@@ -73,7 +80,7 @@
             info!(log, "objects: Store answers again."; "kind" => &kind,
                 "revision" => observation.revision());
         }
-        step(learned, &observation);
+        step(learned, &observation, as_of);
     }
 }
 
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -16,10 +16,10 @@
 use firshore_node::journal::retirement::Retirements;
 use firshore_node::journal::{Journal, NodeRelays, PeerClient};
 use firshore_node::metrics::RunnerMetrics;
-use firshore_node::observation::Terms;
+use firshore_node::observation::{CALM_WAIT, Terms};
+use firshore_node::relay::asker::RelayAsker;
 use firshore_node::relay::budget::FreshnessBudget;
 use firshore_node::relay::loads::LoadRelay;
-use firshore_node::relay::store::RelayAsker;
 use firshore_node::relay::{Relay, RelayedKind};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
@@ -132,6 +132,8 @@
         terms: Terms {
             history: Duration::from_secs(20),
             spacing: Duration::from_millis(100),
+            creation_spacing: Duration::from_millis(100),
+            longest_wait: CALM_WAIT,
         },
         budget: budget(),
     });
--- a/crates/firshore-node/tests/observation.rs
+++ b/crates/firshore-node/tests/observation.rs
@@ -1,13 +1,15 @@
 //! How objects are followed through everything that a store may do.
 
 use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page};
-use firshore_node::observation::{Learned, Observation, Question, Terms};
+use firshore_node::observation::{CALM_WAIT, Learned, Observation, Question, Terms};
 use std::time::Duration;
 
 fn terms() -> Terms {
     Terms {
         history: Duration::from_secs(20),
         spacing: Duration::from_secs(1),
+        creation_spacing: Duration::from_secs(2),
+        longest_wait: CALM_WAIT,
     }
 }
 
--- a/crates/firshore-node/tests/stale_world/machines.rs
+++ b/crates/firshore-node/tests/stale_world/machines.rs
@@ -7,9 +7,10 @@
 use firshore_node::journal::PeerClient;
 use firshore_node::journal::messages::{PeerRequest, PeerResponse};
 use firshore_node::journal::registry::Registry;
-use firshore_node::observation::{Learned, Terms};
+use firshore_node::observation::{CALM_WAIT, Learned, Terms};
+use firshore_node::relay::asker::RelayAsker;
 use firshore_node::relay::budget::FreshnessBudget;
-use firshore_node::relay::store::{RelayAsker, RelayedStore};
+use firshore_node::relay::store::RelayedStore;
 use firshore_node::relay::{Announce, Relay, RelayedKind};
 use firshore_node::watcher::{self, Watcher};
 use firshore_stand_in::adapter::BACKENDS;
@@ -74,6 +75,8 @@
     Terms {
         history: HISTORY,
         spacing,
+        creation_spacing: spacing,
+        longest_wait: CALM_WAIT,
     }
 }
 
--- a/crates/firshore-stand-in/src/store.rs
+++ b/crates/firshore-stand-in/src/store.rs
@@ -250,11 +250,11 @@
         .boxed_local()
     }
 
-    fn reach<'a>(&'a self) -> Answer<'a, ()> {
+    fn reach<'a>(&'a self) -> Answer<'a, Revision> {
         async move {
             self.probes.set(self.probes.get() + 1);
             self.suffer().await?;
-            self.leave(())
+            self.leave(self.inner.borrow().revision)
         }
         .boxed_local()
     }
