Soak: the first seed can be set, seeds that failed stay

The soak in one process counted its seeds from 1 only, so that a play by hand repeated the seeds that the tests play anyway. FIRSHORE_SOAK_FIRST_SEED sets the first one; seeds that failed once are listed and played whenever no first seed is set.

--- a/crates/firshore-node/tests/soak.rs
+++ b/crates/firshore-node/tests/soak.rs
@@ -2,7 +2,8 @@
 //! store fails and back ends misbehave. Whatever happens within what the cluster tolerates, nothing
 //! accepted is lost, no position changes what it showed, and every item has one result in the end.
 //!
-//! Each seed is one run; `FIRSHORE_SOAK_SEEDS` sets how many are played, from seed 1 on.
+//! Each seed is one run; `FIRSHORE_SOAK_SEEDS` sets how many are played, from seed 1 or
+//! `FIRSHORE_SOAK_FIRST_SEED` on. Without a first seed, those that failed once are played too.
 
 mod cluster;
 
@@ -20,6 +21,9 @@
 /// Runs without `FIRSHORE_SOAK_SEEDS`.
 const SEEDS: u64 = 3;
 
+/// Seeds that failed once and are not among the first [`SEEDS`]: seeds 1 and 2 failed and are.
+const FAILED_SEEDS: [u64; 0] = [];
+
 /// Faults and jobs of one run.
 const STEPS: usize = 14;
 
@@ -189,11 +193,27 @@
     });
 }
 
+/// A number from the environment, for plays by hand.
+fn number(name: &str) -> Option<u64> {
+    let text = std::env::var(name).ok()?;
+    Some(
+        text.parse()
+            .unwrap_or_else(|_| panic!("{name} is a number")),
+    )
+}
+
+/// The seeds of this play.
+fn seeds() -> Vec<u64> {
+    let count = number("FIRSHORE_SOAK_SEEDS").unwrap_or(SEEDS);
+    let Some(first) = number("FIRSHORE_SOAK_FIRST_SEED") else {
+        return (1..=count).chain(FAILED_SEEDS).collect();
+    };
+    (first..first + count).collect()
+}
+
 #[test]
 fn nothing_accepted_is_lost_whatever_fails() {
-    let seeds = std::env::var("FIRSHORE_SOAK_SEEDS");
-    let seeds = seeds.map_or(SEEDS, |text| text.parse().expect("a number of seeds"));
-    for seed in 1..=seeds {
+    for seed in seeds() {
         eprintln!("seed {seed}");
         play(seed);
     }
