--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -312,6 +312,13 @@
         }
     }
 
+    /// Listings that a node asks of the store in a time in which no relay is of use: one each 0.6 of the
+    /// bound, and one as that begins.
+    fn most_listings(time: Duration) -> usize {
+        let pause = budget().bound().mul_f64(0.6);
+        1 + (time.as_secs_f64() / pause.as_secs_f64()).ceil() as usize
+    }
+
     /// Waits until it knows just these back ends, within the time that it has for a change and as much
     /// again: tests run side by side.
     async fn knows_in_time(&self, names: &[&str]) {
@@ -381,7 +388,9 @@
         }
         put(&store, "c");
         follower.knows_in_time(&["a", "b", "c"]).await;
+        // One of the two is waited for; the store is asked at most where the machine is busy.
         let asked = follower.own.calls.get();
+        assert!(asked <= 2, "{asked} calls");
         actix_rt::time::sleep(Duration::from_secs(3)).await;
         put(&store, "d");
         follower.knows_in_time(&["a", "b", "c", "d"]).await;
@@ -407,6 +416,8 @@
             }
             put(&store, "b");
             follower.knows_in_time(&["a", "b"]).await;
+            let limit = Follower::most_listings(budget().bound() * 2);
+            assert!(follower.own.calls.get() <= limit, "more than {limit} calls");
             for relay in &relays {
                 relay.dead.set(true);
             }
