Test of stale sources: two bounds, paused and slow followers, connections, removals, calls of a crowd

Classes are played at bounds of 2,000 and 3,000 ms. A process that stands still is not polled, and what the store and relays do for it goes on beyond it. Two tests fail, for faults of the product as far as the model goes: - all_is_known_in_time_where_only_what_waits_falls_silent_and_no_kernel_notices: relays' watches wait in vain for 19.5 s while their looks reach the store, and they tell what they know as current; - what_is_removed_does_not_come_back_by_a_listing_older_than_what_relays_knew: a relay that lists older than it knew shows removed entries again, at the later revision; who lists there then keeps them.

--- a/crates/firshore-node/tests/stale_sources.rs
+++ b/crates/firshore-node/tests/stale_sources.rs
@@ -20,32 +20,43 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use stale_world::crowd::{self, Made};
+use stale_world::losses::*;
 use stale_world::machines::Health;
+use stale_world::scene::{Event, Played, Scene, Sheet, Who};
+use stale_world::troubles::*;
 use stale_world::ways::Way;
-use stale_world::{Event, KINDS, Played, Scene, Who, play};
+use stale_world::{KINDS, play};
 use std::time::Duration;
 
-/// Age up to which a change may be unknown at a node in touch.
-const BOUND: Duration = Duration::from_millis(2_000);
-
-/// Seeds that are played of each class: `FIRSHORE_STALE_SEEDS`, or 12.
+/// Age up to which a change may be unknown at a node in touch, by the sheets that there are.
+const SHEETS: [Sheet; 2] = [
+    Sheet {
+        bound: Duration::from_millis(2_000),
+        in_touch_after: Duration::from_secs(3),
+    },
+    Sheet {
+        bound: Duration::from_millis(3_000),
+        in_touch_after: Duration::from_secs(4),
+    },
+];
+
+/// Seeds that are played of each class: `FIRSHORE_STALE_SEEDS`, or 12; by the second sheet, a quarter of
+/// them.
 const SEEDS: u64 = 12;
 
-/// When something happens first, in milliseconds: all have started and are judged.
-const FIRST: u64 = 5_000;
-
 /// Time that is played after the last event: what happened last is judged too, and a watch that was
 /// swallowed has ended.
 const AFTERWARDS: Duration = Duration::from_secs(20);
 
-/// Time for which watches that are cut hear nothing before they fail.
-const DEAF: u64 = 1_000;
+/// Time by which the copy of the store is behind that relays may read.
+const LAG: Duration = Duration::from_millis(300);
 
-/// Time that a slow store's answer takes.
-const SLOWNESS: Duration = Duration::from_millis(200);
+/// When a crowd is calm, in milliseconds.
+const CALM: u64 = 4_000;
 
-/// What happens in a scene, with the milliseconds at which it does.
-type Events = Vec<(u64, Event)>;
+/// Objects in a page of the stand-in's.
+const PAGE_OBJECTS: u64 = 3;
 
 /// Draws what happens to so many relays.
 type Draw = fn(&mut StdRng, usize) -> Events;
@@ -55,54 +66,102 @@
     wanted.map_or(SEEDS, |seeds| seeds.parse().expect("a number of seeds"))
 }
 
-fn scene(class: &'static str, seed: u64, draw: Draw) -> Scene {
-    let mut random = StdRng::seed_from_u64(seed);
-    let relays = random.random_range(1..=3);
-    let zones = random.random_range(1..=3);
-    let mut events = draw(&mut random, relays);
-    events.sort_by_key(|(at, _)| *at);
-    let last = events.last().map_or(FIRST, |(at, _)| *at);
-    let at = |(at, event)| (Duration::from_millis(at), event);
-    Scene {
-        class,
-        seed,
-        zones: (0..relays).map(|number| number % zones).collect(),
-        followers: random.random_range(2..=4),
-        changes_unheard: random.random_bool(0.5),
-        events: events.into_iter().map(at).collect(),
-        length: Duration::from_millis(last) + AFTERWARDS,
-    }
-}
-
 /// One way in which those that inform a node may be lost.
+#[derive(Clone, Copy)]
 struct Class {
     name: &'static str,
     draw: Draw,
+    connections: bool,
+    removals: bool,
+    lag: Duration,
+    /// Of so many seeds one is played.
+    one_of: u64,
 }
 
 const fn class(name: &'static str, draw: Draw) -> Class {
-    Class { name, draw }
+    Class {
+        name,
+        draw,
+        connections: false,
+        removals: false,
+        lag: LAG,
+        one_of: 1,
+    }
+}
+
+impl Class {
+    /// Has calls between nodes go over connections.
+    const fn with_connections(mut self) -> Self {
+        self.connections = true;
+        self
+    }
+
+    /// Has entries of back ends removed.
+    const fn with_removals(mut self) -> Self {
+        self.removals = true;
+        self
+    }
+
+    /// Has the copy of the store that relays may read so far behind.
+    const fn with_lag(mut self, lag: Duration) -> Self {
+        self.lag = lag;
+        self
+    }
+
+    /// Has a third of the seeds played: the class repeats another one with more.
+    const fn repeated(mut self) -> Self {
+        self.one_of = 3;
+        self
+    }
+
+    fn scene(&self, seed: u64) -> Scene {
+        let mut random = StdRng::seed_from_u64(seed);
+        let relays = random.random_range(1..=3);
+        let zones = random.random_range(1..=3);
+        let mut events = (self.draw)(&mut random, relays);
+        events.sort_by_key(|(at, _)| *at);
+        let last = events.last().map_or(FIRST, |(at, _)| *at);
+        let at = |(at, event)| (Duration::from_millis(at), event);
+        Scene {
+            class: self.name,
+            seed,
+            zones: (0..relays).map(|number| number % zones).collect(),
+            followers: random.random_range(2..=4),
+            follower_zones: 3,
+            connections: self.connections,
+            removals: self.removals,
+            lag: self.lag,
+            changes_unheard: random.random_bool(0.5),
+            events: events.into_iter().map(at).collect(),
+            length: Duration::from_millis(last) + AFTERWARDS,
+            marks: Vec::new(),
+        }
+    }
 }
 
-/// Plays classes.
+/// Plays classes by all sheets.
 ///
 /// # Panics
 ///
 /// Panics if a follower in touch passed the bound, or took back what it knew, and tells of each class in
 /// which one did.
 fn hold(classes: &[Class]) {
-    let broken: Vec<String> = classes.iter().filter_map(broken_in).collect();
+    let mut broken = Vec::new();
+    for class in classes {
+        for (sheet, seeds) in SHEETS.into_iter().zip([seeds(), seeds().div_ceil(4)]) {
+            broken.extend(broken_in(class, sheet, seeds.div_ceil(class.one_of)));
+        }
+    }
     assert!(broken.is_empty(), "{}", broken.join("\n\n"));
 }
 
 /// Plays a class, prints what was oldest in it, and tells what was broken, if anything was.
-fn broken_in(class: &Class) -> Option<String> {
-    let Class { name: class, draw } = *class;
+fn broken_in(class: &Class, sheet: Sheet, seeds: u64) -> Option<String> {
     let mut oldest = [Duration::ZERO; 2];
     let mut broken = Vec::new();
-    for seed in 0..seeds() {
-        let scene = scene(class, seed, draw);
-        let played = play(&scene, BOUND);
+    for seed in 0..seeds {
+        let scene = class.scene(seed);
+        let played = play(&scene, sheet);
         assert!(played.changes > 20, "hardly any changes: {scene:?}");
         for (oldest, age) in oldest.iter_mut().zip(played.oldest) {
             *oldest = age.max(*oldest);
@@ -115,9 +174,10 @@
     let ages: Vec<String> = ages.map(|(kind, age)| format!("{kind} {age:?}")).collect();
     let ages = ages.join(", ");
     println!(
-        "{class}: {} of {} broken; oldest: {ages}",
+        "{} at {:?}: {} of {seeds} broken; oldest: {ages}",
+        class.name,
+        sheet.bound,
         broken.len(),
-        seeds()
     );
     // What is taken back is the worse, and is told first.
     let worst = broken
@@ -127,7 +187,8 @@
     let seeds: Vec<u64> = broken.iter().map(|(scene, _)| scene.seed).collect();
     let told = told(scene, played);
     Some(format!(
-        "{told}\nseeds {seeds:?} are broken; oldest: {ages}"
+        "{told}\nat {:?}, seeds {seeds:?} are broken; oldest: {ages}",
+        sheet.bound
     ))
 }
 
@@ -143,209 +204,6 @@
     told.join("\n")
 }
 
-/// Ends relays within a span, and has each start again after a time drawn.
-fn end_all(
-    random: &mut StdRng,
-    relays: usize,
-    health: Health,
-    span: u64,
-    away: std::ops::Range<u64>,
-) -> Events {
-    let mut events = Events::new();
-    for relay in 0..relays {
-        let at = FIRST + random.random_range(0..=span);
-        let back = at.max(FIRST + span) + random.random_range(away.clone());
-        events.push((at, Event::Ends(relay, health)));
-        events.push((back, Event::Starts(relay)));
-    }
-    events
-}
-
-/// Has relays reached in a way for a time drawn of each.
-fn reach_all(random: &mut StdRng, relays: usize, health: Health, most: u64) -> Events {
-    let mut events = Events::new();
-    for relay in 0..relays {
-        let at = FIRST + random.random_range(0..300);
-        let back = at + random.random_range(300..most);
-        events.push((at, Event::Reached(relay, health)));
-        events.push((back, Event::Reached(relay, Health::Up)));
-    }
-    events
-}
-
-fn shut(random: &mut StdRng, who: Who, way: Way, longest: u64) -> Events {
-    let back = FIRST + random.random_range(300..longest);
-    vec![
-        (FIRST, Event::Ways(who, way)),
-        (back, Event::Ways(who, Way::Open)),
-    ]
-}
-
-fn cut(at: u64) -> Events {
-    vec![(at, Event::CutBegins), (at + DEAF, Event::CutEnds)]
-}
-
-fn nothing(_: &mut StdRng, _: usize) -> Events {
-    Events::new()
-}
-
-fn all_dark(random: &mut StdRng, relays: usize) -> Events {
-    end_all(random, relays, Health::Dark, 20, 1_000..12_000)
-}
-
-fn all_cut_off(random: &mut StdRng, relays: usize) -> Events {
-    reach_all(random, relays, Health::Dark, 12_000)
-}
-
-fn dark_in_turn(random: &mut StdRng, relays: usize) -> Events {
-    end_all(random, relays, Health::Dark, 5_000, 2_000..6_000)
-}
-
-fn all_killed(random: &mut StdRng, relays: usize) -> Events {
-    end_all(random, relays, Health::Reset, 200, 200..6_000)
-}
-
-fn relays_slow(random: &mut StdRng, relays: usize) -> Events {
-    reach_all(random, relays, Health::Slow, 8_000)
-}
-
-fn relays_paused(random: &mut StdRng, relays: usize) -> Events {
-    reach_all(random, relays, Health::Stopped, 5_000)
-}
-
-fn store_slow(random: &mut StdRng, _: usize) -> Events {
-    let back = FIRST + random.random_range(1_000..8_000);
-    vec![
-        (FIRST, Event::Delays(Who::All, SLOWNESS)),
-        (back, Event::Delays(Who::All, Duration::ZERO)),
-    ]
-}
-
-fn store_silent(random: &mut StdRng, _: usize) -> Events {
-    shut(random, Who::All, Way::Silent, 9_000)
-}
-
-/// So long that some nodes ask the store themselves meanwhile.
-fn store_silent_for_long(random: &mut StdRng, _: usize) -> Events {
-    let back = FIRST + random.random_range(8_500..15_000);
-    vec![
-        (FIRST, Event::Ways(Who::All, Way::Silent)),
-        (back, Event::Ways(Who::All, Way::Open)),
-    ]
-}
-
-fn store_silent_for_relays(random: &mut StdRng, _: usize) -> Events {
-    shut(random, Who::Relays, Way::Silent, 9_000)
-}
-
-fn store_refuses_relays(random: &mut StdRng, _: usize) -> Events {
-    shut(random, Who::Relays, Way::Refused, 9_000)
-}
-
-fn watches_cut(random: &mut StdRng, _: usize) -> Events {
-    cut(FIRST + random.random_range(0..500))
-}
-
-/// A relay that nobody reached, nor it the store, is reached again while it is behind: it is still cut from
-/// the store, or it starts anew and reads a copy that is behind.
-fn come_back_behind(random: &mut StdRng, relays: usize) -> Events {
-    let mut events = Events::new();
-    for relay in 0..relays {
-        let at = FIRST + random.random_range(0..3_000);
-        let back = at + random.random_range(100..3_000);
-        let sound = back + random.random_range(50..800);
-        if random.random_bool(0.5) {
-            events.push((at, Event::Reached(relay, Health::Dark)));
-            events.push((at, Event::Ways(Who::Relay(relay), Way::Silent)));
-            events.push((back, Event::Reached(relay, Health::Up)));
-            events.push((sound, Event::Ways(Who::Relay(relay), Way::Open)));
-        } else {
-            events.push((at, Event::Ends(relay, Health::Reset)));
-            events.push((at, Event::Lags(relay, true)));
-            events.push((back, Event::Starts(relay)));
-            events.push((sound, Event::Lags(relay, false)));
-        }
-    }
-    events
-}
-
-fn one_relay_behind(random: &mut StdRng, _: usize) -> Events {
-    come_back_behind(random, 1)
-}
-
-/// Relays that were away start anew and read a copy that is behind, while watches at the store itself are
-/// cut: whoever asked it lists anew, at a relay that knows less.
-fn listed_behind(random: &mut StdRng, relays: usize) -> Events {
-    let away = random.random_range(4_000..6_000);
-    let mut events = end_all(random, relays, Health::Reset, 20, away..away + 1);
-    let back = FIRST + away;
-    for relay in 0..relays {
-        events.push((back, Event::Lags(relay, true)));
-        events.push((back + 2_400, Event::Lags(relay, false)));
-    }
-    for number in 1..=6 {
-        let at = back + number * 400;
-        events.push((at, Event::CutBegins));
-        events.push((at + 60, Event::CutEnds));
-    }
-    events
-}
-
-fn just_started(random: &mut StdRng, relays: usize) -> Events {
-    let health = [Health::Dark, Health::Reset][random.random_range(0..2)];
-    let mut events = end_all(random, relays, health, 1_000, 200..8_000);
-    if random.random_bool(0.5) {
-        events.clear();
-    }
-    for _ in 0..3 {
-        events.push((FIRST + random.random_range(0..5_000), Event::Joins));
-    }
-    events
-}
-
-/// Draws one thing that happens from `at` on, for some seconds at most.
-fn trouble(random: &mut StdRng, relays: usize, at: u64) -> Events {
-    let back = at + random.random_range(100..5_000);
-    let relay = random.random_range(0..relays);
-    let who = [Who::All, Who::Relays, Who::Relay(relay), Who::Follower(0)];
-    let who = who[random.random_range(0..who.len())];
-    let way = [Way::Silent, Way::Refused][random.random_range(0..2)];
-    let lost = [Health::Dark, Health::Reset][random.random_range(0..2)];
-    let health = [Health::Dark, Health::Slow, Health::Stopped][random.random_range(0..3)];
-    match random.random_range(0..7) {
-        0 => cut(at),
-        1 => vec![(at, Event::Joins)],
-        2 => vec![
-            (at, Event::Delays(who, SLOWNESS)),
-            (back, Event::Delays(who, Duration::ZERO)),
-        ],
-        3 => vec![
-            (at, Event::Ways(who, way)),
-            (back, Event::Ways(who, Way::Open)),
-        ],
-        4 => vec![(at, Event::Ends(relay, lost)), (back, Event::Starts(relay))],
-        5 => {
-            let ends = (0..relays).map(|relay| (at, Event::Ends(relay, lost)));
-            let starts = (0..relays).map(|relay| (back, Event::Starts(relay)));
-            ends.chain(starts).collect()
-        }
-        _ => vec![
-            (at, Event::Reached(relay, health)),
-            (back, Event::Reached(relay, Health::Up)),
-        ],
-    }
-}
-
-fn mixtures(random: &mut StdRng, relays: usize) -> Events {
-    let count = random.random_range(4..=8);
-    let mut events = Events::new();
-    for _ in 0..count {
-        let at = FIRST + random.random_range(0..15_000);
-        events.extend(trouble(random, relays, at));
-    }
-    events
-}
-
 #[test]
 fn all_is_known_soon_where_relays_and_the_store_answer() {
     hold(&[
@@ -387,3 +245,155 @@
         class("mixtures", mixtures),
     ]);
 }
+
+#[test]
+fn all_is_known_in_time_by_followers_that_were_paused_or_hardly_run() {
+    hold(&[
+        class("followers paused", followers_paused),
+        class("followers paused, and loss", followers_paused_and_loss).repeated(),
+        class("followers slow", followers_slow),
+        class("followers slow, and loss", followers_slow_and_loss).repeated(),
+    ]);
+}
+
+#[test]
+fn all_is_known_in_time_where_connections_hang_or_are_reset() {
+    let classes = [
+        class("connections: all dark at once", all_dark),
+        class("connections: dark one after the other", dark_in_turn),
+        class("connections: all killed", all_killed),
+        class("connections: relays paused", relays_paused),
+        class("connections: followers paused", followers_paused_and_loss),
+    ];
+    hold(&classes.map(|class| class.with_connections().repeated()));
+    hold(&[
+        class("connections: dark for a moment", dark_for_a_moment).with_connections(),
+        class("connections: dark again", dark_again).with_connections(),
+    ]);
+}
+
+#[test]
+fn all_is_known_in_time_where_connections_fall_silent() {
+    hold(&[
+        class("silent: what waits, and ended", waiting_silent_and_ended),
+        class("silent: idle ones too", all_connections_silent),
+        class("silent: idle ones too, links kept", all_connections_silent).with_connections(),
+    ]);
+}
+
+#[test]
+fn all_is_known_in_time_where_only_what_waits_falls_silent_and_no_kernel_notices() {
+    hold(&[
+        class("silent: what waits", waiting_silent),
+        class("silent: what waits, links kept", waiting_silent).with_connections(),
+    ]);
+}
+
+#[test]
+fn what_is_removed_is_dropped_in_time_where_those_that_tell_are_lost() {
+    let classes = [
+        class("removals: nothing happens", nothing),
+        class("removals: all dark at once", all_dark),
+        class("removals: watches cut", watches_cut),
+        class("removals: store silent for all", store_silent),
+    ];
+    hold(&classes.map(|class| class.with_removals().repeated()));
+}
+
+#[test]
+fn what_is_removed_does_not_come_back() {
+    let classes = [
+        class("removals: relays back and behind", come_back_behind),
+        class("removals: listed behind", listed_behind),
+        class("removals: mixtures", mixtures),
+        class("removals: mixtures of all", mixtures_of_all).with_connections(),
+    ];
+    hold(&classes.map(|class| class.with_removals().repeated()));
+}
+
+#[test]
+fn what_is_removed_does_not_come_back_by_a_listing_older_than_what_relays_knew() {
+    let older = class("removals: relays list older", relays_list_older);
+    hold(&[older.with_removals().with_lag(FAR_BEHIND)]);
+}
+
+/// Plays a crowd by the first sheet, and returns what its followers asked of the store between marks.
+fn asked(class: &'static str, events: Events, marks: &[u64]) -> Vec<Made> {
+    let scene = crowd::scene(class, events, marks);
+    let played = play(&scene, SHEETS[0]);
+    let spans = played.made.windows(2);
+    let asked: Vec<Made> = spans.map(|made| made[1] - made[0]).collect();
+    for (marks, asked) in marks.windows(2).zip(&asked) {
+        println!("{class}: {} to {} ms: {asked}", marks[0], marks[1]);
+    }
+    println!("{class}: oldest: {:?}", played.oldest);
+    let broken = played.first_late.is_some() || played.taken_back.is_some();
+    assert!(!broken, "{}", told(&scene, &played));
+    asked
+}
+
+/// Returns marks at each of so many seconds from when the crowd is calm.
+fn seconds(count: u64) -> Vec<u64> {
+    let marks = (0..=count).map(|second| CALM + second * 1_000);
+    marks.collect()
+}
+
+#[test]
+fn a_crowd_asks_nothing_of_the_store_in_a_calm_minute() {
+    let asked = asked("crowd: calm", Events::new(), &[0, CALM, CALM + 60_000]);
+    // Before, the nodes are listed once, on so many pages of the stand-in's.
+    let pages = (2 * crowd::ZONES as u64).div_ceil(PAGE_OBJECTS);
+    let listed = Made {
+        nodes: crowd::FOLLOWERS * pages,
+        ..Made::default()
+    };
+    assert_eq!(asked, [listed, Made::default()]);
+}
+
+/// A zone's other relay is asked before what is known grows old: few nodes ask the store, and once. More
+/// would mean that the loss of a relay reaches the store.
+#[test]
+fn a_crowd_asks_little_of_the_store_while_a_relay_of_each_zone_is_dark() {
+    let one_each = 0..crowd::ZONES;
+    let events = one_each.map(|relay| (CALM, Event::Ends(relay, Health::Dark)));
+    let asked = asked(
+        "crowd: one of each zone dark",
+        events.collect(),
+        &seconds(6),
+    );
+    let full: u64 = asked.iter().map(|made| made.full).sum();
+    assert!(full <= crowd::FOLLOWERS, "{full} calls");
+}
+
+/// The store is asked instead of relays, of each kind once in 0.6 of the bound. More than two calls of each
+/// node and kind in a second would mean that waits are so short, or so much in step, that the loss of all
+/// relays becomes one of the store.
+#[test]
+fn a_crowd_asks_the_store_in_turn_while_all_relays_are_dark() {
+    let relays = 0..2 * crowd::ZONES;
+    let dark = relays
+        .clone()
+        .map(|relay| (CALM, Event::Ends(relay, Health::Dark)));
+    let back = relays.map(|relay| (CALM + 3_000, Event::Starts(relay)));
+    let events = dark.chain(back).collect();
+    let asked = asked("crowd: all relays dark", events, &seconds(6));
+    let most = asked.iter().map(|made| made.full).max().unwrap_or(0);
+    assert!(most <= 4 * crowd::FOLLOWERS, "{most} calls in a second");
+}
+
+/// Relays say that the store is out of reach, so nodes look before they ask, less and less often. A full
+/// call of each node while the store is silent would mean that they do not look first; more than two looks
+/// of each node and kind in a second, or calls when the store is back, that they pile up on it.
+#[test]
+fn a_crowd_asks_little_of_a_store_that_is_silent() {
+    let events = vec![
+        (CALM, Event::Ways(Who::All, Way::Silent)),
+        (CALM + 10_000, Event::Ways(Who::All, Way::Open)),
+    ];
+    let asked = asked("crowd: store silent", events, &seconds(13));
+    let full: u64 = asked.iter().take(10).map(|made| made.full).sum();
+    assert!(full <= crowd::FOLLOWERS, "{full} calls of a silent store");
+    let most = asked.iter().map(|made| made.full.max(made.looks)).max();
+    let most = most.unwrap_or(0);
+    assert!(most <= 4 * crowd::FOLLOWERS, "{most} in a second");
+}
--- a/crates/firshore-node/tests/stale_world/mod.rs
+++ b/crates/firshore-node/tests/stale_world/mod.rs
@@ -1,22 +1,35 @@
 //! Followers, relays and their store in virtual time: no sockets, no disks.
 
+pub mod crowd;
+pub mod followers;
+pub mod links;
+pub mod losses;
 pub mod machines;
+pub mod process;
+pub mod record;
+pub mod scene;
+pub mod troubles;
 pub mod ways;
 
-use firshore_node::journal::PeerClient;
+use crowd::Made;
 use firshore_node::journal::registry::{KIND, NodeRecord};
 use firshore_node::relay::budget::FreshnessBudget;
 use firshore_replication::types::DiskId;
 use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION};
 use firshore_stand_in::store::MemoryStore;
-use machines::{Follower, Health, RelayNode};
+use followers::{Follower, Removed};
+use links::{Network, address};
+use machines::RelayNode;
+use process::Process;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use record::Acknowledgements;
+use scene::{Event, Late, Played, Scene, Sheet, Who};
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
 use std::collections::VecDeque;
-use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
+use std::ops::Add;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::runtime::Builder;
@@ -27,12 +40,6 @@
 /// Time between two looks at what followers know.
 const STEP: Duration = Duration::from_millis(20);
 
-/// Time for which a node has to be in touch before it is judged.
-const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
-
-/// Time by which the copy of the store is behind that a relay may read after its restart.
-const LAG: Duration = Duration::from_millis(300);
-
 /// Back ends that come and leave: no more than the stand-in lists in one page.
 const BACKEND_COUNT: u64 = 3;
 
@@ -43,130 +50,43 @@
     Logger::root(Discard, o!())
 }
 
-/// Whose way to the store something happens to.
-#[derive(Clone, Copy, Debug)]
-pub enum Who {
-    All,
-    Relays,
-    Relay(usize),
-    Follower(usize),
-}
-
-/// Something that happens to a machine or to the store.
-#[derive(Clone, Copy, Debug)]
-pub enum Event {
-    /// A relay's machine is reached in this way from now on; its process goes on.
-    Reached(usize, Health),
-    /// A relay's process ends, and its machine is reached in this way.
-    Ends(usize, Health),
-    /// A relay's process starts, and its machine is reached.
-    Starts(usize),
-    /// The way to the store changes.
-    Ways(Who, Way),
-    /// Answers of the store take so much longer.
-    Delays(Who, Duration),
-    /// A relay reads a copy of the store that is behind, or no more.
-    Lags(usize, bool),
-    /// All watches that wait hear nothing any more.
-    CutBegins,
-    /// These watches fail, and the store's history is gone.
-    CutEnds,
-    /// One more follower starts.
-    Joins,
-}
-
-/// What is played.
-#[derive(Clone, Debug)]
-pub struct Scene {
-    pub class: &'static str,
-    pub seed: u64,
-    /// Zones of the relays.
-    pub zones: Vec<usize>,
-    pub followers: usize,
-    /// Whether the store takes changes while no machine of the cluster hears of it.
-    pub changes_unheard: bool,
-    /// What happens, in order of time.
-    pub events: Vec<(Duration, Event)>,
-    pub length: Duration,
-}
-
-/// A change of an object, in order of when the store acknowledged it.
-#[derive(Clone, Debug)]
-struct Acknowledged {
-    at: Instant,
-    kind: &'static str,
-    name: String,
-    number: u64,
-}
-
-/// A follower that did not know a change.
-#[derive(Clone, Debug)]
-pub struct Late {
-    pub after: Duration,
-    pub follower: String,
-    pub kind: &'static str,
-    pub age: Duration,
-    /// How relays were reached, and their ways to the store.
-    pub relays: String,
-}
-
-impl Display for Late {
-    fn fmt(&self, text: &mut Formatter<'_>) -> std::fmt::Result {
-        let Self {
-            after,
-            follower,
-            kind,
-            age,
-            relays,
-        } = self;
-        write!(
-            text,
-            "{follower} lacked a change of {kind} {age:?} old at {after:?} ({relays})"
-        )
-    }
-}
-
-/// What came of a scene.
-#[derive(Debug, Default)]
-pub struct Played {
-    /// Oldest change that a follower in touch did not know, of each of [`KINDS`].
-    pub oldest: [Duration; 2],
-    /// When the bound was first passed.
-    pub first_late: Option<Late>,
-    /// When a change was unknown for longest.
-    pub latest: Option<Late>,
-    /// What a follower took back.
-    pub taken_back: Option<String>,
-    /// Changes that were acknowledged.
-    pub changes: usize,
-}
-
 struct World {
     store: Rc<MemoryStore>,
     lagging: Rc<MemoryStore>,
     cuts: Rc<Cuts>,
-    peers: PeerClient,
+    network: Rc<Network>,
     budget: FreshnessBudget,
+    seed: u64,
+    follower_zones: usize,
+    lag: Duration,
+    removals: bool,
     relays: Vec<Rc<RelayNode>>,
     followers: Vec<Follower>,
-    /// Changes that the copy of the store lacks.
-    delayed: VecDeque<(Instant, &'static str, String, Value)>,
-    acknowledged: VecDeque<Acknowledged>,
+    /// Changes that the copy of the store lacks; those without content are removals.
+    delayed: VecDeque<(Instant, &'static str, String, Option<Value>)>,
+    /// Numbers of the next changes, of each of [`KINDS`].
+    numbers: [u64; 2],
+    removed: Removed,
+    /// When open connections fell silent last.
+    silent_at: Option<Instant>,
+    acknowledged: Acknowledgements,
     /// Whether the store is shut to all.
     shut: bool,
     random: StdRng,
 }
 
-/// Plays a scene, and judges by a bound on the age of what is unknown.
-pub fn play(scene: &Scene, bound: Duration) -> Played {
+/// Plays a scene, and judges by a sheet how old what is unknown may be.
+pub fn play(scene: &Scene, sheet: Sheet) -> Played {
+    in_virtual_time(async { World::new(scene, sheet.bound).play(scene, sheet).await })
+}
+
+fn in_virtual_time<T>(work: impl Future<Output = T>) -> T {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
-        World::new(scene, bound).play(scene, bound).await
-    })
+    LocalSet::new().block_on(&runtime, work)
 }
 
 fn record(number: usize, zone: usize) -> Value {
@@ -178,45 +98,50 @@
     serde_json::to_value(record).expect("records serialise")
 }
 
-/// A name for a relay's machine; nothing listens there.
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1 + number as u16))
-}
-
 impl World {
     fn new(scene: &Scene, bound: Duration) -> Self {
         let budget = FreshnessBudget::new(bound);
         let (store, lagging, cuts) = (MemoryStore::new(), MemoryStore::new(), Cuts::new());
-        let (peers, calls) = PeerClient::new();
+        let network = Network::new(scene.connections);
         let addresses: Vec<SocketAddr> = (0..scene.zones.len()).map(address).collect();
         let start = |number: usize| {
-            let own = OwnStore::new(&store, &lagging, &cuts);
+            let process = Process::new(scene.seed);
+            let peers = network.client(&process);
+            let own = OwnStore::new(&store, &lagging, &cuts, process);
             let others = addresses.iter().copied();
             let others = others.filter(|other| *other != addresses[number]).collect();
-            RelayNode::start(own, peers.clone(), others, budget)
+            let relay = RelayNode::start(own, peers, others, budget);
+            network.add(relay.clone());
+            relay
         };
         let relays: Vec<Rc<RelayNode>> = (0..scene.zones.len()).map(start).collect();
-        actix_rt::spawn(machines::serve(calls, addresses, relays.clone()));
         let mut world = Self {
             store,
             lagging,
             cuts,
-            peers,
+            network,
             budget,
+            seed: scene.seed,
+            follower_zones: scene.follower_zones,
+            lag: scene.lag,
+            removals: scene.removals,
             relays,
             followers: Vec::new(),
             delayed: VecDeque::new(),
-            acknowledged: VecDeque::new(),
+            numbers: [0; 2],
+            removed: Removed::default(),
+            silent_at: None,
+            acknowledged: Acknowledgements::default(),
             shut: false,
             random: StdRng::seed_from_u64(scene.seed),
         };
         for (number, zone) in scene.zones.iter().enumerate() {
             world.put(KIND, format!("node.r{number}"), record(number, *zone));
         }
-        for number in 0..BACKEND_COUNT {
-            world.change_backend(number);
+        for _ in 0..BACKEND_COUNT {
+            world.change_backend();
         }
-        world.change_configuration(0);
+        world.change_configuration();
         for _ in 0..scene.followers {
             world.join();
         }
@@ -224,49 +149,75 @@
     }
 
     fn join(&mut self) {
-        let own = OwnStore::new(&self.store, &self.lagging, &self.cuts);
         let number = self.followers.len();
-        let follower = Follower::start(number, own, self.peers.clone(), self.budget);
+        let process = Process::new(self.seed ^ (1 + number as u64) << 32);
+        let peers = self.network.client(&process);
+        let own = OwnStore::new(&self.store, &self.lagging, &self.cuts, process);
+        let (name, zone) = (format!("f{number}"), number % self.follower_zones);
+        let follower = Follower::start(name, zone, own, peers, self.budget, &self.removed);
         self.followers.push(follower);
     }
 
     fn put(&mut self, kind: &'static str, name: String, spec: Value) {
         self.store.put(kind, &name, spec.clone());
-        let due = Instant::now() + LAG;
-        self.delayed.push_back((due, kind, name, spec));
+        let due = Instant::now() + self.lag;
+        self.delayed.push_back((due, kind, name, Some(spec)));
     }
 
-    fn acknowledge(&mut self, kind: &'static str, name: String, number: u64) {
-        let at = Instant::now();
-        self.acknowledged.push_back(Acknowledged {
-            at,
-            kind,
-            name,
-            number,
-        });
+    fn remove(&mut self, kind: &'static str, name: String) {
+        self.store.remove(kind, &name);
+        self.removed.borrow_mut().insert(name.clone());
+        let due = Instant::now() + self.lag;
+        self.delayed.push_back((due, kind, name, None));
+    }
+
+    fn next_number(&mut self, kind: &str) -> u64 {
+        let kind = usize::from(kind == BACKENDS);
+        self.numbers[kind] += 1;
+        self.numbers[kind] - 1
     }
 
-    fn change_configuration(&mut self, number: u64) {
+    fn change_configuration(&mut self) {
+        let number = self.next_number(CONFIGURATION);
         let name = "newest".to_owned();
         self.put(CONFIGURATION, name.clone(), json!({"number": number}));
-        self.acknowledge(CONFIGURATION, name, number);
+        self.acknowledged.add(CONFIGURATION, name, number, false);
     }
 
-    /// A back end comes, or says that it leaves.
-    fn change_backend(&mut self, number: u64) {
+    /// A back end comes, or says that it leaves. Where entries are removed, that is next, and then another
+    /// one comes in its place.
+    fn change_backend(&mut self) {
+        let number = self.next_number(BACKENDS);
+        if self.removals {
+            return self.replace_backend(number);
+        }
         let name = format!("b{}", number % BACKEND_COUNT);
         let leaving = (number / BACKEND_COUNT) % 2 == 1;
         let spec = json!({"leaving": leaving, "number": number});
         self.put(BACKENDS, name.clone(), spec);
-        self.acknowledge(BACKENDS, name, number);
+        self.acknowledged.add(BACKENDS, name, number, false);
     }
 
-    async fn play(mut self, scene: &Scene, bound: Duration) -> Played {
+    fn replace_backend(&mut self, number: u64) {
+        let (place, turn) = (number % BACKEND_COUNT, number / BACKEND_COUNT);
+        let name = format!("b{place}-{}", turn / 3);
+        let is_last = turn % 3 == 2;
+        match is_last {
+            true => self.remove(BACKENDS, name.clone()),
+            false => {
+                let spec = json!({"leaving": turn % 3 == 1, "number": number});
+                self.put(BACKENDS, name.clone(), spec);
+            }
+        }
+        self.acknowledged.add(BACKENDS, name, number, is_last);
+    }
+
+    async fn play(mut self, scene: &Scene, sheet: Sheet) -> Played {
         let start = Instant::now();
         let mut played = Played::default();
         let mut events = scene.events.iter().peekable();
+        let mut marks = scene.marks.iter().peekable();
         let mut next_change = [Duration::ZERO; 2];
-        let mut numbers = [1, BACKEND_COUNT];
         let mut passed = Duration::ZERO;
         while passed < scene.length {
             sleep_until(start + passed).await;
@@ -278,24 +229,25 @@
                 if passed < next_change[kind] || unheard {
                     continue;
                 }
-                let number = numbers[kind];
-                numbers[kind] += 1;
                 let pause = match KINDS[kind] {
                     CONFIGURATION => self.random.random_range(150..350),
                     _ => self.random.random_range(100..2_000),
                 };
                 next_change[kind] = passed + Duration::from_millis(pause);
                 match KINDS[kind] {
-                    CONFIGURATION => self.change_configuration(number),
-                    _ => self.change_backend(number),
+                    CONFIGURATION => self.change_configuration(),
+                    _ => self.change_backend(),
                 }
             }
             self.catch_up();
-            self.judge(passed, bound, &mut played);
-            self.forget_known();
+            self.judge(passed, sheet, &mut played);
+            self.acknowledged.forget_known(&self.followers);
+            while marks.next_if(|mark| **mark <= passed).is_some() {
+                played.made.push(self.made());
+            }
             passed += STEP;
         }
-        played.changes = numbers.iter().sum::<u64>() as usize;
+        played.changes = self.numbers.iter().sum::<u64>() as usize;
         played
     }
 
@@ -303,7 +255,10 @@
     fn catch_up(&mut self) {
         let now = Instant::now();
         while let Some((_, kind, name, spec)) = self.delayed.pop_front_if(|(due, ..)| *due <= now) {
-            self.lagging.put(kind, &name, spec);
+            match spec {
+                Some(spec) => self.lagging.put(kind, &name, spec),
+                None => self.lagging.remove(kind, &name),
+            }
         }
     }
 
@@ -340,23 +295,46 @@
                 self.cuts.end();
             }
             Event::Joins => self.join(),
+            Event::Removes => {
+                let before = self.removed.borrow().len();
+                while self.removals && self.removed.borrow().len() == before {
+                    self.change_backend();
+                }
+            }
+            Event::Pauses(follower) => self.process(follower, Process::pause),
+            Event::GoesOn(follower) => self.process(follower, Process::go_on),
+            Event::Slows(follower, slow) => self.process(follower, |one| one.set_slow(slow)),
+            Event::FallsSilent { idle, kept } => {
+                self.silent_at = Some(Instant::now());
+                self.network.fall_silent();
+                let ways = self.ways(Who::All).into_iter();
+                ways.for_each(|own| own.fall_silent(idle, kept));
+            }
         }
     }
 
-    /// Looks what followers in touch lack.
-    fn judge(&self, passed: Duration, bound: Duration, played: &mut Played) {
-        let now = Instant::now();
+    /// Has something happen to a follower's process, if there is such a follower.
+    fn process(&self, follower: usize, happen: impl Fn(&Process)) {
+        if let Some(follower) = self.followers.get(follower) {
+            happen(&follower.process);
+        }
+    }
+
+    /// Looks what followers in touch lack. Nobody is while all connections that were open are lost.
+    fn judge(&self, passed: Duration, sheet: Sheet, played: &mut Played) {
+        let connected = |at: Instant| at.elapsed() >= sheet.in_touch_after;
+        let connected = self.silent_at.is_none_or(connected);
         for follower in &self.followers {
             if let Some(back) = follower.taken_back() {
                 played
                     .taken_back
                     .get_or_insert(format!("{} {back}", follower.name));
             }
-            if !follower.in_touch_for(IN_TOUCH_AFTER) {
+            if !connected || !follower.in_touch_for(sheet.in_touch_after) {
                 continue;
             }
             for (kind, oldest) in KINDS.into_iter().zip(&mut played.oldest) {
-                let Some(age) = self.age(now, follower, kind) else {
+                let Some(age) = self.acknowledged.age(follower, kind) else {
                     continue;
                 };
                 let late = || Late {
@@ -366,7 +344,7 @@
                     age,
                     relays: self.relays_now(),
                 };
-                if age > bound && played.first_late.is_none() {
+                if age > sheet.bound && played.first_late.is_none() {
                     played.first_late = Some(late());
                 }
                 *oldest = age.max(*oldest);
@@ -377,25 +355,10 @@
         }
     }
 
-    /// Forgets the oldest changes as far as all followers know them and later ones of the same objects
-    /// are left to ask for.
-    fn forget_known(&mut self) {
-        while let Some(first) = self.acknowledged.front() {
-            let same = |one: &&Acknowledged| one.kind == first.kind && one.name == first.name;
-            let is_last = self.acknowledged.iter().filter(same).count() == 1;
-            let mut followers = self.followers.iter();
-            if is_last || !followers.all(|one| one.knows(first.kind, &first.name, first.number)) {
-                return;
-            }
-            self.acknowledged.pop_front();
-        }
-    }
-
-    /// Age of the oldest change of a kind that a follower does not know.
-    fn age(&self, now: Instant, follower: &Follower, kind: &str) -> Option<Duration> {
-        let of_kind = self.acknowledged.iter().filter(|one| one.kind == kind);
-        let mut unknown = of_kind.filter(|one| !follower.knows(kind, &one.name, one.number));
-        unknown.next().map(|one| now.duration_since(one.at))
+    /// What all followers together have asked of the store.
+    fn made(&self) -> Made {
+        let made = self.followers.iter().map(|follower| follower.own.made());
+        made.fold(Made::default(), Made::add)
     }
 
     fn relays_now(&self) -> String {
