Test of stale sources: entries removed that relays never knew; red

A relay that lists anew does not know of entries that came and went since it last heard the store, and answers who knows more than that as if it did: its cache is taken for complete from the first listing on.

--- a/crates/firshore-node/tests/stale_sources.rs
+++ b/crates/firshore-node/tests/stale_sources.rs
@@ -275,17 +275,17 @@
 #[test]
 fn all_is_known_in_time_where_connections_fall_silent() {
     hold(&[
-        class("silent: what waits, and ended", waiting_silent_and_ended),
         class("silent: idle ones too", all_connections_silent),
         class("silent: idle ones too, links kept", all_connections_silent).with_connections(),
     ]);
 }
 
 #[test]
-fn all_is_known_in_time_where_only_what_waits_falls_silent_and_no_kernel_notices() {
+fn all_is_known_in_time_where_only_what_waits_falls_silent() {
     hold(&[
         class("silent: what waits", waiting_silent),
         class("silent: what waits, links kept", waiting_silent).with_connections(),
+        class("silent: what waits, and ended", waiting_silent_and_ended),
     ]);
 }
 
@@ -295,7 +295,6 @@
         class("removals: nothing happens", nothing),
         class("removals: all dark at once", all_dark),
         class("removals: watches cut", watches_cut),
-        class("removals: store silent for all", store_silent),
     ];
     hold(&classes.map(|class| class.with_removals().repeated()));
 }
@@ -311,6 +310,15 @@
     hold(&classes.map(|class| class.with_removals().repeated()));
 }
 
+#[test]
+fn what_is_removed_is_dropped_where_relays_never_knew_it() {
+    let classes = [
+        class("removals: unheard by relays", removed_unheard),
+        class("removals: store silent for all", store_silent),
+    ];
+    hold(&classes.map(Class::with_removals));
+}
+
 #[test]
 fn what_is_removed_does_not_come_back_by_a_listing_older_than_what_relays_knew() {
     let older = class("removals: relays list older", relays_list_older);
--- a/crates/firshore-node/tests/stale_world/mod.rs
+++ b/crates/firshore-node/tests/stale_world/mod.rs
@@ -301,6 +301,10 @@
                     self.change_backend();
                 }
             }
+            Event::ReplacesAll => {
+                let changes = if self.removals { BACKEND_COUNT * 3 } else { 0 };
+                (0..changes).for_each(|_| self.change_backend());
+            }
             Event::Pauses(follower) => self.process(follower, Process::pause),
             Event::GoesOn(follower) => self.process(follower, Process::go_on),
             Event::Slows(follower, slow) => self.process(follower, |one| one.set_slow(slow)),
--- a/crates/firshore-node/tests/stale_world/scene.rs
+++ b/crates/firshore-node/tests/stale_world/scene.rs
@@ -45,6 +45,9 @@
     Joins,
     /// Back ends change until an entry is removed; only where entries are removed at all.
     Removes,
+    /// Back ends change until all that were there are removed and others are in their places; only where
+    /// entries are removed at all.
+    ReplacesAll,
     /// A follower's process stands still, if there is such a follower.
     Pauses(usize),
     /// It goes on.
--- a/crates/firshore-node/tests/stale_world/troubles.rs
+++ b/crates/firshore-node/tests/stale_world/troubles.rs
@@ -3,7 +3,8 @@
 
 use super::losses::{Events, FIRST, all_dark, all_killed, mixtures, store_slow, watches_cut};
 use super::machines::Health;
-use super::scene::Event;
+use super::scene::{Event, Who};
+use super::ways::Way;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::time::Duration;
@@ -148,6 +149,20 @@
     events
 }
 
+/// Entries come while relays do not hear the store, whose followers ask it themselves, and go about when
+/// relays hear it again: these never knew them. Only where entries are removed.
+pub fn removed_unheard(random: &mut StdRng, _: usize) -> Events {
+    let back = FIRST + random.random_range(3_000..7_000);
+    let comes = FIRST + random.random_range(200..1_000);
+    let goes = back + random.random_range(0..1_100) - 500;
+    vec![
+        (FIRST, Event::Ways(Who::Relays, Way::Silent)),
+        (comes, Event::ReplacesAll),
+        (goes, Event::ReplacesAll),
+        (back, Event::Ways(Who::Relays, Way::Open)),
+    ]
+}
+
 /// Anything that may happen, to followers too.
 pub fn mixtures_of_all(random: &mut StdRng, relays: usize) -> Events {
     let mut events = mixtures(random, relays);
