--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -8,8 +8,8 @@
 //! watches that waited before go on. So a long watch is asked for only right after an answer; after
 //! a pause, a short one comes first.
 //!
-//! What was seen is never taken back: an object that a listing shows in an older revision than was
-//! seen before is passed over.
+//! What was seen is never taken back: a listing as of an earlier revision than was seen before is no answer,
+//! and an object that one shows in an older revision than was seen is passed over.
 
 use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page, Revision};
 use std::collections::HashMap;
@@ -89,6 +89,8 @@
     terms: Terms,
     phase: Phase,
     seen: HashMap<String, Revision>,
+    /// Revision up to which the store was known at any time.
+    reached: Revision,
     failures: u32,
     /// The last watch brought changes.
     changed: bool,
@@ -107,6 +109,7 @@
             terms,
             phase: Phase::listing(),
             seen: HashMap::new(),
+            reached: 0,
             failures: 0,
             changed: false,
             calm: false,
@@ -188,7 +191,13 @@
                 return None;
             }
         };
+        if page.revision < self.reached {
+            // Objects that are gone would come back.
+            self.failed(&ObjectError::Unanswered("an older revision".to_owned()));
+            return None;
+        }
         self.failures = 0;
+        self.reached = page.revision;
         let Phase::Listing { gathered, revision } = &mut self.phase else {
             return None;
         };
@@ -237,6 +246,7 @@
         self.creation &= self.changed || self.seen.is_empty();
         self.calm = changes.revision <= *revision;
         *revision = changes.revision.max(*revision);
+        self.reached = self.reached.max(*revision);
         let fresh: Vec<Change> = changes
             .changes
             .into_iter()
--- a/crates/firshore-node/src/relay/budget.rs
+++ b/crates/firshore-node/src/relay/budget.rs
@@ -49,7 +49,9 @@
 /// be old, and a swallowed watch is never answered. It costs a call for each kind and relay.
 const WATCH_TRUST: f64 = 1.25;
 
-/// Shortest share between two renewals of a watch: a slow store must have time to answer.
+/// Shortest share between two renewals of a watch, for which it is trusted although the store has changed: a
+/// slow store must have time to answer, and where one kind changes all the time, the watch of another one
+/// would be renewed with each look.
 const RENEWAL_INTERVAL: f64 = 0.5;
 
 /// Share beyond the pause after a change, after which a relay asks the store anew that another relay has
--- a/crates/firshore-node/src/relay/cache.rs
+++ b/crates/firshore-node/src/relay/cache.rs
@@ -9,11 +9,14 @@
 use firshore_adapter::objects::{Change, Object, Revision};
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Bytes of objects in one answer, beyond which it ends.
 const PAGE_BYTES: usize = 256 * 1024;
 
+/// Gaps that are kept. Observers that know less than the end of an older one list anew.
+const MOST_GAPS: usize = 16;
+
 /// Names of objects that are gone that are kept. Observers that know less list anew.
 const MOST_REMOVED: usize = 1_024;
 
@@ -94,6 +97,22 @@
     learned_at: Revision,
 }
 
+/// Revisions between those up to which the store was known before a listing and by it. An object that came
+/// to be and was removed meanwhile was never known here: whoever learned of it from somebody else cannot be
+/// told that it is gone, and kept it for 20 s and more.
+#[derive(Clone, Copy, Debug)]
+struct KnowledgeGap {
+    from: Revision,
+    to: Revision,
+}
+
+impl KnowledgeGap {
+    /// Whether somebody who knows the store at `known` may have learned what was missed here.
+    fn holds(&self, known: Revision) -> bool {
+        self.from < known && known < self.to
+    }
+}
+
 /// Objects of one kind.
 #[derive(Debug, Default)]
 pub struct KindCache {
@@ -101,6 +120,8 @@
     removed: BTreeMap<String, Revision>,
     /// From this revision on all changes are kept.
     complete_from: Revision,
+    /// Gaps in what was learned, oldest first.
+    gaps: VecDeque<KnowledgeGap>,
     /// Revision up to which the store is known; none before the first listing.
     revision: Option<Revision>,
     /// Revision at which something changed last.
@@ -173,8 +194,9 @@
     }
 
     fn replace(&mut self, objects: Vec<Object>, revision: Revision) {
-        if self.revision.is_none() {
-            self.complete_from = revision;
+        match self.revision {
+            None => self.complete_from = revision,
+            Some(known) => self.note_gap(known, revision),
         }
         let listed: BTreeSet<&str> = objects.iter().map(|one| one.name.as_str()).collect();
         let kept = self.objects.keys();
@@ -191,6 +213,16 @@
         }
     }
 
+    fn note_gap(&mut self, from: Revision, to: Revision) {
+        self.gaps.push_back(KnowledgeGap { from, to });
+        if self.gaps.len() <= MOST_GAPS {
+            return;
+        }
+        if let Some(oldest) = self.gaps.pop_front() {
+            self.complete_from = self.complete_from.max(oldest.to);
+        }
+    }
+
     fn write(&mut self, object: Object, learned_at: Revision) {
         self.removed.remove(&object.name);
         let object = RelayedObject::of(object);
@@ -255,7 +287,7 @@
     /// Fails where less is known here, or changes since then are not kept.
     pub fn changes(&self, known: Revision) -> Result<Option<RelayedChanges>, CacheMiss> {
         let revision = self.answerable(known)?;
-        if known < self.complete_from {
+        if known < self.complete_from || self.gaps.iter().any(|gap| gap.holds(known)) {
             return Err(CacheMiss::Forgotten);
         }
         if self.changed_at <= known {
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -158,8 +158,9 @@
     /// The store has answered what it was asked at `asked_at`, and had reached `revision`.
     ///
     /// That shows the way to the store, not that the watch lives: all relays' watches may be swallowed by
-    /// the same moment of silence. So it counts only where nothing has changed since the watch was
-    /// answered, and for a while only, since the revision may be old; else the store is asked anew.
+    /// the same moment of silence. So it counts for a while after an answer to the watch only, and for a
+    /// shorter one where the store has changed since: mostly objects of another kind have, of which this
+    /// watch is not told. Then the store is asked anew.
     fn reached(&self, asked_at: Instant, revision: Revision) {
         if !self.connected.get() {
             return self.renew();
@@ -167,8 +168,11 @@
         if !self.watches.get() || asked_at < self.pauses_until.get() {
             return;
         }
-        let trusted = self.answered_at.get().elapsed() < self.budget.watch_trust();
-        match trusted && !self.is_behind(revision) {
+        let trust = match self.is_behind(revision) {
+            true => self.budget.renewal_interval(),
+            false => self.budget.watch_trust(),
+        };
+        match self.answered_at.get().elapsed() < trust {
             true => self.heard_at.set(asked_at.max(self.heard_at.get())),
             false => self.renew(),
         }
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -60,7 +60,13 @@
                 }
                 let page = store.list(&kind, after.as_deref()).await;
                 note(&log, &kind, connected, page.as_ref().err());
-                observation.listed(page)
+                let answered = page.is_ok();
+                let learned = observation.listed(page);
+                if answered && !observation.is_connected() {
+                    warn!(log, "objects: Listing refused."; "kind" => &kind,
+                        "reason" => "an older revision than was known");
+                }
+                learned
             }
             Question::Watch(revision) => {
                 let watching = store.watch(&kind, revision, observation.wait());
--- a/crates/firshore-node/tests/observation.rs
+++ b/crates/firshore-node/tests/observation.rs
@@ -178,3 +178,23 @@
     let _ = observation.watched(changes(&[("a", 3)], 3));
     assert_eq!(observation.pause(), terms().spacing);
 }
+
+/// What was gone by then would come back, and nobody would tell that it is gone.
+#[test]
+fn a_listing_of_an_earlier_moment_is_no_answer() {
+    let mut observation = watching();
+    let gone = Changes {
+        changes: vec![Change::Removed("a".to_owned())],
+        revision: 15,
+    };
+    assert_eq!(names(observation.watched(Ok(gone))), ["-a"]);
+    let _ = observation.watched(Err(ObjectError::HistoryGone));
+    assert_eq!(observation.listed(page(&[("a", 5)], false, 14)), None);
+    assert!(!observation.is_connected());
+    assert_eq!(observation.question(), Question::List(None));
+    assert_eq!(
+        names(observation.listed(page(&[("b", 7)], false, 15))),
+        ["b"]
+    );
+    assert!(observation.is_connected());
+}
--- a/crates/firshore-node/tests/relay_cache.rs
+++ b/crates/firshore-node/tests/relay_cache.rs
@@ -130,3 +130,38 @@
     cache.learn(None, 7);
     assert_eq!(cache.revision(), Some(9));
 }
+
+/// An object that came to be and was removed between two listings is told by nobody here: whoever may know
+/// it lists anew.
+#[test]
+fn who_may_know_what_was_missed_lists_anew() {
+    let mut cache = listed(&[("a", 3)], 9);
+    learn_all(&mut cache, &[("a", 3), ("c", 14)], 20);
+    for between in [10, 15, 19] {
+        assert_eq!(cache.changes(between).unwrap_err(), CacheMiss::Forgotten);
+    }
+    let (written, removed, revision) = news(&cache, 9).unwrap();
+    assert_eq!(
+        (written, removed.len(), revision),
+        (vec!["c".to_owned()], 0, 20)
+    );
+    assert_eq!(news(&cache, 20), None);
+}
+
+#[test]
+fn who_knows_less_than_the_gaps_that_are_kept_lists_anew() {
+    let mut cache = listed(&[], 10);
+    for listing in 1..=40 {
+        learn_all(&mut cache, &[], 10 + listing * 10);
+    }
+    for known in [10, 15, 20, 195] {
+        assert_eq!(
+            cache.changes(known).unwrap_err(),
+            CacheMiss::Forgotten,
+            "{known}"
+        );
+    }
+    assert_eq!(news(&cache, 410), None);
+    assert_eq!(news(&cache, 400), None, "as of a listing");
+    assert_eq!(cache.changes(405).unwrap_err(), CacheMiss::Forgotten);
+}
