Sight: an answer that was lost names what was asked, by a keyed digest that is the same at all nodes; explain follows it

Cause: lines name the identifier of a try, which is new with each repeat, so that nobody could tell whether requests that were lost at several back ends were one. Digest: HMAC-SHA256 with the cluster's secret over caller, host, method, target and body; made only for answers that are lost.

--- /dev/null
+++ b/crates/firshore-crashes/tests/print.rs
@@ -0,0 +1,78 @@
+//! Digests of requests.
+
+use firshore_crashes::print::{AskedRequest, PrintKey};
+use firshore_types::ids::TenantName;
+use std::collections::BTreeSet;
+
+const ASKED: AskedRequest<'static> = AskedRequest {
+    tenant: None,
+    host: "a.example",
+    method: "POST",
+    target: "/notes/1?full=1",
+    body: b"body",
+};
+
+#[test]
+fn what_asks_the_same_has_the_same_print_at_all_nodes_with_the_key() {
+    let (one, other) = (PrintKey::new(b"secret"), PrintKey::new(b"secret"));
+    assert_eq!(one.print(&ASKED), other.print(&ASKED));
+    assert_ne!(one.print(&ASKED), PrintKey::new(b"another").print(&ASKED));
+}
+
+#[test]
+fn caller_host_method_target_and_body_are_told_apart() {
+    let key = PrintKey::new(b"secret");
+    let tenant: TenantName = "t".into();
+    let same_word: TenantName = "a.example".into();
+    let asked = [
+        ASKED,
+        AskedRequest {
+            tenant: Some(&tenant),
+            ..ASKED
+        },
+        AskedRequest {
+            tenant: Some(&same_word),
+            ..ASKED
+        },
+        AskedRequest {
+            host: "b.example",
+            ..ASKED
+        },
+        AskedRequest {
+            method: "PUT",
+            ..ASKED
+        },
+        AskedRequest {
+            target: "/notes/1?full=2",
+            ..ASKED
+        },
+        AskedRequest {
+            target: "/notes/1?full=1body",
+            body: b"",
+            ..ASKED
+        },
+        AskedRequest {
+            body: b"bodi",
+            ..ASKED
+        },
+    ];
+    let prints: BTreeSet<String> = asked.iter().map(|one| key.print(one).to_string()).collect();
+    assert_eq!(prints.len(), asked.len());
+    assert!(prints.iter().all(|print| print.len() == 32));
+}
+
+#[test]
+fn requests_of_one_caller_share_the_callers_digest() {
+    let key = PrintKey::new(b"secret");
+    let tenant: TenantName = "t".into();
+    let other_body = AskedRequest {
+        body: b"other",
+        ..ASKED
+    };
+    let of_tenant = AskedRequest {
+        tenant: Some(&tenant),
+        ..ASKED
+    };
+    assert_eq!(key.print(&ASKED).caller(), key.print(&other_body).caller());
+    assert_ne!(key.print(&ASKED).caller(), key.print(&of_tenant).caller());
+}
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -14,16 +14,19 @@
 use crate::fleet::{Impression, Wanted};
 use crate::gateway::Gateway;
 use crate::metrics::RequestEnd;
+use actix_http::header::HOST;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use firshore_adapter::backend::{AnswerHead, Backend, Incarnation, Ran, SendTerms};
 use firshore_adapter::caller::RequestTerms;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_crashes::print::{AskedRequest, RequestPrint};
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use firshore_types::ids::ServiceName;
 use headers::end_to_end;
 use slog::{info, warn};
+use std::cell::OnceCell;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -91,6 +94,8 @@
     failure: Option<KeptFailure>,
     /// The last send.
     last_send: Option<LastSend>,
+    /// What it asks, once somebody wanted to know.
+    print: OnceCell<RequestPrint>,
     /// How it ended for the caller.
     end: RequestEnd,
 }
@@ -121,6 +126,7 @@
         terms,
         failure: None,
         last_send: None,
+        print: OnceCell::new(),
         end: RequestEnd::Answered,
     };
     let handled = match forwarding.run(connection).await {
@@ -184,6 +190,23 @@
         self.request.arrived.elapsed().as_millis() as u64
     }
 
+    /// What stands for the request at all nodes, whatever identifier it came with.
+    fn print(&self) -> RequestPrint {
+        let make = || {
+            let host = self.request.headers.get(HOST);
+            let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+            let target = self.request.uri.path_and_query();
+            self.gateway.print_key.print(&AskedRequest {
+                tenant: self.tenant.as_deref().map(|tenant| &tenant.name),
+                host,
+                method: self.request.method.as_str(),
+                target: target.map_or("", |target| target.as_str()),
+                body: &self.request.body,
+            })
+        };
+        *self.print.get_or_init(make)
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -259,7 +282,8 @@
         self.gateway
             .observed(&backend.incarnation, Impression::Broke);
         warn!(self.gateway.log, "forward: Answer lost."; "request" => &self.terms.id,
-            "backend" => %backend.incarnation, "reason" => %error, "age_ms" => self.age());
+            "backend" => %backend.incarnation, "reason" => %error, "print" => %self.print(),
+            "age_ms" => self.age());
         let started = self.progress.events.last().is_some();
         Sent::Ended(match started {
             true => SendEnd::BrokenOff,
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_crashes::print::PrintKey;
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
 use firshore_limits::report::{UsageNews, UseReport};
 use firshore_metrics::Builder;
@@ -82,6 +83,8 @@
     pub limits_pressing: Notify,
     /// Division of requests among services.
     pub split: RefCell<Split>,
+    /// Makes requests known again by what they ask.
+    pub print_key: PrintKey,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -131,6 +134,8 @@
             leaving: Leaving::default(),
             jobs,
             limiter: TenantLimiter::new(random.random(), rate_span).into(),
+            // Known to this node alone, until the cluster's is given.
+            print_key: PrintKey::new(&random.random::<[u8; 32]>()),
             random: random.into(),
             metrics: GatewayMetrics::new(builder),
             crowded: Notify::new(),
@@ -141,6 +146,11 @@
         }
     }
 
+    /// Has requests known again by a key that all nodes share.
+    pub fn with_print_key(self, print_key: PrintKey) -> Self {
+        Self { print_key, ..self }
+    }
+
     /// A request is about to be sent to a back end.
     pub fn in_flight(&self, incarnation: &Incarnation) -> InFlight {
         let now = Instant::now();
--- a/crates/firshore-node/src/explain.rs
+++ b/crates/firshore-node/src/explain.rs
@@ -1,7 +1,7 @@
 //! Tells from log files what happened to one request, job or item, in order.
 
 use serde_json::{Map, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead};
 
 /// Fields that every line carries and that are printed apart.
@@ -18,14 +18,22 @@
     pub skipped: usize,
 }
 
+/// Field that stands for what a request asks, whatever its identifier.
+const PRINT: &str = "print";
+
 #[derive(Debug, Default)]
 struct Reading {
     found: Vec<(String, String)>,
+    /// Lines that name a print, by print: those of other requests that asked the same.
+    printed: BTreeMap<String, Vec<(String, String)>>,
+    /// Prints in what was found.
+    prints: BTreeSet<String>,
     nodes: BTreeSet<String>,
     skipped: usize,
 }
 
-/// Reads logs and picks what concerns `id`: lines in which a field has it as its value.
+/// Reads logs and picks what concerns `id`: lines in which a field has it as its value, and those of
+/// requests that asked the same, where one of them names what was asked.
 pub fn explain(id: &str, logs: impl IntoIterator<Item = impl BufRead>) -> io::Result<Explanation> {
     let mut reading = Reading::default();
     for log in logs {
@@ -33,7 +41,13 @@
             reading.take(id, &line?);
         }
     }
+    for print in std::mem::take(&mut reading.prints) {
+        reading
+            .found
+            .extend(reading.printed.remove(&print).unwrap_or_default());
+    }
     reading.found.sort();
+    reading.found.dedup();
     Ok(Explanation {
         lines: reading.found.into_iter().map(|(_, line)| line).collect(),
         nodes: reading.nodes,
@@ -59,9 +73,18 @@
             self.nodes.insert(node.to_owned());
         }
         let concerns = object.values().any(|value| value.as_str() == Some(id));
+        let print = object.get(PRINT).and_then(Value::as_str);
+        if !concerns && print.is_none() {
+            return;
+        }
+        let line = (text(&object, "ts"), describe(&object));
         if concerns {
-            let time = text(&object, "ts");
-            self.found.push((time, describe(&object)));
+            self.found.push(line.clone());
+            self.prints.extend(print.map(str::to_owned));
+        }
+        if let Some(print) = print {
+            let lines = self.printed.entry(print.to_owned()).or_default();
+            lines.push(line);
         }
     }
 }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -18,6 +18,7 @@
 use crate::settings::{Settings, Storage};
 use crate::status_listener;
 use firshore_adapter::Adapter;
+use firshore_crashes::print::PrintKey;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
 use firshore_link::client;
@@ -74,7 +75,7 @@
     ));
     let random = StdRng::seed_from_u64(rand::random());
     let mut builder = Builder::default();
-    let gateway = Rc::new(Gateway::new(
+    let gateway = Gateway::new(
         log.clone(),
         adapter,
         settings.zone.clone(),
@@ -82,7 +83,9 @@
         settings.tenants.rate_span(),
         random,
         &mut builder,
-    ));
+    );
+    let print_key = PrintKey::new(settings.cluster.secret.as_bytes());
+    let gateway = Rc::new(gateway.with_print_key(print_key));
     let asker = make_asker(&settings, &registry, &peers, &log);
     let access = PeerAccess {
         registry,
--- a/crates/firshore-node/tests/explain.rs
+++ b/crates/firshore-node/tests/explain.rs
@@ -35,3 +35,20 @@
     assert!(explanation.lines.is_empty());
     assert!(explanation.nodes.iter().eq(["n1", "n2"]));
 }
+
+#[test]
+fn lines_of_requests_that_asked_the_same_are_told_too() {
+    let line = |second: u8, node: &str, request: &str, print: &str| {
+        format!(
+            r#"{{"msg":"forward: Answer lost.","ts":"2026-01-01T00:00:0{second}Z","node":"{node}","request":"{request}","print":"{print}"}}"#
+        ) + "\n"
+    };
+    let first = line(1, "n1", "a1", "p1") + &line(2, "n1", "a2", "p2");
+    let second = line(3, "n2", "a3", "p1");
+    let explanation = explain("a3", [first.as_bytes(), second.as_bytes()]).unwrap();
+    let expected = [
+        "2026-01-01T00:00:01Z n1 forward: Answer lost. print=p1 request=a1",
+        "2026-01-01T00:00:03Z n2 forward: Answer lost. print=p1 request=a3",
+    ];
+    assert_eq!(explanation.lines, expected);
+}
