Requests under which back ends end are known again by what they ask, at all nodes, and held back

Cause: a try's counters end with the try, and no node hears of what another one saw; each repeat comes with another identifier, so each was the first one. Change: a node that loses a run finds out whether the back end has ended (connections refused, or another one at its address) and keeps which requests were lost there; nodes tell a relay, relays each other, and every node judges by the union: three back ends on three occasions, five where more end without the request, and none that ran to a good end or got further since.

--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -14,6 +14,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri};
 use bytes::{Bytes, BytesMut};
 use quick_error::quick_error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -121,6 +122,12 @@
     Ok(Connection { address, stream })
 }
 
+/// Returns whether connections to `address` are refused at once: its machine is there, and nothing listens.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Sends a request once and waits for the head of its answer.
 pub async fn send(
     address: SocketAddr,
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -202,6 +202,20 @@
         }
     }
 
+    /// Whether a back end is listed and has not said that it leaves.
+    pub fn is_staying(&self, incarnation: &Incarnation) -> bool {
+        let state = self.states.get(incarnation);
+        state.is_some_and(|state| !state.backend.leaving)
+    }
+
+    /// Whether another back end is listed at the address of one: that one has ended.
+    pub fn has_successor(&self, backend: &Backend) -> bool {
+        let mut others = self.states.values().map(|state| &state.backend);
+        others.any(|other| {
+            other.address == backend.address && other.incarnation != backend.incarnation
+        })
+    }
+
     /// Number of back ends.
     pub fn len(&self) -> usize {
         self.states.len()
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -41,6 +41,25 @@
         self.answer_refusal(&refusal, reason, connection).await
     }
 
+    /// Back ends end under the request: it goes to none of them any more, for as long as that is known.
+    pub(super) async fn hold_back(
+        &mut self,
+        wait: Duration,
+        connection: &mut CallerConnection,
+    ) -> Handled {
+        let reason = "back ends end under it";
+        self.gateway.metrics.requests_condemned.inc();
+        info!(self.gateway.log, "forward: Held back."; "request" => &self.terms.id,
+            "print" => %self.print(), "wait_s" => wait.as_secs());
+        if self.attempts.may_have_run() {
+            return self.give_up(Next::FailMaybeRun, reason, connection).await;
+        }
+        let message = "Back ends have ended each time that they ran this request.";
+        let wait = Duration::from_secs(wait.as_secs() + 1);
+        let refusal = Refusal::not_run(ErrorCode::CrashesBackends, message, wait);
+        self.answer_refusal(&refusal, reason, connection).await
+    }
+
     pub(super) fn failed(&self) -> Refusal {
         let message = format!("The back end of '{}' gave no usable answer.", self.service);
         Refusal::maybe_run(ErrorCode::BackendFailed, message)
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -22,6 +22,7 @@
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
+use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use firshore_types::ids::ServiceName;
 use headers::end_to_end;
@@ -34,6 +35,9 @@
 /// Time left under which a request is not sent any more.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 
+/// Back ends that may have ended under a request before a try ends with the next one.
+const ENDS_PER_TRY: usize = 2;
+
 /// What becomes of the caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Handled {
@@ -54,6 +58,8 @@
 #[derive(Debug, Default)]
 struct Progress {
     head_sent: bool,
+    /// Bytes of answers that have arrived.
+    received: u64,
     events: EventStream,
 }
 
@@ -119,6 +125,7 @@
         attempts: Attempts::new(route.repetition, route.attempts),
         progress: Progress {
             head_sent: false,
+            received: 0,
             events: EventStream::after(terms.resume_after),
         },
         route,
@@ -165,6 +172,9 @@
             if self.remaining() < LEAST_REMAINING {
                 return Err(Interrupted::TimedOut);
             }
+            if let Some(wait) = self.gateway.held_back_for(|| self.print()) {
+                return Ok(self.hold_back(wait, connection).await);
+            }
             let Some(backend) = self.choose() else {
                 let next = self.attempts.give_up();
                 return Ok(self.give_up(next, "no back end", connection).await);
@@ -175,6 +185,7 @@
             };
             self.gateway.metrics.send_ended(end);
             let next = self.attempts.ended(&backend.incarnation, end);
+            let next = self.spare_backends(&backend, next, connection).await?;
             info!(self.gateway.log, "forward: Send ended.";
                 "request" => &self.terms.id, "route" => &self.route.name,
                 "backend" => %backend.incarnation, "end" => ?end, "next" => ?next,
@@ -186,6 +197,26 @@
         }
     }
 
+    /// A request that has lost its run at two back ends that ended takes no third one along in the same try:
+    /// one that crashes back ends ended up to three of them within 0.3 s.
+    async fn spare_backends(
+        &self,
+        backend: &Backend,
+        next: Next,
+        connection: &mut CallerConnection,
+    ) -> Result<Next, Interrupted> {
+        if next != Next::SendAgain || !self.attempts.may_have_run() {
+            return Ok(next);
+        }
+        let crashes = &self.gateway.crashes;
+        let settled = crashes.settled(&backend.incarnation);
+        guarded(connection, self.deadline, settled).await?;
+        match crashes.suspects_any() && crashes.ends_under(&self.print()) >= ENDS_PER_TRY {
+            true => Ok(Next::FailMaybeRun),
+            false => Ok(next),
+        }
+    }
+
     fn age(&self) -> u64 {
         self.request.arrived.elapsed().as_millis() as u64
     }
@@ -284,6 +315,11 @@
         warn!(self.gateway.log, "forward: Answer lost."; "request" => &self.terms.id,
             "backend" => %backend.incarnation, "reason" => %error, "print" => %self.print(),
             "age_ms" => self.age());
+        let run = LostRun {
+            print: self.print(),
+            reached: self.progress.received,
+        };
+        self.gateway.crashes.broke_off(backend, run);
         let started = self.progress.events.last().is_some();
         Sent::Ended(match started {
             true => SendEnd::BrokenOff,
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -52,6 +52,7 @@
             return Ok(Sent::Ended(SendEnd::Failed));
         }
         if whole {
+            self.note_completed(&head);
             return Ok(Sent::Handled(self.pass_on(&head, body, connection).await));
         }
         let handled = self
@@ -60,6 +61,13 @@
         Ok(Sent::Handled(handled))
     }
 
+    /// An answer came whole: where it is a success, the request does not crash back ends.
+    fn note_completed(&self, head: &ResponseHead) {
+        if head.status.is_success() {
+            self.gateway.completed(|| self.print());
+        }
+    }
+
     /// Passes on an answer that was read whole.
     pub(super) async fn pass_on(
         &self,
@@ -95,13 +103,17 @@
         connection: &mut CallerConnection,
     ) -> Result<Handled, Interrupted> {
         self.put_stream_head(head, connection);
+        self.progress.received += start.len() as u64;
         connection.put_chunk(start);
         loop {
             if connection.flush().await.is_err() {
                 return Err(Interrupted::CallerLeft);
             }
             match guarded(connection, self.deadline, body.next()).await? {
-                Ok(Some(chunk)) => connection.put_chunk(chunk),
+                Ok(Some(chunk)) => {
+                    self.progress.received += chunk.len() as u64;
+                    connection.put_chunk(chunk);
+                }
                 Ok(None) => break,
                 Err(error) => {
                     self.lost(backend, &error);
@@ -109,6 +121,7 @@
                 }
             }
         }
+        self.note_completed(head);
         connection.put_end();
         Ok(self.flushed(connection).await)
     }
@@ -140,6 +153,7 @@
                 Err(error) => return Ok(self.stream_broke(backend, &error)),
             };
             self.gateway.heard(&backend.incarnation);
+            self.progress.received += chunk.len() as u64;
             let events = match self.events_in(chunk) {
                 Ok(events) => events,
                 Err(error) => return Ok(self.stream_broke(backend, &error)),
@@ -159,6 +173,7 @@
         }
         self.gateway
             .observed(&backend.incarnation, Impression::Answered);
+        self.note_completed(&exchange.head);
         if !self.progress.head_sent {
             self.put_stream_head(&exchange.head, connection);
         }
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the requests of a node share.
 
 use crate::belief::Beliefs;
+use crate::crash_monitor::{CrashCounters, CrashMonitor};
 use crate::fleet::{Fleet, Impression};
 use crate::leaving::Leaving;
 use crate::metrics::GatewayMetrics;
@@ -11,7 +12,7 @@
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
-use firshore_crashes::print::PrintKey;
+use firshore_crashes::print::{PrintKey, RequestPrint};
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
 use firshore_limits::report::{UsageNews, UseReport};
 use firshore_metrics::Builder;
@@ -85,6 +86,8 @@
     pub split: RefCell<Split>,
     /// Makes requests known again by what they ask.
     pub print_key: PrintKey,
+    /// Requests under which back ends end.
+    pub crashes: Rc<CrashMonitor>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -126,18 +129,26 @@
         mut random: StdRng,
         builder: &mut Builder,
     ) -> Self {
+        let fleet = Rc::new(RefCell::new(Fleet::new(zone)));
+        let metrics = GatewayMetrics::new(builder);
+        let counters = CrashCounters {
+            ended: metrics.backends_crashed.clone(),
+            cleared: metrics.suspects_cleared.clone(),
+        };
+        let crashes = CrashMonitor::new(log.clone(), fleet.clone(), random.random(), counters);
         Self {
             log,
             adapter,
             beliefs: Rc::default(),
-            fleet: Rc::new(RefCell::new(Fleet::new(zone))),
+            fleet,
             leaving: Leaving::default(),
             jobs,
             limiter: TenantLimiter::new(random.random(), rate_span).into(),
             // Known to this node alone, until the cluster's is given.
             print_key: PrintKey::new(&random.random::<[u8; 32]>()),
+            crashes: Rc::new(crashes),
             random: random.into(),
-            metrics: GatewayMetrics::new(builder),
+            metrics,
             crowded: Notify::new(),
             limits_pressing: Notify::new(),
             split: RefCell::default(),
@@ -146,8 +157,9 @@
         }
     }
 
-    /// Has requests known again by a key that all nodes share.
-    pub fn with_print_key(self, print_key: PrintKey) -> Self {
+    /// Has requests known again by a key that all nodes share, and ends of back ends kept for `remember`.
+    pub fn with_crash_memory(self, print_key: PrintKey, remember: Duration) -> Self {
+        self.crashes.remember_for(remember);
         Self { print_key, ..self }
     }
 
@@ -263,6 +275,9 @@
         self.metrics.backends.set(backends as i64);
         self.metrics.requests_open.set(self.requests_open() as i64);
         self.metrics.set_belief_ages(&self.beliefs);
+        let table = self.crashes.table();
+        self.metrics.crash_suspects.set(table.suspects() as i64);
+        self.metrics.crash_verdicts.set(table.verdicts() as i64);
     }
 
     /// Whether the node can serve requests, batch jobs included: one that is cut off from the journal
@@ -272,6 +287,22 @@
         self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty() && reaches_jobs
     }
 
+    /// Returns for how long a request is still held back, as back ends end under it. What it asks is worked
+    /// out only while any request is held back.
+    pub fn held_back_for(&self, print: impl Fn() -> RequestPrint) -> Option<Duration> {
+        match self.crashes.holds_any_back() {
+            true => self.crashes.held_back_for(&print()),
+            false => None,
+        }
+    }
+
+    /// A request has run to a good end: it does not crash back ends.
+    pub fn completed(&self, print: impl Fn() -> RequestPrint) {
+        if self.crashes.suspects_any() {
+            self.crashes.completed(print());
+        }
+    }
+
     /// Something of a back end's answer has arrived.
     pub fn heard(&self, incarnation: &Incarnation) {
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod belief;
 pub mod caller_connection;
 pub mod choice;
+pub mod crash_monitor;
 pub mod events;
 pub mod fleet;
 pub mod forward;
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -74,6 +74,16 @@
     pub requests_denied: Counter,
     /// Times a back end was ejected.
     pub ejections: Counter,
+    /// Back ends that ended while they ran requests of this node.
+    pub backends_crashed: Counter,
+    /// Requests that were held back, as back ends end under them.
+    pub requests_condemned: Counter,
+    /// Requests that are not suspected any more, as they ran to a good end.
+    pub suspects_cleared: Counter,
+    /// Requests that were lost at back ends that ended.
+    pub crash_suspects: Gauge,
+    /// Requests that are held back.
+    pub crash_verdicts: Gauge,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
     /// Requests that are open.
@@ -129,6 +139,26 @@
                 "Requests and calls that carried no key which a tenant holds.",
             ),
             ejections: builder.counter("ejections", "Times a back end was ejected."),
+            backends_crashed: builder.counter(
+                "backends_crashed",
+                "Back ends that ended without leaving while they ran requests of this node.",
+            ),
+            requests_condemned: builder.counter(
+                "requests_condemned",
+                "Requests refused because back ends end under them.",
+            ),
+            suspects_cleared: builder.counter(
+                "suspects_cleared",
+                "Requests that were lost at back ends that ended, and ran to a good end here since.",
+            ),
+            crash_suspects: builder.gauge(
+                "crash_suspects",
+                "Requests that were lost at back ends that ended and are not cleared, at any node.",
+            ),
+            crash_verdicts: builder.gauge(
+                "crash_verdicts",
+                "Requests that are held back because back ends end under them.",
+            ),
             configuration_version: builder.gauge(
                 "configuration_version",
                 "Version of the configuration in force; 0 before the first.",
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -1,12 +1,13 @@
 //! Messages between nodes.
 
 use crate::load_table::BackendCount;
-use crate::relay::cache::{RelayedChanges, RelayedPage};
+use crate::relay::cache::{RelayContact, RelayedChanges, RelayedPage};
 use crate::runner::ItemKey;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::Leadership;
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_adapter::objects::Revision;
+use firshore_crashes::sync::{CrashAnswer, CrashQuestion};
 use firshore_jobs::command::JobHeader;
 use firshore_limits::report::{UsageNews, UseReport};
 use firshore_log::refusal::JournalRefusal;
@@ -113,6 +114,9 @@
         #[serde(rename = "r")]
         revision: Revision,
     },
+    /// Back ends that ended, as the sender knows, and a question for what the peer knows.
+    #[serde(rename = "x")]
+    Crashes(CrashQuestion),
     /// What the sender has under way at back ends.
     #[serde(rename = "l")]
     Load {
@@ -180,6 +184,9 @@
     /// What changed of a kind, if anything.
     #[serde(rename = "w")]
     Changes(RelayedChanges),
+    /// Back ends that ended, as the peer knows.
+    #[serde(rename = "x")]
+    Crashes(CrashAnswer),
     /// What changed since then is not kept: list anew.
     #[serde(rename = "h")]
     HistoryGone,
@@ -189,3 +196,14 @@
     /// The peer did not do as asked.
     Refused(JournalRefusal),
 }
+
+impl PeerResponse {
+    /// Returns how a relay stood when it answered, where the answer tells.
+    pub fn contact_mut(&mut self) -> Option<&mut RelayContact> {
+        match self {
+            Self::Page(page) => Some(&mut page.contact),
+            Self::Changes(changes) => Some(&mut changes.contact),
+            _ => None,
+        }
+    }
+}
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -19,6 +19,7 @@
 use crate::settings::{Settings, Storage};
 use crate::task::Task;
 use client::JournalClient;
+use firshore_gateway::crash_monitor::CrashMonitor;
 use firshore_jobs::table::JobTable;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::{client as link, listener};
@@ -84,6 +85,8 @@
     pub loads: Rc<LoadRelay>,
     /// The journal, asked on behalf of others.
     pub jobs: Rc<JournalClient>,
+    /// Back ends that ended, as nodes have seen.
+    pub crashes: Rc<CrashMonitor>,
 }
 
 /// The journal as a node with a disk holds it.
@@ -165,6 +168,7 @@
             jobs: relays.jobs.clone(),
             ledger: ledger.clone(),
             budget,
+            crashes: relays.crashes.clone(),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -12,6 +12,7 @@
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
 use firshore_adapter::backend::Incarnation;
 use firshore_adapter::jobs::{JobItem, caller_id};
+use firshore_gateway::crash_monitor::CrashMonitor;
 use firshore_jobs::command::{Action, JobHeader, Outcome};
 use firshore_jobs::listing::ListedPage;
 use firshore_jobs::table::JobTable;
@@ -68,6 +69,8 @@
     pub(super) jobs: Rc<JournalClient>,
     pub(super) ledger: MemoryLedger,
     pub(super) budget: MemoryBudget,
+    /// Back ends that ended, as this node knows.
+    pub(super) crashes: Rc<CrashMonitor>,
     pub(super) log: Logger,
 }
 
@@ -263,14 +266,26 @@
             return std::future::ready(answer).boxed_local();
         }
         let relay = self.relay.clone();
+        let crashes = self.crashes.clone();
+        let with_cursor = move |mut response: PeerResponse| {
+            if let Some(contact) = response.contact_mut() {
+                contact.crashes = crashes.cursor();
+            }
+            response
+        };
         match request {
             PeerRequest::List { kind, after, known } => {
-                return async move { relay.list(&kind, after.as_deref(), known).await }
+                return async move { with_cursor(relay.list(&kind, after.as_deref(), known).await) }
                     .boxed_local();
             }
             PeerRequest::Watch { kind, known, wait } => {
                 let wait = Duration::from_millis(wait);
-                return async move { relay.watch(&kind, known, wait).await }.boxed_local();
+                return async move { with_cursor(relay.watch(&kind, known, wait).await) }
+                    .boxed_local();
+            }
+            PeerRequest::Crashes(question) => {
+                let answer = PeerResponse::Crashes(self.crashes.answer(&question));
+                return std::future::ready(answer).boxed_local();
             }
             _ => {}
         }
@@ -316,6 +331,7 @@
         | PeerRequest::Changed { .. }
         | PeerRequest::List { .. }
         | PeerRequest::Watch { .. }
+        | PeerRequest::Crashes(_)
         | PeerRequest::Progress { .. } => Ok(PeerResponse::Done),
     }
 }
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod command_line;
+pub mod crash_exchange;
 mod environment;
 pub mod explain;
 pub mod journal;
--- a/crates/firshore-node/src/metrics.rs
+++ b/crates/firshore-node/src/metrics.rs
@@ -27,6 +27,7 @@
         RunEnd::Broken => "broken",
         RunEnd::Failed => "failed",
         RunEnd::Impossible => "impossible",
+        RunEnd::HeldBack => "held_back",
     }
 }
 
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -1,5 +1,6 @@
 //! Puts a node together and runs it until it is told to stop.
 
+use crate::crash_exchange::CrashExchange;
 use crate::environment::{self, FollowedKinds};
 use crate::journal::client::JournalClient;
 use crate::journal::duties::{Duties, MakeAsker};
@@ -11,7 +12,7 @@
 use crate::load_exchange::LoadExchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
 use crate::readiness;
-use crate::relay::asker::RelayAsker;
+use crate::relay::asker::{RelayAsker, RelayHeard};
 use crate::relay::loads::LoadRelay;
 use crate::relay::{Announce, Relay, ranking};
 use crate::runner::Runner;
@@ -85,8 +86,18 @@
         &mut builder,
     );
     let print_key = PrintKey::new(settings.cluster.secret.as_bytes());
-    let gateway = Rc::new(gateway.with_print_key(print_key));
-    let asker = make_asker(&settings, &registry, &peers, &log);
+    let remember = settings.crashes.remember();
+    let gateway = Rc::new(gateway.with_crash_memory(print_key, remember));
+    let crashes = CrashExchange::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        gateway.crashes.clone(),
+        registry.clone(),
+        peers.clone(),
+        log.clone(),
+    );
+    actix_rt::spawn(crashes.clone().run());
+    let asker = make_asker(&settings, &registry, &peers, &crashes, &log);
     let access = PeerAccess {
         registry,
         jobs: jobs.clone(),
@@ -184,16 +195,20 @@
     settings: &Settings,
     registry: &Rc<Registry>,
     peers: &PeerClient,
+    crashes: &Rc<CrashExchange>,
     log: &Logger,
 ) -> MakeAsker {
     let (node, zone) = (settings.name.clone(), settings.zone.clone());
     let (registry, peers, log) = (registry.clone(), peers.clone(), log.clone());
+    let crashes = crashes.clone();
+    let heard: RelayHeard = Rc::new(move |relay, contact| crashes.heard(relay, contact.crashes));
     Rc::new(move || RelayAsker {
         node: node.clone(),
         zone: zone.clone(),
         registry: registry.clone(),
         peers: peers.clone(),
         log: log.clone(),
+        heard: heard.clone(),
         passed_over: RefCell::default(),
     })
 }
@@ -223,6 +238,7 @@
         objects: relay,
         loads: Rc::new(LoadRelay::new(settings.tenants.rate_span())),
         jobs,
+        crashes: gateway.crashes.clone(),
     };
     let journal = Journal::start(settings, storage, registry, relays, &peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
--- a/crates/firshore-node/src/relay/asker.rs
+++ b/crates/firshore-node/src/relay/asker.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
+/// Told what a relay's answer says of the relay itself.
+pub type RelayHeard = Rc<dyn Fn(&NodeName, &RelayContact)>;
+
 /// Who asks relays, and whom it would ask.
 pub struct RelayAsker {
     /// The node that asks.
@@ -27,6 +30,8 @@
     pub peers: PeerClient,
     /// Log.
     pub log: Logger,
+    /// Told what a relay's answer says of the relay itself.
+    pub heard: RelayHeard,
     /// Relays that were of no use since they answered last, and until when they are passed over.
     pub passed_over: RefCell<HashMap<NodeName, RelayPause>>,
 }
@@ -124,8 +129,11 @@
             let call = self.peers.call(address, request.clone());
             let useless = match timeout(limit, call).await {
                 Ok(Ok(PeerResponse::NoContact)) => Useless::OutOfContact,
-                Ok(Ok(response)) => {
+                Ok(Ok(mut response)) => {
                     self.passed_over.borrow_mut().remove(&relay);
+                    if let Some(contact) = response.contact_mut() {
+                        (self.heard)(&relay, contact);
+                    }
                     return Asked::Answered(RelayAnswer {
                         relay,
                         asked_at,
--- a/crates/firshore-node/src/relay/cache.rs
+++ b/crates/firshore-node/src/relay/cache.rs
@@ -7,6 +7,7 @@
 
 use crate::observation::Learned;
 use firshore_adapter::objects::{Change, Object, Revision};
+use firshore_crashes::report::TableCursor;
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -43,6 +44,9 @@
     /// Time since the relay last heard from the store when it answered, in milliseconds.
     #[serde(rename = "a")]
     pub age: u64,
+    /// How far the relay's table of back ends that ended is, where anything stands in it.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub crashes: Option<TableCursor>,
 }
 
 /// A part of a listing as it travels.
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -201,11 +201,10 @@
         let contact = RelayContact {
             held: asked_at.elapsed().as_millis() as u64,
             age: self.heard_at.get().elapsed().as_millis() as u64,
+            crashes: None,
         };
-        match &mut answer {
-            PeerResponse::Page(page) => page.contact = contact,
-            PeerResponse::Changes(changes) => changes.contact = contact,
-            _ => {}
+        if let Some(told) = answer.contact_mut() {
+            *told = contact;
         }
         answer
     }
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use firshore_adapter::backend::{Backend, Ran, SendTerms};
 use firshore_adapter::jobs::{ItemOutcome, JobItem, caller_id};
+use firshore_crashes::print::{AskedRequest, RequestPrint};
+use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
 use firshore_gateway::fleet::Impression;
 use firshore_gateway::gateway::{Gateway, InFlight};
@@ -121,7 +123,35 @@
         Some(head)
     }
 
+    /// What stands for the item at all nodes, whatever job it came with.
+    fn print(&self) -> RequestPrint {
+        let Work { header, item, .. } = &self.work;
+        self.gateway.print_key.print(&AskedRequest {
+            tenant: header.tenant.as_ref(),
+            host: &header.host,
+            method: Method::POST.as_str(),
+            target: &item.path,
+            body: &item.body.0,
+        })
+    }
+
+    /// The run broke off: the back end may have ended under it.
+    fn broke_off(&self) {
+        self.gateway
+            .observed(&self.backend.incarnation, Impression::Broke);
+        let run = LostRun {
+            print: self.print(),
+            reached: self.progress.borrow().held_bytes() as u64,
+        };
+        self.gateway.crashes.broke_off(&self.backend, run);
+    }
+
     async fn send(&self) -> RunEnd {
+        if let Some(wait) = self.gateway.held_back_for(|| self.print()) {
+            info!(self.gateway.log, "runner: Held back."; "job" => caller_id(&self.work.header.job),
+                "item" => &self.work.item.id, "print" => %self.print(), "wait_s" => wait.as_secs());
+            return RunEnd::HeldBack;
+        }
         let Some(head) = self.request_head() else {
             return RunEnd::Impossible;
         };
@@ -138,7 +168,7 @@
         match timeout(HEAD_TIMEOUT, sending).await {
             Ok(Ok(exchange)) => self.take_answer(exchange).await,
             Ok(Err(_)) | Err(_) => {
-                self.gateway.observed(incarnation, Impression::Broke);
+                self.broke_off();
                 RunEnd::Broken
             }
         }
@@ -183,16 +213,17 @@
                 }
                 Ok(Ok(None)) => break,
                 Ok(Err(_)) | Err(_) => {
-                    self.gateway.observed(incarnation, Impression::Broke);
+                    self.broke_off();
                     return RunEnd::Broken;
                 }
             }
         }
         self.gateway.observed(incarnation, Impression::Answered);
-        match self.progress.borrow().holds_part() {
-            true => RunEnd::Broken,
-            false => RunEnd::Whole,
+        if self.progress.borrow().holds_part() {
+            return RunEnd::Broken;
         }
+        self.gateway.completed(|| self.print());
+        RunEnd::Whole
     }
 }
 
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -10,6 +10,9 @@
 
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between looks at whether an item is still held back: each writes two lines into the log.
+const HELD_BACK_PAUSE: Duration = Duration::from_secs(5);
+
 /// How a run of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -23,6 +26,8 @@
     Failed,
     /// The back end says that it can never be done.
     Impossible,
+    /// It was not sent, as back ends end under it.
+    HeldBack,
 }
 
 /// When an item is given up.
@@ -119,7 +124,7 @@
                 return Some(ItemOutcome::Done(std::mem::take(&mut self.produced)));
             }
             RunEnd::Impossible => return Some(ItemOutcome::GivenUp),
-            RunEnd::Failed => {}
+            RunEnd::Failed | RunEnd::HeldBack => {}
             RunEnd::NotRun | RunEnd::Broken => self.troubles += 1,
         }
         // This node's knowledge is never older than the submission, so nothing is given up early.
@@ -128,7 +133,11 @@
             return Some(ItemOutcome::GivenUp);
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.troubles.min(10));
-        self.not_before = now + pause.min(LONGEST_PAUSE);
+        self.not_before = now
+            + match end {
+                RunEnd::HeldBack => HELD_BACK_PAUSE,
+                _ => pause.min(LONGEST_PAUSE),
+            };
         None
     }
 }
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -34,6 +34,9 @@
     /// How tenants' limits are counted.
     #[serde(default)]
     pub tenants: Tenants,
+    /// Requests under which back ends end.
+    #[serde(default)]
+    pub crashes: Crashes,
     /// The way out.
     #[serde(default)]
     pub leave: Leave,
@@ -198,6 +201,30 @@
     }
 }
 
+/// Requests under which back ends end.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Crashes {
+    /// Time for which an end of a back end under a request is kept, in seconds; the same on every node. A
+    /// request that is held back is tried again this long after the last end.
+    pub remember_seconds: f64,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            remember_seconds: 3_600.0,
+        }
+    }
+}
+
+impl Crashes {
+    /// Time for which an end of a back end under a request is kept.
+    pub fn remember(&self) -> Duration {
+        Duration::from_secs_f64(self.remember_seconds)
+    }
+}
+
 /// The way out.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -228,6 +255,9 @@
 /// Shortest span over which requests can be counted: what nodes tell each other is a part of a second old.
 const MINIMUM_RATE_SPAN_SECONDS: f64 = 1.0;
 
+/// Shortest time for which ends of back ends can be kept: a request that crashes them comes again within it.
+const MINIMUM_REMEMBER_SECONDS: f64 = 60.0;
+
 /// Least memory that a node can be run with, in megabytes.
 const MINIMUM_MEMORY_MEGABYTES: f64 = 16.0;
 
@@ -308,6 +338,12 @@
                 MINIMUM_RATE_SPAN_SECONDS,
                 "Set at least 1.",
             ),
+            (
+                "crashes.remember_seconds",
+                self.crashes.remember_seconds,
+                MINIMUM_REMEMBER_SECONDS,
+                "Set at least 60.",
+            ),
             (
                 "leave.grace_seconds",
                 self.leave.grace_seconds,
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -121,6 +121,7 @@
         registry: registry.clone(),
         peers: peers(),
         log: log(),
+        heard: Rc::new(|_, _| {}),
         passed_over: RefCell::default(),
     })
 }
@@ -151,14 +152,6 @@
     let storage = settings.storage.clone().unwrap();
     let asked = JournalClient::new(settings.name.clone(), registry.clone(), peers(), log());
     let relay = Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {}));
-    let relays = NodeRelays {
-        objects: relay.clone(),
-        loads: Rc::new(LoadRelay::new(Duration::from_secs(5))),
-        jobs: Rc::new(asked),
-    };
-    let make_asker = asker(number, &registry);
-    let journal = Journal::start(&settings, &storage, registry, relays, &peers(), &log()).await;
-    let journal = journal.expect("the port and the folder are free");
     let gateway = Rc::new(Gateway::new(
         log(),
         adapter(store.clone()),
@@ -168,6 +161,15 @@
         StdRng::seed_from_u64(number as u64),
         &mut Builder::default(),
     ));
+    let relays = NodeRelays {
+        objects: relay.clone(),
+        loads: Rc::new(LoadRelay::new(Duration::from_secs(5))),
+        jobs: Rc::new(asked),
+        crashes: gateway.crashes.clone(),
+    };
+    let make_asker = asker(number, &registry);
+    let journal = Journal::start(&settings, &storage, registry, relays, &peers(), &log()).await;
+    let journal = journal.expect("the port and the folder are free");
     let retirements = Rc::new(Retirements::default());
     let duties = Duties {
         gateway: gateway.clone(),
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -287,6 +287,7 @@
             registry: Rc::new(Registry::new(store.clone(), log())),
             peers: peers(),
             log: log(),
+            heard: Rc::new(|_, _| {}),
             passed_over: RefCell::default(),
         };
         let belief = Rc::<Belief>::default();
--- a/crates/firshore-node/tests/stale_world/followers.rs
+++ b/crates/firshore-node/tests/stale_world/followers.rs
@@ -128,6 +128,7 @@
                 registry: registry.clone(),
                 peers: peers.clone(),
                 log: log(),
+                heard: Rc::new(|_, _| {}),
                 passed_over: RefCell::default(),
             };
             let watcher = Watcher {
--- a/crates/firshore-types/src/error.rs
+++ b/crates/firshore-types/src/error.rs
@@ -93,6 +93,8 @@
     Unavailable = "unavailable", 503, "Send it to another node, or wait as 'Retry-After' says.";
     /// No live back end is eligible.
     NoBackend = "no_backend", 503, "Wait as 'Retry-After' says; operators: check the pool's selector and the machine list.";
+    /// Back ends end under the request.
+    CrashesBackends = "crashes_back_ends", 503, "Do not repeat it unchanged before 'Retry-After' is over; operators: find the back ends in the log by 'explain'.";
     /// The journal cannot commit now.
     JournalUnavailable = "journal_unavailable", 503, "Wait as 'Retry-After' says, then send it again with the same key.";
     /// Disk space is used up on the journal's replicas.
