--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -9,9 +9,12 @@
 use firshore_exchange::exchange;
 use firshore_metrics::Counter;
 use firshore_types::ids::NodeName;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use slog::{Logger, info, warn};
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -43,9 +46,13 @@
     pub cleared: Counter,
 }
 
+/// Tells whether connections to an address are refused at once.
+pub type RefusalProbe = Rc<dyn Fn(SocketAddr) -> LocalBoxFuture<'static, bool>>;
+
 /// What this node knows of requests under which back ends end.
 pub struct CrashMonitor {
     log: Logger,
+    is_refused: RefusalProbe,
     fleet: Rc<RefCell<Fleet>>,
     table: RefCell<CrashTable>,
     /// Requests lost at back ends of which it is not known whether they have ended.
@@ -64,9 +71,22 @@
         fleet: Rc<RefCell<Fleet>>,
         epoch: u64,
         counters: CrashCounters,
+    ) -> Self {
+        let is_refused = Rc::new(|address| exchange::is_refused(address).boxed_local());
+        Self::with_probe(log, fleet, epoch, counters, is_refused)
+    }
+
+    /// The same, with another way to find out whether connections are refused.
+    pub fn with_probe(
+        log: Logger,
+        fleet: Rc<RefCell<Fleet>>,
+        epoch: u64,
+        counters: CrashCounters,
+        is_refused: RefusalProbe,
     ) -> Self {
         Self {
             log,
+            is_refused,
             fleet,
             table: CrashTable::new(epoch, REMEMBER).into(),
             waiting: RefCell::default(),
@@ -123,7 +143,7 @@
 
     /// What shows that a back end has ended, if anything does.
     async fn find_end(&self, backend: &Backend) -> Option<&'static str> {
-        if exchange::is_refused(backend.address).await {
+        if (self.is_refused)(backend.address).await {
             return Some("connection refused");
         }
         self.settled.notify_waiters();
