--- /dev/null
+++ b/crates/firshore-clock/src/lib.rs
@@ -0,0 +1,76 @@
+//! The time by which ages, leases and shares are measured: it goes on while the machine is suspended.
+//!
+//! The steady clock that timers run on (`CLOCK_MONOTONIC` on Linux) stands still meanwhile, so that a node that
+//! wakes would take a picture that is seconds old for a fresh one, and itself for the holder of what has been
+//! given to others. `CLOCK_BOOTTIME` goes on. Moments are told here as those of timers with the time added
+//! for which the machine was suspended since the first question; [`as_timer`] takes it off again.
+#![deny(missing_docs, unsafe_code)]
+
+use rustix::time::{ClockId, Timespec, clock_gettime};
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time between two readings of the steady clock between which the other one is read: a thread that
+/// had to wait there has read clocks of different moments.
+const TIGHT: Duration = Duration::from_millis(1);
+
+/// Shortest suspension that counts: what is less comes of reading clocks one after the other.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
+
+thread_local! {
+    /// By how much the clocks differed at this thread's first question.
+    static FIRST_DIFFERENCE: Cell<Option<Duration>> = const { Cell::new(None) };
+    /// Suspension as it was read last.
+    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+    /// Suspension that a test has added.
+    static SIMULATED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+/// Returns this moment. Moments of different threads may differ by suspensions before their first questions.
+pub fn now() -> Instant {
+    Instant::now() + suspended()
+}
+
+/// Returns the time since a moment, with all suspensions.
+pub fn elapsed(since: Instant) -> Duration {
+    now().saturating_duration_since(since)
+}
+
+/// Returns when a timer is to fire for a moment, if the machine is not suspended any more.
+pub fn as_timer(at: Instant) -> Instant {
+    at.checked_sub(suspended()).unwrap_or(at)
+}
+
+/// Lets time pass on this thread as if the machine had been suspended: for tests, which cannot suspend it.
+pub fn simulate_suspension(span: Duration) {
+    SIMULATED.set(SIMULATED.get() + span);
+}
+
+/// Time for which the machine was suspended since this thread's first question.
+fn suspended() -> Duration {
+    if let Some(difference) = difference() {
+        let first = FIRST_DIFFERENCE.get().unwrap_or(difference);
+        FIRST_DIFFERENCE.set(Some(first));
+        let span = difference.saturating_sub(first);
+        if span >= SUSPENDED.get() + LEAST_SUSPENSION {
+            SUSPENDED.set(span);
+        }
+    }
+    SUSPENDED.get() + SIMULATED.get()
+}
+
+/// By how much the clock that goes on is ahead of the steady one; nothing where that could not be read at one
+/// moment.
+fn difference() -> Option<Duration> {
+    let before = duration(clock_gettime(ClockId::Monotonic))?;
+    let going_on = duration(clock_gettime(ClockId::Boottime))?;
+    let after = duration(clock_gettime(ClockId::Monotonic))?;
+    (after.saturating_sub(before) <= TIGHT).then(|| going_on.saturating_sub(before))
+}
+
+fn duration(time: Timespec) -> Option<Duration> {
+    let seconds = u64::try_from(time.tv_sec).ok()?;
+    let nanoseconds = u32::try_from(time.tv_nsec).ok()?;
+    Some(Duration::new(seconds, nanoseconds))
+}
--- /dev/null
+++ b/crates/firshore-node/tests/suspended.rs
@@ -0,0 +1,34 @@
+//! A relay whose machine was suspended: what it knew before is not told as current. The steady clock stands
+//! still meanwhile.
+
+mod cluster;
+
+use cluster::{log, relayed_kinds, run};
+use firshore_node::journal::messages::PeerResponse;
+use firshore_node::relay::Relay;
+use firshore_stand_in::adapter::CONFIGURATION;
+use firshore_stand_in::store::MemoryStore;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SUSPENSION: Duration = Duration::from_secs(5);
+
+#[test]
+fn a_relay_does_not_tell_as_current_what_it_knew_before_a_suspension() {
+    run(async {
+        let store = MemoryStore::new();
+        store.put(CONFIGURATION, "newest", json!({"version": 1}));
+        let relay = Relay::new(store, log(), relayed_kinds(), Rc::new(|_, _| {}));
+        let page = relay.list(CONFIGURATION, None, 0).await;
+        let PeerResponse::Page(page) = page else {
+            panic!("{page:?}");
+        };
+        assert!(page.contact.age < 1_000);
+        firshore_clock::simulate_suspension(SUSPENSION);
+        let answer = relay
+            .watch(CONFIGURATION, page.revision, Duration::ZERO)
+            .await;
+        assert!(matches!(answer, PeerResponse::NoContact), "{answer:?}");
+    });
+}
