Ages, shares and connections are measured by a clock that goes on while the machine is suspended

Cause: Instant stands still meanwhile, so a node that wakes took what it had known before for fresh.

--- a/crates/firshore-clock/src/lib.rs
+++ b/crates/firshore-clock/src/lib.rs
@@ -3,11 +3,13 @@
 //! The steady clock that timers run on (`CLOCK_MONOTONIC` on Linux) stands still meanwhile, so that a node that
 //! wakes would take a picture that is seconds old for a fresh one, and itself for the holder of what has been
 //! given to others. `CLOCK_BOOTTIME` goes on. Moments are told here as those of timers with the time added
-//! for which the machine was suspended since the first question; [`as_timer`] takes it off again.
+//! for which the machine was suspended since the process's first question; [`as_timer`] takes it off again.
 #![deny(missing_docs, unsafe_code)]
 
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use std::cell::Cell;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -15,19 +17,21 @@
 /// had to wait there has read clocks of different moments.
 const TIGHT: Duration = Duration::from_millis(1);
 
-/// Shortest suspension that counts: what is less comes of reading clocks one after the other.
-const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
+/// Shortest suspension that counts, in milliseconds: what is less comes of reading clocks one after the other.
+const LEAST_SUSPENSION_MS: u64 = 100;
+
+/// By how much the clocks differed at the process's first question.
+static FIRST_DIFFERENCE: OnceLock<Duration> = OnceLock::new();
+
+/// Suspension as it was read last, in milliseconds.
+static SUSPENDED: AtomicU64 = AtomicU64::new(0);
 
 thread_local! {
-    /// By how much the clocks differed at this thread's first question.
-    static FIRST_DIFFERENCE: Cell<Option<Duration>> = const { Cell::new(None) };
-    /// Suspension as it was read last.
-    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
-    /// Suspension that a test has added.
+    /// Suspension that a test has added, on its own thread.
     static SIMULATED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
 }
 
-/// Returns this moment. Moments of different threads may differ by suspensions before their first questions.
+/// Returns this moment.
 pub fn now() -> Instant {
     Instant::now() + suspended()
 }
@@ -47,17 +51,17 @@
     SIMULATED.set(SIMULATED.get() + span);
 }
 
-/// Time for which the machine was suspended since this thread's first question.
+/// Time for which the machine was suspended since the process's first question.
 fn suspended() -> Duration {
     if let Some(difference) = difference() {
-        let first = FIRST_DIFFERENCE.get().unwrap_or(difference);
-        FIRST_DIFFERENCE.set(Some(first));
-        let span = difference.saturating_sub(first);
-        if span >= SUSPENDED.get() + LEAST_SUSPENSION {
-            SUSPENDED.set(span);
+        let first = *FIRST_DIFFERENCE.get_or_init(|| difference);
+        let span = difference.saturating_sub(first).as_millis() as u64;
+        let known = SUSPENDED.load(Ordering::Relaxed);
+        if span >= known + LEAST_SUSPENSION_MS {
+            SUSPENDED.fetch_max(span, Ordering::Relaxed);
         }
     }
-    SUSPENDED.get() + SIMULATED.get()
+    Duration::from_millis(SUSPENDED.load(Ordering::Relaxed)) + SIMULATED.get()
 }
 
 /// By how much the clock that goes on is ahead of the steady one; nothing where that could not be read at one
--- a/crates/firshore-exchange/src/pool.rs
+++ b/crates/firshore-exchange/src/pool.rs
@@ -21,7 +21,7 @@
     pub(crate) fn new(stream: TcpStream, lifetime: Duration) -> Self {
         Self {
             stream,
-            usable_until: Instant::now() + lifetime,
+            usable_until: firshore_clock::now().into_std() + lifetime,
         }
     }
 
@@ -36,7 +36,7 @@
 
 /// The most recently used idle connection to `address` that is still open and quiet.
 pub(crate) fn take(address: SocketAddr) -> Option<TcpStream> {
-    let now = Instant::now();
+    let now = firshore_clock::now().into_std();
     IDLE.with_borrow_mut(|idle| {
         let connections = idle.get_mut(&address)?;
         let mut found = None;
@@ -55,7 +55,7 @@
 
 /// Keeps a connection whose last answer was read to its end.
 pub(crate) fn put(address: SocketAddr, connection: IdleConnection) {
-    let now = Instant::now();
+    let now = firshore_clock::now().into_std();
     IDLE.with_borrow_mut(|idle| {
         let connections = idle.entry(address).or_default();
         connections.retain(|one| one.is_usable(now));
--- a/crates/firshore-exchange/tests/exchange_contract.rs
+++ b/crates/firshore-exchange/tests/exchange_contract.rs
@@ -409,3 +409,24 @@
     let _ = actix_rt::System::new().block_on(observe(address, Method::POST));
     assert!(receiver.recv().unwrap().ends_with("request body"));
 }
+
+#[test]
+fn a_connection_from_before_a_suspension_is_not_taken_for_live() {
+    let (address, count) = back_end(|stream, count| {
+        while read_request(stream) {
+            count.requests.fetch_add(1, Ordering::SeqCst);
+            let answer = "HTTP/1.1 200 OK\r\nkeep-alive: timeout=5\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    actix_rt::System::new().block_on(async {
+        for suspension in [0, 0, 20] {
+            firshore_clock::simulate_suspension(Duration::from_secs(suspension));
+            let head = exchange::request_head(Method::GET, "/", address).unwrap();
+            let answer = exchange::send(address, head, Bytes::new()).await.unwrap();
+            assert_eq!(answer.head.status.as_u16(), 200);
+        }
+    });
+    assert_eq!(count.requests.load(Ordering::SeqCst), 3);
+    assert_eq!(count.connections.load(Ordering::SeqCst), 2);
+}
--- a/crates/firshore-gateway/src/belief.rs
+++ b/crates/firshore-gateway/src/belief.rs
@@ -42,7 +42,7 @@
 }
 
 impl Belief {
-    /// Takes in that all that stood in the store at `as_of` is known, by an answer of `source`. An
+    /// Takes in that all that stood in the store at `as_of`, by the clock of ages, is known, by an answer of `source`. An
     /// answer that tells of an earlier moment than another one did says nothing.
     pub fn confirm(&self, as_of: Instant, source: BeliefSource) {
         let mut confirmation = self.confirmation.borrow_mut();
@@ -67,7 +67,7 @@
 
     /// Returns for how long the belief was not confirmed; none before the first answer.
     pub fn age(&self) -> Option<Duration> {
-        self.as_of().map(|as_of| as_of.elapsed())
+        self.as_of().map(firshore_clock::elapsed)
     }
 
     /// Sets up to which age decisions may rest on it.
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -161,7 +161,7 @@
         self.counters.ended.inc();
         warn!(self.log, "crash: Back end ended."; "backend" => %backend.incarnation,
             "evidence" => evidence, "lost" => runs.len());
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let changes = self
             .table
             .borrow_mut()
@@ -195,7 +195,7 @@
 
     /// Returns for how long a request is still held back, if it is.
     pub fn held_back_for(&self, print: &RequestPrint) -> Option<Duration> {
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let table = self.table.borrow();
         let verdict = table.verdict(print)?;
         Some(table.time_left(now, verdict))
@@ -211,7 +211,7 @@
         if self.ends_under(&print) == 0 {
             return;
         }
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let changes = self.table.borrow_mut().completed(now, print);
         self.counters.cleared.inc();
         info!(self.log, "crash: Request cleared."; "print" => %print);
@@ -221,7 +221,7 @@
 
     /// Answers a node that tells what it knows.
     pub fn answer(&self, question: &CrashQuestion) -> CrashAnswer {
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let before = self.table.borrow().cursor();
         let (answer, changes) = sync::answer(&mut self.table.borrow_mut(), now, question);
         self.learned(&changes);
@@ -233,7 +233,7 @@
 
     /// Takes in a peer's answer to a question that told this node's table up to `told`.
     pub fn answered(&self, sync: &mut CrashSync, peer: &NodeName, told: u64, answer: &CrashAnswer) {
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let mut table = self.table.borrow_mut();
         let changes = sync.answered(now, peer, told, answer, &mut table);
         drop(table);
@@ -242,12 +242,13 @@
 
     /// Forgets what is older than it is to be kept.
     pub fn forget_old(&self) {
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let changes = self.table.borrow_mut().forget_old(now);
         self.learned(&changes);
     }
 
     fn learned(&self, changes: &[VerdictChange]) {
+        let now = firshore_clock::now().into_std();
         for change in changes {
             match change {
                 VerdictChange::Condemned(print, verdict) => {
@@ -255,7 +256,7 @@
                         verdict.backends.iter().map(|one| one.0.as_str()).collect();
                     warn!(self.log, "crash: Request held back."; "print" => %print,
                         "backends" => backends.join(" "),
-                        "last_end_age_ms" => verdict.last_end.elapsed().as_millis() as u64);
+                        "last_end_age_ms" => now.saturating_duration_since(verdict.last_end).as_millis() as u64);
                 }
                 VerdictChange::Lifted(print) => {
                     info!(self.log, "crash: Request not held back any more."; "print" => %print);
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -228,7 +228,7 @@
     /// Where the tenant has used up what it may ask over all nodes.
     pub fn admit(&self, tenant: &Tenant) -> Result<(), OverLimit> {
         let mut limiter = self.limiter.borrow_mut();
-        let admitted = limiter.admit(Instant::now(), tenant);
+        let admitted = limiter.admit(firshore_clock::now().into_std(), tenant);
         if limiter.has_to_tell(tenant) {
             self.limits_pressing.notify_one();
         }
@@ -237,7 +237,7 @@
 
     /// A request that was admitted has come to nothing: no back end ran it.
     pub fn return_admission(&self, tenant: &Tenant) {
-        let now = Instant::now();
+        let now = firshore_clock::now().into_std();
         self.limiter.borrow_mut().returned(now, tenant);
     }
 
--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -27,8 +27,9 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 /// Time between ticks of the replica.
 const TICK: Duration = Duration::from_millis(20);
@@ -122,9 +123,10 @@
 }
 
 impl Environment {
-    /// Milliseconds since the replica's start, by the steady clock.
+    /// Milliseconds since the replica's start, suspensions of the machine included: a leader that wakes has to
+    /// know for how long the others have heard nothing of it.
     fn now(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+        firshore_clock::elapsed(self.start).as_millis() as u64
     }
 }
 
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 
 /// Longest wait for another replica to take over when the node leaves.
@@ -140,7 +140,7 @@
             transport,
             status: self.status.clone(),
             applied: self.applied.clone(),
-            start: Instant::now(),
+            start: firshore_clock::now(),
         };
         let state = self.state.clone();
         let thread = std::thread::Builder::new()
--- a/crates/firshore-node/src/crash_exchange.rs
+++ b/crates/firshore-node/src/crash_exchange.rs
@@ -184,7 +184,7 @@
     /// Returns whether neither has more to tell; nothing where there was no answer.
     async fn ask_once(&self, relay: &NodeName) -> Option<bool> {
         let address = self.registry.address(relay)?;
-        let now = tokio::time::Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let question = self
             .sync
             .borrow()
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -25,7 +25,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::timeout;
 
 /// Longest time for one question, all tries together, beyond any wait asked for.
@@ -127,13 +127,18 @@
     }
 
     async fn ask(&self, request: PeerRequest, wait: Duration) -> Result<PeerResponse, ApiError> {
-        let deadline = Instant::now() + DEADLINE + wait;
+        let deadline = firshore_clock::now().into_std() + DEADLINE + wait;
         let mut unknown = false;
         let mut hint = self.leader.borrow().clone();
         let mut round: Vec<NodeName> = Vec::new();
         let mut rounds = 0;
         loop {
-            if Instant::now() >= deadline || self.contact.get().is_hopeless(Instant::now()) {
+            if firshore_clock::now().into_std() >= deadline
+                || self
+                    .contact
+                    .get()
+                    .is_hopeless(firshore_clock::now().into_std())
+            {
                 return Err(unavailable(request.changes() && unknown));
             }
             let Some(target) = hint.take().or_else(|| round.pop()) else {
@@ -264,7 +269,7 @@
 
     /// Whether no node of the journal answers any more.
     pub fn is_cut_off(&self) -> bool {
-        let lost = self.contact.get().is_lost(Instant::now());
+        let lost = self.contact.get().is_lost(firshore_clock::now().into_std());
         if lost != self.was_lost.replace(lost) {
             match lost {
                 true => warn!(self.log, "journal: Contact lost."; "node" => %self.node),
@@ -282,7 +287,7 @@
 
     /// Asks one node, and takes in whether it answers at all.
     async fn try_one(&self, target: &NodeName, request: PeerRequest, wait: Duration) -> Tried {
-        let now = Instant::now();
+        let now = firshore_clock::now().into_std();
         self.note(|contact| contact.asked(now, now + wait));
         let tried = self.call(target, request, wait).await;
         if !matches!(tried, Tried::NotSent | Tried::Unanswered) {
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -112,7 +112,7 @@
     /// Takes in what a node told, and answers with what all others have under way. `term` is the one in
     /// which this node leads.
     fn exchange(&self, term: u64, node: NodeName, told: ToldLoad) -> PeerResponse {
-        let now = Instant::now().into_std();
+        let now = firshore_clock::now().into_std();
         let news = told
             .uses
             .map(|uses| self.take_in_uses(now, term, &node, &uses));
@@ -172,7 +172,7 @@
             return self.loads.exchange(status.term, node, told);
         }
         let leader = self.jobs.leader().or_else(|| status.leader.clone());
-        let now = std::time::Instant::now();
+        let now = firshore_clock::now().into_std();
         let relayed = match sums {
             true => None,
             false => self.load_relay.exchange(now, node, told),
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -103,7 +103,7 @@
 
     /// Tells what is under way and what tenants have asked, and takes in what these may still ask.
     async fn tell(&self, counts: Vec<BackendCount>, urgent: bool) -> Option<OthersLoad> {
-        let asked_at = Instant::now();
+        let asked_at = firshore_clock::now().into_std();
         let told = ToldLoad {
             counts,
             urgent,
--- a/crates/firshore-node/src/relay/asker.rs
+++ b/crates/firshore-node/src/relay/asker.rs
@@ -59,7 +59,7 @@
 /// What a relay answered.
 pub struct RelayAnswer {
     relay: NodeName,
-    /// When it was asked.
+    /// When it was asked, by the clock of ages.
     asked_at: Instant,
     /// What it said.
     pub response: PeerResponse,
@@ -125,7 +125,7 @@
             let Some(address) = self.registry.address(&relay) else {
                 continue;
             };
-            let asked_at = Instant::now();
+            let asked_at = firshore_clock::now();
             let call = self.peers.call(address, request.clone());
             let useless = match timeout(limit, call).await {
                 Ok(Ok(PeerResponse::NoContact)) => Useless::OutOfContact,
@@ -199,7 +199,7 @@
         // A relay that stays as it is is named once.
         if before.is_none_or(|before| before.reason != reason) {
             info!(self.log, "relay: Passed over."; "relay" => %relay, "kind" => kind,
-                "asked_ms" => asked_at.elapsed().as_millis() as u64,
+                "asked_ms" => firshore_clock::elapsed(asked_at).as_millis() as u64,
                 "out_of_contact" => reason == Useless::OutOfContact, "reason" => ?reason,
                 "pause_ms" => pause.as_millis() as u64);
         }
--- a/crates/firshore-node/src/relay/loads.rs
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -157,7 +157,7 @@
     pub async fn run(self: Rc<Self>, journal: Rc<JournalClient>, leads: impl Fn() -> bool) {
         let mut urgent = false;
         loop {
-            let asked_at = Instant::now();
+            let asked_at = firshore_clock::now().into_std();
             let sums = match leads() {
                 true => None,
                 false => self.sums_to_tell(asked_at, urgent),
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -82,7 +82,7 @@
 
 impl ServedKind {
     fn new(budget: FreshnessBudget) -> Self {
-        let now = Instant::now();
+        let now = firshore_clock::now();
         Self {
             budget,
             cache: RefCell::default(),
@@ -125,7 +125,7 @@
         let watches = failures == 0 && observation.revision().is_some();
         self.watches.set(watches);
         if watches {
-            let now = Instant::now();
+            let now = firshore_clock::now();
             self.connected.set(true);
             self.heard_at.set(as_of);
             self.answered_at.set(now);
@@ -138,7 +138,8 @@
     /// Whether what is known here may be told as current: a relay whose process did not run for a while
     /// finds out about the store only later.
     fn is_current(&self) -> bool {
-        self.connected.get() && self.heard_at.get().elapsed() < self.budget.relay_age()
+        self.connected.get()
+            && firshore_clock::elapsed(self.heard_at.get()) < self.budget.relay_age()
     }
 
     fn is_behind(&self, revision: Revision) -> bool {
@@ -172,7 +173,7 @@
             true => self.budget.renewal_interval(),
             false => self.budget.watch_trust(),
         };
-        match self.answered_at.get().elapsed() < trust {
+        match firshore_clock::elapsed(self.answered_at.get()) < trust {
             true => self.heard_at.set(asked_at.max(self.heard_at.get())),
             false => self.renew(),
         }
@@ -180,7 +181,7 @@
 
     /// Asks the store anew, where somebody knows more of it than this node.
     fn renew(&self) {
-        let now = Instant::now();
+        let now = firshore_clock::now();
         let recent = |at: Instant| now.duration_since(at) < self.budget.renewal_interval();
         if self.renewed_at.get().is_some_and(recent) {
             return;
@@ -196,11 +197,11 @@
         news: bool,
         try_answer: impl Fn(&KindCache) -> Result<Option<PeerResponse>, CacheMiss>,
     ) -> PeerResponse {
-        let asked_at = Instant::now();
+        let asked_at = firshore_clock::now();
         let mut answer = self.find_answer(wait, news, try_answer).await;
         let contact = RelayContact {
-            held: asked_at.elapsed().as_millis() as u64,
-            age: self.heard_at.get().elapsed().as_millis() as u64,
+            held: firshore_clock::elapsed(asked_at).as_millis() as u64,
+            age: firshore_clock::elapsed(self.heard_at.get()).as_millis() as u64,
             crashes: None,
         };
         if let Some(told) = answer.contact_mut() {
@@ -284,7 +285,7 @@
         let one = served
             .entry(relayed.name.clone())
             .or_insert_with(|| self.follow(relayed));
-        one.asked_at.set(Instant::now());
+        one.asked_at.set(firshore_clock::now());
         Some(one.clone())
     }
 
@@ -366,7 +367,7 @@
             if self.served.borrow().is_empty() {
                 continue;
             }
-            let asked_at = Instant::now();
+            let asked_at = firshore_clock::now();
             let answer = timeout(limit, self.store.reach()).await;
             let revision = answer.ok().and_then(Result::ok);
             let reaches = revision.is_some();
@@ -386,7 +387,7 @@
 
     fn tidy(&self) {
         self.served.borrow_mut().retain(|kind, served| {
-            let asked = served.asked_at.get().elapsed() < IDLE_TIMEOUT;
+            let asked = firshore_clock::elapsed(served.asked_at.get()) < IDLE_TIMEOUT;
             if !asked {
                 info!(self.log, "relay: Kind not followed any more."; "kind" => kind);
             }
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -86,7 +86,7 @@
         budget: FreshnessBudget,
         belief: Rc<Belief>,
     ) -> Rc<Self> {
-        let turn = StoreTurn::new(budget, Instant::now(), rand::random());
+        let turn = StoreTurn::new(budget, firshore_clock::now(), rand::random());
         Rc::new(Self {
             asker,
             direct,
@@ -125,7 +125,7 @@
                 _ => return answer,
             };
             let knows_nothing = self.belief.as_of().is_none();
-            if knows_nothing || Instant::now() < self.turn.borrow().due(Some(as_of), false) {
+            if knows_nothing || firshore_clock::now() < self.turn.borrow().due(Some(as_of), false) {
                 return answer;
             }
             actix_rt::time::sleep(self.budget.round_pause()).await;
@@ -150,20 +150,20 @@
         question: impl Fn() -> Answer<'a, T>,
     ) -> StoreAnswer<T> {
         loop {
-            actix_rt::time::sleep_until(self.store_due()).await;
+            actix_rt::time::sleep_until(firshore_clock::as_timer(self.store_due())).await;
             self.note_direct(kind);
             if !self.reaches_store().await {
-                self.turn.borrow_mut().failed(Instant::now());
+                self.turn.borrow_mut().failed(firshore_clock::now());
                 continue;
             }
-            let asked_at = Instant::now();
+            let asked_at = firshore_clock::now();
             let limit = self.turn.borrow().timeout();
             let answer = timeout(limit, question()).await;
             if let Ok(Ok(told)) = answer {
                 self.turn.borrow_mut().answered(rand::random());
                 return StoreAnswer { asked_at, told };
             }
-            self.turn.borrow_mut().failed(Instant::now());
+            self.turn.borrow_mut().failed(firshore_clock::now());
         }
     }
 
@@ -272,7 +272,8 @@
                 wait: wait.as_millis() as u64,
             };
             let asking = self.ask_relays(kind, request, wait);
-            let Ok(answer) = timeout_at(self.store_due(), asking).await else {
+            let Ok(answer) = timeout_at(firshore_clock::as_timer(self.store_due()), asking).await
+            else {
                 return Err(ObjectError::HistoryGone);
             };
             let relayed = match &answer.response {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -250,7 +250,7 @@
     fn give_way(&self) {
         let now = Instant::now();
         let mut table = self.loads.table.borrow_mut();
-        table.forget_old(now);
+        table.forget_old(firshore_clock::now().into_std());
         let online = table.sums();
         let mut fleet = self.gateway.fleet.borrow_mut();
         fleet.learned_others(now, online);
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -44,7 +44,7 @@
         renewal,
     } = watcher;
     let mut observation = Observation::new(terms);
-    let mut as_of = Instant::now();
+    let mut as_of = firshore_clock::now();
     loop {
         let pause = observation.pause();
         if !pause.is_zero() {
@@ -56,7 +56,7 @@
         let learned = match observation.question() {
             Question::List(after) => {
                 if after.is_none() {
-                    as_of = Instant::now();
+                    as_of = firshore_clock::now();
                 }
                 let page = store.list(&kind, after.as_deref()).await;
                 note(&log, &kind, connected, page.as_ref().err());
@@ -78,7 +78,7 @@
                     }
                 };
                 note(&log, &kind, connected, changes.as_ref().err());
-                as_of = Instant::now();
+                as_of = firshore_clock::now();
                 observation.watched(changes)
             }
         };
