Ends after a verdict do not lift it; ends within 200 ms are one occasion; judging counts by position

Cause: ends of other back ends within 15 s after the last one under a request raised doubt, and so lifted verdicts.

--- a/crates/firshore-crashes/src/verdict.rs
+++ b/crates/firshore-crashes/src/verdict.rs
@@ -7,7 +7,7 @@
 use crate::print::RequestPrint;
 use crate::table::{EndedBackend, Verdict};
 use firshore_adapter::backend::Incarnation;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 /// Back ends that must have ended under a request, and occasions on which some did.
@@ -19,9 +19,10 @@
 
 /// Ends within this time are one occasion: several back ends may lose their power at the same moment, and
 /// many copies of a popular request with it.
-const OCCASION: Duration = Duration::from_millis(500);
+const OCCASION: Duration = Duration::from_millis(200);
 
-/// Time before the first and after the last end under a request within which ends without it raise doubt.
+/// Time before the first end under a request from which on ends without it raise doubt, up to the last one. What
+/// ends later says nothing of it: a verdict that it lifted cost four back ends more.
 const DOUBT_SPAN: Duration = Duration::from_secs(15);
 
 /// Bytes of an answer by which a run is further than another one, so that the other's end did not come of
@@ -34,12 +35,22 @@
     pub(crate) verdicts: BTreeMap<RequestPrint, Verdict>,
 }
 
-/// An end of a back end under a request.
-#[derive(Clone, Copy)]
-struct EndUnder<'a> {
-    backend: &'a Incarnation,
-    at: Instant,
-    reached: u64,
+/// Back ends that ended, in order of time.
+struct EndList<'a> {
+    backends: Vec<&'a Incarnation>,
+    times: Vec<Instant>,
+    /// Which of them a verdict explains.
+    explained: Vec<bool>,
+    /// How many before each position no verdict explains.
+    open_before: Vec<usize>,
+}
+
+/// Ends of back ends under one request, as positions in the list.
+struct EndsUnder {
+    /// All of them.
+    all: Vec<usize>,
+    /// Those beyond which no other run got.
+    furthest: Vec<usize>,
 }
 
 /// Judges all requests that were lost at back ends that ended. Those that have run to a good end are not
@@ -48,103 +59,136 @@
     ends: &HashMap<Incarnation, EndedBackend>,
     completed: impl Fn(&RequestPrint) -> bool,
 ) -> Judgement {
-    let mut under = ends_by_request(ends, completed);
-    for ends in under.values_mut() {
-        keep_furthest(ends);
-    }
-    let suspects = under.iter().map(|(print, ends)| (*print, ends.len()));
+    let mut sorted: Vec<(&Incarnation, &EndedBackend)> = ends.iter().collect();
+    sorted.sort_by_key(|(backend, end)| (end.at, *backend));
+    let mut list = EndList::new(&sorted);
+    let mut under = ends_by_request(&sorted, completed);
+    let suspects = under
+        .iter()
+        .map(|(print, ends)| (*print, ends.furthest.len()));
     let suspects = suspects.collect();
     let mut verdicts = BTreeMap::new();
-    let mut explained: BTreeSet<&Incarnation> = BTreeSet::new();
     // Each verdict explains ends, which then say nothing of the other requests that were lost there.
-    while let Some((print, found)) = most_suspect(&under, ends, &explained) {
-        explained.extend(found.iter().map(|end| end.backend));
-        let last_end = found.iter().map(|end| end.at).max();
-        let last_end = last_end.expect("a verdict rests on ends");
-        let backends = found.iter().map(|end| end.backend.clone()).collect();
-        verdicts.insert(print, Verdict { backends, last_end });
+    while let Some((print, found)) = most_suspect(&under, &list) {
+        list.explain(&found);
+        verdicts.insert(print, list.verdict(&found));
         under.remove(&print);
     }
     Judgement { suspects, verdicts }
 }
 
 fn ends_by_request(
-    ends: &HashMap<Incarnation, EndedBackend>,
+    sorted: &[(&Incarnation, &EndedBackend)],
     completed: impl Fn(&RequestPrint) -> bool,
-) -> BTreeMap<RequestPrint, Vec<EndUnder<'_>>> {
-    let mut under: BTreeMap<RequestPrint, Vec<EndUnder<'_>>> = BTreeMap::new();
-    for (backend, end) in ends {
-        for (print, reached) in &end.lost {
+) -> BTreeMap<RequestPrint, EndsUnder> {
+    let mut reached: BTreeMap<RequestPrint, Vec<(usize, u64)>> = BTreeMap::new();
+    for (idx, (_, end)) in sorted.iter().enumerate() {
+        for (print, bytes) in &end.lost {
             if !completed(print) {
-                under.entry(*print).or_default().push(EndUnder {
-                    backend,
-                    at: end.at,
-                    reached: *reached,
-                });
+                reached.entry(*print).or_default().push((idx, *bytes));
             }
         }
     }
-    for ends in under.values_mut() {
-        ends.sort_by_key(|end| (end.at, end.backend));
-    }
+    let under = reached.into_iter();
     under
+        .map(|(print, runs)| (print, EndsUnder::new(&runs)))
+        .collect()
 }
 
-/// Drops the ends beyond which another run of the same request got.
-fn keep_furthest(ends: &mut Vec<EndUnder<'_>>) {
-    let furthest = ends.iter().map(|end| end.reached).max().unwrap_or(0);
-    ends.retain(|end| end.reached + FURTHER >= furthest);
+impl EndsUnder {
+    /// Drops the ends beyond which another run of the same request got, given each with the bytes that it
+    /// had reached.
+    fn new(runs: &[(usize, u64)]) -> Self {
+        let most = runs.iter().map(|(_, bytes)| *bytes).max().unwrap_or(0);
+        let furthest = runs.iter().filter(|(_, bytes)| bytes + FURTHER >= most);
+        Self {
+            all: runs.iter().map(|(idx, _)| *idx).collect(),
+            furthest: furthest.map(|(idx, _)| *idx).collect(),
+        }
+    }
 }
 
 /// The request that is to be condemned next, with the ends that no other verdict explains.
-fn most_suspect<'a>(
-    under: &BTreeMap<RequestPrint, Vec<EndUnder<'a>>>,
-    ends: &HashMap<Incarnation, EndedBackend>,
-    explained: &BTreeSet<&'a Incarnation>,
-) -> Option<(RequestPrint, Vec<EndUnder<'a>>)> {
-    let mut most: Option<(RequestPrint, Vec<EndUnder<'a>>)> = None;
-    for (print, all) in under {
-        let open = all.iter().filter(|end| !explained.contains(end.backend));
-        let open: Vec<EndUnder<'a>> = open.copied().collect();
+fn most_suspect(
+    under: &BTreeMap<RequestPrint, EndsUnder>,
+    list: &EndList<'_>,
+) -> Option<(RequestPrint, Vec<usize>)> {
+    let mut most: Option<(RequestPrint, Vec<usize>)> = None;
+    for (print, ends) in under.iter().filter(|(_, ends)| ends.furthest.len() >= ENDS) {
+        let open = ends.furthest.iter().filter(|idx| !list.explained[**idx]);
+        let open: Vec<usize> = open.copied().collect();
         let known = most.as_ref().map_or(0, |(_, found)| found.len());
-        if open.len() > known && is_enough(print, &open, ends, explained) {
+        if open.len() > known && list.is_enough(&open, &ends.all) {
             most = Some((*print, open));
         }
     }
     most
 }
 
-fn is_enough(
-    print: &RequestPrint,
-    open: &[EndUnder<'_>],
-    ends: &HashMap<Incarnation, EndedBackend>,
-    explained: &BTreeSet<&Incarnation>,
-) -> bool {
-    if open.len() < ENDS || occasions(open) < ENDS {
-        return false;
+impl<'a> EndList<'a> {
+    fn new(sorted: &[(&'a Incarnation, &'a EndedBackend)]) -> Self {
+        let mut list = Self {
+            backends: sorted.iter().map(|(backend, _)| *backend).collect(),
+            times: sorted.iter().map(|(_, end)| end.at).collect(),
+            explained: vec![false; sorted.len()],
+            open_before: Vec::new(),
+        };
+        list.count_open();
+        list
+    }
+
+    fn count_open(&mut self) {
+        self.open_before = vec![0];
+        let mut open = 0;
+        for is_explained in &self.explained {
+            open += usize::from(!is_explained);
+            self.open_before.push(open);
+        }
+    }
+
+    fn explain(&mut self, ends: &[usize]) {
+        ends.iter().for_each(|idx| self.explained[*idx] = true);
+        self.count_open();
+    }
+
+    fn verdict(&self, ends: &[usize]) -> Verdict {
+        let backends = ends.iter().map(|idx| self.backends[*idx].clone());
+        Verdict {
+            backends: backends.collect(),
+            last_end: self.times[ends[ends.len() - 1]],
+        }
     }
-    let (first, last) = (open[0].at, open[open.len() - 1].at);
-    let is_near = |at: Instant| {
-        first.saturating_duration_since(at) <= DOUBT_SPAN
-            && at.saturating_duration_since(last) <= DOUBT_SPAN
-    };
-    let without = ends.iter().filter(|(backend, end)| {
-        is_near(end.at) && !explained.contains(backend) && !end.lost.contains_key(print)
-    });
-    let is_doubtful = without.count() > open.len();
-    !is_doubtful || open.len() >= ENDS_IN_DOUBT
-}
 
-/// Counts occasions in ends that are in order of time.
-fn occasions(ends: &[EndUnder<'_>]) -> usize {
-    let mut count = 0;
-    let mut begun: Option<Instant> = None;
-    for end in ends {
-        let is_same = begun.is_some_and(|begun| end.at.duration_since(begun) < OCCASION);
-        if !is_same {
-            begun = Some(end.at);
-            count += 1;
+    /// Whether the ends in `open` say enough of a request under which back ends ended at all of `all`.
+    fn is_enough(&self, open: &[usize], all: &[usize]) -> bool {
+        if open.len() < ENDS || self.occasions(open) < ENDS {
+            return false;
+        }
+        open.len() >= ENDS_IN_DOUBT || self.without(open, all) <= open.len()
+    }
+
+    /// Counts ends that no verdict explains, at which the request was not lost, up to the last one under it.
+    fn without(&self, open: &[usize], all: &[usize]) -> usize {
+        let (first, last) = (self.times[open[0]], self.times[open[open.len() - 1]]);
+        let is_old = |at: &Instant| first.saturating_duration_since(*at) > DOUBT_SPAN;
+        let from = self.times.partition_point(is_old);
+        let to = self.times.partition_point(|at| *at <= last);
+        let under = all.iter().filter(|idx| (from..to).contains(idx));
+        let under = under.filter(|idx| !self.explained[**idx]).count();
+        self.open_before[to] - self.open_before[from] - under
+    }
+
+    /// Counts occasions on which back ends ended.
+    fn occasions(&self, ends: &[usize]) -> usize {
+        let mut count = 0;
+        let mut begun: Option<Instant> = None;
+        for at in ends.iter().map(|idx| self.times[*idx]) {
+            let is_same = begun.is_some_and(|begun| at.duration_since(begun) < OCCASION);
+            if !is_same {
+                begun = Some(at);
+                count += 1;
+            }
         }
+        count
     }
-    count
 }
