--- a/crates/firshore-crashes/src/sync.rs
+++ b/crates/firshore-crashes/src/sync.rs
@@ -1,7 +1,7 @@
 //! Brings two tables to the same state: each tells the other what it has not told it yet.
 
 use crate::report::{CrashReport, TableCursor};
-use crate::table::{CrashTable, VerdictChange};
+use crate::table::{CrashTable, TableChange};
 use firshore_types::ids::NodeName;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -47,7 +47,7 @@
     table: &mut CrashTable,
     now: Instant,
     question: &CrashQuestion,
-) -> (CrashAnswer, Vec<VerdictChange>) {
+) -> (CrashAnswer, Vec<TableChange>) {
     let changes = table.merge(now, &question.report);
     let cursor = table.cursor();
     let known = question.known.filter(|known| known.epoch == cursor.epoch);
@@ -103,7 +103,7 @@
         told: u64,
         answer: &CrashAnswer,
         table: &mut CrashTable,
-    ) -> Vec<VerdictChange> {
+    ) -> Vec<TableChange> {
         let before = self.progress(peer);
         let is_same = before
             .known
--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -47,13 +47,15 @@
     pub last_end: Instant,
 }
 
-/// A verdict that has come or gone.
+/// What a table has learned.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum VerdictChange {
+pub enum TableChange {
     /// The request is held back from now on.
     Condemned(RequestPrint, Verdict),
     /// It is not held back any more.
     Lifted(RequestPrint),
+    /// Another node saw that a back end has ended.
+    BackendEnded(Incarnation),
 }
 
 /// Back ends that ended and requests that were lost there, as this node knows from all.
@@ -139,13 +141,13 @@
         now: Instant,
         backend: &Incarnation,
         lost: &[LostRun],
-    ) -> Vec<VerdictChange> {
+    ) -> Vec<TableChange> {
         self.add_end(now, backend, lost);
         self.judge()
     }
 
     /// Takes in that a request has run to a good end. Says something of requests only that are suspected.
-    pub fn completed(&mut self, now: Instant, print: RequestPrint) -> Vec<VerdictChange> {
+    pub fn completed(&mut self, now: Instant, print: RequestPrint) -> Vec<TableChange> {
         if !self.suspects.contains_key(&print) {
             return Vec::new();
         }
@@ -154,27 +156,32 @@
     }
 
     /// Takes in what another node knows.
-    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> Vec<VerdictChange> {
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> Vec<TableChange> {
         let before = self.position;
+        let mut changes = Vec::new();
         for end in &report.ends {
-            let at = past(now, end.age);
-            if end.age < self.remember.as_millis() as u64 {
-                self.add_end(at, &Incarnation(end.backend.clone()), &end.lost);
+            let backend = Incarnation(end.backend.clone());
+            if end.age >= self.remember.as_millis() as u64 {
+                continue;
+            }
+            if !self.ends.contains_key(&backend) {
+                changes.push(TableChange::BackendEnded(backend.clone()));
             }
+            self.add_end(past(now, end.age), &backend, &end.lost);
         }
         for one in &report.completions {
             if one.age < self.remember.as_millis() as u64 {
                 self.add_completion(past(now, one.age), one.print);
             }
         }
-        match self.position > before {
-            true => self.judge(),
-            false => Vec::new(),
+        if self.position > before {
+            changes.extend(self.judge());
         }
+        changes
     }
 
     /// Forgets what is older than it is to be kept. Ends of verdicts go too: then the request is tried again.
-    pub fn forget_old(&mut self, now: Instant) -> Vec<VerdictChange> {
+    pub fn forget_old(&mut self, now: Instant) -> Vec<TableChange> {
         let known = self.ends.len();
         let remember = self.remember;
         let is_kept = |at: Instant| now.saturating_duration_since(at) < remember;
@@ -288,7 +295,7 @@
     }
 
     /// Judges anew from all that is known.
-    fn judge(&mut self) -> Vec<VerdictChange> {
+    fn judge(&mut self) -> Vec<TableChange> {
         let completions = &self.completions;
         let judgement = verdict::judge(&self.ends, |print| completions.contains_key(print));
         self.suspects = judgement.suspects;
@@ -296,11 +303,11 @@
         let lifted = before
             .keys()
             .filter(|print| !self.verdicts.contains_key(print));
-        let mut changes: Vec<VerdictChange> =
-            lifted.map(|print| VerdictChange::Lifted(*print)).collect();
+        let mut changes: Vec<TableChange> =
+            lifted.map(|print| TableChange::Lifted(*print)).collect();
         for (print, verdict) in &self.verdicts {
             if !before.contains_key(print) {
-                changes.push(VerdictChange::Condemned(*print, verdict.clone()));
+                changes.push(TableChange::Condemned(*print, verdict.clone()));
             }
         }
         changes
--- a/crates/firshore-crashes/tests/table.rs
+++ b/crates/firshore-crashes/tests/table.rs
@@ -4,7 +4,7 @@
 use firshore_crashes::print::{AskedRequest, PrintKey, RequestPrint};
 use firshore_crashes::report::{CrashReport, LostRun};
 use firshore_crashes::sync::{self, CrashSync};
-use firshore_crashes::table::{CrashTable, VerdictChange};
+use firshore_crashes::table::{CrashTable, TableChange};
 use firshore_types::ids::{NodeName, TenantName};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -42,7 +42,7 @@
     at: Instant,
     print: RequestPrint,
     names: &[&str],
-) -> Vec<VerdictChange> {
+) -> Vec<TableChange> {
     let mut changes = Vec::new();
     for (idx, name) in names.iter().enumerate() {
         let at = at + Duration::from_secs(idx as u64);
@@ -63,7 +63,7 @@
         print("/a"),
         &["b3"],
     );
-    assert!(matches!(&changes[..], [VerdictChange::Condemned(one, _)] if *one == print("/a")));
+    assert!(matches!(&changes[..], [TableChange::Condemned(one, _)] if *one == print("/a")));
     let verdict = table.verdict(&print("/a")).unwrap();
     let names: Vec<&str> = verdict.backends.iter().map(|one| one.0.as_str()).collect();
     assert_eq!(names, ["b1", "b2", "b3"]);
@@ -113,7 +113,7 @@
     end_under(&mut table, now, print("/a"), &["b1", "b2", "b3"]);
     assert!(table.has_verdicts());
     let changes = table.completed(now, print("/a"));
-    assert_eq!(changes, [VerdictChange::Lifted(print("/a"))]);
+    assert_eq!(changes, [TableChange::Lifted(print("/a"))]);
 }
 
 #[test]
@@ -192,7 +192,7 @@
             .is_empty()
     );
     let changes = table.forget_old(now + REMEMBER + Duration::from_secs(3));
-    assert_eq!(changes, [VerdictChange::Lifted(print("/a"))]);
+    assert_eq!(changes, [TableChange::Lifted(print("/a"))]);
     assert!(table.is_empty());
 }
 
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -5,7 +5,7 @@
 use firshore_crashes::print::RequestPrint;
 use firshore_crashes::report::{LostRun, TableCursor};
 use firshore_crashes::sync::{self, CrashAnswer, CrashQuestion, CrashSync};
-use firshore_crashes::table::{CrashTable, VerdictChange};
+use firshore_crashes::table::{CrashTable, TableChange};
 use firshore_exchange::exchange;
 use firshore_metrics::Counter;
 use firshore_types::ids::NodeName;
@@ -247,18 +247,28 @@
         self.learned(&changes);
     }
 
-    fn learned(&self, changes: &[VerdictChange]) {
+    fn pass_over(&self, backend: &Incarnation) {
+        let now = std::time::Instant::now();
+        self.fleet.borrow_mut().has_ended(now, backend);
+    }
+
+    fn learned(&self, changes: &[TableChange]) {
         let now = firshore_clock::now().into_std();
         for change in changes {
             match change {
-                VerdictChange::Condemned(print, verdict) => {
+                TableChange::Condemned(print, verdict) => {
                     let backends: Vec<&str> =
                         verdict.backends.iter().map(|one| one.0.as_str()).collect();
                     warn!(self.log, "crash: Request held back."; "print" => %print,
                         "backends" => backends.join(" "),
                         "last_end_age_ms" => now.saturating_duration_since(verdict.last_end).as_millis() as u64);
                 }
-                VerdictChange::Lifted(print) => {
+                // Without this, every node sent requests to a back end that had ended until it had failed there
+                // itself; its entry stays for some seconds.
+                TableChange::BackendEnded(backend) => {
+                    self.pass_over(backend);
+                }
+                TableChange::Lifted(print) => {
                     info!(self.log, "crash: Request not held back any more."; "print" => %print);
                 }
             }
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -343,6 +343,14 @@
         }
     }
 
+    /// A back end has ended, as this node or another one saw: it is passed over for about as long as its entry
+    /// stays.
+    pub fn has_ended(&mut self, now: Instant, incarnation: &Incarnation) {
+        if let Some(state) = self.states.get_mut(incarnation) {
+            state.ejected_until = Some(now + LONGEST_EJECTION);
+        }
+    }
+
     /// Takes in how a back end handled a request. Returns whether it is ejected by that.
     pub fn observed(&mut self, now: Instant, incarnation: &Incarnation, seen: Impression) -> bool {
         let Some(state) = self.states.get_mut(incarnation) else {
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -4,12 +4,15 @@
 mod cluster;
 
 use firshore_adapter::jobs::{ItemOutcome, JobId};
+use firshore_crashes::print::AskedRequest;
+use firshore_crashes::report::{CrashReport, LostRun, ReportedEnd};
+use firshore_crashes::sync::CrashQuestion;
 use firshore_gateway::gateway::JobService;
 use firshore_node::journal::GROUP;
 use firshore_node::journal::messages::PeerRequest;
 use firshore_replication::message::{Envelope, Message};
 use firshore_replication::types::DiskId;
-use firshore_stand_in::adapter::{BACKENDS, KEY, RETIREMENTS, TENANT};
+use firshore_stand_in::adapter::{BACKENDS, HOST, KEY, RETIREMENTS, TENANT};
 use firshore_stand_in::backend::{Play, ScriptedBackend};
 use firshore_stand_in::store::Fault;
 use firshore_types::ids::TenantName;
@@ -415,3 +418,46 @@
         assert!(probes <= 9, "{probes} looks");
     });
 }
+
+#[test]
+fn an_item_under_which_back_ends_ended_elsewhere_is_not_sent() {
+    run(async {
+        let cluster = Cluster::start().await;
+        cluster.configure();
+        let backend = ScriptedBackend::start("b", &[], Play::Events).await;
+        cluster.put_backend(&backend, false);
+        // Other nodes saw three back ends end under the first item, as a part of whatever job.
+        let fatal = &items(1)[0];
+        for node in cluster.nodes.iter().flatten() {
+            let print = node.gateway.print_key.print(&AskedRequest {
+                tenant: None,
+                host: HOST,
+                method: "POST",
+                target: &fatal.path,
+                body: &fatal.body.0,
+            });
+            let end = |idx: u64| ReportedEnd {
+                backend: format!("gone{idx}"),
+                age: 1_000 * idx,
+                lost: vec![LostRun { print, reached: 0 }],
+            };
+            let ends = (1..=3).map(end).collect();
+            node.gateway.crashes.answer(&CrashQuestion {
+                known: None,
+                report: CrashReport {
+                    ends,
+                    ..CrashReport::default()
+                },
+            });
+            assert!(node.gateway.crashes.holds_any_back());
+        }
+        for job in ["one", "other"] {
+            cluster.submit(job, 3).await;
+            let results = cluster.results(job, 2).await;
+            let done: Vec<&str> = results.iter().map(|(item, _)| item.as_str()).collect();
+            assert_eq!(done.len(), 2, "{results:?}");
+            assert!(!done.contains(&"i0"), "{results:?}");
+        }
+        assert!(backend.seen().iter().all(|seen| seen.path != fatal.path));
+    });
+}
