A try is cut short by occasions, not by ends: what was lost twice at the same moment is sent again; fewer listings

A request lost at two back ends that ended at the same moment is most likely innocent and keeps its retry. Nodes without disks list the nodes only where they know no relay. The test of two ends in one try gives way to one of two occasions, as strict: one more back end in that try.

--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -47,6 +47,15 @@
     pub last_end: Instant,
 }
 
+/// What is known against a request that was lost at back ends that ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Back ends, less those beyond which another run of it got.
+    pub ends: usize,
+    /// Occasions on which they ended: several at the same moment are one.
+    pub occasions: usize,
+}
+
 /// What a table has learned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TableChange {
@@ -67,8 +76,8 @@
     position: u64,
     ends: HashMap<Incarnation, EndedBackend>,
     completions: HashMap<RequestPrint, Completion>,
-    /// Requests that were lost at any of these back ends, and at how many without a good end since.
-    suspects: BTreeMap<RequestPrint, usize>,
+    /// Requests that were lost at any of these back ends, without a good end since.
+    suspects: BTreeMap<RequestPrint, Suspicion>,
     verdicts: BTreeMap<RequestPrint, Verdict>,
 }
 
@@ -114,9 +123,9 @@
         self.verdicts.get(print)
     }
 
-    /// Returns at how many back ends that ended a request was lost, if nothing has cleared it.
-    pub fn ends_under(&self, print: &RequestPrint) -> usize {
-        self.suspects.get(print).copied().unwrap_or(0)
+    /// Returns what is known against a request, if nothing has cleared it.
+    pub fn suspicion(&self, print: &RequestPrint) -> Suspicion {
+        self.suspects.get(print).copied().unwrap_or_default()
     }
 
     /// Returns the number of requests that were lost at a back end that ended, and not cleared since.
--- a/crates/firshore-crashes/src/verdict.rs
+++ b/crates/firshore-crashes/src/verdict.rs
@@ -5,7 +5,7 @@
 //! that no run of it got further than those before, and that back ends do not end as often without it.
 
 use crate::print::RequestPrint;
-use crate::table::{EndedBackend, Verdict};
+use crate::table::{EndedBackend, Suspicion, Verdict};
 use firshore_adapter::backend::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
 
 /// What comes of judging.
 pub(crate) struct Judgement {
-    pub(crate) suspects: BTreeMap<RequestPrint, usize>,
+    pub(crate) suspects: BTreeMap<RequestPrint, Suspicion>,
     pub(crate) verdicts: BTreeMap<RequestPrint, Verdict>,
 }
 
@@ -63,9 +63,12 @@
     sorted.sort_by_key(|(backend, end)| (end.at, *backend));
     let mut list = EndList::new(&sorted);
     let mut under = ends_by_request(&sorted, completed);
-    let suspects = under
-        .iter()
-        .map(|(print, ends)| (*print, ends.furthest.len()));
+    let suspicion = |ends: &EndsUnder| Suspicion {
+        ends: ends.furthest.len(),
+        occasions: list.occasions(&ends.furthest),
+    };
+    let suspects = under.iter();
+    let suspects = suspects.map(|(print, ends)| (*print, suspicion(ends)));
     let suspects = suspects.collect();
     let mut verdicts = BTreeMap::new();
     // Each verdict explains ends, which then say nothing of the other requests that were lost there.
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -5,7 +5,7 @@
 use firshore_crashes::print::RequestPrint;
 use firshore_crashes::report::{LostRun, TableCursor};
 use firshore_crashes::sync::{self, CrashAnswer, CrashQuestion, CrashSync};
-use firshore_crashes::table::{CrashTable, TableChange};
+use firshore_crashes::table::{CrashTable, Suspicion, TableChange};
 use firshore_exchange::exchange;
 use firshore_metrics::Counter;
 use firshore_types::ids::NodeName;
@@ -168,9 +168,10 @@
             .ended(now, &backend.incarnation, runs);
         self.learned(&changes);
         for run in runs {
-            let ends = self.table.borrow().ends_under(&run.print);
+            let Suspicion { ends, occasions } = self.suspicion(&run.print);
             info!(self.log, "crash: Request suspected."; "print" => %run.print,
-                "backend" => %backend.incarnation, "reached_bytes" => run.reached, "ends" => ends);
+                "backend" => %backend.incarnation, "reached_bytes" => run.reached, "ends" => ends,
+                "occasions" => occasions);
         }
         self.news.notify_one();
     }
@@ -201,14 +202,14 @@
         Some(table.time_left(now, verdict))
     }
 
-    /// Returns at how many back ends that ended a request was lost.
-    pub fn ends_under(&self, print: &RequestPrint) -> usize {
-        self.table.borrow().ends_under(print)
+    /// Returns what is known against a request.
+    pub fn suspicion(&self, print: &RequestPrint) -> Suspicion {
+        self.table.borrow().suspicion(print)
     }
 
     /// A request has run to a good end.
     pub fn completed(&self, print: RequestPrint) {
-        if self.ends_under(&print) == 0 {
+        if self.suspicion(&print).ends == 0 {
             return;
         }
         let now = firshore_clock::now().into_std();
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -35,8 +35,8 @@
 /// Time left under which a request is not sent any more.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 
-/// Back ends that may have ended under a request before a try ends with the next one.
-const ENDS_PER_TRY: usize = 2;
+/// Occasions on which back ends ended under a request from which on a try of it ends with the next one.
+const OCCASIONS_TO_SPARE: usize = 2;
 
 /// What becomes of the caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -197,8 +197,8 @@
         }
     }
 
-    /// A request that has lost its run at two back ends that ended takes no third one along in the same try:
-    /// one that crashes back ends ended up to three of them within 0.3 s.
+    /// A request under which back ends have ended on two occasions takes no other one along in the same try: one
+    /// that crashes them would end as many in each try as its route allows.
     async fn spare_backends(
         &self,
         backend: &Backend,
@@ -211,7 +211,9 @@
         let crashes = &self.gateway.crashes;
         let settled = crashes.settled(&backend.incarnation);
         guarded(connection, self.deadline, settled).await?;
-        match crashes.suspects_any() && crashes.ends_under(&self.print()) >= ENDS_PER_TRY {
+        match crashes.suspects_any()
+            && crashes.suspicion(&self.print()).occasions >= OCCASIONS_TO_SPARE
+        {
             true => Ok(Next::FailMaybeRun),
             false => Ok(next),
         }
--- a/crates/firshore-node/src/crash_exchange.rs
+++ b/crates/firshore-node/src/crash_exchange.rs
@@ -51,7 +51,7 @@
     differs: Notify,
     /// Position of the own table up to which some relay was told.
     told: Cell<u64>,
-    /// Whether the nodes were listed since there was something to tell: others may have started later.
+    /// Whether the nodes were listed since there was something to tell: relays may have started later.
     listed: Cell<bool>,
 }
 
@@ -82,7 +82,6 @@
 
     /// Takes in how far a relay's table is, as an answer of it told.
     pub fn heard(&self, relay: &NodeName, cursor: Option<TableCursor>) {
-        // A node on a calm day does nothing more.
         let table = self.crashes.table();
         if self.sync.borrow().differs(relay, cursor, &table) {
             self.differing.borrow_mut().insert(relay.clone());
@@ -120,6 +119,14 @@
         }
     }
 
+    /// Relays have to know all others, and other nodes some relay. A listing is a call of the store, which not
+    /// every node is to make whenever a back end ends.
+    fn has_to_list(&self) -> bool {
+        let candidates = self.registry.candidates();
+        let has_disk = candidates.iter().any(|one| one.node == self.node);
+        !self.listed.get() && (has_disk || candidates.is_empty())
+    }
+
     fn has_to_tell(&self) -> bool {
         let table = self.crashes.table();
         let fellows = self.fellows();
@@ -133,7 +140,7 @@
 
     /// Asks relays whose tables differ, and tells what was not told yet.
     async fn exchange(&self) {
-        if !self.crashes.table().is_empty() && !self.listed.get() {
+        if !self.crashes.table().is_empty() && self.has_to_list() {
             self.listed.set(self.registry.refresh().await);
         }
         let differing = std::mem::take(&mut *self.differing.borrow_mut());
