--- a/crates/firshore-node/src/crash_exchange.rs
+++ b/crates/firshore-node/src/crash_exchange.rs
@@ -53,6 +53,8 @@
     told: Cell<u64>,
     /// Whether the nodes were listed since there was something to tell: relays may have started later.
     listed: Cell<bool>,
+    /// Whether no relay has answered since the last one did: that is logged once.
+    unheard: Cell<bool>,
 }
 
 impl CrashExchange {
@@ -77,6 +79,7 @@
             differs: Notify::new(),
             told: Cell::new(0),
             listed: Cell::new(false),
+            unheard: Cell::new(false),
         })
     }
 
@@ -168,10 +171,13 @@
         let candidates = self.registry.candidates();
         for relay in ranking::order(&candidates, &self.zone, &self.node) {
             if self.ask(&relay).await {
+                self.unheard.set(false);
                 return;
             }
         }
-        info!(self.log, "crash: No relay was told.");
+        if !self.unheard.replace(true) {
+            info!(self.log, "crash: No relay was told.");
+        }
     }
 
     /// Tells a relay what it was not told, and asks for what it knows, until neither has more. Returns whether
