Upkeep of the group's replicas is a state machine without I/O; behaviour as before

What a node does next for its group (hand over, record voters, change the membership, go on alone, report a node as empty) was spread over asynchronous code, so no simulation could drive it. GroupKeeper::step takes the time and what is known, and returns one typed step; maintenance.rs carries it out. A status is made from a replica at one place, and StoredState takes in batches, so that tests in virtual time use the product's own. No change of logic, but for one log line where wishes cannot be listed.

--- a/crates/firshore-lab/src/simulation/host.rs
+++ b/crates/firshore-lab/src/simulation/host.rs
@@ -30,21 +30,7 @@
 impl Disk {
     /// Makes a batch durable.
     pub fn write(&mut self, batch: &WriteBatch) {
-        let stored = &mut self.stored;
-        if let Some(hard_state) = batch.hard_state {
-            stored.hard_state = hard_state;
-        }
-        if let Some(index) = batch.truncate_from {
-            stored.entries.retain(|entry| entry.index < index);
-        }
-        stored.entries.extend(batch.append.iter().cloned());
-        if let Some(base) = batch.discard_through {
-            stored.entries.retain(|entry| entry.index > base.index);
-            stored.base = base;
-        }
-        if let Some(snapshot) = &batch.snapshot {
-            stored.snapshot = Some(snapshot.clone());
-        }
+        self.stored.take(batch);
     }
 }
 
--- a/crates/firshore-log/src/driver/survey.rs
+++ b/crates/firshore-log/src/driver/survey.rs
@@ -4,7 +4,6 @@
 use crate::disk_space;
 use crate::group::GroupStatus;
 use crate::machine::StateMachine;
-use firshore_replication::storage::Storage;
 use slog::{info, warn};
 use std::sync::Arc;
 
@@ -51,35 +50,11 @@
     }
 
     pub(super) fn publish(&self) {
-        let replica = self.replica.status();
         let limit = self.environment.settings.replace_after.as_millis() as u64;
-        let caught_up = replica
-            .membership
-            .replicas
-            .keys()
-            .copied()
-            .filter(|disk| self.replica.has_caught_up(*disk));
-        let leader = replica
-            .leader
-            .and_then(|disk| replica.membership.replicas.get(&disk))
-            .map(|leader| leader.node.clone());
         let status = GroupStatus {
-            disk: self.storage.disk(),
-            holds_log: !self.replica.is_empty(),
-            leads: replica.leads,
-            leader,
-            term: replica.term,
-            commit: replica.commit,
-            last: replica.last,
-            silent: self.replica.silent(limit).into_iter().collect(),
-            caught_up: caught_up.collect(),
-            membership_committed: replica.membership_committed,
-            membership: replica.membership,
             file_bytes: self.storage.file_bytes(),
-            log_bytes: self.replica.log_bytes(),
-            snapshot_bytes: self.replica.snapshot_bytes(),
             full: self.full,
-            stopped: None,
+            ..GroupStatus::of(&self.replica, limit)
         };
         *self.environment.status.write() = Arc::new(status);
         self.environment.applied.send_replace(self.applied);
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -6,6 +6,7 @@
 use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
+use firshore_replication::replica::Replica;
 use firshore_replication::storage::Storage;
 use firshore_replication::types::{
     DiskId, GroupId, LogIndex, Membership, MembershipChange, Position, Term,
@@ -66,6 +67,31 @@
 }
 
 impl GroupStatus {
+    /// Returns what a replica tells about itself. Others that were silent for `replace_after`
+    /// milliseconds count as silent. What its storage and node know of is to be added.
+    pub fn of(replica: &Replica, replace_after: u64) -> Self {
+        let told = replica.status();
+        let replicas = &told.membership.replicas;
+        let leader = told.leader.and_then(|disk| replicas.get(&disk));
+        let caught_up = replicas.keys().copied();
+        Self {
+            leads: told.leads,
+            leader: leader.map(|leader| leader.node.clone()),
+            term: told.term,
+            commit: told.commit,
+            last: told.last,
+            membership_committed: told.membership_committed,
+            silent: replica.silent(replace_after).into_iter().collect(),
+            caught_up: caught_up
+                .filter(|disk| replica.has_caught_up(*disk))
+                .collect(),
+            log_bytes: replica.log_bytes(),
+            snapshot_bytes: replica.snapshot_bytes(),
+            membership: told.membership,
+            ..Self::new(replica.disk(), !replica.is_empty())
+        }
+    }
+
     fn new(disk: DiskId, holds_log: bool) -> Self {
         Self {
             disk,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod contact;
 pub mod duties;
+pub mod group_keeper;
 pub mod maintenance;
 pub mod messages;
 pub mod passed_over;
@@ -29,6 +30,7 @@
 use firshore_replication::replica::Timing;
 use firshore_replication::types::GroupId;
 use firshore_types::ids::NodeName;
+use group_keeper::KeeperTerms;
 use messages::{PeerRequest, PeerResponse};
 use registry::Registry;
 use service::{Loads, Service};
@@ -74,7 +76,7 @@
 }
 
 fn may_promise(replica: &Replica, least: usize) -> bool {
-    replica.status().membership.voters().count() >= least
+    group_keeper::may_promise(&replica.status().membership, least)
 }
 
 /// What a node with a disk passes on between other nodes.
@@ -99,10 +101,8 @@
     pub progress: Rc<RefCell<ProgressKeeper>>,
     /// Nodes and founders as the store lists them.
     pub registry: Rc<Registry>,
-    /// Replicas that the group is to have.
-    target: usize,
-    /// Replicas without which nothing is promised.
-    least: usize,
+    /// What the group is to be.
+    pub terms: KeeperTerms,
     /// What is held for peers that wait.
     pub ledger: MemoryLedger,
     /// How the node's memory is divided.
@@ -151,7 +151,12 @@
         let loads = Rc::new(Loads::new(settings.tenants.rate_span()));
         let progress = ProgressKeeper::open(&storage.data_folder)?;
         let progress = Rc::new(RefCell::new(progress));
-        let least = settings.cluster.tolerated_disk_losses as usize + 1;
+        let lost_disks = settings.cluster.tolerated_disk_losses;
+        let terms = KeeperTerms {
+            target: placement::voters_for(lost_disks),
+            least: lost_disks as usize + 1,
+            catch_up: settings.cluster.catch_up(),
+        };
         let ledger = MemoryLedger::default();
         let budget = settings.limits.memory_budget();
         let leading = replica.clone();
@@ -162,7 +167,7 @@
             loads: loads.clone(),
             progress: progress.clone(),
             registry: registry.clone(),
-            least,
+            least: terms.least,
             relay: relays.objects,
             load_relay: relays.loads.clone(),
             jobs: relays.jobs.clone(),
@@ -179,8 +184,7 @@
             progress,
             registry,
             peers: peers.clone(),
-            target: placement::voters_for(settings.cluster.tolerated_disk_losses),
-            least,
+            terms,
             ledger,
             budget,
             listening,
@@ -198,7 +202,7 @@
 
     /// Whether what is committed lies on as many disks as promises need.
     pub fn may_promise(&self) -> bool {
-        may_promise(&self.replica, self.least)
+        may_promise(&self.replica, self.terms.least)
     }
 
     /// What the journal takes of the node's memory, without what the runner holds.
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -4,7 +4,6 @@
 use firshore_adapter::Adapter;
 use firshore_adapter::decode::{Retirement, RetirementProgress};
 use firshore_adapter::objects::{Change, Object, Revision};
-use firshore_log::GroupStatus;
 use firshore_types::ids::NodeName;
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
@@ -71,16 +70,19 @@
         self.wishes.borrow().keys().cloned().collect()
     }
 
-    /// Tells the operators how far the emptying is. Called by the leader only: it is done once the
-    /// committed group does not count the node any more.
-    pub async fn report(&self, adapter: &Adapter, status: &GroupStatus, log: &Logger) {
+    /// Tells the operators how far the emptying is. Called by the leader only: it is done once nothing
+    /// needs the node any more.
+    pub async fn report(
+        &self,
+        adapter: &Adapter,
+        log: &Logger,
+        is_emptied: impl Fn(&NodeName) -> bool,
+    ) {
         let wishes = self.wishes.borrow().clone();
         for (node, wish) in wishes.iter().filter(|(_, wish)| !wish.retirement.done) {
-            let mut replicas = status.membership.replicas.values();
-            let holds = replicas.any(|replica| replica.node == *node);
-            let progress = match holds || !status.membership_committed {
-                true => RetirementProgress::Running,
-                false => RetirementProgress::Done,
+            let progress = match is_emptied(node) {
+                true => RetirementProgress::Done,
+                false => RetirementProgress::Running,
             };
             if wish.written == Some(progress) {
                 continue;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -4,6 +4,7 @@
 use crate::environment::{self, FollowedKinds};
 use crate::journal::client::JournalClient;
 use crate::journal::duties::{Duties, MakeAsker};
+use crate::journal::group_keeper::GroupKeeper;
 use crate::journal::maintenance::{self, Upkeep};
 use crate::journal::messages::PeerRequest;
 use crate::journal::registry::{NodeRecord, Registry};
@@ -260,9 +261,7 @@
             disk: journal.replica.status().disk,
         },
         retirements,
-        catch_up: settings.cluster.catch_up(),
-        passed_over: RefCell::default(),
-        leaderless_since: Cell::new(None),
+        keeper: RefCell::new(GroupKeeper::new(journal.terms)),
     };
     actix_rt::spawn(maintenance::run(upkeep));
     let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -11,6 +11,7 @@
 use firshore_metrics::Builder;
 use firshore_node::journal::client::JournalClient;
 use firshore_node::journal::duties::{Duties, MakeAsker};
+use firshore_node::journal::group_keeper::GroupKeeper;
 use firshore_node::journal::maintenance::{self, Upkeep};
 use firshore_node::journal::registry::{KIND, NodeRecord, Registry};
 use firshore_node::journal::retirement::Retirements;
@@ -30,7 +31,7 @@
 use rand::rngs::StdRng;
 use serde_json::json;
 use slog::{Discard, Logger, o};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -188,9 +189,7 @@
             disk: journal.replica.status().disk,
         },
         retirements,
-        catch_up: settings.cluster.catch_up(),
-        passed_over: RefCell::default(),
-        leaderless_since: Cell::new(None),
+        keeper: RefCell::new(GroupKeeper::new(journal.terms)),
     };
     let metrics = RunnerMetrics::new(&mut Builder::default());
     let runner = Runner::new(gateway.clone(), journal.clone(), metrics);
--- a/crates/firshore-replication/src/storage.rs
+++ b/crates/firshore-replication/src/storage.rs
@@ -74,6 +74,25 @@
         }
     }
 
+    /// Takes in a batch as a storage does that keeps all of it or nothing; for storages in memory.
+    /// Referenced commands are not kept.
+    pub fn take(&mut self, batch: &WriteBatch) {
+        if let Some(hard_state) = batch.hard_state {
+            self.hard_state = hard_state;
+        }
+        if let Some(index) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < index);
+        }
+        self.entries.extend(batch.append.iter().cloned());
+        if let Some(base) = batch.discard_through {
+            self.entries.retain(|entry| entry.index > base.index);
+            self.base = base;
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            self.snapshot = Some(snapshot.clone());
+        }
+    }
+
     /// Whether nothing of a group's log was ever stored.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty() && self.snapshot.is_none()
