A listing that cannot be filled says so in the log

A reader of results whose entry is missing at the leader was told to ask again, for good and without a line: one job that cannot be read looked like any other wait. The log now names the job, the first entry missing and how many readers were turned away, once a second at most.

--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -7,6 +7,7 @@
 pub mod group_keeper;
 pub mod maintenance;
 pub mod messages;
+pub mod missing_results;
 pub mod passed_over;
 pub mod registry;
 pub mod retirement;
@@ -32,6 +33,7 @@
 use firshore_types::ids::NodeName;
 use group_keeper::KeeperTerms;
 use messages::{PeerRequest, PeerResponse};
+use missing_results::MissingResults;
 use registry::Registry;
 use service::{Loads, Service};
 use slog::Logger;
@@ -174,6 +176,7 @@
             ledger: ledger.clone(),
             budget,
             crashes: relays.crashes.clone(),
+            missing: Rc::new(MissingResults::new(log.clone())),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -2,6 +2,7 @@
 
 use super::client::JournalClient;
 use super::messages::{PeerRequest, PeerResponse};
+use super::missing_results::MissingResults;
 use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{LoadTable, ToldLoad, as_counts};
@@ -71,6 +72,8 @@
     pub(super) budget: MemoryBudget,
     /// Back ends that ended, as this node knows.
     pub(super) crashes: Rc<CrashMonitor>,
+    /// Told of results that cannot be read.
+    pub(super) missing: Rc<MissingResults>,
     pub(super) log: Logger,
 }
 
@@ -294,12 +297,16 @@
             let refusal = JournalRefusal::NotLeader { leader: None };
             return std::future::ready(PeerResponse::Refused(refusal)).boxed_local();
         }
-        let ledger = self.ledger.clone();
-        let budget = self.budget;
+        let reader = ResultReader {
+            replica: replica.clone(),
+            ledger: self.ledger.clone(),
+            budget: self.budget,
+            missing: self.missing.clone(),
+        };
         match request {
             PeerRequest::Submit { header, items } => self.submit(header, items),
             request => async move {
-                let answered = answer(&replica, &ledger, budget, request).await;
+                let answered = answer(&replica, &reader, request).await;
                 answered.unwrap_or_else(PeerResponse::Refused)
             }
             .boxed_local(),
@@ -309,8 +316,7 @@
 
 async fn answer(
     replica: &Replica,
-    ledger: &MemoryLedger,
-    budget: MemoryBudget,
+    reader: &ResultReader,
     request: PeerRequest,
 ) -> Result<PeerResponse, JournalRefusal> {
     match request {
@@ -318,7 +324,7 @@
         PeerRequest::Results { job, from, wait } => {
             let wait = Duration::from_millis(wait).min(LONGEST_WAIT);
             let listed = listed(replica, &job, from, wait).await?;
-            results(replica, ledger, budget, listed).await
+            reader.results(&job, listed).await
         }
         PeerRequest::Body { job, item } => {
             let state = replica.read().await?;
@@ -367,25 +373,40 @@
 }
 
 /// Reads the texts of results, when there is memory for them.
-async fn results(
-    replica: &Replica,
-    ledger: &MemoryLedger,
+struct ResultReader {
+    replica: Rc<Replica>,
+    ledger: MemoryLedger,
     budget: MemoryBudget,
-    listed: Option<ListedPage>,
-) -> Result<PeerResponse, JournalRefusal> {
-    let Some(listed) = listed else {
-        return Ok(PeerResponse::Results(None));
-    };
-    let bytes = listed.bytes();
-    while !budget.admits_results(ledger.results.held(), bytes) {
-        actix_rt::time::sleep(RESULTS_PAUSE).await;
-    }
-    let _counted = ledger.results.count(bytes);
-    let commands = replica.load(listed.entries()).await;
-    match listed.filled(commands) {
-        Some(page) => Ok(PeerResponse::Results(Some(page))),
-        // Never shown as absent: the reader asks again.
-        None => Err(JournalRefusal::Unsettled),
+    missing: Rc<MissingResults>,
+}
+
+impl ResultReader {
+    async fn results(
+        &self,
+        job: &str,
+        listed: Option<ListedPage>,
+    ) -> Result<PeerResponse, JournalRefusal> {
+        let Some(listed) = listed else {
+            return Ok(PeerResponse::Results(None));
+        };
+        let bytes = listed.bytes();
+        let held = &self.ledger.results;
+        while !self.budget.admits_results(held.held(), bytes) {
+            actix_rt::time::sleep(RESULTS_PAUSE).await;
+        }
+        let _counted = held.count(bytes);
+        let mut lacking = listed.entries();
+        let commands = self.replica.load(lacking.clone()).await;
+        lacking.retain(|index| !commands.contains_key(index));
+        match listed.filled(commands) {
+            Some(page) => Ok(PeerResponse::Results(Some(page))),
+            // Never shown as absent: the reader asks again.
+            None => {
+                let now = firshore_clock::now().into_std();
+                self.missing.note(now, job, &lacking);
+                Err(JournalRefusal::Unsettled)
+            }
+        }
     }
 }
 
