Losses of power at any step of a replica's storage: a new file is not safe; red

The storage runs on a model of a disk that keeps what was synced and keeps, tears or loses what was written later. Two things do not: the name of a new file rests on no sync of its folder, and a file cut short while it is made is refused at every start.

--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -8,7 +8,12 @@
 use crate::types::{
     DiskId, Entry, EntryContent, LogIndex, Payload, Position, Snapshot, SnapshotHeader,
 };
-use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
+use redb::{
+    Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend,
+    TableDefinition,
+};
+use std::fs::File;
+use std::io;
 use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 
@@ -41,10 +46,59 @@
     ///
     /// When the file cannot be opened or is damaged.
     pub fn open(path: &Path, fresh: DiskId, cache_bytes: usize) -> Result<Self, StorageError> {
+        let sync_folder = |folder: &Path| File::open(folder)?.sync_all();
+        Self::open_synced(path, fresh, cache_bytes, sync_folder)
+    }
+
+    /// As [`Self::open`]; `sync_folder` makes the names in a folder last.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be opened or is damaged.
+    pub fn open_synced(
+        path: &Path,
+        fresh: DiskId,
+        cache_bytes: usize,
+        _sync_folder: impl FnOnce(&Path) -> io::Result<()>,
+    ) -> Result<Self, StorageError> {
         let existed = path.exists();
-        let opened = std::panic::catch_unwind(AssertUnwindSafe(|| {
+        Self::opened(path, existed, fresh, || {
             Database::builder().set_cache_size(cache_bytes).create(path)
-        }));
+        })
+    }
+
+    /// Where the file that is to lie at `path` is made.
+    pub fn creation_path(path: &Path) -> PathBuf {
+        path.to_owned()
+    }
+
+    /// As [`Self::open`], on a disk that is given. `path` only names it.
+    ///
+    /// # Errors
+    ///
+    /// When what the disk holds cannot be read or is damaged.
+    pub fn open_on(
+        backend: impl StorageBackend,
+        path: &Path,
+        fresh: DiskId,
+        cache_bytes: usize,
+    ) -> Result<Self, StorageError> {
+        let length = backend.len();
+        let length = length.map_err(|error| translate(path, redb::Error::Io(error)))?;
+        Self::opened(path, length > 0, fresh, || {
+            Database::builder()
+                .set_cache_size(cache_bytes)
+                .create_with_backend(backend)
+        })
+    }
+
+    fn opened(
+        path: &Path,
+        existed: bool,
+        fresh: DiskId,
+        open: impl FnOnce() -> Result<Database, redb::DatabaseError>,
+    ) -> Result<Self, StorageError> {
+        let opened = std::panic::catch_unwind(AssertUnwindSafe(open));
         let database = match opened {
             Ok(Ok(database)) => database,
             Ok(Err(error)) => return Err(translate(path, error.into())),
