--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -59,8 +59,23 @@
         path: &Path,
         fresh: DiskId,
         cache_bytes: usize,
-        _sync_folder: impl FnOnce(&Path) -> io::Result<()>,
+        sync_folder: impl FnOnce(&Path) -> io::Result<()>,
     ) -> Result<Self, StorageError> {
+        let failed = |error| translate(path, redb::Error::Io(error));
+        if !path.exists() {
+            let made_at = Self::creation_path(path);
+            remove_if_there(&made_at).map_err(failed)?;
+            drop(Self::open_file(&made_at, fresh, cache_bytes)?);
+            std::fs::rename(&made_at, path).map_err(failed)?;
+        }
+        // At each start: the process may have ended before it synced the name of a file it had made, and
+        // a name that is not synced may go with the power, with all that was acknowledged in the file.
+        let folder = path.parent().filter(|folder| *folder != Path::new(""));
+        sync_folder(folder.unwrap_or(Path::new("."))).map_err(failed)?;
+        Self::open_file(path, fresh, cache_bytes)
+    }
+
+    fn open_file(path: &Path, fresh: DiskId, cache_bytes: usize) -> Result<Self, StorageError> {
         let existed = path.exists();
         Self::opened(path, existed, fresh, || {
             Database::builder().set_cache_size(cache_bytes).create(path)
@@ -69,7 +84,8 @@
 
     /// Where the file that is to lie at `path` is made.
     pub fn creation_path(path: &Path) -> PathBuf {
-        path.to_owned()
+        // Under its own name a file that was cut short would be refused at every start.
+        path.with_added_extension("new")
     }
 
     /// As [`Self::open`], on a disk that is given. `path` only names it.
@@ -257,6 +273,13 @@
     checksum: u32,
 }
 
+fn remove_if_there(path: &Path) -> io::Result<()> {
+    match std::fs::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
 fn translate(path: &Path, error: redb::Error) -> StorageError {
     match &error {
         redb::Error::Io(cause)
