A learner has caught up once it follows within an election timeout

Cause: a learner counted as caught up at an instant at which it held every committed entry, and had to do so at three instants before it was promoted. Under load its answers come after the commit, so it stayed a learner for 10 to 13 s while the lost voter that it replaces was still counted; two more losses then left two of five voters, and every accepted job was gone. Change: rounds, as in Ongaro 2014, section 4.2.1. The last round, and the open one so far, may take an election timeout. A committed change of the voters lies on a quorum of them, and so does all before it: what is on its way to a learner is not lost by its promotion. Before: a_learner_that_follows_closely_is_promoted_under_load fails. After: it passes.

--- a/crates/firshore-replication/src/progress.rs
+++ b/crates/firshore-replication/src/progress.rs
@@ -27,6 +27,44 @@
     },
 }
 
+/// How closely a follower follows, in rounds: each lasts until the follower holds what was committed
+/// when the round began (Ongaro 2014, section 4.2.1).
+#[derive(Clone, Debug)]
+struct CatchUp {
+    /// Index that the follower has to hold for the round to end.
+    target: LogIndex,
+    /// When the round began, in milliseconds.
+    began_at: u64,
+    /// Time that the last round took, in milliseconds; `None` before the first one ended.
+    last_round: Option<u64>,
+}
+
+impl CatchUp {
+    fn new(target: LogIndex, now: u64) -> Self {
+        Self {
+            target,
+            began_at: now,
+            last_round: None,
+        }
+    }
+
+    /// Takes in what the follower holds, when `commit` is committed.
+    fn held(&mut self, now: u64, matched: LogIndex, commit: LogIndex) {
+        if matched < self.target {
+            return;
+        }
+        self.last_round = Some(now.saturating_sub(self.began_at));
+        self.target = commit;
+        self.began_at = now;
+    }
+
+    /// Whether the last round took at most `limit` milliseconds, and the present one does so far.
+    fn is_close(&self, now: u64, limit: u64) -> bool {
+        let open = now.saturating_sub(self.began_at);
+        self.last_round.is_some_and(|took| took <= limit) && open <= limit
+    }
+}
+
 /// State of one follower.
 #[derive(Clone, Debug)]
 pub struct Progress {
@@ -41,6 +79,7 @@
     /// Latest heartbeat round answered.
     pub round: u64,
     in_flight: VecDeque<LogIndex>,
+    catch_up: CatchUp,
 }
 
 impl Progress {
@@ -53,6 +92,7 @@
             heard_at: now,
             round: 0,
             in_flight: VecDeque::new(),
+            catch_up: CatchUp::new(next.saturating_sub(1), now),
         }
     }
 
@@ -84,9 +124,10 @@
         }
     }
 
-    /// The follower's log equals the leader's up to `index`.
-    pub fn accepted(&mut self, index: LogIndex) {
+    /// The follower's log equals the leader's up to `index`, when `commit` is committed.
+    pub fn accepted(&mut self, now: u64, index: LogIndex, commit: LogIndex) {
         self.matched = self.matched.max(index);
+        self.catch_up.held(now, self.matched, commit);
         while self.in_flight.front().is_some_and(|last| *last <= index) {
             self.in_flight.pop_front();
         }
@@ -119,6 +160,12 @@
         true
     }
 
+    /// Whether the follower holds everything committed but for what is on its way to it: what was
+    /// committed `limit` milliseconds ago took it no longer than that.
+    pub fn follows(&self, now: u64, limit: u64) -> bool {
+        self.state == ProgressState::Replicate && self.catch_up.is_close(now, limit)
+    }
+
     /// Starts sending a snapshot.
     pub fn start_snapshot(&mut self, snapshot: Snapshot, now: u64) {
         self.state = ProgressState::Snapshot {
--- a/crates/firshore-replication/src/replica/leader.rs
+++ b/crates/firshore-replication/src/replica/leader.rs
@@ -187,13 +187,14 @@
     pub(super) fn take_append_answer(&mut self, from: DiskId, result: AppendResult, round: u64) {
         let now = self.now;
         let last = self.log.last().index;
+        let commit = self.commit;
         let Some(progress) = self.progress(from) else {
             return;
         };
         progress.heard_at = now;
         progress.round = progress.round.max(round);
         match result {
-            AppendResult::Matched(index) => progress.accepted(index.min(last)),
+            AppendResult::Matched(index) => progress.accepted(now, index.min(last), commit),
             AppendResult::Rejected { previous, hint } => {
                 progress.rejected(previous, hint);
             }
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -3,7 +3,6 @@
 
 use super::{Replica, Role};
 use crate::error::ReplicaError;
-use crate::progress::ProgressState;
 use crate::storage::HardState;
 use crate::types::{
     DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
@@ -89,14 +88,16 @@
         Ok(membership)
     }
 
-    /// Whether a follower holds everything committed.
+    /// Whether a follower holds everything committed, but for what is on its way to it.
     pub fn has_caught_up(&self, disk: DiskId) -> bool {
         let Role::Leader(leadership) = &self.role else {
             return false;
         };
-        leadership.progress.get(&disk).is_some_and(|progress| {
-            progress.state == ProgressState::Replicate && progress.matched >= self.commit
-        })
+        // Under load something is always on its way: asked for all of it at one instant, a learner
+        // stays one, and a voter whose disk is gone counts in its place.
+        let limit = self.timing.election_timeout;
+        let progress = leadership.progress.get(&disk);
+        progress.is_some_and(|progress| progress.follows(self.now, limit))
     }
 
     /// Replicas that have not answered this leader for `limit` milliseconds.
