--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::group::GroupStatus;
 use crate::machine::{ReplicaSettings, SharedState, StateMachine, Transport};
+use crate::reference_transfer::ReferenceTransfers;
 use crate::refusal::JournalRefusal;
 use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
@@ -21,7 +22,6 @@
 use firshore_types::ids::NodeName;
 use parking_lot::RwLock;
 use rand::RngExt;
-use referenced::Transfer;
 use slog::{Logger, error, info, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
@@ -147,7 +147,7 @@
     /// Nodes that replicas wrote from: an empty replica knows no membership yet.
     senders: BTreeMap<DiskId, NodeName>,
     /// Replicas that get a snapshot, and the commands that it refers to before.
-    transfers: BTreeMap<DiskId, Transfer>,
+    transfers: ReferenceTransfers,
     /// Referenced commands received, to be written with the next batch.
     received: Vec<ReferencedCommand>,
     /// Answers to them, to be sent once they are durable.
@@ -246,7 +246,7 @@
         next_read: 0,
         snapshot: None,
         senders: BTreeMap::new(),
-        transfers: BTreeMap::new(),
+        transfers: ReferenceTransfers::default(),
         received: Vec::new(),
         receipts: Vec::new(),
         survey_due: 0,
--- a/crates/firshore-log/src/driver/referenced.rs
+++ b/crates/firshore-log/src/driver/referenced.rs
@@ -7,6 +7,7 @@
 
 use super::{Driver, LoadAnswer};
 use crate::machine::StateMachine;
+use crate::reference_transfer::TransferStep;
 use firshore_replication::message::{Envelope, Message};
 use firshore_replication::storage::Storage;
 use firshore_replication::types::{DiskId, LogIndex, ReferencedCommand};
@@ -16,20 +17,6 @@
 /// Bytes of commands in one message, about.
 const MESSAGE_BYTES: usize = 256 * 1024;
 
-/// Time in milliseconds after which commands without an answer are sent again.
-const RESEND_AFTER: u64 = 500;
-
-/// What a replica has been sent of the commands that a snapshot refers to.
-#[derive(Debug, Default)]
-pub(super) struct Transfer {
-    /// It holds all up to here.
-    held: LogIndex,
-    /// When the last message was sent that it has not answered, in milliseconds.
-    sent_at: Option<u64>,
-    /// The first part of the snapshot, to be sent once all is held.
-    waiting: Option<Envelope>,
-}
-
 impl<M: StateMachine> Driver<'_, M> {
     /// Takes in a message of another replica.
     pub(super) fn receive(&mut self, envelope: Envelope) {
@@ -62,13 +49,8 @@
 
     fn referenced_held(&mut self, disk: DiskId, through: LogIndex) {
         let leads = self.replica.leads();
-        let Some(transfer) = self.transfers.get_mut(&disk) else {
-            return;
-        };
-        transfer.held = transfer.held.max(through);
-        transfer.sent_at = None;
-        let waiting = transfer.waiting.take().filter(|_| leads);
-        if let Some(first_part) = waiting {
+        let waiting = self.transfers.answered(disk, through);
+        if let Some(first_part) = waiting.filter(|_| leads) {
             self.send_all(vec![first_part]);
         }
     }
@@ -76,33 +58,23 @@
     /// What is to be sent in place of a message: before the first part of a snapshot go the
     /// commands that it refers to. The replica sends the part again until it is answered.
     pub(super) fn referenced_first(&mut self, envelope: Envelope) -> Option<Envelope> {
-        let Message::SnapshotChunk {
-            header, offset: 0, ..
-        } = &envelope.message
-        else {
-            return Some(envelope);
-        };
-        let through = header.position.index;
         let now = self.environment.now();
-        let transfer = self.transfers.entry(envelope.to).or_default();
-        if transfer.sent_at.is_some_and(|at| now < at + RESEND_AFTER) {
-            return None;
-        }
-        let held = transfer.held;
-        let commands = self.lacking(held, through)?;
-        if commands.is_empty() {
-            return Some(envelope);
+        let mut transfers = std::mem::take(&mut self.transfers);
+        let step = transfers.before(now, envelope, |held, through| self.lacking(held, through));
+        self.transfers = transfers;
+        match step {
+            TransferStep::Wait => None,
+            TransferStep::Pass(envelope) => Some(envelope),
+            TransferStep::Commands {
+                held,
+                count,
+                envelope,
+            } => {
+                info!(self.log, "journal: Referenced commands sent."; "to" => %envelope.to,
+                    "after" => held, "count" => count);
+                Some(envelope)
+            }
         }
-        info!(self.log, "journal: Referenced commands sent."; "to" => %envelope.to,
-            "after" => held, "count" => commands.len());
-        let in_place = Envelope {
-            message: Message::ReferencedCommands(commands),
-            ..envelope
-        };
-        let transfer = self.transfers.entry(envelope.to).or_default();
-        transfer.sent_at = Some(now);
-        transfer.waiting = Some(envelope);
-        Some(in_place)
     }
 
     /// The next referenced commands after `held`; `None` if one cannot be read.
--- a/crates/firshore-log/src/lib.rs
+++ b/crates/firshore-log/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod machine;
 pub mod placement;
+pub mod reference_transfer;
 pub mod refusal;
 
 pub use group::{Group, GroupStatus};
--- a/crates/firshore-replication/tests/disk_model/mod.rs
+++ b/crates/firshore-replication/tests/disk_model/mod.rs
@@ -81,11 +81,6 @@
         self.file().dark
     }
 
-    /// What a reader sees.
-    pub fn bytes(&self) -> Vec<u8> {
-        self.file().written.clone()
-    }
-
     /// The disk once power is back.
     pub fn after_power_loss(&self, random: &mut ChaCha8Rng) -> Self {
         let file = self.file();
@@ -144,8 +139,9 @@
     fn sync_data(&self) -> io::Result<()> {
         let mut file = self.file();
         file.step()?;
-        file.synced = file.written.clone();
-        file.pending.clear();
+        for change in std::mem::take(&mut file.pending) {
+            change.apply(&mut file.synced);
+        }
         Ok(())
     }
 
--- a/crates/firshore-replication/tests/power_loss.rs
+++ b/crates/firshore-replication/tests/power_loss.rs
@@ -17,6 +17,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use redb::StorageBackend;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -235,7 +236,10 @@
     disk.lose_power_after(seed % CREATION_STEPS);
     drop(open(&disk, 7));
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    disk.after_power_loss(&mut random).bytes()
+    let left = disk.after_power_loss(&mut random);
+    let mut bytes = vec![0; left.len().expect("it is lit") as usize];
+    left.read(0, &mut bytes).expect("it is lit");
+    bytes
 }
 
 #[test]
