Copies of accepted jobs: each step that takes one away asks how many are left; groups that lost their quorum go on where they can

Cause: what promises rest on was looked at when they were given (may_promise) and not at later steps: Remove without replacement, Done of a retirement, going on alone, a voter known to be dead that kept the quorum out of reach.

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -12,7 +12,7 @@
 use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
-use firshore_replication::replica::{Output, ReadToken, Replica};
+use firshore_replication::replica::{Output, ReadToken, Replica, Survivors};
 use firshore_replication::storage::Storage;
 use firshore_replication::types::{
     DiskId, Entry, EntryContent, GroupId, LogIndex, Membership, MembershipChange,
@@ -84,10 +84,10 @@
     Found(Membership),
     /// Change the membership.
     Change(MembershipChange),
-    /// Go on without the only other voter.
-    ContinueAlone,
-    /// Hand leadership over.
-    StepAside,
+    /// Go on with these disks as the only voters.
+    ContinueWith(Survivors),
+    /// Hand leadership over, to this voter or to the one that holds most.
+    StepAside(Option<DiskId>),
     /// End.
     Stop,
 }
@@ -319,16 +319,10 @@
             Input::Read(answer) => self.read(answer),
             Input::Found(membership) => self.found(membership),
             Input::Change(change) => self.change(&change),
-            Input::ContinueAlone => match self.replica.continue_alone() {
-                Ok(position) => {
-                    warn!(self.log, "journal: Goes on alone."; "index" => position.index);
-                }
-                Err(reason) => {
-                    info!(self.log, "journal: Does not go on alone."; "reason" => %reason);
-                }
-            },
-            Input::StepAside => {
-                if let Some(target) = self.replica.transfer_target() {
+            Input::ContinueWith(survivors) => self.continue_with(&survivors),
+            Input::StepAside(heir) => {
+                let target = heir.or_else(|| self.replica.transfer_target());
+                if let Some(target) = target {
                     let _ = self.replica.transfer_leadership(target);
                 }
             }
@@ -337,6 +331,21 @@
         Flow::Continue
     }
 
+    fn continue_with(&mut self, survivors: &Survivors) {
+        match self.replica.continue_with(survivors) {
+            Ok(()) => {
+                // What no quorum had committed may be committed by fewer disks now: no promise.
+                self.fail_proposals();
+                warn!(self.log, "journal: Goes on without a quorum."; "with" => ?survivors.replicas.keys(),
+                    "left_behind" => survivors.left_behind);
+            }
+            Err(reason) => {
+                info!(self.log, "journal: Does not go on without a quorum."; "reason" => %reason,
+                    "with" => ?survivors.replicas.keys());
+            }
+        }
+    }
+
     /// Carries out what the replica asks for until there is nothing left.
     fn settle(&mut self) -> Result<(), StorageError> {
         loop {
@@ -472,10 +481,14 @@
         }
     }
 
-    fn fail_everything(&mut self) {
+    fn fail_proposals(&mut self) {
         for (_, pending) in std::mem::take(&mut self.proposals) {
             let _ = pending.answer.send(Err(JournalRefusal::Unsettled));
         }
+    }
+
+    fn fail_everything(&mut self) {
+        self.fail_proposals();
         for (_, read) in std::mem::take(&mut self.reads) {
             let refusal = JournalRefusal::NotLeader { leader: None };
             let _ = read.answer.send(Err(refusal));
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -6,7 +6,7 @@
 use firshore_replication::error::StorageError;
 use firshore_replication::message::Envelope;
 use firshore_replication::redb_storage::RedbStorage;
-use firshore_replication::replica::Replica;
+use firshore_replication::replica::{Replica, Survivors};
 use firshore_replication::storage::Storage;
 use firshore_replication::types::{
     DiskId, GroupId, LogIndex, Membership, MembershipChange, Position, Term,
@@ -50,8 +50,12 @@
     pub membership: Membership,
     /// Whether the change that gave these replicas is committed.
     pub membership_committed: bool,
+    /// The latest replicas of which that is known.
+    pub committed_membership: Membership,
     /// On the leader: replicas silent for longer than the limit.
     pub silent: BTreeSet<DiskId>,
+    /// Replicas that were heard within that limit.
+    pub heard: BTreeSet<DiskId>,
     /// On the leader: replicas that hold everything committed.
     pub caught_up: BTreeSet<DiskId>,
     /// Size of the database file in bytes.
@@ -81,7 +85,9 @@
             commit: told.commit,
             last: told.last,
             membership_committed: told.membership_committed,
+            committed_membership: told.committed_membership,
             silent: replica.silent(replace_after).into_iter().collect(),
+            heard: replica.heard_within(replace_after),
             caught_up: caught_up
                 .filter(|disk| replica.has_caught_up(*disk))
                 .collect(),
@@ -103,7 +109,9 @@
             last: Position::default(),
             membership: Membership::default(),
             membership_committed: false,
+            committed_membership: Membership::default(),
             silent: BTreeSet::new(),
+            heard: BTreeSet::new(),
             caught_up: BTreeSet::new(),
             file_bytes: 0,
             log_bytes: 0,
@@ -220,10 +228,10 @@
         let _ = self.inputs.send(Input::Change(change));
     }
 
-    /// Goes on without the only other voter, whose disk is gone for good; see
-    /// [`firshore_replication::replica::Replica::continue_alone`] for what must be certain.
-    pub fn continue_alone(&self) {
-        let _ = self.inputs.send(Input::ContinueAlone);
+    /// Goes on with these disks as the only voters; see
+    /// [`firshore_replication::replica::Replica::continue_with`] for what must be certain.
+    pub fn continue_with(&self, survivors: Survivors) {
+        let _ = self.inputs.send(Input::ContinueWith(survivors));
     }
 
     /// Commits a command and returns its outcome.
@@ -254,11 +262,21 @@
 
     /// Hands leadership to another replica, if this one leads and another is there.
     pub async fn step_aside(&self) {
-        let status = self.status();
-        if !status.leads || status.membership.voters().count() < 2 {
+        if self.status().membership.voters().count() >= 2 {
+            self.step_aside_for(None).await;
+        }
+    }
+
+    /// Hands leadership to the voter on this disk, if this replica leads.
+    pub async fn hand_over(&self, heir: DiskId) {
+        self.step_aside_for(Some(heir)).await;
+    }
+
+    async fn step_aside_for(&self, heir: Option<DiskId>) {
+        if !self.status().leads {
             return;
         }
-        let _ = self.inputs.send(Input::StepAside);
+        let _ = self.inputs.send(Input::StepAside(heir));
         let waited = async {
             while self.status().leads {
                 actix_rt::time::sleep(STEP_ASIDE_POLL).await;
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -13,12 +13,20 @@
     2 * disks as usize + 1
 }
 
+/// Returns whether everything that these replicas commit lies on at least `least` disks.
+///
+/// A quorum holds what is committed, so a quorum has to be as many: counting voters let three of them
+/// accept what two had committed, where three disks were needed.
+pub fn keeps_promises(membership: &Membership, least: usize) -> bool {
+    membership.quorum() >= least
+}
+
 /// What the leader of a group knows of it.
 #[derive(Clone, Debug)]
 pub struct GroupView {
     /// Replicas that the group is to have.
     pub target: usize,
-    /// Replicas that the group must have even if it cannot have all: as many as promises need.
+    /// Disks that have to hold what is promised.
     pub least: usize,
     /// Disk of the leader.
     pub own: DiskId,
@@ -26,6 +34,10 @@
     pub membership: Membership,
     /// Replicas silent for longer than the limit.
     pub silent: BTreeSet<DiskId>,
+    /// Replicas whose disks are known never to come back, or that are given up.
+    pub gone: BTreeSet<DiskId>,
+    /// Replicas on nodes that are to be emptied: disks like others until that is reported as done.
+    pub leaving: BTreeSet<DiskId>,
     /// Replicas that hold everything committed.
     pub caught_up: BTreeSet<DiskId>,
 }
@@ -42,7 +54,8 @@
 }
 
 impl Candidate {
-    fn info(&self, role: ReplicaRole) -> ReplicaInfo {
+    /// Returns what the group keeps of a replica there.
+    pub fn info(&self, role: ReplicaRole) -> ReplicaInfo {
         ReplicaInfo {
             node: self.node.clone(),
             zone: self.zone.clone(),
@@ -60,9 +73,43 @@
             .map(|(disk, replica)| (*disk, replica))
     }
 
+    fn answers(&self, disk: DiskId) -> bool {
+        !self.silent.contains(&disk) && !self.gone.contains(&disk)
+    }
+
+    /// Voters that answer and are to stay.
     fn live_voters(&self) -> impl Iterator<Item = (DiskId, &ReplicaInfo)> {
         self.voters()
-            .filter(|(disk, _)| !self.silent.contains(disk))
+            .filter(|(disk, _)| self.answers(*disk) && !self.leaving.contains(disk))
+    }
+
+    /// Voters that answer and hold everything committed, wherever they are.
+    fn holders(&self) -> impl Iterator<Item = DiskId> {
+        let voters = self.voters().map(|(disk, _)| disk);
+        voters.filter(|disk| {
+            *disk == self.own || (self.answers(*disk) && self.caught_up.contains(disk))
+        })
+    }
+
+    /// Whether the group can do without a voter. What is committed afterwards has to lie on as many disks
+    /// as promises need, and so many have to hold everything now; one that answers is never given away
+    /// below that, one that does not is no copy to count on. Each step that takes a copy away asks this.
+    fn can_spare(&self, disk: DiskId) -> bool {
+        let mut after = self.membership.clone();
+        after.replicas.remove(&disk);
+        let enough = match self.answers(disk) {
+            true => self.least,
+            false => self.least.min(self.membership.quorum()),
+        };
+        let holders = self.holders().filter(|holder| *holder != disk).count();
+        disk != self.own && after.quorum() >= enough && holders >= after.quorum()
+    }
+
+    /// Whether the voters that answer are too few to promise anything by themselves.
+    pub fn is_short(&self) -> bool {
+        let mut answering = self.membership.clone();
+        answering.replicas.retain(|disk, _| self.answers(*disk));
+        !keeps_promises(&answering, self.least)
     }
 
     fn learner(&self) -> Option<DiskId> {
@@ -82,9 +129,11 @@
         shared?.into_iter().find(|disk| *disk != self.own)
     }
 
-    /// Whether a replica is on its way into the group.
-    pub fn has_learner(&self) -> bool {
-        self.learner().is_some()
+    /// The voter to hand leadership to from a node that is to be emptied: it answers, holds everything
+    /// and stays. Without one the leader goes on, as nobody else could.
+    pub fn heir(&self) -> Option<DiskId> {
+        let mut heirs = self.holders().filter(|disk| *disk != self.own);
+        heirs.find(|disk| !self.leaving.contains(disk))
     }
 
     /// Whether a disk is wanted: too few voters, a silent one, or two in one zone.
@@ -99,9 +148,49 @@
         if let Some(learner) = self.learner() {
             return self.settle_learner(learner);
         }
-        if self.voters().count() > self.target {
-            return self.superfluous().map(MembershipChange::Remove);
+        self.removal()
+            .or_else(|| self.addition(candidates))
+            .or_else(|| self.without_replacement())
+    }
+
+    fn settle_learner(&self, learner: DiskId) -> Option<MembershipChange> {
+        if !self.answers(learner) {
+            return Some(MembershipChange::Remove(learner));
         }
+        // Before the learner votes: an even number of voters of which one never answers is left without
+        // a quorum by a loss that three of four would bear.
+        let ready = self.caught_up.contains(&learner);
+        let dead = match ready {
+            true => self.dead().or_else(|| self.mute()),
+            false => self.dead(),
+        };
+        dead.map(MembershipChange::Remove)
+            .or(ready.then_some(MembershipChange::Promote(learner)))
+    }
+
+    /// A voter whose disk is gone, if the group can do without it: it only raises the quorum.
+    fn dead(&self) -> Option<DiskId> {
+        let mut gone = self.gone.iter().copied();
+        gone.find(|disk| self.membership.is_voter(*disk) && self.can_spare(*disk))
+    }
+
+    /// A voter that does not answer, if the group can do without it.
+    fn mute(&self) -> Option<DiskId> {
+        let mut silent = self.silent.iter().copied();
+        silent.find(|disk| self.membership.is_voter(*disk) && self.can_spare(*disk))
+    }
+
+    /// A voter that is in the way.
+    fn removal(&self) -> Option<MembershipChange> {
+        let superfluous = || match self.voters().count() > self.target {
+            true => self.superfluous(),
+            false => None,
+        };
+        let removed = self.dead().or_else(superfluous)?;
+        Some(MembershipChange::Remove(removed))
+    }
+
+    fn addition(&self, candidates: &[Candidate]) -> Option<MembershipChange> {
         if !self.wants_candidate() {
             return None;
         }
@@ -110,21 +199,26 @@
         Some(MembershipChange::AddLearner(chosen.disk, info))
     }
 
-    fn settle_learner(&self, learner: DiskId) -> Option<MembershipChange> {
-        if self.silent.contains(&learner) {
-            return Some(MembershipChange::Remove(learner));
-        }
-        let ready = self.caught_up.contains(&learner);
-        ready.then_some(MembershipChange::Promote(learner))
+    fn superfluous(&self) -> Option<DiskId> {
+        let voters = || self.voters().map(|(disk, _)| disk);
+        let leaving = || voters().find(|disk| self.leaving.contains(disk) && self.can_spare(*disk));
+        let any = || voters().find(|disk| self.can_spare(*disk));
+        self.mute()
+            .or_else(leaving)
+            .or_else(|| self.redundant().filter(|disk| self.can_spare(*disk)))
+            .or_else(any)
     }
 
-    fn superfluous(&self) -> Option<DiskId> {
-        let silent = self.voters().find(|(disk, _)| self.silent.contains(disk));
-        let any = self.voters().find(|(disk, _)| *disk != self.own);
-        silent
-            .map(|(disk, _)| disk)
-            .or_else(|| self.redundant())
-            .or(any.map(|(disk, _)| disk))
+    /// A replica on a node that is to be emptied goes even if no disk can take its place, as long as all
+    /// others hold everything and are enough.
+    fn without_replacement(&self) -> Option<MembershipChange> {
+        let mut leaving = self.leaving.iter().copied();
+        let goes = |disk: &DiskId| {
+            let others = self.voters().count() - 1;
+            let holders = self.holders().filter(|holder| holder != disk).count();
+            self.membership.is_voter(*disk) && holders >= others && self.can_spare(*disk)
+        };
+        leaving.find(goes).map(MembershipChange::Remove)
     }
 
     fn choose<'a>(&self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
--- a/crates/firshore-log/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -1,8 +1,10 @@
 //! Where the replicas of a group are placed.
 
-use firshore_log::placement::{Candidate, GroupView, TARGET_VOTERS, founders};
+use firshore_log::placement::{Candidate, GroupView, TARGET_VOTERS, founders, keeps_promises};
 use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
 
+use std::collections::BTreeSet;
+
 fn replica(number: u64, zone: &str, role: ReplicaRole) -> (DiskId, ReplicaInfo) {
     let info = ReplicaInfo {
         node: format!("node-{number}").as_str().into(),
@@ -32,6 +34,8 @@
             replicas: replicas.collect(),
         },
         silent: silent.iter().copied().map(DiskId).collect(),
+        gone: BTreeSet::new(),
+        leaving: BTreeSet::new(),
         caught_up: caught_up.iter().copied().map(DiskId).collect(),
     }
 }
@@ -69,15 +73,27 @@
             &spare[..],
             Some(("remove", 4)),
         ),
+        (
+            "learner ready, the others hold everything",
+            view(&learning, &[3], &[2, 4]),
+            &spare[..],
+            Some(("remove", 3)),
+        ),
         (
             "replaced",
-            view(&four, &[3], &[]),
+            view(&four, &[3], &[2, 4]),
             &spare[..],
             Some(("remove", 3)),
         ),
+        (
+            "replaced, nobody else holds everything",
+            view(&four, &[3], &[]),
+            &spare[..],
+            None,
+        ),
         (
             "came back",
-            view(&four, &[], &[]),
+            view(&four, &[], &[2, 3, 4]),
             &spare[..],
             Some(("remove", 3)),
         ),
@@ -155,3 +171,51 @@
         Some(MembershipChange::AddLearner(DiskId(2), _))
     ));
 }
+
+#[test]
+fn no_step_leaves_fewer_copies_than_promises_need() {
+    let three = [(1, "a", V), (2, "b", V), (3, "c", V)];
+    let four = [(1, "a", V), (2, "b", V), (3, "c", V), (4, "c", V)];
+    let removes = |group: GroupView| match group.next_change(&[]) {
+        Some(MembershipChange::Remove(disk)) => Some(disk.0),
+        _ => None,
+    };
+    let leaving = |group: GroupView, least: usize, disk: u64| GroupView {
+        least,
+        target: 2 * least - 1,
+        leaving: BTreeSet::from([DiskId(disk)]),
+        ..group
+    };
+    let pair = view(&three[..2], &[], &[2]);
+    assert_eq!(removes(leaving(pair.clone(), 2, 2)), None);
+    assert_eq!(removes(leaving(pair, 1, 2)), Some(2));
+    let whole = view(&three, &[], &[2, 3]);
+    assert_eq!(removes(leaving(whole.clone(), 2, 3)), Some(3));
+    let behind = view(&three, &[], &[3]);
+    assert_eq!(removes(leaving(behind, 2, 3)), None);
+    // Three voters commit with two, where three disks have to hold what is promised.
+    let whole_four = view(&four, &[], &[2, 3, 4]);
+    assert_eq!(removes(leaving(whole_four, 3, 4)), None);
+    // A voter whose disk is gone only raises the quorum.
+    let dead = GroupView {
+        gone: BTreeSet::from([DiskId(3)]),
+        ..whole
+    };
+    assert_eq!(removes(GroupView { least: 2, ..dead }), Some(3));
+}
+
+#[test]
+fn promises_need_a_quorum_of_as_many_disks() {
+    let voters = |count: u64| {
+        let replicas = (1..=count).map(|number| replica(number, "a", V));
+        let membership = Membership {
+            replicas: replicas.collect(),
+        };
+        [1, 2, 3].map(|least| keeps_promises(&membership, least))
+    };
+    assert_eq!(voters(1), [true, false, false]);
+    assert_eq!(voters(2), [true, true, false]);
+    assert_eq!(voters(3), [true, true, false]);
+    assert_eq!(voters(4), [true, true, true]);
+    assert_eq!(voters(5), [true, true, true]);
+}
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -71,16 +71,28 @@
         }
         self.keep_group(&status).await;
         if status.leads {
-            let log = &self.journal.log;
-            let is_emptied = |node: &NodeName| {
-                self.with_view(&status, true, |keeper, view| keeper.is_emptied(view, node))
-            };
-            self.retirements
-                .report(&self.adapter, log, is_emptied)
-                .await;
+            self.report().await;
         }
     }
 
+    /// Tells how far the emptying of nodes is. A quorum has to confirm first that this node leads: one that
+    /// stood still and was deposed would report a node as empty that the group rests on by now.
+    async fn report(&self) {
+        if !self.retirements.wants_report() || self.journal.replica.read().await.is_err() {
+            return;
+        }
+        let status = self.journal.replica.status();
+        let is_emptied = |node: &NodeName| {
+            let emptied =
+                |keeper: &mut GroupKeeper, view: &KeeperView| keeper.is_emptied(view, node);
+            status.leads && self.with_view(&status, true, emptied)
+        };
+        let log = &self.journal.log;
+        self.retirements
+            .report(&self.adapter, log, is_emptied)
+            .await;
+    }
+
     /// Does what the group's replicas need next.
     async fn keep_group(&self, status: &GroupStatus) {
         // Only the leader follows the wishes to empty nodes.
@@ -95,7 +107,7 @@
         let replica = &self.journal.replica;
         match step {
             KeeperStep::Rest | KeeperStep::ListLeaving => {}
-            KeeperStep::StepAside => replica.step_aside().await,
+            KeeperStep::StepAside(heir) => replica.hand_over(heir).await,
             KeeperStep::Record(record) => self.journal.registry.record_voters(&record).await,
             KeeperStep::Change(change) => replica.change(change),
             KeeperStep::PassOver(disk, pause) => {
@@ -103,7 +115,7 @@
                     "pause_ms" => pause.as_millis() as u64);
                 replica.change(MembershipChange::Remove(disk));
             }
-            KeeperStep::ContinueAlone => replica.continue_alone(),
+            KeeperStep::ContinueWith(survivors) => replica.continue_with(survivors),
         }
     }
 
@@ -121,7 +133,7 @@
     ) -> T {
         let registry = &self.journal.registry;
         let candidates = registry.candidates();
-        let leaving = knows_leaving.then(|| self.retirements.open());
+        let leaving = knows_leaving.then(|| self.retirements.leaving());
         let recorded = registry.recorded_voters();
         let view = KeeperView {
             node: &self.node,
@@ -129,6 +141,7 @@
             candidates: &candidates,
             leaving: leaving.as_ref(),
             recorded: recorded.as_ref(),
+            doubtful: registry.is_doubtful(),
         };
         decide(&mut self.keeper.borrow_mut(), &view)
     }
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -76,7 +76,7 @@
 }
 
 fn may_promise(replica: &Replica, least: usize) -> bool {
-    group_keeper::may_promise(&replica.status().membership, least)
+    placement::keeps_promises(&replica.status().membership, least)
 }
 
 /// What a node with a disk passes on between other nodes.
--- a/crates/firshore-node/src/journal/passed_over.rs
+++ b/crates/firshore-node/src/journal/passed_over.rs
@@ -43,6 +43,11 @@
         silence.is_some_and(|silence| now < silence.until)
     }
 
+    /// Returns whether a disk stayed silent when it was tried last.
+    pub fn has_failed(&self, disk: DiskId) -> bool {
+        self.disks.contains_key(&disk)
+    }
+
     /// Forgets disks that have answered meanwhile.
     pub fn forget(&mut self, answered: impl Fn(DiskId) -> bool) {
         self.disks.retain(|disk, _| !answered(*disk));
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -7,7 +7,7 @@
 use crate::observation::Learned;
 use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
 use firshore_log::placement::Candidate;
-use firshore_replication::types::{DiskId, Membership};
+use firshore_replication::types::{DiskId, Membership, Term};
 use firshore_types::ids::{NodeName, ZoneName};
 use parking_lot::RwLock;
 use serde::{Deserialize, Serialize};
@@ -55,21 +55,50 @@
     nodes: BTreeMap<NodeName, (Revision, NodeRecord)>,
     founding: Option<Membership>,
     voters: Option<(Revision, VoterRecord)>,
+    /// Revision on which a write of the voters was conditional that was not answered.
+    doubtful: Option<Revision>,
     /// Nodes that told where they listen themselves, and as of which revision.
     heard: BTreeMap<NodeName, Revision>,
 }
 
 /// The voters of the journal, written before any change of them enters the log.
 ///
-/// A voter whose only fellow is gone may go on alone only if this record names just the two and is
-/// settled: otherwise its fellow may have committed entries with a third. As the record changes by
-/// compare-and-set, only one of the two can.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Voters whose others are gone may go on without a quorum only if each group that may be in force
+/// leaves them one that holds everything. The record names these groups; as it changes by
+/// compare-and-set, of two that would go on only one can.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VoterRecord {
     /// Voters.
     pub voters: BTreeSet<DiskId>,
     /// Whether the change that made them voters is known to be committed.
     pub settled: bool,
+    /// Term of the one who wrote it. A leader writes it anew before it acts on it, so that what an earlier
+    /// one wrote without an answer cannot take effect afterwards.
+    #[serde(default)]
+    pub term: Term,
+    /// While that is not known: the voters that may be in force instead.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub before: Vec<BTreeSet<DiskId>>,
+    /// The disk that the only voter went on without, while nothing was promised since: it may be whole,
+    /// and holds everything promised should the voter lose its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left_behind: Option<DiskId>,
+}
+
+impl VoterRecord {
+    /// Returns whether this disk is known to be the only voter.
+    pub fn settled_by(&self, disk: DiskId) -> bool {
+        self.settled && self.voters == BTreeSet::from([disk])
+    }
+
+    /// Returns each set of voters that may be in force.
+    pub fn possible(&self) -> Vec<BTreeSet<DiskId>> {
+        let mut possible = vec![self.voters.clone()];
+        if !self.settled {
+            possible.extend(self.before.iter().cloned());
+        }
+        possible
+    }
 }
 
 /// What the store lists.
@@ -183,6 +212,14 @@
         known.voters.as_ref().map(|(_, record)| record.clone())
     }
 
+    /// Returns whether a write of the voters may still take effect that this node sent and that nobody
+    /// answered: until something else was written, nothing may rest on the record.
+    pub fn is_doubtful(&self) -> bool {
+        let known = self.known.borrow();
+        let at = known.voters.as_ref().map_or(0, |(at, _)| *at);
+        known.doubtful == Some(at)
+    }
+
     /// Records the voters, if nobody else has meanwhile. The next listing tells what was recorded.
     pub async fn record_voters(&self, record: &VoterRecord) {
         if self.is_unsettled() {
@@ -196,6 +233,9 @@
         };
         info!(self.log, "registry: Recording voters."; "voters" => ?record.voters,
             "settled" => record.settled);
+        if let Err(ObjectError::Unanswered(_)) = &written {
+            self.known.borrow_mut().doubtful = Some(known.unwrap_or(0));
+        }
         self.note("Voters recorded.", written);
     }
 
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -1,5 +1,6 @@
 //! Nodes that operators want emptied, and how far that is.
 
+use super::group_keeper::LeavingNodes;
 use crate::observation::Learned;
 use firshore_adapter::Adapter;
 use firshore_adapter::decode::{Retirement, RetirementProgress};
@@ -7,7 +8,7 @@
 use firshore_types::ids::NodeName;
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 struct Wish {
@@ -65,9 +66,23 @@
         }
     }
 
-    /// Nodes that are to be emptied, those that are empty included: they take nothing new.
-    pub fn open(&self) -> BTreeSet<NodeName> {
-        self.wishes.borrow().keys().cloned().collect()
+    /// Returns the nodes that are to be emptied, those that are empty included.
+    pub fn leaving(&self) -> LeavingNodes {
+        let mut leaving = LeavingNodes::default();
+        for (node, wish) in self.wishes.borrow().iter() {
+            let written = wish.written == Some(RetirementProgress::Done);
+            match wish.retirement.done || written {
+                true => leaving.done.insert(node.clone()),
+                false => leaving.open.insert(node.clone()),
+            };
+        }
+        leaving
+    }
+
+    /// Returns whether a node is to be emptied of which that is not reported yet.
+    pub fn wants_report(&self) -> bool {
+        let wishes = self.wishes.borrow();
+        wishes.values().any(|wish| !wish.retirement.done)
     }
 
     /// Tells the operators how far the emptying is. Called by the leader only: it is done once nothing
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -74,7 +74,7 @@
                 tally.emptied += played.emptied;
             }
             Err(found) => {
-                if broken.is_empty() {
+                if broken.len() < 3 {
                     println!("seed {seed}: {found:?}\n{}", world.lines.join("\n"));
                 }
                 broken.push((seed, found));
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -3,7 +3,7 @@
 use firshore_log::GroupStatus;
 use firshore_log::placement::Candidate;
 use firshore_node::journal::SILENCE_SHARE;
-use firshore_node::journal::group_keeper::{GroupKeeper, KeeperTerms, KeeperView};
+use firshore_node::journal::group_keeper::{GroupKeeper, KeeperTerms, KeeperView, LeavingNodes};
 use firshore_node::journal::registry::VoterRecord;
 use firshore_replication::message::Envelope;
 use firshore_replication::replica::{Replica, Timing};
@@ -69,10 +69,19 @@
     pub voters: Option<(u64, VoterRecord)>,
     /// Something was written that no listing has shown yet.
     pub unsettled: bool,
+    /// Revision on which a write was conditional that was not answered.
+    pub doubtful: Option<u64>,
     /// Nodes that are to be emptied, and whether they are; `None` before they were listed.
     pub wishes: Option<BTreeMap<NodeName, bool>>,
 }
 
+impl KnownStore {
+    /// Revision of the voters on record, 0 before there are any.
+    pub fn revision(&self) -> u64 {
+        self.voters.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+}
+
 /// One machine.
 pub struct Machine {
     pub name: NodeName,
@@ -93,6 +102,8 @@
     pub backlog: Vec<Envelope>,
     /// Entries that clients wait for, by index.
     pub open: BTreeMap<LogIndex, Position>,
+    /// A report waits for a quorum to confirm that this machine leads.
+    pub reports: bool,
     pub next_look: u64,
     pub next_publish: u64,
     /// When a leader reads again what the store holds.
@@ -117,6 +128,7 @@
             applied: 0,
             backlog: Vec::new(),
             open: BTreeMap::new(),
+            reports: false,
             next_look: now + 10 * number as u64,
             next_publish: now,
             next_refresh: now,
@@ -150,6 +162,7 @@
         self.replica = None;
         self.open.clear();
         self.backlog.clear();
+        self.reports = false;
         self.condition = condition;
     }
 
@@ -161,19 +174,27 @@
     }
 
     /// What the upkeep is shown.
-    pub fn view<'a>(&'a self, leaving: Option<&'a BTreeSet<NodeName>>) -> KeeperView<'a> {
+    pub fn view<'a>(&'a self, leaving: Option<&'a LeavingNodes>) -> KeeperView<'a> {
         KeeperView {
             node: &self.name,
             status: &self.status,
             candidates: &self.known.candidates,
             leaving,
             recorded: self.known.voters.as_ref().map(|(_, record)| record),
+            doubtful: self.known.doubtful == Some(self.known.revision()),
         }
     }
 
-    pub fn leaving(&self) -> Option<BTreeSet<NodeName>> {
+    pub fn leaving(&self) -> Option<LeavingNodes> {
         let wishes = self.known.wishes.as_ref()?;
-        Some(wishes.keys().cloned().collect())
+        let mut leaving = LeavingNodes::default();
+        for (node, done) in wishes {
+            match done {
+                true => leaving.done.insert(node.clone()),
+                false => leaving.open.insert(node.clone()),
+            };
+        }
+        Some(leaving)
     }
 
     pub fn compact_if_long(&mut self) {
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -5,8 +5,8 @@
 pub mod scene;
 mod store;
 
-use firshore_log::placement::{self, Candidate};
-use firshore_node::journal::group_keeper::{KeeperStep, KeeperTerms, may_promise};
+use firshore_log::placement::{self, Candidate, keeps_promises};
+use firshore_node::journal::group_keeper::{KeeperStep, KeeperTerms};
 use firshore_replication::message::Envelope;
 use firshore_replication::replica::Output;
 use firshore_replication::storage::StoredState;
@@ -256,7 +256,7 @@
         self.losses.push(Loss {
             number: self.lost,
             machine,
-            calm_since: until,
+            calm_since: until.max(self.trouble_until),
         });
         self.lost
     }
@@ -540,7 +540,7 @@
         let leads = machine.replica.as_ref().is_some_and(|one| one.leads());
         if leads != machine.status.leads || now >= machine.next_publish {
             if !leads {
-                machine.open.clear();
+                machine.known.wishes = None;
             }
             machine.publish(now);
         }
@@ -559,6 +559,10 @@
             self.send(index, envelope);
         }
         let machine = &mut self.machines[index];
+        let confirmed = !output.reads.is_empty() && machine.reports;
+        if confirmed || !output.failed_reads.is_empty() {
+            machine.reports = false;
+        }
         if let Some(snapshot) = output.install {
             machine.applied = snapshot.header.position.index;
             machine.open.clear();
@@ -574,6 +578,10 @@
                 }
             }
         }
+        if confirmed {
+            self.machines[index].publish(self.now);
+            self.report(index);
+        }
     }
 
     /// Clients ask every machine that says it leads and may promise.
@@ -581,7 +589,7 @@
         for index in 0..self.machines.len() {
             let command = self.random.next_u64().to_be_bytes().to_vec();
             let machine = &mut self.machines[index];
-            let promises = may_promise(&machine.status.membership, self.terms.least);
+            let promises = keeps_promises(&machine.status.membership, self.terms.least);
             if !machine.runs() || !machine.status.leads || !promises {
                 continue;
             }
@@ -620,8 +628,14 @@
             step => step,
         };
         self.carry_out_step(index, step);
-        if self.machines[index].status.leads {
-            self.report(index);
+        let machine = &mut self.machines[index];
+        let open = self.store.wishes.values().any(|done| !done);
+        if machine.status.leads
+            && open
+            && let Some(replica) = &mut machine.replica
+        {
+            machine.reports = replica.read(self.now).is_ok();
+            self.settle(index);
         }
     }
 
@@ -683,18 +697,17 @@
         };
         match step {
             KeeperStep::Rest | KeeperStep::ListLeaving => {}
-            KeeperStep::StepAside => {
-                if let Some(target) = replica.transfer_target() {
-                    let _ = replica.transfer_leadership(target);
-                }
+            KeeperStep::StepAside(heir) => {
+                let _ = replica.transfer_leadership(heir);
             }
             KeeperStep::Record(record) => {
                 if machine.known.unsettled || !reaches {
                     return;
                 }
                 machine.known.unsettled = true;
-                let known = machine.known.voters.as_ref().map_or(0, |(at, _)| *at);
+                let known = machine.known.revision();
                 if late {
+                    machine.known.doubtful = Some(known);
                     let at = now + self.random.random_range(1_000..6_000);
                     self.store.record_late(at, known, record);
                 } else {
@@ -707,23 +720,26 @@
             KeeperStep::PassOver(disk, _) => {
                 let _ = replica.change_membership(&MembershipChange::Remove(disk));
             }
-            KeeperStep::ContinueAlone => {
-                let _ = replica.continue_alone();
+            KeeperStep::ContinueWith(survivors) => {
+                if replica.continue_with(&survivors).is_ok() {
+                    machine.open.clear();
+                }
             }
         }
         self.settle(index);
     }
 
     fn report(&mut self, index: usize) {
-        if !self.reaches_store(index) {
+        let machine = &self.machines[index];
+        if !self.reaches_store(index) || !machine.status.leads {
             return;
         }
-        let machine = &self.machines[index];
         let Some(leaving) = machine.leaving() else {
             return;
         };
         let view = machine.view(Some(&leaving));
         let emptied: Vec<NodeName> = leaving
+            .open
             .iter()
             .filter(|node| machine.keeper.is_emptied(&view, node))
             .cloned()
@@ -766,7 +782,13 @@
             .filter(|one| one.runs() && one.status.leads)
             .collect();
         let [leader] = leaders[..] else {
-            return Err(self.broken(format!("{} leaders after calm", leaders.len())));
+            let told: Vec<_> = self
+                .machines
+                .iter()
+                .filter(|one| one.is_there())
+                .map(|one| (&one.name, &one.status, &one.known.voters))
+                .collect();
+            return Err(self.broken(format!("{} leaders after calm: {told:#?}", leaders.len())));
         };
         if let Some(accepted) = self.accepted
             && (leader.applied < accepted.index || !leader.disk.holds(accepted))
@@ -779,7 +801,7 @@
             there.partition(|one| wishes.contains_key(&one.name));
         let voters = leader.status.membership.voters().count();
         let enough = leaving.len() + staying.len() >= self.terms.least;
-        if enough && !may_promise(&leader.status.membership, self.terms.least) {
+        if enough && !keeps_promises(&leader.status.membership, self.terms.least) {
             return Err(self.broken(format!("{voters} voters after calm, nothing is promised")));
         }
         if staying.len() >= self.terms.target && !leaving.is_empty() {
--- a/crates/firshore-replication/src/progress.rs
+++ b/crates/firshore-replication/src/progress.rs
@@ -36,8 +36,10 @@
     pub next: LogIndex,
     /// How entries are sent.
     pub state: ProgressState,
-    /// When the follower last answered, in milliseconds.
+    /// When the follower last answered, in milliseconds; at first, since when it is asked.
     pub heard_at: u64,
+    /// Whether it has answered at all.
+    pub heard: bool,
     /// Latest heartbeat round answered.
     pub round: u64,
     in_flight: VecDeque<LogIndex>,
@@ -51,11 +53,18 @@
             next,
             state: ProgressState::Probe { waiting: false },
             heard_at: now,
+            heard: false,
             round: 0,
             in_flight: VecDeque::new(),
         }
     }
 
+    /// Notes that the follower has answered.
+    pub fn answered(&mut self, now: u64) {
+        self.heard_at = now;
+        self.heard = true;
+    }
+
     /// Whether entries may be sent now.
     pub fn ready(&self) -> bool {
         match self.state {
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -4,8 +4,8 @@
 use super::{Replica, Role};
 use crate::message::{AppendResult, Message};
 use crate::storage::HardState;
-use crate::types::{DiskId, Position, Term};
-use std::collections::BTreeSet;
+use crate::types::{DiskId, Position, ReplicaInfo, Term};
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Replica {
     /// Follows in `term`; a leader that steps down gives its unanswered reads back.
@@ -35,20 +35,44 @@
         !self.is_empty()
     }
 
-    fn others(&self) -> Vec<DiskId> {
+    /// Replicas whose votes are asked for: the voters, and the survivors of a lost quorum.
+    fn others(&self) -> BTreeSet<DiskId> {
+        let survivors = self.recovery.iter().flat_map(|survivors| survivors.keys());
+        let mut others: BTreeSet<DiskId> = survivors.copied().collect();
+        others.extend(self.log.membership().voters());
+        others.remove(&self.disk);
+        others
+    }
+
+    /// Whether these votes make a leader as usual.
+    fn is_majority(&self, granted_by: &BTreeSet<DiskId>) -> bool {
         let membership = self.log.membership();
-        let own = self.disk;
-        membership.voters().filter(|disk| *disk != own).collect()
+        membership.majority(|disk| granted_by.contains(&disk))
+    }
+
+    /// The survivors of a lost quorum, if all of them have granted their votes.
+    fn agreed_survivors(
+        &self,
+        granted_by: &BTreeSet<DiskId>,
+    ) -> Option<BTreeMap<DiskId, ReplicaInfo>> {
+        let survivors = self.recovery.as_ref()?;
+        let agreed = survivors.keys().all(|disk| granted_by.contains(disk));
+        agreed.then(|| survivors.clone())
     }
 
     pub(super) fn start_pre_vote(&mut self) {
-        if !self.log.membership().is_voter(self.disk) {
+        if !self.log.membership().is_voter(self.disk) && self.recovery.is_none() {
             return;
         }
         self.leader = None;
         self.role = Role::PreCandidate(BTreeSet::from([self.disk]));
         let last = self.log.last();
-        for disk in self.others() {
+        // Learners are asked as well: their answers count for nothing but tell that they are there, which
+        // matters where no quorum is left.
+        let mut asked = self.others();
+        asked.extend(self.log.membership().replicas.into_keys());
+        asked.remove(&self.disk);
+        for disk in asked {
             self.send(disk, Message::PreVote { last });
         }
         self.count_pre_votes();
@@ -85,11 +109,7 @@
         let Role::PreCandidate(granted_by) = &self.role else {
             return;
         };
-        if self
-            .log
-            .membership()
-            .majority(|disk| granted_by.contains(&disk))
-        {
+        if self.is_majority(granted_by) || self.agreed_survivors(granted_by).is_some() {
             self.start_election(false);
         }
     }
@@ -135,12 +155,11 @@
         let Role::Candidate(granted_by) = &self.role else {
             return;
         };
-        if self
-            .log
-            .membership()
-            .majority(|disk| granted_by.contains(&disk))
-        {
+        if self.is_majority(granted_by) {
+            self.become_leader();
+        } else if let Some(survivors) = self.agreed_survivors(granted_by) {
             self.become_leader();
+            self.found_anew(survivors);
         }
     }
 
--- a/crates/firshore-replication/src/replica/follower.rs
+++ b/crates/firshore-replication/src/replica/follower.rs
@@ -9,6 +9,7 @@
     pub(super) fn heard_leader(&mut self, leader: DiskId) {
         assert!(!self.leads(), "a term has one leader");
         self.role = Role::Follower;
+        self.recovery = None;
         self.leader = Some(leader);
         self.leader_heard_at = Some(self.now);
         self.reset_election_timer();
--- a/crates/firshore-replication/src/replica/leader.rs
+++ b/crates/firshore-replication/src/replica/leader.rs
@@ -20,6 +20,7 @@
             transfer: None,
         });
         self.leader = Some(self.disk);
+        self.recovery = None;
         self.follow_membership();
         self.append_as_leader(EntryContent::Blank);
     }
@@ -190,7 +191,7 @@
         let Some(progress) = self.progress(from) else {
             return;
         };
-        progress.heard_at = now;
+        progress.answered(now);
         progress.round = progress.round.max(round);
         match result {
             AppendResult::Matched(index) => progress.accepted(index.min(last)),
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -3,11 +3,25 @@
 
 use super::{Replica, Role};
 use crate::error::ReplicaError;
-use crate::progress::ProgressState;
-use crate::storage::HardState;
+use crate::progress::{Progress, ProgressState};
 use crate::types::{
     DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
 };
+use std::collections::BTreeMap;
+
+/// Election timeouts that a learner has for its first answer to this leader: one whose node is gone for
+/// good must not keep another disk from being tried for as long as a voter may be silent.
+const FIRST_ANSWER_TIMEOUTS: u64 = 2;
+
+/// Disks that go on without the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Survivors {
+    /// The disks and where they are.
+    pub replicas: BTreeMap<DiskId, ReplicaInfo>,
+    /// Whether they hold what matters although a quorum of the others may have committed more: the only
+    /// voter went on without them, and nothing of what it committed alone was promised.
+    pub left_behind: bool,
+}
 
 impl Replica {
     /// Appends a membership change if this replica leads and no other change is pending.
@@ -30,29 +44,50 @@
         Ok(position)
     }
 
-    /// Goes on without the only other voter, whose disk is gone for good.
+    /// Goes on with these disks as the only voters, where so many others are gone that no quorum is left:
+    /// from now on until a leader is heard, the votes of all of them make a leader, which then makes them
+    /// the group.
+    ///
+    /// Each quorum of the group in force has to contain one of them, so one of them holds each committed
+    /// entry, and the one that all vote for holds them all. The caller has to be certain that the others
+    /// cannot elect a leader without them, and that no later change of the voters than those it allows for
+    /// may be in force.
     ///
-    /// Every committed entry needed both voters, so this replica holds it. The caller has to be
-    /// certain that the other disk never comes back, and that the voters known here are the latest:
-    /// a third voter could have committed entries with the other one.
-    pub fn continue_alone(&mut self) -> Result<Position, ReplicaError> {
+    /// # Errors
+    ///
+    /// When this replica leads or is none of them, or when they could elect a leader as usual or might
+    /// lack something.
+    pub fn continue_with(&mut self, survivors: &Survivors) -> Result<(), ReplicaError> {
         let membership = self.log.membership();
-        let pair = membership.voters().count() == 2 && membership.is_voter(self.disk);
-        if self.leads() || !pair {
+        let disks = &survivors.replicas;
+        let left = membership.voters().filter(|disk| disks.contains_key(disk));
+        let left = left.count();
+        let lost = membership.voters().count() - left;
+        let intersects = left < membership.quorum() && lost < membership.quorum();
+        let whole = intersects || survivors.left_behind;
+        if self.leads() || !disks.contains_key(&self.disk) || !whole {
             return Err(ReplicaError::InvalidChange);
         }
-        let mut alone = Membership::default();
-        if let Some(own) = membership.replicas.get(&self.disk) {
-            alone.replicas.insert(self.disk, own.clone());
+        if self.recovery.as_ref() != Some(disks) {
+            self.recovery = Some(disks.clone());
+            self.start_pre_vote();
         }
-        self.set_hard_state(HardState {
-            term: self.hard_state.term + 1,
-            vote: Some(self.disk),
+        Ok(())
+    }
+
+    /// A leader that all survivors voted for makes them the group.
+    pub(super) fn found_anew(&mut self, survivors: BTreeMap<DiskId, ReplicaInfo>) {
+        let replicas = survivors.into_iter().map(|(disk, replica)| {
+            let role = ReplicaRole::Voter;
+            (disk, ReplicaInfo { role, ..replica })
         });
-        self.become_leader();
-        let position = self.append_as_leader(EntryContent::Membership(alone));
+        let membership = Membership {
+            replicas: replicas.collect(),
+        };
+        self.append_as_leader(EntryContent::Membership(membership));
         self.follow_membership();
-        Ok(position)
+        self.send_entries_to_all();
+        self.advance_commit();
     }
 
     fn changed(&self, change: &MembershipChange) -> Result<Membership, ReplicaError> {
@@ -104,10 +139,18 @@
         let Role::Leader(leadership) = &self.role else {
             return Vec::new();
         };
-        leadership
-            .progress
-            .iter()
-            .filter(|(_, progress)| self.now.saturating_sub(progress.heard_at) >= limit)
+        let first = limit.min(FIRST_ANSWER_TIMEOUTS * self.timing.election_timeout);
+        let membership = self.log.membership();
+        let is_silent = |disk: DiskId, progress: &Progress| {
+            let limit = match progress.heard || membership.is_voter(disk) {
+                true => limit,
+                false => first,
+            };
+            self.now.saturating_sub(progress.heard_at) >= limit
+        };
+        let followers = leadership.progress.iter();
+        followers
+            .filter(|(disk, progress)| is_silent(**disk, progress))
             .map(|(disk, _)| *disk)
             .collect()
     }
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -8,12 +8,14 @@
 mod read;
 mod snapshot;
 
+pub use membership::Survivors;
+
 use crate::error::ReplicaError;
 use crate::log::Log;
 use crate::message::{Envelope, Message};
 use crate::progress::Progress;
 use crate::storage::{HardState, StoredState, WriteBatch};
-use crate::types::{DiskId, Entry, LogIndex, Membership, Position, Snapshot, Term};
+use crate::types::{DiskId, Entry, LogIndex, Membership, Position, ReplicaInfo, Snapshot, Term};
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -142,6 +144,8 @@
     pub membership: Membership,
     /// Whether the change that gave these replicas is committed, as far as known here.
     pub membership_committed: bool,
+    /// The latest replicas of which that is known.
+    pub committed_membership: Membership,
 }
 
 /// One replica.
@@ -166,6 +170,10 @@
     leader_heard_at: Option<u64>,
     election_due: u64,
     incoming_snapshot: Option<snapshot::IncomingSnapshot>,
+    /// When each other replica was heard last, in milliseconds.
+    heard_at: BTreeMap<DiskId, u64>,
+    /// While votes are asked for without a quorum: the replicas that all have to grant theirs.
+    recovery: Option<BTreeMap<DiskId, ReplicaInfo>>,
     output: Output,
 }
 
@@ -192,6 +200,8 @@
             leader_heard_at: None,
             election_due: 0,
             incoming_snapshot: None,
+            heard_at: BTreeMap::new(),
+            recovery: None,
             output: Output::default(),
         };
         replica.reset_election_timer();
@@ -235,9 +245,17 @@
             last: self.log.last(),
             membership: self.log.membership(),
             membership_committed: self.log.membership_index() <= self.commit,
+            committed_membership: self.log.membership_at(self.commit),
         }
     }
 
+    /// Replicas that were heard within the last `limit` milliseconds.
+    pub fn heard_within(&self, limit: u64) -> BTreeSet<DiskId> {
+        let since = self.now.saturating_sub(limit);
+        let heard = self.heard_at.iter().filter(|(_, at)| **at >= since);
+        heard.map(|(disk, _)| *disk).collect()
+    }
+
     /// Whether this replica believes it leads; it may be deposed without knowing yet.
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leader(_))
@@ -297,6 +315,7 @@
             return;
         }
         let (from, term) = (envelope.from, envelope.term);
+        self.heard_at.insert(from, self.now);
         match envelope.message {
             Message::PreVote { last } => return self.answer_pre_vote(from, term + 1, last),
             Message::PreVoteAnswer { next_term, granted } => {
--- a/crates/firshore-replication/src/replica/snapshot.rs
+++ b/crates/firshore-replication/src/replica/snapshot.rs
@@ -100,7 +100,7 @@
         let Some(progress) = self.progress(from) else {
             return;
         };
-        progress.heard_at = now;
+        progress.answered(now);
         let ProgressState::Snapshot {
             snapshot, offset, ..
         } = &mut progress.state
--- a/crates/firshore-replication/tests/continue_alone.rs
+++ b/crates/firshore-replication/tests/continue_alone.rs
@@ -1,7 +1,7 @@
 //! A pair of voters of which one has lost its disk.
 
 use firshore_replication::error::ReplicaError;
-use firshore_replication::replica::{Replica, Timing};
+use firshore_replication::replica::{Replica, Survivors, Timing};
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, EntryContent, Membership, ReplicaInfo, ReplicaRole};
 
@@ -19,6 +19,13 @@
     }
 }
 
+fn alone() -> Survivors {
+    Survivors {
+        replicas: membership(&[1]).replicas,
+        left_behind: false,
+    }
+}
+
 /// A founding replica on disk 1.
 fn replica(disks: &[u64]) -> Replica {
     let batch = StoredState::founding(membership(disks));
@@ -53,7 +60,7 @@
     survivor.tick(5_000);
     settle(&mut survivor);
     assert!(!survivor.leads(), "it needs the other's vote");
-    survivor.continue_alone().unwrap();
+    survivor.continue_with(&alone()).unwrap();
     settle(&mut survivor);
     assert!(survivor.leads());
     let status = survivor.status();
@@ -67,7 +74,7 @@
 fn no_other_group_loses_its_quorum() {
     for disks in [&[1, 2, 3][..], &[1], &[2, 3]] {
         let mut replica = replica(disks);
-        let refused = replica.continue_alone();
+        let refused = replica.continue_with(&alone());
         assert_eq!(refused, Err(ReplicaError::InvalidChange), "{disks:?}");
     }
 }
