--- a/crates/firshore-node/tests/observation.rs
+++ b/crates/firshore-node/tests/observation.rs
@@ -198,3 +198,46 @@
     );
     assert!(observation.is_connected());
 }
+
+#[test]
+fn entries_without_a_name_that_can_be_read_are_passed_over() {
+    let mut observation = Observation::new(terms());
+    let learned = observation.listed(page(&[("", 6), ("a", 5), ("", 9)], true, 10));
+    assert_eq!(learned, None);
+    assert_eq!(
+        observation.question(),
+        Question::List(Some("a".to_owned())),
+        "a name that cannot be read cannot be gone on from"
+    );
+    let learned = observation.listed(page(&[("", 9), ("b", 7), ("", 8)], false, 10));
+    assert_eq!(names(learned), ["a", "b"]);
+}
+
+// A page of which no name can be read, with more behind it, was taken for the last one: all that was known of
+// what stands behind it would be gone.
+#[test]
+fn a_page_that_leads_no_further_ends_no_listing() {
+    for stuck in [&[("", 6)][..], &[], &[("a", 5)]] {
+        let mut observation = Observation::new(terms());
+        observation.listed(page(&[("a", 5)], true, 10));
+        assert_eq!(observation.listed(page(stuck, true, 10)), None, "{stuck:?}");
+        assert_eq!(observation.question(), Question::List(None), "{stuck:?}");
+        assert_eq!(observation.failures(), 1, "{stuck:?}");
+    }
+}
+
+// Nobody can tell whom a change without a name is about: the listing shows who is still there.
+#[test]
+fn a_change_without_a_name_leads_to_a_listing() {
+    let mut observation = watching();
+    let learned = observation.watched(changes(&[("", 11), ("c", 12)], 12));
+    assert_eq!(names(learned), ["c"], "the others hold");
+    assert_eq!(observation.question(), Question::List(None));
+    assert!(
+        observation.pause() > Duration::ZERO,
+        "another writer may go on and on"
+    );
+    let learned = observation.listed(page(&[("a", 5), ("", 11), ("c", 12)], false, 12));
+    assert_eq!(names(learned), ["a", "c"]);
+    assert_eq!(observation.question(), Question::Watch(12));
+}
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -367,6 +367,25 @@
     });
 }
 
+// One object that could not be decoded at its receiver failed all that a relay told, again and again.
+#[test]
+fn what_a_relay_tells_stands_object_by_object() {
+    run(async {
+        let store = MemoryStore::new();
+        // As deep as an answer of the store can hold it: it travels wrapped.
+        let deep = (0..127).fold(json!(1), |inner, _| json!([inner]));
+        store.put(BACKENDS, "deep", deep.clone());
+        put(&store, "a");
+        let _relays = start_relays(&["z1"], &store).await;
+        let follower = Follower::start(1, &store);
+        follower.knows_in_time(&["a", "deep"]).await;
+        store.put(BACKENDS, "later", deep);
+        put(&store, "b");
+        follower.knows_in_time(&["a", "b", "deep", "later"]).await;
+        assert_eq!(follower.own.calls.get(), 0, "the relay is of use");
+    });
+}
+
 #[test]
 fn a_relay_that_goes_is_passed_over() {
     run(async {
