Entries of other writers stand by themselves: one that cannot be read names nothing and hides nothing

Entries without a name are passed over, a listing goes on after the last name that can be read or fails, a change without one leads to a listing. Refusals are told once for each revision, five a second at most.

--- a/crates/firshore-adapter/src/decode.rs
+++ b/crates/firshore-adapter/src/decode.rs
@@ -18,6 +18,17 @@
     }
 }
 
+/// Longest reason that is told of a refusal, in bytes: it may quote what another writer wrote.
+const LONGEST_REASON: usize = 200;
+
+/// Returns the begin of a reason, where it is long.
+pub fn brief(reason: impl ToString) -> String {
+    let mut reason = reason.to_string();
+    let end = reason.floor_char_boundary(LONGEST_REASON);
+    reason.truncate(end);
+    reason
+}
+
 /// A wish to empty a node with a disk.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Retirement {
--- a/crates/firshore-adapter/src/objects.rs
+++ b/crates/firshore-adapter/src/objects.rs
@@ -16,13 +16,13 @@
 /// One object.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Object {
-    /// Name, unique within its kind.
+    /// Name, unique within its kind; empty where what the store holds has none that can be read.
     pub name: String,
     /// Revision of its last change.
     pub revision: Revision,
-    /// What is wanted.
+    /// What is wanted; null where it cannot be read.
     pub spec: Value,
-    /// What is.
+    /// What is; null where it cannot be read.
     pub status: Value,
 }
 
@@ -37,6 +37,14 @@
     pub revision: Revision,
 }
 
+impl Page {
+    /// Returns the last name that can be read: the listing goes on after it.
+    pub fn cursor(&self) -> Option<&str> {
+        let names = self.objects.iter().map(|object| object.name.as_str());
+        names.rev().find(|name| !name.is_empty())
+    }
+}
+
 /// A change of one object.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -46,6 +54,16 @@
     Removed(String),
 }
 
+impl Change {
+    /// Returns the object's name; empty where it cannot be read.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Written(object) => &object.name,
+            Self::Removed(name) => name,
+        }
+    }
+}
+
 /// Changes after a revision, in order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Changes {
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -1,6 +1,7 @@
 //! What a node learns from the environment's objects: back ends and the configuration.
 
 use crate::observation::{CALM_WAIT, Learned, Terms};
+use crate::refusals::RefusalLog;
 use crate::relay::RelayedKind;
 use crate::relay::asker::RelayAsker;
 use crate::relay::budget::FreshnessBudget;
@@ -8,11 +9,12 @@
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::backend::{Backend, Incarnation};
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::belief::Belief;
 use firshore_gateway::gateway::Gateway;
 use slog::{info, warn};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -90,77 +92,117 @@
         }
     };
     let beliefs = &gateway.beliefs;
-    let for_backends = gateway.clone();
+    let for_backends = Learner::new(gateway);
     let backends = watcher::follow(watcher(kinds.backends, &beliefs.backends), move |learned| {
-        learn_backends(&for_backends, learned);
+        for_backends.learn_backends(learned);
     });
-    let for_configuration = gateway.clone();
+    let for_configuration = Learner::new(gateway);
     let configuration = watcher::follow(
         watcher(kinds.configuration, &beliefs.configuration),
-        move |learned| learn_configuration(&for_configuration, learned),
+        move |learned| for_configuration.learn_configuration(learned),
     );
     [Task::spawn(backends), Task::spawn(configuration)]
 }
 
-fn learn_backends(gateway: &Gateway, learned: Learned) {
-    match learned {
-        Learned::All(objects) => {
-            let decoded = objects
-                .iter()
-                .map(|object| gateway.adapter.decoder.backend(object));
-            let backends = decoded.filter_map(|backend| match backend {
-                Ok(backend) => Some(backend),
-                Err(error) => {
-                    warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error);
-                    None
-                }
-            });
-            let backends: Vec<_> = backends.collect();
-            info!(gateway.log, "fleet: Back ends listed."; "count" => backends.len());
-            gateway.fleet.borrow_mut().replace(backends);
+/// Takes in what is learned of one kind.
+struct Learner {
+    gateway: Rc<Gateway>,
+    refusals: RefCell<RefusalLog>,
+}
+
+impl Learner {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            refusals: RefCell::default(),
         }
-        Learned::Changed(changes) => {
-            for change in changes {
-                learn_backend(gateway, change);
+    }
+
+    fn learn_backends(&self, learned: Learned) {
+        match learned {
+            Learned::All(objects) => {
+                let backends: Vec<Backend> =
+                    objects.iter().filter_map(|one| self.backend(one)).collect();
+                info!(self.gateway.log, "fleet: Back ends listed."; "count" => backends.len());
+                self.gateway.fleet.borrow_mut().replace(backends);
+            }
+            Learned::Changed(changes) => {
+                for change in changes {
+                    self.learn_backend(change);
+                }
             }
         }
     }
-}
 
-fn learn_backend(gateway: &Gateway, change: Change) {
-    match change {
-        Change::Removed(name) => {
-            info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
-            gateway.fleet.borrow_mut().remove(&Incarnation(name));
+    fn learn_backend(&self, change: Change) {
+        let gateway = &self.gateway;
+        match change {
+            Change::Removed(name) => {
+                info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
+                self.refusals.borrow_mut().forget(&name);
+                gateway.fleet.borrow_mut().remove(&Incarnation(name));
+            }
+            Change::Written(object) => match self.backend(&object) {
+                Some(backend) => {
+                    info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
+                        "service" => %backend.service, "leaving" => backend.leaving,
+                        "revision" => object.revision);
+                    gateway.fleet.borrow_mut().upsert(backend);
+                }
+                // What its entry said before holds no longer: requests would go where nobody says that a
+                // back end of that service is.
+                None => gateway.fleet.borrow_mut().remove(&Incarnation(object.name)),
+            },
         }
-        Change::Written(object) => match gateway.adapter.decoder.backend(&object) {
+    }
+
+    fn backend(&self, object: &Object) -> Option<Backend> {
+        match self.gateway.adapter.decoder.backend(object) {
             Ok(backend) => {
-                info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
-                    "service" => %backend.service, "leaving" => backend.leaving,
-                    "revision" => object.revision);
-                gateway.fleet.borrow_mut().upsert(backend);
+                self.refusals.borrow_mut().forget(&object.name);
+                Some(backend)
+            }
+            Err(error) => {
+                if let Some(untold) = self.admit(object) {
+                    warn!(self.gateway.log, "fleet: Back end unusable."; "backend" => &object.name,
+                        "revision" => object.revision, "reason" => %error, "untold" => untold);
+                }
+                None
             }
-            Err(error) => warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error),
-        },
+        }
     }
-}
 
-fn learn_configuration(gateway: &Gateway, learned: Learned) {
-    let written: Vec<Object> = match learned {
-        Learned::All(objects) => objects,
-        Learned::Changed(changes) => changes
-            .into_iter()
-            .filter_map(|change| match change {
-                Change::Written(object) => Some(object),
-                Change::Removed(_) => None,
-            })
-            .collect(),
-    };
-    let name = gateway.adapter.decoder.configuration_name();
-    for object in written.iter().filter(|object| object.name == name) {
-        match gateway.adapter.decoder.configuration(object) {
-            Ok(configuration) => gateway.configure(configuration),
-            Err(error) => warn!(gateway.log, "configuration: Refused."; "reason" => %error),
+    /// Returns how many refusals were not told, if this one is to be told.
+    fn admit(&self, object: &Object) -> Option<u64> {
+        let now = firshore_clock::now();
+        let mut refusals = self.refusals.borrow_mut();
+        refusals.admit(now, &object.name, object.revision)
+    }
+
+    fn learn_configuration(&self, learned: Learned) {
+        let written: Vec<Object> = match learned {
+            Learned::All(objects) => objects,
+            Learned::Changed(changes) => changes
+                .into_iter()
+                .filter_map(|change| match change {
+                    Change::Written(object) => Some(object),
+                    Change::Removed(_) => None,
+                })
+                .collect(),
+        };
+        let gateway = &self.gateway;
+        let name = gateway.adapter.decoder.configuration_name();
+        for object in written.iter().filter(|object| object.name == name) {
+            match gateway.adapter.decoder.configuration(object) {
+                Ok(configuration) => gateway.configure(configuration),
+                // The former stays in force.
+                Err(error) => {
+                    if let Some(untold) = self.admit(object) {
+                        warn!(gateway.log, "configuration: Refused."; "revision" => object.revision,
+                            "reason" => %error, "untold" => untold);
+                    }
+                }
+            }
         }
     }
 }
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -5,6 +5,8 @@
 //! once and never changed: who creates it decides.
 
 use crate::observation::Learned;
+use crate::refusals::RefusalLog;
+use firshore_adapter::decode::brief;
 use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
 use firshore_log::placement::Candidate;
 use firshore_replication::types::{DiskId, Membership};
@@ -53,8 +55,10 @@
 struct Known {
     listed: bool,
     nodes: BTreeMap<NodeName, (Revision, NodeRecord)>,
+    /// Nodes whose record cannot be read as it is now, and its revision. They are reached as listed before.
+    mangled: BTreeMap<NodeName, Revision>,
     founding: Option<Membership>,
-    voters: Option<(Revision, VoterRecord)>,
+    voters: KnownVoters,
     /// Nodes that told where they listen themselves, and as of which revision.
     heard: BTreeMap<NodeName, Revision>,
 }
@@ -72,6 +76,19 @@
     pub settled: bool,
 }
 
+/// What is known of the record of the voters.
+#[derive(Debug, Default)]
+enum KnownVoters {
+    /// None was listed.
+    #[default]
+    Absent,
+    /// As recorded at a revision.
+    Recorded(Revision, VoterRecord),
+    /// It stands there and cannot be read: it may name anybody, so that nothing may follow from a former one,
+    /// and nobody writes over it.
+    Unreadable,
+}
+
 /// What the store lists.
 pub struct Registry {
     store: Rc<dyn ObjectStore>,
@@ -82,6 +99,7 @@
     refreshed_at: Cell<Option<Instant>>,
     /// Something was written that no listing has shown yet.
     unsettled: Cell<bool>,
+    refusals: RefCell<RefusalLog>,
 }
 
 impl Registry {
@@ -95,6 +113,7 @@
             own_revision: OwnRevision::default(),
             refreshed_at: Cell::new(None),
             unsettled: Cell::new(false),
+            refusals: RefCell::default(),
         }
     }
 
@@ -120,14 +139,19 @@
 
     async fn list(&self) -> Result<Vec<Object>, ObjectError> {
         let mut objects: Vec<Object> = Vec::new();
+        let mut after: Option<String> = None;
         loop {
-            let after = objects.last().map(|object| object.name.clone());
             let page = self.store.list(KIND, after.as_deref()).await?;
-            let last = !page.more || page.objects.is_empty();
+            let cursor = page.cursor().map(str::to_owned);
             objects.extend(page.objects);
-            if last {
+            if !page.more {
                 return Ok(objects);
             }
+            if cursor <= after {
+                let reason = "more follow, and no name to ask for them after";
+                return Err(ObjectError::Unanswered(reason.to_owned()));
+            }
+            after = cursor;
         }
     }
 
@@ -179,8 +203,10 @@
 
     /// The voters as recorded last.
     pub fn recorded_voters(&self) -> Option<VoterRecord> {
-        let known = self.known.borrow();
-        known.voters.as_ref().map(|(_, record)| record.clone())
+        match &self.known.borrow().voters {
+            KnownVoters::Recorded(_, record) => Some(record.clone()),
+            KnownVoters::Absent | KnownVoters::Unreadable => None,
+        }
     }
 
     /// Records the voters, if nobody else has meanwhile. The next listing tells what was recorded.
@@ -189,7 +215,11 @@
             return;
         }
         let spec = serde_json::to_value(record).expect("records serialise");
-        let known = self.known.borrow().voters.as_ref().map(|(at, _)| *at);
+        let known = match self.known.borrow().voters {
+            KnownVoters::Absent => None,
+            KnownVoters::Recorded(revision, _) => Some(revision),
+            KnownVoters::Unreadable => return,
+        };
         let written = match known {
             None => self.store.create(KIND, VOTERS, spec).await,
             Some(revision) => self.store.replace(KIND, VOTERS, revision, spec).await,
@@ -226,6 +256,7 @@
         self.unsettled.set(false);
         match learned {
             Learned::All(objects) => {
+                self.known.borrow_mut().mangled.clear();
                 for object in &objects {
                     self.take(object);
                 }
@@ -257,19 +288,18 @@
         if object.name == FOUNDING {
             match Membership::deserialize(&object.spec) {
                 Ok(founding) => known.founding = Some(founding),
-                Err(error) => {
-                    warn!(self.log, "registry: Founders unreadable."; "reason" => %error);
-                }
+                Err(error) => self.refuse(object, "Founders unreadable.", &error),
             }
             return;
         }
         if object.name == VOTERS {
-            match VoterRecord::deserialize(&object.spec) {
-                Ok(record) => known.voters = Some((object.revision, record)),
+            known.voters = match VoterRecord::deserialize(&object.spec) {
+                Ok(record) => KnownVoters::Recorded(object.revision, record),
                 Err(error) => {
-                    warn!(self.log, "registry: Voters unreadable."; "reason" => %error);
+                    self.refuse(object, "Voters unreadable.", &error);
+                    KnownVoters::Unreadable
                 }
-            }
+            };
             return;
         }
         let Some(name) = object.name.strip_prefix(NODE_PREFIX) else {
@@ -282,27 +312,41 @@
                     info!(self.log, "registry: Node."; "node" => name, "disk" => %record.disk,
                         "address" => %record.address, "revision" => object.revision);
                 }
+                known.mangled.remove(&NodeName::from(name));
                 known.nodes.insert(name.into(), (object.revision, record));
             }
             Err(error) => {
-                warn!(self.log, "registry: Node unreadable."; "node" => name, "reason" => %error);
+                self.refuse(object, "Node unreadable.", &error);
+                known.mangled.insert(name.into(), object.revision);
             }
         }
     }
 
+    fn refuse(&self, object: &Object, what: &'static str, error: &serde_json::Error) {
+        let now = firshore_clock::now();
+        let mut refusals = self.refusals.borrow_mut();
+        if let Some(untold) = refusals.admit(now, &object.name, object.revision) {
+            warn!(self.log, "registry: {}", what; "object" => &object.name,
+                "revision" => object.revision, "reason" => brief(error), "untold" => untold);
+        }
+    }
+
     fn forget(&self, object: &str) {
         if let Some(name) = object.strip_prefix(NODE_PREFIX) {
-            self.known.borrow_mut().nodes.remove(&NodeName::from(name));
+            let mut known = self.known.borrow_mut();
+            known.nodes.remove(&NodeName::from(name));
+            known.mangled.remove(&NodeName::from(name));
         }
     }
 
     /// Whether the store lists this record.
     pub fn is_registered(&self, node: &NodeName, record: &NodeRecord) -> bool {
         let known = self.known.borrow();
-        known
+        let listed = known
             .nodes
             .get(node)
-            .is_some_and(|(_, listed)| listed == record)
+            .filter(|_| !known.mangled.contains_key(node));
+        listed.is_some_and(|(_, listed)| listed == record)
     }
 
     /// Writes a node's own record, if the store does not list it as it is.
@@ -315,17 +359,25 @@
             let listed = known.nodes.get(node).map_or(0, |(listed, _)| *listed);
             return self.own_revision.store(listed, Ordering::Relaxed);
         }
-        let listed = self.known.borrow().nodes.get(node).cloned();
+        let listed = self.listed_at(node);
         self.own_revision.store(0, Ordering::Relaxed);
         let name = format!("{NODE_PREFIX}{node}");
         let spec = serde_json::to_value(record).expect("records serialise");
         let written = match listed {
             None => self.store.create(KIND, &name, spec).await,
-            Some((revision, _)) => self.store.replace(KIND, &name, revision, spec).await,
+            Some(revision) => self.store.replace(KIND, &name, revision, spec).await,
         };
         self.note("Node registered.", written);
     }
 
+    /// Revision at which a node's record stands in the store, whether it can be read or not: a node whose
+    /// record somebody else has mangled writes it anew.
+    fn listed_at(&self, node: &NodeName) -> Option<Revision> {
+        let known = self.known.borrow();
+        let readable = known.nodes.get(node).map(|(revision, _)| *revision);
+        known.mangled.get(node).copied().or(readable)
+    }
+
     /// Names the founders, unless somebody has.
     pub async fn found(&self, founders: &Membership) {
         if self.is_unsettled() {
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -1,6 +1,7 @@
 //! Nodes that operators want emptied, and how far that is.
 
 use crate::observation::Learned;
+use crate::refusals::RefusalLog;
 use firshore_adapter::Adapter;
 use firshore_adapter::decode::{Retirement, RetirementProgress};
 use firshore_adapter::objects::{Change, Object, Revision};
@@ -15,12 +16,15 @@
     retirement: Retirement,
     /// Progress that was written last by this node.
     written: Option<RetirementProgress>,
+    /// Whether the wish can be read as it stands there now: nothing is reported where it cannot.
+    readable: bool,
 }
 
 /// Wishes to empty nodes, as the store lists them.
 #[derive(Debug, Default)]
 pub struct Retirements {
     wishes: RefCell<BTreeMap<NodeName, Wish>>,
+    refusals: RefCell<RefusalLog>,
 }
 
 impl Retirements {
@@ -28,7 +32,13 @@
     pub fn learn(&self, adapter: &Adapter, log: &Logger, learned: Learned) {
         match learned {
             Learned::All(objects) => {
-                self.wishes.borrow_mut().clear();
+                let listed: BTreeSet<&str> = objects.iter().map(|one| one.name.as_str()).collect();
+                let mut wishes = self.wishes.borrow_mut();
+                wishes.retain(|node, _| listed.contains(node.as_str()));
+                for wish in wishes.values_mut() {
+                    wish.written = None;
+                }
+                drop(wishes);
                 for object in &objects {
                     self.take(adapter, log, object);
                 }
@@ -58,10 +68,26 @@
                     revision: object.revision,
                     retirement,
                     written,
+                    readable: true,
                 };
                 wishes.insert(node, wish);
             }
-            Err(error) => warn!(log, "retirement: Unreadable."; "reason" => %error),
+            // A node that was to be emptied stays so: it must not be filled again meanwhile.
+            Err(error) => {
+                if let Some(wish) = self
+                    .wishes
+                    .borrow_mut()
+                    .get_mut(&NodeName(object.name.clone()))
+                {
+                    wish.readable = false;
+                }
+                let mut refusals = self.refusals.borrow_mut();
+                let admitted = refusals.admit(firshore_clock::now(), &object.name, object.revision);
+                if let Some(untold) = admitted {
+                    warn!(log, "retirement: Unreadable."; "revision" => object.revision,
+                        "reason" => %error, "untold" => untold);
+                }
+            }
         }
     }
 
@@ -79,7 +105,10 @@
         is_emptied: impl Fn(&NodeName) -> bool,
     ) {
         let wishes = self.wishes.borrow().clone();
-        for (node, wish) in wishes.iter().filter(|(_, wish)| !wish.retirement.done) {
+        for (node, wish) in wishes
+            .iter()
+            .filter(|(_, wish)| wish.readable && !wish.retirement.done)
+        {
             let progress = match is_emptied(node) {
                 true => RetirementProgress::Done,
                 false => RetirementProgress::Running,
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod observation;
 pub mod readiness;
+pub mod refusals;
 pub mod relay;
 pub mod runner;
 pub mod settings;
--- a/crates/firshore-node/src/observation.rs
+++ b/crates/firshore-node/src/observation.rs
@@ -10,6 +10,10 @@
 //!
 //! What was seen is never taken back: a listing as of an earlier revision than was seen before is no answer,
 //! and an object that one shows in an older revision than was seen is passed over.
+//!
+//! Entries without a name that can be read are passed over. A listing goes on after the last name that can be
+//! read, and fails where that leads no further. Whom a change without a name is about nobody can tell: the
+//! objects are listed anew.
 
 use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page, Revision};
 use std::collections::HashMap;
@@ -68,6 +72,10 @@
 enum Phase {
     Listing {
         gathered: Vec<Object>,
+        /// Revision up to which changes were known before, but for those of whom nobody can tell.
+        known: Option<Revision>,
+        /// Last name that could be read.
+        after: Option<String>,
         /// Revision of the first page: what changed while later pages were read is watched again.
         revision: Option<Revision>,
     },
@@ -76,8 +84,14 @@
 
 impl Phase {
     fn listing() -> Self {
+        Self::listing_after(None)
+    }
+
+    fn listing_after(known: Option<Revision>) -> Self {
         Self::Listing {
+            known,
             gathered: Vec::new(),
+            after: None,
             revision: None,
         }
     }
@@ -100,6 +114,21 @@
     creation: bool,
     /// The watch that waited was given up to ask anew at once.
     renewed: bool,
+    /// Entries of the last answer whose name could not be read.
+    unnamed: usize,
+    /// The last watch brought some: another writer may go on with that, so that a pause comes first.
+    doubted: bool,
+    /// Why the last page was refused, if it was.
+    refusal: Option<ListingRefusal>,
+}
+
+/// Why a page is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListingRefusal {
+    /// Objects that are gone would come back.
+    Older,
+    /// More follow, and no name is in it that they could be asked for after.
+    NoCursor,
 }
 
 impl Observation {
@@ -115,15 +144,16 @@
             calm: false,
             creation: false,
             renewed: false,
+            unnamed: 0,
+            doubted: false,
+            refusal: None,
         }
     }
 
     /// What to ask next.
     pub fn question(&self) -> Question {
         match &self.phase {
-            Phase::Listing { gathered, .. } => {
-                Question::List(gathered.last().map(|object| object.name.clone()))
-            }
+            Phase::Listing { after, .. } => Question::List(after.clone()),
             Phase::Watching(revision) => Question::Watch(*revision),
         }
     }
@@ -154,6 +184,7 @@
             return Duration::ZERO;
         }
         match self.failures {
+            0 if self.doubted => self.terms.spacing.max(FIRST_PAUSE),
             0 if self.changed && self.creation => self.terms.creation_spacing,
             0 if self.changed => self.terms.spacing,
             0 => Duration::ZERO,
@@ -177,14 +208,31 @@
     /// Revision up to which changes are known.
     pub fn revision(&self) -> Option<Revision> {
         match &self.phase {
-            Phase::Listing { .. } => None,
+            Phase::Listing { known, .. } => *known,
             Phase::Watching(revision) => Some(*revision),
         }
     }
 
+    /// Entries of the last answer whose name could not be read.
+    pub fn unnamed(&self) -> usize {
+        self.unnamed
+    }
+
+    /// Why the last page was refused, if it was.
+    pub fn refusal(&self) -> Option<ListingRefusal> {
+        self.refusal
+    }
+
+    fn refuse(&mut self, refusal: ListingRefusal) {
+        self.failed(&ObjectError::Unanswered(String::new()));
+        self.refusal = Some(refusal);
+    }
+
     /// Takes in a page.
     pub fn listed(&mut self, page: Result<Page, ObjectError>) -> Option<Learned> {
-        let page = match page {
+        self.unnamed = 0;
+        self.refusal = None;
+        let mut page = match page {
             Ok(page) => page,
             Err(error) => {
                 self.failed(&error);
@@ -192,19 +240,35 @@
             }
         };
         if page.revision < self.reached {
-            // Objects that are gone would come back.
-            self.failed(&ObjectError::Unanswered("an older revision".to_owned()));
+            self.refuse(ListingRefusal::Older);
+            return None;
+        }
+        if page.more && !self.leads_on(&page) {
+            self.refuse(ListingRefusal::NoCursor);
             return None;
         }
         self.failures = 0;
+        if std::mem::take(&mut self.doubted) {
+            // The pause after the changes came before the listing.
+            self.changed = false;
+        }
         self.reached = page.revision;
-        let Phase::Listing { gathered, revision } = &mut self.phase else {
+        self.unnamed = remove_unnamed(&mut page.objects, |object| &object.name);
+        let Phase::Listing {
+            gathered,
+            after,
+            revision,
+            ..
+        } = &mut self.phase
+        else {
             return None;
         };
         let first = *revision.get_or_insert(page.revision);
-        let empty = page.objects.is_empty();
+        if page.more {
+            *after = page.cursor().map(str::to_owned);
+        }
         gathered.extend(page.objects);
-        if page.more && !empty {
+        if page.more {
             return None;
         }
         let listed = std::mem::take(gathered);
@@ -213,6 +277,15 @@
         Some(Learned::All(self.newest(listed)))
     }
 
+    /// Whether the listing can go on after a page. Without this, a page of which no name can be read would end
+    /// the listing, and all that stands behind it would be gone.
+    fn leads_on(&self, page: &Page) -> bool {
+        let Phase::Listing { after, .. } = &self.phase else {
+            return false;
+        };
+        page.cursor() > after.as_deref()
+    }
+
     /// Objects that are not older than what was seen; remembers just these.
     fn newest(&mut self, listed: Vec<Object>) -> Vec<Object> {
         let seen = std::mem::take(&mut self.seen);
@@ -231,7 +304,8 @@
     /// Takes in changes.
     pub fn watched(&mut self, changes: Result<Changes, ObjectError>) -> Option<Learned> {
         self.renewed = false;
-        let changes = match changes {
+        self.unnamed = 0;
+        let mut changes = match changes {
             Ok(changes) => changes,
             Err(error) => {
                 self.failed(&error);
@@ -247,6 +321,12 @@
         self.calm = changes.revision <= *revision;
         *revision = changes.revision.max(*revision);
         self.reached = self.reached.max(*revision);
+        self.unnamed = remove_unnamed(&mut changes.changes, Change::name);
+        if self.unnamed > 0 {
+            // What the others are told goes on meanwhile: the listing that follows tells the rest.
+            self.phase = Phase::listing_after(Some(self.reached));
+            self.doubted = true;
+        }
         let fresh: Vec<Change> = changes
             .changes
             .into_iter()
@@ -284,9 +364,17 @@
         self.phase = Phase::listing();
         self.changed = false;
         self.calm = false;
+        self.doubted = false;
         // Lost history is no failure of the store: what changed is wanted at once.
         if *error != ObjectError::HistoryGone {
             self.failures += 1;
         }
     }
 }
+
+/// Takes entries out whose name cannot be read. Returns how many.
+fn remove_unnamed<T>(entries: &mut Vec<T>, name: impl Fn(&T) -> &str) -> usize {
+    let before = entries.len();
+    entries.retain(|entry| !name(entry).is_empty());
+    before - entries.len()
+}
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -50,27 +50,34 @@
     FromStore(StoreAnswer<T>),
 }
 
-fn decoded(objects: &[RelayedObject]) -> Result<Vec<Object>, ObjectError> {
-    let objects = objects.iter().map(RelayedObject::decode);
-    let objects: Result<Vec<Object>, serde_json::Error> = objects.collect();
-    objects.map_err(|error| ObjectError::Unanswered(format!("a relay's object: {error}")))
+/// Each object by itself: one that cannot be read has no content, and the others hold. Otherwise whatever
+/// the relay tells would fail, until somebody else has mended that object.
+fn decoded(objects: &[RelayedObject]) -> impl Iterator<Item = Object> {
+    objects.iter().map(|relayed| {
+        let object = relayed.decode();
+        object.unwrap_or_else(|_| Object {
+            name: relayed.name.clone(),
+            revision: relayed.revision,
+            ..Object::default()
+        })
+    })
 }
 
-fn page(relayed: &RelayedPage) -> Result<Page, ObjectError> {
-    Ok(Page {
-        objects: decoded(&relayed.objects)?,
+fn page(relayed: &RelayedPage) -> Page {
+    Page {
+        objects: decoded(&relayed.objects).collect(),
         more: relayed.more,
         revision: relayed.revision,
-    })
+    }
 }
 
-fn changes(relayed: &RelayedChanges) -> Result<Changes, ObjectError> {
-    let written = decoded(&relayed.written)?.into_iter().map(Change::Written);
+fn changes(relayed: &RelayedChanges) -> Changes {
+    let written = decoded(&relayed.written).map(Change::Written);
     let removed = relayed.removed.iter().cloned().map(Change::Removed);
-    Ok(Changes {
+    Changes {
         changes: written.chain(removed).collect(),
         revision: relayed.revision,
-    })
+    }
 }
 
 fn unexpected() -> ObjectError {
@@ -249,7 +256,7 @@
                     };
                     let as_of = answer.as_of(relayed.contact);
                     self.relayed(as_of);
-                    (page(relayed)?, as_of, answer.source())
+                    (page(relayed), as_of, answer.source())
                 }
                 Learnt::FromStore(answer) => (answer.told, answer.asked_at, BeliefSource::Store),
             };
@@ -281,7 +288,7 @@
                 PeerResponse::HistoryGone => return Err(ObjectError::HistoryGone),
                 _ => return Err(unexpected()),
             };
-            let changes = changes(relayed)?;
+            let changes = changes(relayed);
             self.know(changes.revision)?;
             let as_of = answer.as_of(relayed.contact);
             self.relayed(as_of);
--- a/crates/firshore-node/src/watcher.rs
+++ b/crates/firshore-node/src/watcher.rs
@@ -1,7 +1,8 @@
 //! Asks the store what an [`Observation`] wants to know, for as long as the node lives.
 
-use crate::observation::{Learned, Observation, Question, Terms};
-use firshore_adapter::objects::{ObjectError, ObjectStore};
+use crate::observation::{Learned, ListingRefusal, Observation, Question, Terms};
+use crate::refusals::RefusalLog;
+use firshore_adapter::objects::{ObjectError, ObjectStore, Revision};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use std::rc::Rc;
@@ -44,6 +45,7 @@
         renewal,
     } = watcher;
     let mut observation = Observation::new(terms);
+    let mut refusals = RefusalLog::default();
     let mut as_of = firshore_clock::now();
     loop {
         let pause = observation.pause();
@@ -60,12 +62,10 @@
                 }
                 let page = store.list(&kind, after.as_deref()).await;
                 note(&log, &kind, connected, page.as_ref().err());
-                let answered = page.is_ok();
+                let revision = page.as_ref().map_or(0, |page| page.revision);
                 let learned = observation.listed(page);
-                if answered && !observation.is_connected() {
-                    warn!(log, "objects: Listing refused."; "kind" => &kind,
-                        "reason" => "an older revision than was known");
-                }
+                note_refusal(&log, &kind, observation.refusal());
+                note_unnamed(&log, &kind, &mut refusals, &observation, revision);
                 learned
             }
             Question::Watch(revision) => {
@@ -79,7 +79,10 @@
                 };
                 note(&log, &kind, connected, changes.as_ref().err());
                 as_of = firshore_clock::now();
-                observation.watched(changes)
+                let revision = changes.as_ref().map_or(0, |changes| changes.revision);
+                let learned = observation.watched(changes);
+                note_unnamed(&log, &kind, &mut refusals, &observation, revision);
+                learned
             }
         };
         if !connected && observation.is_connected() {
@@ -101,3 +104,29 @@
         _ => {}
     }
 }
+
+fn note_refusal(log: &Logger, kind: &str, refusal: Option<ListingRefusal>) {
+    let reason = match refusal {
+        None => return,
+        Some(ListingRefusal::Older) => "an older revision than was known",
+        Some(ListingRefusal::NoCursor) => "more follow, and no name to ask for them after",
+    };
+    warn!(log, "objects: Listing refused."; "kind" => kind, "reason" => reason);
+}
+
+fn note_unnamed(
+    log: &Logger,
+    kind: &str,
+    refusals: &mut RefusalLog,
+    observation: &Observation,
+    revision: Revision,
+) {
+    let count = observation.unnamed();
+    if count == 0 {
+        return;
+    }
+    if let Some(untold) = refusals.admit(firshore_clock::now(), "", revision) {
+        warn!(log, "objects: Entries passed over."; "kind" => kind, "count" => count,
+            "revision" => revision, "reason" => "no name that can be read", "untold" => untold);
+    }
+}
--- a/crates/firshore-node/tests/foreign.rs
+++ b/crates/firshore-node/tests/foreign.rs
@@ -9,6 +9,7 @@
 use firshore_adapter::objects::{Change, Object};
 use firshore_node::journal::registry::{KIND, NodeRecord, Registry, VoterRecord};
 use firshore_node::observation::Learned;
+use firshore_node::refusals::RefusalLog;
 use firshore_replication::types::DiskId;
 use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION};
 use firshore_stand_in::backend::{Play, ScriptedBackend};
@@ -17,6 +18,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Guard against a test that hangs.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -215,3 +217,26 @@
         Some("127.0.0.1:9".parse().unwrap())
     );
 }
+
+#[test]
+fn refusals_are_told_once_each_and_a_few_a_second() {
+    let mut refusals = RefusalLog::default();
+    let start = Instant::now();
+    assert_eq!(refusals.admit(start, "a", 1), Some(0));
+    assert_eq!(refusals.admit(start, "a", 1), None, "told already");
+    assert_eq!(refusals.admit(start, "a", 2), Some(0), "written anew");
+    let names: Vec<String> = (0..2_000).map(|number| format!("n{number}")).collect();
+    let told = names
+        .iter()
+        .filter_map(|name| refusals.admit(start, name, 1));
+    assert_eq!(told.count(), 3, "a few a second");
+    let later = start + Duration::from_secs(1);
+    assert_eq!(
+        refusals.admit(later, "b", 1),
+        Some(1_997),
+        "what was not told is counted"
+    );
+    assert_eq!(refusals.admit(later, "a", 2), None);
+    refusals.forget("a");
+    assert_eq!(refusals.admit(later, "a", 2), Some(0));
+}
--- a/crates/firshore-node/tests/observation.rs
+++ b/crates/firshore-node/tests/observation.rs
@@ -232,6 +232,11 @@
     let mut observation = watching();
     let learned = observation.watched(changes(&[("", 11), ("c", 12)], 12));
     assert_eq!(names(learned), ["c"], "the others hold");
+    assert_eq!(
+        observation.revision(),
+        Some(12),
+        "and may be passed on at once"
+    );
     assert_eq!(observation.question(), Question::List(None));
     assert!(
         observation.pause() > Duration::ZERO,
@@ -240,4 +245,9 @@
     let learned = observation.listed(page(&[("a", 5), ("", 11), ("c", 12)], false, 12));
     assert_eq!(names(learned), ["a", "c"]);
     assert_eq!(observation.question(), Question::Watch(12));
+    assert_eq!(
+        observation.pause(),
+        Duration::ZERO,
+        "the pause came before the listing"
+    );
 }
