--- a/crates/firshore-stand-in/src/backend.rs
+++ b/crates/firshore-stand-in/src/backend.rs
@@ -78,8 +78,19 @@
 impl ScriptedBackend {
     /// Starts a back end that answers as `script` says, and as `afterwards` from then on.
     pub async fn start(name: &str, script: &[Play], afterwards: Play) -> Rc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.expect("a port is free");
+        let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(anywhere, name, script, afterwards).await
+    }
+
+    /// Starts one where another process has listened.
+    pub async fn start_at(
+        address: SocketAddr,
+        name: &str,
+        script: &[Play],
+        afterwards: Play,
+    ) -> Rc<Self> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.expect("the port is free");
         let backend = Rc::new(Self {
             name: name.to_owned(),
             address: listener.local_addr().expect("the listener is bound"),
