--- a/crates/firshore-adapter/src/backend.rs
+++ b/crates/firshore-adapter/src/backend.rs
@@ -1,22 +1,12 @@
 //! Back ends: who they are, what they are told with a request, and what their answers say.
 
+use crate::incarnation::Incarnation;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
 use firshore_types::ids::{ServiceName, TenantName, ZoneName};
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Identity of one run of a back end's process. An address may be reused; an incarnation never is.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Incarnation(pub String);
-
-impl fmt::Display for Incarnation {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
-
 /// A back end as the directory lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Backend {
--- a/crates/firshore-adapter/src/lib.rs
+++ b/crates/firshore-adapter/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod decode;
+pub mod incarnation;
 pub mod jobs;
 pub mod objects;
 pub mod route;
--- a/crates/firshore-crashes/src/report.rs
+++ b/crates/firshore-crashes/src/report.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other, as it travels.
 
 use crate::print::RequestPrint;
+use firshore_adapter::incarnation::StartTime;
 use serde::{Deserialize, Serialize};
 
 /// How far a table is, as its holder counts its changes.
@@ -31,6 +32,9 @@
     /// Back end.
     #[serde(rename = "b")]
     pub backend: String,
+    /// Start of the process that ended, where it is known.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub started: Option<StartTime>,
     /// Milliseconds since it ended.
     #[serde(rename = "a")]
     pub age: u64,
--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -7,7 +7,7 @@
 use crate::print::RequestPrint;
 use crate::report::{CrashReport, LostRun, ReportedCompletion, ReportedEnd, TableCursor};
 use crate::verdict;
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -169,7 +169,7 @@
         let before = self.position;
         let mut changes = Vec::new();
         for end in &report.ends {
-            let backend = Incarnation(end.backend.clone());
+            let backend = self.told_of(end);
             if end.age >= self.remember.as_millis() as u64 {
                 continue;
             }
@@ -231,6 +231,20 @@
         }
     }
 
+    /// The back end that a report tells of. One that tells no start of it, from a node that knows none, means
+    /// an end that is known with its start: it would count twice otherwise.
+    fn told_of(&self, end: &ReportedEnd) -> Incarnation {
+        let told = Incarnation {
+            name: end.backend.as_str().into(),
+            started: end.started,
+        };
+        if told.started.is_some() {
+            return told;
+        }
+        let known = self.ends.keys().filter(|one| one.name == told.name);
+        known.max().cloned().unwrap_or(told)
+    }
+
     fn add_end(&mut self, at: Instant, backend: &Incarnation, lost: &[LostRun]) {
         if !self.ends.contains_key(backend) {
             self.make_room();
@@ -334,7 +348,8 @@
 fn reported(now: Instant, backend: &Incarnation, end: &EndedBackend) -> ReportedEnd {
     let lost = end.lost.iter();
     ReportedEnd {
-        backend: backend.0.clone(),
+        backend: backend.name.to_string(),
+        started: backend.started,
         age: age(now, end.at),
         lost: lost
             .map(|(print, reached)| LostRun {
--- a/crates/firshore-crashes/src/verdict.rs
+++ b/crates/firshore-crashes/src/verdict.rs
@@ -6,7 +6,7 @@
 
 use crate::print::RequestPrint;
 use crate::table::{EndedBackend, Suspicion, Verdict};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
--- a/crates/firshore-crashes/tests/table.rs
+++ b/crates/firshore-crashes/tests/table.rs
@@ -1,6 +1,6 @@
 //! What is known of back ends that ended, and which requests are held back for it.
 
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::{Incarnation, StartTime};
 use firshore_crashes::print::{AskedRequest, PrintKey, RequestPrint};
 use firshore_crashes::report::{CrashReport, LostRun};
 use firshore_crashes::sync::{self, CrashSync};
@@ -46,7 +46,7 @@
     let mut changes = Vec::new();
     for (idx, name) in names.iter().enumerate() {
         let at = at + Duration::from_secs(idx as u64);
-        let backend = Incarnation((*name).to_owned());
+        let backend = Incarnation::named(*name);
         changes.extend(table.ended(at, &backend, &[lost(print, 0)]));
     }
     changes
@@ -65,7 +65,11 @@
     );
     assert!(matches!(&changes[..], [TableChange::Condemned(one, _)] if *one == print("/a")));
     let verdict = table.verdict(&print("/a")).unwrap();
-    let names: Vec<&str> = verdict.backends.iter().map(|one| one.0.as_str()).collect();
+    let names: Vec<&str> = verdict
+        .backends
+        .iter()
+        .map(|one| one.name.as_str())
+        .collect();
     assert_eq!(names, ["b1", "b2", "b3"]);
     assert!(table.verdict(&print("/b")).is_none());
 }
@@ -84,7 +88,7 @@
     for name in ["b1", "b2", "b3", "b4", "b5", "b6"] {
         table.ended(
             now,
-            &Incarnation(name.to_owned()),
+            &Incarnation::named(name),
             &[lost(print("/popular"), 0)],
         );
     }
@@ -122,7 +126,7 @@
     for (idx, name) in ["b1", "b2", "b3", "b4", "b5", "b6"].iter().enumerate() {
         let at = now + Duration::from_secs(idx as u64);
         let run = lost(print("/item"), 1_000 * idx as u64);
-        table.ended(at, &Incarnation((*name).to_owned()), &[run]);
+        table.ended(at, &Incarnation::named(*name), &[run]);
     }
     assert_eq!(table.suspicion(&print("/item")).ends, 1);
     assert!(!table.has_verdicts());
@@ -138,7 +142,7 @@
         if idx > 0 {
             runs.push(lost(print("/beside"), 0));
         }
-        table.ended(at, &Incarnation((*name).to_owned()), &runs);
+        table.ended(at, &Incarnation::named(*name), &runs);
     }
     assert!(table.verdict(&print("/fatal")).is_some());
     assert!(table.verdict(&print("/beside")).is_none());
@@ -149,7 +153,7 @@
     let (mut table, now) = (table(), Instant::now());
     for idx in 0..5 {
         let own = lost(print(&format!("/{idx}")), 0);
-        table.ended(now, &Incarnation(format!("own{idx}")), &[own]);
+        table.ended(now, &Incarnation::named(format!("own{idx}")), &[own]);
     }
     end_under(&mut table, now, print("/a"), &["b1", "b2", "b3", "b4"]);
     assert!(table.verdict(&print("/a")).is_none());
@@ -170,7 +174,7 @@
         let at = now + Duration::from_secs(idx);
         table.ended(
             at,
-            &Incarnation(format!("own{idx}")),
+            &Incarnation::named(format!("own{idx}")),
             &[lost(print("/b"), 0)],
         );
         assert!(table.verdict(&print("/a")).is_some(), "after {idx} s");
@@ -204,7 +208,11 @@
         let at = now + Duration::from_secs(10 + idx);
         // Three back ends for each request of a caller who sends many of them.
         let fatal = print_of("eve", &format!("/{}", idx / 3));
-        table.ended(at, &Incarnation(format!("e{idx}")), &[lost(fatal, 0)]);
+        table.ended(
+            at,
+            &Incarnation::named(format!("e{idx}")),
+            &[lost(fatal, 0)],
+        );
     }
     assert!(table.verdict(&print_of("ann", "/a")).is_some());
     let report = whole_report(&table, now + Duration::from_secs(5_000));
@@ -240,7 +248,7 @@
             let mut table = table();
             for (end, backend, print) in seen {
                 let at = now + Duration::from_secs(*end);
-                table.ended(at, &Incarnation(backend.clone()), &[lost(*print, 0)]);
+                table.ended(at, &Incarnation::named(backend.clone()), &[lost(*print, 0)]);
             }
             let prints = (0..4).map(|request| print(&format!("/{request}")));
             let verdicts: Vec<bool> = prints.map(|one| table.verdict(&one).is_some()).collect();
@@ -296,10 +304,42 @@
     let (name, mut progress): (NodeName, CrashSync) = ("n".into(), CrashSync::default());
     let (mut own, mut peer) = (table(), CrashTable::new(2, REMEMBER));
     for idx in 0..200 {
-        let backend = Incarnation(format!("b{idx}"));
+        let backend = Incarnation::named(format!("b{idx}"));
         peer.ended(now, &backend, &[lost(print("/a"), 0)]);
     }
     exchange(now, &mut progress, &name, &mut own, &mut peer);
     assert_eq!(own.suspicion(&print("/a")).ends, 200);
     assert_eq!(whole_report(&own, now), 200);
 }
+
+fn start(name: &str, started: u64) -> Incarnation {
+    Incarnation::started(name, StartTime(started))
+}
+
+#[test]
+fn each_start_of_a_back_end_that_ends_under_a_request_counts() {
+    let (mut table, now) = (table(), Instant::now());
+    for second in 0..3 {
+        let at = now + Duration::from_secs(second);
+        table.ended(at, &start("b", second), &[lost(print("/a"), 0)]);
+    }
+    let verdict = table.verdict(&print("/a")).expect("it is held back");
+    assert_eq!(
+        verdict.backends,
+        [0, 1, 2].map(|started| start("b", started))
+    );
+}
+
+#[test]
+fn starts_travel_and_an_end_told_without_one_is_no_other_end() {
+    let (mut table, now) = (table(), Instant::now());
+    table.ended(now, &start("b", 7), &[lost(print("/a"), 0)]);
+    let mut report = table.changes_after(now, 0);
+    let mut other = CrashTable::new(2, REMEMBER);
+    other.merge(now, &report);
+    assert_eq!(other.changes_after(now, 0).ends, report.ends);
+    // A node that knows no starts passes the same end on.
+    report.ends[0].started = None;
+    other.merge(now, &report);
+    assert_eq!(other.suspicion(&print("/a")).ends, 1);
+}
--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -3,6 +3,7 @@
 //!
 //! A request is written to one connection once; nothing here sends it a second time.
 
+use crate::endpoint::Endpoint;
 use crate::framing::{self, BodyEnd, Framing};
 use crate::keep_alive;
 use crate::pool::{self, IdleConnection};
@@ -79,7 +80,7 @@
 
 /// A connection on which nothing of the request has been written yet.
 pub struct Connection {
-    address: SocketAddr,
+    endpoint: Endpoint,
     stream: TcpStream,
 }
 
@@ -100,7 +101,7 @@
 /// The rest of an answer. Dropping it before its end closes the connection, which cancels the
 /// back end's work.
 pub struct ExchangeBody {
-    address: SocketAddr,
+    endpoint: Endpoint,
     source: Source,
     end: BodyEnd,
     /// How long the connection may be kept idle after the answer, if at all.
@@ -108,18 +109,22 @@
 }
 
 /// Opens a connection. Every failure here means that the request was not sent.
-pub async fn connect(address: SocketAddr, reuse: Reuse) -> Result<Connection, ExchangeError> {
+pub async fn connect(
+    endpoint: impl Into<Endpoint>,
+    reuse: Reuse,
+) -> Result<Connection, ExchangeError> {
+    let endpoint = endpoint.into();
     if reuse == Reuse::Idle
-        && let Some(stream) = pool::take(address)
+        && let Some(stream) = pool::take(endpoint)
     {
-        return Ok(Connection { address, stream });
+        return Ok(Connection { endpoint, stream });
     }
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address))
         .await
         .map_err(|_| ExchangeError::NotConnected("timed out".to_owned()))?
         .map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
     keep_alive::set_up(&stream).map_err(|error| ExchangeError::NotConnected(error.to_string()))?;
-    Ok(Connection { address, stream })
+    Ok(Connection { endpoint, stream })
 }
 
 /// Returns whether connections to `address` are refused at once: its machine is there, and nothing listens.
@@ -159,9 +164,9 @@
         loop {
             let head = read_head(&mut wire, &mut codec).await?;
             if is_expected(&head) {
-                return open_body(self.address, wire, codec, &method, head);
+                return open_body(self.endpoint, wire, codec, &method, head);
             }
-            (wire, codec) = read_over(self.address, wire, codec, &method, head).await?;
+            (wire, codec) = read_over(self.endpoint, wire, codec, &method, head).await?;
         }
     }
 }
@@ -218,14 +223,14 @@
 
 /// Reads an answer that belongs to no request of ours, and gives the connection back.
 async fn read_over(
-    address: SocketAddr,
+    endpoint: Endpoint,
     wire: Wire,
     codec: ClientCodec,
     method: &Method,
     head: ResponseHead,
 ) -> Result<(Wire, ClientCodec), ExchangeError> {
     let reason = "it answered another request";
-    let mut exchange = open_body(address, wire, codec, method, head)?;
+    let mut exchange = open_body(endpoint, wire, codec, method, head)?;
     let mut length = 0;
     while let Source::Delimited(wire, codec) = &mut exchange.body.source {
         match read_chunk(wire, codec).await? {
@@ -243,7 +248,7 @@
 }
 
 fn open_body(
-    address: SocketAddr,
+    endpoint: Endpoint,
     wire: Wire,
     codec: ClientCodec,
     method: &Method,
@@ -252,7 +257,7 @@
     // A back end that answers before it has read the request leaves the rest unread.
     let reusable = wire.is_flushed() && codec.keep_alive() && framing::may_keep_connection(&head);
     let mut body = ExchangeBody {
-        address,
+        endpoint,
         source: Source::Ended,
         end: BodyEnd::Delimited,
         keep: reusable.then(|| framing::idle_lifetime(&head)).flatten(),
@@ -318,7 +323,7 @@
     fn release(&self, wire: Wire) {
         let quiet = wire.input.is_empty() && wire.is_flushed();
         if let Some(lifetime) = self.keep.filter(|_| quiet) {
-            pool::put(self.address, IdleConnection::new(wire.stream, lifetime));
+            pool::put(self.endpoint, IdleConnection::new(wire.stream, lifetime));
         }
     }
 }
--- a/crates/firshore-exchange/src/lib.rs
+++ b/crates/firshore-exchange/src/lib.rs
@@ -4,6 +4,7 @@
 //! sent again is decided by the callers of this crate.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod endpoint;
 pub mod exchange;
 pub mod framing;
 pub mod keep_alive;
--- a/crates/firshore-exchange/src/pool.rs
+++ b/crates/firshore-exchange/src/pool.rs
@@ -1,5 +1,6 @@
 //! Idle connections to back ends, kept by each worker thread for itself.
 
+use crate::endpoint::Endpoint;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -30,36 +31,62 @@
     }
 }
 
-thread_local! {
-    static IDLE: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>> = RefCell::default();
+/// Idle connections to one address, all to the same process.
+struct KeptConnections {
+    process: Option<u64>,
+    connections: Vec<IdleConnection>,
 }
 
-/// The most recently used idle connection to `address` that is still open and quiet.
-pub(crate) fn take(address: SocketAddr) -> Option<TcpStream> {
-    let now = firshore_clock::now().into_std();
-    IDLE.with_borrow_mut(|idle| {
-        let connections = idle.get_mut(&address)?;
-        let mut found = None;
-        while let Some(newest) = connections.pop() {
+impl KeptConnections {
+    fn new(process: Option<u64>) -> Self {
+        Self {
+            process,
+            connections: Vec::new(),
+        }
+    }
+
+    /// The most recently used one that is still open and quiet.
+    fn take(&mut self, now: Instant) -> Option<TcpStream> {
+        while let Some(newest) = self.connections.pop() {
             if newest.is_usable(now) && is_quiet(&newest.stream) {
-                found = Some(newest.stream);
-                break;
+                return Some(newest.stream);
             }
         }
-        if connections.is_empty() {
-            idle.remove(&address);
+        None
+    }
+}
+
+thread_local! {
+    static IDLE: RefCell<HashMap<SocketAddr, KeptConnections>> = RefCell::default();
+}
+
+/// The most recently used idle connection to `endpoint` that is still open and quiet. Those to another process
+/// at its address are closed: one that nobody reads any more is as quiet as one that is idle.
+pub(crate) fn take(endpoint: Endpoint) -> Option<TcpStream> {
+    let now = firshore_clock::now().into_std();
+    IDLE.with_borrow_mut(|idle| {
+        let kept = idle.get_mut(&endpoint.address)?;
+        let found = match kept.process == endpoint.process {
+            true => kept.take(now),
+            false => None,
+        };
+        if found.is_none() {
+            idle.remove(&endpoint.address);
         }
         found
     })
 }
 
-/// Keeps a connection whose last answer was read to its end.
-pub(crate) fn put(address: SocketAddr, connection: IdleConnection) {
+/// Keeps a connection whose last answer was read to its end, unless others to another process are kept.
+pub(crate) fn put(endpoint: Endpoint, connection: IdleConnection) {
     let now = firshore_clock::now().into_std();
     IDLE.with_borrow_mut(|idle| {
-        let connections = idle.entry(address).or_default();
+        let kept = idle.entry(endpoint.address);
+        let kept = kept.or_insert_with(|| KeptConnections::new(endpoint.process));
+        let connections = &mut kept.connections;
         connections.retain(|one| one.is_usable(now));
-        if connections.len() < IDLE_CONNECTIONS_PER_BACKEND {
+        let has_room = connections.len() < IDLE_CONNECTIONS_PER_BACKEND;
+        if kept.process == endpoint.process && has_room {
             connections.push(connection);
         }
     });
--- a/crates/firshore-gateway/src/attempts.rs
+++ b/crates/firshore-gateway/src/attempts.rs
@@ -3,7 +3,7 @@
 //! A request may run on as many back ends as its route allows. Sends that certainly did not run it
 //! do not count, but are bounded too, so that a full fleet is not asked again and again.
 
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::route::Repetition;
 
 /// Most sends of one request, those that did not run included.
@@ -66,10 +66,21 @@
     /// Whether the request may be sent to this back end now.
     pub fn allows(&self, incarnation: &Incarnation) -> bool {
         let known = self.may_have_run.contains(incarnation);
-        let exhausted = self.may_have_run.len() >= self.limit;
+        let exhausted = self.counted(Some(incarnation)) >= self.limit;
         !self.refused.contains(incarnation) && (known == exhausted)
     }
 
+    /// Back ends that count against the limit. A process whose next start is known has ended, and does not: a
+    /// stream could not go on there otherwise.
+    fn counted(&self, next: Option<&Incarnation>) -> usize {
+        let has_ended = |one: &Incarnation| {
+            let mut others = self.may_have_run.iter().chain(next);
+            others.any(|other| one.is_succeeded_by(other))
+        };
+        let counted = self.may_have_run.iter().filter(|one| !has_ended(one));
+        counted.count()
+    }
+
     /// Whether the request may have run by now.
     pub fn may_have_run(&self) -> bool {
         !self.may_have_run.is_empty()
@@ -124,7 +135,7 @@
     }
 
     fn may_go_on(&self) -> bool {
-        let another_backend = self.may_have_run.len() < self.limit;
+        let another_backend = self.counted(None) < self.limit;
         let resumable = self.repetition == Repetition::Resumable;
         self.sends < MAXIMUM_SENDS && (another_backend || resumable)
     }
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -1,7 +1,8 @@
 //! Requests under which back ends end: tells an end from a broken connection, and keeps what all nodes saw.
 
 use crate::fleet::Fleet;
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Backend;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_crashes::print::RequestPrint;
 use firshore_crashes::report::{LostRun, TableCursor};
 use firshore_crashes::sync::{self, CrashAnswer, CrashQuestion, CrashSync};
@@ -149,6 +150,9 @@
         self.settled.notify_waiters();
         let until = Instant::now() + CONFIRM_TIME;
         while Instant::now() < until {
+            if self.fleet.borrow().has_started_again(&backend.incarnation) {
+                return Some("started again");
+            }
             if self.fleet.borrow().has_successor(backend) {
                 return Some("another at its address");
             }
@@ -258,8 +262,8 @@
         for change in changes {
             match change {
                 TableChange::Condemned(print, verdict) => {
-                    let backends: Vec<&str> =
-                        verdict.backends.iter().map(|one| one.0.as_str()).collect();
+                    let backends: Vec<String> =
+                        verdict.backends.iter().map(ToString::to_string).collect();
                     warn!(self.log, "crash: Request held back."; "print" => %print,
                         "backends" => backends.join(" "),
                         "last_end_age_ms" => now.saturating_duration_since(verdict.last_end).as_millis() as u64);
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -3,9 +3,12 @@
 
 use crate::attempts::Attempts;
 use crate::choice::{self, Candidate, Placement};
-use firshore_adapter::backend::{Backend, Incarnation, ReportedLoad};
+use firshore_adapter::backend::{Backend, ReportedLoad};
+use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -43,6 +46,33 @@
     Broke,
 }
 
+/// Where requests to a back end go: connections kept to a former process carry none to its next start.
+pub fn endpoint(backend: &Backend) -> Endpoint {
+    Endpoint {
+        address: backend.address,
+        process: backend.incarnation.started.map(|started| started.0),
+    }
+}
+
+/// What an entry changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryChange {
+    /// It is of the process that is known, or of the first.
+    Listed,
+    /// It is of a later start: this process has ended.
+    StartedAgain(Incarnation),
+    /// Nothing: it is of an earlier start than this process.
+    Outdated(Incarnation),
+}
+
+/// The process that a back end ran before its present one.
+#[derive(Debug)]
+struct FormerProcess {
+    incarnation: Incarnation,
+    /// Whether it had said that it was about to leave.
+    leaving: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     others: u32,
@@ -52,7 +82,10 @@
 #[derive(Debug)]
 struct State {
     backend: Backend,
+    /// Of the name: requests with the same beginning meet at the next start too, where they are read once,
+    /// and those of all other back ends stay where they are.
     identity: u64,
+    former: Option<FormerProcess>,
     in_flight: u32,
     report: Option<Report>,
     failures: u32,
@@ -63,10 +96,11 @@
 }
 
 impl State {
-    fn new(backend: Backend) -> Self {
+    fn new(backend: Backend, former: Option<FormerProcess>) -> Self {
         Self {
-            identity: xxh3_64(backend.incarnation.0.as_bytes()),
+            identity: xxh3_64(backend.incarnation.name.as_str().as_bytes()),
             backend,
+            former,
             in_flight: 0,
             report: None,
             failures: 0,
@@ -76,6 +110,30 @@
         }
     }
 
+    /// Takes in an entry of the same back end.
+    fn listed(&mut self, mut backend: Backend) -> EntryChange {
+        let known = &self.backend.incarnation;
+        if backend.incarnation.is_succeeded_by(known) {
+            return EntryChange::Outdated(known.clone());
+        }
+        if backend.incarnation.started.is_none() {
+            // It says nothing against the process that is known.
+            backend.incarnation = known.clone();
+        }
+        if backend.incarnation == *known {
+            self.backend = backend;
+            return EntryChange::Listed;
+        }
+        let former = FormerProcess {
+            incarnation: known.clone(),
+            leaving: self.backend.leaving,
+        };
+        let ended = former.incarnation.clone();
+        // What the former process held, failed and was passed over for says nothing of the new one.
+        *self = Self::new(backend, Some(former));
+        EntryChange::StartedAgain(ended)
+    }
+
     fn is_silent(&self, now: Instant) -> bool {
         let since = self.silent_since;
         since.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
@@ -138,8 +196,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: ZoneName,
-    states: HashMap<Incarnation, State>,
-    by_service: HashMap<ServiceName, Vec<Incarnation>>,
+    states: HashMap<BackendName, State>,
+    by_service: HashMap<ServiceName, Vec<BackendName>>,
     /// Time between two pictures of what others have under way.
     picture_interval: Duration,
 }
@@ -155,65 +213,89 @@
         }
     }
 
-    /// Takes in a whole listing.
-    pub fn replace(&mut self, backends: Vec<Backend>) {
-        let listed: HashSet<Incarnation> =
-            backends.iter().map(|one| one.incarnation.clone()).collect();
+    /// Takes in a whole listing. Returns what each entry changed.
+    pub fn replace(&mut self, backends: Vec<Backend>) -> Vec<EntryChange> {
+        let names = backends.iter().map(|one| one.incarnation.name.clone());
+        let listed: HashSet<BackendName> = names.collect();
         self.states.retain(|one, _| listed.contains(one));
-        for backend in backends {
-            self.insert_state(backend);
-        }
+        let backends = backends.into_iter();
+        let changes = backends.map(|backend| self.insert_state(backend)).collect();
         self.index();
+        changes
     }
 
     /// Takes in a back end that was added or has changed.
-    pub fn upsert(&mut self, backend: Backend) {
-        self.insert_state(backend);
+    pub fn upsert(&mut self, backend: Backend) -> EntryChange {
+        let change = self.insert_state(backend);
         self.index();
+        change
     }
 
-    /// Takes in that a back end is not listed any more: it gets no new requests.
-    pub fn remove(&mut self, incarnation: &Incarnation) {
-        self.states.remove(incarnation);
+    /// Takes in that a back end is not listed any more, whichever process ran it: it gets no new requests.
+    pub fn remove(&mut self, name: &BackendName) {
+        self.states.remove(name);
         self.index();
     }
 
-    fn insert_state(&mut self, backend: Backend) {
-        match self.states.get_mut(&backend.incarnation) {
-            Some(state) => state.backend = backend,
-            None => {
-                let incarnation = backend.incarnation.clone();
-                self.states.insert(incarnation, State::new(backend));
+    fn insert_state(&mut self, backend: Backend) -> EntryChange {
+        match self.states.entry(backend.incarnation.name.clone()) {
+            Entry::Occupied(mut state) => state.get_mut().listed(backend),
+            Entry::Vacant(room) => {
+                room.insert(State::new(backend, None));
+                EntryChange::Listed
             }
         }
     }
 
+    /// State of just this process: what is told of a former one, late, does not count for the present one.
+    fn state(&self, incarnation: &Incarnation) -> Option<&State> {
+        let state = self.states.get(&incarnation.name);
+        state.filter(|state| state.backend.incarnation == *incarnation)
+    }
+
+    fn state_mut(&mut self, incarnation: &Incarnation) -> Option<&mut State> {
+        let state = self.states.get_mut(&incarnation.name);
+        state.filter(|state| state.backend.incarnation == *incarnation)
+    }
+
     fn index(&mut self) {
         self.by_service.clear();
-        for (incarnation, state) in &self.states {
+        for (name, state) in &self.states {
             let of_service = self
                 .by_service
                 .entry(state.backend.service.clone())
                 .or_default();
-            of_service.push(incarnation.clone());
+            of_service.push(name.clone());
         }
-        for incarnations in self.by_service.values_mut() {
-            incarnations.sort();
+        for names in self.by_service.values_mut() {
+            names.sort();
         }
     }
 
-    /// Whether a back end is listed and has not said that it leaves.
+    /// Whether a process is listed, or was up to the next start of its back end, and has not said that it
+    /// leaves.
     pub fn is_staying(&self, incarnation: &Incarnation) -> bool {
-        let state = self.states.get(incarnation);
-        state.is_some_and(|state| !state.backend.leaving)
+        let Some(state) = self.states.get(&incarnation.name) else {
+            return false;
+        };
+        if state.backend.incarnation == *incarnation {
+            return !state.backend.leaving;
+        }
+        let former = state.former.as_ref();
+        former.is_some_and(|former| former.incarnation == *incarnation && !former.leaving)
+    }
+
+    /// Whether a later start of a back end is listed: this process has ended.
+    pub fn has_started_again(&self, incarnation: &Incarnation) -> bool {
+        let state = self.states.get(&incarnation.name);
+        state.is_some_and(|state| incarnation.is_succeeded_by(&state.backend.incarnation))
     }
 
     /// Whether another back end is listed at the address of one: that one has ended.
     pub fn has_successor(&self, backend: &Backend) -> bool {
+        let name = &backend.incarnation.name;
         let mut others = self.states.values().map(|state| &state.backend);
-        others.any(|other| {
-            other.address == backend.address && other.incarnation != backend.incarnation
-        })
+        others.any(|other| other.address == backend.address && other.incarnation.name != *name)
     }
 
     /// Number of back ends.
@@ -233,11 +315,11 @@
         wanted: &Wanted<'_>,
         random: &mut impl Rng,
     ) -> Option<Backend> {
-        let incarnations = self.by_service.get(wanted.service)?;
-        let usable: Vec<&State> = incarnations
+        let names = self.by_service.get(wanted.service)?;
+        let usable: Vec<&State> = names
             .iter()
-            .filter(|one| wanted.attempts.allows(one))
             .filter_map(|one| self.states.get(one))
+            .filter(|state| wanted.attempts.allows(&state.backend.incarnation))
             .filter(|state| !state.backend.leaving)
             .collect();
         let trusted: Vec<&State> = usable
@@ -265,32 +347,39 @@
 
     /// Load of a back end in requests per slot, as believed.
     pub fn load(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
-        self.states.get(incarnation).map(|state| state.load(now))
+        self.state(incarnation).map(|state| state.load(now))
     }
 
     /// Returns whether a back end is believed to hold more requests than it works on at once.
     pub fn is_crowded(&self, now: Instant, incarnation: &Incarnation) -> bool {
-        let state = self.states.get(incarnation);
+        let state = self.state(incarnation);
         state.is_some_and(|state| state.held(now) > state.backend.slots)
     }
 
     /// Requests at a back end beyond a load; `None` if there are none.
     pub fn excess(&self, now: Instant, incarnation: &Incarnation, load: f32) -> Option<usize> {
-        let state = self.states.get(incarnation)?;
+        let state = self.state(incarnation)?;
         let excess = state.held(now).checked_sub(state.allowed(load))?;
         (excess > 0).then_some(excess as usize)
     }
 
-    /// Requests of this node under way at each back end.
-    pub fn in_flight(&self) -> impl Iterator<Item = (Incarnation, u32)> {
+    /// Process that runs a back end now, as listed.
+    pub fn incarnation(&self, name: &BackendName) -> Option<&Incarnation> {
+        self.states
+            .get(name)
+            .map(|state| &state.backend.incarnation)
+    }
+
+    /// Requests of this node under way at the present process of each back end.
+    pub fn in_flight(&self) -> impl Iterator<Item = (BackendName, u32)> {
         let states = self.states.iter();
-        states.map(|(incarnation, state)| (incarnation.clone(), state.in_flight))
+        states.map(|(name, state)| (name.clone(), state.in_flight))
     }
 
     /// Takes in what other nodes have under way; back ends that are not named are idle.
-    pub fn learned_others(&mut self, now: Instant, others: &HashMap<Incarnation, u32>) {
-        for (incarnation, state) in &mut self.states {
-            let others = others.get(incarnation).copied().unwrap_or(0);
+    pub fn learned_others(&mut self, now: Instant, others: &HashMap<BackendName, u32>) {
+        for (name, state) in &mut self.states {
+            let others = others.get(name).copied().unwrap_or(0);
             state.report = Some(Report { others, at: now });
         }
     }
@@ -309,7 +398,7 @@
 
     /// A request is about to be sent.
     pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
-        if let Some(state) = self.states.get_mut(incarnation) {
+        if let Some(state) = self.state_mut(incarnation) {
             state.in_flight += 1;
             state.silent_since.get_or_insert(now);
         }
@@ -317,14 +406,14 @@
 
     /// Something of an answer has arrived.
     pub fn heard(&mut self, now: Instant, incarnation: &Incarnation) {
-        if let Some(state) = self.states.get_mut(incarnation) {
+        if let Some(state) = self.state_mut(incarnation) {
             state.silent_since = Some(now);
         }
     }
 
     /// A request has ended, however.
     pub fn ended(&mut self, incarnation: &Incarnation) {
-        if let Some(state) = self.states.get_mut(incarnation) {
+        if let Some(state) = self.state_mut(incarnation) {
             state.in_flight = state.in_flight.saturating_sub(1);
             if state.in_flight == 0 {
                 state.silent_since = None;
@@ -334,7 +423,7 @@
 
     /// Takes in the load that an answer told.
     pub fn reported(&mut self, now: Instant, incarnation: &Incarnation, load: ReportedLoad) {
-        if let Some(state) = self.states.get_mut(incarnation) {
+        if let Some(state) = self.state_mut(incarnation) {
             let all = load.running + load.waiting;
             state.report = Some(Report {
                 others: all.saturating_sub(state.in_flight),
@@ -344,16 +433,21 @@
     }
 
     /// A back end has ended, as this node or another one saw: it is passed over for about as long as its entry
-    /// stays.
+    /// stays, or until its next start is listed.
     pub fn has_ended(&mut self, now: Instant, incarnation: &Incarnation) {
-        if let Some(state) = self.states.get_mut(incarnation) {
+        let Some(state) = self.states.get_mut(&incarnation.name) else {
+            return;
+        };
+        // A node that learned of an end before the start that ended: its process has ended as well.
+        let known = &state.backend.incarnation;
+        if known == incarnation || known.is_succeeded_by(incarnation) {
             state.ejected_until = Some(now + LONGEST_EJECTION);
         }
     }
 
     /// Takes in how a back end handled a request. Returns whether it is ejected by that.
     pub fn observed(&mut self, now: Instant, incarnation: &Incarnation, seen: Impression) -> bool {
-        let Some(state) = self.states.get_mut(incarnation) else {
+        let Some(state) = self.state_mut(incarnation) else {
             return false;
         };
         match seen {
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -86,7 +86,7 @@
     pub(super) fn log_given_up(&self, refusal: Option<&Refusal>, reason: &'static str) {
         let status = refusal.map_or(0, |refusal| refusal.status().as_u16());
         let last_send = self.last_send.as_ref();
-        let sent_to = last_send.map(|send| send.backend.0.as_str());
+        let sent_to = last_send.map(|send| send.backend.to_string());
         info!(self.gateway.log, "forward: Given up."; "request" => &self.terms.id,
             "route" => &self.route.name, "service" => %self.service, "reason" => reason,
             "backend" => sent_to, "status" => status, "sends" => self.attempts.sends(),
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -11,14 +11,16 @@
 use crate::caller_connection::{CallerConnection, CallerRequest};
 use crate::choice::affinity_key;
 use crate::events::EventStream;
+use crate::fleet::endpoint;
 use crate::fleet::{Impression, Wanted};
 use crate::gateway::Gateway;
 use crate::metrics::RequestEnd;
 use actix_http::header::HOST;
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
-use firshore_adapter::backend::{AnswerHead, Backend, Incarnation, Ran, SendTerms};
+use firshore_adapter::backend::{AnswerHead, Backend, Ran, SendTerms};
 use firshore_adapter::caller::RequestTerms;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
@@ -292,7 +294,7 @@
             load: load.unwrap_or(0.0),
         });
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
-        let connecting = exchange::connect(backend.address, Reuse::Idle);
+        let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
             Ok(to_backend) => to_backend,
             Err(_) => {
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -2,13 +2,14 @@
 
 use crate::belief::Beliefs;
 use crate::crash_monitor::{CrashCounters, CrashMonitor};
-use crate::fleet::{Fleet, Impression};
+use crate::fleet::{EntryChange, Fleet, Impression};
 use crate::leaving::Leaving;
 use crate::metrics::GatewayMetrics;
 use crate::split::Split;
 use firshore_adapter::Adapter;
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::backend::Backend;
 use firshore_adapter::configuration::ServingConfiguration;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
@@ -212,6 +213,37 @@
         *current = Some(Arc::new(configuration));
     }
 
+    /// Takes in a whole listing of back ends.
+    pub fn list_backends(&self, backends: Vec<Backend>) {
+        let incarnations: Vec<Incarnation> =
+            backends.iter().map(|one| one.incarnation.clone()).collect();
+        let changes = self.fleet.borrow_mut().replace(backends);
+        for (listed, change) in incarnations.iter().zip(&changes) {
+            self.log_entry(listed, change);
+        }
+    }
+
+    /// Takes in a back end that was added or has changed.
+    pub fn list_backend(&self, backend: Backend) {
+        let listed = backend.incarnation.clone();
+        let change = self.fleet.borrow_mut().upsert(backend);
+        self.log_entry(&listed, &change);
+    }
+
+    fn log_entry(&self, listed: &Incarnation, change: &EntryChange) {
+        match change {
+            EntryChange::Listed => {}
+            EntryChange::StartedAgain(former) => {
+                info!(self.log, "fleet: Back end started again."; "backend" => %listed,
+                    "former" => %former);
+            }
+            EntryChange::Outdated(known) => {
+                info!(self.log, "fleet: Entry of an earlier start passed over."; "backend" => %listed,
+                    "known" => %known);
+            }
+        }
+    }
+
     /// Forgets back ends and the configuration, which nothing follows any more: whoever goes on later must
     /// not act on what was in force now.
     pub fn forget(&self) {
--- a/crates/firshore-gateway/tests/crash_monitor.rs
+++ b/crates/firshore-gateway/tests/crash_monitor.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Backend;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
 use firshore_crashes::report::{CrashReport, LostRun, ReportedEnd};
 use firshore_crashes::sync::CrashQuestion;
@@ -60,6 +61,7 @@
         let print = self.print(path);
         let ends = backends.iter().enumerate().map(|(idx, name)| ReportedEnd {
             backend: (*name).to_owned(),
+            started: None,
             age: 1_000 * idx as u64,
             lost: vec![LostRun { print, reached: 0 }],
         });
@@ -83,7 +85,7 @@
 async fn ends_under_its_first_request(place: &Place, name: &str, leaving: bool) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let backend = Backend {
-        incarnation: Incarnation(name.to_owned()),
+        incarnation: Incarnation::named(name),
         service: "s".into(),
         address: listener.local_addr().unwrap(),
         zone: "here".into(),
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -1,7 +1,8 @@
 //! Decisions on the path of a request: sends, shares, events, back ends.
 
-use firshore_adapter::backend::{Backend, Incarnation, ReportedLoad};
+use firshore_adapter::backend::{Backend, ReportedLoad};
 use firshore_adapter::caller::PromptPart;
+use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_adapter::route::{Repetition, Route, RouteTable, WeightedService};
 use firshore_gateway::attempts::{Attempts, Next, SendEnd};
 use firshore_gateway::choice::{Candidate, Placement, affinity_key, choose};
@@ -14,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 fn incarnation(name: &str) -> Incarnation {
-    Incarnation(name.to_owned())
+    Incarnation::named(name)
 }
 
 fn backend(name: &str, zone: &str) -> Backend {
@@ -49,7 +50,7 @@
         load_limit: f32::INFINITY,
     };
     let found = fleet.choose(now, &wanted, &mut random);
-    found.map(|backend| backend.incarnation.0)
+    found.map(|backend| backend.incarnation.name.to_string())
 }
 
 fn route(services: &[(&str, u32)]) -> Route {
@@ -215,7 +216,7 @@
     }
     let second = chosen(&here, now, &attempts, key).unwrap();
     assert_ne!(second, home, "a busy back end is passed over");
-    here.remove(&incarnation(&home));
+    here.remove(&home.as_str().into());
     assert_eq!(
         chosen(&here, now, &attempts, key),
         Some(second),
@@ -230,7 +231,7 @@
     let names: Vec<String> = (0..30).map(|number| format!("b{number}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut fleet = fleet(&names);
-    let others = names[1..].iter().map(|name| (incarnation(name), 2));
+    let others = names[1..].iter().map(|name| (BackendName::from(*name), 2));
     fleet.learned_others(now, &others.collect());
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let service = "llm".into();
@@ -256,7 +257,7 @@
     let now = Instant::now();
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let mut fleet = fleet(&["a", "b", "c"]);
-    let others = HashMap::from([(incarnation("a"), 4), (incarnation("b"), 2)]);
+    let others = HashMap::from([("a".into(), 4), ("b".into(), 2)]);
     fleet.learned_others(now, &others);
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("c"));
     for _ in 0..3 {
@@ -297,7 +298,7 @@
         ..backend("a", "here")
     });
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
-    fleet.remove(&incarnation("b"));
+    fleet.remove(&"b".into());
     assert_eq!(chosen(&fleet, now, &attempts, None), None);
 }
 
@@ -405,7 +406,7 @@
         load_limit: f32::INFINITY,
     };
     let mut fleet = fleet(&["a", "b", "c"]);
-    let others = HashMap::from([(incarnation("a"), 4), (incarnation("b"), 2)]);
+    let others = HashMap::from([("a".into(), 4), ("b".into(), 2)]);
     fleet.learned_others(now, &others);
     let mut random = ChaCha8Rng::seed_from_u64(1);
     for (interval, least, most) in [(100, DRAWS, DRAWS), (400, 100, 240)] {
--- a/crates/firshore-gateway/tests/forwarding.rs
+++ b/crates/firshore-gateway/tests/forwarding.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_gateway::serve;
 use firshore_stand_in::adapter::{DEADLINE, REQUEST_ID};
 use firshore_stand_in::backend::{EVENTS, Play};
@@ -143,7 +143,7 @@
                 .gateway
                 .fleet
                 .borrow_mut()
-                .started(std::time::Instant::now(), &Incarnation(first));
+                .started(std::time::Instant::now(), &Incarnation::named(first));
             let got = ask(place.callers, path, "").await;
             assert!(matches(&got, &expected), "{path} {play:?}: {got:?}");
             assert_eq!(place.seen().len(), sends, "{path} {play:?}: sends");
--- a/crates/firshore-gateway/tests/successors.rs
+++ b/crates/firshore-gateway/tests/successors.rs
@@ -13,7 +13,7 @@
 use firshore_adapter::objects::Object;
 use firshore_adapter::route::Repetition;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
-use firshore_gateway::attempts::Attempts;
+use firshore_gateway::attempts::{Attempts, Next, SendEnd};
 use firshore_gateway::fleet::{Fleet, Impression, Wanted};
 use firshore_stand_in::adapter::{HOST, Plain};
 use firshore_stand_in::backend::{EVENTS, Play, ScriptedBackend};
@@ -234,15 +234,15 @@
     }
 }
 
+/// Takes the next connection that carries a request: a look whether any is refused carries none.
 async fn take_request(listener: &TcpListener) -> TcpStream {
-    let (mut stream, _) = listener.accept().await.unwrap();
-    read_some(&mut stream).await;
-    stream
-}
-
-async fn read_some(stream: &mut TcpStream) {
-    let mut bytes = [0; 1024];
-    let _ = stream.read(&mut bytes).await;
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1024];
+        if matches!(stream.read(&mut bytes).await, Ok(len) if len > 0) {
+            return stream;
+        }
+    }
 }
 
 #[test]
@@ -384,3 +384,45 @@
         assert_eq!(new.seen().len(), 1);
     });
 }
+
+#[test]
+fn a_back_end_that_is_gone_goes_by_its_name_and_may_come_back() {
+    let now = Instant::now();
+    let (old, new) = (listed("a", 1, 1_000), listed("a", 1, 2_000));
+    let mut fleet = fleet(std::slice::from_ref(&new));
+    fleet.remove(&old.incarnation.name);
+    assert!(fleet.is_empty());
+    fleet.upsert(new.clone());
+    assert_eq!(chosen(&fleet, now), [new]);
+}
+
+#[test]
+fn an_end_that_others_saw_passes_over_that_start_and_earlier_ones_only() {
+    let now = Instant::now();
+    let [first, second, third] = [1_000, 2_000, 3_000].map(|started| listed("a", 1, started));
+    let other = listed("b", 2, 1_000);
+    let mut fleet = fleet(&[first.clone(), other]);
+    fleet.has_ended(now, &second.incarnation);
+    assert!(
+        !chosen(&fleet, now).contains(&first),
+        "its next start has ended too"
+    );
+    fleet.upsert(third.clone());
+    fleet.has_ended(now, &second.incarnation);
+    assert!(chosen(&fleet, now).contains(&third));
+}
+
+#[test]
+fn the_next_start_of_a_back_end_takes_the_place_of_the_former_among_those_that_may_run() {
+    let [first, second] = [1_000, 2_000].map(|started| listed("a", 1, started).incarnation);
+    let other = listed("b", 2, 1_000).incarnation;
+    let mut attempts = Attempts::new(Repetition::Resumable, 1);
+    attempts.sending(&first);
+    assert_eq!(attempts.ended(&first, SendEnd::BrokenOff), Next::SendAgain);
+    assert!(attempts.allows(&second) && !attempts.allows(&other));
+    attempts.sending(&second);
+    attempts.ended(&second, SendEnd::NotRun);
+    // What the former process may have run still counts for the answer.
+    assert!(attempts.may_have_run());
+    assert_eq!(attempts.give_up(), Next::FailMaybeRun);
+}
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -1,8 +1,9 @@
 //! A gateway before scripted back ends.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Backend;
 use firshore_adapter::decode::Decoder;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::objects::Object;
 use firshore_gateway::gateway::{Gateway, JobService};
 use firshore_gateway::serve;
@@ -77,7 +78,7 @@
     }
     let gateway = Rc::new(gateway(jobs));
     let listed = backends.iter().map(|backend| Backend {
-        incarnation: Incarnation(backend.name.clone()),
+        incarnation: Incarnation::named(backend.name.clone()),
         service: "s".into(),
         address: backend.address,
         zone: "here".into(),
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -8,7 +8,7 @@
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::belief::Belief;
 use firshore_gateway::gateway::Gateway;
@@ -117,7 +117,7 @@
             });
             let backends: Vec<_> = backends.collect();
             info!(gateway.log, "fleet: Back ends listed."; "count" => backends.len());
-            gateway.fleet.borrow_mut().replace(backends);
+            gateway.list_backends(backends);
         }
         Learned::Changed(changes) => {
             for change in changes {
@@ -131,14 +131,14 @@
     match change {
         Change::Removed(name) => {
             info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
-            gateway.fleet.borrow_mut().remove(&Incarnation(name));
+            gateway.fleet.borrow_mut().remove(&BackendName::from(name));
         }
         Change::Written(object) => match gateway.adapter.decoder.backend(&object) {
             Ok(backend) => {
                 info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
                     "service" => %backend.service, "leaving" => backend.leaving,
                     "revision" => object.revision);
-                gateway.fleet.borrow_mut().upsert(backend);
+                gateway.list_backend(backend);
             }
             Err(error) => warn!(gateway.log, "fleet: Back end unusable."; "reason" => %error),
         },
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -6,7 +6,7 @@
 use super::messages::{PeerRequest, PeerResponse};
 use super::registry::Registry;
 use crate::load_table::{BackendCount, ToldLoad};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_gateway::gateway::{JobAnswer, JobService};
@@ -57,7 +57,7 @@
 /// What the leader or a relay answers a node that tells its load.
 pub struct OthersLoad {
     /// Requests that all other nodes have under way at each back end.
-    pub counts: HashMap<Incarnation, u32>,
+    pub counts: HashMap<BackendName, u32>,
     /// Time until this node is to tell again.
     pub pause: Duration,
     /// Age of the oldest part of it.
@@ -69,7 +69,7 @@
 impl OthersLoad {
     fn new(counts: Vec<BackendCount>, pause: u64, age: u64, news: Option<UsageNews>) -> Self {
         let counts = counts.into_iter();
-        let counts = counts.map(|one| (Incarnation(one.backend), one.count));
+        let counts = counts.map(|one| (BackendName::from(one.backend), one.count));
         Self {
             counts: counts.collect(),
             pause: Duration::from_millis(pause),
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -10,7 +10,7 @@
 use crate::relay::loads::LoadRelay;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::crash_monitor::CrashMonitor;
 use firshore_jobs::command::{Action, JobHeader, Outcome};
@@ -79,7 +79,7 @@
     /// What nodes told.
     pub table: RefCell<LoadTable>,
     /// Items of this node at each back end.
-    pub own: RefCell<HashMap<Incarnation, u32>>,
+    pub own: RefCell<HashMap<BackendName, u32>>,
     /// Woken when a node has told.
     pub told: Notify,
     /// Woken when a node's requests have found no free slot.
--- a/crates/firshore-node/src/load_table.rs
+++ b/crates/firshore-node/src/load_table.rs
@@ -2,8 +2,11 @@
 //!
 //! Kept by the node that runs batch items: it leaves alone what online requests use, and tells each
 //! node what the others have under way, so that all balance with the same picture.
+//!
+//! Counts go by the name of a back end: a node counts what its present process runs, and one that has not
+//! heard of its next start yet, which the bound on back ends limits, costs less than the start in each count.
 
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_limits::report::UseReport;
 use firshore_types::ids::NodeName;
 use serde::{Deserialize, Serialize};
@@ -45,7 +48,7 @@
 }
 
 struct Told {
-    counts: HashMap<Incarnation, u32>,
+    counts: HashMap<BackendName, u32>,
     at: Instant,
 }
 
@@ -54,10 +57,10 @@
 #[derive(Default)]
 pub struct LoadTable {
     nodes: HashMap<NodeName, Told>,
-    sums: HashMap<Incarnation, u32>,
+    sums: HashMap<BackendName, u32>,
 }
 
-fn subtract(sums: &mut HashMap<Incarnation, u32>, counts: &HashMap<Incarnation, u32>) {
+fn subtract(sums: &mut HashMap<BackendName, u32>, counts: &HashMap<BackendName, u32>) {
     for (backend, count) in counts {
         if let Some(sum) = sums.get_mut(backend) {
             *sum = sum.saturating_sub(*count);
@@ -72,9 +75,9 @@
     /// Takes in what a node has under way.
     pub fn told(&mut self, now: Instant, node: NodeName, counts: Vec<BackendCount>) {
         self.forget_old(now);
-        let counts: HashMap<Incarnation, u32> = counts
+        let counts: HashMap<BackendName, u32> = counts
             .into_iter()
-            .map(|one| (Incarnation(one.backend), one.count))
+            .map(|one| (BackendName::from(one.backend), one.count))
             .collect();
         for (backend, count) in &counts {
             match self.sums.get_mut(backend) {
@@ -102,12 +105,12 @@
     }
 
     /// Sums over all nodes, as of the last call that changed anything.
-    pub fn sums(&self) -> &HashMap<Incarnation, u32> {
+    pub fn sums(&self) -> &HashMap<BackendName, u32> {
         &self.sums
     }
 
     /// Sums over all nodes but one.
-    pub fn others(&self, node: &NodeName) -> HashMap<Incarnation, u32> {
+    pub fn others(&self, node: &NodeName) -> HashMap<BackendName, u32> {
         let mut others = self.sums.clone();
         if let Some(told) = self.nodes.get(node) {
             subtract(&mut others, &told.counts);
@@ -122,10 +125,10 @@
 }
 
 /// Counts as they travel, those of idle back ends left out.
-pub fn as_counts(sums: impl IntoIterator<Item = (Incarnation, u32)>) -> Vec<BackendCount> {
+pub fn as_counts(sums: impl IntoIterator<Item = (BackendName, u32)>) -> Vec<BackendCount> {
     let busy = sums.into_iter().filter(|(_, count)| *count > 0);
     busy.map(|(backend, count)| BackendCount {
-        backend: backend.0,
+        backend: backend.as_str().to_owned(),
         count,
     })
     .collect()
--- a/crates/firshore-node/src/relay/loads.rs
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -6,7 +6,7 @@
 
 use crate::journal::client::{JournalClient, OthersLoad};
 use crate::load_table::{BackendCount, LoadTable, ToldLoad, as_counts};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_limits::relay::UsageRelay;
 use firshore_limits::report::UsageNews;
 use firshore_types::ids::NodeName;
@@ -41,7 +41,7 @@
 /// What the leader told last.
 struct FleetPicture {
     /// Requests of all nodes that do not tell this relay.
-    counts: HashMap<Incarnation, u32>,
+    counts: HashMap<BackendName, u32>,
     at: Instant,
 }
 
@@ -141,7 +141,7 @@
     }
 
     /// Takes in what the leader told at a moment.
-    pub fn learned(&self, at: Instant, counts: HashMap<Incarnation, u32>) {
+    pub fn learned(&self, at: Instant, counts: HashMap<BackendName, u32>) {
         *self.picture.borrow_mut() = Some(FleetPicture { counts, at });
     }
 
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -11,7 +11,7 @@
 use firshore_crashes::print::{AskedRequest, RequestPrint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
-use firshore_gateway::fleet::Impression;
+use firshore_gateway::fleet::{Impression, endpoint};
 use firshore_gateway::gateway::{Gateway, InFlight};
 use firshore_jobs::command::{Action, Completion};
 use rand::RngExt;
@@ -156,7 +156,7 @@
             return RunEnd::Impossible;
         };
         let incarnation = &self.backend.incarnation;
-        let Ok(connection) = exchange::connect(self.backend.address, Reuse::Idle).await else {
+        let Ok(connection) = exchange::connect(endpoint(&self.backend), Reuse::Idle).await else {
             self.gateway.observed(incarnation, Impression::Unreachable);
             return RunEnd::NotRun;
         };
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -20,7 +20,7 @@
 use crate::memory::{self, MemoryUse};
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
@@ -257,7 +257,8 @@
         *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
         let excess: HashMap<Incarnation, usize> = online
             .keys()
-            .filter_map(|backend| {
+            .filter_map(|name| {
+                let backend = fleet.incarnation(name)?;
                 let excess = fleet.excess(now, backend, STOP_LOAD)?;
                 Some((backend.clone(), excess))
             })
--- a/crates/firshore-node/tests/crash_world/backends.rs
+++ b/crates/firshore-node/tests/crash_world/backends.rs
@@ -1,7 +1,8 @@
 //! Back ends: they run requests, end, and are back at their address under another name.
 
 use super::{OwnEnds, World, spawn};
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Backend;
+use firshore_adapter::incarnation::Incarnation;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,7 +29,7 @@
 impl Life {
     fn new(place: usize, count: usize) -> Rc<Self> {
         let backend = Backend {
-            incarnation: Incarnation(format!("b{place}-{count}")),
+            incarnation: Incarnation::named(format!("b{place}-{count}")),
             service: "s".into(),
             address: address(place),
             zone: "z0".into(),
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -1,6 +1,6 @@
 //! How far an item is, and what nodes tell about their load.
 
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
 use firshore_node::runner::ItemKey;
@@ -104,7 +104,7 @@
     table.told(now, "one".into(), told("a", 3));
     table.told(now, "two".into(), told("a", 4));
     table.told(now, "two".into(), told("a", 5));
-    let sums = |sums: HashMap<Incarnation, u32>| as_counts(sums);
+    let sums = |sums: HashMap<BackendName, u32>| as_counts(sums);
     assert_eq!(sums(table.sums().clone()), told("a", 8));
     assert_eq!(sums(table.others(&"two".into())), told("a", 3));
     let later = now + Duration::from_secs(2);
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -438,6 +438,7 @@
             });
             let end = |idx: u64| ReportedEnd {
                 backend: format!("gone{idx}"),
+                started: None,
                 age: 1_000 * idx,
                 lost: vec![LostRun { print, reached: 0 }],
             };
--- a/crates/firshore-node/tests/relay_loads.rs
+++ b/crates/firshore-node/tests/relay_loads.rs
@@ -3,7 +3,7 @@
 mod cluster;
 
 use cluster::*;
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_gateway::gateway::Gateway;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::listener::{self, Handler};
@@ -37,9 +37,9 @@
     counts.collect()
 }
 
-fn picture(counts: &[(&str, u32)]) -> HashMap<Incarnation, u32> {
+fn picture(counts: &[(&str, u32)]) -> HashMap<BackendName, u32> {
     let counts = counts.iter();
-    let counts = counts.map(|(backend, count)| (Incarnation((*backend).to_owned()), *count));
+    let counts = counts.map(|(backend, count)| (BackendName::from(*backend), *count));
     counts.collect()
 }
 
--- a/crates/firshore-server/src/gateway/dispatch.rs
+++ b/crates/firshore-server/src/gateway/dispatch.rs
@@ -73,7 +73,7 @@
     /// All of it.
     Whole(Bytes),
     /// Yet to be read.
-    Streamed(ExchangeBody),
+    Streamed(Box<ExchangeBody>),
 }
 
 /// A back end's answer.
@@ -233,7 +233,7 @@
     let limit = match request.delivery {
         Delivery::Whole(limit) => limit,
         Delivery::Streamed if refused => MESSAGE_BYTES,
-        Delivery::Streamed => return Ok((head, AnswerBody::Streamed(body))),
+        Delivery::Streamed => return Ok((head, AnswerBody::Streamed(Box::new(body)))),
     };
     let whole = match body.read_whole(limit).await {
         // Only the status of a refusal matters.
--- a/crates/firshore-server/src/gateway/relay.rs
+++ b/crates/firshore-server/src/gateway/relay.rs
@@ -97,7 +97,7 @@
             request,
             caller,
             events: EventStream::default(),
-            body,
+            body: *body,
             run: answer.run,
             running: Some(answer.running),
             resumes: 0,
@@ -285,7 +285,7 @@
             let message = "The engine answered outside its protocol.";
             return Err(ApiError::maybe_run(ErrorCode::BackendFailed, message));
         };
-        self.body = body;
+        self.body = *body;
         self.run = answer.run;
         self.running = Some(answer.running);
         Ok(())
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -5,11 +5,12 @@
 use actix_http::{Method, ResponseHead};
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::{
-    AnswerHead, Backend, BackendDialect, Incarnation, Ran, ReportedLoad, SendTerms,
+    AnswerHead, Backend, BackendDialect, Ran, ReportedLoad, SendTerms,
 };
 use firshore_adapter::caller::{CallerDialect, CallerKey, PromptPart, RequestTerms};
 use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
 use firshore_adapter::decode::{DecodeError, Decoder, Retirement, RetirementProgress};
+use firshore_adapter::incarnation::{Incarnation, StartTime};
 use firshore_adapter::jobs::{JobCall, JobCallError, JobDialect, JobItem, ResultPage};
 use firshore_adapter::objects::Object;
 use firshore_adapter::route::{JobTerms, Repetition, Route, RouteTable, WeightedService};
@@ -99,7 +100,7 @@
             let value = HeaderValue::from_str(&value).expect("the value is text");
             headers.insert(HeaderName::from_static(name), value);
         };
-        set(INCARNATION, terms.incarnation.0.clone());
+        set(INCARNATION, terms.incarnation.name.to_string());
         set(DEADLINE, terms.remaining.as_millis().to_string());
         if let Some(last) = terms.resume_after {
             set(RESUME_AFTER, last.to_string());
@@ -179,6 +180,8 @@
     address: std::net::SocketAddr,
     slots: u32,
     leaving: bool,
+    /// Start of its process.
+    started: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -287,7 +290,10 @@
     fn backend(&self, object: &Object) -> Result<Backend, DecodeError> {
         let backend: PlainBackend = read(object)?;
         Ok(Backend {
-            incarnation: Incarnation(object.name.clone()),
+            incarnation: Incarnation {
+                name: object.name.as_str().into(),
+                started: backend.started.map(StartTime),
+            },
             service: backend.service.as_str().into(),
             address: backend.address,
             zone: "here".into(),
