--- a/crates/firshore-node/tests/crash_world/backends.rs
+++ b/crates/firshore-node/tests/crash_world/backends.rs
@@ -1,8 +1,9 @@
-//! Back ends: they run requests, end, and are back at their address under another name.
+//! Back ends: they run requests, end, and are back at their address under another name, or under their own
+//! with a later start.
 
 use super::{OwnEnds, World, spawn};
 use firshore_adapter::backend::Backend;
-use firshore_adapter::incarnation::Incarnation;
+use firshore_adapter::incarnation::{Incarnation, StartTime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,9 +28,13 @@
 }
 
 impl Life {
-    fn new(place: usize, count: usize) -> Rc<Self> {
+    fn new(place: usize, count: usize, keeps_name: bool) -> Rc<Self> {
+        let incarnation = match keeps_name {
+            true => Incarnation::started(format!("b{place}"), StartTime(count as u64)),
+            false => Incarnation::named(format!("b{place}-{count}")),
+        };
         let backend = Backend {
-            incarnation: Incarnation::named(format!("b{place}-{count}")),
+            incarnation,
             service: "s".into(),
             address: address(place),
             zone: "z0".into(),
@@ -56,6 +61,8 @@
 pub struct BackendPark {
     /// What runs, or ran last, at each place.
     lives: RefCell<Vec<Rc<Life>>>,
+    /// Whether back ends start again under their names.
+    keeps_names: bool,
     count: Cell<usize>,
     /// Counts changes of what is listed.
     pub listed: watch::Sender<u64>,
@@ -66,9 +73,11 @@
 }
 
 impl BackendPark {
-    pub fn new(count: usize) -> Rc<Self> {
-        let lives: Vec<Rc<Life>> = (0..count).map(|place| Life::new(place, 0)).collect();
+    pub fn new(count: usize, keeps_names: bool) -> Rc<Self> {
+        let lives = (0..count).map(|place| Life::new(place, 0, keeps_names));
+        let lives: Vec<Rc<Life>> = lives.collect();
         Rc::new(Self {
+            keeps_names,
             listing: RefCell::new(lives.clone()),
             lives: RefCell::new(lives),
             count: Cell::new(0),
@@ -132,9 +141,13 @@
         let place = lives.iter().position(|one| Rc::ptr_eq(one, life));
         let place = place.expect("a life has its place");
         self.count.set(self.count.get() + 1);
-        let next = Life::new(place, self.count.get());
+        let next = Life::new(place, self.count.get(), self.keeps_names);
         lives[place] = next.clone();
-        self.listing.borrow_mut().push(next);
+        let mut listing = self.listing.borrow_mut();
+        // An entry under the same name takes the place of the former one.
+        listing.retain(|one| one.backend.incarnation.name != next.backend.incarnation.name);
+        listing.push(next);
+        drop(listing);
         self.listed.send_modify(|count| *count += 1);
     }
 
--- a/crates/firshore-node/tests/crash_world/mod.rs
+++ b/crates/firshore-node/tests/crash_world/mod.rs
@@ -71,6 +71,8 @@
     pub nodes: usize,
     pub relays: usize,
     pub backends: usize,
+    /// Whether back ends start again under their names, and tell when.
+    pub keeps_names: bool,
     /// Requests that crash back ends.
     pub fatal: usize,
     /// Longest pause between two repeats of each, in milliseconds.
@@ -144,7 +146,7 @@
             store.put(KIND, &format!("node.n{number}"), record(number));
         }
         let network = Network::new(scene.relays);
-        let park = BackendPark::new(scene.backends);
+        let park = BackendPark::new(scene.backends, scene.keeps_names);
         let nodes: Vec<Rc<SimNode>> = (0..scene.relays + scene.nodes)
             .map(|number| SimNode::new(number, scene.seed, &network, &park, &store))
             .collect();
--- a/crates/firshore-node/tests/crashing_requests.rs
+++ b/crates/firshore-node/tests/crashing_requests.rs
@@ -23,6 +23,7 @@
     nodes: 46,
     relays: 6,
     backends: 24,
+    keeps_names: false,
     fatal: 1,
     longest_pause: 500,
     popular_pause: 400,
@@ -107,6 +108,33 @@
     }
 }
 
+/// Back ends that start again under their names and tell when: few, of which each ends more than once, and as many
+/// as elsewhere, which end by themselves too.
+#[test]
+fn they_are_held_back_where_back_ends_start_again_under_their_names() {
+    let kept = Scene {
+        keeps_names: true,
+        ..CALM
+    };
+    let few = Scene {
+        backends: 6,
+        length: Duration::from_secs(40),
+        ..kept
+    };
+    hold("names kept", kept);
+    hold("few, names kept", few);
+    for own_ends in [OwnEnds::Single, OwnEnds::Mass, OwnEnds::Flapping] {
+        let scene = Scene { own_ends, ..kept };
+        hold(&format!("{own_ends:?}, names kept"), scene);
+        let innocent = Scene {
+            fatal: 0,
+            resets: 20,
+            ..scene
+        };
+        hold(&format!("innocent {own_ends:?}, names kept"), innocent);
+    }
+}
+
 #[test]
 fn requests_that_harm_nobody_are_not_held_back_while_back_ends_end() {
     for own_ends in [
