--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -9,7 +9,8 @@
 use crate::settings::Objects;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
-use firshore_adapter::backend::{Backend, Incarnation};
+use firshore_adapter::backend::Backend;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::belief::Belief;
 use firshore_gateway::gateway::Gateway;
@@ -124,7 +125,7 @@
                 let backends: Vec<Backend> =
                     objects.iter().filter_map(|one| self.backend(one)).collect();
                 info!(self.gateway.log, "fleet: Back ends listed."; "count" => backends.len());
-                self.gateway.fleet.borrow_mut().replace(backends);
+                self.gateway.list_backends(backends);
             }
             Learned::Changed(changes) => {
                 for change in changes {
@@ -140,18 +141,21 @@
             Change::Removed(name) => {
                 info!(gateway.log, "fleet: Back end gone."; "backend" => &name);
                 self.refusals.borrow_mut().forget(&name);
-                gateway.fleet.borrow_mut().remove(&Incarnation(name));
+                gateway.fleet.borrow_mut().remove(&BackendName::from(name));
             }
             Change::Written(object) => match self.backend(&object) {
                 Some(backend) => {
                     info!(gateway.log, "fleet: Back end listed."; "backend" => %backend.incarnation,
                         "service" => %backend.service, "leaving" => backend.leaving,
                         "revision" => object.revision);
-                    gateway.fleet.borrow_mut().upsert(backend);
+                    gateway.list_backend(backend);
                 }
                 // What its entry said before holds no longer: requests would go where nobody says that a
                 // back end of that service is.
-                None => gateway.fleet.borrow_mut().remove(&Incarnation(object.name)),
+                None => {
+                    let name = BackendName::from(object.name);
+                    gateway.fleet.borrow_mut().remove(&name);
+                }
             },
         }
     }
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -9,7 +9,7 @@
 use firshore_types::ids::NodeName;
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
 struct Wish {
--- a/crates/firshore-node/tests/foreign.rs
+++ b/crates/firshore-node/tests/foreign.rs
@@ -114,6 +114,7 @@
             .map(DiskId)
             .collect::<BTreeSet<DiskId>>(),
         settled,
+        ..VoterRecord::default()
     }
 }
 
