--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -11,6 +11,7 @@
 pub mod registry;
 pub mod retirement;
 pub mod service;
+pub mod standing;
 mod transport;
 
 use crate::memory::{LOG_SHARE, MemoryBudget, MemoryLedger, MemoryUse};
@@ -35,9 +36,11 @@
 use registry::Registry;
 use service::{Loads, Service};
 use slog::Logger;
+use standing::{StandingFacts, StandingWatch};
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 
 /// The only group. Larger clusters need more.
@@ -107,6 +110,8 @@
     pub ledger: MemoryLedger,
     /// How the node's memory is divided.
     pub budget: MemoryBudget,
+    /// What the journal does for its callers, as this node sees it.
+    pub standing: RefCell<StandingWatch>,
     peers: PeerClient,
     listening: actix_rt::task::JoinHandle<()>,
     _relaying: Task,
@@ -187,6 +192,7 @@
             terms,
             ledger,
             budget,
+            standing: RefCell::new(StandingWatch::new(Instant::now())),
             listening,
             _relaying: Task::spawn(relaying),
             log: log.clone(),
@@ -205,6 +211,21 @@
         may_promise(&self.replica, self.terms.least)
     }
 
+    /// What the standing is read from. Whether this node has caught up as a leader, and whether its
+    /// items wait for memory, its runner knows.
+    pub fn standing_facts(&self) -> StandingFacts {
+        let status = self.replica.status();
+        let refused = self.ledger.refused.take();
+        StandingFacts {
+            leads: status.leads,
+            knows_leader: status.leader.is_some(),
+            enough_disks: self.may_promise(),
+            caught_up: false,
+            disk_full: status.full,
+            memory_full: refused || !self.budget.admits_job(&self.memory_use(), 0),
+        }
+    }
+
     /// What the journal takes of the node's memory, without what the runner holds.
     pub fn memory_use(&self) -> MemoryUse {
         let status = self.replica.status();
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -206,6 +206,7 @@
         };
         let leads = self.replica.status().leads;
         if leads && !state.holds(&header.job) && !self.budget.admits_job(&used, bytes) {
+            self.ledger.refused.set(true);
             warn!(self.log, "journal: Job refused."; "job" => caller_id(&header.job), "bytes" => bytes,
                 "held" => used.jobs, "committing" => used.submissions, "reason" => "memory");
             let refusal = PeerResponse::Refused(JournalRefusal::MemoryFull);
--- a/crates/firshore-node/src/memory.rs
+++ b/crates/firshore-node/src/memory.rs
@@ -163,6 +163,8 @@
     pub submissions: ByteCounter,
     /// Results that are being read.
     pub results: ByteCounter,
+    /// Whether a job was refused for lack of memory since this was last taken.
+    pub refused: Rc<Cell<bool>>,
 }
 
 /// Returns the memory of this process that is resident, in bytes; `None` where the system does not
--- a/crates/firshore-node/src/metrics.rs
+++ b/crates/firshore-node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What a node counts, and how it is told.
 
 use crate::journal::Journal;
+use crate::journal::standing::JournalStanding;
 use crate::memory;
 use crate::runner::Runner;
 use crate::runner::progress::RunEnd;
@@ -12,6 +13,7 @@
     Builder, Counter, EncodeLabelSet, Family, Gauge, MetricDescription, MetricSet,
 };
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Metrics of the items that a node runs.
 pub struct RunnerMetrics {
@@ -63,6 +65,14 @@
     running: Gauge,
     memory: Family<UseLabels, Gauge>,
     resident: Gauge,
+    standing: Family<StandingLabels, Gauge>,
+    standing_age: Gauge,
+}
+
+/// Labels of a journal's standing.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StandingLabels {
+    standing: &'static str,
 }
 
 /// Labels of a use of memory.
@@ -98,6 +108,15 @@
                 "memory_resident_bytes",
                 "Memory of the process that is resident, in bytes.",
             ),
+            standing: builder.gauges(
+                "journal_standing",
+                "standing",
+                "What the journal does for its callers, as this node sees it (1), or why nothing.",
+            ),
+            standing_age: builder.gauge(
+                "journal_standing_age_milliseconds",
+                "Time since the journal's standing last changed.",
+            ),
         }
     }
 
@@ -121,6 +140,13 @@
         if let Some(bytes) = memory::resident_bytes() {
             self.resident.set(bytes as i64);
         }
+        let report = node.journal.standing.borrow().current(Instant::now());
+        self.standing_age.set(report.lasted.as_millis() as i64);
+        for one in JournalStanding::ALL {
+            let standing = one.name();
+            let gauge = self.standing.get_or_create(&StandingLabels { standing });
+            gauge.set((one == report.standing).into());
+        }
     }
 }
 
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -16,6 +16,7 @@
 pub mod urgency;
 
 use crate::journal::service::Loads;
+use crate::journal::standing::{JournalStanding, StandingFacts, StandingReport};
 use crate::journal::{Journal, Replica};
 use crate::memory::{self, MemoryUse};
 use crate::metrics::RunnerMetrics;
@@ -25,7 +26,7 @@
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
 use progress::ItemProgress;
-use slog::info;
+use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -59,6 +60,9 @@
 /// Time between two lines in the log about memory, while items run.
 const MEMORY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between looks at the journal's standing: a hold of work that lasts longer is seen.
+const STANDING_INTERVAL: Duration = Duration::from_millis(200);
+
 /// An item's job and its position there.
 pub type ItemKey = (String, ItemIndex);
 
@@ -121,6 +125,7 @@
     pub async fn run(self: Rc<Self>) {
         let _telling = Task::spawn(self.clone().tell_others());
         let _memory = Task::spawn(self.clone().log_memory());
+        let _standing = Task::spawn(self.clone().watch_standing());
         let mut changes = self.replica.changes();
         let mut leads_since_term = None;
         loop {
@@ -219,6 +224,49 @@
         }
     }
 
+    /// Says why nothing is promised or run, and since when. A task of its own: the runner itself
+    /// waits while a new leader catches up.
+    async fn watch_standing(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(STANDING_INTERVAL).await;
+            let standing = JournalStanding::of(&self.standing_facts());
+            let report = self
+                .journal
+                .standing
+                .borrow_mut()
+                .step(Instant::now(), standing);
+            if let Some(report) = report {
+                self.log_standing(report);
+            }
+        }
+    }
+
+    fn standing_facts(&self) -> StandingFacts {
+        let facts = self.journal.standing_facts();
+        if !facts.leads {
+            return facts;
+        }
+        let progress = self.progress_bytes();
+        StandingFacts {
+            caught_up: self.leading.get(),
+            memory_full: facts.memory_full || !self.journal.budget.admits_new_run(progress),
+            ..facts
+        }
+    }
+
+    fn log_standing(&self, report: StandingReport) {
+        let status = self.replica.status();
+        let (standing, lasted_ms) = (report.standing.name(), report.lasted.as_millis() as u64);
+        let (term, voters) = (status.term, status.membership.voters().count());
+        let log = &self.gateway.log;
+        match report.standing.holds_back() {
+            true => warn!(log, "journal: Work held back."; "standing" => standing,
+                "lasted_ms" => lasted_ms, "term" => term, "voters" => voters),
+            false => info!(log, "journal: Work goes on."; "standing" => standing,
+                "lasted_ms" => lasted_ms, "term" => term, "voters" => voters),
+        }
+    }
+
     /// Memory that the events of items take in bytes.
     fn progress_bytes(&self) -> usize {
         let progress = self.progress.borrow();
