Tries that are sent again add nothing to a leader that is slow

Cause: a node asks again after half a second, while the leader goes on with the try before. Each try of a submission was an entry of the log with all items (a leader held 15.6 MB that were being committed beside 3.4 MB of jobs), each page of results was read for callers that had gone. Load grew with delay, until replicas fell behind the log and commits came to a stand. Change: tries of one job share its commit, within a term; a page of results is not read once whoever asked has given up.

--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -32,7 +32,7 @@
 const DEADLINE: Duration = Duration::from_millis(2_500);
 
 /// Longest wait for one node's answer, beyond any wait asked for.
-const TRY_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const TRY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Pause after every node was asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -8,6 +8,7 @@
 pub mod maintenance;
 pub mod messages;
 pub mod passed_over;
+mod pending_submissions;
 pub mod registry;
 pub mod retirement;
 pub mod service;
@@ -33,6 +34,7 @@
 use firshore_types::ids::NodeName;
 use group_keeper::KeeperTerms;
 use messages::{PeerRequest, PeerResponse};
+use pending_submissions::PendingSubmissions;
 use registry::Registry;
 use service::{Loads, Service};
 use slog::Logger;
@@ -179,6 +181,7 @@
             ledger: ledger.clone(),
             budget,
             crashes: relays.crashes.clone(),
+            submissions: PendingSubmissions::default(),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- /dev/null
+++ b/crates/firshore-node/src/journal/pending_submissions.rs
@@ -0,0 +1,65 @@
+//! Jobs that are being committed: tries of one job that arrive meanwhile share its outcome.
+//!
+//! Only within a term: a leader that was deposed and leads again may have lost the entry, and would
+//! hear of that only when another takes its place in the log.
+
+use firshore_jobs::command::Outcome;
+use firshore_log::refusal::JournalRefusal;
+use firshore_replication::types::Term;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+type Committed = Result<Outcome, JournalRefusal>;
+
+/// A job's commit, which any number of tries await.
+pub(super) type SharedCommit = Shared<LocalBoxFuture<'static, Committed>>;
+
+#[derive(Clone)]
+struct PendingCommit {
+    term: Term,
+    commit: SharedCommit,
+}
+
+/// Commits under way, by the job's key.
+#[derive(Clone, Default)]
+pub(super) struct PendingSubmissions {
+    commits: Rc<RefCell<HashMap<String, PendingCommit>>>,
+}
+
+impl PendingSubmissions {
+    /// Returns the commit of a job that is under way in this term.
+    pub(super) fn pending(&self, term: Term, job: &str) -> Option<SharedCommit> {
+        let commits = self.commits.borrow();
+        let pending = commits.get(job).filter(|one| one.term == term);
+        pending.map(|one| one.commit.clone())
+    }
+
+    /// Notes a commit of this term as under way until it has ended.
+    pub(super) fn begin(
+        &self,
+        term: Term,
+        job: String,
+        committing: LocalBoxFuture<'static, Committed>,
+    ) -> SharedCommit {
+        let (commits, key) = (self.commits.clone(), job.clone());
+        let noted = async move {
+            let committed = committing.await;
+            let mut commits = commits.borrow_mut();
+            if commits.get(&key).is_some_and(|one| one.term == term) {
+                commits.remove(&key);
+            }
+            drop(commits);
+            committed
+        };
+        let commit = noted.boxed_local().shared();
+        let pending = PendingCommit {
+            term,
+            commit: commit.clone(),
+        };
+        self.commits.borrow_mut().insert(job, pending);
+        commit
+    }
+}
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -1,7 +1,8 @@
 //! Answers peers about jobs, on the node whose replica leads.
 
-use super::client::JournalClient;
+use super::client::{JournalClient, TRY_TIMEOUT};
 use super::messages::{PeerRequest, PeerResponse};
+use super::pending_submissions::PendingSubmissions;
 use super::registry::Registry;
 use super::{GROUP, Replica};
 use crate::load_table::{LoadTable, ToldLoad, as_counts};
@@ -71,6 +72,8 @@
     pub(super) budget: MemoryBudget,
     /// Back ends that ended, as this node knows.
     pub(super) crashes: Rc<CrashMonitor>,
+    /// Jobs that are being committed.
+    pub(super) submissions: PendingSubmissions,
     pub(super) log: Logger,
 }
 
@@ -196,6 +199,14 @@
         header: JobHeader,
         items: Vec<JobItem>,
     ) -> LocalBoxFuture<'static, PeerResponse> {
+        // A node asks again before a slow commit has ended. Written once more for each try, a job grows
+        // the log the faster the slower it is committed.
+        let status = self.replica.status();
+        let (leads, term) = (status.leads, status.term);
+        let pending = self.submissions.pending(term, &header.job);
+        if let Some(pending) = pending.filter(|_| leads) {
+            return pending.map(settled).boxed_local();
+        }
         let bytes = items.iter().map(JobItem::held_bytes).sum();
         let state = self.replica.applied_state();
         let state = state.read();
@@ -204,7 +215,6 @@
             submissions: self.ledger.submissions.held(),
             ..MemoryUse::default()
         };
-        let leads = self.replica.status().leads;
         if leads && !state.holds(&header.job) && !self.budget.admits_job(&used, bytes) {
             self.ledger.refused.set(true);
             warn!(self.log, "journal: Job refused."; "job" => caller_id(&header.job), "bytes" => bytes,
@@ -214,13 +224,15 @@
         }
         let counted = self.ledger.submissions.count(bytes);
         let replica = self.replica.clone();
-        async move {
-            let action = Action::Submit { header, items };
-            let answered = propose(&replica, action).await;
+        let job = header.job.clone();
+        let committing = async move {
+            let command = Action::Submit { header, items }.into();
+            let outcome = replica.propose(command).await;
             drop(counted);
-            answered.unwrap_or_else(PeerResponse::Refused)
-        }
-        .boxed_local()
+            outcome
+        };
+        let pending = self.submissions.begin(term, job, committing.boxed_local());
+        pending.map(settled).boxed_local()
     }
 }
 
@@ -318,8 +330,9 @@
         PeerRequest::End { job } => propose(replica, Action::End { job }).await,
         PeerRequest::Results { job, from, wait } => {
             let wait = Duration::from_millis(wait).min(LONGEST_WAIT);
+            let deadline = Instant::now() + wait + TRY_TIMEOUT;
             let listed = listed(replica, &job, from, wait).await?;
-            results(replica, ledger, budget, listed).await
+            results(replica, ledger, budget, listed, deadline).await
         }
         PeerRequest::Body { job, item } => {
             let state = replica.read().await?;
@@ -338,13 +351,23 @@
 }
 
 async fn propose(replica: &Replica, action: Action) -> Result<PeerResponse, JournalRefusal> {
-    match replica.propose(action.into()).await? {
+    answered(replica.propose(action.into()).await?)
+}
+
+fn answered(outcome: Outcome) -> Result<PeerResponse, JournalRefusal> {
+    match outcome {
         Outcome::Done => Ok(PeerResponse::Done),
         Outcome::UnknownJob => Ok(PeerResponse::UnknownJob),
         Outcome::TooMuchWaiting => Err(JournalRefusal::TooMuchWaiting),
     }
 }
 
+fn settled(committed: Result<Outcome, JournalRefusal>) -> PeerResponse {
+    committed
+        .and_then(answered)
+        .unwrap_or_else(PeerResponse::Refused)
+}
+
 /// The results at a position, once there is one or the wait is over.
 async fn listed(
     replica: &Replica,
@@ -367,18 +390,23 @@
     Ok(listed)
 }
 
-/// Reads the texts of results, when there is memory for them.
+/// Reads the texts of results, when there is memory for them before the deadline.
 async fn results(
     replica: &Replica,
     ledger: &MemoryLedger,
     budget: MemoryBudget,
     listed: Option<ListedPage>,
+    deadline: Instant,
 ) -> Result<PeerResponse, JournalRefusal> {
     let Some(listed) = listed else {
         return Ok(PeerResponse::Results(None));
     };
     let bytes = listed.bytes();
     while !budget.admits_results(ledger.results.held(), bytes) {
+        // Whoever asked has given up and asked again: read for nobody, pages delay those wanted.
+        if Instant::now() >= deadline {
+            return Err(JournalRefusal::Unsettled);
+        }
         actix_rt::time::sleep(RESULTS_PAUSE).await;
     }
     let _counted = ledger.results.count(bytes);
