One round of reads at a time, and a lagging follower is tried again with heartbeats only

Cause: every read of the leader began a round of heartbeats, and every round allowed the next message to a follower whose log is not known to meet the leader's, answered or not. Entries of up to 256 KB a message were sent to it up to a hundred times a second; its connection held 512 messages, further ones were dropped. Change: reads that come during a round share the next one; only a heartbeat that is due allows a probe to be sent again.

--- a/crates/firshore-replication/src/replica/leader.rs
+++ b/crates/firshore-replication/src/replica/leader.rs
@@ -125,7 +125,6 @@
             let Some(progress) = self.progress(disk) else {
                 continue;
             };
-            progress.allow_probe();
             let receives_snapshot = matches!(progress.state, ProgressState::Snapshot { .. });
             if !receives_snapshot && progress.next <= base {
                 // What is on its way may be lost, and cannot be sent again.
@@ -163,6 +162,11 @@
         };
         if self.now >= leadership.heartbeat_due {
             leadership.heartbeat_due = self.now + self.timing.heartbeat_interval;
+            // Only here: allowed with each round of reads, a follower that lags is sent its entries
+            // faster than it can take them.
+            for progress in leadership.progress.values_mut() {
+                progress.allow_probe();
+            }
             self.send_heartbeats();
             self.send_entries_to_all();
             self.resend_snapshot_chunks();
--- a/crates/firshore-replication/src/replica/read.rs
+++ b/crates/firshore-replication/src/replica/read.rs
@@ -15,8 +15,8 @@
         Ok(())
     }
 
-    /// Starts one round for all reads that arrived since the last one. A leader does not know what
-    /// is committed before an entry of its own term is.
+    /// Starts one round for all reads that arrived since the last one, once that is answered. A leader
+    /// does not know what is committed before an entry of its own term is.
     pub(super) fn start_read_round(&mut self) {
         let knows_commit = self.log.term(self.commit) == Some(self.hard_state.term);
         let index = self.commit;
@@ -26,6 +26,11 @@
         if leadership.new_reads.is_empty() || !knows_commit {
             return;
         }
+        // A round for each read fills the connections of a busy leader. Heartbeats carry the round, so
+        // one whose messages were lost is answered all the same.
+        if !leadership.reads.is_empty() {
+            return;
+        }
         leadership.round += 1;
         let round = leadership.round;
         let pending = leadership.new_reads.drain(..).map(|token| PendingRead {
