--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -220,6 +220,7 @@
         let status = self.replica.status();
         let refused = self.ledger.refused.take();
         StandingFacts {
+            is_replica: status.membership.replicas.contains_key(&status.disk),
             leads: status.leads,
             knows_leader: status.leader.is_some(),
             enough_disks: self.may_promise(),
