Soaks: which seeds are played is said in one place

Both soaks read the same variables of the environment, each with its own copy of the same two functions: a change to one would have been missed in the other. The stand-in crate holds them now. No behaviour changes.

--- a/crates/firshore-node/tests/soak.rs
+++ b/crates/firshore-node/tests/soak.rs
@@ -11,6 +11,7 @@
 use firshore_adapter::jobs::{ItemOutcome, JobId};
 use firshore_gateway::gateway::JobService;
 use firshore_stand_in::backend::{Play, ScriptedBackend};
+use firshore_stand_in::soak_seeds::seeds;
 use firshore_stand_in::store::Fault;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -193,27 +194,9 @@
     });
 }
 
-/// A number from the environment, for plays by hand.
-fn number(name: &str) -> Option<u64> {
-    let text = std::env::var(name).ok()?;
-    Some(
-        text.parse()
-            .unwrap_or_else(|_| panic!("{name} is a number")),
-    )
-}
-
-/// The seeds of this play.
-fn seeds() -> Vec<u64> {
-    let count = number("FIRSHORE_SOAK_SEEDS").unwrap_or(SEEDS);
-    let Some(first) = number("FIRSHORE_SOAK_FIRST_SEED") else {
-        return (1..=count).chain(FAILED_SEEDS).collect();
-    };
-    (first..first + count).collect()
-}
-
 #[test]
 fn nothing_accepted_is_lost_whatever_fails() {
-    for seed in seeds() {
+    for seed in seeds(SEEDS, &FAILED_SEEDS) {
         eprintln!("seed {seed}");
         play(seed);
     }
--- a/crates/firshore-stand-in/src/lib.rs
+++ b/crates/firshore-stand-in/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod adapter;
 pub mod backend;
+pub mod soak_seeds;
 pub mod store;
