--- a/crates/firshore-node/tests/disk_soak.rs
+++ b/crates/firshore-node/tests/disk_soak.rs
@@ -233,7 +233,7 @@
 }
 
 async fn play_once(play: SoakPlay, seed: u64) -> SoakTally {
-    let mut world = DiskWorld::start(seed).await;
+    let mut world = DiskWorld::start(&format!("{play:?}"), seed).await;
     match play {
         SoakPlay::Beside => lose_beside_emptying(&mut world, 1).await,
         SoakPlay::InTurn => lose_beside_emptying(&mut world, 2).await,
--- a/crates/firshore-node/tests/disk_world/mod.rs
+++ b/crates/firshore-node/tests/disk_world/mod.rs
@@ -58,13 +58,15 @@
     kills: Vec<Instant>,
     versions: u64,
     backend: Rc<ScriptedBackend>,
+    /// Name of the play.
+    name: String,
     seed: u64,
     began: Instant,
 }
 
 impl DiskWorld {
     /// Starts machines and callers.
-    pub async fn start(seed: u64) -> Self {
+    pub async fn start(name: &str, seed: u64) -> Self {
         let cluster = Cluster::start().await;
         cluster.configure();
         let backend = ScriptedBackend::start("b", &[], Play::Events).await;
@@ -92,6 +94,7 @@
             kills: Vec::new(),
             versions: 1,
             backend,
+            name: name.to_owned(),
             seed,
             began: Instant::now(),
         };
@@ -104,7 +107,8 @@
     /// Tells what happens.
     pub fn tell(&self, text: &str) {
         let (seed, at) = (self.seed, self.began.elapsed());
-        eprintln!("seed {seed}: {at:.2?} {text}");
+        let name = &self.name;
+        eprintln!("{name} seed {seed}: {at:.2?} {text}");
     }
 
     /// Returns a drawn time.
