--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -9,9 +9,11 @@
 pub mod messages;
 pub mod missing_results;
 pub mod passed_over;
+mod pending_submissions;
 pub mod registry;
 pub mod retirement;
 pub mod service;
+pub mod standing;
 mod transport;
 
 use crate::memory::{LOG_SHARE, MemoryBudget, MemoryLedger, MemoryUse};
@@ -34,12 +36,15 @@
 use group_keeper::KeeperTerms;
 use messages::{PeerRequest, PeerResponse};
 use missing_results::MissingResults;
+use pending_submissions::PendingSubmissions;
 use registry::Registry;
 use service::{Loads, Service};
 use slog::Logger;
+use standing::{StandingFacts, StandingWatch};
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 
 /// The only group. Larger clusters need more.
@@ -78,7 +83,7 @@
 }
 
 fn may_promise(replica: &Replica, least: usize) -> bool {
-    group_keeper::may_promise(&replica.status().membership, least)
+    placement::keeps_promises(&replica.status().membership, least)
 }
 
 /// What a node with a disk passes on between other nodes.
@@ -109,6 +114,8 @@
     pub ledger: MemoryLedger,
     /// How the node's memory is divided.
     pub budget: MemoryBudget,
+    /// What the journal does for its callers, as this node sees it.
+    pub standing: RefCell<StandingWatch>,
     peers: PeerClient,
     listening: actix_rt::task::JoinHandle<()>,
     _relaying: Task,
@@ -177,6 +184,7 @@
             budget,
             crashes: relays.crashes.clone(),
             missing: Rc::new(MissingResults::new(log.clone())),
+            submissions: PendingSubmissions::default(),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
@@ -190,6 +198,7 @@
             terms,
             ledger,
             budget,
+            standing: RefCell::new(StandingWatch::new(Instant::now())),
             listening,
             _relaying: Task::spawn(relaying),
             log: log.clone(),
@@ -208,6 +217,22 @@
         may_promise(&self.replica, self.terms.least)
     }
 
+    /// What the standing is read from. Whether this node has caught up as a leader, and whether its
+    /// items wait for memory, its runner knows.
+    pub fn standing_facts(&self) -> StandingFacts {
+        let status = self.replica.status();
+        let refused = self.ledger.refused.take();
+        StandingFacts {
+            is_replica: status.membership.replicas.contains_key(&status.disk),
+            leads: status.leads,
+            knows_leader: status.leader.is_some(),
+            enough_disks: self.may_promise(),
+            caught_up: false,
+            disk_full: status.full,
+            memory_full: refused || !self.budget.admits_job(&self.memory_use(), 0),
+        }
+    }
+
     /// What the journal takes of the node's memory, without what the runner holds.
     pub fn memory_use(&self) -> MemoryUse {
         let status = self.replica.status();
--- a/crates/firshore-server/src/journal/maintenance.rs
+++ b/crates/firshore-server/src/journal/maintenance.rs
@@ -10,6 +10,7 @@
 use firshore_membership::member::Member;
 use firshore_protocol::message::{ReplicaIdentity, Request, Response};
 use firshore_replication::types::{GroupId, Membership};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,6 +54,8 @@
         own: status.disk,
         membership: status.membership.clone(),
         silent: status.silent.clone(),
+        gone: BTreeSet::new(),
+        leaving: BTreeSet::new(),
         caught_up: status.caught_up.clone(),
     };
     let found = if view.wants_candidate() {
