--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -7,6 +7,7 @@
 pub mod group_keeper;
 pub mod maintenance;
 pub mod messages;
+pub mod missing_results;
 pub mod passed_over;
 mod pending_submissions;
 pub mod registry;
@@ -34,6 +35,7 @@
 use firshore_types::ids::NodeName;
 use group_keeper::KeeperTerms;
 use messages::{PeerRequest, PeerResponse};
+use missing_results::MissingResults;
 use pending_submissions::PendingSubmissions;
 use registry::Registry;
 use service::{Loads, Service};
@@ -81,7 +83,7 @@
 }
 
 fn may_promise(replica: &Replica, least: usize) -> bool {
-    group_keeper::may_promise(&replica.status().membership, least)
+    placement::keeps_promises(&replica.status().membership, least)
 }
 
 /// What a node with a disk passes on between other nodes.
@@ -182,6 +184,7 @@
             budget,
             crashes: relays.crashes.clone(),
             submissions: PendingSubmissions::default(),
+            missing: Rc::new(MissingResults::new(log.clone())),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -2,6 +2,7 @@
 
 use super::client::{JournalClient, TRY_TIMEOUT};
 use super::messages::{PeerRequest, PeerResponse};
+use super::missing_results::MissingResults;
 use super::pending_submissions::PendingSubmissions;
 use super::registry::Registry;
 use super::{GROUP, Replica};
@@ -11,7 +12,7 @@
 use crate::relay::loads::LoadRelay;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_keeper::{Leadership, ProgressKeeper};
-use firshore_adapter::backend::Incarnation;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::crash_monitor::CrashMonitor;
 use firshore_jobs::command::{Action, JobHeader, Outcome};
@@ -74,6 +75,8 @@
     pub(super) crashes: Rc<CrashMonitor>,
     /// Jobs that are being committed.
     pub(super) submissions: PendingSubmissions,
+    /// Told of results that cannot be read.
+    pub(super) missing: Rc<MissingResults>,
     pub(super) log: Logger,
 }
 
@@ -82,7 +85,7 @@
     /// What nodes told.
     pub table: RefCell<LoadTable>,
     /// Items of this node at each back end.
-    pub own: RefCell<HashMap<Incarnation, u32>>,
+    pub own: RefCell<HashMap<BackendName, u32>>,
     /// Woken when a node has told.
     pub told: Notify,
     /// Woken when a node's requests have found no free slot.
@@ -307,12 +310,16 @@
             let refusal = JournalRefusal::NotLeader { leader: None };
             return std::future::ready(PeerResponse::Refused(refusal)).boxed_local();
         }
-        let ledger = self.ledger.clone();
-        let budget = self.budget;
+        let reader = ResultReader {
+            replica: replica.clone(),
+            ledger: self.ledger.clone(),
+            budget: self.budget,
+            missing: self.missing.clone(),
+        };
         match request {
             PeerRequest::Submit { header, items } => self.submit(header, items),
             request => async move {
-                let answered = answer(&replica, &ledger, budget, request).await;
+                let answered = answer(&replica, &reader, request).await;
                 answered.unwrap_or_else(PeerResponse::Refused)
             }
             .boxed_local(),
@@ -322,8 +329,7 @@
 
 async fn answer(
     replica: &Replica,
-    ledger: &MemoryLedger,
-    budget: MemoryBudget,
+    reader: &ResultReader,
     request: PeerRequest,
 ) -> Result<PeerResponse, JournalRefusal> {
     match request {
@@ -332,7 +338,7 @@
             let wait = Duration::from_millis(wait).min(LONGEST_WAIT);
             let deadline = Instant::now() + wait + TRY_TIMEOUT;
             let listed = listed(replica, &job, from, wait).await?;
-            results(replica, ledger, budget, listed, deadline).await
+            reader.results(&job, listed, deadline).await
         }
         PeerRequest::Body { job, item } => {
             let state = replica.read().await?;
@@ -390,31 +396,46 @@
     Ok(listed)
 }
 
-/// Reads the texts of results, when there is memory for them before the deadline.
-async fn results(
-    replica: &Replica,
-    ledger: &MemoryLedger,
+/// Reads the texts of results, when there is memory for them in time.
+struct ResultReader {
+    replica: Rc<Replica>,
+    ledger: MemoryLedger,
     budget: MemoryBudget,
-    listed: Option<ListedPage>,
-    deadline: Instant,
-) -> Result<PeerResponse, JournalRefusal> {
-    let Some(listed) = listed else {
-        return Ok(PeerResponse::Results(None));
-    };
-    let bytes = listed.bytes();
-    while !budget.admits_results(ledger.results.held(), bytes) {
-        // Whoever asked has given up and asked again: read for nobody, pages delay those wanted.
-        if Instant::now() >= deadline {
-            return Err(JournalRefusal::Unsettled);
+    missing: Rc<MissingResults>,
+}
+
+impl ResultReader {
+    async fn results(
+        &self,
+        job: &str,
+        listed: Option<ListedPage>,
+        deadline: Instant,
+    ) -> Result<PeerResponse, JournalRefusal> {
+        let Some(listed) = listed else {
+            return Ok(PeerResponse::Results(None));
+        };
+        let bytes = listed.bytes();
+        let held = &self.ledger.results;
+        while !self.budget.admits_results(held.held(), bytes) {
+            // Whoever asked has given up and asked again: read for nobody, pages delay those wanted.
+            if Instant::now() >= deadline {
+                return Err(JournalRefusal::Unsettled);
+            }
+            actix_rt::time::sleep(RESULTS_PAUSE).await;
+        }
+        let _counted = held.count(bytes);
+        let mut lacking = listed.entries();
+        let commands = self.replica.load(lacking.clone()).await;
+        lacking.retain(|index| !commands.contains_key(index));
+        match listed.filled(commands) {
+            Some(page) => Ok(PeerResponse::Results(Some(page))),
+            // Never shown as absent: the reader asks again.
+            None => {
+                let now = firshore_clock::now().into_std();
+                self.missing.note(now, job, &lacking);
+                Err(JournalRefusal::Unsettled)
+            }
         }
-        actix_rt::time::sleep(RESULTS_PAUSE).await;
-    }
-    let _counted = ledger.results.count(bytes);
-    let commands = replica.load(listed.entries()).await;
-    match listed.filled(commands) {
-        Some(page) => Ok(PeerResponse::Results(Some(page))),
-        // Never shown as absent: the reader asks again.
-        None => Err(JournalRefusal::Unsettled),
     }
 }
 
--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -8,7 +8,12 @@
 use crate::types::{
     DiskId, Entry, EntryContent, LogIndex, Payload, Position, Snapshot, SnapshotHeader,
 };
-use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
+use redb::{
+    Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend,
+    TableDefinition,
+};
+use std::fs::File;
+use std::io;
 use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 
@@ -41,10 +46,75 @@
     ///
     /// When the file cannot be opened or is damaged.
     pub fn open(path: &Path, fresh: DiskId, cache_bytes: usize) -> Result<Self, StorageError> {
+        let sync_folder = |folder: &Path| File::open(folder)?.sync_all();
+        Self::open_synced(path, fresh, cache_bytes, sync_folder)
+    }
+
+    /// As [`Self::open`]; `sync_folder` makes the names in a folder last.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be opened or is damaged.
+    pub fn open_synced(
+        path: &Path,
+        fresh: DiskId,
+        cache_bytes: usize,
+        sync_folder: impl FnOnce(&Path) -> io::Result<()>,
+    ) -> Result<Self, StorageError> {
+        let failed = |error| translate(path, redb::Error::Io(error));
+        if !path.exists() {
+            let made_at = Self::creation_path(path);
+            remove_if_there(&made_at).map_err(failed)?;
+            drop(Self::open_file(&made_at, fresh, cache_bytes)?);
+            std::fs::rename(&made_at, path).map_err(failed)?;
+        }
+        // At each start: the process may have ended before it synced the name of a file it had made, and
+        // a name that is not synced may go with the power, with all that was acknowledged in the file.
+        let folder = path.parent().filter(|folder| *folder != Path::new(""));
+        sync_folder(folder.unwrap_or(Path::new("."))).map_err(failed)?;
+        Self::open_file(path, fresh, cache_bytes)
+    }
+
+    fn open_file(path: &Path, fresh: DiskId, cache_bytes: usize) -> Result<Self, StorageError> {
         let existed = path.exists();
-        let opened = std::panic::catch_unwind(AssertUnwindSafe(|| {
+        Self::opened(path, existed, fresh, || {
             Database::builder().set_cache_size(cache_bytes).create(path)
-        }));
+        })
+    }
+
+    /// Where the file that is to lie at `path` is made.
+    pub fn creation_path(path: &Path) -> PathBuf {
+        // Under its own name a file that was cut short would be refused at every start.
+        path.with_added_extension("new")
+    }
+
+    /// As [`Self::open`], on a disk that is given. `path` only names it.
+    ///
+    /// # Errors
+    ///
+    /// When what the disk holds cannot be read or is damaged.
+    pub fn open_on(
+        backend: impl StorageBackend,
+        path: &Path,
+        fresh: DiskId,
+        cache_bytes: usize,
+    ) -> Result<Self, StorageError> {
+        let length = backend.len();
+        let length = length.map_err(|error| translate(path, redb::Error::Io(error)))?;
+        Self::opened(path, length > 0, fresh, || {
+            Database::builder()
+                .set_cache_size(cache_bytes)
+                .create_with_backend(backend)
+        })
+    }
+
+    fn opened(
+        path: &Path,
+        existed: bool,
+        fresh: DiskId,
+        open: impl FnOnce() -> Result<Database, redb::DatabaseError>,
+    ) -> Result<Self, StorageError> {
+        let opened = std::panic::catch_unwind(AssertUnwindSafe(open));
         let database = match opened {
             Ok(Ok(database)) => database,
             Ok(Err(error)) => return Err(translate(path, error.into())),
@@ -203,6 +273,13 @@
     checksum: u32,
 }
 
+fn remove_if_there(path: &Path) -> io::Result<()> {
+    match std::fs::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
 fn translate(path: &Path, error: redb::Error) -> StorageError {
     match &error {
         redb::Error::Io(cause)
