--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -183,8 +183,8 @@
             ledger: ledger.clone(),
             budget,
             crashes: relays.crashes.clone(),
-            submissions: PendingSubmissions::default(),
             missing: Rc::new(MissingResults::new(log.clone())),
+            submissions: PendingSubmissions::default(),
             log: log.clone(),
         });
         let secret = ClusterSecret(settings.cluster.secret.clone().into_bytes());
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -73,10 +73,10 @@
     pub(super) budget: MemoryBudget,
     /// Back ends that ended, as this node knows.
     pub(super) crashes: Rc<CrashMonitor>,
-    /// Jobs that are being committed.
-    pub(super) submissions: PendingSubmissions,
     /// Told of results that cannot be read.
     pub(super) missing: Rc<MissingResults>,
+    /// Jobs that are being committed.
+    pub(super) submissions: PendingSubmissions,
     pub(super) log: Logger,
 }
 
@@ -396,7 +396,7 @@
     Ok(listed)
 }
 
-/// Reads the texts of results, when there is memory for them in time.
+/// Reads the texts of results, when there is memory for them before a deadline.
 struct ResultReader {
     replica: Rc<Replica>,
     ledger: MemoryLedger,
