Survivors of a lost quorum are reached where they are though no change in force names them

Cause: the removal of a machine to be emptied had entered two logs and was not committed when the other voter's disk was lost; the survivor asked the removed one for its vote, and the message had no node to go to. The simulation sent by disk alone and was blind to it; it routes as a node does now.

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -392,16 +392,12 @@
         if envelopes.is_empty() {
             return;
         }
-        let membership = self.replica.status().membership;
         for envelope in envelopes {
             let Some(envelope) = self.referenced_first(envelope) else {
                 continue;
             };
-            let node = membership
-                .replicas
-                .get(&envelope.to)
-                .map(|replica| replica.node.clone())
-                .or_else(|| self.senders.get(&envelope.to).cloned());
+            let node = self.replica.node_of(envelope.to);
+            let node = node.or_else(|| self.senders.get(&envelope.to).cloned());
             if let Some(node) = node {
                 let group = self.environment.group;
                 self.environment.transport.send(group, &node, envelope);
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -100,6 +100,8 @@
     pub store_cut_until: u64,
     pub applied: LogIndex,
     pub backlog: Vec<Envelope>,
+    /// Replicas that wrote to this process.
+    pub senders: BTreeSet<DiskId>,
     /// Entries that clients wait for, by index.
     pub open: BTreeMap<LogIndex, Position>,
     /// A report waits for a quorum to confirm that this machine leads.
@@ -127,6 +129,7 @@
             store_cut_until: 0,
             applied: 0,
             backlog: Vec::new(),
+            senders: BTreeSet::new(),
             open: BTreeMap::new(),
             reports: false,
             next_look: now + 10 * number as u64,
@@ -162,6 +165,7 @@
         self.replica = None;
         self.open.clear();
         self.backlog.clear();
+        self.senders.clear();
         self.reports = false;
         self.condition = condition;
     }
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -465,7 +465,11 @@
         else {
             return;
         };
-        if !self.reaches(from, to) {
+        // A node knows where the replicas of its group are, and who wrote to it.
+        let sender = &self.machines[from];
+        let replica = sender.replica.as_ref();
+        let placed = replica.is_some_and(|one| one.node_of(envelope.to).is_some());
+        if !self.reaches(from, to) || !(placed || sender.senders.contains(&envelope.to)) {
             return;
         }
         self.sent += 1;
@@ -498,6 +502,7 @@
             let machine = &mut self.machines[message.to];
             match machine.condition {
                 Condition::Runs => {
+                    machine.senders.insert(message.envelope.from);
                     if let Some(replica) = &mut machine.replica {
                         replica.receive(now, message.envelope);
                     }
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -16,6 +16,7 @@
 use crate::progress::Progress;
 use crate::storage::{HardState, StoredState, WriteBatch};
 use crate::types::{DiskId, Entry, LogIndex, Membership, Position, ReplicaInfo, Snapshot, Term};
+use firshore_types::ids::NodeName;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -249,6 +250,16 @@
         }
     }
 
+    /// Returns the node of a replica in force, or of a survivor whose vote is asked for: that one may have
+    /// been removed by a change that never became committed.
+    pub fn node_of(&self, disk: DiskId) -> Option<NodeName> {
+        let survivors = self.recovery.as_ref();
+        let survivor = survivors.and_then(|survivors| survivors.get(&disk));
+        let membership = self.log.membership();
+        let replica = membership.replicas.get(&disk).or(survivor)?;
+        Some(replica.node.clone())
+    }
+
     /// Replicas that were heard within the last `limit` milliseconds.
     pub fn heard_within(&self, limit: u64) -> BTreeSet<DiskId> {
         let since = self.now.saturating_sub(limit);
