Review: histories are told apart, proposals asked where they are appended, records listed anew, late Done taken as done

Where the lone voter had recorded a pair, the new one rests no longer on a group that may promise nothing. may_promise was looked at before a proposal was queued: the driver asks again at append and at apply. A Done without an answer counts as done. Nobody goes on by a record that was listed before the leader was lost, nor by one that names no groups.

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -429,6 +429,10 @@
         if self.snapshot.is_some() || self.committed.is_empty() {
             return Ok(());
         }
+        // An answer that waits since before the group shrank would be a promise that it does not keep.
+        if !self.keeps_promises() {
+            self.fail_proposals();
+        }
         let state = self.state.clone();
         let mut state = state.write();
         while let Some(entry) = self.committed.pop_front() {
--- a/crates/firshore-log/src/driver/referenced.rs
+++ b/crates/firshore-log/src/driver/referenced.rs
@@ -25,28 +25,25 @@
         }
         match envelope.message {
             Message::ReferencedCommands(commands) => {
-                self.take_referenced(envelope.from, envelope.term, commands);
+                if self.replica.shares_history(envelope.history) {
+                    let (from, term, history) = (envelope.from, envelope.term, envelope.history);
+                    let answer = |through| Envelope {
+                        from: self.storage.disk(),
+                        to: from,
+                        term,
+                        history,
+                        message: Message::ReferencedAnswer { through },
+                    };
+                    let receipt = commands.last().map(|last| answer(last.index));
+                    self.receipts.extend(receipt);
+                    self.received.extend(commands);
+                }
             }
             Message::ReferencedAnswer { through } => self.referenced_held(envelope.from, through),
             _ => self.replica.receive(self.environment.now(), envelope),
         }
     }
 
-    fn take_referenced(&mut self, from: DiskId, term: u64, commands: Vec<ReferencedCommand>) {
-        let Some(last) = commands.last() else {
-            return;
-        };
-        self.receipts.push(Envelope {
-            from: self.storage.disk(),
-            to: from,
-            term,
-            message: Message::ReferencedAnswer {
-                through: last.index,
-            },
-        });
-        self.received.extend(commands);
-    }
-
     fn referenced_held(&mut self, disk: DiskId, through: LogIndex) {
         let leads = self.replica.leads();
         let waiting = self.transfers.answered(disk, through);
--- a/crates/firshore-log/src/driver/requests.rs
+++ b/crates/firshore-log/src/driver/requests.rs
@@ -4,6 +4,7 @@
     Driver, PendingProposal, ProposalAnswer, ReadAnswer, WaitingRead, restore, unix_milliseconds,
 };
 use crate::machine::StateMachine;
+use crate::placement::keeps_promises;
 use crate::refusal::JournalRefusal;
 use firshore_replication::error::ReplicaError;
 use firshore_replication::storage::{Storage, StoredState};
@@ -21,8 +22,16 @@
         JournalRefusal::NotLeader { leader }
     }
 
+    /// Whether what is committed lies on as many disks as promises need.
+    pub(super) fn keeps_promises(&self) -> bool {
+        let least = self.environment.settings.least;
+        keeps_promises(&self.replica.status().membership, least)
+    }
+
     pub(super) fn propose(&mut self, mut command: M::Command, answer: ProposalAnswer<M>) {
-        if !self.replica.leads() {
+        // Asked here, where the group's change would come first: what was looked at before this was queued
+        // may have changed.
+        if !self.replica.leads() || !self.keeps_promises() {
             let _ = answer.send(Err(self.not_leader()));
             return;
         }
--- a/crates/firshore-log/src/machine.rs
+++ b/crates/firshore-log/src/machine.rs
@@ -61,6 +61,8 @@
     pub timing: Timing,
     /// Silence of a replica after which another disk takes its place.
     pub replace_after: Duration,
+    /// Disks that have to hold what is proposed; a group of fewer refuses it.
+    pub least: usize,
     /// Free space of the data folder below which new work is refused, in bytes.
     pub reserve_bytes: u64,
     /// Log in memory at which a snapshot is taken, in bytes, unless the last one was larger.
--- a/crates/firshore-log/tests/referenced.rs
+++ b/crates/firshore-log/tests/referenced.rs
@@ -109,6 +109,7 @@
                     from: self.id,
                     to: envelope.from,
                     term: envelope.term,
+                    history: envelope.history,
                     message: Message::ReferencedAnswer { through },
                 });
                 self.received.extend(commands);
--- a/crates/firshore-node/src/journal/duties.rs
+++ b/crates/firshore-node/src/journal/duties.rs
@@ -96,6 +96,7 @@
 
     /// What is not followed any more must not be acted on.
     fn forget(&self) {
+        self.retirements.unfollow();
         if self.asker.is_some() {
             self.gateway.forget();
         }
--- a/crates/firshore-node/src/journal/group_keeper.rs
+++ b/crates/firshore-node/src/journal/group_keeper.rs
@@ -67,6 +67,9 @@
     pub recorded: Option<&'a VoterRecord>,
     /// Whether another record, written without an answer, may still take effect.
     pub doubtful: bool,
+    /// When the store was last listed whole; what was known before may have been changed by a leader that
+    /// this node followed since.
+    pub listed_at: Option<Instant>,
 }
 
 /// What to do.
@@ -151,10 +154,15 @@
         }
     }
 
+    /// Takes in what the replica told, before the store is asked for what a step rests on.
+    pub fn observe(&mut self, now: Instant, status: &GroupStatus) {
+        self.note_leader(now, status);
+        self.note_silent(now, status);
+    }
+
     /// Takes in what is known now, and returns what to do.
     pub fn step(&mut self, now: Instant, view: &KeeperView) -> KeeperStep {
-        self.note_leader(now, view.status);
-        self.note_silent(now, view.status);
+        self.observe(now, view.status);
         if !view.status.holds_log {
             return KeeperStep::Rest;
         }
@@ -316,12 +324,14 @@
             ..VoterRecord::default()
         };
         let record = view.recorded.unwrap_or(&unrecorded);
-        if let Some(survivors) = was_left_behind(view, record) {
+        if let Some(survivors) = was_left_behind(view, record)
+            && self.is_listed_since(view)
+        {
             return go_on_with(view, record, survivors, Vec::new());
         }
         let late = self.is_leaderless_for(now, SILENCE_SHARE);
         let superseded = present.iter().any(|disk| is_superseded(view, *disk));
-        if !late && !superseded {
+        if !(late || superseded) || !self.is_listed_since(view) || !record.tells_groups() {
             return KeeperStep::Rest;
         }
         let Some(leaving) = view.leaving else {
@@ -331,6 +341,11 @@
         if record.voters == voters_of(&view.status.committed_membership) {
             possible.truncate(1);
         }
+        // Groups that may promise nothing bind nobody whose log names the one that follows them.
+        if record.voters == present {
+            let least = self.terms.least;
+            possible.retain(|voters| *voters == present || quorum_of(voters) >= least);
+        }
         // A node is reported as empty only once the change that removed its disk is committed.
         possible.retain(|voters| !voters.iter().any(|disk| is_done(view, leaving, *disk)));
         let all: BTreeSet<DiskId> = possible.iter().flatten().copied().collect();
@@ -362,6 +377,12 @@
         }
     }
 
+    /// Whether the store was listed since no leader is known.
+    fn is_listed_since(&self, view: &KeeperView) -> bool {
+        let since = self.leaderless_since;
+        since.is_some_and(|since| view.listed_at.is_some_and(|listed| listed >= since))
+    }
+
     /// Whether no leader was known for this part of the time in which a disk has to catch up.
     fn is_leaderless_for(&self, now: Instant, share: f64) -> bool {
         let least = self.terms.catch_up.mul_f64(share);
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -59,6 +59,7 @@
     async fn look(&self) {
         let registry = &self.journal.registry;
         let status = self.journal.replica.status();
+        self.keeper.borrow_mut().observe(Instant::now(), &status);
         if self.misses_nodes(&status) || registry.is_unsettled() {
             registry.refresh().await;
         }
@@ -133,7 +134,7 @@
     ) -> T {
         let registry = &self.journal.registry;
         let candidates = registry.candidates();
-        let leaving = knows_leaving.then(|| self.retirements.leaving());
+        let leaving = self.retirements.leaving().filter(|_| knows_leaving);
         let recorded = registry.recorded_voters();
         let view = KeeperView {
             node: &self.node,
@@ -142,6 +143,7 @@
             leaving: leaving.as_ref(),
             recorded: recorded.as_ref(),
             doubtful: registry.is_doubtful(),
+            listed_at: registry.last_listing(),
         };
         decide(&mut self.keeper.borrow_mut(), &view)
     }
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -143,6 +143,12 @@
             &registry,
             peers.clone(),
         );
+        let lost_disks = settings.cluster.tolerated_disk_losses;
+        let terms = KeeperTerms {
+            target: placement::voters_for(lost_disks),
+            least: lost_disks as usize + 1,
+            catch_up: settings.cluster.catch_up(),
+        };
         let replica_settings = ReplicaSettings {
             timing: Timing {
                 election_timeout: ELECTION_TIMEOUT,
@@ -150,6 +156,7 @@
                 trailing_bytes: log_bytes,
                 ..Timing::default()
             },
+            least: terms.least,
             replace_after: settings.cluster.catch_up().mul_f64(SILENCE_SHARE),
             reserve_bytes: RESERVE_BYTES,
             snapshot_after_bytes: 2 * log_bytes,
@@ -160,12 +167,6 @@
         let loads = Rc::new(Loads::new(settings.tenants.rate_span()));
         let progress = ProgressKeeper::open(&storage.data_folder)?;
         let progress = Rc::new(RefCell::new(progress));
-        let lost_disks = settings.cluster.tolerated_disk_losses;
-        let terms = KeeperTerms {
-            target: placement::voters_for(lost_disks),
-            least: lost_disks as usize + 1,
-            catch_up: settings.cluster.catch_up(),
-        };
         let ledger = MemoryLedger::default();
         let budget = settings.limits.memory_budget();
         let leading = replica.clone();
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -95,6 +95,12 @@
         self.settled && self.voters == BTreeSet::from([disk])
     }
 
+    /// Returns whether the record says which groups may be in force: one that was written before records
+    /// named them does not.
+    pub fn tells_groups(&self) -> bool {
+        self.settled || self.term > 0
+    }
+
     /// Returns each set of voters that may be in force.
     pub fn possible(&self) -> Vec<BTreeSet<DiskId>> {
         let mut possible = vec![self.voters.clone()];
@@ -136,6 +142,7 @@
     addresses: Addresses,
     own_revision: OwnRevision,
     refreshed_at: Cell<Option<Instant>>,
+    listed_at: Cell<Option<std::time::Instant>>,
     /// Something was written that no listing has shown yet.
     unsettled: Cell<bool>,
     refusals: RefCell<RefusalLog>,
@@ -151,6 +158,7 @@
             addresses: Addresses::default(),
             own_revision: OwnRevision::default(),
             refreshed_at: Cell::new(None),
+            listed_at: Cell::new(None),
             unsettled: Cell::new(false),
             refusals: RefCell::default(),
         }
@@ -167,6 +175,8 @@
         match self.list().await {
             Ok(objects) => {
                 self.learn(Learned::All(objects));
+                // What was listed was there when it was asked for.
+                self.listed_at.set(Some(now.into_std()));
                 true
             }
             Err(error) => {
@@ -294,6 +304,11 @@
         self.known.borrow().listed
     }
 
+    /// Returns when the last listing that this node asked for began.
+    pub fn last_listing(&self) -> Option<std::time::Instant> {
+        self.listed_at.get()
+    }
+
     /// Whether a write waits for the listing that shows what became of it.
     pub fn is_unsettled(&self) -> bool {
         self.unsettled.get()
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -5,10 +5,10 @@
 use crate::refusals::RefusalLog;
 use firshore_adapter::Adapter;
 use firshore_adapter::decode::{Retirement, RetirementProgress};
-use firshore_adapter::objects::{Change, Object, Revision};
+use firshore_adapter::objects::{Change, Object, ObjectError, Revision};
 use firshore_types::ids::NodeName;
 use slog::{Logger, info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
@@ -17,6 +17,9 @@
     retirement: Retirement,
     /// Progress that was written last by this node.
     written: Option<RetirementProgress>,
+    /// Whether this node sent that it is done: without an answer that may take effect seconds later, and the
+    /// machine goes then, so its disk must not be taken in meanwhile.
+    sent_done: bool,
     /// Whether the wish can be read as it stands there now: nothing is reported where it cannot.
     readable: bool,
 }
@@ -26,6 +29,8 @@
 pub struct Retirements {
     wishes: RefCell<BTreeMap<NodeName, Wish>>,
     refusals: RefCell<RefusalLog>,
+    /// Whether they were listed since this node follows them.
+    listed: Cell<bool>,
 }
 
 impl Retirements {
@@ -33,6 +38,7 @@
     pub fn learn(&self, adapter: &Adapter, log: &Logger, learned: Learned) {
         match learned {
             Learned::All(objects) => {
+                self.listed.set(true);
                 let listed: BTreeSet<&str> = objects.iter().map(|one| one.name.as_str()).collect();
                 let mut wishes = self.wishes.borrow_mut();
                 wishes.retain(|node, _| listed.contains(node.as_str()));
@@ -64,11 +70,14 @@
                     "done" => retirement.done, "revision" => object.revision);
                 let node = NodeName(retirement.node.clone());
                 let mut wishes = self.wishes.borrow_mut();
-                let written = wishes.get(&node).and_then(|wish| wish.written);
+                let known = wishes.get(&node);
+                let written = known.and_then(|wish| wish.written);
+                let sent_done = known.is_some_and(|wish| wish.sent_done);
                 let wish = Wish {
                     revision: object.revision,
                     retirement,
                     written,
+                    sent_done,
                     readable: true,
                 };
                 wishes.insert(node, wish);
@@ -92,17 +101,25 @@
         }
     }
 
-    /// Returns the nodes that are to be emptied, those that are empty included.
-    pub fn leaving(&self) -> LeavingNodes {
+    /// Takes in that they are not followed any more: what is known says nothing of later wishes.
+    pub fn unfollow(&self) {
+        self.listed.set(false);
+    }
+
+    /// Returns the nodes that are to be emptied, those that are empty included; `None` while they are not
+    /// followed.
+    pub fn leaving(&self) -> Option<LeavingNodes> {
+        if !self.listed.get() {
+            return None;
+        }
         let mut leaving = LeavingNodes::default();
         for (node, wish) in self.wishes.borrow().iter() {
-            let written = wish.written == Some(RetirementProgress::Done);
-            match wish.retirement.done || written {
+            match wish.retirement.done || wish.sent_done {
                 true => leaving.done.insert(node.clone()),
                 false => leaving.open.insert(node.clone()),
             };
         }
-        leaving
+        Some(leaving)
     }
 
     /// Returns whether a node is to be emptied of which that is not reported yet.
@@ -131,6 +148,9 @@
             if wish.written == Some(progress) {
                 continue;
             }
+            if progress == RetirementProgress::Done {
+                self.note_sent(node, true);
+            }
             let status = adapter.decoder.retirement_status(progress);
             let kind = adapter.decoder.retirement_kind();
             let written = adapter
@@ -139,11 +159,21 @@
                 .await;
             info!(log, "retirement: Reported."; "node" => %node, "progress" => ?progress,
                 "written" => written.is_ok());
-            if written.is_ok()
-                && let Some(wish) = self.wishes.borrow_mut().get_mut(node)
-            {
-                wish.written = Some(progress);
+            match written {
+                Ok(()) => {
+                    if let Some(wish) = self.wishes.borrow_mut().get_mut(node) {
+                        wish.written = Some(progress);
+                    }
+                }
+                Err(ObjectError::Unanswered(_)) => {}
+                Err(_) => self.note_sent(node, false),
             }
         }
     }
+
+    fn note_sent(&self, node: &NodeName, done: bool) {
+        if let Some(wish) = self.wishes.borrow_mut().get_mut(node) {
+            wish.sent_done = done;
+        }
+    }
 }
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -8,9 +8,10 @@
 use firshore_replication::message::Envelope;
 use firshore_replication::replica::{Replica, Timing};
 use firshore_replication::storage::StoredState;
-use firshore_replication::types::{DiskId, LogIndex, Position};
+use firshore_replication::types::{DiskId, EntryContent, LogIndex, Position};
 use firshore_types::ids::{NodeName, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 /// Times as on a node, sizes so small that a short run meets snapshots and lagging followers.
 pub const TIMING: Timing = Timing {
@@ -39,17 +40,28 @@
         }
     }
 
-    /// Whether what was committed at a position can be read from it.
-    pub fn holds(&self, position: Position) -> bool {
+    /// Whether what was accepted can be read from it. A snapshot of another history holds something else.
+    pub fn holds(&self, accepted: &Accepted) -> bool {
+        let index = accepted.position.index;
         let snapshot = self.stored.snapshot.as_ref();
-        if snapshot.is_some_and(|one| one.header.position.index >= position.index) {
-            return true;
+        if snapshot.is_some_and(|one| one.header.position.index >= index) {
+            return self.stored.hard_state.history >= accepted.history;
         }
         let mut entries = self.stored.entries.iter();
-        entries.any(|entry| entry.index == position.index && entry.term == position.term)
+        let held = entries.find(|entry| entry.index == index);
+        held.is_some_and(|entry| entry.content == accepted.content)
     }
 }
 
+/// A command that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    pub position: Position,
+    /// History of the log that took it in.
+    pub history: u64,
+    pub content: EntryContent,
+}
+
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
@@ -71,6 +83,8 @@
     pub unsettled: bool,
     /// Revision on which a write was conditional that was not answered.
     pub doubtful: Option<u64>,
+    /// Milliseconds at which it was read last.
+    pub read_at: Option<u64>,
     /// Nodes that are to be emptied, and whether they are; `None` before they were listed.
     pub wishes: Option<BTreeMap<NodeName, bool>>,
 }
@@ -178,8 +192,10 @@
     }
 
     /// What the upkeep is shown.
-    pub fn view<'a>(&'a self, leaving: Option<&'a LeavingNodes>) -> KeeperView<'a> {
+    pub fn view<'a>(&'a self, start: Instant, leaving: Option<&'a LeavingNodes>) -> KeeperView<'a> {
+        let listed = self.known.read_at.map(Duration::from_millis);
         KeeperView {
+            listed_at: listed.map(|at| start + at),
             node: &self.name,
             status: &self.status,
             candidates: &self.known.candidates,
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -10,9 +10,9 @@
 use firshore_replication::message::Envelope;
 use firshore_replication::replica::Output;
 use firshore_replication::storage::StoredState;
-use firshore_replication::types::{DiskId, MembershipChange, Position};
+use firshore_replication::types::{DiskId, MembershipChange};
 use firshore_types::ids::NodeName;
-use machine::{Condition, Disk, Machine};
+use machine::{Accepted, Condition, Disk, Machine};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use scene::{Event, Sheet};
@@ -93,7 +93,7 @@
     /// Until when something is in trouble.
     trouble_until: u64,
     /// The last command that was accepted.
-    accepted: Option<Position>,
+    accepted: Option<Accepted>,
     tally: Tally,
     /// Lines for a reader of a failure.
     pub lines: Vec<String>,
@@ -575,11 +575,16 @@
         for entry in output.committed {
             machine.applied = entry.index;
             let asked = machine.open.remove(&entry.index);
-            if asked.is_some_and(|asked| asked.term == entry.term) {
-                let later = self.accepted.is_none_or(|one| one.index < entry.index);
+            if let Some(position) = asked.filter(|asked| asked.term == entry.term) {
+                let accepted = Accepted {
+                    position,
+                    history: machine.disk.stored.hard_state.history,
+                    content: entry.content,
+                };
                 self.tally.accepted += 1;
-                if later {
-                    self.accepted = asked;
+                let known = self.accepted.as_ref();
+                if known.is_none_or(|one| one.position.index < position.index) {
+                    self.accepted = Some(accepted);
                 }
             }
         }
@@ -654,9 +659,11 @@
         }
         if status.leads && self.now >= machine.next_refresh {
             machine.next_refresh = self.now + REFRESH;
+            machine.known.read_at = Some(self.now);
             self.store.read(&mut machine.known);
             machine.known.wishes = Some(self.store.wishes.clone());
         } else if (!status.leads && status.leader.is_none()) || machine.known.unsettled {
+            machine.known.read_at = Some(self.now);
             self.store.read(&mut machine.known);
         }
     }
@@ -683,7 +690,7 @@
             &mut machine.keeper,
             firshore_node::journal::group_keeper::GroupKeeper::new(machine.terms),
         );
-        let step = keeper.step(now, &machine.view(leaving.as_ref()));
+        let step = keeper.step(now, &machine.view(self.start, leaving.as_ref()));
         machine.keeper = keeper;
         step
     }
@@ -742,7 +749,7 @@
         let Some(leaving) = machine.leaving() else {
             return;
         };
-        let view = machine.view(Some(&leaving));
+        let view = machine.view(self.start, Some(&leaving));
         let emptied: Vec<NodeName> = leaving
             .open
             .iter()
@@ -756,15 +763,15 @@
 
     // What has to hold.
 
-    fn copies(&self, position: Position) -> usize {
+    fn copies(&self, accepted: &Accepted) -> usize {
         let there = self.machines.iter().filter(|one| one.is_there());
-        there.filter(|one| one.disk.holds(position)).count()
+        there.filter(|one| one.disk.holds(accepted)).count()
     }
 
     /// What was accepted last lies on as many disks as may be lost beside those that are, and one more:
     /// so does all that was accepted before, as a log that holds an entry holds all before it.
     fn check_copies(&self) -> Result<(), Broken> {
-        let Some(accepted) = self.accepted else {
+        let Some(accepted) = &self.accepted else {
             return Ok(());
         };
         let copies = self.copies(accepted);
@@ -774,7 +781,7 @@
         }
         Err(self.broken(format!(
             "entry {} of term {} is on {copies} disks, {wanted} are wanted",
-            accepted.index, accepted.term
+            accepted.position.index, accepted.position.term
         )))
     }
 
@@ -795,10 +802,11 @@
                 .collect();
             return Err(self.broken(format!("{} leaders after calm: {told:#?}", leaders.len())));
         };
-        if let Some(accepted) = self.accepted
-            && (leader.applied < accepted.index || !leader.disk.holds(accepted))
+        if let Some(accepted) = &self.accepted
+            && (leader.applied < accepted.position.index || !leader.disk.holds(accepted))
         {
-            return Err(self.broken(format!("the leader lacks entry {}", accepted.index)));
+            let lacks = accepted.position.index;
+            return Err(self.broken(format!("the leader lacks entry {lacks}")));
         }
         let there = self.machines.iter().filter(|one| one.is_there());
         let wishes = &self.store.wishes;
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -341,6 +341,7 @@
                     from: DiskId(1),
                     to: DiskId(2),
                     term: 0,
+                    history: 0,
                     message: Message::TimeoutNow,
                 },
             };
--- a/crates/firshore-replication/src/message.rs
+++ b/crates/firshore-replication/src/message.rs
@@ -15,6 +15,9 @@
     pub to: DiskId,
     /// Term of the sender.
     pub term: Term,
+    /// History that the sender's log is part of, see [`crate::storage::HardState::history`].
+    #[serde(default)]
+    pub history: u64,
     /// Content.
     pub message: Message,
 }
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -18,7 +18,11 @@
             self.leader_heard_at = None;
         }
         if term > self.hard_state.term {
-            self.set_hard_state(HardState { term, vote: None });
+            self.set_hard_state(HardState {
+                term,
+                vote: None,
+                ..self.hard_state
+            });
         }
         self.leader = None;
         self.incoming_snapshot = None;
@@ -118,6 +122,7 @@
         self.set_hard_state(HardState {
             term: self.hard_state.term + 1,
             vote: Some(self.disk),
+            ..self.hard_state
         });
         self.leader = None;
         self.role = Role::Candidate(BTreeSet::from([self.disk]));
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -4,6 +4,7 @@
 use super::{Replica, Role};
 use crate::error::ReplicaError;
 use crate::progress::Progress;
+use crate::storage::HardState;
 use crate::types::{
     DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
 };
@@ -68,6 +69,12 @@
         if self.leads() || !disks.contains_key(&self.disk) || !whole {
             return Err(ReplicaError::InvalidChange);
         }
+        if survivors.left_behind && self.recovery.is_none() {
+            self.set_hard_state(HardState {
+                history: self.hard_state.history + 1,
+                ..self.hard_state
+            });
+        }
         if self.recovery.as_ref() != Some(disks) {
             self.recovery = Some(disks.clone());
             self.start_pre_vote();
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -325,6 +325,9 @@
         if envelope.to != self.disk || envelope.from == self.disk {
             return;
         }
+        if !self.shares_history(envelope.history) {
+            return;
+        }
         let (from, term) = (envelope.from, envelope.term);
         self.heard_at.insert(from, self.now);
         match envelope.message {
@@ -368,6 +371,21 @@
         }
     }
 
+    /// Whether a message belongs to the history of this log. An empty replica takes on the one that it first
+    /// hears of.
+    ///
+    /// Positions of two histories may be equal while their entries differ: joined, a disk would answer
+    /// that it holds what it does not.
+    pub fn shares_history(&mut self, history: u64) -> bool {
+        if self.is_empty() && history > self.hard_state.history {
+            self.set_hard_state(HardState {
+                history,
+                ..self.hard_state
+            });
+        }
+        history == self.hard_state.history
+    }
+
     /// Everything to be done since the last call.
     pub fn take_output(&mut self) -> Output {
         self.start_read_round();
@@ -403,6 +421,7 @@
             from: self.disk,
             to,
             term: self.hard_state.term,
+            history: self.hard_state.history,
             message,
         });
     }
--- a/crates/firshore-replication/src/storage.rs
+++ b/crates/firshore-replication/src/storage.rs
@@ -14,6 +14,10 @@
     pub term: Term,
     /// Disk that got this replica's vote in the term.
     pub vote: Option<DiskId>,
+    /// Which of the group's histories the log is part of: a disk that went on where another one had gone
+    /// on without it begins a new one, and the two must never be joined.
+    #[serde(default)]
+    pub history: u64,
 }
 
 /// Changes to make durable together.
@@ -67,7 +71,7 @@
         WriteBatch {
             hard_state: Some(HardState {
                 term: 1,
-                vote: None,
+                ..HardState::default()
             }),
             append: vec![first],
             ..WriteBatch::default()
--- a/crates/firshore-replication/tests/power_loss.rs
+++ b/crates/firshore-replication/tests/power_loss.rs
@@ -118,6 +118,7 @@
             batch.hard_state = Some(HardState {
                 term: TERM,
                 vote: Some(DiskId(random.random())),
+                ..HardState::default()
             });
         }
         1 if last > held.snapshot_index() => {
--- a/crates/firshore-replication/tests/redb_storage.rs
+++ b/crates/firshore-replication/tests/redb_storage.rs
@@ -32,6 +32,7 @@
         hard_state: Some(HardState {
             term: 2,
             vote: Some(DiskId(9)),
+            ..HardState::default()
         }),
         append: (1..=10).map(entry).collect(),
         ..WriteBatch::default()
