--- /dev/null
+++ b/crates/firshore-node/tests/group_keeper.rs
@@ -0,0 +1,321 @@
+//! What the upkeep of a group does at one look, condition by condition.
+
+use firshore_log::GroupStatus;
+use firshore_log::placement::Candidate;
+use firshore_node::journal::group_keeper::{
+    GroupKeeper, KeeperStep, KeeperTerms, KeeperView, LeavingNodes,
+};
+use firshore_node::journal::registry::VoterRecord;
+use firshore_replication::replica::{Replica, Timing};
+use firshore_replication::storage::StoredState;
+use firshore_replication::types::{DiskId, Membership, ReplicaInfo, ReplicaRole};
+use firshore_types::ids::NodeName;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+const CATCH_UP: Duration = Duration::from_secs(5);
+
+fn disks(numbers: &[u64]) -> BTreeSet<DiskId> {
+    numbers.iter().copied().map(DiskId).collect()
+}
+
+fn candidate(node: u64, disk: u64) -> Candidate {
+    Candidate {
+        disk: DiskId(disk),
+        node: format!("node-{node}").as_str().into(),
+        zone: format!("zone-{node}").as_str().into(),
+    }
+}
+
+fn membership(numbers: &[u64]) -> Membership {
+    let replicas = numbers.iter().map(|number| {
+        let info = candidate(*number, *number).info(ReplicaRole::Voter);
+        (DiskId(*number), info)
+    });
+    Membership {
+        replicas: replicas.collect::<std::collections::BTreeMap<DiskId, ReplicaInfo>>(),
+    }
+}
+
+/// What is known on node 1, whose replica is on disk 1.
+struct Scene {
+    start: Instant,
+    keeper: GroupKeeper,
+    status: GroupStatus,
+    candidates: Vec<Candidate>,
+    leaving: Option<LeavingNodes>,
+    record: Option<VoterRecord>,
+    doubtful: bool,
+    listed: bool,
+}
+
+impl Scene {
+    /// A group of these voters without a leader, of which the record says the same.
+    fn leaderless(voters: &[u64], losses: usize) -> Self {
+        let mut stored = StoredState::default();
+        stored.take(&StoredState::founding(membership(voters)));
+        let replica = Replica::restore(0, DiskId(1), Timing::default(), stored, 1);
+        Self {
+            start: Instant::now(),
+            keeper: GroupKeeper::new(KeeperTerms {
+                target: 2 * losses + 1,
+                least: losses + 1,
+                catch_up: CATCH_UP,
+            }),
+            status: GroupStatus::of(&replica, 1_500),
+            candidates: voters.iter().map(|one| candidate(*one, *one)).collect(),
+            leaving: Some(LeavingNodes::default()),
+            record: Some(VoterRecord {
+                voters: disks(voters),
+                settled: true,
+                term: 1,
+                ..VoterRecord::default()
+            }),
+            doubtful: false,
+            listed: true,
+        }
+    }
+
+    /// The same, led by this node, with everything held by all.
+    fn leading(voters: &[u64], losses: usize) -> Self {
+        let mut scene = Self::leaderless(voters, losses);
+        scene.status.leads = true;
+        scene.status.leader = Some("node-1".into());
+        scene.status.membership_committed = true;
+        scene.status.caught_up = disks(voters);
+        scene
+    }
+
+    /// A node comes back with another disk.
+    fn wiped(mut self, node: u64) -> Self {
+        let name = candidate(node, node).node;
+        let mut listed = self.candidates.iter_mut();
+        let candidate = listed.find(|one| one.node == name);
+        candidate.expect("it is listed").disk = DiskId(100 + node);
+        self
+    }
+
+    fn recorded(mut self, record: VoterRecord) -> Self {
+        self.record = Some(record);
+        self
+    }
+
+    /// What to do after this part of the time in which a disk has to catch up.
+    fn step(&mut self, share: f64) -> KeeperStep {
+        self.keeper.observe(self.start, &self.status);
+        let now = self.start + CATCH_UP.mul_f64(share);
+        let node = NodeName::from("node-1");
+        let view = KeeperView {
+            node: &node,
+            status: &self.status,
+            candidates: &self.candidates,
+            leaving: self.leaving.as_ref(),
+            recorded: self.record.as_ref(),
+            doubtful: self.doubtful,
+            listed_at: self.listed.then_some(now),
+        };
+        self.keeper.step(now, &view)
+    }
+
+    fn is_emptied(&mut self, node: &str) -> bool {
+        let own = NodeName::from("node-1");
+        let view = KeeperView {
+            node: &own,
+            status: &self.status,
+            candidates: &self.candidates,
+            leaving: self.leaving.as_ref(),
+            recorded: self.record.as_ref(),
+            doubtful: self.doubtful,
+            listed_at: None,
+        };
+        self.keeper.is_emptied(&view, &NodeName::from(node))
+    }
+}
+
+/// The voters that a step records.
+fn recorded(step: KeeperStep) -> Option<BTreeSet<DiskId>> {
+    match step {
+        KeeperStep::Record(record) => Some(record.voters),
+        _ => None,
+    }
+}
+
+fn is_survivor(step: &KeeperStep) -> bool {
+    matches!(step, KeeperStep::ContinueWith(_))
+}
+
+fn unsettled(voters: &[u64], before: &[&[u64]]) -> VoterRecord {
+    VoterRecord {
+        voters: disks(voters),
+        settled: false,
+        term: 1,
+        before: before.iter().map(|one| disks(one)).collect(),
+        left_behind: None,
+    }
+}
+
+#[test]
+fn one_of_a_pair_goes_on_once_it_is_recorded() {
+    let mut scene = Scene::leaderless(&[1, 2], 1).wiped(2);
+    assert_eq!(recorded(scene.step(0.01)), Some(disks(&[1])));
+    let mut scene = scene.recorded(unsettled(&[1], &[&[1, 2]]));
+    assert!(is_survivor(&scene.step(0.02)));
+    scene.doubtful = true;
+    assert_eq!(recorded(scene.step(0.03)), Some(disks(&[1])));
+}
+
+#[test]
+fn nobody_goes_on_by_what_was_listed_before_the_leader_was_lost() {
+    let mut scene = Scene::leaderless(&[1, 2], 1).wiped(2);
+    scene.listed = false;
+    assert_eq!(scene.step(2.0), KeeperStep::Rest);
+    scene.listed = true;
+    scene.leaving = None;
+    assert_eq!(scene.step(2.0), KeeperStep::ListLeaving);
+}
+
+#[test]
+fn nobody_goes_on_where_another_group_may_be_in_force_that_holds_more() {
+    let record = unsettled(&[1, 2], &[&[1, 2, 3]]);
+    let mut scene = Scene::leaderless(&[1, 2], 1).wiped(2).recorded(record);
+    scene.candidates.push(candidate(3, 3));
+    // The third may have committed something with the second: both have to go on.
+    assert_eq!(recorded(scene.step(0.1)), Some(disks(&[1, 3])));
+    let gone = scene
+        .candidates
+        .iter_mut()
+        .find(|one| one.disk == DiskId(3));
+    gone.unwrap().node = "elsewhere".into();
+    scene.candidates.retain(|one| one.disk != DiskId(3));
+    assert_eq!(scene.step(0.2), KeeperStep::Rest);
+    let mut old = scene.recorded(VoterRecord {
+        term: 0,
+        ..unsettled(&[1, 2], &[])
+    });
+    assert_eq!(old.step(2.0), KeeperStep::Rest, "it names no groups");
+}
+
+#[test]
+fn silent_voters_are_left_out_only_by_as_many_as_commit_together() {
+    let mut pair = Scene::leaderless(&[1, 2], 1);
+    assert_eq!(pair.step(0.1), KeeperStep::Rest);
+    assert_eq!(recorded(pair.step(1.0)), Some(disks(&[1])));
+    let mut three = Scene::leaderless(&[1, 2, 3], 1);
+    assert_eq!(three.step(2.0), KeeperStep::Rest, "two might have more");
+    let mut five = Scene::leaderless(&[1, 2, 3, 4, 5, 6], 2);
+    five.status.heard = disks(&[2, 3]);
+    assert_eq!(
+        five.step(2.0),
+        KeeperStep::Rest,
+        "three do not commit together"
+    );
+}
+
+#[test]
+fn two_of_four_go_on_where_the_others_have_lost_their_disks() {
+    let mut scene = Scene::leaderless(&[1, 2, 3, 4], 2).wiped(3).wiped(4);
+    assert_eq!(recorded(scene.step(0.1)), Some(disks(&[1, 2])));
+    let mut too_few = Scene::leaderless(&[1, 2, 3], 1).wiped(2).wiped(3);
+    assert_eq!(too_few.step(2.0), KeeperStep::Rest);
+}
+
+#[test]
+fn the_one_left_behind_goes_on_only_once_the_lone_voter_is_gone() {
+    let left = VoterRecord {
+        left_behind: Some(DiskId(1)),
+        ..unsettled(&[2], &[&[1, 2]])
+    };
+    let mut scene = Scene::leaderless(&[1, 2], 1).recorded(left.clone());
+    assert_eq!(scene.step(2.0), KeeperStep::Rest);
+    let mut scene = scene.wiped(2);
+    assert_eq!(recorded(scene.step(2.0)), Some(disks(&[1])));
+    let other = VoterRecord {
+        left_behind: Some(DiskId(9)),
+        ..left
+    };
+    assert_eq!(scene.recorded(other).step(2.0), KeeperStep::Rest);
+}
+
+#[test]
+fn one_that_follows_a_lone_voter_in_the_log_goes_on_without_it() {
+    // Nothing was promised by the lone one, and all since needed both.
+    let record = VoterRecord {
+        left_behind: Some(DiskId(9)),
+        ..unsettled(&[1, 2], &[&[2]])
+    };
+    let mut scene = Scene::leaderless(&[1, 2], 1).wiped(2).recorded(record);
+    assert_eq!(recorded(scene.step(0.1)), Some(disks(&[1])));
+}
+
+#[test]
+fn a_change_follows_only_its_own_record_of_this_term() {
+    let change = |record: VoterRecord| {
+        let mut scene = Scene::leading(&[1, 2, 3], 1).wiped(3);
+        scene.recorded_step(record)
+    };
+    let own = unsettled(&[1, 2], &[&[1, 2, 3]]);
+    assert!(matches!(change(own.clone()), KeeperStep::Change(_)));
+    let earlier = VoterRecord { term: 0, ..own };
+    assert!(matches!(change(earlier), KeeperStep::Record(_)));
+}
+
+impl Scene {
+    fn recorded_step(&mut self, record: VoterRecord) -> KeeperStep {
+        self.record = Some(record);
+        self.status.term = 1;
+        self.step(0.1)
+    }
+}
+
+#[test]
+fn a_leader_that_does_not_know_who_leaves_changes_nothing() {
+    let mut scene = Scene::leading(&[1, 2, 3], 1).wiped(3);
+    scene.leaving = None;
+    assert_eq!(scene.step(0.1), KeeperStep::Rest);
+}
+
+#[test]
+fn a_node_is_empty_once_a_committed_group_without_it_keeps_promises() {
+    let mut pair = Scene::leading(&[1, 2], 1);
+    assert!(pair.is_emptied("node-3"));
+    assert!(!pair.is_emptied("node-2"));
+    pair.status.membership_committed = false;
+    assert!(!pair.is_emptied("node-3"));
+    let mut lone = Scene::leading(&[1], 1);
+    assert!(!lone.is_emptied("node-3"), "its disk may be needed");
+    let mut three = Scene::leading(&[1, 2, 3], 2);
+    assert!(!three.is_emptied("node-4"), "two of three commit");
+}
+
+#[test]
+fn a_leader_on_a_node_that_leaves_hands_over_only_to_one_that_stays() {
+    let leaving = |nodes: &[&str]| LeavingNodes {
+        open: nodes.iter().map(|node| NodeName::from(*node)).collect(),
+        ..LeavingNodes::default()
+    };
+    let mut scene = Scene::leading(&[1, 2], 1);
+    scene.leaving = Some(leaving(&["node-1"]));
+    assert_eq!(scene.step(0.1), KeeperStep::StepAside(DiskId(2)));
+    scene.leaving = Some(leaving(&["node-1", "node-2"]));
+    assert!(!matches!(scene.step(0.1), KeeperStep::StepAside(_)));
+}
+
+#[test]
+fn disks_on_nodes_that_leave_serve_while_the_group_is_short() {
+    let leaving = LeavingNodes {
+        open: BTreeSet::from([NodeName::from("node-2")]),
+        ..LeavingNodes::default()
+    };
+    let mut scene = Scene::leading(&[1], 1);
+    scene.candidates.push(candidate(2, 2));
+    scene.leaving = Some(leaving.clone());
+    assert!(matches!(scene.step(0.1), KeeperStep::Change(_)));
+    scene.leaving = Some(LeavingNodes {
+        done: leaving.open,
+        ..LeavingNodes::default()
+    });
+    assert!(
+        !matches!(scene.step(0.2), KeeperStep::Change(_)),
+        "it is gone"
+    );
+}
