A disk that never catches up makes way for another one; words of the placement

Cause: while a learner answered but never held everything (a full or slow disk), no other was tried, so the group stayed short for good. After twice the catch-up time another disk is tried first; the slow one goes on where it was.

--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -1,5 +1,6 @@
-//! Which replica of a group to add, promote or remove next: three voters in three zones, failed
-//! ones replaced. A pure decision, taken again and again by the group's leader.
+//! Which replica of a group to add, promote or remove next: as many voters as the losses that are to
+//! be borne ask for, in different zones, failed ones replaced. A pure decision, taken again and again by
+//! the group's leader.
 
 use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
 use firshore_types::ids::{NodeName, ZoneName};
@@ -38,7 +39,7 @@
     pub gone: BTreeSet<DiskId>,
     /// Replicas on nodes that are to be emptied: disks like others until that is reported as done.
     pub leaving: BTreeSet<DiskId>,
-    /// Replicas that hold everything committed.
+    /// Replicas that hold everything committed but for what is on its way to them.
     pub caught_up: BTreeSet<DiskId>,
 }
 
@@ -94,6 +95,8 @@
     /// Whether the group can do without a voter. What is committed afterwards has to lie on as many disks
     /// as promises need, and so many have to hold everything now; one that answers is never given away
     /// below that, one that does not is no copy to count on. Each step that takes a copy away asks this.
+    /// What is still on its way to a holder is settled by the log: the removal has to be committed by a
+    /// quorum of those that are left, and all before it with it.
     fn can_spare(&self, disk: DiskId) -> bool {
         let mut after = self.membership.clone();
         after.replicas.remove(&disk);
@@ -112,7 +115,8 @@
         !keeps_promises(&answering, self.least)
     }
 
-    fn learner(&self) -> Option<DiskId> {
+    /// The replica that is to catch up before it votes, if there is one.
+    pub fn learner(&self) -> Option<DiskId> {
         let mut replicas = self.membership.replicas.iter();
         replicas
             .find(|(_, replica)| replica.role == ReplicaRole::Learner)
--- a/crates/firshore-node/src/journal/group_keeper.rs
+++ b/crates/firshore-node/src/journal/group_keeper.rs
@@ -26,6 +26,9 @@
 /// machine that replaces it counts as recovered, after which the next loss may come.
 const GIVEN_UP_SHARE: f64 = 0.4;
 
+/// The same for a disk that answers and does not catch up, where another one could be tried.
+const LEARNER_SHARE: f64 = 2.0;
+
 /// What a group is to be.
 #[derive(Clone, Copy, Debug)]
 pub struct KeeperTerms {
@@ -141,6 +144,8 @@
     leaderless_since: Option<Instant>,
     /// Since when voters are silent for longer than the limit.
     silent_since: BTreeMap<DiskId, Instant>,
+    /// The disk that is to catch up, and since when.
+    learner: Option<(DiskId, Instant)>,
 }
 
 impl GroupKeeper {
@@ -151,6 +156,7 @@
             passed_over: PassedOver::default(),
             leaderless_since: None,
             silent_since: BTreeMap::new(),
+            learner: None,
         }
     }
 
@@ -231,6 +237,12 @@
             // Nothing is recorded that might never enter the log.
             return KeeperStep::Rest;
         }
+        if let Some(learner) = self.overdue_learner(now, &group)
+            && !usable.is_empty()
+        {
+            let pause = self.passed_over.stayed_silent(now, learner);
+            return KeeperStep::PassOver(learner, pause);
+        }
         let change = group.next_change(&usable);
         let present = voters_of(&status.membership);
         let Some(change) = change else {
@@ -276,6 +288,19 @@
         }
     }
 
+    /// The disk that is to catch up, if it has been at that for too long: one that answers but never holds
+    /// everything, as its disk is full or slow, would keep all others out. It goes on where it was when it
+    /// is tried again.
+    fn overdue_learner(&mut self, now: Instant, group: &GroupView) -> Option<DiskId> {
+        let learner = group.learner();
+        if self.learner.map(|(disk, _)| disk) != learner {
+            self.learner = learner.map(|disk| (disk, now));
+        }
+        let most = self.terms.catch_up.mul_f64(LEARNER_SHARE);
+        let (disk, since) = self.learner?;
+        (now.saturating_duration_since(since) >= most).then_some(disk)
+    }
+
     /// Disks that could be taken in: on nodes that are to stay, but for those that stayed silent a moment
     /// ago. Where the group is short of disks, those on nodes that are to be emptied too: until that is
     /// reported as done, they are better than none.
--- a/crates/firshore-node/tests/group_keeper.rs
+++ b/crates/firshore-node/tests/group_keeper.rs
@@ -247,6 +247,26 @@
     assert_eq!(recorded(scene.step(0.1)), Some(disks(&[1])));
 }
 
+#[test]
+fn a_disk_that_never_catches_up_makes_way_for_another() {
+    let mut scene = Scene::leading(&[1, 2, 3], 1).wiped(3);
+    let learner = candidate(3, 103).info(ReplicaRole::Learner);
+    let replicas = &mut scene.status.membership.replicas;
+    replicas.remove(&DiskId(3));
+    replicas.insert(DiskId(103), learner);
+    scene.status.caught_up = disks(&[1, 2]);
+    scene.step(0.0);
+    assert!(
+        !matches!(scene.step(3.0), KeeperStep::PassOver(..)),
+        "no other is there"
+    );
+    scene.candidates.push(candidate(4, 4));
+    assert!(matches!(
+        scene.step(3.0),
+        KeeperStep::PassOver(DiskId(103), _)
+    ));
+}
+
 #[test]
 fn a_change_follows_only_its_own_record_of_this_term() {
     let change = |record: VoterRecord| {
