--- a/crates/firshore-node/src/journal/group_keeper.rs
+++ b/crates/firshore-node/src/journal/group_keeper.rs
@@ -2,12 +2,13 @@
 //! membership, go on alone. No I/O; the time and what the store lists are passed in.
 
 use super::SILENCE_SHARE;
+use super::lost_quorum::{self, LeaderlessTime};
 use super::passed_over::PassedOver;
 use super::registry::VoterRecord;
 use firshore_log::GroupStatus;
 use firshore_log::placement::{Candidate, GroupView, keeps_promises};
 use firshore_replication::replica::Survivors;
-use firshore_replication::types::{DiskId, Membership, MembershipChange, ReplicaInfo, ReplicaRole};
+use firshore_replication::types::{DiskId, Membership, MembershipChange};
 use firshore_types::ids::NodeName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -17,10 +18,6 @@
 /// lone replica may promise nothing, but lets what is listed be read.
 const LONE_SHARE: f64 = 1.0;
 
-/// Voters that may go on although others are only silent: as many as all commit together, so that none of
-/// them can help the silent ones to commit something else.
-const MOST_WITHOUT_PROOF: usize = 2;
-
 /// Part of that time for which a voter stays silent beyond the limit until the group does without it though
 /// no other disk takes its place: with the silence itself and a change of leader this ends before the
 /// machine that replaces it counts as recovered, after which the next loss may come.
@@ -94,11 +91,7 @@
     ContinueWith(Survivors),
 }
 
-fn quorum_of(voters: &BTreeSet<DiskId>) -> usize {
-    voters.len() / 2 + 1
-}
-
-fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
+pub(super) fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
     membership.voters().collect()
 }
 
@@ -126,7 +119,7 @@
 }
 
 /// Whether a replica's disk is known never to come back: its node has another one by now.
-fn is_superseded(view: &KeeperView, disk: DiskId) -> bool {
+pub(super) fn is_superseded(view: &KeeperView, disk: DiskId) -> bool {
     let Some(replica) = view.status.membership.replicas.get(&disk) else {
         return false;
     };
@@ -176,7 +169,7 @@
             return self.place(now, view);
         }
         if view.status.leader.is_none() {
-            return self.go_on(now, view);
+            return self.without_leader(now, view);
         }
         KeeperStep::Rest
     }
@@ -337,69 +330,15 @@
         usable.into_iter().cloned().collect()
     }
 
-    /// Goes on without a quorum, where those that are left must hold everything committed: the others have
-    /// lost their disks, or were silent for long and can do nothing without those that are left. Of two that
-    /// would go on, only one can record itself.
-    fn go_on(&self, now: Instant, view: &KeeperView) -> KeeperStep {
-        let own = view.status.disk;
-        let present = voters_of(&view.status.membership);
-        let unrecorded = VoterRecord {
-            voters: present.clone(),
-            settled: true,
-            ..VoterRecord::default()
-        };
-        let record = view.recorded.unwrap_or(&unrecorded);
-        if let Some(survivors) = was_left_behind(view, record)
-            && self.is_listed_since(view)
-        {
-            return go_on_with(view, record, survivors, Vec::new());
-        }
-        let late = self.is_leaderless_for(now, SILENCE_SHARE);
-        let superseded = present.iter().any(|disk| is_superseded(view, *disk));
-        if !(late || superseded) || !self.is_listed_since(view) || !record.tells_groups() {
+    fn without_leader(&self, now: Instant, view: &KeeperView) -> KeeperStep {
+        if !self.is_listed_since(view) {
             return KeeperStep::Rest;
         }
-        let Some(leaving) = view.leaving else {
-            return KeeperStep::ListLeaving;
+        let leaderless = LeaderlessTime {
+            late: self.is_leaderless_for(now, SILENCE_SHARE),
+            overdue: self.is_leaderless_for(now, LONE_SHARE),
         };
-        let mut possible = record.possible();
-        if record.voters == voters_of(&view.status.committed_membership) {
-            possible.truncate(1);
-        }
-        // Groups that may promise nothing bind nobody whose log names the one that follows them.
-        if record.voters == present {
-            let least = self.terms.least;
-            possible.retain(|voters| *voters == present || quorum_of(voters) >= least);
-        }
-        // A node is reported as empty only once the change that removed its disk is committed.
-        possible.retain(|voters| !voters.iter().any(|disk| is_done(view, leaving, *disk)));
-        let all: BTreeSet<DiskId> = possible.iter().flatten().copied().collect();
-        let listed = all.iter().copied();
-        let mut left: BTreeSet<DiskId> =
-            listed.filter(|disk| !is_superseded(view, *disk)).collect();
-        let is_pair = all.len() == 2 && left.len() == 2;
-        let early = late && is_pair && has_replacement(view, leaving, &all);
-        if early || self.is_leaderless_for(now, LONE_SHARE) {
-            left.retain(|disk| *disk == own || view.status.heard.contains(disk));
-        }
-        let silent_left_out = all
-            .iter()
-            .any(|disk| !left.contains(disk) && !is_superseded(view, *disk));
-        if silent_left_out && left.len() > MOST_WITHOUT_PROOF {
-            return KeeperStep::Rest;
-        }
-        let holds_all = |voters: &BTreeSet<DiskId>| {
-            let left = voters.intersection(&left).count();
-            voters.len() - left < quorum_of(voters)
-        };
-        let lost_quorum = present.intersection(&left).count() < quorum_of(&present);
-        if !lost_quorum || !left.contains(&own) || !possible.iter().all(holds_all) {
-            return KeeperStep::Rest;
-        }
-        match survivors(view, &left, false) {
-            Some(survivors) => go_on_with(view, record, survivors, possible),
-            None => KeeperStep::Rest,
-        }
+        lost_quorum::step(view, self.terms.least, leaderless)
     }
 
     /// Whether the store was listed since no leader is known.
@@ -416,65 +355,6 @@
     }
 }
 
-/// Whether a disk went with a node that was reported as empty.
-fn is_done(view: &KeeperView, leaving: &LeavingNodes, disk: DiskId) -> bool {
-    let mut listed = view.candidates.iter();
-    listed.any(|one| one.disk == disk && leaving.done.contains(&one.node))
-}
-
-/// Returns this disk, if the other voter of its pair went on alone, promised nothing since, and has lost
-/// its own: what that had to keep is here.
-fn was_left_behind(view: &KeeperView, record: &VoterRecord) -> Option<Survivors> {
-    let own = view.status.disk;
-    let mut others = record.voters.iter().filter(|disk| **disk != own);
-    let gone = others.all(|fellow| is_superseded(view, *fellow));
-    let left = record.left_behind == Some(own) && !record.settled_by(own);
-    match gone && left {
-        true => survivors(view, &BTreeSet::from([own]), true),
-        false => None,
-    }
-}
-
-/// Returns these disks and where they are, if all are listed.
-fn survivors(view: &KeeperView, disks: &BTreeSet<DiskId>, left_behind: bool) -> Option<Survivors> {
-    let place = |disk: &DiskId| {
-        let candidate = view.candidates.iter().find(|one| one.disk == *disk)?;
-        Some((*disk, candidate.info(ReplicaRole::Voter)))
-    };
-    let replicas: Option<BTreeMap<DiskId, ReplicaInfo>> = disks.iter().map(place).collect();
-    Some(Survivors {
-        replicas: replicas?,
-        left_behind,
-    })
-}
-
-fn go_on_with(
-    view: &KeeperView,
-    record: &VoterRecord,
-    survivors: Survivors,
-    possible: Vec<BTreeSet<DiskId>>,
-) -> KeeperStep {
-    let voters: BTreeSet<DiskId> = survivors.replicas.keys().copied().collect();
-    if record.voters == voters && !record.settled && !view.doubtful {
-        return KeeperStep::ContinueWith(survivors);
-    }
-    let own = view.status.disk;
-    let pair = voters_of(&view.status.membership);
-    let fellow = pair.iter().copied().find(|disk| *disk != own);
-    let alone = voters.len() == 1 && pair.len() == 2;
-    let left_behind = match survivors.left_behind {
-        true => Some(own),
-        false => fellow.filter(|_| alone),
-    };
-    KeeperStep::Record(VoterRecord {
-        voters,
-        settled: false,
-        term: view.status.term,
-        before: possible,
-        left_behind,
-    })
-}
-
 /// The disk that the only voter left behind and that still holds everything promised, on record.
 fn left_behind(view: &KeeperView) -> Option<DiskId> {
     view.recorded.and_then(|record| record.left_behind)
@@ -498,13 +378,3 @@
         left_behind,
     })
 }
-
-/// Whether a disk beyond these could hold a replica: on any node that is there, as one that is to be
-/// emptied is better than none.
-fn has_replacement(view: &KeeperView, leaving: &LeavingNodes, pair: &BTreeSet<DiskId>) -> bool {
-    let mut there = view
-        .candidates
-        .iter()
-        .filter(|candidate| !leaving.done.contains(&candidate.node));
-    there.any(|candidate| !pair.contains(&candidate.disk))
-}
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -5,6 +5,7 @@
 pub mod contact;
 pub mod duties;
 pub mod group_keeper;
+mod lost_quorum;
 pub mod maintenance;
 pub mod messages;
 pub mod missing_results;
