--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -110,3 +110,11 @@
     assert_eq!(play(three, [10145, 10167, 10343].into_iter()), 0);
     assert_eq!(play(ten, [10018].into_iter()), 0);
 }
+
+/// Seeds that failed when they were fresh, and do still: nothing proves that a machine which went for good
+/// does not come back.
+#[test]
+fn everything_accepted_outlives_a_lone_voter_that_never_comes_back() {
+    let [three, ..] = SHEETS;
+    assert_eq!(play(three, [20055, 20079, 20140].into_iter()), 0);
+}
