Copies: clients read in the simulation, red

Cause: not touched here. The simulation of copies knew acceptance only. Now clients read every 50 ms at each machine that leads; what one was shown has to lie on as many disks as what was accepted, and each sees what was accepted before it asked.

The seeds of the other tests play as before: readers draw nothing from their random numbers.

--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -63,15 +63,20 @@
 
 /// Returns how many seeds are broken.
 fn play(sheet: Sheet, seeds: impl Iterator<Item = u64>) -> usize {
+    play_in(seeds, |seed| World::new(sheet, seed))
+}
+
+fn play_in(seeds: impl Iterator<Item = u64>, world: impl Fn(u64) -> World) -> usize {
     let mut broken = Vec::new();
     let mut tally = Tally::default();
     for seed in seeds {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let events = scene::draw(&mut random, EVENTFUL);
-        let mut world = World::new(sheet, seed);
+        let mut world = world(seed);
         match world.play(&events) {
             Ok(played) => {
                 tally.accepted += played.accepted;
+                tally.read += played.read;
                 tally.wiped += played.wiped;
                 tally.emptied += played.emptied;
             }
@@ -83,7 +88,7 @@
             }
         }
     }
-    println!("{sheet:?}: {tally:?}");
+    println!("{tally:?}");
     for (seed, found) in broken.iter().take(20) {
         println!("seed {seed}: {} ms: {}", found.at, found.what);
     }
@@ -118,3 +123,17 @@
     let [three, ..] = SHEETS;
     assert_eq!(play(three, [20055, 20079, 20140].into_iter()), 0);
 }
+
+/// A lone voter answered reads. Of a pair one was cut, went on alone and committed what had only reached its
+/// own disk. A reader was shown that, and the next loss, which was allowed, took it: "entry 382 of term 7,
+/// which was read, is on 1 disks, 2 are wanted" (seed 119). Of 1000 seeds 65 were broken with three
+/// machines, 4 with six and 1 with ten.
+#[test]
+fn what_was_read_outlives_the_losses_that_are_allowed() {
+    let broken = SHEETS.map(|sheet| {
+        let world = |seed| World::new(sheet, seed).with_readers();
+        play_in(seeds(), world)
+    });
+    let of = seeds().count();
+    assert_eq!(broken, [0; 3], "seeds broken of {of} for each deployment");
+}
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -2,19 +2,21 @@
 //! clients that have commands accepted.
 
 pub mod machine;
+mod readers;
 pub mod scene;
 mod store;
 
 use firshore_log::placement::{self, Candidate, keeps_promises};
 use firshore_node::journal::group_keeper::{KeeperStep, KeeperTerms};
 use firshore_replication::message::Envelope;
-use firshore_replication::replica::Output;
+use firshore_replication::replica::{Output, ReadToken};
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, MembershipChange};
 use firshore_types::ids::NodeName;
 use machine::{Accepted, Condition, Disk, Machine};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use readers::Readers;
 use scene::{Event, Sheet};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -66,6 +68,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
     pub accepted: usize,
+    pub read: usize,
     pub wiped: usize,
     pub emptied: usize,
 }
@@ -95,6 +98,8 @@
     /// The last command that was accepted.
     accepted: Option<Accepted>,
     tally: Tally,
+    /// Clients that read at whoever leads, where there are any.
+    readers: Option<Readers>,
     /// Lines for a reader of a failure.
     pub lines: Vec<String>,
 }
@@ -135,6 +140,7 @@
             trouble_until: 0,
             accepted: None,
             tally: Tally::default(),
+            readers: None,
             lines: Vec::new(),
         };
         world.found();
@@ -176,10 +182,12 @@
             self.look_all();
             if self.now.is_multiple_of(CLIENT) {
                 self.ask();
+                self.ask_to_read();
             }
             self.empty_machines();
             self.forget_losses();
             self.check_copies()?;
+            self.check_reads()?;
             if self.now > last.max(self.trouble_until) + RECOVERY {
                 self.check_recovered()?;
                 return Ok(self.tally);
@@ -564,11 +572,13 @@
             self.send(index, envelope);
         }
         let machine = &mut self.machines[index];
-        let confirmed = !output.reads.is_empty() && machine.reports;
-        if confirmed || !output.failed_reads.is_empty() {
+        let reports = |token: &ReadToken| !readers::is_of_reader(*token);
+        let confirmed = output.reads.iter().any(|(token, _)| reports(token)) && machine.reports;
+        let failed = output.failed_reads.iter().any(reports);
+        if confirmed || failed {
             machine.reports = false;
         }
-        if let Some(snapshot) = output.install {
+        if let Some(snapshot) = &output.install {
             machine.applied = snapshot.header.position.index;
             machine.open.clear();
         }
@@ -592,6 +602,7 @@
             self.machines[index].publish(self.now);
             self.report(index);
         }
+        self.take_reads(index, &output.reads);
     }
 
     /// Clients ask every machine that says it leads and may promise.
@@ -808,6 +819,7 @@
             let lacks = accepted.position.index;
             return Err(self.broken(format!("the leader lacks entry {lacks}")));
         }
+        self.check_shown(leader)?;
         let there = self.machines.iter().filter(|one| one.is_there());
         let wishes = &self.store.wishes;
         let (leaving, staying): (Vec<&Machine>, Vec<&Machine>) =
