Survivors of a lost quorum go on as soon as another disk can take a place, however many they are

Change: the wait is the short one wherever another disk could take the place. A constant of two is replaced by what it stood for: each quorum that the silent ones could gather with help has to contain one of each quorum of those left.

--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -10,10 +10,6 @@
 use firshore_replication::types::{DiskId, ReplicaInfo, ReplicaRole};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Voters that may go on although others are only silent: as many as all commit together, so that none of
-/// them can help the silent ones to commit something else.
-const MOST_WITHOUT_PROOF: usize = 2;
-
 /// For how long no leader was known.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaderlessTime {
@@ -52,15 +48,16 @@
         return KeeperStep::ListLeaving;
     };
     let possible = possible_groups(view, leaving, record, least);
-    let Some(left) = left_of(view, leaving, &possible, leaderless) else {
-        return KeeperStep::Rest;
-    };
-    let lost_quorum = present.intersection(&left).count() < quorum_of(&present);
-    let all_held = possible.iter().all(|voters| hold_everything(&left, voters));
-    if !lost_quorum || !all_held || !left.contains(&own) {
+    let census = census(view, leaving, &possible, leaderless);
+    let left = &census.left;
+    let lost_quorum = present.intersection(left).count() < quorum_of(&present);
+    let certain = possible
+        .iter()
+        .all(|voters| hold_everything(left, voters) && commit_together(&census, voters));
+    if !lost_quorum || !certain || !left.contains(&own) {
         return KeeperStep::Rest;
     }
-    match survivors(view, &left, false) {
+    match survivors(view, left, false) {
         Some(survivors) => go_on_with(view, record, survivors, possible),
         None => KeeperStep::Rest,
     }
@@ -87,26 +84,44 @@
     possible
 }
 
-/// Returns the disks of these groups that are left; `None` where others are only silent and too many are
-/// left to do without them.
-fn left_of(
+/// The disks of the groups that may be in force.
+struct DiskCensus {
+    /// Those that go on.
+    left: BTreeSet<DiskId>,
+    /// Those that do not answer, and may come back with what they hold.
+    silent: BTreeSet<DiskId>,
+}
+
+/// Returns which disks of these groups are left. Those that do not answer are waited for: the whole time
+/// that a new disk has to catch up, or less where another disk can take their place. Meanwhile what was
+/// promised lies on too few disks, and the next loss that is allowed may take it.
+fn census(
     view: &KeeperView,
     leaving: &LeavingNodes,
     possible: &[BTreeSet<DiskId>],
     leaderless: LeaderlessTime,
-) -> Option<BTreeSet<DiskId>> {
+) -> DiskCensus {
     let all: BTreeSet<DiskId> = possible.iter().flatten().copied().collect();
     let alive = all.iter().copied();
     let alive: BTreeSet<DiskId> = alive.filter(|disk| !is_superseded(view, *disk)).collect();
-    let is_pair = all.len() == 2 && alive.len() == 2;
-    let early = leaderless.late && is_pair && has_replacement(view, leaving, &all);
+    let early = leaderless.late && has_replacement(view, leaving, &all);
     if !early && !leaderless.overdue {
-        return Some(alive);
+        return DiskCensus {
+            left: alive,
+            silent: BTreeSet::new(),
+        };
     }
     let answers = |disk: &DiskId| *disk == view.status.disk || view.status.heard.contains(disk);
-    let left: BTreeSet<DiskId> = alive.iter().copied().filter(answers).collect();
-    let without_proof = left.len() < alive.len();
-    (!without_proof || left.len() <= MOST_WITHOUT_PROOF).then_some(left)
+    let (left, silent) = alive.iter().copied().partition(answers);
+    DiskCensus { left, silent }
+}
+
+/// Whether whatever those left commit is known to one of each quorum that the silent ones could gather with
+/// their help, under these voters: then nobody commits anything else.
+fn commit_together(census: &DiskCensus, voters: &BTreeSet<DiskId>) -> bool {
+    let silent = census.silent.intersection(voters).count();
+    let helpers = quorum_of(voters).saturating_sub(silent);
+    quorum_of(&census.left) + helpers > census.left.len()
 }
 
 /// Whether each quorum of these voters contains one of those that are left.
