Whoever was left behind shuts the lone voter out, which takes back what it committed alone

Cause: the proof was asked of somebody else. A lone voter promises nothing before the record names its next voters, so the one left behind that writes itself there first needs none. What kept that from being enough: the former lone voter came back in a history of its own, wrote over the record, led beside the other one and was of no use until it was emptied.

Change: the record names the history; its number is given by compare-and-set. Terms of a later history are greater than all of an earlier one, so no position stands for two entries. The first entry of the new leader is the group itself. Each of the two is left behind by the other, as either may be lost next; who was left behind waits until the record has not changed for the time that a silent voter has. A disk that was left behind and is about to be taken in again counts as such still, and goes on together with a disk that the lone voter was about to make a voter. Only the other one of a pair that is known to be in force is left behind.

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -86,6 +86,8 @@
     Change(MembershipChange),
     /// Go on with these disks as the only voters.
     ContinueWith(Survivors),
+    /// Leave the history of the log for this later one.
+    JoinHistory(u64),
     /// Hand leadership over, to this voter or to the one that holds most.
     StepAside(Option<DiskId>),
     /// End.
@@ -155,10 +157,13 @@
     survey_due: u64,
     full: bool,
     led: bool,
+    /// Whether the replica asked to be restored from its storage.
+    restarts: bool,
 }
 
 enum Flow {
     Continue,
+    Restart,
     Stop,
 }
 
@@ -168,6 +173,8 @@
     Stopped,
     /// The disk is full.
     Full,
+    /// The replica joined another history of its group.
+    Restarted,
 }
 
 fn restore<M: StateMachine>(
@@ -202,8 +209,13 @@
         let disk = storage.disk();
         match session(&mut environment, storage, full, &inputs, &published) {
             Ok(End::Stopped) => return info!(log, "journal: Replica ended."),
+            Ok(End::Restarted) => {
+                warn!(log, "journal: Replica starts again."; "reason" => "it joined a later history");
+            }
             Ok(End::Full) => {
                 warn!(log, "journal: Disk full."; "file" => %environment.path.display());
+                full = true;
+                std::thread::sleep(FULL_DISK_PAUSE);
             }
             Err(reason) => {
                 error!(log, "journal: Replica stopped."; "reason" => %reason);
@@ -214,8 +226,6 @@
                 return;
             }
         }
-        full = true;
-        std::thread::sleep(FULL_DISK_PAUSE);
         storage = match RedbStorage::open(&environment.path, disk, environment.settings.cache_bytes)
         {
             Ok(storage) => storage,
@@ -252,12 +262,14 @@
         survey_due: 0,
         full,
         led: false,
+        restarts: false,
     };
     driver.publish_state();
     info!(driver.log, "journal: Replica started."; "disk" => %driver.storage.disk());
     let ended = loop {
         match driver.turn(inputs) {
             Ok(Flow::Continue) => {}
+            Ok(Flow::Restart) => break Ok(End::Restarted),
             Ok(Flow::Stop) => break Ok(End::Stopped),
             Err(StorageError::Full(_)) => break Ok(End::Full),
             Err(reason) => break Err(reason),
@@ -285,7 +297,10 @@
         self.replica.tick(self.environment.now());
         self.settle()?;
         self.survey();
-        Ok(Flow::Continue)
+        match self.restarts {
+            true => Ok(Flow::Restart),
+            false => Ok(Flow::Continue),
+        }
     }
 
     fn take_batch(&mut self, first: Input<M>, inputs: &Receiver<Input<M>>) -> Flow {
@@ -320,6 +335,7 @@
             Input::Found(membership) => self.found(membership),
             Input::Change(change) => self.change(&change),
             Input::ContinueWith(survivors) => self.continue_with(&survivors),
+            Input::JoinHistory(history) => self.replica.join_history(history),
             Input::StepAside(heir) => {
                 let target = heir.or_else(|| self.replica.transfer_target());
                 if let Some(target) = target {
@@ -337,7 +353,7 @@
                 // What no quorum had committed may be committed by fewer disks now: no promise.
                 self.fail_proposals();
                 warn!(self.log, "journal: Goes on without a quorum."; "with" => ?survivors.replicas.keys(),
-                    "left_behind" => survivors.left_behind);
+                    "left_behind" => survivors.left_behind, "history" => survivors.history);
             }
             Err(reason) => {
                 info!(self.log, "journal: Does not go on without a quorum."; "reason" => %reason,
@@ -356,6 +372,9 @@
                 break;
             }
             self.carry_out(output)?;
+            if self.restarts {
+                return Ok(());
+            }
         }
         self.finish_snapshot();
         self.apply_committed()?;
@@ -371,6 +390,7 @@
         }
         self.replica.written();
         self.send_all(output.messages);
+        self.restarts = output.restart;
         if let Some(snapshot) = output.install {
             self.install(snapshot.header.position.index, &snapshot.data.0)?;
         }
--- a/crates/firshore-log/src/driver/snapshot.rs
+++ b/crates/firshore-log/src/driver/snapshot.rs
@@ -14,7 +14,9 @@
             .snapshot_after_bytes
             .max(self.replica.snapshot_bytes());
         let due = self.replica.log_bytes() > limit && self.replica.covers(self.applied);
-        if self.snapshot.is_some() || !due {
+        // What a lone voter commits by itself, a disk that it left behind may go on without: covered by a
+        // snapshot, it could not be taken back.
+        if self.snapshot.is_some() || !due || !self.keeps_promises() {
             return;
         }
         let (sender, receiver) = std::sync::mpsc::channel();
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -42,6 +42,8 @@
     pub leader: Option<NodeName>,
     /// Term.
     pub term: Term,
+    /// History that the log is part of.
+    pub history: u64,
     /// Committed index.
     pub commit: LogIndex,
     /// Last entry.
@@ -82,6 +84,7 @@
             leads: told.leads,
             leader: leader.map(|leader| leader.node.clone()),
             term: told.term,
+            history: told.history,
             commit: told.commit,
             last: told.last,
             membership_committed: told.membership_committed,
@@ -105,6 +108,7 @@
             leads: false,
             leader: None,
             term: 0,
+            history: 0,
             commit: 0,
             last: Position::default(),
             membership: Membership::default(),
@@ -234,6 +238,11 @@
         let _ = self.inputs.send(Input::ContinueWith(survivors));
     }
 
+    /// Leaves the history of the log for a later one.
+    pub fn join_history(&self, history: u64) {
+        let _ = self.inputs.send(Input::JoinHistory(history));
+    }
+
     /// Commits a command and returns its outcome.
     pub async fn propose(&self, command: M::Command) -> Result<M::Outcome, JournalRefusal> {
         let (answer, received) = oneshot::channel();
--- a/crates/firshore-node/src/journal/group_keeper.rs
+++ b/crates/firshore-node/src/journal/group_keeper.rs
@@ -89,6 +89,8 @@
     PassOver(DiskId, Duration),
     /// Go on without a quorum, with these disks.
     ContinueWith(Survivors),
+    /// Leave the history of the log for this later one.
+    JoinHistory(u64),
 }
 
 pub(super) fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
@@ -135,6 +137,8 @@
     passed_over: PassedOver,
     /// Since when no leader is known.
     leaderless_since: Option<Instant>,
+    /// The record of voters as it was seen last, and since when.
+    recorded: Option<(VoterRecord, Instant)>,
     /// Since when voters are silent for longer than the limit.
     silent_since: BTreeMap<DiskId, Instant>,
     /// The disk that is to catch up, and since when.
@@ -148,6 +152,7 @@
             terms,
             passed_over: PassedOver::default(),
             leaderless_since: None,
+            recorded: None,
             silent_since: BTreeMap::new(),
             learner: None,
         }
@@ -162,9 +167,13 @@
     /// Takes in what is known now, and returns what to do.
     pub fn step(&mut self, now: Instant, view: &KeeperView) -> KeeperStep {
         self.observe(now, view.status);
+        self.note_record(now, view.recorded);
         if !view.status.holds_log {
             return KeeperStep::Rest;
         }
+        if let Some(history) = later_history(view) {
+            return KeeperStep::JoinHistory(history);
+        }
         if view.status.leads {
             return self.place(now, view);
         }
@@ -192,6 +201,16 @@
         }
     }
 
+    fn note_record(&mut self, now: Instant, recorded: Option<&VoterRecord>) {
+        let Some(record) = recorded else {
+            return;
+        };
+        let known = self.recorded.as_ref();
+        if known.is_none_or(|(known, _)| known != record) {
+            self.recorded = Some((record.clone(), now));
+        }
+    }
+
     fn note_silent(&mut self, now: Instant, status: &GroupStatus) {
         self.silent_since
             .retain(|disk, _| status.silent.contains(disk));
@@ -244,11 +263,13 @@
         let voters = voters_after(&status.membership, &change);
         if voters != present && !is_recorded(view, &voters) {
             return KeeperStep::Record(VoterRecord {
+                gone: gone_before(view, &voters),
                 voters,
                 settled: false,
                 term: status.term,
                 before: vec![present],
                 left_behind: left_behind(view),
+                history: status.history,
             });
         }
         if let MembershipChange::Remove(disk) = &change
@@ -334,11 +355,22 @@
         if !self.is_listed_since(view) {
             return KeeperStep::Rest;
         }
-        let leaderless = LeaderlessTime {
-            late: self.is_leaderless_for(now, SILENCE_SHARE),
-            overdue: self.is_leaderless_for(now, LONE_SHARE),
+        let since = self.leaderless_since;
+        let recorded = self.recorded.as_ref().map(|(_, since)| *since);
+        let leaderless = self.waited(now, since);
+        let unchanged = self.waited(now, since.max(recorded));
+        lost_quorum::step(view, self.terms.least, leaderless, unchanged)
+    }
+
+    fn waited(&self, now: Instant, since: Option<Instant>) -> LeaderlessTime {
+        let lasts = |share: f64| {
+            let least = self.terms.catch_up.mul_f64(share);
+            since.is_some_and(|since| now.saturating_duration_since(since) >= least)
         };
-        lost_quorum::step(view, self.terms.least, leaderless)
+        LeaderlessTime {
+            late: lasts(SILENCE_SHARE),
+            overdue: lasts(LONE_SHARE),
+        }
     }
 
     /// Whether the store was listed since no leader is known.
@@ -346,13 +378,26 @@
         let since = self.leaderless_since;
         since.is_some_and(|since| view.listed_at.is_some_and(|listed| listed >= since))
     }
+}
 
-    /// Whether no leader was known for this part of the time in which a disk has to catch up.
-    fn is_leaderless_for(&self, now: Instant, share: f64) -> bool {
-        let least = self.terms.catch_up.mul_f64(share);
-        let since = self.leaderless_since;
-        since.is_some_and(|since| now.saturating_duration_since(since) >= least)
+/// Those of these voters whose disks are known to be gone before they become the voters. A record that names
+/// them already was written earlier, when more of them may have been there.
+fn gone_before(view: &KeeperView, voters: &BTreeSet<DiskId>) -> BTreeSet<DiskId> {
+    let recorded = view.recorded.filter(|record| record.voters == *voters);
+    if let Some(record) = recorded {
+        return record.gone.clone();
     }
+    let gone = voters.iter().copied();
+    gone.filter(|disk| is_superseded(view, *disk)).collect()
+}
+
+/// The later history that the record names and that is to be joined: others went on in it, and whoever
+/// stays in the earlier one would write over the record and lead beside them. A disk that is to begin it
+/// does so by going on, unless it still leads.
+fn later_history(view: &KeeperView) -> Option<u64> {
+    let record = view.recorded?;
+    let begins = record.is_begun_by(view.status.disk) && !view.status.leads;
+    (record.history > view.status.history && !begins).then_some(record.history)
 }
 
 /// The disk that the only voter left behind and that still holds everything promised, on record.
@@ -370,11 +415,16 @@
     }
     let alone = voters.len() == 1;
     let left_behind = left_behind(view).filter(|disk| alone && !voters.contains(disk));
+    // Voters that the record does not name were in force before; whoever is gone by now may have been there.
+    let known = record.voters == voters;
+    let gone = record.gone.iter().copied().filter(|_| known);
     KeeperStep::Record(VoterRecord {
+        gone: gone.collect(),
         voters,
         settled: true,
         term: view.status.term,
         before: Vec::new(),
         left_behind,
+        history: view.status.history,
     })
 }
--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -23,18 +23,27 @@
     voters.len() / 2 + 1
 }
 
-/// Returns what a replica without a leader does. `least` disks have to hold what is promised.
-pub fn step(view: &KeeperView, least: usize, leaderless: LeaderlessTime) -> KeeperStep {
+/// Returns what a replica without a leader does. `least` disks have to hold what is promised; `unchanged`
+/// counts from the last change of the record too.
+pub fn step(
+    view: &KeeperView,
+    least: usize,
+    leaderless: LeaderlessTime,
+    unchanged: LeaderlessTime,
+) -> KeeperStep {
     let unrecorded = VoterRecord {
         voters: voters_of(&view.status.membership),
         settled: true,
         ..VoterRecord::default()
     };
     let record = view.recorded.unwrap_or(&unrecorded);
-    if let Some(survivors) = was_left_behind(view, record) {
-        return go_on_with(view, record, survivors, Vec::new());
-    }
     let own = view.status.disk;
+    if record.is_begun_by(own) {
+        return begin_history(view, record);
+    }
+    if record.left_behind == Some(own) {
+        return step_left_behind(view, record, unchanged);
+    }
     if !record.possible().iter().any(|voters| voters.contains(&own)) {
         // It was removed, and asks nobody.
         return KeeperStep::Rest;
@@ -51,14 +60,15 @@
     let census = census(view, leaving, &possible, leaderless);
     let left = &census.left;
     let lost_quorum = present.intersection(left).count() < quorum_of(&present);
-    let certain = possible
-        .iter()
-        .all(|voters| hold_everything(left, voters) && commit_together(&census, voters));
+    let certain = possible.iter().all(|voters| {
+        let never_held = record.never_held(voters);
+        hold_everything(left, voters, &never_held) && commit_together(&census, voters)
+    });
     if !lost_quorum || !certain || !left.contains(&own) {
         return KeeperStep::Rest;
     }
-    match survivors(view, left, false) {
-        Some(survivors) => go_on_with(view, record, survivors, possible),
+    match survivors(view, left) {
+        Some(replicas) => go_on_with(view, record, replicas, possible),
         None => KeeperStep::Rest,
     }
 }
@@ -124,10 +134,14 @@
     quorum_of(&census.left) + helpers > census.left.len()
 }
 
-/// Whether each quorum of these voters contains one of those that are left.
-fn hold_everything(left: &BTreeSet<DiskId>, voters: &BTreeSet<DiskId>) -> bool {
-    let lost = voters.difference(left).count();
-    lost < quorum_of(voters)
+/// Whether each quorum of these voters that may have committed something contains one of those that are left.
+fn hold_everything(
+    left: &BTreeSet<DiskId>,
+    voters: &BTreeSet<DiskId>,
+    never_held: &BTreeSet<DiskId>,
+) -> bool {
+    let lost = voters.difference(left);
+    lost.filter(|disk| !never_held.contains(*disk)).count() < quorum_of(voters)
 }
 
 /// Whether a disk went with a node that was reported as empty.
@@ -136,59 +150,124 @@
     listed.any(|one| one.disk == disk && leaving.done.contains(&one.node))
 }
 
-/// Returns this disk, if the other voter of its pair went on alone, promised nothing since, and has lost
-/// its own: what that had to keep is here.
-fn was_left_behind(view: &KeeperView, record: &VoterRecord) -> Option<Survivors> {
+/// Returns what the disk does that a lone voter left behind.
+///
+/// It holds everything promised, as that one can promise nothing before it has written its next voters to
+/// the record. Written there first, this disk needs no proof that the other one is gone: whoever stays in
+/// the earlier history is shut out.
+fn step_left_behind(
+    view: &KeeperView,
+    record: &VoterRecord,
+    unchanged: LeaderlessTime,
+) -> KeeperStep {
     let own = view.status.disk;
-    let mut others = record.voters.iter().filter(|disk| **disk != own);
-    let gone = others.all(|fellow| is_superseded(view, *fellow));
-    let left = record.left_behind == Some(own) && !record.settled_by(own);
-    match gone && left {
-        true => survivors(view, &BTreeSet::from([own]), true),
-        false => None,
+    let others = record.voters.iter().copied().filter(|disk| *disk != own);
+    let (gone, there): (Vec<DiskId>, Vec<DiskId>) =
+        others.partition(|disk| is_superseded(view, *disk));
+    match (&gone[..], &there[..]) {
+        (_, []) => begin_with(view, record, BTreeSet::from([own]), None),
+        ([], [lone]) => {
+            if !unchanged.late {
+                return KeeperStep::Rest;
+            }
+            let Some(leaving) = view.leaving else {
+                return KeeperStep::ListLeaving;
+            };
+            let pair = BTreeSet::from([own, *lone]);
+            if !unchanged.overdue && !has_replacement(view, leaving, &pair) {
+                return KeeperStep::Rest;
+            }
+            begin_with(view, record, BTreeSet::from([own]), Some(*lone))
+        }
+        // The lone voter was about to make another disk a voter. That one holds everything if the change is
+        // in its log, which is the longer one then; otherwise this disk does.
+        ([lone], [learner]) if record.before == [BTreeSet::from([*lone])] => {
+            begin_with(view, record, BTreeSet::from([own, *learner]), None)
+        }
+        _ => KeeperStep::Rest,
     }
 }
 
-/// Returns these disks and where they are, if all are listed.
-fn survivors(view: &KeeperView, disks: &BTreeSet<DiskId>, left_behind: bool) -> Option<Survivors> {
+/// Records that these disks begin the next history.
+fn begin_with(
+    view: &KeeperView,
+    record: &VoterRecord,
+    voters: BTreeSet<DiskId>,
+    left_behind: Option<DiskId>,
+) -> KeeperStep {
+    KeeperStep::Record(VoterRecord {
+        voters,
+        settled: false,
+        term: view.status.term,
+        before: Vec::new(),
+        gone: BTreeSet::new(),
+        left_behind,
+        history: record.history + 1,
+    })
+}
+
+/// Goes on in the history that the record says this disk begins.
+fn begin_history(view: &KeeperView, record: &VoterRecord) -> KeeperStep {
+    let Some(replicas) = survivors(view, &record.voters) else {
+        return KeeperStep::Rest;
+    };
+    if view.doubtful {
+        return KeeperStep::Record(record.clone());
+    }
+    KeeperStep::ContinueWith(Survivors {
+        replicas,
+        never_held: BTreeSet::new(),
+        left_behind: true,
+        history: record.history,
+    })
+}
+
+/// Returns where these disks are, if all are listed.
+fn survivors(view: &KeeperView, disks: &BTreeSet<DiskId>) -> Option<BTreeMap<DiskId, ReplicaInfo>> {
     let place = |disk: &DiskId| {
         let candidate = view.candidates.iter().find(|one| one.disk == *disk)?;
         Some((*disk, candidate.info(ReplicaRole::Voter)))
     };
-    let replicas: Option<BTreeMap<DiskId, ReplicaInfo>> = disks.iter().map(place).collect();
-    Some(Survivors {
-        replicas: replicas?,
-        left_behind,
-    })
+    disks.iter().map(place).collect()
 }
 
 fn go_on_with(
     view: &KeeperView,
     record: &VoterRecord,
-    survivors: Survivors,
+    replicas: BTreeMap<DiskId, ReplicaInfo>,
     possible: Vec<BTreeSet<DiskId>>,
 ) -> KeeperStep {
-    let voters: BTreeSet<DiskId> = survivors.replicas.keys().copied().collect();
+    let voters: BTreeSet<DiskId> = replicas.keys().copied().collect();
+    let history = view.status.history;
     if record.voters == voters && !record.settled && !view.doubtful {
-        return KeeperStep::ContinueWith(survivors);
+        return KeeperStep::ContinueWith(Survivors {
+            replicas,
+            never_held: record.gone.clone(),
+            left_behind: false,
+            history,
+        });
     }
-    let own = view.status.disk;
-    let pair = voters_of(&view.status.membership);
-    let fellow = pair.iter().copied().find(|disk| *disk != own);
-    let alone = voters.len() == 1 && pair.len() == 2;
-    let left_behind = match survivors.left_behind {
-        true => Some(own),
-        false => fellow.filter(|_| alone),
-    };
     KeeperStep::Record(VoterRecord {
+        left_behind: fellow_of(view, record, &voters),
         voters,
         settled: false,
         term: view.status.term,
+        gone: record.never_held(possible.first().unwrap_or(&BTreeSet::new())),
         before: possible,
-        left_behind,
+        history,
     })
 }
 
+/// Returns the other disk of a pair that one goes on without. Where the pair may not be in force yet, that
+/// disk need not hold what the one promised before with another.
+fn fellow_of(view: &KeeperView, record: &VoterRecord, voters: &BTreeSet<DiskId>) -> Option<DiskId> {
+    let pair = voters_of(&view.status.membership);
+    let recorded = record.settled && record.voters == pair;
+    let in_force = recorded || pair == voters_of(&view.status.committed_membership);
+    let alone = voters.len() == 1 && pair.len() == 2 && in_force;
+    pair.difference(voters).copied().find(|_| alone)
+}
+
 /// Whether a disk beyond these could hold a replica: on any node that is there, as one that is to be
 /// emptied is better than none.
 fn has_replacement(view: &KeeperView, leaving: &LeavingNodes, pair: &BTreeSet<DiskId>) -> bool {
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -117,6 +117,11 @@
                 replica.change(MembershipChange::Remove(disk));
             }
             KeeperStep::ContinueWith(survivors) => replica.continue_with(survivors),
+            KeeperStep::JoinHistory(history) => {
+                warn!(self.journal.log, "journal: Joins a later history."; "history" => history,
+                    "former" => status.history, "led" => status.leads);
+                replica.join_history(history);
+            }
         }
     }
 
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -83,16 +83,26 @@
     /// While that is not known: the voters that may be in force instead.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub before: Vec<BTreeSet<DiskId>>,
+    /// Disks that were gone for good before the newest group that names them became one: they never held
+    /// anything that it committed.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub gone: BTreeSet<DiskId>,
     /// The disk that the only voter went on without, while nothing was promised since: it may be whole,
     /// and holds everything promised should the voter lose its own.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub left_behind: Option<DiskId>,
+    /// History of the group's log in which they are the voters. Who was left behind goes on in the next one:
+    /// a replica of an earlier one promises nothing any more, as that needs this record.
+    #[serde(default)]
+    pub history: u64,
 }
 
 impl VoterRecord {
-    /// Returns whether this disk is known to be the only voter.
-    pub fn settled_by(&self, disk: DiskId) -> bool {
-        self.settled && self.voters == BTreeSet::from([disk])
+    /// Returns whether this disk is to begin the history, as one of its voters. No group of an earlier one
+    /// can promise anything any more, so the record names none.
+    pub fn is_begun_by(&self, disk: DiskId) -> bool {
+        let begins = self.history > 0 && !self.settled && self.before.is_empty();
+        begins && self.voters.contains(&disk)
     }
 
     /// Returns whether the record says which groups may be in force: one that was written before records
@@ -101,6 +111,19 @@
         self.settled || self.term > 0
     }
 
+    /// Returns the disks that never held anything these voters committed: they were gone when this group, the
+    /// newest one that named them, was recorded.
+    pub fn never_held(&self, voters: &BTreeSet<DiskId>) -> BTreeSet<DiskId> {
+        let newest = match self.voters.is_disjoint(&self.gone) {
+            true => self.before.first(),
+            false => Some(&self.voters),
+        };
+        match newest == Some(voters) {
+            true => self.gone.clone(),
+            false => BTreeSet::new(),
+        }
+    }
+
     /// Returns each set of voters that may be in force.
     pub fn possible(&self) -> Vec<BTreeSet<DiskId>> {
         let mut possible = vec![self.voters.clone()];
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -1,7 +1,7 @@
 //! One machine with a disk: the product's own replica and the upkeep of its group, as a node runs them.
 
 use firshore_log::GroupStatus;
-use firshore_log::placement::Candidate;
+use firshore_log::placement::{Candidate, keeps_promises};
 use firshore_node::journal::SILENCE_SHARE;
 use firshore_node::journal::group_keeper::{GroupKeeper, KeeperTerms, KeeperView, LeavingNodes};
 use firshore_node::journal::registry::VoterRecord;
@@ -160,18 +160,25 @@
         self.condition != Condition::Gone
     }
 
-    /// Starts the process with what the disk holds.
-    pub fn start(&mut self, now: u64, seed: u64) {
+    /// Starts the replica with what the disk holds.
+    pub fn restore(&mut self, now: u64, seed: u64) {
         let stored = self.disk.stored.clone();
         let snapshot = stored.snapshot.as_ref();
         self.applied = snapshot.map_or(0, |snapshot| snapshot.header.position.index);
+        self.open.clear();
+        self.reports = false;
         let replica = Replica::restore(now, self.disk.id, TIMING, stored, seed);
         self.replica = Some(replica);
+        self.publish(now);
+    }
+
+    /// Starts the process with what the disk holds.
+    pub fn start(&mut self, now: u64, seed: u64) {
+        self.restore(now, seed);
         self.keeper = GroupKeeper::new(self.terms);
         self.known = KnownStore::default();
         self.condition = Condition::Runs;
         self.next_look = now;
-        self.publish(now);
     }
 
     /// Ends the process.
@@ -221,6 +228,7 @@
         let applied = self.applied;
         if let Some(replica) = &mut self.replica
             && replica.log_bytes() > SNAPSHOT_AFTER_BYTES
+            && keeps_promises(&replica.status().membership, self.terms.least)
         {
             // The state is the index that was applied, padded to several parts.
             let mut data = applied.to_be_bytes().to_vec();
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -572,6 +572,10 @@
             self.send(index, envelope);
         }
         let machine = &mut self.machines[index];
+        if output.restart {
+            let disk = machine.disk.id;
+            return machine.restore(self.now, disk.0 ^ self.now);
+        }
         let reports = |token: &ReadToken| !readers::is_of_reader(*token);
         let confirmed = output.reads.iter().any(|(token, _)| reports(token)) && machine.reports;
         let failed = output.failed_reads.iter().any(reports);
@@ -748,6 +752,7 @@
                     machine.open.clear();
                 }
             }
+            KeeperStep::JoinHistory(history) => replica.join_history(history),
         }
         self.settle(index);
     }
--- a/crates/firshore-node/tests/group_keeper.rs
+++ b/crates/firshore-node/tests/group_keeper.rs
@@ -150,7 +150,9 @@
         settled: false,
         term: 1,
         before: before.iter().map(|one| disks(one)).collect(),
+        gone: BTreeSet::new(),
         left_behind: None,
+        history: 0,
     }
 }
 
@@ -236,6 +238,152 @@
     assert_eq!(scene.recorded(other).step(2.0), KeeperStep::Rest);
 }
 
+#[test]
+fn three_go_on_where_whatever_the_silent_one_could_gather_contains_one_that_commits() {
+    // On the way from four voters to five one disk was lost and another machine went for good.
+    let record = unsettled(&[1, 2, 3, 4, 5], &[&[1, 2, 3, 4]]);
+    let mut scene = Scene::leaderless(&[1, 2, 3, 4], 2)
+        .wiped(3)
+        .recorded(record);
+    scene.candidates.push(candidate(5, 5));
+    scene.status.heard = disks(&[2, 5]);
+    assert_eq!(recorded(scene.step(1.0)), Some(disks(&[1, 2, 5])));
+    scene.status.heard = disks(&[2]);
+    assert_eq!(scene.step(1.0), KeeperStep::Rest, "three of five are out");
+}
+
+#[test]
+fn the_short_wait_is_for_any_group_whose_place_another_disk_could_take() {
+    let mut scene = Scene::leaderless(&[1, 2, 3, 4], 2).wiped(3);
+    scene.status.heard = disks(&[2]);
+    assert_eq!(scene.step(0.2), KeeperStep::Rest);
+    assert_eq!(recorded(scene.step(0.4)), Some(disks(&[1, 2])));
+    scene.candidates.retain(|one| one.disk != DiskId(103));
+    scene.candidates.push(candidate(3, 3));
+    assert_eq!(
+        scene.step(0.4),
+        KeeperStep::Rest,
+        "nothing could replace it"
+    );
+}
+
+#[test]
+fn a_voter_that_was_gone_before_another_came_never_held_what_they_committed() {
+    let record = VoterRecord {
+        gone: disks(&[4]),
+        ..unsettled(&[1, 2, 3, 4, 5], &[&[1, 2, 3, 4]])
+    };
+    let mut scene = Scene::leaderless(&[1, 2, 3, 4, 5], 2)
+        .wiped(3)
+        .wiped(4)
+        .wiped(5)
+        .recorded(record.clone());
+    scene.status.membership = membership(&[1, 2, 3, 4, 5]);
+    assert_eq!(recorded(scene.step(0.1)), Some(disks(&[1, 2])));
+    let mut scene = scene.recorded(VoterRecord {
+        gone: BTreeSet::new(),
+        ..record.clone()
+    });
+    assert_eq!(scene.step(0.2), KeeperStep::Rest, "it may have been there");
+    // In the group before, it was.
+    let mut scene = scene.recorded(VoterRecord {
+        before: vec![disks(&[1, 3, 4])],
+        ..record
+    });
+    assert_eq!(scene.step(0.3), KeeperStep::Rest);
+}
+
+/// What is recorded of a lone voter on disk 2 that went on without disk 1.
+fn lone(voters: &[u64]) -> VoterRecord {
+    VoterRecord {
+        left_behind: Some(DiskId(1)),
+        history: 4,
+        ..unsettled(voters, &[&[2]])
+    }
+}
+
+#[test]
+fn the_one_left_behind_shuts_a_silent_lone_voter_out() {
+    let scene = || {
+        let mut scene = Scene::leaderless(&[1, 2], 1);
+        scene.status.history = 4;
+        scene
+    };
+    for voters in [&[2][..], &[1, 2]] {
+        let mut scene = scene().recorded(lone(voters));
+        assert_eq!(scene.step(0.0), KeeperStep::Rest, "it may go on itself");
+        assert_eq!(scene.step(0.9), KeeperStep::Rest);
+        let KeeperStep::Record(begun) = scene.step(1.1) else {
+            panic!("it waited for the whole time");
+        };
+        assert_eq!((begun.voters.clone(), begun.history), (disks(&[1]), 5));
+        assert_eq!(begun.left_behind, Some(DiskId(2)), "which may do the same");
+        assert!(begun.before.is_empty());
+        let mut scene = scene.recorded(begun);
+        assert!(is_survivor(&scene.step(1.2)));
+    }
+    let mut replaced = scene().recorded(lone(&[2]));
+    replaced.candidates.push(candidate(3, 3));
+    assert_eq!(replaced.step(0.0), KeeperStep::Rest);
+    assert_eq!(recorded(replaced.step(0.4)), Some(disks(&[1])));
+    // What the lone voter promises together with another disk is not here.
+    let mut joined = scene().recorded(lone(&[2, 3]));
+    joined.candidates.push(candidate(3, 3));
+    assert_eq!(joined.step(0.0), KeeperStep::Rest);
+    assert_eq!(joined.step(2.0), KeeperStep::Rest);
+    // Once that voter's disk is gone, what is not here is on the disk that it took in.
+    let mut joined = joined.wiped(2);
+    assert_eq!(recorded(joined.step(2.1)), Some(disks(&[1, 3])));
+    let mut other = scene().recorded(lone(&[2, 3]));
+    other.candidates.push(candidate(3, 3));
+    let mut other = other.wiped(3);
+    assert_eq!(
+        other.step(2.0),
+        KeeperStep::Rest,
+        "the lone one may hold it"
+    );
+}
+
+#[test]
+fn whoever_is_of_an_earlier_history_than_the_record_joins_the_later_one() {
+    let later = VoterRecord {
+        history: 1,
+        ..unsettled(&[2], &[])
+    };
+    let mut led = Scene::leading(&[1], 1).recorded(later.clone());
+    assert_eq!(led.step(0.1), KeeperStep::JoinHistory(1));
+    let mut left = Scene::leaderless(&[1, 2], 1).recorded(later.clone());
+    assert_eq!(left.step(0.1), KeeperStep::JoinHistory(1));
+    let own = VoterRecord {
+        voters: disks(&[1]),
+        ..later
+    };
+    let mut begins = Scene::leaderless(&[1, 2], 1).recorded(own.clone());
+    assert!(is_survivor(&begins.step(0.1)));
+    let mut leads = Scene::leading(&[1, 2], 1).recorded(own);
+    assert_eq!(leads.step(0.1), KeeperStep::JoinHistory(1));
+}
+
+#[test]
+fn a_pair_that_may_not_be_in_force_leaves_nobody_behind_who_could_go_on() {
+    let left = |record: VoterRecord, committed: bool| {
+        let mut scene = Scene::leaderless(&[1, 2], 1).recorded(record);
+        let in_force: &[u64] = if committed { &[1, 2] } else { &[1] };
+        scene.status.committed_membership = membership(in_force);
+        match scene.step(1.0) {
+            KeeperStep::Record(record) => record.left_behind,
+            step => panic!("{step:?}"),
+        }
+    };
+    let promoting = unsettled(&[1, 2], &[&[1]]);
+    assert_eq!(left(promoting.clone(), true), Some(DiskId(2)));
+    assert_eq!(
+        left(promoting, false),
+        None,
+        "it may lack what was promised before"
+    );
+}
+
 #[test]
 fn a_replica_that_was_removed_asks_the_store_nothing() {
     let mut scene = Scene::leaderless(&[1, 2, 3], 1).recorded(unsettled(&[2, 3], &[&[2, 3, 4]]));
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -51,7 +51,7 @@
     /// Whether these votes make a leader as usual.
     fn is_majority(&self, granted_by: &BTreeSet<DiskId>) -> bool {
         let membership = self.log.membership();
-        membership.majority(|disk| granted_by.contains(&disk))
+        self.has_begun() && membership.majority(|disk| granted_by.contains(&disk))
     }
 
     /// The survivors of a lost quorum, if all of them have granted their votes.
@@ -67,7 +67,8 @@
     pub(super) fn start_pre_vote(&mut self) {
         // Also where this one has no vote: left behind by its leader, it may have to go on without it.
         self.leader = None;
-        if !self.log.membership().is_voter(self.disk) && self.recovery.is_none() {
+        let may_elect = self.log.membership().is_voter(self.disk) && self.has_begun();
+        if self.restarts || (!may_elect && self.recovery.is_none()) {
             return;
         }
         self.role = Role::PreCandidate(BTreeSet::from([self.disk]));
@@ -165,7 +166,7 @@
         if self.is_majority(granted_by) {
             self.become_leader();
         } else if let Some(survivors) = self.agreed_survivors(granted_by) {
-            self.become_leader();
+            self.begin_term();
             self.found_anew(survivors);
         }
     }
--- a/crates/firshore-replication/src/replica/follower.rs
+++ b/crates/firshore-replication/src/replica/follower.rs
@@ -72,7 +72,13 @@
     }
 
     fn truncate_from(&mut self, index: LogIndex) {
-        assert!(index > self.commit, "a committed entry is never removed");
+        assert!(
+            index > self.commit,
+            "a committed entry is never removed: {} of disk {}, committed {}",
+            index,
+            self.disk,
+            self.commit
+        );
         self.log.truncate_from(index);
         self.durable = self.durable.min(index - 1);
         let writes = &mut self.output.writes;
--- a/crates/firshore-replication/src/replica/leader.rs
+++ b/crates/firshore-replication/src/replica/leader.rs
@@ -10,6 +10,13 @@
 
 impl Replica {
     pub(super) fn become_leader(&mut self) {
+        self.begin_term();
+        self.follow_membership();
+        self.append_as_leader(EntryContent::Blank);
+    }
+
+    /// Leads as the voters in force say, without an entry of the term so far.
+    pub(super) fn begin_term(&mut self) {
         self.role = Role::Leader(Leadership {
             progress: BTreeMap::new(),
             heartbeat_due: self.now + self.timing.heartbeat_interval,
@@ -21,8 +28,6 @@
         });
         self.leader = Some(self.disk);
         self.recovery = None;
-        self.follow_membership();
-        self.append_as_leader(EntryContent::Blank);
     }
 
     /// Keeps one progress for each other replica in force.
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -4,11 +4,10 @@
 use super::{Replica, Role};
 use crate::error::ReplicaError;
 use crate::progress::Progress;
-use crate::storage::HardState;
 use crate::types::{
     DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Election timeouts that a learner has for its first answer to this leader: one whose node is gone for
 /// good must not keep another disk from being tried for as long as a voter may be silent.
@@ -19,9 +18,13 @@
 pub struct Survivors {
     /// The disks and where they are.
     pub replicas: BTreeMap<DiskId, ReplicaInfo>,
+    /// Voters that never held anything of the group in force, as their disks were gone before.
+    pub never_held: BTreeSet<DiskId>,
     /// Whether they hold what matters although a quorum of the others may have committed more: the only
     /// voter went on without them, and nothing of what it committed alone was promised.
     pub left_behind: bool,
+    /// History in which they go on: a later one than before if they were left behind.
+    pub history: u64,
 }
 
 impl Replica {
@@ -63,17 +66,17 @@
         let disks = &survivors.replicas;
         let left = membership.voters().filter(|disk| disks.contains_key(disk));
         let left = left.count();
-        let lost = membership.voters().count() - left;
+        let lost = membership
+            .voters()
+            .filter(|disk| !disks.contains_key(disk) && !survivors.never_held.contains(disk))
+            .count();
         let intersects = left < membership.quorum() && lost < membership.quorum();
         let whole = intersects || survivors.left_behind;
-        if self.leads() || !disks.contains_key(&self.disk) || !whole {
+        if self.leads() || self.restarts || !disks.contains_key(&self.disk) || !whole {
             return Err(ReplicaError::InvalidChange);
         }
-        if survivors.left_behind && self.recovery.is_none() {
-            self.set_hard_state(HardState {
-                history: self.hard_state.history + 1,
-                ..self.hard_state
-            });
+        if survivors.history > self.hard_state.history {
+            self.begin_history(survivors.history);
         }
         if self.recovery.as_ref() != Some(disks) {
             self.recovery = Some(disks.clone());
@@ -82,7 +85,8 @@
         Ok(())
     }
 
-    /// A leader that all survivors voted for makes them the group.
+    /// A leader that all survivors voted for makes them the group, by the first entry of its term: held
+    /// without it, another entry of a history that begins would let a former lone voter elect itself in it.
     pub(super) fn found_anew(&mut self, survivors: BTreeMap<DiskId, ReplicaInfo>) {
         let replicas = survivors.into_iter().map(|(disk, replica)| {
             let role = ReplicaRole::Voter;
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -3,6 +3,7 @@
 
 mod election;
 mod follower;
+mod history;
 mod leader;
 mod membership;
 mod read;
@@ -74,6 +75,9 @@
     pub reads: Vec<(ReadToken, LogIndex)>,
     /// Reads that cannot be answered here: this replica no longer leads.
     pub failed_reads: Vec<ReadToken>,
+    /// Once the writes are durable, restore the replica and the machine above from the storage: entries that
+    /// were given out as committed are not part of the history that was joined.
+    pub restart: bool,
 }
 
 fn is_of_leader(envelope: &Envelope) -> bool {
@@ -93,6 +97,7 @@
             && self.committed.is_empty()
             && self.reads.is_empty()
             && self.failed_reads.is_empty()
+            && !self.restart
     }
 }
 
@@ -133,6 +138,8 @@
 pub struct ReplicaStatus {
     /// Term.
     pub term: Term,
+    /// History that the log is part of, see [`HardState::history`].
+    pub history: u64,
     /// Whether this replica leads.
     pub leads: bool,
     /// Disk of the leader, as far as known.
@@ -175,6 +182,8 @@
     heard_at: BTreeMap<DiskId, u64>,
     /// While votes are asked for without a quorum: the replicas that all have to grant theirs.
     recovery: Option<BTreeMap<DiskId, ReplicaInfo>>,
+    /// Whether a later history was joined, so that nothing is done before the replica is restored.
+    restarts: bool,
     output: Output,
 }
 
@@ -203,6 +212,7 @@
             incoming_snapshot: None,
             heard_at: BTreeMap::new(),
             recovery: None,
+            restarts: false,
             output: Output::default(),
         };
         replica.reset_election_timer();
@@ -240,6 +250,7 @@
     pub fn status(&self) -> ReplicaStatus {
         ReplicaStatus {
             term: self.hard_state.term,
+            history: self.hard_state.history,
             leads: self.leads(),
             leader: self.leader,
             commit: self.commit,
@@ -332,6 +343,9 @@
         if envelope.to != self.disk || envelope.from == self.disk {
             return;
         }
+        if is_of_leader(&envelope) && !self.is_empty() {
+            self.join_history(envelope.history);
+        }
         if !self.shares_history(envelope.history) {
             return;
         }
@@ -378,21 +392,6 @@
         }
     }
 
-    /// Whether a message belongs to the history of this log. An empty replica takes on the one that it first
-    /// hears of.
-    ///
-    /// Positions of two histories may be equal while their entries differ: joined, a disk would answer
-    /// that it holds what it does not.
-    pub fn shares_history(&mut self, history: u64) -> bool {
-        if self.is_empty() && history > self.hard_state.history {
-            self.set_hard_state(HardState {
-                history,
-                ..self.hard_state
-            });
-        }
-        history == self.hard_state.history
-    }
-
     /// Everything to be done since the last call.
     pub fn take_output(&mut self) -> Output {
         self.start_read_round();
--- a/crates/firshore-replication/tests/continue_alone.rs
+++ b/crates/firshore-replication/tests/continue_alone.rs
@@ -4,6 +4,7 @@
 use firshore_replication::replica::{Replica, Survivors, Timing};
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, EntryContent, Membership, ReplicaInfo, ReplicaRole};
+use std::collections::BTreeSet;
 
 fn membership(disks: &[u64]) -> Membership {
     let replicas = disks.iter().map(|disk| {
@@ -22,7 +23,9 @@
 fn alone() -> Survivors {
     Survivors {
         replicas: membership(&[1]).replicas,
+        never_held: BTreeSet::new(),
         left_behind: false,
+        history: 0,
     }
 }
 
--- a/crates/firshore-replication/tests/histories.rs
+++ b/crates/firshore-replication/tests/histories.rs
@@ -104,7 +104,9 @@
     fn go_on(&mut self, disk: DiskId, left_behind: bool) {
         let survivors = Survivors {
             replicas: replicas(&[disk]),
+            never_held: BTreeSet::new(),
             left_behind,
+            history: u64::from(left_behind),
         };
         self.replica(disk).continue_with(&survivors).unwrap();
         self.run(&[disk], 100);
