A voter that answers is taken out only where the others bear the losses that are allowed

Cause, from its trace: 33.57 s node-00 goes for good; 38.62 s leadership changes, so the new leader knows of nobody's silence yet; 39.37 s its replacement is made the fourth voter, 39.87 s the node that is to be emptied is taken out, which answers. Of the three left one is dead: the next loss, at 44.75 s and allowed, leaves one that cannot know what it lacks.

Change: can_spare asks for a voter that answers whether those that hold everything still do, of each quorum of the group after it, when the others are gone and as many more as may be lost.

--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -100,12 +100,19 @@
     fn can_spare(&self, disk: DiskId) -> bool {
         let mut after = self.membership.clone();
         after.replicas.remove(&disk);
+        let holders = self.holders().filter(|holder| *holder != disk).count();
         let enough = match self.answers(disk) {
-            true => self.least,
-            false => self.least.min(self.membership.quorum()),
+            true => after.quorum() >= self.least && self.bears_losses(&after, holders),
+            false => after.quorum() >= self.least.min(self.membership.quorum()),
         };
-        let holders = self.holders().filter(|holder| *holder != disk).count();
-        disk != self.own && after.quorum() >= enough && holders >= after.quorum()
+        disk != self.own && enough && holders >= after.quorum()
+    }
+
+    /// Whether those that hold everything go on after as many losses as are to be borne, be the others gone
+    /// by now: no quorum is lost then that does not contain one of them.
+    fn bears_losses(&self, group: &Membership, holders: usize) -> bool {
+        let missing = group.voters().count().saturating_sub(holders);
+        missing + self.least <= group.quorum()
     }
 
     /// Whether the voters that answer are too few to promise anything by themselves.
--- a/crates/firshore-log/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -219,3 +219,22 @@
     assert_eq!(voters(4), [true, true, true]);
     assert_eq!(voters(5), [true, true, true]);
 }
+
+/// A node that was to be emptied was taken out of four voters, of which one had gone for good a moment before.
+/// The three left bore no further loss: one of the two that lived lost its disk, and the other could not know
+/// what it lacked ("entry 782 of term 6 is on 1 disks, 2 are wanted").
+#[test]
+fn a_voter_that_answers_stays_until_the_others_bear_the_losses() {
+    let four = [(1, "a", V), (2, "b", V), (3, "c", V), (4, "a", V)];
+    let leaving = |silent: &[u64], caught_up: &[u64]| {
+        let mut group = view(&four, silent, caught_up);
+        group.least = 2;
+        group.leaving = BTreeSet::from([DiskId(3)]);
+        group.next_change(&[])
+    };
+    let remove = |number| Some(MembershipChange::Remove(DiskId(number)));
+    assert_eq!(leaving(&[], &[1, 2, 3, 4]), remove(3));
+    // The fourth has not answered this leader yet, and is not known to be silent.
+    assert_eq!(leaving(&[], &[1, 2, 3]), remove(4));
+    assert_eq!(leaving(&[4], &[1, 2, 3]), remove(4));
+}
