Nothing is read from a group that keeps no promises

Cause: a result that was listed and a position that was read are promises as an acceptance is, and only acceptance asked how many disks hold them. A lone voter commits by itself what had only reached its own disk, and answered reads of it; who was left behind lacks it.

Change: the thread of a replica answers a read only if the latest voters and those of the latest committed change keep promises, when it is asked and when it is answered; a listing that waits asks the same before it shows what was applied meanwhile. A reader is told that nobody leads, as where no group is there. The other way, reads of a lone voter confirmed by the record of voters in the store, does not help: what it committed alone lies on its disk only, whoever is shut out.

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -494,9 +494,18 @@
             .filter(|(_, read)| read.index.is_some_and(|index| index <= self.applied))
             .map(|(token, _)| *token)
             .collect();
+        if ready.is_empty() {
+            return;
+        }
+        // A lone voter shows nothing: the next loss may take what only its disk holds, 65 of 1000 played
+        // seeds lost what was read.
+        let shown = match self.may_show() {
+            true => Ok(self.state.clone()),
+            false => Err(self.not_leader()),
+        };
         for token in ready {
             if let Some(read) = self.reads.remove(&token) {
-                let _ = read.answer.send(Ok(self.state.clone()));
+                let _ = read.answer.send(shown.clone());
             }
         }
     }
--- a/crates/firshore-log/src/driver/requests.rs
+++ b/crates/firshore-log/src/driver/requests.rs
@@ -4,7 +4,7 @@
     Driver, PendingProposal, ProposalAnswer, ReadAnswer, WaitingRead, restore, unix_milliseconds,
 };
 use crate::machine::StateMachine;
-use crate::placement::keeps_promises;
+use crate::placement::{keeps_promises, may_show};
 use crate::refusal::JournalRefusal;
 use firshore_replication::error::ReplicaError;
 use firshore_replication::storage::{Storage, StoredState};
@@ -28,6 +28,13 @@
         keeps_promises(&self.replica.status().membership, least)
     }
 
+    /// Whether what is committed may be shown to readers.
+    pub(super) fn may_show(&self) -> bool {
+        let status = self.replica.status();
+        let least = self.environment.settings.least;
+        may_show(&status.membership, &status.committed_membership, least)
+    }
+
     pub(super) fn propose(&mut self, mut command: M::Command, answer: ProposalAnswer<M>) {
         // Asked here, where the group's change would come first: what was looked at before this was queued
         // may have changed.
@@ -65,6 +72,10 @@
     }
 
     pub(super) fn read(&mut self, answer: ReadAnswer<M>) {
+        if !self.may_show() {
+            let _ = answer.send(Err(self.not_leader()));
+            return;
+        }
         self.next_read += 1;
         match self.replica.read(self.next_read) {
             Ok(()) => {
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -22,6 +22,14 @@
     membership.quorum() >= least
 }
 
+/// Returns whether what a leader reads may be shown: it is a promise that it stays, like an acceptance.
+///
+/// Both the latest voters and those of the latest committed change have to keep it: a lone voter that takes
+/// a second one in has committed by itself until that change is committed.
+pub fn may_show(latest: &Membership, committed: &Membership, least: usize) -> bool {
+    keeps_promises(latest, least) && keeps_promises(committed, least)
+}
+
 /// What the leader of a group knows of it.
 #[derive(Clone, Debug)]
 pub struct GroupView {
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -22,6 +22,7 @@
 use firshore_limits::report::{UsageNews, UseReport};
 use firshore_link::listener::Handler;
 use firshore_log::machine::SharedState;
+use firshore_log::placement::may_show;
 use firshore_log::refusal::JournalRefusal;
 use firshore_types::ids::NodeName;
 use futures_util::FutureExt;
@@ -315,6 +316,7 @@
             ledger: self.ledger.clone(),
             budget: self.budget,
             missing: self.missing.clone(),
+            least: self.least,
         };
         match request {
             PeerRequest::Submit { header, items } => self.submit(header, items),
@@ -337,7 +339,7 @@
         PeerRequest::Results { job, from, wait } => {
             let wait = Duration::from_millis(wait).min(LONGEST_WAIT);
             let deadline = Instant::now() + wait + TRY_TIMEOUT;
-            let listed = listed(replica, &job, from, wait).await?;
+            let listed = listed(replica, reader.least, &job, from, wait).await?;
             reader.results(&job, listed, deadline).await
         }
         PeerRequest::Body { job, item } => {
@@ -377,6 +379,7 @@
 /// The results at a position, once there is one or the wait is over.
 async fn listed(
     replica: &Replica,
+    least: usize,
     job: &str,
     from: u64,
     wait: Duration,
@@ -384,12 +387,17 @@
     let mut changes = replica.changes();
     let mut state = replica.read().await?;
     let deadline = Instant::now() + wait;
-    // What this replica applies meanwhile is committed, so it may be shown without asking again.
+    // What this replica applies meanwhile is committed, so while it leads a group that keeps promises it may
+    // be shown without asking again. One that joins a later history takes back what it committed alone.
     while waits(&state, job, from) {
         let changed = timeout_at(deadline, changes.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
             break;
         }
+        let status = replica.status();
+        if !status.leads || !may_show(&status.membership, &status.committed_membership, least) {
+            return Err(JournalRefusal::NotLeader { leader: None });
+        }
         state = replica.applied_state();
     }
     let listed = state.read().results(job, from, RESULT_BYTES);
@@ -402,6 +410,8 @@
     ledger: MemoryLedger,
     budget: MemoryBudget,
     missing: Rc<MissingResults>,
+    /// Disks on which everything shown has to lie.
+    least: usize,
 }
 
 impl ResultReader {
--- a/crates/firshore-node/tests/copies_world/readers.rs
+++ b/crates/firshore-node/tests/copies_world/readers.rs
@@ -3,6 +3,7 @@
 
 use super::machine::{Accepted, Machine};
 use super::{Broken, World};
+use firshore_log::placement;
 use firshore_replication::replica::ReadToken;
 use firshore_replication::types::{Entry, EntryContent, LogIndex, Position};
 use std::collections::BTreeMap;
@@ -71,7 +72,12 @@
 
     /// Whether a node's thread answers what is read there.
     fn may_answer(&self, index: usize) -> bool {
-        self.machines[index].replica.is_some()
+        let Some(replica) = &self.machines[index].replica else {
+            return false;
+        };
+        let status = replica.status();
+        let least = self.terms.least;
+        placement::may_show(&status.membership, &status.committed_membership, least)
     }
 
     pub(super) fn take_reads(&mut self, index: usize, reads: &[(ReadToken, LogIndex)]) {
