A history that begins names the groups before it; a pair in force is told by the record too

Cause, by reading: where a disk left behind goes on with one that the lone voter was about to make a voter, the record named no group before them, so that either of the two could have gone on without the other although that one may hold what was promised. Change: the record says that its voters begin a history, beside the groups before them; the pair is in force also where all other groups that the record names hold a disk whose node was reported as empty.

--- a/crates/firshore-node/src/journal/group_keeper.rs
+++ b/crates/firshore-node/src/journal/group_keeper.rs
@@ -270,6 +270,7 @@
                 before: vec![present],
                 left_behind: left_behind(view),
                 history: status.history,
+                begins: false,
             });
         }
         if let MembershipChange::Remove(disk) = &change
@@ -428,5 +429,6 @@
         before: Vec::new(),
         left_behind,
         history: view.status.history,
+        begins: false,
     })
 }
--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -3,6 +3,9 @@
 //! A quorum of each group that may be in force holds everything committed. So those that are left hold it
 //! if they are part of every such quorum, and nobody else can commit anything without them. The record of
 //! voters names these groups; who goes on writes itself there first, by compare-and-set.
+//!
+//! A disk that a lone voter left behind needs no such proof. It begins a later history, and the record, which
+//! the lone voter has to write before it promises anything, shuts that one out.
 
 use super::group_keeper::{KeeperStep, KeeperView, LeavingNodes, is_superseded, voters_of};
 use super::registry::VoterRecord;
@@ -68,7 +71,7 @@
         return KeeperStep::Rest;
     }
     match survivors(view, left) {
-        Some(replicas) => go_on_with(view, record, replicas, possible),
+        Some(replicas) => go_on_with(view, leaving, record, replicas, possible),
         None => KeeperStep::Rest,
     }
 }
@@ -165,7 +168,7 @@
     let (gone, there): (Vec<DiskId>, Vec<DiskId>) =
         others.partition(|disk| is_superseded(view, *disk));
     match (&gone[..], &there[..]) {
-        (_, []) => begin_with(view, record, BTreeSet::from([own]), None),
+        (_, []) => begin_with(view, record, BTreeSet::from([own]), Vec::new(), None),
         ([], [lone]) => {
             if !unchanged.late {
                 return KeeperStep::Rest;
@@ -177,32 +180,36 @@
             if !unchanged.overdue && !has_replacement(view, leaving, &pair) {
                 return KeeperStep::Rest;
             }
-            begin_with(view, record, BTreeSet::from([own]), Some(*lone))
+            begin_with(view, record, BTreeSet::from([own]), Vec::new(), Some(*lone))
         }
         // The lone voter was about to make another disk a voter. That one holds everything if the change is
         // in its log, which is the longer one then; otherwise this disk does.
         ([lone], [learner]) if record.before == [BTreeSet::from([*lone])] => {
-            begin_with(view, record, BTreeSet::from([own, *learner]), None)
+            let before = vec![record.voters.clone()];
+            begin_with(view, record, BTreeSet::from([own, *learner]), before, None)
         }
         _ => KeeperStep::Rest,
     }
 }
 
-/// Records that these disks begin the next history.
+/// Records that these disks begin the next history. While they have not, one of them may hold what only a
+/// group `before` has committed.
 fn begin_with(
     view: &KeeperView,
     record: &VoterRecord,
     voters: BTreeSet<DiskId>,
+    before: Vec<BTreeSet<DiskId>>,
     left_behind: Option<DiskId>,
 ) -> KeeperStep {
     KeeperStep::Record(VoterRecord {
         voters,
         settled: false,
         term: view.status.term,
-        before: Vec::new(),
+        before,
         gone: BTreeSet::new(),
         left_behind,
         history: record.history + 1,
+        begins: true,
     })
 }
 
@@ -233,6 +240,7 @@
 
 fn go_on_with(
     view: &KeeperView,
+    leaving: &LeavingNodes,
     record: &VoterRecord,
     replicas: BTreeMap<DiskId, ReplicaInfo>,
     possible: Vec<BTreeSet<DiskId>>,
@@ -248,22 +256,30 @@
         });
     }
     KeeperStep::Record(VoterRecord {
-        left_behind: fellow_of(view, record, &voters),
+        left_behind: fellow_of(view, leaving, record, &voters),
         voters,
         settled: false,
         term: view.status.term,
         gone: record.never_held(possible.first().unwrap_or(&BTreeSet::new())),
         before: possible,
         history,
+        begins: false,
     })
 }
 
 /// Returns the other disk of a pair that one goes on without. Where the pair may not be in force yet, that
 /// disk need not hold what the one promised before with another.
-fn fellow_of(view: &KeeperView, record: &VoterRecord, voters: &BTreeSet<DiskId>) -> Option<DiskId> {
+fn fellow_of(
+    view: &KeeperView,
+    leaving: &LeavingNodes,
+    record: &VoterRecord,
+    voters: &BTreeSet<DiskId>,
+) -> Option<DiskId> {
     let pair = voters_of(&view.status.membership);
-    let recorded = record.settled && record.voters == pair;
-    let in_force = recorded || pair == voters_of(&view.status.committed_membership);
+    let mut recorded = record.possible();
+    recorded.retain(|voters| !voters.iter().any(|disk| is_done(view, leaving, *disk)));
+    let in_force = recorded.iter().all(|voters| *voters == pair)
+        || pair == voters_of(&view.status.committed_membership);
     let alone = voters.len() == 1 && pair.len() == 2 && in_force;
     pair.difference(voters).copied().find(|_| alone)
 }
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -95,14 +95,15 @@
     /// a replica of an earlier one promises nothing any more, as that needs this record.
     #[serde(default)]
     pub history: u64,
+    /// Whether these voters begin that history, and so leave the earlier one for good.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub begins: bool,
 }
 
 impl VoterRecord {
-    /// Returns whether this disk is to begin the history, as one of its voters. No group of an earlier one
-    /// can promise anything any more, so the record names none.
+    /// Returns whether this disk is to begin the history, as one of its voters.
     pub fn is_begun_by(&self, disk: DiskId) -> bool {
-        let begins = self.history > 0 && !self.settled && self.before.is_empty();
-        begins && self.voters.contains(&disk)
+        self.begins && !self.settled && self.voters.contains(&disk)
     }
 
     /// Returns whether the record says which groups may be in force: one that was written before records
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -137,3 +137,26 @@
     let of = seeds().count();
     assert_eq!(broken, [0; 3], "seeds broken of {of} for each deployment");
 }
+
+/// Seeds that failed when they were fresh, and do still: two disks are lost at once while a third voter is
+/// silent or was replaced a moment before, and the two left cannot know what the others committed ("entry 414
+/// of term 4 is on 2 disks, 3 are wanted"). In 810076 three are left, and two silent ones could gather one of
+/// them.
+#[test]
+fn everything_accepted_outlives_two_losses_beside_a_silent_voter() {
+    let seeds = [
+        700671, 700960, 810076, 810857, 810970, 810984, 811056, 811686, 811929, 812394,
+    ];
+    assert_eq!(play(SCANT, seeds.into_iter()), 0);
+}
+
+/// Seeds that failed when they were fresh, and do still: three machines are left where two may be lost. All
+/// three would have to hold what is promised, and a quorum of them is two ("3 voters after calm, nothing is
+/// promised").
+#[test]
+fn three_machines_that_are_left_promise_again() {
+    let seeds = [
+        701170, 701685, 701927, 810637, 810665, 812066, 812215, 812395, 812442, 812580, 812963,
+    ];
+    assert_eq!(play(SCANT, seeds.into_iter()), 0);
+}
--- a/crates/firshore-node/tests/group_keeper.rs
+++ b/crates/firshore-node/tests/group_keeper.rs
@@ -153,6 +153,7 @@
         gone: BTreeSet::new(),
         left_behind: None,
         history: 0,
+        begins: false,
     }
 }
 
@@ -348,6 +349,7 @@
 fn whoever_is_of_an_earlier_history_than_the_record_joins_the_later_one() {
     let later = VoterRecord {
         history: 1,
+        begins: true,
         ..unsettled(&[2], &[])
     };
     let mut led = Scene::leading(&[1], 1).recorded(later.clone());
--- a/crates/firshore-replication/src/storage.rs
+++ b/crates/firshore-replication/src/storage.rs
@@ -14,8 +14,9 @@
     pub term: Term,
     /// Disk that got this replica's vote in the term.
     pub vote: Option<DiskId>,
-    /// Which of the group's histories the log is part of: a disk that went on where another one had gone
-    /// on without it begins a new one, and the two must never be joined.
+    /// Which of the group's histories the log is part of: a disk that goes on where another one had gone on
+    /// without it begins a later one. A replica leaves an earlier one for a later one, never back, and takes
+    /// no message of the earlier one afterwards.
     #[serde(default)]
     pub history: u64,
 }
