A restarted survivor asks who was there before an uncommitted change

Cause: after a restart nothing is known to be committed, and the replicas of what is committed were looked up as of entry 0, where there are none. So n1 asked n0 for no pre-vote and did not hear it. Change: all of each group that may be in force are asked and can be reached: the one as of what is known to be committed, or the earliest, and all after it. Found the same in node_of.

Test: asks disk 3 too, fails without the change.

--- a/crates/firshore-replication/src/log.rs
+++ b/crates/firshore-replication/src/log.rs
@@ -149,6 +149,14 @@
         self.memberships.last().map_or(0, |(index, _)| *index)
     }
 
+    /// The memberships that may be in force where only entries up to `index` are known to be committed: the one
+    /// as of there, or the earliest, and all after it; the latest first.
+    pub fn memberships_since(&self, index: LogIndex) -> impl Iterator<Item = &Membership> {
+        let known = self.memberships.iter().rposition(|(at, _)| *at <= index);
+        let since = self.memberships[known.unwrap_or(0)..].iter().rev();
+        since.map(|(_, membership)| membership)
+    }
+
     /// The membership as of `index`.
     pub fn membership_at(&self, index: LogIndex) -> Membership {
         self.memberships
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -73,11 +73,12 @@
         }
         self.role = Role::PreCandidate(BTreeSet::from([self.disk]));
         let last = self.log.last();
-        // Learners are asked as well: their answers count for nothing but tell that they are there, which
-        // matters where no quorum is left.
+        // Learners are asked as well, and all of each group that may be in force: their answers count for
+        // nothing but tell that they are there, which matters where no quorum is left. After a restart
+        // nothing may be known to be committed, not even the group before the latest.
         let mut asked = self.others();
-        asked.extend(self.log.membership().replicas.into_keys());
-        asked.extend(self.committed_membership().replicas.into_keys());
+        let memberships = self.log.memberships_since(self.commit);
+        asked.extend(memberships.flat_map(|membership| membership.replicas.keys().copied()));
         asked.remove(&self.disk);
         for disk in asked {
             self.send(disk, Message::PreVote { last });
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -266,10 +266,9 @@
     pub fn node_of(&self, disk: DiskId) -> Option<NodeName> {
         let survivors = self.recovery.as_ref();
         let survivor = survivors.and_then(|survivors| survivors.get(&disk));
-        let (latest, committed) = (self.log.membership(), self.committed_membership());
-        let known = |membership: &Membership| membership.replicas.get(&disk).cloned();
-        let replica = known(&latest).or_else(|| known(&committed));
-        Some(replica.or_else(|| survivor.cloned())?.node)
+        let mut memberships = self.log.memberships_since(self.commit);
+        let replica = memberships.find_map(|membership| membership.replicas.get(&disk));
+        Some(replica.or(survivor)?.node.clone())
     }
 
     /// Replicas of the latest change that is known to be committed: those of one that is not may never be
--- a/crates/firshore-replication/tests/continue_alone.rs
+++ b/crates/firshore-replication/tests/continue_alone.rs
@@ -3,7 +3,9 @@
 use firshore_replication::error::ReplicaError;
 use firshore_replication::replica::{Replica, Survivors, Timing};
 use firshore_replication::storage::StoredState;
-use firshore_replication::types::{DiskId, EntryContent, Membership, ReplicaInfo, ReplicaRole};
+use firshore_replication::types::{
+    DiskId, Entry, EntryContent, Membership, ReplicaInfo, ReplicaRole,
+};
 use std::collections::BTreeSet;
 
 fn membership(disks: &[u64]) -> Membership {
@@ -81,3 +83,26 @@
         assert_eq!(refused, Err(ReplicaError::InvalidChange), "{disks:?}");
     }
 }
+
+/// Of three voters one was taken out by an entry that is not committed, another lost its disk, and the third
+/// was restarted. It knew nothing to be committed, so it asked the first for nothing, did not hear it, and
+/// waited for good: "not whole 12s after loss 0 beside an emptying".
+#[test]
+fn a_restarted_survivor_asks_who_was_there_before_an_uncommitted_change() {
+    let mut batch = StoredState::founding(membership(&[1, 2, 3]));
+    batch.append.push(Entry {
+        index: 2,
+        term: 1,
+        content: EntryContent::Membership(membership(&[1, 2])),
+    });
+    let mut stored = StoredState::default();
+    stored.take(&batch);
+    let mut survivor = Replica::restore(0, DiskId(1), Timing::default(), stored, 1);
+    assert!(survivor.node_of(DiskId(3)).is_some());
+    for now in 1..300 {
+        survivor.tick(10 * now);
+    }
+    let sent = survivor.take_output().messages;
+    let asked: BTreeSet<DiskId> = sent.iter().map(|envelope| envelope.to).collect();
+    assert_eq!(asked, BTreeSet::from([DiskId(2), DiskId(3)]));
+}
