--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -145,7 +145,7 @@
 #[test]
 fn everything_accepted_outlives_two_losses_beside_a_silent_voter() {
     let seeds = [
-        700671, 700960, 810076, 810857, 810970, 810984, 811056, 811686, 811929, 812394,
+        700671, 700960, 810076, 810857, 810970, 810984, 811056, 811686, 811929, 812394, 812438,
     ];
     assert_eq!(play(SCANT, seeds.into_iter()), 0);
 }
