--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Back ends as this node believes them to be: who is there, how loaded, and whether they are
 //! trusted with new requests. No I/O; the time is passed in.
 
+mod state;
+
 use crate::attempts::Attempts;
 use crate::choice::{self, Candidate, Placement};
 use firshore_adapter::backend::{Backend, ReportedLoad};
@@ -8,31 +10,16 @@
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
+use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Age at which a back end's report about others' requests counts for nothing.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time between two pictures up to which the least loaded back end is still so when a request gets
 /// there. Measured at 100 ms with 6 gateways (least loaded: worth more by 0.009) and at 177 ms with 53
 /// (by room: worth more by 0.02).
 const CURRENT_PICTURE: Duration = Duration::from_millis(140);
 
-/// Failures in a row after which a back end gets no new requests for a while.
-const FAILURES_TO_EJECT: u32 = 3;
-
-/// Time without new requests after the first ejection; doubled with each further one.
-const EJECTION: Duration = Duration::from_millis(500);
-
-const LONGEST_EJECTION: Duration = Duration::from_secs(4);
-
-/// Time without a byte from a back end that has requests under way after which it gets no new ones.
-/// Engines answer something each few milliseconds, applications within half a second.
-const SILENCE: Duration = Duration::from_millis(600);
-
 /// How a back end's handling of a request reflects on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Impression {
@@ -65,121 +52,6 @@
     Outdated(Incarnation),
 }
 
-/// The process that a back end ran before its present one.
-#[derive(Debug)]
-struct FormerProcess {
-    incarnation: Incarnation,
-    /// Whether it had said that it was about to leave.
-    leaving: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    others: u32,
-    at: Instant,
-}
-
-#[derive(Debug)]
-struct State {
-    backend: Backend,
-    /// Of the name: requests with the same beginning meet at the next start too, where they are read once,
-    /// and those of all other back ends stay where they are.
-    identity: u64,
-    former: Option<FormerProcess>,
-    in_flight: u32,
-    report: Option<Report>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Instant>,
-    /// Since when requests are under way and nothing was heard.
-    silent_since: Option<Instant>,
-}
-
-impl State {
-    fn new(backend: Backend, former: Option<FormerProcess>) -> Self {
-        Self {
-            identity: xxh3_64(backend.incarnation.name.as_str().as_bytes()),
-            backend,
-            former,
-            in_flight: 0,
-            report: None,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-            silent_since: None,
-        }
-    }
-
-    /// Takes in an entry of the same back end.
-    fn listed(&mut self, mut backend: Backend) -> EntryChange {
-        let known = &self.backend.incarnation;
-        if backend.incarnation.is_succeeded_by(known) {
-            return EntryChange::Outdated(known.clone());
-        }
-        if backend.incarnation.started.is_none() {
-            // It says nothing against the process that is known.
-            backend.incarnation = known.clone();
-        }
-        if backend.incarnation == *known {
-            self.backend = backend;
-            return EntryChange::Listed;
-        }
-        let former = FormerProcess {
-            incarnation: known.clone(),
-            leaving: self.backend.leaving,
-        };
-        let ended = former.incarnation.clone();
-        // What the former process held, failed and was passed over for says nothing of the new one.
-        *self = Self::new(backend, Some(former));
-        EntryChange::StartedAgain(ended)
-    }
-
-    fn is_silent(&self, now: Instant) -> bool {
-        let since = self.silent_since;
-        since.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
-    }
-
-    fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
-    }
-
-    /// Requests of other gateways, by the last report, which fades with age.
-    fn others(&self, now: Instant) -> f32 {
-        let Some(report) = self.report else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(report.at);
-        let faded = 1.0 - age.as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
-        report.others as f32 * faded.max(0.0)
-    }
-
-    /// Requests that it is believed to hold, in whole ones: a report that has only begun to fade is
-    /// not a free slot.
-    fn held(&self, now: Instant) -> u32 {
-        self.in_flight + self.others(now).round() as u32
-    }
-
-    fn load(&self, now: Instant) -> f32 {
-        (self.in_flight as f32 + self.others(now)) / self.slots()
-    }
-
-    /// Requests that a load allows, in whole ones: what may start under a limit is not beyond it then.
-    fn allowed(&self, load: f32) -> u32 {
-        (self.slots() * load).round() as u32
-    }
-
-    fn slots(&self) -> f32 {
-        self.backend.slots.max(1) as f32
-    }
-
-    fn eject(&mut self, now: Instant) {
-        let length = EJECTION * 2_u32.saturating_pow(self.ejections.min(8));
-        self.ejections += 1;
-        self.failures = 0;
-        self.ejected_until = Some(now + length.min(LONGEST_EJECTION));
-    }
-}
-
 /// What a request needs of a back end.
 pub struct Wanted<'a> {
     /// Service.
