Fleet split: how soon a request would begin at back ends

Cause: back ends were believed to hold 9 of 8 slots and held 17 to 20: pictures leave out gateways that are cut off from the others, and a node without any picture believes all back ends idle. Change: a module for the room of a service: time in a slot, load that reports show beyond pictures, waits of the node's own requests where nobody tells; Wanted::begin_within, Fleet::outlook. Nothing asks for it yet.

--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -1,15 +1,18 @@
 //! Back ends as this node believes them to be: who is there, how loaded, and whether they are
 //! trusted with new requests. No I/O; the time is passed in.
 
+mod room;
 mod state;
 
 use crate::attempts::Attempts;
 use crate::choice::{self, Candidate, Placement};
 use firshore_adapter::backend::{Backend, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_admission::admission::RoomOutlook;
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
+use room::ServiceRoom;
 use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
@@ -20,6 +23,14 @@
 /// (by room: worth more by 0.02).
 const CURRENT_PICTURE: Duration = Duration::from_millis(140);
 
+/// Age up to which a picture of what others have under way says how soon a request would begin. A wave fills
+/// all slots within a few hundred milliseconds.
+const CURRENT_OTHERS: Duration = Duration::from_millis(200);
+
+/// Back ends with requests of this node waiting from which on these show how full all are: one or two may be
+/// slow themselves.
+const LEAST_WAITS: usize = 3;
+
 /// How a back end's handling of a request reflects on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Impression {
@@ -62,6 +73,8 @@
     pub affinity: Option<u64>,
     /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
+    /// Time within which it must be expected to begin there; `None`: whenever.
+    pub begin_within: Option<Duration>,
 }
 
 /// All back ends.
@@ -70,6 +83,9 @@
     zone: ZoneName,
     states: HashMap<BackendName, State>,
     by_service: HashMap<ServiceName, Vec<BackendName>>,
+    rooms: HashMap<ServiceName, ServiceRoom>,
+    /// When the last picture was taken in of what others have under way.
+    pictured_at: Option<Instant>,
     /// Time between two pictures of what others have under way.
     picture_interval: Duration,
 }
@@ -81,6 +97,8 @@
             zone,
             states: HashMap::new(),
             by_service: HashMap::new(),
+            rooms: HashMap::new(),
+            pictured_at: None,
             picture_interval: Duration::ZERO,
         }
     }
@@ -180,14 +198,11 @@
         self.states.is_empty()
     }
 
-    /// The back end that takes a request; `None` if none may.
-    pub fn choose(
-        &self,
-        now: Instant,
-        wanted: &Wanted<'_>,
-        random: &mut impl Rng,
-    ) -> Option<Backend> {
-        let names = self.by_service.get(wanted.service)?;
+    /// Back ends that a request may go to, those that are trusted if there are any.
+    fn usable(&self, now: Instant, wanted: &Wanted<'_>) -> Vec<&State> {
+        let Some(names) = self.by_service.get(wanted.service) else {
+            return Vec::new();
+        };
         let usable: Vec<&State> = names
             .iter()
             .filter_map(|one| self.states.get(one))
@@ -200,10 +215,29 @@
             .copied()
             .collect();
         // If all are ejected, the cause is more likely on this side: any is better than none.
-        let states = if trusted.is_empty() { usable } else { trusted };
-        let states: Vec<&State> = states
-            .into_iter()
+        if trusted.is_empty() { usable } else { trusted }
+    }
+
+    fn room(&self, service: &ServiceName) -> ServiceRoom {
+        self.rooms.get(service).copied().unwrap_or_default()
+    }
+
+    /// The back end that takes a request; `None` if none may.
+    pub fn choose(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        random: &mut impl Rng,
+    ) -> Option<Backend> {
+        let room = self.room(wanted.service);
+        let in_time = |state: &State| match wanted.begin_within {
+            Some(begin_within) => state.begin_delay(now, &room) <= begin_within,
+            None => true,
+        };
+        let usable = self.usable(now, wanted).into_iter();
+        let states: Vec<&State> = usable
             .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
+            .filter(|state| in_time(state))
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -217,6 +251,32 @@
         Some(states[position].backend.clone())
     }
 
+    /// Returns how soon a request would begin at the best back end; `None` if none may take it.
+    pub fn outlook(&self, now: Instant, wanted: &Wanted<'_>) -> Option<RoomOutlook> {
+        let room = self.room(wanted.service);
+        let usable = self.usable(now, wanted);
+        let delays = usable.iter().map(|state| state.begin_delay(now, &room));
+        let shortest = delays.min()?;
+        let age = self.pictured_at.map(|at| now.saturating_duration_since(at));
+        let begin_delay = match age {
+            Some(age) if age <= CURRENT_OTHERS => shortest,
+            _ => shortest.max(self.usual_wait(now, &usable, &room)),
+        };
+        Some(RoomOutlook { begin_delay, age })
+    }
+
+    /// Time for which this node's own requests wait at most back ends now: where nobody tells what others
+    /// have under way, it shows how full all are.
+    fn usual_wait(&self, now: Instant, usable: &[&State], room: &ServiceRoom) -> Duration {
+        let waits = usable.iter().filter_map(|state| state.oldest_unbegun(now));
+        let mut waits: Vec<Duration> = waits.collect();
+        if waits.len() < LEAST_WAITS {
+            return Duration::ZERO;
+        }
+        waits.sort();
+        waits[waits.len() / 2].saturating_sub(room.quickest())
+    }
+
     /// Load of a back end in requests per slot, as believed.
     pub fn load(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
         self.state(incarnation).map(|state| state.load(now))
@@ -250,9 +310,15 @@
 
     /// Takes in what other nodes have under way; back ends that are not named are idle.
     pub fn learned_others(&mut self, now: Instant, others: &HashMap<BackendName, u32>) {
+        self.pictured_at = Some(now);
         for (name, state) in &mut self.states {
             let others = others.get(name).copied().unwrap_or(0);
-            state.report = Some(Report { others, at: now });
+            state.pictured = others;
+            state.report = Some(Report {
+                others,
+                at: now,
+                is_own: false,
+            });
         }
     }
 
@@ -272,6 +338,7 @@
     pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
         if let Some(state) = self.state_mut(incarnation) {
             state.in_flight += 1;
+            state.unbegun.push_back(now);
             state.silent_since.get_or_insert(now);
         }
     }
@@ -283,6 +350,21 @@
         }
     }
 
+    /// A request that was sent at a moment begins to be answered, or never will be.
+    pub fn began(&mut self, incarnation: &Incarnation, sent_at: Instant) {
+        if let Some(state) = self.state_mut(incarnation)
+            && let Some(position) = state.unbegun.iter().position(|at| *at == sent_at)
+        {
+            state.unbegun.remove(position);
+        }
+    }
+
+    /// A request of a service has ended well: its answer began after `began_after`, and went on for `rest`.
+    pub fn served(&mut self, service: &ServiceName, began_after: Duration, rest: Duration) {
+        let room = self.rooms.entry(service.clone()).or_default();
+        room.served(began_after, rest);
+    }
+
     /// A request has ended, however.
     pub fn ended(&mut self, incarnation: &Incarnation) {
         if let Some(state) = self.state_mut(incarnation) {
@@ -295,13 +377,20 @@
 
     /// Takes in the load that an answer told.
     pub fn reported(&mut self, now: Instant, incarnation: &Incarnation, load: ReportedLoad) {
-        if let Some(state) = self.state_mut(incarnation) {
-            let all = load.running + load.waiting;
-            state.report = Some(Report {
-                others: all.saturating_sub(state.in_flight),
-                at: now,
-            });
-        }
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        let all = load.running + load.waiting;
+        let others = all.saturating_sub(state.in_flight);
+        state.report = Some(Report {
+            others,
+            at: now,
+            is_own: true,
+        });
+        let beyond = (others as f32 - state.pictured as f32) / state.slots();
+        let service = state.backend.service.clone();
+        let room = self.rooms.entry(service).or_default();
+        room.found_unseen(now, beyond);
     }
 
     /// A back end has ended, as this node or another one saw: it is passed over for about as long as its entry
@@ -333,6 +422,7 @@
                 state.report = Some(Report {
                     others: state.backend.slots * 2,
                     at: now,
+                    is_own: true,
                 });
                 return false;
             }
--- /dev/null
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -0,0 +1,104 @@
+//! How soon a request would begin at back ends of one service. No I/O; the time is passed in.
+//!
+//! A back end with a free slot begins a request at once; at a full one it waits until as many requests
+//! have ended as stand before it. What is believed to be held there comes from pictures of what
+//! gateways have under way, which leave out gateways that tell nobody, and what back ends still run for
+//! callers that are gone. Back ends report both with their answers: what these reports say beyond the
+//! pictures is taken to be alike at all back ends of the service.
+
+use std::time::{Duration, Instant};
+
+/// Time in a slot that is assumed until a request has ended: a mistake in either direction lasts as long
+/// as the first few answers.
+const FIRST_SLOT_TIME: Duration = Duration::from_millis(500);
+
+/// Weight of one ended request in the mean time in a slot: requests differ by their length, the mean of
+/// some tens says what a line moves by.
+const SLOT_TIME_WEIGHT: f64 = 0.05;
+
+/// Weight of an answer that took longer to begin than the quickest: back ends that have become slower are
+/// noticed within some hundred answers.
+const QUICKEST_WEIGHT: f64 = 0.005;
+
+/// Weight of one report in what pictures leave out: a gateway hears some ten reports a second, and a wave
+/// fills lines within half a second.
+const UNSEEN_WEIGHT: f32 = 0.2;
+
+/// Time without a report after which what pictures left out counts for nothing.
+const UNSEEN_LIFETIME: Duration = Duration::from_millis(2_000);
+
+/// Load beyond the pictures that is believed at most, in requests a slot: what waits beyond it is
+/// rejected by back ends themselves.
+const MOST_UNSEEN: f32 = 4.0;
+
+/// What requests at back ends of one service have shown of late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceRoom {
+    slot_time: Duration,
+    /// Time to the beginning of an answer that did not wait; `None` before the first answer.
+    quickest: Option<Duration>,
+    /// Requests a slot that pictures do not show.
+    unseen: f32,
+    unseen_at: Option<Instant>,
+}
+
+impl Default for ServiceRoom {
+    fn default() -> Self {
+        Self {
+            slot_time: FIRST_SLOT_TIME,
+            quickest: None,
+            unseen: 0.0,
+            unseen_at: None,
+        }
+    }
+}
+
+fn mixed(known: Duration, sample: Duration, weight: f64) -> Duration {
+    known.mul_f64(1.0 - weight) + sample.mul_f64(weight)
+}
+
+impl ServiceRoom {
+    /// Takes in a request that ended well: the time until its answer began, and from then to its end.
+    pub(super) fn served(&mut self, began_after: Duration, rest: Duration) {
+        let quickest = match self.quickest {
+            Some(known) if began_after > known => mixed(known, began_after, QUICKEST_WEIGHT),
+            _ => began_after,
+        };
+        let is_first = self.quickest.replace(quickest).is_none();
+        let sample = quickest + rest;
+        self.slot_time = match is_first {
+            true => sample,
+            false => mixed(self.slot_time, sample, SLOT_TIME_WEIGHT),
+        };
+    }
+
+    /// Takes in what a back end's own report says beyond the picture of it, in requests a slot.
+    pub(super) fn found_unseen(&mut self, now: Instant, beyond: f32) {
+        let known = self.unseen(now);
+        // Reports below the picture count too: the mean of what only goes up would show load where is none.
+        let beyond = beyond.clamp(-MOST_UNSEEN, MOST_UNSEEN);
+        self.unseen = known + UNSEEN_WEIGHT * (beyond - known);
+        self.unseen_at = Some(now);
+    }
+
+    /// Returns the requests a slot that pictures do not show.
+    pub(super) fn unseen(&self, now: Instant) -> f32 {
+        let Some(at) = self.unseen_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at);
+        let faded = 1.0 - age.as_secs_f32() / UNSEEN_LIFETIME.as_secs_f32();
+        self.unseen * faded.max(0.0)
+    }
+
+    /// Returns the time for which a request that finds `held` others waits for one of `slots`.
+    pub(super) fn begin_delay(&self, held: f32, slots: f32) -> Duration {
+        let before = (held + 1.0 - slots).max(0.0);
+        self.slot_time.mul_f32(before / slots)
+    }
+
+    /// Returns the time to the beginning of an answer that did not wait.
+    pub(super) fn quickest(&self) -> Duration {
+        self.quickest.unwrap_or_default()
+    }
+}
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -256,6 +256,7 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
+            begin_within: None,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -98,10 +98,21 @@
 pub struct InFlight {
     fleet: Rc<RefCell<Fleet>>,
     incarnation: Incarnation,
+    sent_at: Instant,
+}
+
+impl InFlight {
+    /// Its answer has begun.
+    pub fn began(&self) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.began(&self.incarnation, self.sent_at);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        // A request that comes to nothing waits no more either.
+        self.began();
         self.fleet.borrow_mut().ended(&self.incarnation);
     }
 }
@@ -176,6 +187,7 @@
         InFlight {
             fleet: self.fleet.clone(),
             incarnation: incarnation.clone(),
+            sent_at: now,
         }
     }
 
