--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -45,6 +45,8 @@
     pub age: Duration,
     /// Whether its caller is within its share.
     pub standing: ShareStanding,
+    /// Whether others wait at the node that go before it.
+    pub behind_others: bool,
 }
 
 impl AdmissionAsk {
@@ -91,7 +93,7 @@
 
 /// Decides about a request.
 pub fn decide(ask: &AdmissionAsk, outlook: &RoomOutlook) -> Admission {
-    if outlook.begin_delay <= ask.begin_within() {
+    if !ask.behind_others && outlook.begin_delay <= ask.begin_within() {
         return Admission::Send;
     }
     let wait = ask.may_wait();
--- /dev/null
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -0,0 +1,138 @@
+//! Lets a request in where a service has room for it in time; otherwise it waits for a moment or is refused.
+
+use super::{Forwarding, Handled, Interrupted, guarded};
+use crate::caller_connection::CallerConnection;
+use crate::fleet::Wanted;
+use crate::metrics::AdmissionEnd;
+use crate::overload::LinePlace;
+use crate::refusal::Refusal;
+use firshore_adapter::backend::Backend;
+use firshore_admission::admission::{self, Admission, AdmissionAsk, RoomOutlook, ShareStanding};
+use firshore_types::error::ErrorCode;
+use rand::RngExt;
+use slog::info;
+use std::time::{Duration, Instant};
+
+/// Part of the time that a caller has left which it can spend on waiting until it comes back.
+const RETURN_SHARE: f64 = 1.0 / 3.0;
+
+/// Where a request goes.
+pub(super) enum Found {
+    /// To a back end.
+    Backend(Backend),
+    /// To none: none may take it.
+    Nobody,
+    /// To none: it would begin too late.
+    NoRoom(RoomOutlook),
+}
+
+impl Forwarding<'_> {
+    /// Finds the back end that takes the request, once there is one that begins it in time.
+    pub(super) async fn find_backend(
+        &self,
+        connection: &mut CallerConnection,
+    ) -> Result<Found, Interrupted> {
+        if !self.is_governed() {
+            let chosen = self.choose(None);
+            return Ok(chosen.map_or(Found::Nobody, Found::Backend));
+        }
+        let control = &self.gateway.overload;
+        let rank = control.rank(self.priority(), self.ask(false).has_returned());
+        let mut place: Option<LinePlace<'_>> = None;
+        loop {
+            let changed = control.changed();
+            let now = Instant::now();
+            let Some(outlook) = self.outlook(now) else {
+                return Ok(Found::Nobody);
+            };
+            let ask = self.ask(control.is_behind_others(&self.service, rank));
+            let wait = match admission::decide(&ask, &outlook) {
+                Admission::Send => match self.choose(Some(ask.begin_within())) {
+                    Some(backend) => {
+                        self.note_let_in(place.is_some());
+                        return Ok(Found::Backend(backend));
+                    }
+                    None => return Ok(Found::Nobody),
+                },
+                Admission::Wait(wait) => wait,
+                Admission::Refuse => return Ok(Found::NoRoom(outlook)),
+            };
+            place.get_or_insert_with(|| control.wait(&self.service, rank));
+            let waiting = tokio::time::timeout(wait, changed);
+            // Whatever ends the wait, what follows is decided anew.
+            let _ = guarded(connection, self.deadline, waiting).await?;
+        }
+    }
+
+    /// Whether it is decided when the request is let in. One that may have run is no longer refused for want
+    /// of room: that would be no true promise.
+    fn is_governed(&self) -> bool {
+        self.gateway.overload.is_enabled() && !self.attempts.may_have_run()
+    }
+
+    /// Rank of the caller as it is bought: the tenant's goes before the route's.
+    fn priority(&self) -> u32 {
+        let tenant = self.tenant.as_deref();
+        let bought = tenant.and_then(|tenant| tenant.priority);
+        bought.unwrap_or(self.route.priority)
+    }
+
+    fn ask(&self, behind_others: bool) -> AdmissionAsk {
+        let timeout = self.route.timeout;
+        AdmissionAsk {
+            objective: self.route.objective,
+            timeout,
+            time_left: self.terms.deadline.unwrap_or(timeout),
+            age: self.request.arrived.elapsed(),
+            standing: ShareStanding::Within,
+            behind_others,
+        }
+    }
+
+    fn outlook(&self, now: Instant) -> Option<RoomOutlook> {
+        let wanted = Wanted {
+            service: &self.service,
+            attempts: &self.attempts,
+            affinity: None,
+            load_limit: f32::INFINITY,
+            begin_within: None,
+        };
+        self.gateway.fleet.borrow().outlook(now, &wanted)
+    }
+
+    fn note_let_in(&self, waited: bool) {
+        let end = match waited {
+            true => AdmissionEnd::LetInLater,
+            false => AdmissionEnd::LetIn,
+        };
+        self.gateway.metrics.admission_ended(&self.service, end);
+    }
+
+    /// Refuses a request that would begin too late: its caller is told when to come back.
+    pub(super) async fn refuse_without_room(
+        &mut self,
+        outlook: RoomOutlook,
+        connection: &mut CallerConnection,
+    ) -> Handled {
+        let end = AdmissionEnd::Refused;
+        self.gateway.metrics.admission_ended(&self.service, end);
+        let ask = self.ask(false);
+        let wait = self.return_wait();
+        info!(self.gateway.log, "forward: No room in time."; "request" => &self.terms.id,
+            "service" => %self.service, "begin_delay_ms" => outlook.begin_delay.as_millis() as u64,
+            "begin_within_ms" => ask.begin_within().as_millis() as u64,
+            "picture_age_ms" => outlook.age.map(|age| age.as_millis() as u64),
+            "returned" => ask.has_returned(), "standing" => ?ask.standing,
+            "wait_ms" => wait.as_millis() as u64);
+        let message = format!("'{}' has no room for the request in time.", self.service);
+        let refusal = Refusal::not_run(ErrorCode::Overloaded, message, wait);
+        self.answer_refusal(&refusal, "no room in time", connection)
+            .await
+    }
+
+    fn return_wait(&self) -> Duration {
+        let most = self.remaining().mul_f64(RETURN_SHARE);
+        let mut random = self.gateway.random.borrow_mut();
+        most.mul_f64(random.random_range(0.5..1.0))
+    }
+}
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! An answer is passed on as it is or not at all: small answers are read whole first, streams event
 //! by event; what breaks off after a part was passed on ends the caller's connection.
 
+mod admit;
 mod give_up;
 mod headers;
 mod relay;
@@ -17,6 +18,7 @@
 use crate::metrics::RequestEnd;
 use actix_http::header::HOST;
 use actix_http::{RequestHead, ResponseHead};
+use admit::Found;
 use bytes::Bytes;
 use firshore_adapter::backend::{AnswerHead, Backend, Ran, SendTerms};
 use firshore_adapter::caller::RequestTerms;
@@ -85,6 +87,8 @@
     at: Instant,
     /// Requests per slot that the back end was believed to hold.
     load: f32,
+    /// Time until the head of its answer came.
+    began_after: Option<Duration>,
 }
 
 /// One request under way.
@@ -177,9 +181,15 @@
             if let Some(wait) = self.gateway.held_back_for(|| self.print()) {
                 return Ok(self.hold_back(wait, connection).await);
             }
-            let Some(backend) = self.choose() else {
-                let next = self.attempts.give_up();
-                return Ok(self.give_up(next, "no back end", connection).await);
+            let backend = match self.find_backend(connection).await? {
+                Found::Backend(backend) => backend,
+                Found::Nobody => {
+                    let next = self.attempts.give_up();
+                    return Ok(self.give_up(next, "no back end", connection).await);
+                }
+                Found::NoRoom(outlook) => {
+                    return Ok(self.refuse_without_room(outlook, connection).await);
+                }
             };
             let end = match self.send(&backend, connection).await? {
                 Sent::Handled(handled) => return Ok(handled),
@@ -246,7 +256,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn choose(&self) -> Option<Backend> {
+    fn choose(&self, begin_within: Option<Duration>) -> Option<Backend> {
         let affinity = match self.route.prefix_affinity {
             true => affinity_key(&self.terms.prompt),
             false => None,
@@ -256,7 +266,7 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
-            begin_within: None,
+            begin_within,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
@@ -293,8 +303,9 @@
             backend: backend.incarnation.clone(),
             at: now,
             load: load.unwrap_or(0.0),
+            began_after: None,
         });
-        let _in_flight = self.gateway.in_flight(&backend.incarnation);
+        let in_flight = self.gateway.in_flight(&backend.incarnation);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
             Ok(to_backend) => to_backend,
@@ -309,7 +320,10 @@
         let is_expected = |answer: &ResponseHead| dialect.answers(&self.request.headers, answer);
         let sending = to_backend.send_expecting(head, self.request.body.clone(), is_expected);
         match guarded(connection, self.deadline, sending).await? {
-            Ok(exchange) => self.take_answer(backend, exchange, connection).await,
+            Ok(exchange) => {
+                in_flight.began();
+                self.take_answer(backend, exchange, connection).await
+            }
             Err(error) => Ok(self.lost(backend, &error)),
         }
     }
@@ -339,6 +353,9 @@
         connection: &mut CallerConnection,
     ) -> Result<Sent, Interrupted> {
         self.gateway.heard(&backend.incarnation);
+        if let Some(send) = &mut self.last_send {
+            send.began_after = Some(send.at.elapsed());
+        }
         let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
         self.note_answer(backend, &answer);
         if answer.misdirected || answer.ran == Ran::No {
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -63,8 +63,20 @@
 
     /// An answer came whole: where it is a success, the request does not crash back ends.
     fn note_completed(&self, head: &ResponseHead) {
-        if head.status.is_success() {
-            self.gateway.completed(|| self.print());
+        if !head.status.is_success() {
+            return;
+        }
+        self.gateway.completed(|| self.print());
+        // A run that went on where another broke off was shorter than others.
+        if self.attempts.sends() > 1 || self.terms.resume_after.is_some() {
+            return;
+        }
+        if let Some(send) = &self.last_send
+            && let Some(began_after) = send.began_after
+        {
+            let rest = send.at.elapsed().saturating_sub(began_after);
+            let mut fleet = self.gateway.fleet.borrow_mut();
+            fleet.served(&self.service, began_after, rest);
         }
     }
 
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -5,11 +5,12 @@
 use crate::fleet::{EntryChange, Fleet, Impression};
 use crate::leaving::Leaving;
 use crate::metrics::GatewayMetrics;
+use crate::overload::OverloadControl;
 use crate::split::Split;
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::configuration::ServingConfiguration;
-use firshore_adapter::incarnation::Incarnation;
+use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
@@ -25,6 +26,7 @@
 use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -89,6 +91,8 @@
     pub print_key: PrintKey,
     /// Requests under which back ends end.
     pub crashes: Rc<CrashMonitor>,
+    /// Requests that wait for room.
+    pub overload: Rc<OverloadControl>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -97,6 +101,7 @@
 /// Counts a request as under way at a back end until dropped.
 pub struct InFlight {
     fleet: Rc<RefCell<Fleet>>,
+    overload: Rc<OverloadControl>,
     incarnation: Incarnation,
     sent_at: Instant,
 }
@@ -114,6 +119,7 @@
         // A request that comes to nothing waits no more either.
         self.began();
         self.fleet.borrow_mut().ended(&self.incarnation);
+        self.overload.room_changed();
     }
 }
 
@@ -159,6 +165,7 @@
             // Known to this node alone, until the cluster's is given.
             print_key: PrintKey::new(&random.random::<[u8; 32]>()),
             crashes: Rc::new(crashes),
+            overload: Rc::default(),
             random: random.into(),
             metrics,
             crowded: Notify::new(),
@@ -186,6 +193,7 @@
         drop(fleet);
         InFlight {
             fleet: self.fleet.clone(),
+            overload: self.overload.clone(),
             incarnation: incarnation.clone(),
             sent_at: now,
         }
@@ -347,6 +355,15 @@
         }
     }
 
+    /// Takes in what other nodes have under way, as of now, and how far apart such pictures are.
+    pub fn learned_others(&self, others: &HashMap<BackendName, u32>, interval: Duration) {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.learned_others(Instant::now(), others);
+        fleet.set_picture_interval(interval);
+        drop(fleet);
+        self.overload.room_changed();
+    }
+
     /// Something of a back end's answer has arrived.
     pub fn heard(&self, incarnation: &Incarnation) {
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -35,6 +35,27 @@
     }
 }
 
+/// What became of a request that asked for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionEnd {
+    /// It was let in as it came.
+    LetIn,
+    /// It was let in after it had waited at the node.
+    LetInLater,
+    /// It was refused.
+    Refused,
+}
+
+impl AdmissionEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::LetIn => "let_in",
+            Self::LetInLater => "let_in_later",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Labels of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -66,6 +87,7 @@
     requests: Family<RequestLabels, Counter>,
     request_seconds: Histogram,
     first_byte_seconds: Histogram,
+    admissions: Family<RequestLabels, Counter>,
     sends: Family<EndLabels, Counter>,
     jobs: Family<EndLabels, Counter>,
     /// Requests of tenants that have used up their limit.
@@ -116,6 +138,11 @@
                 "request_seconds",
                 "Time from a request's arrival to the end of its answer.",
             ),
+            admissions: builder.counters(
+                "admissions",
+                "service, end",
+                "Requests that asked for room, by service and what became of them.",
+            ),
             first_byte_seconds: builder.seconds(
                 "first_byte_seconds",
                 "Time from a request's arrival to the first byte of a back end's answer.",
@@ -197,6 +224,15 @@
         self.request_seconds.observe(age.as_secs_f64());
     }
 
+    /// Counts what became of a request that asked for room.
+    pub fn admission_ended(&self, service: &ServiceName, end: AdmissionEnd) {
+        let labels = RequestLabels {
+            service: service.to_string(),
+            end: end.label(),
+        };
+        self.admissions.get_or_create(&labels).inc();
+    }
+
     /// Takes in that the first byte of an answer goes to its caller.
     pub fn answer_began(&self, age: Duration) {
         self.first_byte_seconds.observe(age.as_secs_f64());
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -76,10 +76,9 @@
             let limits = self.gateway.has_limits();
             let tells = busy || was_busy || self.gateway.requests_open() > 0 || cut_off || limits;
             if tells && let Some(others) = self.tell(own, urgent).await {
-                let mut fleet = self.gateway.fleet.borrow_mut();
-                fleet.learned_others(Instant::now(), &others.counts);
                 busy_interval = others.pause.clamp(BUSY_INTERVAL, LONGEST_BUSY_INTERVAL);
-                fleet.set_picture_interval(busy_interval + others.age);
+                let apart = busy_interval + others.age;
+                self.gateway.learned_others(&others.counts, apart);
             }
             was_busy = busy;
             let interval = match busy {
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -89,6 +89,7 @@
     let print_key = PrintKey::new(settings.cluster.secret.as_bytes());
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(print_key, remember));
+    gateway.overload.enable(settings.overload.refuse_late);
     let crashes = CrashExchange::new(
         settings.name.clone(),
         settings.zone.clone(),
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -37,6 +37,9 @@
     /// Requests under which back ends end.
     #[serde(default)]
     pub crashes: Crashes,
+    /// What happens where a service has too little room.
+    #[serde(default)]
+    pub overload: Overload,
     /// The way out.
     #[serde(default)]
     pub leave: Leave,
@@ -225,6 +228,21 @@
     }
 }
 
+/// What happens where a service has too little room.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Overload {
+    /// Whether requests that would begin too late for their route's objective are refused at once, in place of
+    /// being sent into the lines of full back ends.
+    pub refuse_late: bool,
+}
+
+impl Default for Overload {
+    fn default() -> Self {
+        Self { refuse_late: true }
+    }
+}
+
 /// The way out.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
