--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
 use room::ServiceRoom;
-use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
+use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State, UnbegunRequest};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -27,6 +27,9 @@
 /// all slots within a few hundred milliseconds.
 const CURRENT_OTHERS: Duration = Duration::from_millis(200);
 
+/// Part of a service's slots that is taken from which on it counts as full.
+const FULL_OCCUPANCY: f32 = 0.9;
+
 /// Back ends with requests of this node waiting from which on these show how full all are: one or two may be
 /// slow themselves.
 const LEAST_WAITS: usize = 3;
@@ -73,8 +76,6 @@
     pub affinity: Option<u64>,
     /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
-    /// Time within which it must be expected to begin there; `None`: whenever.
-    pub begin_within: Option<Duration>,
 }
 
 /// All back ends.
@@ -222,6 +223,11 @@
         self.rooms.get(service).copied().unwrap_or_default()
     }
 
+    fn room_of(&self, incarnation: &Incarnation) -> ServiceRoom {
+        let service = self.service_of(incarnation);
+        service.map_or_else(ServiceRoom::default, |service| self.room(&service))
+    }
+
     /// The back end that takes a request; `None` if none may.
     pub fn choose(
         &self,
@@ -229,15 +235,9 @@
         wanted: &Wanted<'_>,
         random: &mut impl Rng,
     ) -> Option<Backend> {
-        let room = self.room(wanted.service);
-        let in_time = |state: &State| match wanted.begin_within {
-            Some(begin_within) => state.begin_delay(now, &room) <= begin_within,
-            None => true,
-        };
         let usable = self.usable(now, wanted).into_iter();
         let states: Vec<&State> = usable
             .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
-            .filter(|state| in_time(state))
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -251,20 +251,41 @@
         Some(states[position].backend.clone())
     }
 
-    /// Returns how soon a request would begin at the best back end; `None` if none may take it.
+    /// Returns how soon a request is likely to begin at the back end that [`Self::choose`] finds for it; `None`
+    /// if none may take it.
     pub fn outlook(&self, now: Instant, wanted: &Wanted<'_>) -> Option<RoomOutlook> {
         let room = self.room(wanted.service);
         let usable = self.usable(now, wanted);
         let delays = usable.iter().map(|state| state.begin_delay(now, &room));
-        let shortest = delays.min()?;
+        let mut delays: Vec<Duration> = delays.collect();
+        delays.sort();
+        // The very shortest is so by chance of an old picture, and all gateways see it.
+        let expected = *delays.get(delays.len() / choice::DRAWN)?;
         let age = self.pictured_at.map(|at| now.saturating_duration_since(at));
         let begin_delay = match age {
-            Some(age) if age <= CURRENT_OTHERS => shortest,
-            _ => shortest.max(self.usual_wait(now, &usable, &room)),
+            Some(age) if age <= CURRENT_OTHERS => self.corrected(now, expected, &usable, &room),
+            _ => expected.max(self.usual_wait(now, &usable, &room)),
         };
         Some(RoomOutlook { begin_delay, age })
     }
 
+    /// What was expected and turned out too short of late counts only where hardly a slot is free: elsewhere a
+    /// slow back end or two are the cause.
+    fn corrected(
+        &self,
+        now: Instant,
+        expected: Duration,
+        usable: &[&State],
+        room: &ServiceRoom,
+    ) -> Duration {
+        let occupancies = usable.iter().map(|state| state.occupancy(now, room));
+        let occupancy = occupancies.sum::<f32>() / usable.len() as f32;
+        match occupancy < FULL_OCCUPANCY {
+            true => expected,
+            false => room.corrected(now, expected),
+        }
+    }
+
     /// Time for which this node's own requests wait at most back ends now: where nobody tells what others
     /// have under way, it shows how full all are.
     fn usual_wait(&self, now: Instant, usable: &[&State], room: &ServiceRoom) -> Duration {
@@ -313,12 +334,13 @@
         self.pictured_at = Some(now);
         for (name, state) in &mut self.states {
             let others = others.get(name).copied().unwrap_or(0);
-            state.pictured = others;
-            state.report = Some(Report {
+            let picture = Report {
                 others,
                 at: now,
                 is_own: false,
-            });
+            };
+            state.picture = Some(picture);
+            state.report = Some(picture);
         }
     }
 
@@ -336,9 +358,14 @@
 
     /// A request is about to be sent.
     pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
+        let room = self.room_of(incarnation);
         if let Some(state) = self.state_mut(incarnation) {
+            let expected = state.begin_delay(now, &room);
             state.in_flight += 1;
-            state.unbegun.push_back(now);
+            state.unbegun.push_back(UnbegunRequest {
+                sent_at: now,
+                expected,
+            });
             state.silent_since.get_or_insert(now);
         }
     }
@@ -350,13 +377,39 @@
         }
     }
 
-    /// A request that was sent at a moment begins to be answered, or never will be.
-    pub fn began(&mut self, incarnation: &Incarnation, sent_at: Instant) {
-        if let Some(state) = self.state_mut(incarnation)
-            && let Some(position) = state.unbegun.iter().position(|at| *at == sent_at)
-        {
-            state.unbegun.remove(position);
-        }
+    /// Forgets that a request waits which was sent at a moment.
+    fn waits_no_more(
+        &mut self,
+        incarnation: &Incarnation,
+        sent_at: Instant,
+    ) -> Option<UnbegunRequest> {
+        let state = self.state_mut(incarnation)?;
+        let mut unbegun = state.unbegun.iter();
+        let position = unbegun.position(|request| request.sent_at == sent_at)?;
+        state.unbegun.remove(position)
+    }
+
+    /// A request that was sent at a moment begins to be answered.
+    pub fn began(&mut self, now: Instant, incarnation: &Incarnation, sent_at: Instant) {
+        let Some(request) = self.waits_no_more(incarnation, sent_at) else {
+            return;
+        };
+        let Some(service) = self.service_of(incarnation) else {
+            return;
+        };
+        let began_after = now.saturating_duration_since(sent_at);
+        let room = self.rooms.entry(service).or_default();
+        room.began(now, request.expected, began_after);
+    }
+
+    /// A request that was sent at a moment will not be answered, or has been.
+    pub fn left(&mut self, incarnation: &Incarnation, sent_at: Instant) {
+        self.waits_no_more(incarnation, sent_at);
+    }
+
+    fn service_of(&self, incarnation: &Incarnation) -> Option<ServiceName> {
+        let state = self.state(incarnation)?;
+        Some(state.backend.service.clone())
     }
 
     /// A request of a service has ended well: its answer began after `began_after`, and went on for `rest`.
@@ -387,7 +440,7 @@
             at: now,
             is_own: true,
         });
-        let beyond = (others as f32 - state.pictured as f32) / state.slots();
+        let beyond = (others as f32 - state.pictured(now)) / state.slots();
         let service = state.backend.service.clone();
         let room = self.rooms.entry(service).or_default();
         room.found_unseen(now, beyond);
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -39,6 +39,22 @@
     pub(super) is_own: bool,
 }
 
+impl Report {
+    fn faded(&self, now: Instant) -> f32 {
+        let age = now.saturating_duration_since(self.at);
+        let faded = 1.0 - age.as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
+        self.others as f32 * faded.max(0.0)
+    }
+}
+
+/// A request that was sent and has not begun to be answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnbegunRequest {
+    pub(super) sent_at: Instant,
+    /// Time for which it was expected to wait there.
+    pub(super) expected: Duration,
+}
+
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) backend: Backend,
@@ -48,10 +64,10 @@
     pub(super) former: Option<FormerProcess>,
     pub(super) in_flight: u32,
     pub(super) report: Option<Report>,
-    /// Requests of other gateways by the last picture, whatever the back end said since.
-    pub(super) pictured: u32,
-    /// When the requests were sent that have not begun to be answered.
-    pub(super) unbegun: VecDeque<Instant>,
+    /// The last picture of others' requests, whatever the back end said since.
+    pub(super) picture: Option<Report>,
+    /// Requests that have not begun to be answered.
+    pub(super) unbegun: VecDeque<UnbegunRequest>,
     pub(super) failures: u32,
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
@@ -67,7 +83,7 @@
             former,
             in_flight: 0,
             report: None,
-            pictured: 0,
+            picture: None,
             unbegun: VecDeque::new(),
             failures: 0,
             ejections: 0,
@@ -111,12 +127,12 @@
 
     /// Requests of other gateways, by the last report, which fades with age.
     pub(super) fn others(&self, now: Instant) -> f32 {
-        let Some(report) = self.report else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(report.at);
-        let faded = 1.0 - age.as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
-        report.others as f32 * faded.max(0.0)
+        self.report.map_or(0.0, |report| report.faded(now))
+    }
+
+    /// Requests of other gateways, by the last picture.
+    pub(super) fn pictured(&self, now: Instant) -> f32 {
+        self.picture.map_or(0.0, |picture| picture.faded(now))
     }
 
     /// Requests that it is believed to hold, in whole ones: a report that has only begun to fade is
@@ -125,20 +141,31 @@
         self.in_flight + self.others(now).round() as u32
     }
 
-    /// Time after which a request sent now would begin, as `room` tells of the service.
-    pub(super) fn begin_delay(&self, now: Instant, room: &ServiceRoom) -> Duration {
+    /// Requests that it holds, with what pictures of the service leave out.
+    fn held_with_unseen(&self, now: Instant, room: &ServiceRoom) -> f32 {
         let unseen = match self.report {
             Some(report) if report.is_own => 0.0,
             _ => room.unseen(now).max(0.0) * self.slots(),
         };
-        let held = self.in_flight as f32 + self.others(now) + unseen;
+        self.in_flight as f32 + self.others(now) + unseen
+    }
+
+    /// Part of its slots that is taken, as far as known; 1 where all are.
+    pub(super) fn occupancy(&self, now: Instant, room: &ServiceRoom) -> f32 {
+        let held = self.held_with_unseen(now, room);
+        (held / self.slots()).min(1.0)
+    }
+
+    /// Time after which a request sent now would begin, as `room` tells of the service.
+    pub(super) fn begin_delay(&self, now: Instant, room: &ServiceRoom) -> Duration {
+        let held = self.held_with_unseen(now, room);
         room.begin_delay(held, self.slots())
     }
 
     /// Age of the oldest request that has not begun to be answered.
     pub(super) fn oldest_unbegun(&self, now: Instant) -> Option<Duration> {
         let oldest = self.unbegun.front()?;
-        Some(now.saturating_duration_since(*oldest))
+        Some(now.saturating_duration_since(oldest.sent_at))
     }
 
     pub(super) fn load(&self, now: Instant) -> f32 {
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -33,7 +33,7 @@
         connection: &mut CallerConnection,
     ) -> Result<Found, Interrupted> {
         if !self.is_governed() {
-            let chosen = self.choose(None);
+            let chosen = self.choose();
             return Ok(chosen.map_or(Found::Nobody, Found::Backend));
         }
         let control = &self.gateway.overload;
@@ -47,7 +47,7 @@
             };
             let ask = self.ask(control.is_behind_others(&self.service, rank));
             let wait = match admission::decide(&ask, &outlook) {
-                Admission::Send => match self.choose(Some(ask.begin_within())) {
+                Admission::Send => match self.choose() {
                     Some(backend) => {
                         self.note_let_in(place.is_some());
                         return Ok(Found::Backend(backend));
@@ -95,7 +95,6 @@
             attempts: &self.attempts,
             affinity: None,
             load_limit: f32::INFINITY,
-            begin_within: None,
         };
         self.gateway.fleet.borrow().outlook(now, &wanted)
     }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -256,7 +256,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn choose(&self, begin_within: Option<Duration>) -> Option<Backend> {
+    fn choose(&self) -> Option<Backend> {
         let affinity = match self.route.prefix_affinity {
             true => affinity_key(&self.terms.prompt),
             false => None,
@@ -266,7 +266,6 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
-            begin_within,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -110,15 +110,16 @@
     /// Its answer has begun.
     pub fn began(&self) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.began(&self.incarnation, self.sent_at);
+        fleet.began(Instant::now(), &self.incarnation, self.sent_at);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        // A request that comes to nothing waits no more either.
-        self.began();
-        self.fleet.borrow_mut().ended(&self.incarnation);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.left(&self.incarnation, self.sent_at);
+        fleet.ended(&self.incarnation);
+        drop(fleet);
         self.overload.room_changed();
     }
 }
