--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -14,9 +14,6 @@
 /// leaves it with nothing.
 const RETURNED_BEGIN_SHARE: f64 = 0.75;
 
-/// The same for a caller that has taken its share of a full service: it gets what hardly anybody waits for.
-const BEYOND_SHARE_BEGIN_SHARE: f64 = 0.15;
-
 /// Part of the objective for which a request may wait at the node for room: a refusal after that comes late.
 const WAIT_SHARE: f64 = 0.2;
 
@@ -57,10 +54,9 @@
 
     /// Returns the time within which it must be expected to begin from now on.
     pub fn begin_within(&self) -> Duration {
-        let share = match (self.has_returned(), self.standing) {
-            (true, _) => RETURNED_BEGIN_SHARE,
-            (false, ShareStanding::Within) => BEGIN_SHARE,
-            (false, ShareStanding::Beyond) => BEYOND_SHARE_BEGIN_SHARE,
+        let share = match self.has_returned() {
+            true => RETURNED_BEGIN_SHARE,
+            false => BEGIN_SHARE,
         };
         self.objective.mul_f64(share).saturating_sub(self.age)
     }
@@ -71,12 +67,16 @@
     }
 }
 
-/// How soon a request would begin at the best back end.
+/// What room there is for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoomOutlook {
-    /// Time until it would begin there.
+    /// Whether the node may take a place for it at any back end.
+    pub has_place: bool,
+    /// Whether places are so few that each node takes its own only.
+    pub is_scarce: bool,
+    /// Time until it would begin at the back end that is believed to be the least full.
     pub begin_delay: Duration,
-    /// Age of what that is known from; `None`: nothing was told yet.
+    /// Age of the picture that this is known from; `None`: nothing was told yet.
     pub age: Option<Duration>,
 }
 
@@ -93,7 +93,8 @@
 
 /// Decides about a request.
 pub fn decide(ask: &AdmissionAsk, outlook: &RoomOutlook) -> Admission {
-    if !ask.behind_others && outlook.begin_delay <= ask.begin_within() {
+    let beyond_share = outlook.is_scarce && ask.standing == ShareStanding::Beyond;
+    if outlook.has_place && !ask.behind_others && !beyond_share {
         return Admission::Send;
     }
     let wait = ask.may_wait();
--- /dev/null
+++ b/crates/firshore-gateway/src/fleet/claims.rs
@@ -0,0 +1,71 @@
+//! Places at one back end that this node may take while the service has hardly any left. No I/O; the time
+//! and random numbers are passed in.
+//!
+//! All nodes see the same few free places in pictures that are some tens or hundreds of milliseconds old. Were
+//! each of them free to take any of these, all would, and lines would form there while other back ends run
+//! empty. So a node takes what is its own: a place that its own request has just left, and of the places
+//! that a picture shows its part, drawn anew with each picture.
+
+use rand::{Rng, RngExt};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Time for which a place that an own request has left is this node's: after that others have seen it
+/// in their pictures.
+const FREED_LIFETIME: Duration = Duration::from_millis(50);
+
+/// Time for which a part of the places in a picture is kept without another picture.
+const DEALT_LIFETIME: Duration = Duration::from_millis(600);
+
+/// Part of the places in a picture that all nodes together take before their next one: some of these have
+/// been taken since by those who left them.
+const DEALT_SHARE: f32 = 0.5;
+
+/// Places at one back end that are this node's to take.
+#[derive(Debug, Default)]
+pub(super) struct PlaceClaims {
+    freed: VecDeque<Instant>,
+    dealt: u32,
+    dealt_at: Option<Instant>,
+}
+
+impl PlaceClaims {
+    /// An own request has left a place.
+    pub(super) fn left(&mut self, now: Instant) {
+        self.freed.push_back(now);
+    }
+
+    /// A picture shows `places` that are free, of which `part` is this node's.
+    pub(super) fn deal(&mut self, now: Instant, places: f32, part: f32, random: &mut impl Rng) {
+        let due = places.max(0.0) * part * DEALT_SHARE;
+        self.dealt = (due + random.random_range(0.0..1.0)) as u32;
+        self.dealt_at = Some(now);
+        self.freed.retain(|at| is_within(now, *at, FREED_LIFETIME));
+    }
+
+    /// Returns whether a place is left to take.
+    pub(super) fn has_any(&self, now: Instant) -> bool {
+        let dealt = self.dealt > 0
+            && self
+                .dealt_at
+                .is_some_and(|at| is_within(now, at, DEALT_LIFETIME));
+        dealt || self.has_freed(now)
+    }
+
+    fn has_freed(&self, now: Instant) -> bool {
+        let mut freed = self.freed.iter();
+        freed.any(|at| is_within(now, *at, FREED_LIFETIME))
+    }
+
+    /// A request takes a place, the oldest that was left first.
+    pub(super) fn take(&mut self, now: Instant) {
+        self.freed.retain(|at| is_within(now, *at, FREED_LIFETIME));
+        if self.freed.pop_front().is_none() {
+            self.dealt = self.dealt.saturating_sub(1);
+        }
+    }
+}
+
+fn is_within(now: Instant, at: Instant, lifetime: Duration) -> bool {
+    now.saturating_duration_since(at) < lifetime
+}
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Back ends as this node believes them to be: who is there, how loaded, and whether they are
 //! trusted with new requests. No I/O; the time is passed in.
 
+mod claims;
 mod room;
 mod state;
 
@@ -13,7 +14,7 @@
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
 use room::ServiceRoom;
-use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State, UnbegunRequest};
+use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -23,16 +24,28 @@
 /// (by room: worth more by 0.02).
 const CURRENT_PICTURE: Duration = Duration::from_millis(140);
 
-/// Age up to which a picture of what others have under way says how soon a request would begin. A wave fills
-/// all slots within a few hundred milliseconds.
-const CURRENT_OTHERS: Duration = Duration::from_millis(200);
+/// Age up to which a picture of what others have under way says how many places are left. A wave fills all
+/// slots within about as long.
+const KNOWN_PICTURE: Duration = Duration::from_millis(600);
 
-/// Part of a service's slots that is taken from which on it counts as full.
-const FULL_OCCUPANCY: f32 = 0.9;
+/// Part of a service's places above which any of them may be taken: what all nodes send between two pictures
+/// is less.
+const PLENTY: f32 = 0.25;
 
-/// Back ends with requests of this node waiting from which on these show how full all are: one or two may be
-/// slow themselves.
-const LEAST_WAITS: usize = 3;
+/// What this node has under way at a service, and all nodes.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnPart {
+    own: u32,
+    all: u32,
+}
+
+impl OwnPart {
+    /// Part of the free places that is this node's: as large as its part of what is under way. A node that has
+    /// nothing there yet gets a beginning.
+    fn of_room(&self) -> f32 {
+        (self.own as f32 + 1.0) / (self.all as f32 + 1.0)
+    }
+}
 
 /// How a back end's handling of a request reflects on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +89,19 @@
     pub affinity: Option<u64>,
     /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
+    /// Time within which it is to begin, where it is let in by room; `None`: whenever.
+    pub begin_within: Option<Duration>,
+}
+
+/// What is left of a service's places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlaceSupply {
+    /// So many that any may be taken.
+    Plenty,
+    /// So few that each node takes its own.
+    Scarce,
+    /// Nobody has told.
+    Unknown,
 }
 
 /// All back ends.
@@ -220,12 +246,42 @@
     }
 
     fn room(&self, service: &ServiceName) -> ServiceRoom {
-        self.rooms.get(service).copied().unwrap_or_default()
+        self.rooms.get(service).cloned().unwrap_or_default()
+    }
+
+    /// How many of the places are left at back ends, as far as this node knows.
+    fn supply(
+        &self,
+        now: Instant,
+        usable: &[&State],
+        room: &ServiceRoom,
+        begin_within: Duration,
+    ) -> PlaceSupply {
+        let pictured = self
+            .picture_age(now)
+            .is_some_and(|age| age <= KNOWN_PICTURE);
+        if !pictured && !room.is_reported(now) {
+            return PlaceSupply::Unknown;
+        }
+        let free = usable
+            .iter()
+            .map(|state| state.free_places(now, room, begin_within));
+        let all = usable
+            .iter()
+            .map(|state| room.places(state.slots(), begin_within));
+        match free.sum::<f32>() > all.sum::<f32>() * PLENTY {
+            true => PlaceSupply::Plenty,
+            false => PlaceSupply::Scarce,
+        }
     }
 
-    fn room_of(&self, incarnation: &Incarnation) -> ServiceRoom {
-        let service = self.service_of(incarnation);
-        service.map_or_else(ServiceRoom::default, |service| self.room(&service))
+    /// Whether a request that is let in by room may go to a back end.
+    fn may_take(state: &State, now: Instant, room: &ServiceRoom, supply: PlaceSupply) -> bool {
+        match supply {
+            PlaceSupply::Plenty => true,
+            PlaceSupply::Scarce => state.claims.has_any(now),
+            PlaceSupply::Unknown => room.allows_unknown(now),
+        }
     }
 
     /// The back end that takes a request; `None` if none may.
@@ -235,9 +291,17 @@
         wanted: &Wanted<'_>,
         random: &mut impl Rng,
     ) -> Option<Backend> {
-        let usable = self.usable(now, wanted).into_iter();
+        let usable = self.usable(now, wanted);
+        let room = self.room(wanted.service);
+        let supply = wanted
+            .begin_within
+            .map(|begin_within| self.supply(now, &usable, &room, begin_within));
+        let may_take =
+            |state: &State| supply.is_none_or(|supply| Self::may_take(state, now, &room, supply));
         let states: Vec<&State> = usable
+            .into_iter()
             .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
+            .filter(|state| may_take(state))
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -251,51 +315,31 @@
         Some(states[position].backend.clone())
     }
 
-    /// Returns how soon a request is likely to begin at the back end that [`Self::choose`] finds for it; `None`
-    /// if none may take it.
-    pub fn outlook(&self, now: Instant, wanted: &Wanted<'_>) -> Option<RoomOutlook> {
-        let room = self.room(wanted.service);
-        let usable = self.usable(now, wanted);
-        let delays = usable.iter().map(|state| state.begin_delay(now, &room));
-        let mut delays: Vec<Duration> = delays.collect();
-        delays.sort();
-        // The very shortest is so by chance of an old picture, and all gateways see it.
-        let expected = *delays.get(delays.len() / choice::DRAWN)?;
-        let age = self.pictured_at.map(|at| now.saturating_duration_since(at));
-        let begin_delay = match age {
-            Some(age) if age <= CURRENT_OTHERS => self.corrected(now, expected, &usable, &room),
-            _ => expected.max(self.usual_wait(now, &usable, &room)),
-        };
-        Some(RoomOutlook { begin_delay, age })
-    }
-
-    /// What was expected and turned out too short of late counts only where hardly a slot is free: elsewhere a
-    /// slow back end or two are the cause.
-    fn corrected(
+    /// Returns what room there is for a request that is to begin within a time; `None` if no back end may
+    /// take it.
+    pub fn outlook(
         &self,
         now: Instant,
-        expected: Duration,
-        usable: &[&State],
-        room: &ServiceRoom,
-    ) -> Duration {
-        let occupancies = usable.iter().map(|state| state.occupancy(now, room));
-        let occupancy = occupancies.sum::<f32>() / usable.len() as f32;
-        match occupancy < FULL_OCCUPANCY {
-            true => expected,
-            false => room.corrected(now, expected),
-        }
+        wanted: &Wanted<'_>,
+        begin_within: Duration,
+    ) -> Option<RoomOutlook> {
+        let usable = self.usable(now, wanted);
+        let room = self.room(wanted.service);
+        let delays = usable.iter().map(|state| state.begin_delay(now, &room));
+        let begin_delay = delays.min()?;
+        let supply = self.supply(now, &usable, &room, begin_within);
+        let mut states = usable.iter();
+        Some(RoomOutlook {
+            has_place: states.any(|state| Self::may_take(state, now, &room, supply)),
+            is_scarce: supply == PlaceSupply::Scarce,
+            begin_delay,
+            age: self.picture_age(now),
+        })
     }
 
-    /// Time for which this node's own requests wait at most back ends now: where nobody tells what others
-    /// have under way, it shows how full all are.
-    fn usual_wait(&self, now: Instant, usable: &[&State], room: &ServiceRoom) -> Duration {
-        let waits = usable.iter().filter_map(|state| state.oldest_unbegun(now));
-        let mut waits: Vec<Duration> = waits.collect();
-        if waits.len() < LEAST_WAITS {
-            return Duration::ZERO;
-        }
-        waits.sort();
-        waits[waits.len() / 2].saturating_sub(room.quickest())
+    fn picture_age(&self, now: Instant) -> Option<Duration> {
+        let at = self.pictured_at?;
+        Some(now.saturating_duration_since(at))
     }
 
     /// Load of a back end in requests per slot, as believed.
@@ -330,8 +374,14 @@
     }
 
     /// Takes in what other nodes have under way; back ends that are not named are idle.
-    pub fn learned_others(&mut self, now: Instant, others: &HashMap<BackendName, u32>) {
+    pub fn learned_others(
+        &mut self,
+        now: Instant,
+        others: &HashMap<BackendName, u32>,
+        random: &mut impl Rng,
+    ) {
         self.pictured_at = Some(now);
+        let mut parts: HashMap<ServiceName, OwnPart> = HashMap::new();
         for (name, state) in &mut self.states {
             let others = others.get(name).copied().unwrap_or(0);
             let picture = Report {
@@ -341,6 +391,16 @@
             };
             state.picture = Some(picture);
             state.report = Some(picture);
+            let part = parts.entry(state.backend.service.clone()).or_default();
+            part.own += state.in_flight;
+            part.all += state.in_flight + others;
+        }
+        for state in self.states.values_mut() {
+            let service = &state.backend.service;
+            let room = self.rooms.get(service).cloned().unwrap_or_default();
+            let free = state.free_places(now, &room, Duration::ZERO);
+            let part = parts.get(service).map_or(0.0, OwnPart::of_room);
+            state.claims.deal(now, free, part, random);
         }
     }
 
@@ -358,16 +418,14 @@
 
     /// A request is about to be sent.
     pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
-        let room = self.room_of(incarnation);
-        if let Some(state) = self.state_mut(incarnation) {
-            let expected = state.begin_delay(now, &room);
-            state.in_flight += 1;
-            state.unbegun.push_back(UnbegunRequest {
-                sent_at: now,
-                expected,
-            });
-            state.silent_since.get_or_insert(now);
-        }
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        state.in_flight += 1;
+        state.claims.take(now);
+        state.silent_since.get_or_insert(now);
+        let service = state.backend.service.clone();
+        self.rooms.entry(service).or_default().sent(now);
     }
 
     /// Something of an answer has arrived.
@@ -377,41 +435,6 @@
         }
     }
 
-    /// Forgets that a request waits which was sent at a moment.
-    fn waits_no_more(
-        &mut self,
-        incarnation: &Incarnation,
-        sent_at: Instant,
-    ) -> Option<UnbegunRequest> {
-        let state = self.state_mut(incarnation)?;
-        let mut unbegun = state.unbegun.iter();
-        let position = unbegun.position(|request| request.sent_at == sent_at)?;
-        state.unbegun.remove(position)
-    }
-
-    /// A request that was sent at a moment begins to be answered.
-    pub fn began(&mut self, now: Instant, incarnation: &Incarnation, sent_at: Instant) {
-        let Some(request) = self.waits_no_more(incarnation, sent_at) else {
-            return;
-        };
-        let Some(service) = self.service_of(incarnation) else {
-            return;
-        };
-        let began_after = now.saturating_duration_since(sent_at);
-        let room = self.rooms.entry(service).or_default();
-        room.began(now, request.expected, began_after);
-    }
-
-    /// A request that was sent at a moment will not be answered, or has been.
-    pub fn left(&mut self, incarnation: &Incarnation, sent_at: Instant) {
-        self.waits_no_more(incarnation, sent_at);
-    }
-
-    fn service_of(&self, incarnation: &Incarnation) -> Option<ServiceName> {
-        let state = self.state(incarnation)?;
-        Some(state.backend.service.clone())
-    }
-
     /// A request of a service has ended well: its answer began after `began_after`, and went on for `rest`.
     pub fn served(&mut self, service: &ServiceName, began_after: Duration, rest: Duration) {
         let room = self.rooms.entry(service.clone()).or_default();
@@ -419,12 +442,17 @@
     }
 
     /// A request has ended, however.
-    pub fn ended(&mut self, incarnation: &Incarnation) {
-        if let Some(state) = self.state_mut(incarnation) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-            if state.in_flight == 0 {
-                state.silent_since = None;
-            }
+    pub fn ended(&mut self, now: Instant, incarnation: &Incarnation) {
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        if state.in_flight == 0 {
+            state.silent_since = None;
+        }
+        // Where others wait in line, one of them takes the place.
+        if state.held(now) < state.backend.slots {
+            state.claims.left(now);
         }
     }
 
--- a/crates/firshore-gateway/src/fleet/room.rs
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -1,10 +1,9 @@
-//! How soon a request would begin at back ends of one service. No I/O; the time is passed in.
+//! What requests at back ends of one service have shown of late. No I/O; the time is passed in.
 //!
-//! A back end with a free slot begins a request at once; at a full one it waits until as many requests
-//! have ended as stand before it. What is believed to be held there comes from pictures of what
-//! gateways have under way, which leave out gateways that tell nobody, and what back ends still run for
-//! callers that are gone. Back ends report both with their answers: what these reports say beyond the
-//! pictures is taken to be alike at all back ends of the service.
+//! What is believed to be held at back ends comes from pictures of what gateways have under way, which leave
+//! out gateways that tell nobody, and what back ends still run for callers that are gone. Back ends
+//! report both with their answers: what these reports say beyond the pictures is taken to be alike at
+//! all back ends of the service.
 
 use std::time::{Duration, Instant};
 
@@ -27,19 +26,23 @@
 /// Time without a report after which what pictures left out counts for nothing.
 const UNSEEN_LIFETIME: Duration = Duration::from_millis(2_000);
 
-/// Weight of one answer in how much longer requests wait than was expected. Some ten answers a second show
-/// within half a second that all gateways have sent to the same back ends.
-const EXCESS_WEIGHT: f64 = 0.2;
-
-/// Time after which the last answer that came later than expected counts for nothing.
-const EXCESS_LIFETIME: Duration = Duration::from_millis(1_500);
-
 /// Load beyond the pictures that is believed at most, in requests a slot: what waits beyond it is
 /// rejected by back ends themselves.
 const MOST_UNSEEN: f32 = 4.0;
 
+/// Part of the time within which requests must begin that lines may take: pictures are old, and a line that
+/// is twice as long as believed is still in time.
+const LINE_SHARE: f64 = 0.5;
+
+/// Requests that a node sends in a while of which it knows nothing: all nodes together fill back ends about
+/// as fast as these work, until the first answers tell how full they are.
+const FIRST_REQUESTS: usize = 4;
+
+/// Length of that while.
+const FIRST_WHILE: Duration = Duration::from_millis(300);
+
 /// What requests at back ends of one service have shown of late.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ServiceRoom {
     slot_time: Duration,
     /// Time to the beginning of an answer that did not wait; `None` before the first answer.
@@ -47,9 +50,8 @@
     /// Requests a slot that pictures do not show.
     unseen: f32,
     unseen_at: Option<Instant>,
-    /// Seconds that requests waited longer than was expected when they were sent; negative: less long.
-    excess: f64,
-    excess_at: Option<Instant>,
+    /// When the last requests were sent, the latest last.
+    sent: [Option<Instant>; FIRST_REQUESTS],
 }
 
 impl Default for ServiceRoom {
@@ -59,8 +61,7 @@
             quickest: None,
             unseen: 0.0,
             unseen_at: None,
-            excess: 0.0,
-            excess_at: None,
+            sent: [None; FIRST_REQUESTS],
         }
     }
 }
@@ -70,6 +71,18 @@
 }
 
 impl ServiceRoom {
+    /// A request was sent.
+    pub(super) fn sent(&mut self, now: Instant) {
+        self.sent.rotate_left(1);
+        self.sent[FIRST_REQUESTS - 1] = Some(now);
+    }
+
+    /// Returns whether a request may be sent to back ends of which nothing is known.
+    pub(super) fn allows_unknown(&self, now: Instant) -> bool {
+        let oldest = self.sent[0];
+        oldest.is_none_or(|at| now.saturating_duration_since(at) >= FIRST_WHILE)
+    }
+
     /// Takes in a request that ended well: the time until its answer began, and from then to its end.
     pub(super) fn served(&mut self, began_after: Duration, rest: Duration) {
         let quickest = match self.quickest {
@@ -93,7 +106,7 @@
         self.unseen_at = Some(now);
     }
 
-    /// Returns the requests a slot that pictures do not show.
+    /// Returns the requests a slot that pictures do not show; negative where they show too many.
     pub(super) fn unseen(&self, now: Instant) -> f32 {
         let Some(at) = self.unseen_at else {
             return 0.0;
@@ -103,29 +116,10 @@
         self.unseen * faded.max(0.0)
     }
 
-    /// Takes in that an answer began after a time, where the request was expected to wait for `expected`.
-    pub(super) fn began(&mut self, now: Instant, expected: Duration, began_after: Duration) {
-        let waited = began_after.saturating_sub(self.quickest.unwrap_or(began_after));
-        let known = self.excess(now);
-        let excess = waited.as_secs_f64() - expected.as_secs_f64();
-        self.excess = known + EXCESS_WEIGHT * (excess - known);
-        self.excess_at = Some(now);
-    }
-
-    fn excess(&self, now: Instant) -> f64 {
-        let Some(at) = self.excess_at else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(at);
-        let faded = 1.0 - age.as_secs_f64() / EXCESS_LIFETIME.as_secs_f64();
-        self.excess * faded.max(0.0)
-    }
-
-    /// Returns how long a request waits that is expected to wait for `expected`, as others have waited longer
-    /// than expected of late.
-    pub(super) fn corrected(&self, now: Instant, expected: Duration) -> Duration {
-        let excess = self.excess(now).max(0.0);
-        expected + Duration::from_secs_f64(excess)
+    /// Returns whether back ends have reported their load a moment ago.
+    pub(super) fn is_reported(&self, now: Instant) -> bool {
+        let at = self.unseen_at;
+        at.is_some_and(|at| now.saturating_duration_since(at) < UNSEEN_LIFETIME)
     }
 
     /// Returns the time for which a request that finds `held` others waits for one of `slots`.
@@ -134,8 +128,9 @@
         self.slot_time.mul_f32(before / slots)
     }
 
-    /// Returns the time to the beginning of an answer that did not wait.
-    pub(super) fn quickest(&self) -> Duration {
-        self.quickest.unwrap_or_default()
+    /// Returns how many requests a back end with so many slots may hold, so that the last of them begins in time.
+    pub(super) fn places(&self, slots: f32, begin_within: Duration) -> f32 {
+        let in_line = begin_within.mul_f64(LINE_SHARE).as_secs_f32() / self.slot_time.as_secs_f32();
+        slots + (slots * in_line).floor()
     }
 }
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -1,10 +1,10 @@
 //! One back end as this node believes it to be.
 
 use super::EntryChange;
+use super::claims::PlaceClaims;
 use super::room::ServiceRoom;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::incarnation::Incarnation;
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,14 +47,6 @@
     }
 }
 
-/// A request that was sent and has not begun to be answered.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct UnbegunRequest {
-    pub(super) sent_at: Instant,
-    /// Time for which it was expected to wait there.
-    pub(super) expected: Duration,
-}
-
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) backend: Backend,
@@ -66,8 +58,8 @@
     pub(super) report: Option<Report>,
     /// The last picture of others' requests, whatever the back end said since.
     pub(super) picture: Option<Report>,
-    /// Requests that have not begun to be answered.
-    pub(super) unbegun: VecDeque<UnbegunRequest>,
+    /// Places that are this node's to take.
+    pub(super) claims: PlaceClaims,
     pub(super) failures: u32,
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
@@ -84,7 +76,7 @@
             in_flight: 0,
             report: None,
             picture: None,
-            unbegun: VecDeque::new(),
+            claims: PlaceClaims::default(),
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -150,22 +142,21 @@
         self.in_flight as f32 + self.others(now) + unseen
     }
 
-    /// Part of its slots that is taken, as far as known; 1 where all are.
-    pub(super) fn occupancy(&self, now: Instant, room: &ServiceRoom) -> f32 {
-        let held = self.held_with_unseen(now, room);
-        (held / self.slots()).min(1.0)
-    }
-
     /// Time after which a request sent now would begin, as `room` tells of the service.
     pub(super) fn begin_delay(&self, now: Instant, room: &ServiceRoom) -> Duration {
         let held = self.held_with_unseen(now, room);
         room.begin_delay(held, self.slots())
     }
 
-    /// Age of the oldest request that has not begun to be answered.
-    pub(super) fn oldest_unbegun(&self, now: Instant) -> Option<Duration> {
-        let oldest = self.unbegun.front()?;
-        Some(now.saturating_duration_since(oldest.sent_at))
+    /// Requests that it may take beyond those that it holds, so that all begin in time.
+    pub(super) fn free_places(
+        &self,
+        now: Instant,
+        room: &ServiceRoom,
+        begin_within: Duration,
+    ) -> f32 {
+        let places = room.places(self.slots(), begin_within);
+        (places - self.held_with_unseen(now, room)).max(0.0)
     }
 
     pub(super) fn load(&self, now: Instant) -> f32 {
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -33,7 +33,7 @@
         connection: &mut CallerConnection,
     ) -> Result<Found, Interrupted> {
         if !self.is_governed() {
-            let chosen = self.choose();
+            let chosen = self.choose(None);
             return Ok(chosen.map_or(Found::Nobody, Found::Backend));
         }
         let control = &self.gateway.overload;
@@ -42,12 +42,12 @@
         loop {
             let changed = control.changed();
             let now = Instant::now();
-            let Some(outlook) = self.outlook(now) else {
+            let ask = self.ask(control.is_behind_others(&self.service, rank));
+            let Some(outlook) = self.outlook(now, &ask) else {
                 return Ok(Found::Nobody);
             };
-            let ask = self.ask(control.is_behind_others(&self.service, rank));
             let wait = match admission::decide(&ask, &outlook) {
-                Admission::Send => match self.choose() {
+                Admission::Send => match self.choose(Some(ask.begin_within())) {
                     Some(backend) => {
                         self.note_let_in(place.is_some());
                         return Ok(Found::Backend(backend));
@@ -89,14 +89,16 @@
         }
     }
 
-    fn outlook(&self, now: Instant) -> Option<RoomOutlook> {
+    fn outlook(&self, now: Instant, ask: &AdmissionAsk) -> Option<RoomOutlook> {
         let wanted = Wanted {
             service: &self.service,
             attempts: &self.attempts,
             affinity: None,
             load_limit: f32::INFINITY,
+            begin_within: None,
         };
-        self.gateway.fleet.borrow().outlook(now, &wanted)
+        let fleet = self.gateway.fleet.borrow();
+        fleet.outlook(now, &wanted, ask.begin_within())
     }
 
     fn note_let_in(&self, waited: bool) {
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -256,7 +256,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn choose(&self) -> Option<Backend> {
+    fn choose(&self, begin_within: Option<Duration>) -> Option<Backend> {
         let affinity = match self.route.prefix_affinity {
             true => affinity_key(&self.terms.prompt),
             false => None,
@@ -266,6 +266,7 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
+            begin_within,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
@@ -304,7 +305,7 @@
             load: load.unwrap_or(0.0),
             began_after: None,
         });
-        let in_flight = self.gateway.in_flight(&backend.incarnation);
+        let _in_flight = self.gateway.in_flight(&backend.incarnation);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
             Ok(to_backend) => to_backend,
@@ -319,10 +320,7 @@
         let is_expected = |answer: &ResponseHead| dialect.answers(&self.request.headers, answer);
         let sending = to_backend.send_expecting(head, self.request.body.clone(), is_expected);
         match guarded(connection, self.deadline, sending).await? {
-            Ok(exchange) => {
-                in_flight.began();
-                self.take_answer(backend, exchange, connection).await
-            }
+            Ok(exchange) => self.take_answer(backend, exchange, connection).await,
             Err(error) => Ok(self.lost(backend, &error)),
         }
     }
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -103,22 +103,12 @@
     fleet: Rc<RefCell<Fleet>>,
     overload: Rc<OverloadControl>,
     incarnation: Incarnation,
-    sent_at: Instant,
-}
-
-impl InFlight {
-    /// Its answer has begun.
-    pub fn began(&self) {
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.began(Instant::now(), &self.incarnation, self.sent_at);
-    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.left(&self.incarnation, self.sent_at);
-        fleet.ended(&self.incarnation);
+        fleet.ended(Instant::now(), &self.incarnation);
         drop(fleet);
         self.overload.room_changed();
     }
@@ -196,7 +186,6 @@
             fleet: self.fleet.clone(),
             overload: self.overload.clone(),
             incarnation: incarnation.clone(),
-            sent_at: now,
         }
     }
 
@@ -359,7 +348,8 @@
     /// Takes in what other nodes have under way, as of now, and how far apart such pictures are.
     pub fn learned_others(&self, others: &HashMap<BackendName, u32>, interval: Duration) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.learned_others(Instant::now(), others);
+        let mut random = self.random.borrow_mut();
+        fleet.learned_others(Instant::now(), others, &mut *random);
         fleet.set_picture_interval(interval);
         drop(fleet);
         self.overload.room_changed();
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -176,7 +176,6 @@
 
     async fn take_answer(&self, exchange: Exchange) -> RunEnd {
         let incarnation = &self.backend.incarnation;
-        self.in_flight.began();
         self.gateway.heard(incarnation);
         let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
         if let Some(load) = answer.load {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -301,7 +301,9 @@
         table.forget_old(firshore_clock::now().into_std());
         let online = table.sums();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.learned_others(now, online);
+        let mut random = self.gateway.random.borrow_mut();
+        fleet.learned_others(now, online, &mut *random);
+        drop(random);
         *self.loads.own.borrow_mut() = fleet.in_flight().filter(|(_, count)| *count > 0).collect();
         let excess: HashMap<Incarnation, usize> = online
             .keys()
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -216,6 +216,7 @@
                 true => PRESSED_ITEM_LOAD,
                 false => ITEM_LOAD,
             },
+            begin_within: None,
         };
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
