--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -450,8 +450,13 @@
         if state.in_flight == 0 {
             state.silent_since = None;
         }
+        let service = state.backend.service.clone();
+        let room = self.room(&service);
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
         // Where others wait in line, one of them takes the place.
-        if state.held(now) < state.backend.slots {
+        if state.free_places(now, &room, Duration::ZERO) > 0.0 {
             state.claims.left(now);
         }
     }
