Limits: a refused caller is told when its tenant's share has room

All callers of a tenant over its limit were told the same next token of their node, 50 to 350 ms, came back together, and were refused again. A node now keeps until when its share is given away: less what is asked anyway, after what was admitted beyond the limit is paid back, one interval for each caller told before, up to five seconds. Where all of that is given away, the more of the demand is refused, the longer is the time told.

--- a/crates/firshore-limits/src/limiter.rs
+++ b/crates/firshore-limits/src/limiter.rs
@@ -60,6 +60,18 @@
 /// Shortest wait that a refused caller is told.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 
+/// Time over which it is averaged what is asked anyway: as long as what a caller that is told to come back
+/// can wait, as what was asked for so long is likely to go on.
+const USUAL_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which others' admissions may not be told yet: two reports, of the node that admits and of the one
+/// that is told.
+const UNTOLD_TIME: Duration = Duration::from_millis(200);
+
+/// Part of a share that is given away to those told to come back and those who ask anyway: nodes do not get
+/// their shares evenly, and whoever comes when all is given away is refused for good.
+const PLANNED_PART: f64 = 0.8;
+
 /// What a decision was made on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Basis {
@@ -76,7 +88,7 @@
 /// Why a request is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverLimit {
-    /// Time after which another request may be admitted.
+    /// Time after which there is room for it, beyond what is asked anyway and those told to come back before.
     pub wait: Duration,
     /// What it was decided on.
     pub basis: Basis,
@@ -115,6 +127,10 @@
     /// Demand as it was told last: the part of all demand that is counted as this node's.
     told_demand: f32,
     picture: Option<KnownPicture>,
+    /// What all nodes are asked anyway, in requests a second, no more than the limit.
+    usual: f64,
+    /// Until when all that becomes free is given away to callers told to come back.
+    told_until: Instant,
     /// Requests of its share that are saved up.
     saved: f64,
     saved_at: Instant,
@@ -205,6 +221,8 @@
             demand: 0.0,
             told_demand: 0.0,
             picture,
+            usual: picture.map_or(0.0, |picture| picture.demand.min(limit.per_second)),
+            told_until: now,
             saved,
             saved_at: now,
             basis,
@@ -219,7 +237,7 @@
 
     /// Part of all demand that is this node's.
     fn part(&self) -> f64 {
-        let all = self.picture.map_or(0.0, |picture| picture.demand);
+        let all = self.demand_of_all();
         match all > 0.0 {
             true => (f64::from(self.told_demand) / all).min(1.0),
             false => 0.0,
@@ -330,10 +348,8 @@
             self.count(now, 1);
             return Ok(());
         }
-        let wait = (1.0 - self.saved) / share.max(f64::MIN_POSITIVE);
-        let longest = LONGEST_WAIT.as_secs_f64();
         Err(OverLimit {
-            wait: Duration::from_secs_f64(wait.min(longest)).max(SHORTEST_WAIT),
+            wait: self.tell(now, share, phase),
             basis,
             share,
             left: self.left(now),
@@ -341,6 +357,65 @@
         })
     }
 
+    /// Time after which there is room for one more, beyond what is asked anyway and those who were told to
+    /// come back. The first that a node tells comes anywhere in its interval, so that those of many nodes
+    /// do not come together.
+    fn tell(&mut self, now: Instant, share: f64, phase: f64) -> Duration {
+        let free = share * PLANNED_PART - self.usual * self.part();
+        let ahead = self.told_until.saturating_duration_since(now);
+        let intervals = match ahead.is_zero() {
+            true => self.debt(now) + phase,
+            false => 1.0,
+        };
+        let seconds = ahead.as_secs_f64() + intervals / free.max(f64::MIN_POSITIVE);
+        if seconds >= LONGEST_WAIT.as_secs_f64() {
+            return self.crowded_wait();
+        }
+        let wait = Duration::from_secs_f64(seconds).max(SHORTEST_WAIT);
+        self.told_until = now + wait;
+        wait
+    }
+
+    /// This node's part of what was admitted beyond the limit, which is paid back before there is room, and of
+    /// what others are likely to have that was not told yet.
+    fn debt(&self, now: Instant) -> f64 {
+        let excess = (self.demand_of_all() - self.limit.per_second).max(0.0);
+        let beyond = excess * UNTOLD_TIME.as_secs_f64();
+        ((-self.left(now)).max(0.0) + beyond) * self.part()
+    }
+
+    /// Time to be told where all is given away for as long as may be told: as much of it as is refused of
+    /// what is asked over a while. Where hardly anything is, whoever comes back soon is as likely admitted
+    /// as later.
+    fn crowded_wait(&self) -> Duration {
+        let next = self.picture.map_or(0.0, |picture| picture.next);
+        let rate = self.limit.per_second;
+        let demand = self.demand_of_all();
+        let admitted = match demand > rate {
+            true => rate / demand,
+            false => next / demand.max(self.usual).max(f64::MIN_POSITIVE),
+        };
+        LONGEST_WAIT
+            .mul_f64((1.0 - admitted).max(0.0))
+            .max(SHORTEST_WAIT)
+    }
+
+    fn demand_of_all(&self) -> f64 {
+        self.picture.map_or(0.0, |picture| picture.demand)
+    }
+
+    /// Takes in what the node was told last.
+    fn take_in(&mut self, picture: KnownPicture) {
+        let elapsed = self.picture.map_or(USUAL_TIME, |last| {
+            picture.at.saturating_duration_since(last.at)
+        });
+        let weight = 1.0 - (-elapsed.as_secs_f64() / USUAL_TIME.as_secs_f64()).exp();
+        let asked = picture.demand.min(self.limit.per_second);
+        self.usual += weight * (asked - self.usual);
+        self.told_demand = self.demand;
+        self.picture = Some(picture);
+    }
+
     fn count(&mut self, now: Instant, admitted: i32) {
         self.untold += admitted;
         self.recent.advance(now);
@@ -481,8 +556,7 @@
         for (tenant, state) in &mut self.tenants {
             state.telling = 0;
             if let Some(picture) = told.picture(at, self.span, *tenant, &state.limit) {
-                state.told_demand = state.demand;
-                state.picture = Some(picture);
+                state.take_in(picture);
             }
         }
         self.told = Some(told);
--- a/crates/firshore-limits/tests/fleet.rs
+++ b/crates/firshore-limits/tests/fleet.rs
@@ -3,12 +3,23 @@
 
 mod support;
 
-use support::{Fleet, Scene, Shape};
+use std::time::Duration;
+use support::{Fleet, ReturnedCaller, Scene, Shape};
 
 /// Part of a limit that may be admitted beyond it, and requests beyond that, in each five seconds.
 const OVER: f64 = 0.1;
 const SLACK: f64 = 20.0;
 
+/// Part of the callers refused at once that have to be admitted when they come back.
+const LEAST_ADMITTED: f64 = 0.9;
+
+/// Longest time that a caller with five seconds left waits, and the longest that any is told.
+const PATIENCE: Duration = Duration::from_millis(1_600);
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// When the crowd asks, in seconds.
+const CROWD: std::ops::Range<f64> = 14.5..14.9;
+
 /// Seeds that are played: `FIRSHORE_LIMIT_SEEDS`, or 1, as each takes a debug build some ten seconds.
 fn seeds() -> u64 {
     let wanted = std::env::var("FIRSHORE_LIMIT_SEEDS");
@@ -89,3 +100,59 @@
         }
     }
 }
+
+fn refused_at_once(seed: u64, rate: f64, patience: Duration) -> Vec<ReturnedCaller> {
+    let played = Fleet::play(&Scene {
+        seed,
+        rate,
+        burst: 0.0,
+        demand: rate,
+        shape: Shape::Crowd,
+        patience: Some(patience),
+        ..Scene::default()
+    });
+    let of_crowd = |one: &ReturnedCaller| CROWD.contains(&one.refused_at.as_secs_f64());
+    played.returned.into_iter().filter(of_crowd).collect()
+}
+
+#[test]
+fn a_crowd_over_the_limit_is_admitted_when_it_comes_back() {
+    for patience in [PATIENCE, LONGEST_WAIT] {
+        for rate in [41.0, 100.0, 226.0] {
+            let callers = (0..3).flat_map(|seed| refused_at_once(seed, rate, patience));
+            let callers: Vec<ReturnedCaller> = callers.collect();
+            let admitted = callers.iter().filter(|one| one.admitted).count();
+            let part = admitted as f64 / callers.len() as f64;
+            let wait: f64 = callers.iter().map(|one| one.wait.as_secs_f64()).sum();
+            println!(
+                "{rate} {patience:?}: {admitted} of {}, mean wait {:.2} s",
+                callers.len(),
+                wait / callers.len() as f64
+            );
+            assert!(
+                callers.len() as f64 > rate / 2.0,
+                "{} of {rate}",
+                callers.len()
+            );
+            assert!(part >= LEAST_ADMITTED, "{part} of {rate}, {patience:?}");
+        }
+    }
+}
+
+#[test]
+fn hardly_over_the_limit_most_do_not_wait_long() {
+    for rate in [41.0, 100.0, 226.0] {
+        let played = Fleet::play(&Scene {
+            seed: 5,
+            rate,
+            burst: 0.0,
+            demand: rate * 1.05,
+            patience: Some(PATIENCE),
+            ..Scene::default()
+        });
+        let mut waits: Vec<Duration> = played.returned.iter().map(|one| one.wait).collect();
+        waits.sort();
+        let median = waits[waits.len() / 2];
+        assert!(median <= LONGEST_WAIT / 2, "{median:?} at {rate} a second");
+    }
+}
--- a/crates/firshore-limits/tests/support/mod.rs
+++ b/crates/firshore-limits/tests/support/mod.rs
@@ -34,6 +34,11 @@
 
 const ZONES: usize = 3;
 
+/// When many ask at once, in seconds, and how many times the usual demand that is.
+const CROWD_FROM: f64 = 14.5;
+const CROWD_TO: f64 = 14.9;
+const CROWD: f64 = 8.0;
+
 /// What happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shape {
@@ -55,6 +60,8 @@
     Rolling,
     /// The limit is lowered to a quarter.
     Lowered,
+    /// As much as the limit allows is asked for a while, then a fifth of it, then many ask at once.
+    Crowd,
 }
 
 impl Shape {
@@ -82,6 +89,8 @@
     /// Requests a second, on average.
     pub demand: f64,
     pub shape: Shape,
+    /// Longest time after which refused callers come back once; none does without it.
+    pub patience: Option<Duration>,
 }
 
 impl Default for Scene {
@@ -94,6 +103,7 @@
             burst: 10.0,
             demand: 10.0,
             shape: Shape::Calm,
+            patience: None,
         }
     }
 }
@@ -107,6 +117,19 @@
     pub admitted: f64,
     /// Requests that one node would have admitted that knows of all.
     pub ideal: f64,
+    /// Callers that were refused and came back.
+    pub returned: Vec<ReturnedCaller>,
+}
+
+/// A caller that was refused and came back.
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnedCaller {
+    /// When it was refused, since the beginning.
+    pub refused_at: Duration,
+    /// What it was told.
+    pub wait: Duration,
+    /// Whether it was admitted then.
+    pub admitted: bool,
 }
 
 struct Node {
@@ -139,6 +162,9 @@
     /// Until when nobody keeps a ledger.
     leaderless_until: Instant,
     tenant: Tenant,
+    /// Refused callers, and when they come back.
+    coming: Vec<(Duration, ReturnedCaller)>,
+    returned: Vec<ReturnedCaller>,
 }
 
 fn limit(scene: &Scene, share: f64) -> RateLimit {
@@ -187,6 +213,8 @@
                 priority: None,
                 limit: Some(limit(scene, 1.0)),
             },
+            coming: Vec::new(),
+            returned: Vec::new(),
         }
     }
 
@@ -241,6 +269,7 @@
             },
             admitted: f64::from(admitted),
             ideal,
+            returned: self.returned,
         }
     }
 
@@ -387,6 +416,8 @@
             Shape::Waves | Shape::Killed | Shape::LeaderLost if seconds % 6.0 < 3.6 => 0.39,
             Shape::Waves | Shape::Killed | Shape::LeaderLost => 1.91,
             Shape::Jump if seconds < 12.0 => 0.1,
+            Shape::Crowd if (CROWD_FROM..CROWD_TO).contains(&seconds) => CROWD,
+            Shape::Crowd if seconds > 12.0 => 0.2,
             _ => 1.0,
         };
         self.scene.demand * factor
@@ -420,11 +451,39 @@
                 drawn < 0.0
             });
             let node = &mut self.nodes[number.unwrap_or(0)];
-            if node.limiter.admit(now, &self.tenant).is_ok() {
-                taken += 1;
+            match node.limiter.admit(now, &self.tenant) {
+                Ok(()) => taken += 1,
+                Err(over) => self.refused(elapsed, over.wait),
             }
         }
-        (count, taken)
+        (count, taken + self.come_back(now, elapsed))
+    }
+
+    fn refused(&mut self, elapsed: Duration, wait: Duration) {
+        let Some(patience) = self.scene.patience else {
+            return;
+        };
+        let caller = ReturnedCaller {
+            refused_at: elapsed,
+            wait,
+            admitted: false,
+        };
+        self.coming.push((elapsed + wait.min(patience), caller));
+    }
+
+    /// Callers whose time has come ask another node. Returns how many were admitted.
+    fn come_back(&mut self, now: Instant, elapsed: Duration) -> u32 {
+        let due = self.coming.extract_if(.., |(at, _)| *at <= elapsed);
+        let due: Vec<ReturnedCaller> = due.map(|(_, caller)| caller).collect();
+        let mut taken = 0;
+        for mut caller in due {
+            let number = self.random.random_range(0..self.nodes.len());
+            let limiter = &mut self.nodes[number].limiter;
+            caller.admitted = limiter.admit(now, &self.tenant).is_ok();
+            taken += u32::from(caller.admitted);
+            self.returned.push(caller);
+        }
+        taken
     }
 
     /// A Poisson draw (Knuth).
