--- a/crates/firshore-admission/tests/support/mod.rs
+++ b/crates/firshore-admission/tests/support/mod.rs
@@ -31,6 +31,8 @@
     Planned,
     /// Evenly over what each can spend.
     Spread,
+    /// Evenly over the later half of what each can spend.
+    Late,
     /// After 250 ms, whatever happens.
     Constant,
 }
@@ -205,6 +207,10 @@
                 let reach = TIME.mul_f64(SPENT_PART);
                 ReturnTime::Contended(reach.mul_f64(random))
             }
+            ReturnWay::Late => {
+                let reach = TIME.mul_f64(SPENT_PART);
+                ReturnTime::Contended(reach.mul_f64(0.5 + random / 2.0))
+            }
             ReturnWay::Constant => ReturnTime::Contended(Duration::from_millis(250)),
         }
     }
