--- a/crates/firshore-gateway/tests/room.rs
+++ b/crates/firshore-gateway/tests/room.rs
@@ -92,7 +92,7 @@
         for number in 0..4 {
             fleet.started(now, &incarnation((node + number) as usize % 20));
         }
-        let others = vec![10 - 3; 20];
+        let others = [10 - 3; 20];
         let others = others.iter().enumerate();
         let others = others.map(|(number, held)| (incarnation(number).name, *held));
         let mut random = ChaCha8Rng::seed_from_u64(u64::from(node));
