Nodes tell how hard online requests press on each service

Cause: the node that runs batch items knows what others have under way, and nothing of requests that wait, come late or are refused. Where a third of the nodes is cut off, counts show room that is not there.

Change: a gateway counts by service requests that begin to wait at a full back end, whose answer begins after the objective, or that are refused for want of room (`Gateway::pressure`). It rides on the exchange of loads; relays sum it, the leader keeps it for the runner of items. What is told and lost is not told again: it is over by then. A field of its own, left out where nothing pressed: earlier peers are read and read it.

--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet.rs
@@ -192,6 +192,15 @@
     pub load_limit: f32,
 }
 
+/// How full the back ends of a service are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Occupancy {
+    /// Requests that they work on at once.
+    pub slots: u32,
+    /// Requests that they are believed to hold.
+    pub held: u32,
+}
+
 /// All back ends.
 #[derive(Debug)]
 pub struct Fleet {
@@ -350,6 +359,22 @@
         self.state(incarnation).map(|state| state.load(now))
     }
 
+    /// Services that have back ends.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.by_service.keys()
+    }
+
+    /// How full the back ends of a service are, as believed.
+    pub fn occupancy(&self, now: Instant, service: &ServiceName) -> Occupancy {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let states = names.filter_map(|name| self.states.get(name));
+        let present = states.filter(|state| !state.backend.leaving);
+        present.fold(Occupancy::default(), |sum, state| Occupancy {
+            slots: sum.slots + state.backend.slots,
+            held: sum.held + state.held(now),
+        })
+    }
+
     /// Returns whether a back end is believed to hold more requests than it works on at once.
     pub fn is_crowded(&self, now: Instant, incarnation: &Incarnation) -> bool {
         let state = self.state(incarnation);
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -32,11 +32,15 @@
                 None => self.failed(),
             },
             Next::FailMaybeRun => self.failed(),
-            Next::RefuseNotRun => Refusal::not_run(
-                ErrorCode::NoBackend,
-                format!("No back end of '{}' took the request.", self.service),
-                RETRY_AFTER,
-            ),
+            Next::RefuseNotRun => {
+                // All back ends that it may go to have none to spare: items of the service give way.
+                self.gateway.pressure.borrow_mut().refused(&self.service);
+                Refusal::not_run(
+                    ErrorCode::NoBackend,
+                    format!("No back end of '{}' took the request.", self.service),
+                    RETRY_AFTER,
+                )
+            }
         };
         self.answer_refusal(&refusal, reason, connection).await
     }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -294,6 +294,7 @@
             load: load.unwrap_or(0.0),
         });
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
+        self.note_waiting(now, backend);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match guarded(connection, self.deadline, connecting).await? {
             Ok(to_backend) => to_backend,
@@ -355,6 +356,15 @@
             .await
     }
 
+    /// A request at a back end without a free slot waits there: items of the service give way to it, also where
+    /// nothing shows how many others have sent there.
+    fn note_waiting(&self, now: Instant, backend: &Backend) {
+        let fleet = self.gateway.fleet.borrow();
+        if fleet.is_crowded(now, &backend.incarnation) {
+            self.gateway.pressure.borrow_mut().waited(&self.service);
+        }
+    }
+
     /// The caller's answer is about to begin: one that comes late is told in the log.
     fn answer_begins(&self) {
         let age = self.request.arrived.elapsed();
@@ -366,6 +376,7 @@
         else {
             return;
         };
+        self.gateway.pressure.borrow_mut().late(&self.service);
         info!(self.gateway.log, "forward: Answer late."; "request" => &self.terms.id,
             "route" => &self.route.name, "backend" => %send.backend,
             "age_ms" => age.as_millis() as u64,
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{EntryChange, Fleet, Impression};
 use crate::leaving::Leaving;
 use crate::metrics::GatewayMetrics;
+use crate::pressure::PressureCount;
 use crate::split::Split;
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::Backend;
@@ -81,6 +82,8 @@
     pub metrics: GatewayMetrics,
     /// Woken when a request goes to a back end that has no slot free for it.
     pub crowded: Notify,
+    /// How online requests press on services, until it is told.
+    pub pressure: RefCell<PressureCount>,
     /// Woken when what tenants have asked has to be told at once.
     pub limits_pressing: Notify,
     /// Division of requests among services.
@@ -151,6 +154,7 @@
             random: random.into(),
             metrics,
             crowded: Notify::new(),
+            pressure: RefCell::default(),
             limits_pressing: Notify::new(),
             split: RefCell::default(),
             configuration: RefCell::default(),
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod leaving;
 pub mod metrics;
+pub mod pressure;
 pub mod refusal;
 pub mod serve;
 pub mod split;
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -247,6 +247,7 @@
             counts: told.counts,
             urgent: told.urgent,
             sums,
+            pressures: told.pressures,
             uses: told.uses,
         };
         self.try_one(target, request, Duration::ZERO).await
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -8,6 +8,7 @@
 use firshore_adapter::jobs::{JobItem, ResultPage};
 use firshore_adapter::objects::Revision;
 use firshore_crashes::sync::{CrashAnswer, CrashQuestion};
+use firshore_gateway::pressure::ServicePressure;
 use firshore_jobs::command::JobHeader;
 use firshore_limits::report::{UsageNews, UseReport};
 use firshore_log::refusal::JournalRefusal;
@@ -132,6 +133,9 @@
         /// Whether these are sums that a relay tells, which only the leader takes in.
         #[serde(rename = "s", default)]
         sums: bool,
+        /// How online requests of the sender pressed on services since it told last.
+        #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+        pressures: Vec<ServicePressure>,
         /// What tenants have asked the sender, where some have limits.
         #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
         uses: Option<UseReport>,
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -15,6 +15,7 @@
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::crash_monitor::CrashMonitor;
+use firshore_gateway::pressure::PressureCount;
 use firshore_jobs::command::{Action, JobHeader, Outcome};
 use firshore_jobs::listing::ListedPage;
 use firshore_jobs::table::JobTable;
@@ -87,6 +88,8 @@
     pub table: RefCell<LoadTable>,
     /// Items of this node at each back end.
     pub own: RefCell<HashMap<BackendName, u32>>,
+    /// How online requests of all nodes pressed, until the runner of items takes it.
+    pub pressure: RefCell<PressureCount>,
     /// Woken when a node has told.
     pub told: Notify,
     /// Woken when a node's requests have found no free slot.
@@ -109,6 +112,7 @@
         Self {
             table: RefCell::default(),
             own: RefCell::default(),
+            pressure: RefCell::default(),
             told: Notify::new(),
             crowded: Notify::new(),
             ledger: RefCell::default(),
@@ -123,6 +127,7 @@
         let news = told
             .uses
             .map(|uses| self.take_in_uses(now, term, &node, &uses));
+        self.pressure.borrow_mut().told(&told.pressures);
         let mut table = self.table.borrow_mut();
         table.told(now, node.clone(), told.counts);
         let mut others = table.others(&node);
@@ -271,12 +276,14 @@
             counts,
             urgent,
             sums,
+            pressures,
             uses,
         } = request
         {
             let told = ToldLoad {
                 counts,
                 urgent,
+                pressures,
                 uses,
             };
             let answer = self.load(node, told, sums);
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -107,6 +107,7 @@
         let told = ToldLoad {
             counts,
             urgent,
+            pressures: self.gateway.pressure.borrow_mut().take(),
             uses: self.gateway.report_uses(asked_at),
         };
         let others = self.exchange(told).await;
--- a/crates/firshore-node/src/load_table.rs
+++ b/crates/firshore-node/src/load_table.rs
@@ -7,6 +7,7 @@
 //! heard of its next start yet, which the bound on back ends limits, costs less than the start in each count.
 
 use firshore_adapter::incarnation::BackendName;
+use firshore_gateway::pressure::ServicePressure;
 use firshore_limits::report::UseReport;
 use firshore_types::ids::NodeName;
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,8 @@
     pub counts: Vec<BackendCount>,
     /// Whether requests have found no free slot.
     pub urgent: bool,
+    /// How online requests pressed on services since it was told last.
+    pub pressures: Vec<ServicePressure>,
     /// What tenants have asked; `None` where none has a limit.
     pub uses: Option<UseReport>,
 }
--- a/crates/firshore-node/src/relay/loads.rs
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -7,6 +7,7 @@
 use crate::journal::client::{JournalClient, OthersLoad};
 use crate::load_table::{BackendCount, LoadTable, ToldLoad, as_counts};
 use firshore_adapter::incarnation::BackendName;
+use firshore_gateway::pressure::PressureCount;
 use firshore_limits::relay::UsageRelay;
 use firshore_limits::report::UsageNews;
 use firshore_types::ids::NodeName;
@@ -49,6 +50,8 @@
 pub struct LoadRelay {
     table: RefCell<LoadTable>,
     picture: RefCell<Option<FleetPicture>>,
+    /// How online requests of these nodes pressed, until the leader is told.
+    pressure: RefCell<PressureCount>,
     /// What tenants have asked these nodes, and may still ask.
     uses: RefCell<UsageRelay>,
     /// Whether a node told that tenants have limits.
@@ -65,6 +68,7 @@
         Self {
             table: RefCell::default(),
             picture: RefCell::default(),
+            pressure: RefCell::default(),
             uses: UsageRelay::new(rate_span).into(),
             limits: Cell::default(),
             told: Notify::new(),
@@ -89,6 +93,7 @@
             // The node tells the leader itself: what its tenants have asked counts once.
             return None;
         }
+        self.pressure.borrow_mut().told(&told.pressures);
         let news = told.uses.map(|uses| {
             self.limits.set(true);
             let mut relayed = self.uses.borrow_mut();
@@ -110,8 +115,9 @@
         })
     }
 
-    /// What is to be told to the leader, if any node told a moment ago.
-    fn sums_to_tell(&self, now: Instant, urgent: bool) -> Option<ToldLoad> {
+    /// Returns what is to be told to the leader, if any node told a moment ago. How requests press is not told
+    /// again.
+    pub fn sums_to_tell(&self, now: Instant, urgent: bool) -> Option<ToldLoad> {
         let counts = self.sums(now);
         let mut uses = self.uses.borrow_mut();
         // Shares of nodes that tell no more are told until nothing of them is left.
@@ -121,6 +127,7 @@
         Some(ToldLoad {
             counts: counts.unwrap_or_default(),
             urgent,
+            pressures: self.pressure.borrow_mut().take(),
             uses: self.limits.get().then(|| uses.report(now)),
         })
     }
--- a/crates/firshore-node/tests/relay_loads.rs
+++ b/crates/firshore-node/tests/relay_loads.rs
@@ -5,6 +5,8 @@
 use cluster::*;
 use firshore_adapter::incarnation::BackendName;
 use firshore_gateway::gateway::Gateway;
+use firshore_gateway::pressure::{PressureFigure, ServicePressure};
+use firshore_link::frame;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::listener::{self, Handler};
 use firshore_log::refusal::JournalRefusal;
@@ -233,3 +235,60 @@
         });
     }
 }
+
+fn pressed(service: &str, late: u32) -> ToldLoad {
+    let figure = PressureFigure {
+        late,
+        ..PressureFigure::default()
+    };
+    ToldLoad {
+        pressures: vec![ServicePressure {
+            service: service.into(),
+            figure,
+        }],
+        ..ToldLoad::default()
+    }
+}
+
+#[test]
+fn how_hard_requests_press_is_summed_and_told_the_leader_once() {
+    let relay = LoadRelay::new(Duration::from_secs(5));
+    let now = Instant::now();
+    let unheard = relay.exchange(now, "n1".into(), pressed("chat", 9));
+    assert!(unheard.is_none(), "the node tells the leader itself");
+    relay.learned(now, picture(&[]));
+    relay.exchange(now, "n1".into(), pressed("chat", 2));
+    relay.exchange(now, "n2".into(), pressed("chat", 3));
+    relay.exchange(now, "n2".into(), pressed("desk", 1));
+    let told = relay.sums_to_tell(now, false).unwrap().pressures;
+    let sums: Vec<(&str, u32)> = told
+        .iter()
+        .map(|one| (one.service.as_str(), one.figure.late))
+        .collect();
+    assert_eq!(sums, [("chat", 5), ("desk", 1)]);
+    let next = relay.sums_to_tell(now, false).unwrap();
+    assert!(next.pressures.is_empty());
+}
+
+fn load_message(pressures: Vec<ServicePressure>) -> PeerRequest {
+    PeerRequest::Load {
+        node: "n".into(),
+        counts: counts(&[("a", 2)]),
+        urgent: false,
+        sums: false,
+        pressures,
+        uses: None,
+    }
+}
+
+#[test]
+fn pressure_costs_some_bytes_where_there_is_any_and_none_elsewhere() {
+    let calm = frame::encode(&load_message(Vec::new())).unwrap();
+    // "q", the name of its field, appears only with pressure: peers that do not know it see what they know.
+    assert!(!calm.windows(2).any(|bytes| bytes == b"\x61q"));
+    let told = pressed("a-service-of-some-name", 30).pressures;
+    let told = frame::encode(&load_message(told)).unwrap();
+    let more = told.len() - calm.len();
+    println!("{more} bytes for one service");
+    assert!(more <= 48, "{more} bytes");
+}
