Items give way to online requests that press, and look ahead to their due times

Cause: runs were stopped only where counts told at one node went beyond all slots, so items kept slots while online requests were late behind nodes that were not seen.

Change: `give_way` decides by what nodes told, faded over 300 ms. While a service is pressed none of its items starts and one run steps aside for each request that pressed, until online requests have fallen to 0.85 of what they were: by pressure alone items would start again into the same wave. `work_ahead` reckons what is left by the usual item of the service and the part of the time in which items could run, so that they press on early in a trough; those that would be late otherwise keep a fiftieth of the slots. Back ends' own reports on items count too.

--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -33,6 +33,18 @@
 /// Pause before a result is proposed again.
 const PROPOSE_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a run came to.
+pub(crate) struct RunSummary {
+    /// How it ended.
+    pub(crate) end: RunEnd,
+    /// Events of the item that were held when it ended.
+    pub(crate) events: usize,
+    /// Events that this run made.
+    pub(crate) made: usize,
+    /// How long it took.
+    pub(crate) took: Duration,
+}
+
 /// One run.
 pub(crate) struct ItemRun {
     pub(crate) gateway: Rc<Gateway>,
@@ -57,11 +69,19 @@
 }
 
 impl ItemRun {
-    /// Runs the item once and lists its result, if there is one. Returns how the run ended.
-    pub(crate) async fn run(self) -> RunEnd {
+    /// Runs the item once and lists its result, if there is one. Returns what the run came to.
+    pub(crate) async fn run(self) -> RunSummary {
         let started = Instant::now();
         let resumed_after = self.progress.borrow().last_event();
+        let held = self.progress.borrow().produced().len();
         let end = self.send().await;
+        let events = self.progress.borrow().produced().len();
+        let summary = RunSummary {
+            end,
+            events,
+            made: events.saturating_sub(held),
+            took: started.elapsed(),
+        };
         let header = &self.work.header;
         let limits = RunLimits {
             attempts: header.attempts,
@@ -84,7 +104,7 @@
         if let Some(outcome) = outcome {
             list(&self.replica, &self.work, outcome).await;
         }
-        end
+        summary
     }
 
     /// Records that a back end failed on the item, so that the next leader knows too. Returns how
@@ -181,6 +201,9 @@
         if let Some(load) = answer.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
             fleet.reported(Instant::now(), incarnation, load);
+            // Counts of others lack what nodes sent that are cut off; back ends know it.
+            let mut pressure = self.gateway.pressure.borrow_mut();
+            pressure.reported(&self.backend.service, load.waiting);
         }
         if answer.ran == Ran::No {
             let seen = match answer.misdirected {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -6,14 +6,17 @@
 //! replicas' nodes, so that a run that breaks off or is stopped goes on after its last event, also
 //! under a new leader and after the end of all processes.
 
+pub mod give_way;
 pub mod handover;
 mod item;
 pub mod progress;
 pub mod progress_file;
 pub mod progress_keeper;
 mod schedule;
+mod stepping_aside;
 mod telling;
 pub mod urgency;
+pub mod work_ahead;
 
 use crate::journal::service::Loads;
 use crate::journal::standing::{JournalStanding, StandingFacts, StandingReport};
@@ -25,6 +28,8 @@
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
+use firshore_types::ids::ServiceName;
+use give_way::GiveWay;
 use progress::ItemProgress;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -35,6 +40,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, timeout_at};
 use urgency::{DueTable, DueTime, ItemUrgency};
+use work_ahead::WorkAhead;
 
 /// Load in requests per slot up to which items start: it leaves one slot in ten to online requests.
 const ITEM_LOAD: f32 = 0.9;
@@ -80,6 +86,7 @@
 struct Run {
     _task: Task,
     backend: Incarnation,
+    service: ServiceName,
     due: DueTime,
 }
 
@@ -98,6 +105,10 @@
     /// Whether it leads now and has taken over.
     leading: Cell<bool>,
     dues: RefCell<DueTable>,
+    /// Which services are pressed.
+    way: RefCell<GiveWay>,
+    /// What items need, and the room for them.
+    work: RefCell<WorkAhead>,
     /// Wakes the scheduler when a run has ended.
     ended: Notify,
 }
@@ -117,6 +128,8 @@
             turn: Cell::default(),
             leading: Cell::default(),
             dues: RefCell::default(),
+            way: RefCell::default(),
+            work: RefCell::default(),
             ended: Notify::new(),
         })
     }
@@ -292,6 +305,7 @@
         }
         self.running.borrow_mut().clear();
         self.progress.borrow_mut().clear();
+        self.forget_pressure();
     }
 
     /// Takes in what nodes have under way, and stops runs where it is too much.
@@ -314,6 +328,8 @@
         drop(fleet);
         drop(table);
         self.stop_least_urgent(now, &excess);
+        self.learn_pressure(now);
+        self.step_aside(now);
     }
 
     /// Stops the least urgent runs at back ends, of those alike the least advanced: one that is nearly
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -1,8 +1,9 @@
 //! Which items start, and where.
 
 use super::item::{self, ItemRun};
-use super::progress::ItemProgress;
+use super::progress::{ItemProgress, RunEnd};
 use super::urgency::{DueTime, ItemUrgency};
+use super::work_ahead::ItemOutlook;
 use super::{ITEM_LOAD, ItemKey, PRESSED_ITEM_LOAD, Run, Runner, Work};
 use crate::task::Task;
 use firshore_adapter::backend::Backend;
@@ -16,7 +17,7 @@
 use slog::info;
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -35,14 +36,25 @@
 }
 
 /// An item that does not run.
-struct WaitingItem<'a> {
-    due: DueTime,
+pub(super) struct WaitingItem<'a> {
+    pub(super) due: DueTime,
     /// Events that are held.
-    produced: usize,
+    pub(super) produced: usize,
     key: ItemKey,
     one: &'a OpenItem<'a>,
 }
 
+/// A service in one look.
+#[derive(Clone, Copy, Default)]
+struct ServiceLook {
+    /// Requests that its back ends work on at once.
+    slots: u32,
+    /// Items of it that run.
+    running: usize,
+    /// Its items that are wanted no later than those looked at now.
+    ahead: usize,
+}
+
 /// One look at the items that wait.
 #[derive(Default)]
 struct Pass {
@@ -56,6 +68,8 @@
     no_memory: bool,
     /// Services without room, for items in danger of being late and for others.
     full: HashSet<(ServiceName, bool)>,
+    /// Services of items looked at.
+    services: HashMap<ServiceName, ServiceLook>,
 }
 
 impl Pass {
@@ -79,6 +93,7 @@
             ..Pass::default()
         };
         for job in self.open_jobs(now, &items) {
+            self.look_ahead(now, &job, &mut pass);
             for waiting in self.waiting(&job) {
                 pass.waiting = true;
                 let all_run = self.running() >= self.most_runs;
@@ -91,6 +106,59 @@
         pass.waiting
     }
 
+    /// Counts the items of a job, which are wanted no sooner than those before, to what lies ahead of its
+    /// service.
+    fn look_ahead(&self, now: Instant, job: &OpenJob<'_>, pass: &mut Pass) {
+        let Some(route) = job.items.first().and_then(|one| self.route(one)) else {
+            return;
+        };
+        let Some(service) = route.services.first().map(|one| &one.service) else {
+            return;
+        };
+        self.look_at(now, service, pass).ahead += job.items.len();
+    }
+
+    fn look_at<'a>(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        pass: &'a mut Pass,
+    ) -> &'a mut ServiceLook {
+        let looks = &mut pass.services;
+        if !looks.contains_key(service) {
+            let look = ServiceLook {
+                slots: self.gateway.fleet.borrow().occupancy(now, service).slots,
+                running: self.running_of(service),
+                ahead: 0,
+            };
+            looks.insert(service.clone(), look);
+        }
+        looks.get_mut(service).expect("a look that was put there")
+    }
+
+    /// Whether an item may start as far as online requests go, and whether it may take the last slots.
+    fn permit(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        waiting: &WaitingItem<'_>,
+        pass: &mut Pass,
+    ) -> Option<bool> {
+        let look = *self.look_at(now, service, pass);
+        let time = waiting
+            .due
+            .wanted
+            .map(|wanted| wanted.saturating_duration_since(now));
+        let behind = time.filter(|time| !time.is_zero()).is_some_and(|time| {
+            let work = self.work.borrow();
+            work.is_behind(service, look.ahead, time)
+        });
+        let outlook = self.outlook(now, service, waiting, behind);
+        let way = self.way.borrow();
+        let may_start = way.may_start(service, look.slots, look.running, outlook);
+        may_start.then_some(outlook > ItemOutlook::Easy)
+    }
+
     /// Jobs by urgency.
     fn open_jobs<'a>(&self, now: Instant, items: &'a [OpenItem<'a>]) -> Vec<OpenJob<'a>> {
         let clock = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -167,6 +235,7 @@
             item: one.item.clone(),
         };
         let chosen = backend.incarnation.clone();
+        let service = backend.service.clone();
         info!(self.gateway.log, "runner: Run started."; "job" => caller_id(&key.0), "item" => key.1,
             "backend" => %backend.incarnation, "produced" => waiting.produced,
             "urgency" => ?waiting.due.urgency(now));
@@ -182,8 +251,13 @@
         let runner = self.clone();
         let ended = key.clone();
         let task = Task::spawn(async move {
-            let end = run.run().await;
-            runner.metrics.run_ended(end);
+            let service = run.backend.service.clone();
+            let summary = run.run().await;
+            runner.metrics.run_ended(summary.end);
+            if summary.end == RunEnd::Whole {
+                let mut work = runner.work.borrow_mut();
+                work.finished(&service, summary.events, summary.made, summary.took);
+            }
             // The entry is this task's own handle: it is let go, not aborted.
             runner.running.borrow_mut().remove(&ended);
             runner.ended.notify_one();
@@ -191,6 +265,7 @@
         let run = Run {
             _task: task,
             backend: chosen,
+            service,
             due: waiting.due,
         };
         self.running.borrow_mut().insert(key, run);
@@ -201,7 +276,7 @@
         let one = waiting.one;
         let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
-        let pressed = waiting.due.is_pressed(now);
+        let pressed = self.permit(now, &service, waiting, pass)?;
         if pass.full.contains(&(service.clone(), pressed)) {
             return None;
         }
@@ -220,8 +295,11 @@
         let mut random = self.gateway.random.borrow_mut();
         let fleet = self.gateway.fleet.borrow();
         let chosen = fleet.choose(now, &wanted, &mut *random);
-        if chosen.is_none() {
-            pass.full.insert((service, pressed));
+        match chosen {
+            Some(_) => self.look_at(now, &service, pass).running += 1,
+            None => {
+                pass.full.insert((service, pressed));
+            }
         }
         chosen
     }
