Items go on as soon as a wave is over, and start by what pictures leave out

And starts were held back by counts alone in which nodes that are cut off are missing.

Change: once online requests have fallen to half of what they were when they pressed, items go on at once, and what comes late for 1.5 s after counts for nothing. Starts leave room for what back ends report beyond the counts (`Fleet::unseen`).

--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -291,6 +291,12 @@
         self.state(incarnation).map(|state| state.load(now))
     }
 
+    /// Load in requests a slot that pictures do not show, as back ends of a service report it.
+    pub fn unseen(&self, now: Instant, service: &ServiceName) -> f32 {
+        let room = self.rooms.get(service);
+        room.map_or(0.0, |room| room.unseen(now).max(0.0))
+    }
+
     /// Services that have back ends.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         self.by_service.keys()
--- a/crates/firshore-node/src/runner/give_way.rs
+++ b/crates/firshore-node/src/runner/give_way.rs
@@ -39,6 +39,13 @@
 /// same wave, and stop again, some times in each.
 const FALLEN_SHARE: f32 = 0.85;
 
+/// The same at which items go on at once: requests that come late then have waited since the wave, and a trough
+/// of 3.6 s was a second shorter for items until nothing was late any more.
+const GONE_SHARE: f32 = 0.5;
+
+/// Time for which what comes late after a wave is put down to it.
+const TAIL: Duration = Duration::from_millis(1_500);
+
 /// Time without pressure after which items go on all the same: other back ends may have come.
 const LONGEST_HOLD: Duration = Duration::from_secs(2);
 
@@ -124,22 +131,36 @@
     }
 
     fn weigh(&mut self, now: Instant, room: ServiceRoom) {
+        if self.is_tail(now, room) {
+            self.level = 0.0;
+            self.pressed = false;
+            self.owed = 0;
+            return;
+        }
         let pressing = (room.slots as f32 * PRESSED_SHARE).max(LEAST_PRESSED);
         self.level = self.level.min(pressing * MOST_PRESSURE);
         if self.level >= pressing {
+            self.online = match self.pressed {
+                true => self.online.max(room.online),
+                false => room.online,
+            };
             self.pressed = true;
             self.pressed_at = now;
-            self.online = self.online.max(room.online);
         }
         if self.level < pressing * EASED_SHARE && self.has_fallen(now, room) {
             self.pressed = false;
-            self.online = 0;
         }
         if !self.pressed {
             self.owed = 0;
         }
     }
 
+    /// Whether the wave in which requests pressed is over, and what still comes late has waited since.
+    fn is_tail(&self, now: Instant, room: ServiceRoom) -> bool {
+        let since = now.saturating_duration_since(self.pressed_at);
+        since < TAIL && room.online as f32 <= self.online as f32 * GONE_SHARE
+    }
+
     /// Whether online requests leave more room than when they pressed, or do not press for long.
     fn has_fallen(&self, now: Instant, room: ServiceRoom) -> bool {
         let fallen = room.online as f32 <= self.online as f32 * FALLEN_SHARE;
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -283,18 +283,20 @@
         let headers = item::headers(one.item);
         let terms = self.gateway.adapter.caller.read_terms(&headers);
         let attempts = Attempts::new(route.repetition, u32::MAX);
+        let limit = match pressed {
+            true => PRESSED_ITEM_LOAD,
+            false => ITEM_LOAD,
+        };
+        let fleet = self.gateway.fleet.borrow();
         let wanted = Wanted {
             service: &service,
             attempts: &attempts,
             affinity: affinity_key(&terms.prompt),
-            load_limit: match pressed {
-                true => PRESSED_ITEM_LOAD,
-                false => ITEM_LOAD,
-            },
+            // What nodes sent that are cut off is in no count, but in back ends' reports on items.
+            load_limit: limit - fleet.unseen(now, &service),
             begin_within: None,
         };
         let mut random = self.gateway.random.borrow_mut();
-        let fleet = self.gateway.fleet.borrow();
         let chosen = fleet.choose(now, &wanted, &mut *random);
         match chosen {
             Some(_) => self.look_at(now, &service, pass).running += 1,
