Runs that step aside are stopped while nothing of the fleet is borrowed

Cause: a run that is dropped counts itself out of the fleet; were its task ever let go at once rather than by the runtime a moment later, that would end the process.

--- a/crates/firshore-node/src/runner/stepping_aside.rs
+++ b/crates/firshore-node/src/runner/stepping_aside.rs
@@ -7,7 +7,7 @@
 use firshore_gateway::fleet::Fleet;
 use firshore_types::ids::ServiceName;
 use slog::info;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Instant;
 
 impl Runner {
@@ -63,33 +63,43 @@
 
     /// Stops runs of services whose online requests find too little room. They go on after their last event.
     pub(super) fn step_aside(&self, now: Instant) {
-        let mut way = self.way.borrow_mut();
-        let pressed: HashSet<ServiceName> = way.pressed().cloned().collect();
+        let pressed: Vec<ServiceName> = self.way.borrow().pressed().cloned().collect();
         if pressed.is_empty() {
             return;
         }
         let rooms = self.rooms(now);
-        let fleet = self.gateway.fleet.borrow();
-        let mut running = self.running.borrow_mut();
         for service in pressed {
-            let calm_share = way.calm_share(&service);
-            let of_service = running.iter().filter(|(_, run)| run.service == service);
-            let runs =
-                of_service.map(|(key, run)| self.held_run(now, &fleet, key, run, calm_share));
+            let runs = self.held_runs(now, &service);
             let room = rooms.get(&service).copied().unwrap_or_default();
-            for held in way.step_aside(&service, room, runs.collect()) {
-                let Some(run) = running.remove(&held.key) else {
-                    continue;
-                };
-                info!(self.gateway.log, "runner: Run stopped."; "job" => caller_id(&held.key.0),
-                    "item" => held.key.1, "backend" => %run.backend, "produced" => held.produced,
-                    "urgency" => ?held.urgency, "load" => held.load,
-                    "reason" => "online requests wait");
-                self.metrics.preemptions.inc();
-            }
+            let stopped = self.way.borrow_mut().step_aside(&service, room, runs);
+            self.stop_runs(&stopped);
+        }
+    }
+
+    fn stop_runs(&self, stopped: &[HeldRun]) {
+        let mut running = self.running.borrow_mut();
+        for held in stopped {
+            let Some(run) = running.remove(&held.key) else {
+                continue;
+            };
+            info!(self.gateway.log, "runner: Run stopped."; "job" => caller_id(&held.key.0),
+                "item" => held.key.1, "backend" => %run.backend, "produced" => held.produced,
+                "urgency" => ?held.urgency, "load" => held.load,
+                "reason" => "online requests wait");
+            self.metrics.preemptions.inc();
         }
     }
 
+    /// Runs of a service, as the decision sees them.
+    fn held_runs(&self, now: Instant, service: &ServiceName) -> Vec<HeldRun> {
+        let calm_share = self.way.borrow().calm_share(service);
+        let fleet = self.gateway.fleet.borrow();
+        let running = self.running.borrow();
+        let of_service = running.iter().filter(|(_, run)| run.service == *service);
+        let runs = of_service.map(|(key, run)| self.held_run(now, &fleet, key, run, calm_share));
+        runs.collect()
+    }
+
     fn held_run(
         &self,
         now: Instant,
