--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -63,7 +63,10 @@
                 Admission::Wait(wait) => wait,
                 Admission::Refuse => return Ok(Found::NoRoom(outlook)),
             };
-            place.get_or_insert_with(|| control.wait(&self.service, rank));
+            if place.is_none() {
+                self.gateway.pressure.borrow_mut().waited(&self.service);
+                place = Some(control.wait(&self.service, rank));
+            }
             let waiting = tokio::time::timeout(wait, changed);
             // Whatever ends the wait, what follows is decided anew.
             let _ = guarded(connection, self.deadline, waiting).await?;
@@ -123,6 +126,7 @@
     ) -> Handled {
         let end = AdmissionEnd::Refused;
         self.gateway.metrics.admission_ended(&self.service, end);
+        self.gateway.pressure.borrow_mut().refused(&self.service);
         let ask = self.ask(false);
         let told = self.return_time();
         let wait = told.wait();
