--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -8,11 +8,11 @@
 
 /// Part of the objective within which a request must be expected to begin. The rest is for the way there and
 /// back, for reading the prompt, and for what a picture some tens of milliseconds old does not show.
-const BEGIN_SHARE: f64 = 0.5;
+const BEGIN_SHARE: f64 = 0.35;
 
 /// The same for a caller that was refused before: it has spent part of its time already, and a second refusal
 /// leaves it with nothing.
-const RETURNED_BEGIN_SHARE: f64 = 0.75;
+const RETURNED_BEGIN_SHARE: f64 = 0.5;
 
 /// Part of the objective for which a request may wait at the node for room: a refusal after that comes late.
 const WAIT_SHARE: f64 = 0.2;
