--- a/crates/firshore-limits/src/limiter.rs
+++ b/crates/firshore-limits/src/limiter.rs
@@ -1,6 +1,8 @@
 //! A node's decision on each request of a tenant with a limit.
 
-use crate::report::{Quota, TenantDigest, TenantPicture, TenantUse, UsageNews, UseReport};
+use crate::report::{
+    Quota, TenantDemand, TenantDigest, TenantPicture, TenantUse, UsageNews, UseReport,
+};
 use crate::window::AdmittedWindow;
 use crate::{SHARE_LIFETIME, is_pressing};
 use firshore_adapter::tenant::{RateLimit, Tenant};
@@ -488,6 +490,21 @@
         self.told = Some(told);
     }
 
+    /// What tenants ask of all nodes, as it was told last, and as of when; `None`: nothing was told. What a tenant
+    /// asks beyond its limit is left out where the tenant has asked this node.
+    pub fn known_demand(&self) -> Option<(Instant, impl Iterator<Item = TenantDemand> + '_)> {
+        let told = self.told.as_ref()?;
+        let demands = told.named.iter().map(|(tenant, picture)| {
+            let state = self.tenants.get(tenant);
+            let most = state.map_or(f64::INFINITY, |state| state.limit.per_second);
+            TenantDemand {
+                tenant: *tenant,
+                per_second: f64::from(picture.demand).min(most),
+            }
+        });
+        Some((told.at, demands))
+    }
+
     /// The last report was not answered: it is told again, though it may have been taken in.
     pub fn unanswered(&mut self) {
         for state in self.tenants.values_mut() {
--- a/crates/firshore-limits/src/report.rs
+++ b/crates/firshore-limits/src/report.rs
@@ -97,6 +97,15 @@
     pub demand: f32,
 }
 
+/// What one tenant asks of all nodes, as far as its limit lets it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantDemand {
+    /// Tenant.
+    pub tenant: TenantDigest,
+    /// Requests a second.
+    pub per_second: f64,
+}
+
 /// What a node is told of all tenants.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct UsageNews {
