--- a/crates/firshore-admission/tests/shares.rs
+++ b/crates/firshore-admission/tests/shares.rs
@@ -1,13 +1,13 @@
 //! Whose share of a full service a request is: what nobody is denied, and what one that asks too much gets.
 
-mod support;
+mod sharing;
 
 use firshore_admission::admission::ShareStanding;
 use firshore_admission::shares::{CallerRank, ShareAsk, ShareTable};
 use firshore_limits::report::{TenantDemand, TenantDigest};
 use firshore_types::ids::ServiceName;
+use sharing::{Played, Scene, TenantEnd, Way, play};
 use std::time::{Duration, Instant};
-use support::{Played, Scene, TenantEnd, Way, play};
 
 /// Part of its fair share below which nobody of equal rank is to be.
 const LEAST_PART: f64 = 0.5;
--- a/crates/firshore-admission/tests/support/mod.rs
+++ b/crates/firshore-admission/tests/support/mod.rs
@@ -1,326 +1,240 @@
-//! Nodes before one full service, in simulated time: tenants of skewed size, one of which asks several times its
-//! usual, a line of requests that all nodes see, and nodes that are cut off from what the others tell.
+//! Many nodes, each with its own history and plan, before one shared room, in simulated time.
 
-use firshore_admission::admission::ShareStanding;
-use firshore_admission::shares::{CallerRank, ShareAsk, ShareTable};
-use firshore_limits::report::{TenantDemand, TenantDigest};
-use firshore_types::ids::ServiceName;
+use firshore_admission::demand::{ArrivalKind, DemandHistory};
+use firshore_admission::returns::{ReturnAsk, ReturnPlan, ReturnTime};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Step of simulated time.
 const STEP: Duration = Duration::from_millis(5);
 
-/// Time that is played.
-const LENGTH: Duration = Duration::from_secs(14);
+/// Time that a caller has, and the part of what it has left that it waits at most.
+const TIME: Duration = Duration::from_secs(5);
+const SPENT_PART: f64 = 1.0 / 3.0;
 
-/// When the hot tenant begins, and from when on it is counted what becomes of requests.
-const HOT_FROM: Duration = Duration::from_secs(5);
-const COUNTED_FROM: Duration = Duration::from_secs(6);
+/// Time from a caller to a node.
+const TRIP: Duration = Duration::from_millis(10);
 
-/// When nodes are cut off: before the hot tenant begins.
-const CUT_FROM: Duration = Duration::from_millis(4_800);
+/// Requests a second that the shared room begins.
+pub const ROOM: f64 = 980.0;
 
-/// Time between two pictures, and time over which the demand in them is averaged.
-const TELL_INTERVAL: Duration = Duration::from_millis(100);
-const DEMAND_TIME: Duration = Duration::from_millis(400);
+/// Wait in the line up to which a new caller is let in, and one that came back.
+const NEW_WAIT: f64 = 0.3;
+const RETURNED_WAIT: f64 = 0.45;
 
-/// Age of what nodes see of the line.
-const LINE_STEPS: usize = 10;
-
-/// Time in line up to which a request is let in, within its share and beyond; from the shorter one on the service
-/// is full.
-const WITHIN_LINE: Duration = Duration::from_millis(150);
-const BEYOND_LINE: Duration = Duration::from_millis(45);
-
-/// Requests a second of which one client sends each; a client keeps to one node.
-const CLIENT_RATE: f64 = 3.0;
-
-/// How shares are found.
+/// How refused callers are told to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
-    /// No shares: first come, first served.
-    None,
-    /// Each node divides an equal part of the room among those who ask it.
-    Local,
-    /// By what all nodes are asked.
-    Known,
+pub enum ReturnWay {
+    /// By the plan.
+    Planned,
+    /// Evenly over what each can spend.
+    Spread,
+    /// Evenly over the later half of what each can spend.
+    Late,
+    /// After 250 ms, whatever happens.
+    Constant,
 }
 
 /// What is played.
-#[derive(Clone, Copy, Debug)]
 pub struct Scene {
     pub seed: u64,
-    pub way: Way,
     pub nodes: usize,
-    pub tenants: usize,
-    /// Requests a second that begin.
-    pub room: f64,
-    /// Requests a second of all tenants, as usual.
-    pub usual: f64,
-    /// The tenant that asks more than usual, and how much more.
-    pub hot: usize,
-    pub factor: f64,
-    /// Part of the nodes that is cut off.
-    pub cut: f64,
+    pub length: Duration,
+    /// New requests a second at a moment.
+    pub shape: fn(f64) -> f64,
+    pub way: ReturnWay,
 }
 
-impl Default for Scene {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            way: Way::Known,
-            nodes: 70,
-            tenants: 84,
-            room: 980.0,
-            usual: 900.0,
-            hot: 0,
-            factor: 5.7,
-            cut: 0.35,
-        }
-    }
+/// A caller that was refused once, and what came of it.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusedCaller {
+    /// Node that refused it.
+    pub node: usize,
+    /// When it was refused, in seconds.
+    pub refused_at: f64,
+    pub told: ReturnTime,
+    /// When it came back.
+    pub back_at: f64,
+    pub served: bool,
 }
 
-/// What became of one tenant's requests.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct TenantEnd {
-    /// Requests a second.
-    pub demand: f64,
-    /// Requests a second that its share of the room is.
-    pub fair: f64,
+/// What came of all.
+#[derive(Debug, Default)]
+pub struct Played {
     pub asked: u32,
-    pub admitted: u32,
-    /// Of these, such as were within the share.
-    pub within: u32,
+    pub served_at_once: u32,
+    pub callers: Vec<RefusedCaller>,
 }
 
-impl TenantEnd {
-    /// Part of what it was due that it got.
-    pub fn part(&self) -> f64 {
-        let due = f64::from(self.asked) * self.fair / self.demand;
-        f64::from(self.admitted) / due
+impl Played {
+    pub fn free(&self) -> impl Iterator<Item = &RefusedCaller> {
+        let is_free = |one: &&RefusedCaller| matches!(one.told, ReturnTime::Free(_));
+        self.callers.iter().filter(is_free)
     }
-}
-
-/// What came of a scene.
-#[derive(Clone, Debug)]
-pub struct Played {
-    pub tenants: Vec<TenantEnd>,
-    /// Requests that would have begun in the time that was counted.
-    pub room: f64,
-}
 
-impl Played {
-    pub fn admitted(&self) -> f64 {
-        let admitted: u32 = self.tenants.iter().map(|end| end.admitted).sum();
-        f64::from(admitted)
+    /// Refused callers that were served when they came back.
+    pub fn served_back(&self) -> usize {
+        self.callers.iter().filter(|one| one.served).count()
     }
-}
 
-struct Node {
-    table: ShareTable,
-    cut: bool,
-    /// Arrivals by tenant of late, each forgotten by and by.
-    arrivals: Vec<f64>,
+    pub fn lost(&self) -> usize {
+        self.callers.len() - self.served_back()
+    }
 }
 
-/// Sizes of tenants, by Zipf's law with exponent 1.2.
-fn sizes(scene: &Scene) -> Vec<f64> {
-    let size = |rank: usize| ((rank + 1) as f64).powf(-1.2);
-    let all: f64 = (0..scene.tenants).map(size).sum();
-    let usual = |rank| scene.usual * size(rank) / all;
-    (0..scene.tenants).map(usual).collect()
+/// Part of some callers that were served.
+pub fn served_part<'a>(callers: impl Iterator<Item = &'a RefusedCaller>) -> f64 {
+    let (served, all) = callers.fold((0, 0), |(served, all), one| {
+        (served + u32::from(one.served), all + 1)
+    });
+    f64::from(served) / f64::from(all.max(1))
 }
 
-/// What each is due, by the definition: raised for all alike until it has what it asks, or the room is used up.
-pub fn fair_shares(demands: &[f64], room: f64) -> Vec<f64> {
-    const RAISE: f64 = 0.01;
-    let mut level = 0.0;
-    let sum = |level: f64| -> f64 { demands.iter().map(|demand| demand.min(level)).sum() };
-    let most = demands.iter().copied().fold(0.0, f64::max);
-    while level < most && sum(level + RAISE) <= room {
-        level += RAISE;
+/// Most that come back within one tenth of a second, in times of the room of a tenth.
+pub fn highest_tenth<'a>(callers: impl Iterator<Item = &'a RefusedCaller>) -> f64 {
+    let mut tenths: BTreeMap<u64, u32> = BTreeMap::new();
+    for one in callers {
+        *tenths.entry((one.back_at * 10.0) as u64).or_default() += 1;
     }
-    demands.iter().map(|demand| demand.min(level)).collect()
+    let highest = tenths.values().copied().max().unwrap_or(0);
+    f64::from(highest) / (ROOM / 10.0)
 }
 
-fn poisson(random: &mut ChaCha8Rng, mean: f64) -> u32 {
-    let limit = (-mean).exp();
-    let mut product: f64 = random.random();
-    let mut count = 0;
-    while product > limit {
-        product *= random.random::<f64>();
-        count += 1;
-    }
-    count
+struct Node {
+    history: DemandHistory,
+    plan: ReturnPlan,
 }
 
-struct Replay {
-    scene: Scene,
+struct Replay<'a> {
+    scene: &'a Scene,
     start: Instant,
     random: ChaCha8Rng,
-    service: ServiceName,
     nodes: Vec<Node>,
-    /// Node of each client, by tenant.
-    clients: Vec<Vec<usize>>,
-    usual: Vec<f64>,
-    /// Demand of all nodes by tenant, as it is told.
-    told: Vec<f64>,
-    /// Requests in line, the newest last.
-    line: Vec<f64>,
-    ends: Vec<TenantEnd>,
+    /// Requests that were let in and have not begun.
+    line: f64,
+    /// Refused callers by the step in which they come back.
+    coming: BTreeMap<u64, Vec<usize>>,
+    played: Played,
 }
 
 /// Plays a scene.
 pub fn play(scene: &Scene) -> Played {
-    let mut replay = Replay::new(scene);
-    let mut elapsed = Duration::ZERO;
-    while elapsed < LENGTH {
-        replay.step(elapsed);
-        elapsed += STEP;
-    }
-    let counted = LENGTH - COUNTED_FROM;
-    let mut ends = replay.ends;
-    let demands: Vec<f64> = (0..scene.tenants)
-        .map(|tenant| ends[tenant].demand)
-        .collect();
-    let fair = fair_shares(&demands, scene.room);
-    for (end, fair) in ends.iter_mut().zip(fair) {
-        end.fair = fair;
-    }
-    Played {
-        tenants: ends,
-        room: scene.room * counted.as_secs_f64(),
+    let start = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(scene.seed);
+    let nodes = (0..scene.nodes).map(|_| Node {
+        history: DemandHistory::new(start),
+        plan: ReturnPlan::new(start, random.random()),
+    });
+    let nodes = nodes.collect();
+    let mut replay = Replay {
+        scene,
+        start,
+        random,
+        nodes,
+        line: 0.0,
+        coming: BTreeMap::new(),
+        played: Played::default(),
+    };
+    let steps = (scene.length.as_nanos() / STEP.as_nanos()) as u64;
+    // Those refused last come back, and nobody new.
+    for step in 0..steps + 400 {
+        replay.step(step, step < steps);
     }
+    replay.played
 }
 
-impl Replay {
-    fn new(scene: &Scene) -> Self {
-        let mut random = ChaCha8Rng::seed_from_u64(scene.seed);
-        let cut = (scene.nodes as f64 * scene.cut) as usize;
-        let nodes = (0..scene.nodes).map(|number| Node {
-            table: ShareTable::new(random.random()),
-            cut: number < cut,
-            arrivals: vec![0.0; scene.tenants],
-        });
-        let nodes: Vec<Node> = nodes.collect();
-        let usual = sizes(scene);
-        let clients = usual.iter().map(|rate| {
-            let count = (rate / CLIENT_RATE).ceil() as usize;
-            let draw = |_| random.random_range(0..scene.nodes);
-            (0..count).map(draw).collect()
-        });
-        let clients: Vec<Vec<usize>> = clients.collect();
-        Self {
-            scene: *scene,
-            start: Instant::now(),
-            random,
-            service: "s".into(),
-            nodes,
-            clients,
-            told: usual.clone(),
-            line: vec![0.0; LINE_STEPS],
-            ends: vec![TenantEnd::default(); scene.tenants],
-            usual,
+impl Replay<'_> {
+    fn step(&mut self, step: u64, asks: bool) {
+        let elapsed = STEP * step as u32;
+        let now = self.start + elapsed;
+        self.line = (self.line - ROOM * STEP.as_secs_f64()).max(0.0);
+        for idx in self.coming.remove(&step).unwrap_or_default() {
+            self.come_back(now, idx);
+        }
+        if !asks {
+            return;
+        }
+        let mean = (self.scene.shape)(elapsed.as_secs_f64()) * STEP.as_secs_f64();
+        for _ in 0..self.poisson(mean) {
+            self.ask(now, step);
         }
     }
 
-    fn demand(&self, elapsed: Duration, tenant: usize) -> f64 {
-        match tenant == self.scene.hot && elapsed >= HOT_FROM {
-            true => self.usual[tenant] * self.scene.factor,
-            false => self.usual[tenant],
-        }
+    fn is_let_in(&mut self, wait: f64) -> bool {
+        let is_in = self.line / ROOM <= wait;
+        self.line += f64::from(u8::from(is_in));
+        is_in
     }
 
-    fn step(&mut self, elapsed: Duration) {
-        let now = self.start + elapsed;
-        self.average(elapsed);
-        if elapsed
-            .as_millis()
-            .is_multiple_of(TELL_INTERVAL.as_millis())
-        {
-            self.tell(now, elapsed);
-        }
-        let drained = self.scene.room * STEP.as_secs_f64();
-        let mut line = (self.line[LINE_STEPS - 1] - drained).max(0.0);
-        for tenant in 0..self.scene.tenants {
-            let mean = self.demand(elapsed, tenant) * STEP.as_secs_f64();
-            for _ in 0..poisson(&mut self.random, mean) {
-                line += f64::from(u8::from(self.ask(now, elapsed, tenant)));
-            }
+    fn ask(&mut self, now: Instant, step: u64) {
+        let at = self.random.random_range(0..self.nodes.len());
+        self.played.asked += 1;
+        self.nodes[at].history.asked(now, ArrivalKind::New);
+        if self.is_let_in(NEW_WAIT) {
+            self.nodes[at].history.begun(now);
+            self.played.served_at_once += 1;
+            return;
         }
-        self.line.remove(0);
-        self.line.push(line);
+        self.nodes[at].history.refused(now);
+        let told = self.tell(now, at);
+        let wait = told.wait().min(TIME.mul_f64(SPENT_PART)) + TRIP;
+        let back = step + (wait.as_nanos() / STEP.as_nanos()) as u64 + 1;
+        let idx = self.played.callers.len();
+        self.played.callers.push(RefusedCaller {
+            node: at,
+            refused_at: (now - self.start).as_secs_f64(),
+            told,
+            back_at: (STEP * back as u32).as_secs_f64(),
+            served: false,
+        });
+        self.coming.entry(back).or_default().push(idx);
     }
 
-    fn average(&mut self, elapsed: Duration) {
-        let weight = STEP.as_secs_f64() / DEMAND_TIME.as_secs_f64();
-        for tenant in 0..self.scene.tenants {
-            let demand = self.demand(elapsed, tenant);
-            self.told[tenant] += weight * (demand - self.told[tenant]);
-        }
-        for node in &mut self.nodes {
-            for arrivals in &mut node.arrivals {
-                *arrivals *= 1.0 - weight;
+    fn tell(&mut self, now: Instant, at: usize) -> ReturnTime {
+        let random: f64 = self.random.random();
+        let Node { history, plan } = &mut self.nodes[at];
+        match self.scene.way {
+            ReturnWay::Planned => {
+                let ask = ReturnAsk {
+                    time_left: TIME - TRIP,
+                    room: history.room(now),
+                };
+                plan.plan(now, &ask, |after| history.forecast(now, after), random)
+            }
+            ReturnWay::Spread => {
+                let reach = TIME.mul_f64(SPENT_PART);
+                ReturnTime::Contended(reach.mul_f64(random))
+            }
+            ReturnWay::Late => {
+                let reach = TIME.mul_f64(SPENT_PART);
+                ReturnTime::Contended(reach.mul_f64(0.5 + random / 2.0))
             }
+            ReturnWay::Constant => ReturnTime::Contended(Duration::from_millis(250)),
         }
     }
 
-    fn tell(&mut self, now: Instant, elapsed: Duration) {
-        let way = self.scene.way;
-        for node in &mut self.nodes {
-            let demands = match way {
-                Way::None => continue,
-                Way::Known if node.cut && elapsed >= CUT_FROM => continue,
-                Way::Known => self.told.clone(),
-                Way::Local => {
-                    let seconds = DEMAND_TIME.as_secs_f64();
-                    node.arrivals.iter().map(|count| count / seconds).collect()
-                }
-            };
-            let told = demands.into_iter().enumerate();
-            let told = told.map(|(tenant, per_second)| TenantDemand {
-                tenant: TenantDigest(tenant as u64),
-                per_second,
-            });
-            node.table.told(now, told);
+    fn come_back(&mut self, now: Instant, idx: usize) {
+        let at = self.random.random_range(0..self.nodes.len());
+        self.nodes[at].history.asked(now, ArrivalKind::Returned);
+        let served = self.is_let_in(RETURNED_WAIT);
+        match served {
+            true => self.nodes[at].history.begun(now),
+            false => self.nodes[at].history.refused(now),
         }
+        self.played.callers[idx].served = served;
     }
 
-    /// A request of a tenant comes to the node of one of its clients. Returns whether it is let in.
-    fn ask(&mut self, now: Instant, elapsed: Duration, tenant: usize) -> bool {
-        let clients = &self.clients[tenant];
-        let node = clients[self.random.random_range(0..clients.len())];
-        let node = &mut self.nodes[node];
-        node.arrivals[tenant] += 1.0;
-        let ask = ShareAsk {
-            service: &self.service,
-            tenant: TenantDigest(tenant as u64),
-            rank: CallerRank::new(None, 0),
-        };
-        node.table.arrived(now, &ask);
-        let delay = Duration::from_secs_f64(self.line[0] / self.scene.room);
-        let is_full = delay > BEYOND_LINE;
-        let room = match self.scene.way {
-            Way::Local => self.scene.room / self.scene.nodes as f64,
-            Way::Known | Way::None => self.scene.room,
-        };
-        let standing = match is_full && self.scene.way != Way::None {
-            true => node.table.standing(now, &ask, room),
-            false => ShareStanding::Within,
-        };
-        let admitted = match standing {
-            ShareStanding::Within => delay <= WITHIN_LINE,
-            ShareStanding::Beyond => !is_full,
-        };
-        if elapsed >= COUNTED_FROM {
-            let demand = self.demand(elapsed, tenant);
-            let end = &mut self.ends[tenant];
-            end.demand = demand;
-            end.asked += 1;
-            end.admitted += u32::from(admitted);
-            end.within += u32::from(admitted && standing == ShareStanding::Within);
+    /// A Poisson draw (Knuth).
+    fn poisson(&mut self, mean: f64) -> u32 {
+        let limit = (-mean).exp();
+        let mut product: f64 = self.random.random();
+        let mut count = 0;
+        while product > limit {
+            product *= self.random.random::<f64>();
+            count += 1;
         }
-        admitted
+        count
     }
 }
--- a/crates/firshore-gateway/src/fleet.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -1,37 +1,51 @@
 //! Back ends as this node believes them to be: who is there, how loaded, and whether they are
 //! trusted with new requests. No I/O; the time is passed in.
 
+mod claims;
+mod room;
+mod state;
+
 use crate::attempts::Attempts;
 use crate::choice::{self, Candidate, Placement};
 use firshore_adapter::backend::{Backend, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_admission::admission::RoomOutlook;
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
+use room::ServiceRoom;
+use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Age at which a back end's report about others' requests counts for nothing.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time between two pictures up to which the least loaded back end is still so when a request gets
 /// there. Measured at 100 ms with 6 gateways (least loaded: worth more by 0.009) and at 177 ms with 53
 /// (by room: worth more by 0.02).
 const CURRENT_PICTURE: Duration = Duration::from_millis(140);
 
-/// Failures in a row after which a back end gets no new requests for a while.
-const FAILURES_TO_EJECT: u32 = 3;
+/// Age up to which a picture of what others have under way says how many places are left. A wave fills all
+/// slots within about as long.
+const KNOWN_PICTURE: Duration = Duration::from_millis(600);
 
-/// Time without new requests after the first ejection; doubled with each further one.
-const EJECTION: Duration = Duration::from_millis(500);
+/// Part of a service's places above which any of them may be taken: what all nodes send between two pictures
+/// is less.
+const PLENTY: f32 = 0.25;
 
-const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// What this node has under way at a service, and all nodes.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnPart {
+    own: u32,
+    all: u32,
+}
 
-/// Time without a byte from a back end that has requests under way after which it gets no new ones.
-/// Engines answer something each few milliseconds, applications within half a second.
-const SILENCE: Duration = Duration::from_millis(600);
+impl OwnPart {
+    /// Part of the free places that is this node's: as large as its part of what is under way. A node that has
+    /// nothing there yet gets a beginning.
+    fn of_room(&self) -> f32 {
+        (self.own as f32 + 1.0) / (self.all as f32 + 1.0)
+    }
+}
 
 /// How a back end's handling of a request reflects on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,121 +79,6 @@
     Outdated(Incarnation),
 }
 
-/// The process that a back end ran before its present one.
-#[derive(Debug)]
-struct FormerProcess {
-    incarnation: Incarnation,
-    /// Whether it had said that it was about to leave.
-    leaving: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    others: u32,
-    at: Instant,
-}
-
-#[derive(Debug)]
-struct State {
-    backend: Backend,
-    /// Of the name: requests with the same beginning meet at the next start too, where they are read once,
-    /// and those of all other back ends stay where they are.
-    identity: u64,
-    former: Option<FormerProcess>,
-    in_flight: u32,
-    report: Option<Report>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Instant>,
-    /// Since when requests are under way and nothing was heard.
-    silent_since: Option<Instant>,
-}
-
-impl State {
-    fn new(backend: Backend, former: Option<FormerProcess>) -> Self {
-        Self {
-            identity: xxh3_64(backend.incarnation.name.as_str().as_bytes()),
-            backend,
-            former,
-            in_flight: 0,
-            report: None,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-            silent_since: None,
-        }
-    }
-
-    /// Takes in an entry of the same back end.
-    fn listed(&mut self, mut backend: Backend) -> EntryChange {
-        let known = &self.backend.incarnation;
-        if backend.incarnation.is_succeeded_by(known) {
-            return EntryChange::Outdated(known.clone());
-        }
-        if backend.incarnation.started.is_none() {
-            // It says nothing against the process that is known.
-            backend.incarnation = known.clone();
-        }
-        if backend.incarnation == *known {
-            self.backend = backend;
-            return EntryChange::Listed;
-        }
-        let former = FormerProcess {
-            incarnation: known.clone(),
-            leaving: self.backend.leaving,
-        };
-        let ended = former.incarnation.clone();
-        // What the former process held, failed and was passed over for says nothing of the new one.
-        *self = Self::new(backend, Some(former));
-        EntryChange::StartedAgain(ended)
-    }
-
-    fn is_silent(&self, now: Instant) -> bool {
-        let since = self.silent_since;
-        since.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
-    }
-
-    fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
-    }
-
-    /// Requests of other gateways, by the last report, which fades with age.
-    fn others(&self, now: Instant) -> f32 {
-        let Some(report) = self.report else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(report.at);
-        let faded = 1.0 - age.as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
-        report.others as f32 * faded.max(0.0)
-    }
-
-    /// Requests that it is believed to hold, in whole ones: a report that has only begun to fade is
-    /// not a free slot.
-    fn held(&self, now: Instant) -> u32 {
-        self.in_flight + self.others(now).round() as u32
-    }
-
-    fn load(&self, now: Instant) -> f32 {
-        (self.in_flight as f32 + self.others(now)) / self.slots()
-    }
-
-    /// Requests that a load allows, in whole ones: what may start under a limit is not beyond it then.
-    fn allowed(&self, load: f32) -> u32 {
-        (self.slots() * load).round() as u32
-    }
-
-    fn slots(&self) -> f32 {
-        self.backend.slots.max(1) as f32
-    }
-
-    fn eject(&mut self, now: Instant) {
-        let length = EJECTION * 2_u32.saturating_pow(self.ejections.min(8));
-        self.ejections += 1;
-        self.failures = 0;
-        self.ejected_until = Some(now + length.min(LONGEST_EJECTION));
-    }
-}
-
 /// What a request needs of a back end.
 pub struct Wanted<'a> {
     /// Service.
@@ -190,6 +89,19 @@
     pub affinity: Option<u64>,
     /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
+    /// Time within which it is to begin, where it is let in by room; `None`: whenever.
+    pub begin_within: Option<Duration>,
+}
+
+/// What is left of a service's places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlaceSupply {
+    /// So many that any may be taken.
+    Plenty,
+    /// So few that each node takes its own.
+    Scarce,
+    /// Nobody has told.
+    Unknown,
 }
 
 /// All back ends.
@@ -198,6 +110,9 @@
     zone: ZoneName,
     states: HashMap<BackendName, State>,
     by_service: HashMap<ServiceName, Vec<BackendName>>,
+    rooms: HashMap<ServiceName, ServiceRoom>,
+    /// When the last picture was taken in of what others have under way.
+    pictured_at: Option<Instant>,
     /// Time between two pictures of what others have under way.
     picture_interval: Duration,
 }
@@ -209,6 +124,8 @@
             zone,
             states: HashMap::new(),
             by_service: HashMap::new(),
+            rooms: HashMap::new(),
+            pictured_at: None,
             picture_interval: Duration::ZERO,
         }
     }
@@ -308,14 +225,11 @@
         self.states.is_empty()
     }
 
-    /// The back end that takes a request; `None` if none may.
-    pub fn choose(
-        &self,
-        now: Instant,
-        wanted: &Wanted<'_>,
-        random: &mut impl Rng,
-    ) -> Option<Backend> {
-        let names = self.by_service.get(wanted.service)?;
+    /// Back ends that a request may go to, those that are trusted if there are any.
+    fn usable(&self, now: Instant, wanted: &Wanted<'_>) -> Vec<&State> {
+        let Some(names) = self.by_service.get(wanted.service) else {
+            return Vec::new();
+        };
         let usable: Vec<&State> = names
             .iter()
             .filter_map(|one| self.states.get(one))
@@ -328,10 +242,66 @@
             .copied()
             .collect();
         // If all are ejected, the cause is more likely on this side: any is better than none.
-        let states = if trusted.is_empty() { usable } else { trusted };
-        let states: Vec<&State> = states
+        if trusted.is_empty() { usable } else { trusted }
+    }
+
+    fn room(&self, service: &ServiceName) -> ServiceRoom {
+        self.rooms.get(service).cloned().unwrap_or_default()
+    }
+
+    /// How many of the places are left at back ends, as far as this node knows.
+    fn supply(
+        &self,
+        now: Instant,
+        usable: &[&State],
+        room: &ServiceRoom,
+        begin_within: Duration,
+    ) -> PlaceSupply {
+        let pictured = self
+            .picture_age(now)
+            .is_some_and(|age| age <= KNOWN_PICTURE);
+        if !pictured && !room.is_reported(now) {
+            return PlaceSupply::Unknown;
+        }
+        let free = usable
+            .iter()
+            .map(|state| state.free_places(now, room, begin_within));
+        let all = usable
+            .iter()
+            .map(|state| room.places(state.slots(), begin_within));
+        match free.sum::<f32>() > all.sum::<f32>() * PLENTY {
+            true => PlaceSupply::Plenty,
+            false => PlaceSupply::Scarce,
+        }
+    }
+
+    /// Whether a request that is let in by room may go to a back end.
+    fn may_take(state: &State, now: Instant, room: &ServiceRoom, supply: PlaceSupply) -> bool {
+        match supply {
+            PlaceSupply::Plenty => true,
+            PlaceSupply::Scarce => state.claims.has_any(now),
+            PlaceSupply::Unknown => room.allows_unknown(now),
+        }
+    }
+
+    /// The back end that takes a request; `None` if none may.
+    pub fn choose(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        random: &mut impl Rng,
+    ) -> Option<Backend> {
+        let usable = self.usable(now, wanted);
+        let room = self.room(wanted.service);
+        let supply = wanted
+            .begin_within
+            .map(|begin_within| self.supply(now, &usable, &room, begin_within));
+        let may_take =
+            |state: &State| supply.is_none_or(|supply| Self::may_take(state, now, &room, supply));
+        let states: Vec<&State> = usable
             .into_iter()
             .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
+            .filter(|state| may_take(state))
             .collect();
         let candidates: Vec<Candidate> = states
             .iter()
@@ -345,6 +315,33 @@
         Some(states[position].backend.clone())
     }
 
+    /// Returns what room there is for a request that is to begin within a time; `None` if no back end may
+    /// take it.
+    pub fn outlook(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        begin_within: Duration,
+    ) -> Option<RoomOutlook> {
+        let usable = self.usable(now, wanted);
+        let room = self.room(wanted.service);
+        let delays = usable.iter().map(|state| state.begin_delay(now, &room));
+        let begin_delay = delays.min()?;
+        let supply = self.supply(now, &usable, &room, begin_within);
+        let mut states = usable.iter();
+        Some(RoomOutlook {
+            has_place: states.any(|state| Self::may_take(state, now, &room, supply)),
+            is_scarce: supply == PlaceSupply::Scarce,
+            begin_delay,
+            age: self.picture_age(now),
+        })
+    }
+
+    fn picture_age(&self, now: Instant) -> Option<Duration> {
+        let at = self.pictured_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
     /// Load of a back end in requests per slot, as believed.
     pub fn load(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
         self.state(incarnation).map(|state| state.load(now))
@@ -377,10 +374,33 @@
     }
 
     /// Takes in what other nodes have under way; back ends that are not named are idle.
-    pub fn learned_others(&mut self, now: Instant, others: &HashMap<BackendName, u32>) {
+    pub fn learned_others(
+        &mut self,
+        now: Instant,
+        others: &HashMap<BackendName, u32>,
+        random: &mut impl Rng,
+    ) {
+        self.pictured_at = Some(now);
+        let mut parts: HashMap<ServiceName, OwnPart> = HashMap::new();
         for (name, state) in &mut self.states {
             let others = others.get(name).copied().unwrap_or(0);
-            state.report = Some(Report { others, at: now });
+            let picture = Report {
+                others,
+                at: now,
+                is_own: false,
+            };
+            state.picture = Some(picture);
+            state.report = Some(picture);
+            let part = parts.entry(state.backend.service.clone()).or_default();
+            part.own += state.in_flight;
+            part.all += state.in_flight + others;
+        }
+        for state in self.states.values_mut() {
+            let service = &state.backend.service;
+            let room = self.rooms.get(service).cloned().unwrap_or_default();
+            let free = state.free_places(now, &room, Duration::ZERO);
+            let part = parts.get(service).map_or(0.0, OwnPart::of_room);
+            state.claims.deal(now, free, part, random);
         }
     }
 
@@ -398,10 +418,14 @@
 
     /// A request is about to be sent.
     pub fn started(&mut self, now: Instant, incarnation: &Incarnation) {
-        if let Some(state) = self.state_mut(incarnation) {
-            state.in_flight += 1;
-            state.silent_since.get_or_insert(now);
-        }
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        state.in_flight += 1;
+        state.claims.take(now);
+        state.silent_since.get_or_insert(now);
+        let service = state.backend.service.clone();
+        self.rooms.entry(service).or_default().sent(now);
     }
 
     /// Something of an answer has arrived.
@@ -411,25 +435,48 @@
         }
     }
 
+    /// A request of a service has ended well: its answer began after `began_after`, and went on for `rest`.
+    pub fn served(&mut self, service: &ServiceName, began_after: Duration, rest: Duration) {
+        let room = self.rooms.entry(service.clone()).or_default();
+        room.served(began_after, rest);
+    }
+
     /// A request has ended, however.
-    pub fn ended(&mut self, incarnation: &Incarnation) {
-        if let Some(state) = self.state_mut(incarnation) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-            if state.in_flight == 0 {
-                state.silent_since = None;
-            }
+    pub fn ended(&mut self, now: Instant, incarnation: &Incarnation) {
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        if state.in_flight == 0 {
+            state.silent_since = None;
+        }
+        let service = state.backend.service.clone();
+        let room = self.room(&service);
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        // Where others wait in line, one of them takes the place.
+        if state.free_places(now, &room, Duration::ZERO) > 0.0 {
+            state.claims.left(now);
         }
     }
 
     /// Takes in the load that an answer told.
     pub fn reported(&mut self, now: Instant, incarnation: &Incarnation, load: ReportedLoad) {
-        if let Some(state) = self.state_mut(incarnation) {
-            let all = load.running + load.waiting;
-            state.report = Some(Report {
-                others: all.saturating_sub(state.in_flight),
-                at: now,
-            });
-        }
+        let Some(state) = self.state_mut(incarnation) else {
+            return;
+        };
+        let all = load.running + load.waiting;
+        let others = all.saturating_sub(state.in_flight);
+        state.report = Some(Report {
+            others,
+            at: now,
+            is_own: true,
+        });
+        let beyond = (others as f32 - state.pictured(now)) / state.slots();
+        let service = state.backend.service.clone();
+        let room = self.rooms.entry(service).or_default();
+        room.found_unseen(now, beyond);
     }
 
     /// A back end has ended, as this node or another one saw: it is passed over for about as long as its entry
@@ -461,6 +508,7 @@
                 state.report = Some(Report {
                     others: state.backend.slots * 2,
                     at: now,
+                    is_own: true,
                 });
                 return false;
             }
