--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leaving;
 pub mod metrics;
 pub mod overload;
+pub mod pressure;
 pub mod refusal;
 pub mod serve;
 pub mod split;
--- a/crates/firshore-gateway/tests/room.rs
+++ b/crates/firshore-gateway/tests/room.rs
@@ -92,7 +92,7 @@
         for number in 0..4 {
             fleet.started(now, &incarnation((node + number) as usize % 20));
         }
-        let others = vec![10 - 3; 20];
+        let others = [10 - 3; 20];
         let others = others.iter().enumerate();
         let others = others.map(|(number, held)| (incarnation(number).name, *held));
         let mut random = ChaCha8Rng::seed_from_u64(u64::from(node));
@@ -227,3 +227,27 @@
     assert!(at.has_place);
     assert!(!at.is_scarce);
 }
+
+#[test]
+fn how_full_a_service_is_and_what_pictures_leave_out_are_told_apart() {
+    let now = Instant::now();
+    let mut fleet = fleet(3);
+    let service = ServiceName::from("llm");
+    pictured(&mut fleet, now, &[2, 4, 0]);
+    fleet.started(now, &incarnation(2));
+    let occupancy = fleet.occupancy(now, &service);
+    assert_eq!((occupancy.slots, occupancy.held), (3 * SLOTS, 7));
+    assert_eq!(fleet.unseen(now, &service), 0.0);
+    for _ in 0..30 {
+        let load = ReportedLoad {
+            running: 6,
+            waiting: 0,
+            slots: SLOTS,
+        };
+        fleet.reported(now, &incarnation(0), load);
+    }
+    let unseen = fleet.unseen(now, &service);
+    assert!((0.45..=0.5).contains(&unseen), "4 of 8 slots: {unseen}");
+    assert_eq!(fleet.unseen(now, &"desk".into()), 0.0);
+    assert_eq!(fleet.occupancy(now, &"desk".into()).slots, 0);
+}
