Trial: whose share a request is, joined to admission where places are scarce

Room is taken as all slots by the mean time in a slot. A request is asked about once, when the service is first seen to be full, and keeps its standing while it waits.

--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -346,6 +346,13 @@
         })
     }
 
+    /// Returns the requests a second that back ends of a service begin where all their slots are taken.
+    pub fn begin_rate(&self, now: Instant, wanted: &Wanted<'_>) -> f64 {
+        let usable = self.usable(now, wanted);
+        let slots = usable.iter().map(|state| state.slots());
+        self.room(wanted.service).begin_rate(slots.sum())
+    }
+
     fn picture_age(&self, now: Instant) -> Option<Duration> {
         let at = self.pictured_at?;
         Some(now.saturating_duration_since(at))
--- a/crates/firshore-gateway/src/fleet/room.rs
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -122,6 +122,11 @@
         at.is_some_and(|at| now.saturating_duration_since(at) < UNSEEN_LIFETIME)
     }
 
+    /// Returns the requests a second that begin at so many slots, where all are taken.
+    pub(super) fn begin_rate(&self, slots: f32) -> f64 {
+        f64::from(slots) / self.slot_time.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the time for which a request that finds `held` others waits for one of `slots`.
     pub(super) fn begin_delay(&self, held: f32, slots: f32) -> Duration {
         let before = (held + 1.0 - slots).max(0.0);
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -9,6 +9,8 @@
 use firshore_adapter::backend::Backend;
 use firshore_admission::admission::{self, Admission, AdmissionAsk, RoomOutlook, ShareStanding};
 use firshore_admission::returns::ReturnTime;
+use firshore_admission::shares::{CallerRank, ShareAsk};
+use firshore_limits::report::TenantDigest;
 use firshore_types::error::ErrorCode;
 use slog::info;
 use std::time::Instant;
@@ -41,16 +43,21 @@
             let has_returned = self.ask(false).has_returned();
             let mut random = self.gateway.random.borrow_mut();
             control.asked(Instant::now(), &self.service, has_returned, &mut *random);
+            self.note_arrival();
         }
         let rank = control.rank(self.priority(), self.ask(false).has_returned());
         let mut place: Option<LinePlace<'_>> = None;
         loop {
             let changed = control.changed();
             let now = Instant::now();
-            let ask = self.ask(control.is_behind_others(&self.service, rank));
-            let Some(outlook) = self.outlook(now, &ask) else {
+            let behind_others = control.is_behind_others(&self.service, rank);
+            let Some(outlook) = self.outlook(now, &self.ask(behind_others)) else {
                 return Ok(Found::Nobody);
             };
+            if outlook.is_scarce {
+                self.find_standing(now);
+            }
+            let ask = self.ask(behind_others);
             let wait = match admission::decide(&ask, &outlook) {
                 Admission::Send => match self.choose(Some(ask.begin_within())) {
                     Some(backend) => {
@@ -93,21 +100,54 @@
             timeout,
             time_left: self.terms.deadline.unwrap_or(timeout),
             age: self.request.arrived.elapsed(),
-            standing: ShareStanding::Within,
+            standing: self.standing.get().unwrap_or(ShareStanding::Within),
             behind_others,
         }
     }
 
-    fn outlook(&self, now: Instant, ask: &AdmissionAsk) -> Option<RoomOutlook> {
-        let wanted = Wanted {
+    fn share_ask(&self) -> Option<ShareAsk<'_>> {
+        let tenant = self.tenant.as_deref()?;
+        Some(ShareAsk {
+            service: &self.service,
+            tenant: TenantDigest::from(&tenant.name),
+            rank: CallerRank::new(tenant.priority, self.route.priority),
+        })
+    }
+
+    fn note_arrival(&self) {
+        if let Some(ask) = self.share_ask() {
+            let mut shares = self.gateway.shares.borrow_mut();
+            shares.arrived(Instant::now(), &ask);
+        }
+    }
+
+    /// Finds out once whose share of the full service the request is: asked again, it would count again. One that
+    /// was let in before stays within.
+    fn find_standing(&self, now: Instant) {
+        if self.standing.get().is_some() || self.attempts.sends() > 0 {
+            return;
+        }
+        let Some(ask) = self.share_ask() else {
+            return;
+        };
+        let room = self.gateway.fleet.borrow().begin_rate(now, &self.wanted());
+        let mut shares = self.gateway.shares.borrow_mut();
+        self.standing.set(Some(shares.standing(now, &ask, room)));
+    }
+
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
             service: &self.service,
             attempts: &self.attempts,
             affinity: None,
             load_limit: f32::INFINITY,
             begin_within: None,
-        };
+        }
+    }
+
+    fn outlook(&self, now: Instant, ask: &AdmissionAsk) -> Option<RoomOutlook> {
         let fleet = self.gateway.fleet.borrow();
-        fleet.outlook(now, &wanted, ask.begin_within())
+        fleet.outlook(now, &self.wanted(), ask.begin_within())
     }
 
     fn note_let_in(&self, waited: bool) {
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -25,13 +25,14 @@
 use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_admission::admission::ShareStanding;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use firshore_types::ids::ServiceName;
 use headers::end_to_end;
 use slog::{info, warn};
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -108,6 +109,8 @@
     last_send: Option<LastSend>,
     /// What it asks, once somebody wanted to know.
     print: OnceCell<RequestPrint>,
+    /// Whether its tenant is within its share, once the service was full.
+    standing: Cell<Option<ShareStanding>>,
     /// How it ended for the caller.
     end: RequestEnd,
 }
@@ -140,6 +143,7 @@
         failure: None,
         last_send: None,
         print: OnceCell::new(),
+        standing: Cell::default(),
         end: RequestEnd::Answered,
     };
     let handled = match forwarding.run(connection).await {
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_admission::shares::ShareTable;
 use firshore_crashes::print::{PrintKey, RequestPrint};
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
 use firshore_limits::report::{UsageNews, UseReport};
@@ -96,6 +97,8 @@
     pub crashes: Rc<CrashMonitor>,
     /// Requests that wait for room.
     pub overload: Rc<OverloadControl>,
+    /// Whose share of a full service's room a request is.
+    pub shares: RefCell<ShareTable>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -160,6 +163,7 @@
             print_key: PrintKey::new(&random.random::<[u8; 32]>()),
             crashes: Rc::new(crashes),
             overload: Rc::default(),
+            shares: ShareTable::new(random.random()).into(),
             random: random.into(),
             metrics,
             crowded: Notify::new(),
@@ -311,7 +315,10 @@
         let mut limiter = self.limiter.borrow_mut();
         match news {
             Some((at, news)) => limiter.answered(at, news),
-            None => limiter.unanswered(),
+            None => return limiter.unanswered(),
+        }
+        if let Some((at, demands)) = limiter.known_demand() {
+            self.shares.borrow_mut().told(at, demands);
         }
     }
 
