--- a/crates/firshore-gateway/src/fleet/room.rs
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -159,6 +159,11 @@
         expected + Duration::from_secs_f64(excess)
     }
 
+    /// Returns the requests a second that begin at so many slots, where all are taken.
+    pub(super) fn begin_rate(&self, slots: f32) -> f64 {
+        f64::from(slots) / self.slot_time.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the time for which a request that finds `held` others waits for one of `slots`.
     pub(super) fn begin_delay(&self, held: f32, slots: f32) -> Duration {
         let before = (held + 1.0 - slots).max(0.0);
