--- a/crates/firshore-adapter/src/backend.rs
+++ b/crates/firshore-adapter/src/backend.rs
@@ -5,6 +5,7 @@
 use actix_http::header::HeaderMap;
 use firshore_types::ids::{ServiceName, TenantName, ZoneName};
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 /// A back end as the directory lists it.
@@ -33,6 +34,32 @@
     pub waiting: u32,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// How long work takes there at present, where it is told.
+    pub pace: Option<Pace>,
+}
+
+/// How long work takes at a back end, as a part of the usual time in hundredths: 200 is half as fast as usual.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Pace(NonZeroU32);
+
+impl Pace {
+    /// As long as usual.
+    pub const USUAL: Self = Self(NonZeroU32::new(100).expect("100 is not 0"));
+
+    /// A pace in hundredths of the usual time; `None` for 0, as no work takes no time.
+    pub fn from_hundredths(hundredths: u32) -> Option<Self> {
+        NonZeroU32::new(hundredths).map(Self)
+    }
+
+    /// Returns the pace in hundredths of the usual time.
+    pub fn hundredths(self) -> u32 {
+        self.0.get()
+    }
+
+    /// Returns how many times the usual time work takes.
+    pub fn factor(self) -> f32 {
+        self.0.get() as f32 / Self::USUAL.0.get() as f32
+    }
 }
 
 /// Whether an answer says that the request ran.
--- a/crates/firshore-gateway/src/choice.rs
+++ b/crates/firshore-gateway/src/choice.rs
@@ -34,6 +34,9 @@
 /// Room in back ends below which it says nothing.
 const LEAST_ROOM: f32 = 0.1;
 
+/// Load that a pace of twice the usual time weighs while slots are free.
+const SLOWNESS_WEIGHT: f32 = 0.2;
+
 /// Width of the random part of a score, so that gateways with the same picture do not all choose
 /// the same back end.
 const JITTER: f32 = 0.06;
@@ -54,10 +57,30 @@
     pub identity: u64,
     /// Requests that it is believed to hold, per slot.
     pub load: f32,
+    /// How many times the usual time work takes there; 1 where that is not known.
+    pub pace: f32,
+    /// Part of its slots that come free before the next picture; 0 where no pace is known.
+    pub turnover: f32,
     /// Whether it stands in the gateway's zone.
     pub at_home: bool,
 }
 
+impl Candidate {
+    /// Load of a back end of usual pace that is worth as much: up to its slots the time that a slow one takes
+    /// weighs little, what waits beyond them waits as many times longer.
+    fn load_at_usual_pace(&self) -> f32 {
+        let waiting = (self.load - 1.0).max(0.0);
+        self.load + (waiting + SLOWNESS_WEIGHT) * (self.pace - 1.0)
+    }
+
+    /// Part of its slots that is free before the next picture, as many as a back end of usual pace would need
+    /// to get through as much: back ends of any pace are then equally full.
+    fn room(&self) -> f32 {
+        let freed = self.load.min(1.0) * self.turnover;
+        (1.0 - self.load + freed).max(0.0) / self.pace
+    }
+}
+
 /// The hash under which requests that share the beginning of their prompt meet: of all parts but
 /// the last, which is the request's own.
 pub fn affinity_key(prompt: &[PromptPart]) -> Option<u64> {
@@ -102,12 +125,15 @@
             true => 1.0,
             false => ELSEWHERE_WEIGHT,
         };
-        (1.0 - candidate.load).max(0.0) * weight
+        candidate.room() * weight
     };
-    let all: f32 = candidates.iter().map(room).sum();
-    if all < LEAST_ROOM {
+    let free = candidates
+        .iter()
+        .map(|candidate| (1.0 - candidate.load).max(0.0));
+    if free.sum::<f32>() < LEAST_ROOM {
         return None;
     }
+    let all: f32 = candidates.iter().map(room).sum();
     let mut drawn = random.random_range(0.0..all);
     candidates.iter().position(|candidate| {
         drawn -= room(candidate);
@@ -120,7 +146,7 @@
     candidates
         .iter()
         .enumerate()
-        .filter(|(_, candidate)| candidate.load < AFFINITY_LOAD)
+        .filter(|(_, candidate)| candidate.load_at_usual_pace() < AFFINITY_LOAD)
         .max_by_key(|(_, candidate)| rank(candidate))
         .map(|(position, _)| position)
 }
@@ -142,7 +168,7 @@
             true => 0.0,
             false => OTHER_ZONE_PENALTY,
         };
-        let score = candidate.load + distance + random.random_range(0.0..JITTER);
+        let score = candidate.load_at_usual_pace() + distance + random.random_range(0.0..JITTER);
         if best.is_none_or(|(_, lowest)| score < lowest) {
             best = Some((position, score));
         }
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -7,7 +7,8 @@
 
 use crate::attempts::Attempts;
 use crate::choice::{self, Candidate, Placement};
-use firshore_adapter::backend::{Backend, ReportedLoad};
+use crate::pace::AnswerQuality;
+use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_admission::admission::RoomOutlook;
 use firshore_exchange::endpoint::Endpoint;
@@ -55,6 +56,8 @@
 pub enum Impression {
     /// It answered.
     Answered,
+    /// It answered that it failed.
+    Failed,
     /// It said that it is full.
     Full,
     /// It could not be reached, or another process has its address.
@@ -82,6 +85,15 @@
     Outdated(Incarnation),
 }
 
+/// Pace that a back end told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedPace {
+    /// Back end.
+    pub backend: BackendName,
+    /// How long work takes there.
+    pub pace: Pace,
+}
+
 /// What a request needs of a back end.
 pub struct Wanted<'a> {
     /// Service.
@@ -92,10 +104,35 @@
     pub affinity: Option<u64>,
     /// Load in requests per slot that a back end may have with this request.
     pub load_limit: f32,
+    /// Time within which an answer that does not wait must be expected to begin while others have room;
+    /// `None`: whenever.
+    pub answer_within: Option<Duration>,
     /// Time within which it is to begin, where it is let in by room; `None`: whenever.
     pub begin_within: Option<Duration>,
 }
 
+/// Back ends that answer in time, if any of them has room: one that turned slow would make late what any other
+/// does in time, and is better than none.
+fn quick_enough<'a>(
+    now: Instant,
+    wanted: &Wanted<'_>,
+    room: &ServiceRoom,
+    states: Vec<&'a State>,
+) -> Vec<&'a State> {
+    let Some(answer_within) = wanted.answer_within else {
+        return states;
+    };
+    let is_quick = |state: &&State| match state.pace.pace(now) {
+        Some(_) => room.answer_time(state.pace.factor(now)) <= answer_within,
+        None => true,
+    };
+    let quick: Vec<&State> = states.iter().copied().filter(is_quick).collect();
+    match quick.iter().any(|state| state.load(now) < 1.0) {
+        true => quick,
+        false => states,
+    }
+}
+
 /// What a node knows of a service's places.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlaceSupply {
@@ -340,11 +377,15 @@
             .filter(|state| state.held(now) < state.allowed(wanted.load_limit))
             .filter(|state| may_take(state))
             .collect();
+        let states = quick_enough(now, wanted, &room, states);
+        let until_next = self.picture_interval;
         let candidates: Vec<Candidate> = states
             .iter()
             .map(|state| Candidate {
                 identity: state.identity,
                 load: state.load(now),
+                pace: state.pace.factor(now),
+                turnover: room.turnover(until_next, state.pace.factor(now)),
                 at_home: state.backend.zone == self.zone,
             })
             .collect();
@@ -398,6 +439,11 @@
         self.state(incarnation).map(|state| state.load(now))
     }
 
+    /// How many times the usual time work takes at a back end, as believed; `None` where nothing tells it.
+    pub fn pace(&self, now: Instant, incarnation: &Incarnation) -> Option<f32> {
+        self.state(incarnation)?.pace.pace(now)
+    }
+
     /// Load in requests a slot that pictures do not show, as back ends of a service report it.
     pub fn unseen(&self, now: Instant, service: &ServiceName) -> f32 {
         let room = self.rooms.get(service);
@@ -568,9 +614,42 @@
             is_own: true,
         });
         let beyond = (others as f32 - state.pictured(now)) / state.slots();
+        let pace = load.pace.map(|pace| {
+            state.untold_pace = Some(pace);
+            state.pace.told(now, pace);
+            state.pace.factor(now)
+        });
         let service = state.backend.service.clone();
         let room = self.rooms.entry(service).or_default();
         room.found_unseen(now, beyond);
+        if let Some(pace) = pace {
+            room.told_pace(pace);
+        }
+    }
+
+    /// Returns what back ends told this node of their pace since it was asked last, for others.
+    pub fn take_untold_paces(&mut self) -> Vec<NamedPace> {
+        let states = self.states.iter_mut();
+        let paces = states.filter_map(|(name, state)| {
+            Some(NamedPace {
+                backend: name.clone(),
+                pace: state.untold_pace.take()?,
+            })
+        });
+        paces.collect()
+    }
+
+    /// Takes in what back ends told other nodes of their pace a moment ago.
+    pub fn learned_paces(&mut self, now: Instant, paces: Vec<NamedPace>) {
+        for one in paces {
+            let Some(state) = self.states.get_mut(&one.backend) else {
+                continue;
+            };
+            state.pace.told(now, one.pace);
+            let service = state.backend.service.clone();
+            let room = self.rooms.entry(service).or_default();
+            room.told_pace(state.pace.factor(now));
+        }
     }
 
     /// A back end has ended, as this node or another one saw: it is passed over for about as long as its entry
@@ -592,7 +671,12 @@
             return false;
         };
         match seen {
-            Impression::Answered => {
+            Impression::Answered | Impression::Failed => {
+                let quality = match seen {
+                    Impression::Failed => AnswerQuality::Failed,
+                    _ => AnswerQuality::Good,
+                };
+                state.pace.answered(now, quality);
                 state.failures = 0;
                 state.ejections = 0;
                 state.ejected_until = None;
@@ -607,7 +691,10 @@
                 return false;
             }
             Impression::Unreachable => state.failures = FAILURES_TO_EJECT,
-            Impression::Broke => state.failures += 1,
+            Impression::Broke => {
+                state.pace.answered(now, AnswerQuality::Failed);
+                state.failures += 1;
+            }
         }
         if state.failures < FAILURES_TO_EJECT {
             return false;
--- a/crates/firshore-gateway/src/fleet/room.rs
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -33,6 +33,9 @@
 /// Time after which the last answer that came later than expected counts for nothing.
 const EXCESS_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Weight of one told pace in the mean: that of some tens of back ends is their own, not the service's.
+const PACE_WEIGHT: f32 = 0.02;
+
 /// Load beyond the pictures that is believed at most, in requests a slot: what waits beyond it is
 /// rejected by back ends themselves.
 const MOST_UNSEEN: f32 = 4.0;
@@ -60,6 +63,10 @@
     /// Seconds that requests waited longer than was expected when they were sent; negative: less long.
     excess: f64,
     excess_at: Option<Instant>,
+    /// Mean pace of the back ends that the time in a slot is of, as a factor of the usual time.
+    mean_pace: f32,
+    /// Pace of the quickest.
+    best_pace: Option<f32>,
     /// When the last requests were sent, the latest last.
     sent: [Option<Instant>; FIRST_REQUESTS],
 }
@@ -73,6 +80,8 @@
             unseen_at: None,
             excess: 0.0,
             excess_at: None,
+            mean_pace: 1.0,
+            best_pace: None,
             sent: [None; FIRST_REQUESTS],
         }
     }
@@ -164,10 +173,38 @@
         f64::from(slots) / self.slot_time.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    /// Returns the time for which a request that finds `held` others waits for one of `slots`.
-    pub(super) fn begin_delay(&self, held: f32, slots: f32) -> Duration {
+    /// Takes in how many times the usual time work took at a back end that answered.
+    pub(super) fn told_pace(&mut self, pace: f32) {
+        self.mean_pace += PACE_WEIGHT * (pace - self.mean_pace);
+        self.best_pace = Some(match self.best_pace {
+            Some(best) if pace > best => best + QUICKEST_WEIGHT as f32 * (pace - best),
+            _ => pace,
+        });
+    }
+
+    /// Returns the time for which a request that finds `held` others waits for one of `slots` at a back end
+    /// where work takes `pace` times the usual time.
+    pub(super) fn begin_delay(&self, held: f32, slots: f32, pace: f32) -> Duration {
         let before = (held + 1.0 - slots).max(0.0);
-        self.slot_time.mul_f32(before / slots)
+        let slot_time = self.slot_time.mul_f32(pace / self.mean_pace);
+        slot_time.mul_f32(before / slots)
+    }
+
+    /// Returns the time until an answer begins that does not wait, at a back end where work takes `pace` times
+    /// the usual time.
+    pub(super) fn answer_time(&self, pace: f32) -> Duration {
+        let best = self.best_pace.unwrap_or(1.0);
+        self.quickest.unwrap_or_default().mul_f32(pace / best)
+    }
+
+    /// Returns the part of the busy slots that come free within a time, at a back end where work takes `pace`
+    /// times the usual time; 0 where no back end tells its pace.
+    pub(super) fn turnover(&self, within: Duration, pace: f32) -> f32 {
+        if self.best_pace.is_none() {
+            return 0.0;
+        }
+        let slot_time = self.slot_time.mul_f32(pace / self.mean_pace);
+        (within.as_secs_f32() / slot_time.as_secs_f32().max(f32::MIN_POSITIVE)).min(1.0)
     }
 
     /// Returns how many requests a back end with so many slots may hold, so that the last of them begins in time.
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -3,7 +3,8 @@
 use super::EntryChange;
 use super::claims::PlaceClaims;
 use super::room::ServiceRoom;
-use firshore_adapter::backend::Backend;
+use crate::pace::PaceEstimate;
+use firshore_adapter::backend::{Backend, Pace};
 use firshore_adapter::incarnation::Incarnation;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -60,6 +61,10 @@
     pub(super) picture: Option<Report>,
     /// Places that are this node's to take.
     pub(super) claims: PlaceClaims,
+    /// How long work takes there.
+    pub(super) pace: PaceEstimate,
+    /// What it told last of that and this node has told nobody yet.
+    pub(super) untold_pace: Option<Pace>,
     pub(super) failures: u32,
     pub(super) ejections: u32,
     pub(super) ejected_until: Option<Instant>,
@@ -77,6 +82,8 @@
             report: None,
             picture: None,
             claims: PlaceClaims::default(),
+            pace: PaceEstimate::default(),
+            untold_pace: None,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -145,7 +152,7 @@
     /// Time after which a request sent now would begin, as `room` tells of the service.
     pub(super) fn begin_delay(&self, now: Instant, room: &ServiceRoom) -> Duration {
         let held = self.held_with_unseen(now, room);
-        room.begin_delay(held, self.slots())
+        room.begin_delay(held, self.slots(), self.pace.factor(now))
     }
 
     /// Requests that it may take beyond those that it holds, so that all begin in time.
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -88,6 +88,8 @@
     at: Instant,
     /// Requests per slot that the back end was believed to hold.
     load: f32,
+    /// How many times the usual time work was believed to take there.
+    pace: Option<f32>,
     /// Time for which it was expected to wait there.
     expected_wait: Duration,
     /// Time until the head of its answer came.
@@ -272,6 +274,7 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
+            answer_within: Some(self.route.objective),
             begin_within,
         };
         let mut random = self.gateway.random.borrow_mut();
@@ -306,10 +309,12 @@
         let now = Instant::now();
         let fleet = self.gateway.fleet.borrow();
         let load = fleet.load(now, &backend.incarnation);
+        let pace = fleet.pace(now, &backend.incarnation);
         self.last_send = Some(LastSend {
             backend: backend.incarnation.clone(),
             at: now,
             load: load.unwrap_or(0.0),
+            pace,
             expected_wait: fleet.begin_delay(now, &backend.incarnation),
             began_after: None,
         });
@@ -410,7 +415,7 @@
             "age_ms" => age.as_millis() as u64,
             "objective_ms" => self.route.objective.as_millis() as u64,
             "at_backend_ms" => send.at.elapsed().as_millis() as u64,
-            "load_when_sent" => send.load, "sends" => self.attempts.sends());
+            "load_when_sent" => send.load, "pace_when_sent" => send.pace, "sends" => self.attempts.sends());
     }
 
     fn note_answer(&self, backend: &Backend, answer: &AnswerHead) {
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -42,8 +42,11 @@
                 ExchangeError::Lost("a success that the back end does not vouch for".into());
             return Ok(self.lost(backend, &error));
         }
-        self.gateway
-            .observed(&backend.incarnation, Impression::Answered);
+        let seen = match head.status.is_server_error() {
+            true => Impression::Failed,
+            false => Impression::Answered,
+        };
+        self.gateway.observed(&backend.incarnation, seen);
         if promises_not_run(&head) {
             return Ok(Sent::Ended(SendEnd::Lost));
         }
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -1,6 +1,6 @@
 //! Decisions on the path of a request: sends, shares, events, back ends.
 
-use firshore_adapter::backend::{Backend, ReportedLoad};
+use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::caller::PromptPart;
 use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_adapter::route::{Repetition, Route, RouteTable, WeightedService};
@@ -48,6 +48,7 @@
         attempts,
         affinity,
         load_limit: f32::INFINITY,
+        answer_within: None,
         begin_within: None,
     };
     let found = fleet.choose(now, &wanted, &mut random);
@@ -241,6 +242,7 @@
         attempts: &attempts,
         affinity: None,
         load_limit: f32::INFINITY,
+        answer_within: None,
         begin_within: None,
     };
     let to_the_idle_one = (0..GATEWAYS)
@@ -283,6 +285,7 @@
         running: 3,
         waiting: 0,
         slots: 10,
+        pace: None,
     };
     fleet.reported(now, &incarnation("a"), load);
     assert_eq!(fleet.load(now, &incarnation("a")), Some(0.3));
@@ -372,6 +375,8 @@
     let candidate = |identity, load, at_home| Candidate {
         identity,
         load,
+        pace: 1.0,
+        turnover: 0.0,
         at_home,
     };
     // Room at home 0.5 and 0.25, elsewhere 0.5, which weighs 0.4 of that; none in the others.
@@ -406,6 +411,7 @@
         attempts: &attempts,
         affinity: None,
         load_limit: f32::INFINITY,
+        answer_within: None,
         begin_within: None,
     };
     let mut fleet = fleet(&["a", "b", "c"]);
@@ -426,6 +432,8 @@
     let candidate = |identity, load| Candidate {
         identity,
         load,
+        pace: 1.0,
+        turnover: 0.0,
         at_home: true,
     };
     let candidates = [candidate(1, 1.5), candidate(2, 1.0), candidate(3, 2.0)];
@@ -455,6 +463,7 @@
                 attempts: &attempts,
                 affinity: None,
                 load_limit: load,
+                answer_within: None,
                 begin_within: None,
             };
             let mut random = ChaCha8Rng::seed_from_u64(1);
@@ -469,3 +478,135 @@
         }
     }
 }
+
+fn reported(fleet: &mut Fleet, now: Instant, name: &str, pace: u32) {
+    let load = ReportedLoad {
+        running: 0,
+        waiting: 0,
+        slots: 10,
+        pace: Pace::from_hundredths(pace),
+    };
+    fleet.reported(now, &incarnation(name), load);
+}
+
+/// How often each of two back ends, `a` and `b`, is chosen in 2,000 draws.
+fn draws(fleet: &Fleet, now: Instant, answer_within: Option<Duration>) -> [usize; 2] {
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let service = "llm".into();
+    let wanted = Wanted {
+        service: &service,
+        attempts: &attempts,
+        affinity: None,
+        load_limit: f32::INFINITY,
+        answer_within,
+        begin_within: None,
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = [0; 2];
+    for _ in 0..2_000 {
+        let found = fleet.choose(now, &wanted, &mut random).unwrap();
+        counts[usize::from(found.incarnation == incarnation("b"))] += 1;
+    }
+    counts
+}
+
+#[test]
+fn slots_of_a_slow_back_end_count_for_less() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.set_picture_interval(Duration::from_millis(400));
+    reported(&mut fleet, now, "a", 60);
+    reported(&mut fleet, now, "b", 180);
+    let [fast, slow] = draws(&fleet, now, None);
+    assert!(
+        (1_420..1_580).contains(&fast),
+        "three times as many: {fast}, {slow}"
+    );
+    // Where pictures are current, the slow one is passed over until the others are clearly fuller.
+    fleet.set_picture_interval(Duration::from_millis(100));
+    assert_eq!(draws(&fleet, now, None), [2_000, 0]);
+    let crowded = HashMap::from([("a".into(), 8)]);
+    fleet.learned_others(now, &crowded, &mut ChaCha8Rng::seed_from_u64(1));
+    assert_eq!(draws(&fleet, now, None), [0, 2_000]);
+}
+
+#[test]
+fn a_back_end_too_slow_for_the_objective_gets_nothing_while_others_have_room() {
+    let now = Instant::now();
+    let objective = Some(Duration::from_millis(300));
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.set_picture_interval(Duration::from_millis(400));
+    fleet.served(
+        &"llm".into(),
+        Duration::from_millis(80),
+        Duration::from_millis(500),
+    );
+    reported(&mut fleet, now, "a", 100);
+    reported(&mut fleet, now, "b", 500);
+    assert_eq!(draws(&fleet, now, objective), [2_000, 0]);
+    let [_, slow] = draws(&fleet, now, None);
+    assert!(slow > 100, "without an objective it takes its part: {slow}");
+    let full = HashMap::from([("a".into(), 20)]);
+    fleet.learned_others(now, &full, &mut ChaCha8Rng::seed_from_u64(1));
+    assert_eq!(
+        draws(&fleet, now, objective),
+        [0, 2_000],
+        "late is better than never"
+    );
+}
+
+#[test]
+fn paces_that_other_nodes_heard_count_and_are_not_told_back() {
+    let now = Instant::now();
+    let (mut one, mut other) = (fleet(&["a", "b"]), fleet(&["a", "b"]));
+    one.set_picture_interval(Duration::from_millis(400));
+    assert_eq!(other.take_untold_paces(), []);
+    reported(&mut other, now, "b", 300);
+    let paces = other.take_untold_paces();
+    assert_eq!(paces.len(), 1);
+    assert_eq!(other.take_untold_paces(), [], "each is told once");
+    one.learned_paces(now, paces);
+    assert_eq!(one.take_untold_paces(), []);
+    let [_, slow] = draws(&one, now, None);
+    assert!(
+        (400..600).contains(&slow),
+        "a third of what the other gets: {slow}"
+    );
+}
+
+#[test]
+fn a_back_end_that_fails_fast_is_chosen_less() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.set_picture_interval(Duration::from_millis(400));
+    reported(&mut fleet, now, "a", 100);
+    reported(&mut fleet, now, "b", 60);
+    for _ in 0..20 {
+        fleet.observed(now, &incarnation("b"), Impression::Failed);
+    }
+    let [_, failing] = draws(&fleet, now, None);
+    assert!(failing < 700, "it would get 1,250 by its pace: {failing}");
+    assert!(failing > 100, "it is tried on: {failing}");
+}
+
+#[test]
+fn a_service_without_told_paces_is_served_as_before() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.set_picture_interval(Duration::from_millis(400));
+    fleet.served(
+        &"llm".into(),
+        Duration::from_millis(900),
+        Duration::from_millis(500),
+    );
+    for _ in 0..20 {
+        fleet.observed(now, &incarnation("b"), Impression::Failed);
+    }
+    let others = HashMap::from([("a".into(), 5)]);
+    fleet.learned_others(now, &others, &mut ChaCha8Rng::seed_from_u64(1));
+    let [half_full, idle] = draws(&fleet, now, Some(Duration::from_millis(300)));
+    assert!(
+        (600..733).contains(&half_full),
+        "by room: {half_full}, {idle}"
+    );
+}
--- a/crates/firshore-gateway/tests/overload/engine.rs
+++ b/crates/firshore-gateway/tests/overload/engine.rs
@@ -50,6 +50,7 @@
             running: self.running as u32,
             waiting: self.line.len() as u32,
             slots: SLOTS as u32,
+            pace: None,
         }
     }
 }
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -297,6 +297,7 @@
             attempts: &asking.attempts,
             affinity: None,
             load_limit: f32::INFINITY,
+            answer_within: None,
             begin_within: None,
         };
         let Some(outlook) = gateway.fleet.outlook(self.now, &wanted, ask.begin_within()) else {
--- a/crates/firshore-gateway/tests/room.rs
+++ b/crates/firshore-gateway/tests/room.rs
@@ -56,6 +56,7 @@
         attempts: &attempts,
         affinity: None,
         load_limit: f32::INFINITY,
+        answer_within: None,
         begin_within: None,
     };
     fleet.outlook(now, &wanted, BEGIN_WITHIN).unwrap()
@@ -66,6 +67,7 @@
         running,
         waiting,
         slots: SLOTS,
+        pace: None,
     };
     fleet.reported(now, &incarnation(number), load);
 }
@@ -243,6 +245,7 @@
             running: 6,
             waiting: 0,
             slots: SLOTS,
+            pace: None,
         };
         fleet.reported(now, &incarnation(0), load);
     }
--- a/crates/firshore-gateway/tests/successors.rs
+++ b/crates/firshore-gateway/tests/successors.rs
@@ -90,6 +90,7 @@
             attempts: &attempts,
             affinity: None,
             load_limit: f32::INFINITY,
+            answer_within: None,
             begin_within: None,
         };
         let backend = fleet.choose(now, &wanted, &mut random).unwrap();
@@ -127,6 +128,7 @@
         running: 9,
         waiting: 3,
         slots: 10,
+        pace: None,
     };
     fleet.reported(now, &old.incarnation, load);
     fleet.replace(vec![new.clone()]);
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -6,6 +6,7 @@
 use super::messages::{PeerRequest, PeerResponse};
 use super::registry::Registry;
 use crate::load_table::{BackendCount, ToldLoad};
+use crate::pace_table::BackendPace;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
 use firshore_adapter::route::Route;
@@ -64,6 +65,8 @@
     pub age: Duration,
     /// What tenants may still ask.
     pub news: Option<UsageNews>,
+    /// What back ends told others of their pace a moment ago.
+    pub paces: Vec<BackendPace>,
 }
 
 impl OthersLoad {
@@ -75,6 +78,7 @@
             pause: Duration::from_millis(pause),
             age: Duration::from_millis(age),
             news,
+            paces: Vec::new(),
         }
     }
 }
@@ -191,10 +195,12 @@
                 counts,
                 pause,
                 news,
+                paces,
                 ..
             }) => {
                 *self.leader.borrow_mut() = Some(target);
-                Some(OthersLoad::new(counts, pause, 0, news))
+                let others = OthersLoad::new(counts, pause, 0, news);
+                Some(OthersLoad { paces, ..others })
             }
             Tried::Elsewhere(leader) => {
                 *self.leader.borrow_mut() = leader;
@@ -220,11 +226,13 @@
                 age,
                 leader,
                 news,
+                paces,
             }) => {
                 if leader.is_some() {
                     *self.leader.borrow_mut() = leader;
                 }
-                Some(OthersLoad::new(counts, pause, age, news))
+                let others = OthersLoad::new(counts, pause, age, news);
+                Some(OthersLoad { paces, ..others })
             }
             Tried::Elsewhere(Some(leader)) => {
                 *self.leader.borrow_mut() = Some(leader);
@@ -249,6 +257,7 @@
             sums,
             pressures: told.pressures,
             uses: told.uses,
+            paces: told.paces,
         };
         self.try_one(target, request, Duration::ZERO).await
     }
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes.
 
 use crate::load_table::BackendCount;
+use crate::pace_table::BackendPace;
 use crate::relay::cache::{RelayContact, RelayedChanges, RelayedPage};
 use crate::runner::ItemKey;
 use crate::runner::handover::ProgressDelta;
@@ -139,6 +140,9 @@
         /// What tenants have asked the sender, where some have limits.
         #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
         uses: Option<UseReport>,
+        /// What back ends told the sender of their pace since it told last.
+        #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+        paces: Vec<BackendPace>,
     },
 }
 
@@ -181,6 +185,9 @@
         /// What tenants may still ask, for a node that told what they have.
         #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
         news: Option<UsageNews>,
+        /// What back ends told others of their pace since the node asked last.
+        #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+        paces: Vec<BackendPace>,
     },
     /// Objects of a kind.
     #[serde(rename = "o")]
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -8,6 +8,7 @@
 use super::{GROUP, Replica};
 use crate::load_table::{LoadTable, ToldLoad, as_counts};
 use crate::memory::{MemoryBudget, MemoryLedger, MemoryUse};
+use crate::pace_table::{PaceSource, PaceTable};
 use crate::relay::Relay;
 use crate::relay::loads::LoadRelay;
 use crate::runner::handover::ProgressDelta;
@@ -88,6 +89,8 @@
     pub table: RefCell<LoadTable>,
     /// Items of this node at each back end.
     pub own: RefCell<HashMap<BackendName, u32>>,
+    /// What back ends told them of their pace.
+    paces: RefCell<PaceTable>,
     /// How online requests of all nodes pressed, until the runner of items takes it.
     pub pressure: RefCell<PressureCount>,
     /// Woken when a node has told.
@@ -112,6 +115,7 @@
         Self {
             table: RefCell::default(),
             own: RefCell::default(),
+            paces: RefCell::default(),
             pressure: RefCell::default(),
             told: Notify::new(),
             crowded: Notify::new(),
@@ -134,6 +138,9 @@
         for (backend, count) in self.own.borrow().iter() {
             *others.entry(backend.clone()).or_default() += count;
         }
+        let asker = PaceSource::Node(node);
+        let mut paces = self.paces.borrow_mut();
+        paces.told(now, &asker, told.paces);
         self.told.notify_one();
         if told.urgent {
             self.crowded.notify_one();
@@ -144,6 +151,7 @@
             age: 0,
             leader: None,
             news,
+            paces: paces.news(now, &asker),
         }
     }
 
@@ -197,6 +205,7 @@
                 age: relayed.age.as_millis() as u64,
                 leader,
                 news: relayed.news,
+                paces: relayed.paces,
             },
         }
     }
@@ -278,6 +287,7 @@
             sums,
             pressures,
             uses,
+            paces,
         } = request
         {
             let told = ToldLoad {
@@ -285,6 +295,7 @@
                 urgent,
                 pressures,
                 uses,
+                paces,
             };
             let answer = self.load(node, told, sums);
             return std::future::ready(answer).boxed_local();
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod node;
 pub mod observation;
+pub mod pace_table;
 pub mod readiness;
 pub mod refusals;
 pub mod relay;
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::journal::client::{JournalClient, OthersLoad};
 use crate::load_table::{BackendCount, ToldLoad, as_counts};
+use crate::pace_table::{as_named, as_paces};
 use crate::relay::ranking;
 use firshore_gateway::gateway::Gateway;
 use firshore_limits::report::UseReport;
@@ -78,6 +79,10 @@
             if tells && let Some(others) = self.tell(own, urgent).await {
                 busy_interval = others.pause.clamp(BUSY_INTERVAL, LONGEST_BUSY_INTERVAL);
                 let apart = busy_interval + others.age;
+                let paces = as_named(others.paces);
+                let mut fleet = self.gateway.fleet.borrow_mut();
+                fleet.learned_paces(Instant::now(), paces);
+                drop(fleet);
                 self.gateway.learned_others(&others.counts, apart);
             }
             was_busy = busy;
@@ -108,6 +113,7 @@
             urgent,
             pressures: self.gateway.pressure.borrow_mut().take(),
             uses: self.gateway.report_uses(asked_at),
+            paces: as_paces(self.gateway.fleet.borrow_mut().take_untold_paces()),
         };
         let others = self.exchange(told).await;
         let news = others.as_ref().and_then(|others| {
--- a/crates/firshore-node/src/load_table.rs
+++ b/crates/firshore-node/src/load_table.rs
@@ -6,6 +6,7 @@
 //! Counts go by the name of a back end: a node counts what its present process runs, and one that has not
 //! heard of its next start yet, which the bound on back ends limits, costs less than the start in each count.
 
+use crate::pace_table::BackendPace;
 use firshore_adapter::incarnation::BackendName;
 use firshore_gateway::pressure::ServicePressure;
 use firshore_limits::report::UseReport;
@@ -39,6 +40,8 @@
     pub pressures: Vec<ServicePressure>,
     /// What tenants have asked; `None` where none has a limit.
     pub uses: Option<UseReport>,
+    /// What back ends told of their pace since the node told last.
+    pub paces: Vec<BackendPace>,
 }
 
 impl From<Vec<BackendCount>> for ToldLoad {
--- a/crates/firshore-node/src/relay/loads.rs
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -6,6 +6,7 @@
 
 use crate::journal::client::{JournalClient, OthersLoad};
 use crate::load_table::{BackendCount, LoadTable, ToldLoad, as_counts};
+use crate::pace_table::{BackendPace, PaceSource, PaceTable};
 use firshore_adapter::incarnation::BackendName;
 use firshore_gateway::pressure::PressureCount;
 use firshore_limits::relay::UsageRelay;
@@ -37,6 +38,8 @@
     pub nodes: usize,
     /// What tenants may still ask, for a node that told what they have.
     pub news: Option<UsageNews>,
+    /// What back ends told others of their pace since the node asked last.
+    pub paces: Vec<BackendPace>,
 }
 
 /// What the leader told last.
@@ -50,6 +53,8 @@
 pub struct LoadRelay {
     table: RefCell<LoadTable>,
     picture: RefCell<Option<FleetPicture>>,
+    /// What back ends told these nodes, and all others, of their pace.
+    paces: RefCell<PaceTable>,
     /// How online requests of these nodes pressed, until the leader is told.
     pressure: RefCell<PressureCount>,
     /// What tenants have asked these nodes, and may still ask.
@@ -68,6 +73,7 @@
         Self {
             table: RefCell::default(),
             picture: RefCell::default(),
+            paces: RefCell::default(),
             pressure: RefCell::default(),
             uses: UsageRelay::new(rate_span).into(),
             limits: Cell::default(),
@@ -82,6 +88,9 @@
     pub fn exchange(&self, now: Instant, node: NodeName, told: ToldLoad) -> Option<RelayedLoad> {
         let mut table = self.table.borrow_mut();
         table.told(now, node.clone(), told.counts);
+        let asker = PaceSource::Node(node.clone());
+        let mut paces = self.paces.borrow_mut();
+        paces.told(now, &asker, told.paces);
         self.told.notify_one();
         if told.urgent {
             self.crowded.notify_one();
@@ -112,6 +121,7 @@
             age,
             nodes: table.nodes(),
             news,
+            paces: paces.news(now, &asker),
         })
     }
 
@@ -129,6 +139,7 @@
             urgent,
             pressures: self.pressure.borrow_mut().take(),
             uses: self.limits.get().then(|| uses.report(now)),
+            paces: self.paces.borrow_mut().news(now, &PaceSource::Leader),
         })
     }
 
@@ -144,6 +155,9 @@
             None => uses.unanswered(),
         }
         drop(uses);
+        let mut paces = self.paces.borrow_mut();
+        paces.told(asked_at, &PaceSource::Leader, others.paces);
+        drop(paces);
         self.learned(asked_at, others.counts);
     }
 
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -295,6 +295,7 @@
             // What nodes sent that are cut off is in no count, but in back ends' reports on items.
             load_limit: limit - fleet.unseen(now, &service),
             begin_within: None,
+            answer_within: None,
         };
         let mut random = self.gateway.random.borrow_mut();
         let chosen = fleet.choose(now, &wanted, &mut *random);
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -65,6 +65,7 @@
             pause: 100,
             age: 0,
             news: None,
+            paces: Vec::new(),
             leader: None,
         })
         .boxed_local()
--- a/crates/firshore-node/tests/relay_loads.rs
+++ b/crates/firshore-node/tests/relay_loads.rs
@@ -170,6 +170,7 @@
             pause: self.pause,
             age: 0,
             news: None,
+            paces: Vec::new(),
             leader: None,
         };
         ready(answer).boxed_local()
@@ -278,6 +279,7 @@
         sums: false,
         pressures,
         uses: None,
+        paces: Vec::new(),
     }
 }
 
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -5,7 +5,7 @@
 use actix_http::{Method, ResponseHead};
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::{
-    AnswerHead, Backend, BackendDialect, Ran, ReportedLoad, SendTerms,
+    AnswerHead, Backend, BackendDialect, Pace, Ran, ReportedLoad, SendTerms,
 };
 use firshore_adapter::caller::{CallerDialect, CallerKey, PromptPart, RequestTerms};
 use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
@@ -118,11 +118,12 @@
             _ => Ran::Maybe,
         };
         let load = text(head.headers(), LOAD).and_then(|load| {
-            let mut numbers = load.split(',').map(|number| number.parse().ok());
+            let mut numbers = load.split(',').map(|number| number.parse::<u32>().ok());
             Some(ReportedLoad {
                 running: numbers.next()??,
                 waiting: numbers.next()??,
                 slots: numbers.next()??,
+                pace: numbers.next().flatten().and_then(Pace::from_hundredths),
             })
         });
         AnswerHead {
