--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -136,7 +136,8 @@
 /// What a node knows of a service's places.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlaceSupply {
-    /// How long a request waits, from a picture that is current.
+    /// How long a request waits, from a picture that is current, or from the node's own requests where nobody
+    /// tells anything.
     Wait(Duration),
     /// So many are left, by an old picture or by reports, that any may be taken.
     Plenty,
@@ -315,7 +316,11 @@
             return PlaceSupply::Wait(Self::usual_wait(now, usable, room));
         }
         if age.is_none_or(|age| age > KNOWN_PICTURE) && !room.is_reported(now) {
-            return PlaceSupply::Unknown;
+            // Back ends that tell nothing: what this node's own requests met there is all that is known.
+            return match room.recent_wait(now) {
+                Some(wait) => PlaceSupply::Wait(wait),
+                None => PlaceSupply::Unknown,
+            };
         }
         let free = usable
             .iter()
--- a/crates/firshore-gateway/src/fleet/room.rs
+++ b/crates/firshore-gateway/src/fleet/room.rs
@@ -62,7 +62,10 @@
     unseen_at: Option<Instant>,
     /// Seconds that requests waited longer than was expected when they were sent; negative: less long.
     excess: f64,
-    excess_at: Option<Instant>,
+    /// Seconds that requests waited.
+    waited: f64,
+    /// When an answer began last.
+    began_at: Option<Instant>,
     /// Mean pace of the back ends that the time in a slot is of, as a factor of the usual time.
     mean_pace: f32,
     /// Pace of the quickest.
@@ -79,7 +82,8 @@
             unseen: 0.0,
             unseen_at: None,
             excess: 0.0,
-            excess_at: None,
+            waited: 0.0,
+            began_at: None,
             mean_pace: 1.0,
             best_pace: None,
             sent: [None; FIRST_REQUESTS],
@@ -146,14 +150,19 @@
     /// Takes in that an answer began after a time, where the request was expected to wait for `expected`.
     pub(super) fn began(&mut self, now: Instant, expected: Duration, began_after: Duration) {
         let waited = began_after.saturating_sub(self.quickest.unwrap_or(began_after));
+        let waited = waited.as_secs_f64();
         let known = self.excess(now);
-        let excess = waited.as_secs_f64() - expected.as_secs_f64();
+        let excess = waited - expected.as_secs_f64();
         self.excess = known + EXCESS_WEIGHT * (excess - known);
-        self.excess_at = Some(now);
+        self.waited = match self.recent_wait(now) {
+            Some(_) => self.waited + EXCESS_WEIGHT * (waited - self.waited),
+            None => waited,
+        };
+        self.began_at = Some(now);
     }
 
     fn excess(&self, now: Instant) -> f64 {
-        let Some(at) = self.excess_at else {
+        let Some(at) = self.began_at else {
             return 0.0;
         };
         let age = now.saturating_duration_since(at);
@@ -161,6 +170,13 @@
         self.excess * faded.max(0.0)
     }
 
+    /// Returns how long requests of this node have waited of late; `None` if none was answered.
+    pub(super) fn recent_wait(&self, now: Instant) -> Option<Duration> {
+        let at = self.began_at?;
+        let is_recent = now.saturating_duration_since(at) < EXCESS_LIFETIME;
+        is_recent.then(|| Duration::from_secs_f64(self.waited))
+    }
+
     /// Returns how long a request waits that is expected to wait for `expected`, as others have waited longer
     /// than expected of late.
     pub(super) fn corrected(&self, now: Instant, expected: Duration) -> Duration {
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -307,18 +307,7 @@
     ) -> Result<Sent, Interrupted> {
         self.attempts.sending(&backend.incarnation);
         let now = Instant::now();
-        let fleet = self.gateway.fleet.borrow();
-        let load = fleet.load(now, &backend.incarnation);
-        let pace = fleet.pace(now, &backend.incarnation);
-        self.last_send = Some(LastSend {
-            backend: backend.incarnation.clone(),
-            at: now,
-            load: load.unwrap_or(0.0),
-            pace,
-            expected_wait: fleet.begin_delay(now, &backend.incarnation),
-            began_after: None,
-        });
-        drop(fleet);
+        self.last_send = Some(self.new_send(now, backend));
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
         self.note_waiting(now, backend);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
@@ -340,6 +329,20 @@
         }
     }
 
+    /// What is believed of a back end to which the request is about to be sent.
+    fn new_send(&self, now: Instant, backend: &Backend) -> LastSend {
+        let fleet = self.gateway.fleet.borrow();
+        let incarnation = &backend.incarnation;
+        LastSend {
+            backend: incarnation.clone(),
+            at: now,
+            load: fleet.load(now, incarnation).unwrap_or(0.0),
+            pace: fleet.pace(now, incarnation),
+            expected_wait: fleet.begin_delay(now, incarnation),
+            began_after: None,
+        }
+    }
+
     fn lost(&self, backend: &Backend, error: &ExchangeError) -> Sent {
         self.gateway
             .observed(&backend.incarnation, Impression::Broke);
--- a/crates/firshore-gateway/tests/room.rs
+++ b/crates/firshore-gateway/tests/room.rs
@@ -15,6 +15,10 @@
 
 const SLOTS: u32 = 8;
 const FIRST_EVENT: Duration = Duration::from_millis(40);
+
+/// Time between two pictures of a node in a large fleet.
+const OLD_PICTURES: Duration = Duration::from_millis(300);
+
 const REST: Duration = Duration::from_millis(680);
 
 /// Time in which requests are to begin: half of an objective of 300 ms.
@@ -38,6 +42,7 @@
     for _ in 0..100 {
         fleet.served(&"llm".into(), FIRST_EVENT, REST);
     }
+    fleet.set_picture_interval(OLD_PICTURES);
     fleet
 }
 
@@ -72,6 +77,59 @@
     fleet.reported(now, &incarnation(number), load);
 }
 
+/// Where pictures are current they tell how long a request waits.
+#[test]
+fn a_current_picture_tells_the_wait() {
+    let now = Instant::now();
+    let mut fleet = fleet(10);
+    fleet.set_picture_interval(Duration::from_millis(30));
+    pictured(&mut fleet, now, &[8; 10]);
+    let at = outlook(&fleet, now);
+    assert!(at.has_place, "the first in line begins in time");
+    assert!(at.is_scarce);
+    let expected = (FIRST_EVENT + REST).mul_f32(1.0 / SLOTS as f32);
+    assert!(at.begin_delay.abs_diff(expected) < Duration::from_millis(2));
+    pictured(&mut fleet, now, &[12; 10]);
+    assert!(!outlook(&fleet, now).has_place);
+    pictured(&mut fleet, now, &[5; 10]);
+    assert!(!outlook(&fleet, now).is_scarce);
+}
+
+/// The shortest line of many is so by chance, and all gateways see it.
+#[test]
+fn one_free_back_end_of_many_is_no_room() {
+    let now = Instant::now();
+    let mut fleet = fleet(20);
+    fleet.set_picture_interval(Duration::from_millis(30));
+    let mut held = [14; 20];
+    held[3] = 2;
+    pictured(&mut fleet, now, &held);
+    assert!(!outlook(&fleet, now).has_place);
+}
+
+/// Requests that waited longer than was expected say that others were sent there meanwhile.
+#[test]
+fn what_came_later_than_expected_is_added_where_a_service_is_full() {
+    let now = Instant::now();
+    let mut fleet = fleet(10);
+    fleet.set_picture_interval(Duration::from_millis(30));
+    pictured(&mut fleet, now, &[8; 10]);
+    assert!(outlook(&fleet, now).has_place);
+    let began_after = FIRST_EVENT + Duration::from_millis(400);
+    for _ in 0..10 {
+        fleet.began(now, &"llm".into(), Duration::ZERO, began_after);
+    }
+    assert!(!outlook(&fleet, now).has_place);
+    pictured(&mut fleet, now, &[3; 10]);
+    assert!(
+        outlook(&fleet, now).has_place,
+        "a slow one or two were the cause"
+    );
+    let later = now + Duration::from_secs(2);
+    pictured(&mut fleet, later, &[8; 10]);
+    assert!(outlook(&fleet, later).has_place, "it fades");
+}
+
 #[test]
 fn any_place_may_be_taken_while_there_are_plenty() {
     let now = Instant::now();
@@ -254,3 +312,20 @@
     assert_eq!(fleet.unseen(now, &"desk".into()), 0.0);
     assert_eq!(fleet.occupancy(now, &"desk".into()).slots, 0);
 }
+
+/// Back ends that tell no load, at a node that nobody tells: its own answers show that there is room.
+#[test]
+fn a_node_that_is_told_nothing_goes_by_what_its_own_requests_met() {
+    let now = Instant::now();
+    let mut fleet = fleet(5);
+    for number in 0..4 {
+        fleet.started(now, &incarnation(number));
+    }
+    assert!(!outlook(&fleet, now).has_place);
+    fleet.began(now, &"llm".into(), Duration::ZERO, FIRST_EVENT);
+    assert!(outlook(&fleet, now).has_place);
+    for _ in 0..20 {
+        fleet.began(now, &"llm".into(), Duration::ZERO, REST);
+    }
+    assert!(!outlook(&fleet, now).has_place);
+}
