--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use room::ServiceRoom;
 use state::{FAILURES_TO_EJECT, LONGEST_EJECTION, Report, State};
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Time between two pictures up to which the least loaded back end is still so when a request gets
@@ -36,6 +36,10 @@
 /// is less.
 const PLENTY: f32 = 0.25;
 
+/// The same where back ends' own reports are all that is known: a node hears some ten a second, and a wave fills
+/// the rest meanwhile.
+const REPORTED_PLENTY: f32 = 0.5;
+
 /// What this node has under way at a service, and all nodes.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnPart {
@@ -161,7 +165,7 @@
 pub struct Fleet {
     zone: ZoneName,
     states: HashMap<BackendName, State>,
-    by_service: HashMap<ServiceName, Vec<BackendName>>,
+    by_service: BTreeMap<ServiceName, Vec<BackendName>>,
     rooms: HashMap<ServiceName, ServiceRoom>,
     /// When the last picture was taken in of what others have under way.
     pictured_at: Option<Instant>,
@@ -175,7 +179,7 @@
         Self {
             zone,
             states: HashMap::new(),
-            by_service: HashMap::new(),
+            by_service: BTreeMap::new(),
             rooms: HashMap::new(),
             pictured_at: None,
             picture_interval: Duration::ZERO,
@@ -328,7 +332,11 @@
         let all = usable
             .iter()
             .map(|state| room.places(state.slots(), begin_within));
-        match free.sum::<f32>() > all.sum::<f32>() * PLENTY {
+        let plenty = match age.is_some_and(|age| age <= KNOWN_PICTURE) {
+            true => PLENTY,
+            false => REPORTED_PLENTY,
+        };
+        match free.sum::<f32>() > all.sum::<f32>() * plenty {
             true => PlaceSupply::Plenty,
             false => PlaceSupply::Scarce,
         }
@@ -519,12 +527,16 @@
             part.own += state.in_flight;
             part.all += state.in_flight + others;
         }
-        for state in self.states.values_mut() {
-            let service = &state.backend.service;
+        // In one order everywhere: what is drawn follows from the random numbers alone.
+        for (service, names) in &self.by_service {
             let room = self.rooms.get(service).cloned().unwrap_or_default();
-            let free = state.free_places(now, &room, Duration::ZERO);
             let part = parts.get(service).map_or(0.0, OwnPart::of_room);
-            state.claims.deal(now, free, part, random);
+            for name in names {
+                if let Some(state) = self.states.get_mut(name) {
+                    let free = state.free_places(now, &room, Duration::ZERO);
+                    state.claims.deal(now, free, part, random);
+                }
+            }
         }
     }
 
