A node without a place at a service gets one; a node on its way out lets nothing into lines

Cause: a gateway that started after others refused all of its 29 to 75 callers of a crowd, as others keep their places by their own ends; a caller let in 1.2 s after the signal to stop waited in a line and was cut off. Change: who has nothing under way at a service may send one request; while a node leaves, what would wait is refused.

--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -44,6 +44,8 @@
     pub standing: ShareStanding,
     /// Whether others wait at the node that go before it.
     pub behind_others: bool,
+    /// Whether the node is on its way out: what waits in a line may not end before the node does.
+    pub node_leaves: bool,
 }
 
 impl AdmissionAsk {
@@ -94,11 +96,12 @@
 /// Decides about a request.
 pub fn decide(ask: &AdmissionAsk, outlook: &RoomOutlook) -> Admission {
     let beyond_share = outlook.is_scarce && ask.standing == ShareStanding::Beyond;
-    if outlook.has_place && !ask.behind_others && !beyond_share {
+    let may_be_cut = outlook.is_scarce && ask.node_leaves;
+    if outlook.has_place && !ask.behind_others && !beyond_share && !may_be_cut {
         return Admission::Send;
     }
     let wait = ask.may_wait();
-    match wait.is_zero() {
+    match wait.is_zero() || ask.node_leaves {
         true => Admission::Refuse,
         false => Admission::Wait(wait),
     }
--- /dev/null
+++ b/crates/firshore-admission/tests/admission.rs
@@ -0,0 +1,90 @@
+//! Whether a request is sent, waits at the node, or is refused.
+
+use firshore_admission::admission::{Admission, AdmissionAsk, RoomOutlook, ShareStanding, decide};
+use std::time::Duration;
+
+const OBJECTIVE: Duration = Duration::from_millis(300);
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn ask() -> AdmissionAsk {
+    AdmissionAsk {
+        objective: OBJECTIVE,
+        timeout: TIMEOUT,
+        time_left: TIMEOUT,
+        age: Duration::ZERO,
+        standing: ShareStanding::Within,
+        behind_others: false,
+        node_leaves: false,
+    }
+}
+
+fn outlook(has_place: bool, is_scarce: bool) -> RoomOutlook {
+    RoomOutlook {
+        has_place,
+        is_scarce,
+        begin_delay: Duration::ZERO,
+        age: None,
+    }
+}
+
+#[test]
+fn a_request_is_sent_where_there_is_a_place() {
+    assert_eq!(decide(&ask(), &outlook(true, false)), Admission::Send);
+    assert_eq!(decide(&ask(), &outlook(true, true)), Admission::Send);
+}
+
+/// A refusal after a part of the objective leaves its caller too little to come back with.
+#[test]
+fn without_a_place_it_waits_for_a_moment_and_is_refused_then() {
+    let full = outlook(false, true);
+    let waits = decide(&ask(), &full);
+    assert!(matches!(waits, Admission::Wait(wait) if wait <= OBJECTIVE / 4));
+    let old = AdmissionAsk {
+        age: OBJECTIVE / 4,
+        ..ask()
+    };
+    assert_eq!(decide(&old, &full), Admission::Refuse);
+}
+
+#[test]
+fn a_caller_beyond_its_share_gets_no_scarce_place() {
+    let beyond = AdmissionAsk {
+        standing: ShareStanding::Beyond,
+        ..ask()
+    };
+    assert_ne!(decide(&beyond, &outlook(true, true)), Admission::Send);
+    assert_eq!(decide(&beyond, &outlook(true, false)), Admission::Send);
+}
+
+#[test]
+fn who_waits_at_the_node_goes_first() {
+    let behind = AdmissionAsk {
+        behind_others: true,
+        ..ask()
+    };
+    assert_ne!(decide(&behind, &outlook(true, false)), Admission::Send);
+}
+
+/// What stands in a line when the node ends is cut off.
+#[test]
+fn a_node_on_its_way_out_lets_nothing_into_lines() {
+    let leaving = AdmissionAsk {
+        node_leaves: true,
+        ..ask()
+    };
+    assert_eq!(decide(&leaving, &outlook(true, false)), Admission::Send);
+    assert_eq!(decide(&leaving, &outlook(true, true)), Admission::Refuse);
+    assert_eq!(decide(&leaving, &outlook(false, true)), Admission::Refuse);
+}
+
+#[test]
+fn who_was_refused_before_is_known_by_the_time_it_has_left() {
+    assert!(!ask().has_returned());
+    let returned = AdmissionAsk {
+        time_left: TIMEOUT - Duration::from_millis(1_500),
+        ..ask()
+    };
+    assert!(returned.has_returned());
+    assert!(returned.begin_within() > ask().begin_within());
+    assert!(returned.begin_within() < OBJECTIVE);
+}
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -427,8 +427,10 @@
             PlaceSupply::Plenty | PlaceSupply::Unknown => (shortest, false),
         };
         let waits_too_long = matches!(supply, PlaceSupply::Wait(wait) if wait > begin_within);
+        // Others keep their places by their own ends: who has none would never get one.
+        let has_none = usable.iter().all(|state| state.in_flight == 0);
         Some(RoomOutlook {
-            has_place: may_take && !waits_too_long,
+            has_place: has_none || (may_take && !waits_too_long),
             is_scarce,
             begin_delay,
             age: self.picture_age(now),
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -102,6 +102,7 @@
             age: self.request.arrived.elapsed(),
             standing: self.standing.get().unwrap_or(ShareStanding::Within),
             behind_others,
+            node_leaves: self.gateway.leaving.is_leaving(),
         }
     }
 
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -291,6 +291,7 @@
             age: self.now - self.start - asking.arrived,
             standing: ShareStanding::Within,
             behind_others: gateway.waiting.first().is_some_and(|first| *first < place),
+            node_leaves: false,
         };
         let mut wanted = Wanted {
             service: &self.service,
