--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -25,13 +25,14 @@
 use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_admission::admission::ShareStanding;
 use firshore_crashes::print::{AskedRequest, RequestPrint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use firshore_types::ids::ServiceName;
 use headers::end_to_end;
 use slog::{info, warn};
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -87,6 +88,8 @@
     at: Instant,
     /// Requests per slot that the back end was believed to hold.
     load: f32,
+    /// How many times the usual time work was believed to take there.
+    pace: Option<f32>,
     /// Time for which it was expected to wait there.
     expected_wait: Duration,
     /// Time until the head of its answer came.
@@ -110,6 +113,8 @@
     last_send: Option<LastSend>,
     /// What it asks, once somebody wanted to know.
     print: OnceCell<RequestPrint>,
+    /// Whether its tenant is within its share, once the service was full.
+    standing: Cell<Option<ShareStanding>>,
     /// How it ended for the caller.
     end: RequestEnd,
 }
@@ -142,6 +147,7 @@
         failure: None,
         last_send: None,
         print: OnceCell::new(),
+        standing: Cell::default(),
         end: RequestEnd::Answered,
     };
     let handled = match forwarding.run(connection).await {
@@ -268,6 +274,7 @@
             attempts: &self.attempts,
             affinity,
             load_limit: f32::INFINITY,
+            answer_within: Some(self.route.objective),
             begin_within,
         };
         let mut random = self.gateway.random.borrow_mut();
@@ -300,16 +307,7 @@
     ) -> Result<Sent, Interrupted> {
         self.attempts.sending(&backend.incarnation);
         let now = Instant::now();
-        let fleet = self.gateway.fleet.borrow();
-        let load = fleet.load(now, &backend.incarnation);
-        self.last_send = Some(LastSend {
-            backend: backend.incarnation.clone(),
-            at: now,
-            load: load.unwrap_or(0.0),
-            expected_wait: fleet.begin_delay(now, &backend.incarnation),
-            began_after: None,
-        });
-        drop(fleet);
+        self.last_send = Some(self.new_send(now, backend));
         let _in_flight = self.gateway.in_flight(&backend.incarnation);
         self.note_waiting(now, backend);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
@@ -331,6 +329,20 @@
         }
     }
 
+    /// What is believed of a back end to which the request is about to be sent.
+    fn new_send(&self, now: Instant, backend: &Backend) -> LastSend {
+        let fleet = self.gateway.fleet.borrow();
+        let incarnation = &backend.incarnation;
+        LastSend {
+            backend: incarnation.clone(),
+            at: now,
+            load: fleet.load(now, incarnation).unwrap_or(0.0),
+            pace: fleet.pace(now, incarnation),
+            expected_wait: fleet.begin_delay(now, incarnation),
+            began_after: None,
+        }
+    }
+
     fn lost(&self, backend: &Backend, error: &ExchangeError) -> Sent {
         self.gateway
             .observed(&backend.incarnation, Impression::Broke);
@@ -406,7 +418,7 @@
             "age_ms" => age.as_millis() as u64,
             "objective_ms" => self.route.objective.as_millis() as u64,
             "at_backend_ms" => send.at.elapsed().as_millis() as u64,
-            "load_when_sent" => send.load, "sends" => self.attempts.sends());
+            "load_when_sent" => send.load, "pace_when_sent" => send.pace, "sends" => self.attempts.sends());
     }
 
     fn note_answer(&self, backend: &Backend, answer: &AnswerHead) {
--- a/crates/firshore-limits/src/limiter.rs
+++ b/crates/firshore-limits/src/limiter.rs
@@ -1,8 +1,10 @@
 //! A node's decision on each request of a tenant with a limit.
 
-use crate::report::{Quota, TenantDigest, TenantPicture, TenantUse, UsageNews, UseReport};
+use crate::report::{
+    Quota, TenantDemand, TenantDigest, TenantPicture, TenantUse, UsageNews, UseReport,
+};
 use crate::window::AdmittedWindow;
-use crate::{SHARE_LIFETIME, is_pressing};
+use crate::{SHARE_LIFETIME, SILENT_GROWTH, is_pressing};
 use firshore_adapter::tenant::{RateLimit, Tenant};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -30,6 +32,9 @@
 /// Least part of a share while that is so.
 const LEAST_PAYBACK_SHARE: f64 = 0.3;
 
+/// Standard deviations by which what a node admits in a span may be more than before by chance.
+const CHANCE: f64 = 0.7;
+
 /// Part of its share with which a node goes on that has heard nothing for longer than it may keep it: all
 /// of them together stay within the tenth that may be admitted beyond a limit.
 const LOST_SHARE: f64 = 0.1;
@@ -79,7 +84,7 @@
     Left,
     /// The node's share of the rate.
     Share,
-    /// The same, from a picture that is old.
+    /// The node's part of what all nodes had admitted, from a picture that is old.
     OldShare,
     /// Nothing was known.
     Nothing,
@@ -127,11 +132,13 @@
     /// Demand as it was told last: the part of all demand that is counted as this node's.
     told_demand: f32,
     picture: Option<KnownPicture>,
+    /// Admitted by this node in the span before that picture.
+    told_recent: f64,
     /// What all nodes are asked anyway, in requests a second, no more than the limit.
     usual: f64,
     /// Until when all that becomes free is given away to callers told to come back.
     told_until: Instant,
-    /// Requests of its share that are saved up.
+    /// Requests of its share that are saved up; while cut off, what rounds its part.
     saved: f64,
     saved_at: Instant,
     basis: Basis,
@@ -221,6 +228,7 @@
             demand: 0.0,
             told_demand: 0.0,
             picture,
+            told_recent: 0.0,
             usual: picture.map_or(0.0, |picture| picture.demand.min(limit.per_second)),
             told_until: now,
             saved,
@@ -289,8 +297,7 @@
                 };
                 next * self.part() * payback
             }
-            (Basis::OldShare, Some(_)) => rate * self.part(),
-            (Basis::Nothing, Some(_)) => {
+            (Basis::OldShare | Basis::Nothing, Some(_)) => {
                 let first = first_requests(&self.limit) / FIRST_PAUSE.as_secs_f64();
                 first.min(rate * self.part() * LOST_SHARE)
             }
@@ -324,18 +331,67 @@
         self.saved_at = now;
         self.saved = match (self.basis, basis) {
             (Basis::Left, Basis::Share) => phase,
-            // The others may be as far away: one request each is within what may be beyond.
-            (Basis::Left, Basis::OldShare) => 1.0,
             _ => (self.saved + share * elapsed.as_secs_f64()).min(most),
         };
         self.basis = basis;
         share
     }
 
-    fn admit(&mut self, now: Instant, phase: f64) -> Result<(), OverLimit> {
+    /// Requests that a node that is cut off may admit in each span: its part of what all admitted in the span
+    /// before. As that is divided, so is the limit, and what nodes admit by it stays within the limit in sum,
+    /// however many are cut off. What the others keep free for it is no more than a growth by a half.
+    fn own_part(&self, quota: &Quota, span: Duration) -> f64 {
+        let Some(picture) = self.picture else {
+            return 0.0;
+        };
+        let own = self.told_recent.max(0.0);
+        let all = (quota.requests - picture.left).max(own).max(1.0);
+        let part = own / all;
+        if quota.is_near(picture.left, picture.demand) {
+            let most = own * SILENT_GROWTH + own.sqrt() * CHANCE;
+            return (quota.requests * part).min(most);
+        }
+        // A tenant that has begun to ask a moment ago has asked little in the span. Where much was left, one
+        // request at each node is within what may be beyond.
+        let asked = f64::from(self.told_demand) * span.as_secs_f64();
+        let usual = own.max(asked);
+        let most = usual * SILENT_GROWTH + usual.sqrt() * CHANCE;
+        (quota.requests * part.max(self.part())).min(most).max(1.0)
+    }
+
+    /// Decides by what this node itself has admitted in the last span, and did before it was cut off: a share by
+    /// what it was asked in its last half second is none where it was asked nothing just then.
+    fn admit_cut_off(&mut self, now: Instant, span: Duration, phase: f64) -> Result<(), OverLimit> {
+        if self.basis != Basis::OldShare {
+            // Rounds its part up or down for as long as it is cut off, so that all of them keep to the sum.
+            self.saved = phase;
+        }
+        self.basis = Basis::OldShare;
+        self.saved_at = now;
+        self.recent.advance(now);
+        let part = self.own_part(&Quota::new(&self.limit, span), span);
+        let most = part + self.saved - 1.0;
+        if self.recent.sum() <= most {
+            self.count(now, 1);
+            return Ok(());
+        }
+        let wait = self.recent.wait_for(now, most).unwrap_or(LONGEST_WAIT);
+        Err(OverLimit {
+            wait: wait.clamp(SHORTEST_WAIT, LONGEST_WAIT),
+            basis: Basis::OldShare,
+            share: part / span.as_secs_f64(),
+            left: self.left(now),
+            age: self.age(now),
+        })
+    }
+
+    fn admit(&mut self, now: Instant, span: Duration, phase: f64) -> Result<(), OverLimit> {
         self.arrivals += 1;
         self.seen_at = now;
         let basis = self.basis(now);
+        if basis == Basis::OldShare {
+            return self.admit_cut_off(now, span, phase);
+        }
         if basis == Basis::Left {
             self.basis = basis;
             self.saved_at = now;
@@ -477,7 +533,7 @@
             let picture = told.and_then(|told| told.picture(now, span, digest, &limit));
             TenantState::new(now, span, limit, picture, phase)
         });
-        state.admit(now, phase)
+        state.admit(now, span, phase)
     }
 
     /// Takes in a new configuration: limits hold at once, also for tenants that ask nothing just now.
@@ -525,6 +581,10 @@
             state.average(now);
             state.recent.advance(now);
             state.telling += std::mem::take(&mut state.untold);
+            // What is older than the span counts nowhere any more. Told as of now by a node that was cut off, it
+            // would have all nodes refuse what is within the limit.
+            let most = state.recent.sum().ceil() as i32;
+            state.telling = state.telling.min(most);
             TenantUse {
                 tenant: *tenant,
                 admitted: state.telling,
@@ -557,11 +617,28 @@
             state.telling = 0;
             if let Some(picture) = told.picture(at, self.span, *tenant, &state.limit) {
                 state.take_in(picture);
+                state.recent.advance(at);
+                state.told_recent = state.recent.sum();
             }
         }
         self.told = Some(told);
     }
 
+    /// What tenants ask of all nodes, as it was told last, and as of when; `None`: nothing was told. What a tenant
+    /// asks beyond its limit is left out where the tenant has asked this node.
+    pub fn known_demand(&self) -> Option<(Instant, impl Iterator<Item = TenantDemand> + '_)> {
+        let told = self.told.as_ref()?;
+        let demands = told.named.iter().map(|(tenant, picture)| {
+            let state = self.tenants.get(tenant);
+            let most = state.map_or(f64::INFINITY, |state| state.limit.per_second);
+            TenantDemand {
+                tenant: *tenant,
+                per_second: f64::from(picture.demand).min(most),
+            }
+        });
+        Some((told.at, demands))
+    }
+
     /// The last report was not answered: it is told again, though it may have been taken in.
     pub fn unanswered(&mut self) {
         for state in self.tenants.values_mut() {
