Faults found by review: scarce places, lines, limits in sum, what a rejection shows, what a slow back end was like

Cause and change, each by reading: a node without a place was let in and then found no back end (choose and outlook agree now); a caller beyond its share stood in line before others (it is refused at once); nodes that are all cut off could admit beyond a limit in sum after light use (the mean of two parts that each sum to the whole, and no request for each node); a rejected send counted as a wait of nothing; a slow back end was never forgotten and so never tried; items of a pressed service ended the look for those of others; where nothing online is seen, nothing has fallen.

--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -101,7 +101,8 @@
         return Admission::Send;
     }
     let wait = ask.may_wait();
-    match wait.is_zero() || ask.node_leaves {
+    // Who is beyond its share must not stand in line before those within theirs.
+    match wait.is_zero() || ask.node_leaves || beyond_share {
         true => Admission::Refuse,
         false => Admission::Wait(wait),
     }
--- a/crates/firshore-admission/tests/admission.rs
+++ b/crates/firshore-admission/tests/admission.rs
@@ -52,7 +52,7 @@
         standing: ShareStanding::Beyond,
         ..ask()
     };
-    assert_ne!(decide(&beyond, &outlook(true, true)), Admission::Send);
+    assert_eq!(decide(&beyond, &outlook(true, true)), Admission::Refuse);
     assert_eq!(decide(&beyond, &outlook(true, false)), Admission::Send);
 }
 
@@ -62,7 +62,8 @@
         behind_others: true,
         ..ask()
     };
-    assert_ne!(decide(&behind, &outlook(true, false)), Admission::Send);
+    let decided = decide(&behind, &outlook(true, false));
+    assert!(matches!(decided, Admission::Wait(_)));
 }
 
 /// What stands in a line when the node ends is cut off.
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -371,9 +371,6 @@
         if let Some(send) = &mut self.last_send {
             let began_after = send.at.elapsed();
             send.began_after = Some(began_after);
-            let mut fleet = self.gateway.fleet.borrow_mut();
-            let (now, expected) = (Instant::now(), send.expected_wait);
-            fleet.began(now, &self.service, expected, began_after);
         }
         let answer = self.gateway.adapter.backend.read_answer(&exchange.head);
         self.note_answer(backend, &answer);
@@ -381,6 +378,9 @@
             return Ok(Sent::Ended(SendEnd::NotRun));
         }
         let success = exchange.head.status.is_success();
+        if success && answer.ran == Ran::Yes {
+            self.note_wait();
+        }
         if success && answer.ran == Ran::Yes && self.route.streams {
             return self.relay_stream(backend, exchange, connection).await;
         }
@@ -401,6 +401,20 @@
         }
     }
 
+    /// A good answer has begun: how long its request waited tells how full back ends are. One that was not run
+    /// comes back at once, and says nothing of lines.
+    fn note_wait(&self) {
+        let Some(send) = &self.last_send else {
+            return;
+        };
+        let Some(began_after) = send.began_after else {
+            return;
+        };
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        let now = Instant::now();
+        fleet.began(now, &self.service, send.expected_wait, began_after);
+    }
+
     /// The caller's answer is about to begin: one that comes late is told in the log.
     fn answer_begins(&self) {
         let age = self.request.arrived.elapsed();
--- a/crates/firshore-gateway/src/pace.rs
+++ b/crates/firshore-gateway/src/pace.rs
@@ -27,6 +27,9 @@
 /// short against the time until a lasting change is to count as such.
 const PRIOR_SPAN: Duration = Duration::from_secs(4);
 
+/// Time without a figure after which a back end counts as any other; it is known in full for half of it.
+const PRIOR_LIFETIME: Duration = Duration::from_secs(20);
+
 /// Time that one figure stands for at most: one that comes after a long silence says nothing of that time.
 const LONGEST_PART: Duration = Duration::from_millis(250);
 
@@ -139,7 +142,10 @@
     fn factor(&self, now: Instant) -> f32 {
         let age = now.saturating_duration_since(self.at);
         let holds = (2.0 * left(age, self.word())).min(1.0);
-        moved(self.prior, self.last, holds)
+        // What it was like is forgotten too: a slow one that gets nothing tells nothing, and would never be tried.
+        let known = (2.0 * left(age, PRIOR_LIFETIME)).min(1.0);
+        let prior = moved(1.0, self.prior, known);
+        moved(prior, self.last, holds)
     }
 }
 
--- a/crates/firshore-gateway/tests/room.rs
+++ b/crates/firshore-gateway/tests/room.rs
@@ -345,11 +345,29 @@
 /// Others keep their places by their own ends: a node that has started later would refuse everybody.
 #[test]
 fn a_node_that_has_no_place_gets_one() {
-    let now = Instant::now();
-    let mut fleet = idle_fleet(4);
-    fleet.set_picture_interval(Duration::from_millis(30));
-    pictured(&mut fleet, now, &[20; 4]);
-    assert!(outlook(&fleet, now).has_place);
-    fleet.started(now, &incarnation(1));
-    assert!(!outlook(&fleet, now).has_place);
+    for pictures in [Duration::from_millis(30), OLD_PICTURES] {
+        let now = Instant::now();
+        let mut fleet = idle_fleet(4);
+        fleet.set_picture_interval(pictures);
+        pictured(&mut fleet, now, &[20; 4]);
+        assert!(outlook(&fleet, now).has_place, "{pictures:?}");
+        assert!(finds_backend(&fleet, now), "{pictures:?}");
+        fleet.started(now, &incarnation(1));
+        assert!(!outlook(&fleet, now).has_place, "{pictures:?}");
+    }
+}
+
+fn finds_backend(fleet: &Fleet, now: Instant) -> bool {
+    let service = ServiceName::from("llm");
+    let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let wanted = Wanted {
+        service: &service,
+        attempts: &attempts,
+        affinity: None,
+        load_limit: f32::INFINITY,
+        answer_within: None,
+        begin_within: Some(BEGIN_WITHIN),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    fleet.choose(now, &wanted, &mut random).is_some()
 }
--- a/crates/firshore-limits/src/limiter.rs
+++ b/crates/firshore-limits/src/limiter.rs
@@ -351,12 +351,13 @@
             let most = own * SILENT_GROWTH + own.sqrt() * CHANCE;
             return (quota.requests * part).min(most);
         }
-        // A tenant that has begun to ask a moment ago has asked little in the span. Where much was left, one
-        // request at each node is within what may be beyond.
+        // A tenant that has begun to ask a moment ago has asked little in the span, and elsewhere perhaps: the mean
+        // of both parts, as either sums up to the whole over all nodes.
         let asked = f64::from(self.told_demand) * span.as_secs_f64();
         let usual = own.max(asked);
         let most = usual * SILENT_GROWTH + usual.sqrt() * CHANCE;
-        (quota.requests * part.max(self.part())).min(most).max(1.0)
+        let part = (part + self.part()) / 2.0;
+        (quota.requests * part).min(most)
     }
 
     /// Decides by what this node itself has admitted in the last span, and did before it was cut off: a share by
--- a/crates/firshore-node/src/runner/give_way.rs
+++ b/crates/firshore-node/src/runner/give_way.rs
@@ -3,8 +3,8 @@
 //! What nodes tell of requests that wait, are late or are refused says that a service is full, also
 //! where counts of what is under way do not: nodes that are cut off are missing in those. While a service
 //! is pressed, none of its items starts and running ones step aside, one for each request that pressed;
-//! they go on after their last event in the next trough. Items that could not be done in time any more
-//! keep going in a small part of the slots.
+//! they go on after their last event in the next trough. Items that would be late otherwise keep a small
+//! part of the slots; those that are late already wait for a trough.
 
 use super::ItemKey;
 use super::urgency::ItemUrgency;
@@ -158,12 +158,13 @@
     /// Whether the wave in which requests pressed is over, and what still comes late has waited since.
     fn is_tail(&self, now: Instant, room: ServiceRoom) -> bool {
         let since = now.saturating_duration_since(self.pressed_at);
-        since < TAIL && room.online as f32 <= self.online as f32 * GONE_SHARE
+        since < TAIL && self.online > 0 && room.online as f32 <= self.online as f32 * GONE_SHARE
     }
 
     /// Whether online requests leave more room than when they pressed, or do not press for long.
     fn has_fallen(&self, now: Instant, room: ServiceRoom) -> bool {
-        let fallen = room.online as f32 <= self.online as f32 * FALLEN_SHARE;
+        // Where nothing was seen under way, as at a node that is cut off, nothing can be seen to have fallen.
+        let fallen = self.online > 0 && room.online as f32 <= self.online as f32 * FALLEN_SHARE;
         fallen || now.saturating_duration_since(self.pressed_at) > LONGEST_HOLD
     }
 }
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -221,7 +221,6 @@
             return;
         }
         let Some(backend) = self.choose(now, waiting, pass) else {
-            pass.refused += 1;
             return;
         };
         pass.started += 1;
@@ -276,8 +275,10 @@
         let one = waiting.one;
         let route = self.route(one)?;
         let service = self.gateway.split.borrow_mut().next(&route);
+        // Items of a pressed service are passed over: those of others behind them have their turn.
         let pressed = self.permit(now, &service, waiting, pass)?;
         if pass.full.contains(&(service.clone(), pressed)) {
+            pass.refused += 1;
             return None;
         }
         let headers = item::headers(one.item);
