A leader never overwrites a record of voters from a later term

Callers: of a pair whose leader was suspended for seconds, everything accepted could stay on a disk that no group would use, after one more loss that is allowed.

Cause: a resumed leader still leads by its own status, reads the store and settles its own membership over the record of the voter that continued without it. The revision was fresh, so the compare-and-set accepted it. The lone voter then wrote its group back without the name of the disk left behind.

Change: the record's term is a fence. Survivors of a lost quorum write it in the term after each one that they know; a leader that reads a later term than its own steps down to it and writes nothing.

Evidence: leader_that_was_suspended_does_not_overwrite_the_record fails in 148 of its 600 plays on, and in none with this change; the unit test of the manager did not compile there (no such action).

--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -84,6 +84,8 @@
     ContinueWith(Survivors),
     /// Switch to a later history of the log.
     JoinHistory(u64),
+    /// Move to a later term as a follower.
+    AdoptTerm(Term),
     /// Transfer leadership to this voter, or else to the most up-to-date one.
     StepDown(Option<DiskId>),
     /// Stop the thread.
@@ -333,6 +335,7 @@
             Input::Change(change) => self.change(&change),
             Input::ContinueWith(survivors) => self.continue_with(&survivors),
             Input::JoinHistory(history) => self.replica.join_history(history),
+            Input::AdoptTerm(term) => self.replica.adopt_term(term),
             Input::StepDown(target) => {
                 let target = target.or_else(|| self.replica.transfer_target());
                 if let Some(target) = target {
--- a/crates/firshore-log/src/group.rs
+++ b/crates/firshore-log/src/group.rs
@@ -248,6 +248,11 @@
         let _ = self.inputs.send(Input::JoinHistory(history));
     }
 
+    /// Moves to a later term as a follower; does nothing if the replica's term is as late.
+    pub fn adopt_term(&self, term: Term) {
+        let _ = self.inputs.send(Input::AdoptTerm(term));
+    }
+
     /// Commits a command and returns its outcome.
     ///
     /// # Errors
--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -9,7 +9,7 @@
 use firshore_log::GroupStatus;
 use firshore_log::placement::{Candidate, GroupView, is_durable};
 use firshore_replication::replica::Survivors;
-use firshore_replication::types::{DiskId, Membership, MembershipChange};
+use firshore_replication::types::{DiskId, Membership, MembershipChange, Term};
 use firshore_types::ids::NodeName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -95,6 +95,8 @@
     ContinueWith(Survivors),
     /// Leave the log's history for this later one.
     JoinHistory(u64),
+    /// Stop leading: the record was written in this later term.
+    AdoptTerm(Term),
 }
 
 pub(super) fn voters_of(membership: &Membership) -> BTreeSet<DiskId> {
@@ -180,7 +182,10 @@
             return GroupAction::JoinHistory(history);
         }
         if input.status.leads {
-            return self.place_replicas(now, input);
+            return match later_term(input) {
+                Some(term) => GroupAction::AdoptTerm(term),
+                None => self.place_replicas(now, input),
+            };
         }
         if input.status.leader.is_none() {
             return self.step_leaderless(now, input);
@@ -405,6 +410,15 @@
     (record.history > input.status.history && !begins).then_some(record.history)
 }
 
+/// Returns the term of the record if it is later than this leader's. A later leader or survivors of
+/// a lost quorum wrote it while this process was suspended, and its own membership may be out of
+/// force. As the record is changed by compare-and-set, no leader overwrites one of a later term.
+fn later_term(input: &GroupInput) -> Option<Term> {
+    let record = input.recorded?;
+    let same_history = record.history == input.status.history;
+    (same_history && record.term > input.status.term).then_some(record.term)
+}
+
 /// Returns the recorded disk that the only voter left behind and that still holds all accepted
 /// jobs.
 fn left_behind(input: &GroupInput) -> Option<DiskId> {
--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -4,7 +4,8 @@
 //! A quorum of each group that may be in force holds everything committed. The remaining disks
 //! therefore hold it if they intersect every such quorum, and then no other disks can commit
 //! anything without them. The record of voters names these groups. Disks that continue write
-//! themselves to the record first, by compare-and-set.
+//! themselves to the record first, by compare-and-set, in a term after each known one: a leader that
+//! was suspended meanwhile must not overwrite it.
 //!
 //! A disk that a single voter left behind needs no such proof. It begins a later history by writing
 //! the record; the single voter has to write the record before it accepts anything, and is then
@@ -291,7 +292,7 @@
         left_behind: other_of_pair(input, leaving, record, &voters),
         voters,
         settled: false,
-        term: input.status.term,
+        term: input.status.term.max(record.term) + 1,
         gone: record.never_held(possible.first().unwrap_or(&BTreeSet::new())),
         before: possible,
         history,
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -123,6 +123,11 @@
                     "former" => status.history, "led" => status.leads);
                 replica.join_history(history);
             }
+            GroupAction::AdoptTerm(term) => {
+                warn!(self.journal.log, "journal: Stepping down, the voters were recorded in a later term.";
+                    "term" => status.term, "recorded" => term);
+                replica.adopt_term(term);
+            }
         }
     }
 
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -77,8 +77,10 @@
     pub voters: BTreeSet<DiskId>,
     /// Whether the change to these voters is known to be committed.
     pub settled: bool,
-    /// Term of the writer. A leader writes the record again before it acts on it, so that an
-    /// unconfirmed write of an earlier leader cannot take effect afterwards.
+    /// Term of the leader that wrote it; of survivors of a lost quorum, the term after those that
+    /// they know. A leader of an earlier term doesn't overwrite it. A leader writes the record again
+    /// before it acts on it, so that an unconfirmed write of an earlier leader cannot take effect
+    /// afterwards.
     #[serde(default)]
     pub term: Term,
     /// Voters that may be in force instead, while the record is not settled.
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -7,7 +7,7 @@
 
 mod copies_world;
 
-use copies_world::scene::{self, Deployment};
+use copies_world::scene::{self, Deployment, Event};
 use copies_world::{RunCounts, World};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -106,6 +106,40 @@
     );
 }
 
+/// Guards against a suspended leader of a pair that overwrites the record of voters after the other voter continued
+/// without it: the record then no longer names the disk that was left behind, or both continue in one history.
+#[test]
+fn leader_that_was_suspended_does_not_overwrite_the_record() {
+    const PAIR: Deployment = Deployment {
+        machines: 2,
+        zones: 2,
+        losses: 1,
+    };
+    const SUSPENDED_AT_MS: u64 = 8_000;
+    let mut failed = Vec::new();
+    for suspended_ms in (5_000..7_000).step_by(100) {
+        for isolated_ms in (suspended_ms..suspended_ms + 2_000).step_by(400) {
+            for wiped_ms in (suspended_ms + 100..suspended_ms + 2_500).step_by(400) {
+                let events = [
+                    (
+                        SUSPENDED_AT_MS,
+                        Event::SuspendLeader(suspended_ms, isolated_ms),
+                    ),
+                    (SUSPENDED_AT_MS + wiped_ms, Event::WipeLeader),
+                ];
+                let mut world = World::new(PAIR, suspended_ms + isolated_ms + wiped_ms);
+                if let Err(violation) = world.run(&events) {
+                    if failed.is_empty() {
+                        println!("{violation:?}\n{}", world.trace.join("\n"));
+                    }
+                    failed.push((suspended_ms, isolated_ms, wiped_ms));
+                }
+            }
+        }
+    }
+    assert_eq!(failed, [], "suspended, isolated and wiped after, in ms");
+}
+
 /// Seeds that failed before, by deployment.
 #[test]
 fn regression_seeds_hold() {
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -156,6 +156,10 @@
         self.state == ProcessState::Running
     }
 
+    pub fn is_running_leader(&self) -> bool {
+        self.is_running() && self.status.leads
+    }
+
     pub fn is_present(&self) -> bool {
         self.state != ProcessState::Removed
     }
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -219,7 +219,17 @@
             Event::RetireThenWipe => self.retire(true),
             Event::Isolate(from_store) => self.isolate(from_store, for_ms),
             Event::Split => self.split(for_ms),
-            Event::Freeze => self.freeze(for_ms),
+            Event::Freeze => {
+                self.freeze(Machine::is_running, for_ms);
+            }
+            Event::SuspendLeader(for_ms, isolated_ms) => {
+                if let Some(machine) = self.freeze(Machine::is_running_leader, for_ms) {
+                    let until = self.now + isolated_ms;
+                    self.machines[machine].isolated_until = until;
+                    self.extend_disruption(until);
+                }
+            }
+            Event::WipeLeader => self.wipe_where(Machine::is_running_leader),
             Event::Kill => {
                 if let Some(machine) = self.pick_machine(|machine| machine.is_running()) {
                     let until = self.now + self.random.random_range(200..2_000);
@@ -285,15 +295,19 @@
     }
 
     fn wipe(&mut self, voter: bool) {
-        if !self.can_lose_disk() {
-            return;
-        }
         let voters = self.voters();
-        let machine = self.pick_machine(|machine| {
+        self.wipe_where(|machine| {
             machine.is_present()
                 && !matches!(machine.state, ProcessState::DownUntil(_))
                 && (!voter || voters.contains(&machine.disk.id))
         });
+    }
+
+    fn wipe_where(&mut self, fits: impl Fn(&Machine) -> bool) {
+        if !self.can_lose_disk() {
+            return;
+        }
+        let machine = self.pick_machine(fits);
         let Some(machine) = machine else { return };
         let until = self.now + self.random.random_range(300..2_500);
         let disk = DiskId(self.random.next_u64());
@@ -365,16 +379,17 @@
         self.extend_disruption(until);
     }
 
-    fn freeze(&mut self, for_ms: u64) {
-        if let Some(machine) = self.pick_machine(Machine::is_running) {
-            let until = self.now + for_ms;
-            self.trace_event(format!(
-                "{} freezes for {for_ms} ms",
-                self.machines[machine].name
-            ));
-            self.machines[machine].state = ProcessState::FrozenUntil(until);
-            self.extend_disruption(until);
-        }
+    /// Suspends a machine's process, and returns the machine.
+    fn freeze(&mut self, fits: impl Fn(&Machine) -> bool, for_ms: u64) -> Option<usize> {
+        let machine = self.pick_machine(fits)?;
+        let until = self.now + for_ms;
+        self.trace_event(format!(
+            "{} freezes for {for_ms} ms",
+            self.machines[machine].name
+        ));
+        self.machines[machine].state = ProcessState::FrozenUntil(until);
+        self.extend_disruption(until);
+        Some(machine)
     }
 
     fn lose_power(&mut self) {
@@ -774,6 +789,7 @@
                 }
             }
             GroupAction::JoinHistory(history) => replica.join_history(history),
+            GroupAction::AdoptTerm(term) => replica.adopt_term(term),
         }
         self.process_output(index);
     }
--- a/crates/firshore-node/tests/copies_world/scene.rs
+++ b/crates/firshore-node/tests/copies_world/scene.rs
@@ -30,6 +30,11 @@
     Split,
     /// A process is suspended.
     Freeze,
+    /// The leader's process is suspended for the first time in milliseconds, and isolated from the other machines for
+    /// the second.
+    SuspendLeader(u64, u64),
+    /// The running leader loses its disk; its machine restarts with an empty one.
+    WipeLeader,
     /// A process is killed and restarts.
     Kill,
     /// All processes stop at the same time and restart.
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -456,6 +456,51 @@
     ));
 }
 
+/// A leader that was suspended still leads by its own status. The survivors recorded their group meanwhile, in the
+/// term after its own; it must neither overwrite that record nor change the membership.
+#[test]
+fn leader_of_an_earlier_term_than_the_record_steps_down() {
+    let survivors = VoterRecord {
+        term: 2,
+        left_behind: Some(DiskId(1)),
+        ..unsettled(&[2], &[&[1, 2]])
+    };
+    let elected = VoterRecord {
+        settled: true,
+        before: Vec::new(),
+        ..survivors.clone()
+    };
+    let other_term = VoterRecord {
+        voters: disks(&[1, 2]),
+        left_behind: None,
+        ..elected.clone()
+    };
+    for record in [survivors, elected, other_term] {
+        let mut fixture = GroupFixture::leading(&[1, 2], 1).with_record(record);
+        assert_eq!(fixture.step(0.1), GroupAction::AdoptTerm(2));
+        fixture.candidates.push(candidate(3, 3));
+        assert_eq!(fixture.step(0.2), GroupAction::AdoptTerm(2));
+    }
+}
+
+/// Whoever leads at that moment must not overwrite the record before it was elected after the survivors wrote it.
+#[test]
+fn survivors_record_a_later_term_than_any_leader_that_they_know() {
+    let mut fixture = GroupFixture::leaderless(&[1, 2], 1).with_new_disk(2);
+    let GroupAction::Record(record) = fixture.step(0.1) else {
+        panic!("the other disk is lost");
+    };
+    assert_eq!(record.term, fixture.status.term + 1);
+    let mut fixture = fixture.with_record(VoterRecord {
+        term: 7,
+        ..unsettled(&[1, 2], &[])
+    });
+    let GroupAction::Record(record) = fixture.step(0.1) else {
+        panic!("the other disk is lost");
+    };
+    assert_eq!(record.term, 8);
+}
+
 #[test]
 fn change_requires_its_record_in_the_current_term() {
     let change = |record: VoterRecord| {
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -30,6 +30,13 @@
         self.reset_election_timer();
     }
 
+    /// Moves to a later term as a follower; does nothing if this replica's term is as late.
+    pub fn adopt_term(&mut self, term: Term) {
+        if term > self.hard_state.term {
+            self.become_follower(term);
+        }
+    }
+
     fn is_up_to_date(&self, last: Position) -> bool {
         let local = self.log.last();
         (last.term, last.index) >= (local.term, local.index)
