--- a/crates/firshore-lab/src/simulation/replication.rs
+++ b/crates/firshore-lab/src/simulation/replication.rs
@@ -147,6 +147,7 @@
         let ids: Vec<DiskId> = (0..HOSTS).map(|_| DiskId(random.next_u64())).collect();
         let membership = Membership {
             replicas: (0..FOUNDERS).map(|host| (ids[host], info(host))).collect(),
+            ..Membership::default()
         };
         let hosts = (0..HOSTS)
             .map(|host| {
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -9,6 +9,9 @@
 /// Default number of voters of a group.
 pub const TARGET_VOTERS: usize = 3;
 
+/// Number of disks that each majority of two or more voters has.
+const MAJORITY_DISKS: usize = 2;
+
 /// Returns the number of voters with which losing `disks` of them at once loses no committed entry.
 pub fn voters_for(disks: u32) -> usize {
     2 * disks as usize + 1
@@ -16,7 +19,7 @@
 
 /// Returns whether every entry that these replicas commit is on at least `min_disks` disks.
 ///
-/// The size of the quorum counts, not the number of voters: three voters commit with two disks.
+/// The size of the quorum counts, not the number of voters: three voters may commit with two disks.
 pub fn is_durable(membership: &Membership, min_disks: usize) -> bool {
     membership.quorum() >= min_disks
 }
@@ -102,8 +105,8 @@
     }
 
     /// Returns whether a voter can be removed; checked before every step that removes a copy. A responsive
-    /// voter is removed only if the remaining quorum meets the durability guarantee and enough of the remaining
-    /// voters hold all committed entries. An unresponsive voter does not count as a copy. Entries in flight to
+    /// voter is removed only if a majority of the remaining voters meets the durability guarantee and enough of
+    /// them hold all committed entries: if all of them had to commit, the next lost disk would stop the group. An unresponsive voter does not count as a copy. Entries in flight to
     /// the remaining voters need no check: the removal itself, and every entry before it, must be committed by
     /// a quorum of them.
     fn can_remove(&self, disk: DiskId) -> bool {
@@ -115,7 +118,7 @@
             .count();
         let enough = match self.is_responsive(disk) {
             true => {
-                remaining.quorum() >= self.min_disks
+                remaining.majority() >= self.min_disks
                     && self.tolerates_losses(&remaining, up_to_date_voters)
             }
             false => remaining.quorum() >= self.min_disks.min(self.membership.quorum()),
@@ -130,21 +133,35 @@
         missing + self.min_disks <= group.quorum()
     }
 
-    /// Returns whether the responsive replicas alone cannot meet the durability guarantee.
+    /// Returns whether a majority of the responsive replicas does not meet the durability guarantee.
     pub fn is_underreplicated(&self) -> bool {
         let mut responsive = self.membership.clone();
         responsive
             .replicas
             .retain(|disk, _| self.is_responsive(*disk));
-        !is_durable(&responsive, self.min_disks)
+        responsive.majority() < self.min_disks
     }
 
-    /// Returns the learner, a replica that must catch up before it votes, if there is one.
-    pub fn learner(&self) -> Option<DiskId> {
-        let mut replicas = self.membership.replicas.iter();
+    fn learner_replicas(&self) -> impl Iterator<Item = (DiskId, &ReplicaInfo)> {
+        let replicas = self.membership.replicas.iter();
         replicas
-            .find(|(_, replica)| replica.role == ReplicaRole::Learner)
-            .map(|(disk, _)| *disk)
+            .filter(|(_, replica)| replica.role == ReplicaRole::Learner)
+            .map(|(disk, replica)| (*disk, replica))
+    }
+
+    /// Returns the learners, replicas that must catch up before they vote.
+    pub fn learners(&self) -> impl Iterator<Item = DiskId> {
+        self.learner_replicas().map(|(disk, _)| disk)
+    }
+
+    /// Returns how many learners there may be: as many as voters are missing while too few disks hold committed
+    /// entries, so that a disk on a lost node delays no other; otherwise one.
+    fn max_learners(&self) -> usize {
+        let missing = self.target.saturating_sub(self.staying_voters().count());
+        match self.is_underreplicated() {
+            true => missing.max(1),
+            false => 1,
+        }
     }
 
     /// Returns a voter, other than the leader, that shares its zone with another staying voter.
@@ -166,35 +183,57 @@
 
     /// Returns whether another disk is needed: too few staying voters, or two of them in one zone.
     pub fn needs_candidate(&self) -> bool {
-        self.learner().is_none()
+        let learners = self.learners().count();
+        let placed = self.staying_voters().count() + learners;
+        let is_spread = learners > 0 || self.same_zone_voter().is_none();
+        learners < self.max_learners()
             && self.voters().count() <= self.target
-            && (self.staying_voters().count() < self.target || self.same_zone_voter().is_some())
+            && (placed < self.target || !is_spread)
     }
 
     /// Returns the next membership change, if one is due.
     pub fn next_change(&self, candidates: &[Candidate]) -> Option<MembershipChange> {
-        if let Some(learner) = self.learner() {
-            return self.learner_change(learner);
+        if self.can_set_min_disks() {
+            return Some(MembershipChange::SetMinDisks(self.min_disks));
+        }
+        if self.learners().next().is_some() {
+            return self.learner_change().or_else(|| self.addition(candidates));
         }
         self.removal()
             .or_else(|| self.addition(candidates))
             .or_else(|| self.removal_without_replacement())
     }
 
-    fn learner_change(&self, learner: DiskId) -> Option<MembershipChange> {
-        if !self.is_responsive(learner) {
-            return Some(MembershipChange::Remove(learner));
-        }
-        // Failed voters are removed before the learner is promoted: an even number of voters, one of them
+    /// Returns whether the membership must be changed to require the desired number of disks, and enough voters hold
+    /// all committed entries for the quorum that results.
+    fn can_set_min_disks(&self) -> bool {
+        let changed = Membership {
+            min_disks: self.min_disks,
+            ..self.membership.clone()
+        };
+        let of_majorities = |min_disks: usize| min_disks <= MAJORITY_DISKS;
+        let differs = self.membership.min_disks != self.min_disks
+            && !(of_majorities(self.membership.min_disks) && of_majorities(self.min_disks));
+        differs && self.up_to_date_voters().count() >= changed.quorum()
+    }
+
+    fn learner_change(&self) -> Option<MembershipChange> {
+        let (responsive, lost): (Vec<DiskId>, Vec<DiskId>) = self
+            .learners()
+            .partition(|learner| self.is_responsive(*learner));
+        let mut responsive = responsive.into_iter();
+        let ready = responsive.find(|learner| self.caught_up.contains(learner));
+        // Failed voters are removed before a learner is promoted: an even number of voters, one of them
         // failed, loses its quorum with one failure fewer than the same number of working voters.
-        let ready = self.caught_up.contains(&learner);
         let failed_voter = match ready {
-            true => self.lost_voter().or_else(|| self.unresponsive_voter()),
-            false => self.lost_voter(),
+            Some(_) => self.lost_voter().or_else(|| self.unresponsive_voter()),
+            None => self.lost_voter(),
         };
+        let removed = lost.first().copied().map(MembershipChange::Remove);
         failed_voter
             .map(MembershipChange::Remove)
-            .or(ready.then_some(MembershipChange::Promote(learner)))
+            .or(ready.map(MembershipChange::Promote))
+            .or(removed)
     }
 
     /// Returns a voter whose disk is lost and that can be removed; it only raises the quorum.
@@ -255,8 +294,9 @@
     }
 
     fn choose_candidate<'a>(&self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
-        let nodes: BTreeSet<&NodeName> = self.staying_voters().map(|(_, one)| &one.node).collect();
-        let zones: BTreeSet<&ZoneName> = self.staying_voters().map(|(_, one)| &one.zone).collect();
+        let placed = || self.staying_voters().chain(self.learner_replicas());
+        let nodes: BTreeSet<&NodeName> = placed().map(|(_, one)| &one.node).collect();
+        let zones: BTreeSet<&ZoneName> = placed().map(|(_, one)| &one.zone).collect();
         let mut eligible: Vec<&Candidate> = candidates
             .iter()
             .filter(|one| !self.membership.replicas.contains_key(&one.disk))
@@ -271,16 +311,18 @@
         }
         let best = eligible.first()?;
         let is_new_zone = !zones.contains(&best.zone);
-        (is_new_zone || self.staying_voters().count() < self.target).then_some(best)
+        (is_new_zone || placed().count() < self.target).then_some(best)
     }
 }
 
 /// Returns the founding membership: `target` voters on different nodes, in different zones where possible,
-/// in order of node name. With fewer nodes, the group starts with the local voter alone.
+/// in order of node name. With fewer nodes, the group starts with the local voter alone. `min_disks` disks must hold
+/// committed entries.
 pub fn founding_membership(
     candidates: &[Candidate],
     local: &Candidate,
     target: usize,
+    min_disks: usize,
 ) -> Membership {
     let mut sorted: Vec<&Candidate> = candidates.iter().collect();
     sorted.sort_by(|one, other| one.node.cmp(&other.node));
@@ -303,6 +345,7 @@
         .map(|one| (one.disk, one.info(ReplicaRole::Voter)));
     Membership {
         replicas: replicas.collect(),
+        min_disks,
     }
 }
 
--- a/crates/firshore-log/tests/later_history.rs
+++ b/crates/firshore-log/tests/later_history.rs
@@ -85,6 +85,7 @@
         never_held: BTreeSet::new(),
         left_behind: history > 0,
         history,
+        min_term: 0,
     }
 }
 
@@ -134,6 +135,7 @@
     let replicas = replicas.map(|(group, name)| (group.status().disk, info(name)));
     let membership = Membership {
         replicas: replicas.collect(),
+        ..Membership::default()
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
     for (group, name) in groups.iter().zip(&names) {
--- a/crates/firshore-log/tests/placement.rs
+++ b/crates/firshore-log/tests/placement.rs
@@ -38,6 +38,7 @@
         leader: DiskId(1),
         membership: Membership {
             replicas: replicas.collect(),
+            ..Membership::default()
         },
         unresponsive: unresponsive.iter().copied().map(DiskId).collect(),
         lost: BTreeSet::new(),
@@ -139,6 +140,7 @@
             MembershipChange::AddLearner(disk, _) => ("add", disk.0),
             MembershipChange::Promote(disk) => ("promote", disk.0),
             MembershipChange::Remove(disk) => ("remove", disk.0),
+            MembershipChange::SetMinDisks(min_disks) => ("set", min_disks as u64),
         });
         assert_eq!(actual, expected, "{name}");
     }
@@ -162,7 +164,7 @@
         candidate(4, "c"),
     ];
     let chosen = |candidates: &[Candidate]| {
-        let membership = founding_membership(candidates, &candidates[0], TARGET_VOTERS);
+        let membership = founding_membership(candidates, &candidates[0], TARGET_VOTERS, 2);
         let disks: Vec<u64> = membership.voters().map(|disk| disk.0).collect();
         disks
     };
@@ -230,6 +232,7 @@
         let replicas = (1..=count).map(|number| replica(number, "a", V));
         let membership = Membership {
             replicas: replicas.collect(),
+            ..Membership::default()
         };
         [1, 2, 3].map(|min_disks| is_durable(&membership, min_disks))
     };
@@ -257,3 +260,59 @@
     assert_eq!(leaving(&[], &[1, 2, 3]), remove(4));
     assert_eq!(leaving(&[4], &[1, 2, 3]), remove(4));
 }
+
+/// Guards against a lost node that stays listed and delays the disks that could hold committed entries: while too few
+/// of them do, learners catch up side by side.
+#[test]
+fn learners_catch_up_side_by_side_while_disks_are_missing() {
+    let group = |replicas: &[(u64, &str, ReplicaRole)], unresponsive: &[u64], caught_up: &[u64]| {
+        GroupView {
+            min_disks: 3,
+            target: 5,
+            membership: Membership {
+                min_disks: 3,
+                ..view(replicas, &[], &[]).membership
+            },
+            ..view(replicas, unresponsive, caught_up)
+        }
+    };
+    let candidates = [candidate(8, "b"), candidate(9, "c")];
+    let added = |change| match change {
+        Some(MembershipChange::AddLearner(disk, _)) => Some(disk.0),
+        _ => None,
+    };
+    let pair = [(1, "a", V), (2, "b", V), (7, "c", L)];
+    let change = group(&pair, &[], &[2]).next_change(&candidates);
+    assert_eq!(added(change), Some(8));
+    // A learner that has caught up is promoted before a lost one is removed.
+    let two = [(1, "a", V), (2, "b", V), (7, "c", L), (8, "b", L)];
+    let change = group(&two, &[7], &[2, 8]).next_change(&candidates);
+    assert_eq!(change, Some(MembershipChange::Promote(DiskId(8))));
+    let change = group(&two, &[7], &[2]).next_change(&candidates);
+    assert_eq!(change, Some(MembershipChange::Remove(DiskId(7))));
+    // Enough disks hold committed entries, so one learner after the other.
+    let four = [
+        (1, "a", V),
+        (2, "b", V),
+        (3, "c", V),
+        (4, "a", V),
+        (7, "c", L),
+    ];
+    assert_eq!(group(&four, &[], &[2, 3, 4]).next_change(&candidates), None);
+}
+
+/// Guards against two quorums: the number of disks is changed in the group's log, once enough voters are up to date.
+#[test]
+fn required_number_of_disks_is_set_once_enough_voters_are_up_to_date() {
+    let three = [(1, "a", V), (2, "b", V), (3, "c", V)];
+    let change = |min_disks, caught_up: &[u64]| {
+        let group = GroupView {
+            min_disks,
+            ..view(&three, &[], caught_up)
+        };
+        group.next_change(&[])
+    };
+    assert_eq!(change(3, &[2, 3]), Some(MembershipChange::SetMinDisks(3)));
+    assert_eq!(change(3, &[2]), None);
+    assert_eq!(change(2, &[2, 3]), None, "a majority has two disks");
+}
--- a/crates/firshore-log/tests/referenced.rs
+++ b/crates/firshore-log/tests/referenced.rs
@@ -213,6 +213,7 @@
                 .enumerate()
                 .map(|(node, disk)| (disk, info(node)))
                 .collect(),
+            ..Membership::default()
         };
         let nodes = (0..NODES).map(|node| {
             let disk = DiskModel::default();
--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -107,7 +107,7 @@
 fn voters_after(membership: &Membership, change: &MembershipChange) -> BTreeSet<DiskId> {
     let mut voters = voters_of(membership);
     match change {
-        MembershipChange::AddLearner(..) => {}
+        MembershipChange::AddLearner(..) | MembershipChange::SetMinDisks(_) => {}
         MembershipChange::Promote(disk) => {
             voters.insert(*disk);
         }
@@ -118,11 +118,29 @@
     voters
 }
 
-/// Returns whether the store names these voters, as written by this leader in its term.
-fn is_recorded(input: &GroupInput, voters: &BTreeSet<DiskId>) -> bool {
+/// Returns the number of disks that committed entries need before a change as well as after it.
+fn min_disks_during(membership: &Membership, change: &MembershipChange) -> usize {
+    match change {
+        MembershipChange::SetMinDisks(min_disks) => membership.min_disks.min(*min_disks),
+        _ => membership.min_disks,
+    }
+}
+
+/// Returns whether a change must be recorded before it enters the log.
+fn needs_record(membership: &Membership, change: &MembershipChange) -> bool {
+    matches!(change, MembershipChange::SetMinDisks(_))
+        || voters_after(membership, change) != voters_of(membership)
+}
+
+/// Returns whether the store names these voters and this number of disks, as written by this leader
+/// in its term.
+fn is_recorded(input: &GroupInput, voters: &BTreeSet<DiskId>, min_disks: usize) -> bool {
     let record = input.recorded.filter(|_| !input.write_unconfirmed);
     record.is_some_and(|record| {
-        record.voters == *voters && !record.settled && record.term == input.status.term
+        record.voters == *voters
+            && record.min_disks == min_disks
+            && !record.settled
+            && record.term == input.status.term
     })
 }
 
@@ -147,8 +165,8 @@
     recorded: Option<(VoterRecord, Instant)>,
     /// Time since which each voter has exceeded the timeout.
     unresponsive_since: BTreeMap<DiskId, Instant>,
-    /// The disk that is catching up, and since when.
-    learner: Option<(DiskId, Instant)>,
+    /// The disks that are catching up, and since when.
+    learning_since: BTreeMap<DiskId, Instant>,
 }
 
 impl GroupManager {
@@ -160,7 +178,7 @@
             leaderless_since: None,
             recorded: None,
             unresponsive_since: BTreeMap::new(),
-            learner: None,
+            learning_since: BTreeMap::new(),
         }
     }
 
@@ -268,19 +286,21 @@
         let change = group.next_change(&usable);
         let present = voters_of(&status.membership);
         let Some(change) = change else {
-            return settle_record(input, present);
+            return settle_record(input, present, self.policy.min_disks);
         };
         let voters = voters_after(&status.membership, &change);
-        if voters != present && !is_recorded(input, &voters) {
+        let min_disks = min_disks_during(&status.membership, &change);
+        if needs_record(&status.membership, &change) && !is_recorded(input, &voters, min_disks) {
             return GroupAction::Record(VoterRecord {
                 gone: lost_before(input, &voters),
                 voters,
                 settled: false,
                 term: status.term,
                 before: vec![present],
-                left_behind: left_behind(input),
+                left_behind: left_behind(input, self.policy.min_disks),
                 history: status.history,
                 begins: false,
+                min_disks,
             });
         }
         if let MembershipChange::Remove(disk) = &change
@@ -313,17 +333,22 @@
         }
     }
 
-    /// Returns the learner if it has been catching up for too long. One that responds but never
-    /// holds everything, because its disk is full or slow, would block all other disks. It
-    /// continues from its position when it is tried again.
+    /// Returns a learner that has been catching up for too long. One that responds but never holds
+    /// everything, because its disk is full or slow, would block other disks. It continues from its
+    /// position when it is tried again.
     fn overdue_learner(&mut self, now: Instant, group: &GroupView) -> Option<DiskId> {
-        let learner = group.learner();
-        if self.learner.map(|(disk, _)| disk) != learner {
-            self.learner = learner.map(|disk| (disk, now));
+        let learners: BTreeSet<DiskId> = group.learners().collect();
+        self.learning_since
+            .retain(|disk, _| learners.contains(disk));
+        for disk in learners {
+            self.learning_since.entry(disk).or_insert(now);
         }
         let limit = self.policy.catch_up.mul_f64(LEARNER_FRACTION);
-        let (disk, since) = self.learner?;
-        (now.saturating_duration_since(since) >= limit).then_some(disk)
+        let mut learning = self.learning_since.iter();
+        let is_overdue = |since: Instant| now.saturating_duration_since(since) >= limit;
+        learning
+            .find(|(_, since)| is_overdue(**since))
+            .map(|(disk, _)| *disk)
     }
 
     /// Returns disks that could be added: on nodes that stay, and not excluded after a recent
@@ -419,22 +444,31 @@
     (same_history && record.term > input.status.term).then_some(record.term)
 }
 
-/// Returns the recorded disk that the only voter left behind and that still holds all accepted
-/// jobs.
-fn left_behind(input: &GroupInput) -> Option<DiskId> {
-    input.recorded.and_then(|record| record.left_behind)
+/// Returns the recorded sets of disks that were left behind, while too few voters to accept anything
+/// commit: each still holds all accepted jobs.
+fn left_behind(input: &GroupInput, min_disks: usize) -> Vec<BTreeSet<DiskId>> {
+    let accepts = input.status.membership.quorum() >= min_disks;
+    let record = input.recorded.filter(|_| !accepts);
+    record.map_or_else(Vec::new, |record| record.left_behind.clone())
 }
 
-/// Records that the change to these voters is committed.
-fn settle_record(input: &GroupInput, voters: BTreeSet<DiskId>) -> GroupAction {
+/// Records that the change to these voters is committed. Disks that were left behind stay recorded
+/// while fewer disks than `accepting_disks` commit, as nothing is accepted meanwhile.
+fn settle_record(
+    input: &GroupInput,
+    voters: BTreeSet<DiskId>,
+    accepting_disks: usize,
+) -> GroupAction {
     let Some(record) = input.recorded else {
         return GroupAction::Idle;
     };
-    if record.settled && record.voters == voters && !input.write_unconfirmed {
+    let min_disks = input.status.membership.min_disks;
+    let current = record.voters == voters && record.min_disks == min_disks;
+    if record.settled && current && !input.write_unconfirmed {
         return GroupAction::Idle;
     }
-    let alone = voters.len() == 1;
-    let left_behind = left_behind(input).filter(|disk| alone && !voters.contains(disk));
+    let mut left_behind = left_behind(input, accepting_disks);
+    left_behind.retain(|disks| !disks.is_subset(&voters));
     // Voters that the record doesn't name were in force before; lost ones may have been present
     // then.
     let known = record.voters == voters;
@@ -448,5 +482,6 @@
         left_behind,
         history: input.status.history,
         begins: false,
+        min_disks,
     })
 }
--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -7,9 +7,9 @@
 //! themselves to the record first, by compare-and-set, in a term after each known one: a leader that
 //! was suspended meanwhile must not overwrite it.
 //!
-//! A disk that a single voter left behind needs no such proof. It begins a later history by writing
-//! the record; the single voter has to write the record before it accepts anything, and is then
-//! excluded.
+//! Disks that too few voters to accept anything left behind need no such proof, if together they hold
+//! everything. They begin a later history by writing the record; the others have to write the record
+//! before they accept anything, and are then excluded.
 
 use super::group_manager::{GroupAction, GroupInput, LeavingNodes, is_superseded, voters_of};
 use super::registry::VoterRecord;
@@ -26,10 +26,6 @@
     pub catch_up_elapsed: bool,
 }
 
-fn quorum_of(voters: &BTreeSet<DiskId>) -> usize {
-    voters.len() / 2 + 1
-}
-
 /// Returns the next step of a replica without a leader. `min_disks` disks have to hold accepted
 /// jobs; `unchanged` counts from the last change of the record if that is later.
 pub fn step(
@@ -41,6 +37,7 @@
     let unrecorded = VoterRecord {
         voters: voters_of(&input.status.membership),
         settled: true,
+        min_disks: input.status.membership.min_disks,
         ..VoterRecord::default()
     };
     let record = input.recorded.unwrap_or(&unrecorded);
@@ -48,8 +45,13 @@
     if record.is_begun_by(local) {
         return begin_history(input, record);
     }
-    if record.left_behind == Some(local) {
-        return step_left_behind(input, record, unchanged);
+    if record
+        .left_behind
+        .iter()
+        .flatten()
+        .any(|disk| *disk == local)
+    {
+        return step_left_behind(input, record, min_disks, unchanged);
     }
     if !record
         .possible_voters()
@@ -70,16 +72,16 @@
     let possible = possible_groups(input, leaving, record, min_disks);
     let sets = disk_sets(input, leaving, &possible, leaderless);
     let remaining = &sets.remaining;
-    let lost_quorum = present.intersection(remaining).count() < quorum_of(&present);
+    let lost_quorum = present.intersection(remaining).count() < input.status.membership.quorum();
     let certain = possible.iter().all(|voters| {
-        let never_held = record.never_held(voters);
-        intersects_quorums(remaining, voters, &never_held) && excludes_other_commits(&sets, voters)
+        intersects_quorums(remaining, record, voters)
+            && excludes_other_commits(&sets, record, voters)
     });
     if !lost_quorum || !certain || !remaining.contains(&local) {
         return GroupAction::Idle;
     }
     match survivors(input, remaining) {
-        Some(replicas) => continue_with(input, leaving, record, replicas, possible),
+        Some(replicas) => continue_with(input, leaving, record, min_disks, replicas, possible),
         None => GroupAction::Idle,
     }
 }
@@ -98,7 +100,7 @@
     }
     // A group too small to accept anything doesn't bind replicas whose log names its successor.
     if record.voters == present {
-        possible.retain(|voters| *voters == present || quorum_of(voters) >= min_disks);
+        possible.retain(|voters| *voters == present || record.quorum_of(voters) >= min_disks);
     }
     // A node is reported as drained only once the change that removed its disk is committed.
     possible.retain(|voters| {
@@ -148,21 +150,27 @@
 /// Returns whether the remaining disks exclude commits by others: each quorum that the unresponsive
 /// voters could form with help of remaining ones contains a disk that knows what the remaining ones
 /// commit.
-fn excludes_other_commits(sets: &DiskSets, voters: &BTreeSet<DiskId>) -> bool {
+fn excludes_other_commits(
+    sets: &DiskSets,
+    record: &VoterRecord,
+    voters: &BTreeSet<DiskId>,
+) -> bool {
     let unresponsive = sets.unresponsive.intersection(voters).count();
-    let helpers = quorum_of(voters).saturating_sub(unresponsive);
-    quorum_of(&sets.remaining) + helpers > sets.remaining.len()
+    let helpers = record.quorum_of(voters).saturating_sub(unresponsive);
+    record.quorum_of(&sets.remaining) + helpers > sets.remaining.len()
 }
 
 /// Returns whether each quorum of these voters that may have committed something contains a
 /// remaining disk.
 fn intersects_quorums(
     remaining: &BTreeSet<DiskId>,
+    record: &VoterRecord,
     voters: &BTreeSet<DiskId>,
-    never_held: &BTreeSet<DiskId>,
 ) -> bool {
+    let never_held = record.never_held(voters);
     let lost = voters.difference(remaining);
-    lost.filter(|disk| !never_held.contains(*disk)).count() < quorum_of(voters)
+    let lost = lost.filter(|disk| !never_held.contains(*disk)).count();
+    lost < record.quorum_of(voters)
 }
 
 /// Returns whether a disk was on a node that was reported as drained.
@@ -171,66 +179,99 @@
     listed.any(|one| one.disk == disk && leaving.done.contains(&one.node))
 }
 
-/// Returns the next step of a disk that a single voter left behind.
+/// Returns the next step of a disk that was left behind.
 ///
-/// It holds all accepted jobs, as the single voter can accept nothing before it has written its
-/// next voters to the record. Once this disk is recorded first, it needs no proof that the other
-/// one is lost: a replica that stays in the earlier history is excluded.
+/// A set of disks left behind holds all accepted jobs, as those that left it can accept nothing before
+/// they have written enough voters to the record. Once such a set is recorded first, it needs no proof
+/// that the others are lost: a replica that stays in the earlier history is excluded.
 fn step_left_behind(
     input: &GroupInput,
     record: &VoterRecord,
+    min_disks: usize,
     unchanged: LeaderlessTime,
 ) -> GroupAction {
-    let local = input.status.disk;
-    let others = record.voters.iter().copied().filter(|disk| *disk != local);
-    let (lost, present): (Vec<DiskId>, Vec<DiskId>) =
-        others.partition(|disk| is_superseded(input, *disk));
-    match (&lost[..], &present[..]) {
-        (_, []) => record_next_history(input, record, BTreeSet::from([local]), Vec::new(), None),
-        ([], [single]) => {
-            if !unchanged.timed_out {
-                return GroupAction::Idle;
-            }
-            let Some(leaving) = input.leaving else {
-                return GroupAction::ListLeaving;
-            };
-            let pair = BTreeSet::from([local, *single]);
-            if !unchanged.catch_up_elapsed && !has_replacement(input, leaving, &pair) {
-                return GroupAction::Idle;
-            }
-            record_next_history(
-                input,
-                record,
-                BTreeSet::from([local]),
-                Vec::new(),
-                Some(*single),
-            )
-        }
-        // The single voter was about to promote a learner. If that change is in the learner's log,
-        // its log is the longer one and holds everything; otherwise this disk holds everything.
-        ([single], [learner]) if record.before == [BTreeSet::from([*single])] => {
-            let before = vec![record.voters.clone()];
-            record_next_history(
-                input,
-                record,
-                BTreeSet::from([local, *learner]),
-                before,
-                None,
-            )
-        }
-        _ => GroupAction::Idle,
+    let sets = record.left_behind.iter();
+    let mut steps = sets
+        .filter(|disks| disks.contains(&input.status.disk))
+        .map(|disks| step_of_set(input, record, disks, min_disks, unchanged));
+    let due = steps.find(|step| *step != GroupAction::Idle);
+    due.unwrap_or(GroupAction::Idle)
+}
+
+fn step_of_set(
+    input: &GroupInput,
+    record: &VoterRecord,
+    disks: &BTreeSet<DiskId>,
+    min_disks: usize,
+    unchanged: LeaderlessTime,
+) -> GroupAction {
+    let others: BTreeSet<DiskId> = record.voters.difference(disks).copied().collect();
+    let (lost, present): (BTreeSet<DiskId>, BTreeSet<DiskId>) =
+        others.iter().partition(|disk| is_superseded(input, **disk));
+    if present.is_empty() {
+        return record_next_history(input, record, disks.clone(), Vec::new(), None);
+    }
+    if !holds_everything(disks, record, min_disks) {
+        return step_with_learner(input, record, disks, &lost, &present);
     }
+    let responds =
+        |disk: &DiskId| *disk == input.status.disk || input.status.responsive.contains(disk);
+    if !unchanged.timed_out || !disks.iter().all(responds) {
+        return GroupAction::Idle;
+    }
+    let Some(leaving) = input.leaving else {
+        return GroupAction::ListLeaving;
+    };
+    let all = disks.union(&others).copied().collect();
+    if !unchanged.catch_up_elapsed && !has_replacement(input, leaving, &all) {
+        return GroupAction::Idle;
+    }
+    // The others may do the same later, if they are a whole group.
+    let is_group = disks.is_disjoint(&record.voters) || record.before.contains(&others);
+    let others = (lost.is_empty() && is_group).then_some(others);
+    record_next_history(input, record, disks.clone(), Vec::new(), others)
 }
 
-/// Records that these disks begin the next history. Until they have, one of them may hold entries
-/// that only a group in `before` has committed.
+/// Returns whether these disks hold everything accepted: each recorded group is too small to accept
+/// anything, or its quorums contain one of them.
+fn holds_everything(disks: &BTreeSet<DiskId>, record: &VoterRecord, min_disks: usize) -> bool {
+    record.possible_voters().iter().all(|voters| {
+        let quorum = record.quorum_of(voters);
+        quorum < min_disks || voters.difference(disks).count() < quorum
+    })
+}
+
+/// Returns the next step of a disk that a single voter left behind before it lost its own disk, about
+/// to promote a learner. If that change is in the learner's log, its log is the longer one and holds
+/// everything; otherwise the disk left behind does.
+fn step_with_learner(
+    input: &GroupInput,
+    record: &VoterRecord,
+    disks: &BTreeSet<DiskId>,
+    lost: &BTreeSet<DiskId>,
+    present: &BTreeSet<DiskId>,
+) -> GroupAction {
+    let by_single = lost.len() == 1 && record.before == [lost.clone()];
+    if !by_single || present.len() != 1 || disks.len() != 1 {
+        return GroupAction::Idle;
+    }
+    let voters = disks.union(present).copied().collect();
+    let before = vec![record.voters.clone()];
+    record_next_history(input, record, voters, before, None)
+}
+
+/// Records that these disks begin the next history, and that `others` hold all accepted jobs as well.
+/// Until they have begun it, one of them may hold entries that only a group in `before` has committed.
 fn record_next_history(
     input: &GroupInput,
     record: &VoterRecord,
     voters: BTreeSet<DiskId>,
     before: Vec<BTreeSet<DiskId>>,
-    left_behind: Option<DiskId>,
+    others: Option<BTreeSet<DiskId>>,
 ) -> GroupAction {
+    let mut left_behind = record.left_behind.clone();
+    left_behind.retain(|disks| disks.is_disjoint(&voters));
+    left_behind.extend(others);
     GroupAction::Record(VoterRecord {
         voters,
         settled: false,
@@ -240,6 +281,7 @@
         left_behind,
         history: record.history + 1,
         begins: true,
+        min_disks: record.min_disks,
     })
 }
 
@@ -256,6 +298,7 @@
         never_held: BTreeSet::new(),
         left_behind: true,
         history: record.history,
+        min_term: 0,
     })
 }
 
@@ -275,6 +318,7 @@
     input: &GroupInput,
     leaving: &LeavingNodes,
     record: &VoterRecord,
+    min_disks: usize,
     replicas: BTreeMap<DiskId, ReplicaInfo>,
     possible: Vec<BTreeSet<DiskId>>,
 ) -> GroupAction {
@@ -286,10 +330,11 @@
             never_held: record.gone.clone(),
             left_behind: false,
             history,
+            min_term: record.term,
         });
     }
     GroupAction::Record(VoterRecord {
-        left_behind: other_of_pair(input, leaving, record, &voters),
+        left_behind: sets_left_behind(input, leaving, record, min_disks, &voters),
         voters,
         settled: false,
         term: input.status.term.max(record.term) + 1,
@@ -297,28 +342,75 @@
         before: possible,
         history,
         begins: false,
+        min_disks: record.min_disks,
     })
 }
 
-/// Returns the other disk of a pair that one voter continues without. `None` if the pair may not be
-/// in force yet, since that disk need not hold what was accepted before.
-fn other_of_pair(
+/// Returns the sets of disks that hold all accepted jobs and without which these voters continue. Empty
+/// if these voters may be enough to accept something.
+fn sets_left_behind(
     input: &GroupInput,
     leaving: &LeavingNodes,
     record: &VoterRecord,
+    min_disks: usize,
     voters: &BTreeSet<DiskId>,
-) -> Option<DiskId> {
-    let pair = voters_of(&input.status.membership);
+) -> Vec<BTreeSet<DiskId>> {
+    if record.quorum_of(voters) >= min_disks {
+        return Vec::new();
+    }
+    let mut sets = record.left_behind.clone();
+    sets.retain(|disks| disks != voters && holds_everything(disks, record, min_disks));
+    for disks in sets_left_out(input, leaving, record, voters) {
+        if !sets.contains(&disks) {
+            sets.push(disks);
+        }
+    }
+    sets
+}
+
+/// Returns the sets of disks of the present group without which these voters continue, and each of which
+/// holds all accepted jobs as it intersects each quorum. Empty if the group may not be in force yet, since
+/// its disks need not hold what was accepted before.
+fn sets_left_out(
+    input: &GroupInput,
+    leaving: &LeavingNodes,
+    record: &VoterRecord,
+    voters: &BTreeSet<DiskId>,
+) -> Vec<BTreeSet<DiskId>> {
+    let membership = &input.status.membership;
+    let group = voters_of(membership);
     let mut recorded = record.possible_voters();
     recorded.retain(|voters| {
         !voters
             .iter()
             .any(|disk| is_drained_disk(input, leaving, *disk))
     });
-    let in_force = recorded.iter().all(|voters| *voters == pair)
-        || pair == voters_of(&input.status.committed_membership);
-    let alone = voters.len() == 1 && pair.len() == 2 && in_force;
-    pair.difference(voters).copied().find(|_| alone)
+    let in_force = recorded.iter().all(|voters| *voters == group)
+        || group == voters_of(&input.status.committed_membership);
+    if !in_force {
+        return Vec::new();
+    }
+    let left_out = group.difference(voters).copied();
+    let left_out: Vec<DiskId> = left_out
+        .filter(|disk| !is_superseded(input, *disk))
+        .collect();
+    subsets(&left_out, group.len() + 1 - membership.quorum())
+}
+
+/// Returns the subsets of these disks that have `len` disks.
+fn subsets(disks: &[DiskId], len: usize) -> Vec<BTreeSet<DiskId>> {
+    if len == 0 {
+        return vec![BTreeSet::new()];
+    }
+    let Some((first, rest)) = disks.split_first() else {
+        return Vec::new();
+    };
+    let mut sets = subsets(rest, len - 1);
+    for set in &mut sets {
+        set.insert(*first);
+    }
+    sets.extend(subsets(rest, len));
+    sets
 }
 
 /// Returns whether a disk beyond these could hold a replica, on any node that is not drained. Nodes
--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -207,8 +207,9 @@
         let Some(local) = first.filter(|one| enough && one.node == self.node) else {
             return;
         };
-        let founders =
-            placement::founding_membership(&candidates, local, self.journal.policy.target_voters);
+        let policy = &self.journal.policy;
+        let (voters, disks) = (policy.target_voters, policy.min_disks);
+        let founders = placement::founding_membership(&candidates, local, voters, disks);
         info!(self.journal.log, "journal: Naming founders."; "count" => founders.replicas.len());
         registry.name_founders(&founders).await;
     }
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -9,7 +9,7 @@
 use firshore_adapter::decode::brief;
 use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
 use firshore_log::placement::Candidate;
-use firshore_replication::types::{DiskId, Membership, Term};
+use firshore_replication::types::{DiskId, Membership, Term, quorum_size};
 use firshore_types::ids::{NodeName, ZoneName};
 use parking_lot::RwLock;
 use serde::{Deserialize, Serialize};
@@ -90,10 +90,10 @@
     /// anything that it committed.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub gone: BTreeSet<DiskId>,
-    /// The disk that the only voter left behind, while nothing was accepted since. It may be
-    /// intact, and holds all accepted jobs if the voter's disk is lost.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub left_behind: Option<DiskId>,
+    /// Sets of disks that too few voters to accept anything left behind. They may be intact, and
+    /// each set holds all accepted jobs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "left_behind")]
+    pub left_behind: Vec<BTreeSet<DiskId>>,
     /// History of the log in which these are the voters. A disk that was left behind continues in
     /// the next one; a replica of an earlier history accepts nothing, as that needs this record.
     #[serde(default)]
@@ -101,6 +101,47 @@
     /// Whether these voters begin that history, leaving the earlier one for good.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub begins: bool,
+    /// Number of disks that each group that may be in force requires for committed entries, or
+    /// less. Records of earlier versions don't have it: majorities commit.
+    #[serde(default)]
+    pub min_disks: usize,
+}
+
+/// Format of the sets of disks left behind: a single disk is written as such, as earlier versions do.
+mod left_behind {
+    use super::DiskId;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use std::collections::BTreeSet;
+
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Stored {
+        One(DiskId),
+        Several(Vec<BTreeSet<DiskId>>),
+    }
+
+    pub fn serialize<S: Serializer>(
+        sets: &[BTreeSet<DiskId>],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let single = match sets {
+            [set] if set.len() == 1 => set.first(),
+            _ => None,
+        };
+        match single {
+            Some(disk) => disk.serialize(serializer),
+            None => sets.serialize(serializer),
+        }
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<BTreeSet<DiskId>>, D::Error> {
+        Ok(match Stored::deserialize(deserializer)? {
+            Stored::One(disk) => vec![BTreeSet::from([disk])],
+            Stored::Several(sets) => sets,
+        })
+    }
 }
 
 impl VoterRecord {
@@ -128,6 +169,11 @@
         }
     }
 
+    /// Returns the size of the smallest quorum with which these voters may have committed something.
+    pub fn quorum_of(&self, voters: &BTreeSet<DiskId>) -> usize {
+        quorum_size(voters.len(), self.min_disks)
+    }
+
     /// Returns each set of voters that may be in force.
     pub fn possible_voters(&self) -> Vec<BTreeSet<DiskId>> {
         let mut possible = vec![self.voters.clone()];
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -148,6 +148,26 @@
     assert_eq!(run_seeds(ten, [10018].into_iter()), 0);
 }
 
+/// Seeds of two tolerated losses that failed before: survivors that left out disks without a way back, dead disks
+/// tried first, quorums of fewer disks than the guarantee.
+#[test]
+fn regression_seeds_of_two_losses_hold() {
+    let seeds = [
+        9200048, 9200307, 9200310, 9200340, 9200384, 9200529, 9200644, 9200867, 9200965, 9201027,
+        9201246, 9201312, 31000258, 31000424, 31001690, 31003113, 31004327, 31004898, 31005253,
+        31005363,
+    ];
+    assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, seeds.into_iter()), 0);
+}
+
+/// Seeds in which the survivors of a lost quorum are known and none of them is elected in time, or at all. Listed in
+/// `KNOWN-RED.txt`.
+#[test]
+fn recorded_survivors_elect_a_leader() {
+    let seeds = [31001505, 31003072];
+    assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, seeds.into_iter()), 0);
+}
+
 /// Seeds in which a lone voter is removed permanently and the others cannot determine that it won't return.
 #[test]
 fn accepted_commands_survive_a_lone_voter_that_never_returns() {
@@ -168,8 +188,8 @@
 }
 
 /// Seeds in which two disks are lost while a third voter is unresponsive or was just replaced: the two that are left
-/// cannot determine what the others committed. In seed 810076 three are left, and two unresponsive voters could form a
-/// quorum with one of them. Listed in `KNOWN-RED.txt`.
+/// could not determine what the others committed. In seed 810076 three are left, and two unresponsive voters could form a
+/// quorum with one of them.
 #[test]
 fn everything_accepted_outlives_two_losses_beside_a_silent_voter() {
     let seeds = [
@@ -178,8 +198,8 @@
     assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, seeds.into_iter()), 0);
 }
 
-/// Seeds in which three machines are left where two losses are tolerated: all three would have to hold each accepted
-/// command, but a quorum of them is two. Listed in `KNOWN-RED.txt`.
+/// Seeds in which three machines are left where two losses are tolerated: all three have to hold each accepted command,
+/// and a majority of them is two.
 #[test]
 fn three_machines_that_are_left_promise_again() {
     let seeds = [
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -9,7 +9,7 @@
 use firshore_log::placement::{self, Candidate, is_durable};
 use firshore_node::journal::group_manager::{GroupAction, GroupPolicy};
 use firshore_replication::message::Envelope;
-use firshore_replication::replica::{Output, ReadToken};
+use firshore_replication::replica::{Output, ReadToken, Replica};
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, MembershipChange};
 use firshore_types::ids::NodeName;
@@ -151,7 +151,8 @@
 
     fn found_group(&mut self) {
         let all: Vec<Candidate> = self.machines.iter().map(candidate).collect();
-        let membership = placement::founding_membership(&all, &all[0], self.policy.target_voters);
+        let (voters, disks) = (self.policy.target_voters, self.policy.min_disks);
+        let membership = placement::founding_membership(&all, &all[0], voters, disks);
         for machine in &mut self.machines {
             self.store
                 .nodes
@@ -620,6 +621,12 @@
             machine.applied = snapshot.header.position.index;
             machine.open.clear();
         }
+        // A node answers no proposals from before its group shrank.
+        let required = machine.policy.min_disks;
+        let shrunk = |replica: &Replica| !is_durable(&replica.status().membership, required);
+        if !output.committed.is_empty() && machine.replica.as_ref().is_some_and(shrunk) {
+            machine.open.clear();
+        }
         for entry in output.committed {
             machine.applied = entry.index;
             let proposed = machine.open.remove(&entry.index);
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -34,6 +34,7 @@
     });
     Membership {
         replicas: replicas.collect::<std::collections::BTreeMap<DiskId, ReplicaInfo>>(),
+        ..Membership::default()
     }
 }
 
@@ -151,9 +152,7 @@
         term: 1,
         before: before.iter().map(|one| disks(one)).collect(),
         gone: BTreeSet::new(),
-        left_behind: None,
-        history: 0,
-        begins: false,
+        ..VoterRecord::default()
     }
 }
 
@@ -235,7 +234,7 @@
 #[test]
 fn voter_left_behind_continues_only_after_the_lone_voter_is_lost() {
     let left = VoterRecord {
-        left_behind: Some(DiskId(1)),
+        left_behind: vec![disks(&[1])],
         ..unsettled(&[2], &[&[1, 2]])
     };
     let mut fixture = GroupFixture::leaderless(&[1, 2], 1).with_record(left.clone());
@@ -243,7 +242,7 @@
     let mut fixture = fixture.with_new_disk(2);
     assert_eq!(recorded_voters(fixture.step(2.0)), Some(disks(&[1])));
     let other = VoterRecord {
-        left_behind: Some(DiskId(9)),
+        left_behind: vec![disks(&[9])],
         ..left
     };
     assert_eq!(fixture.with_record(other).step(2.0), GroupAction::Idle);
@@ -315,7 +314,7 @@
 /// Returns the record of a lone voter on disk 2 that continued without disk 1.
 fn lone_voter_record(voters: &[u64]) -> VoterRecord {
     VoterRecord {
-        left_behind: Some(DiskId(1)),
+        left_behind: vec![disks(&[1])],
         history: 4,
         ..unsettled(voters, &[&[2]])
     }
@@ -345,7 +344,7 @@
         );
         assert_eq!(
             begun_record.left_behind,
-            Some(DiskId(2)),
+            [disks(&[2])],
             "the lone voter may do the same later"
         );
         assert!(begun_record.before.is_empty());
@@ -407,10 +406,10 @@
         }
     };
     let promoting = unsettled(&[1, 2], &[&[1]]);
-    assert_eq!(left(promoting.clone(), true), Some(DiskId(2)));
+    assert_eq!(left(promoting.clone(), true), [disks(&[2])]);
     assert_eq!(
         left(promoting, false),
-        None,
+        Vec::<BTreeSet<DiskId>>::new(),
         "it may lack entries that were committed before"
     );
 }
@@ -427,7 +426,7 @@
 fn voter_added_by_a_lone_voter_continues_without_it() {
     // The lone voter committed nothing alone, and all later entries needed both.
     let record = VoterRecord {
-        left_behind: Some(DiskId(9)),
+        left_behind: vec![disks(&[9])],
         ..unsettled(&[1, 2], &[&[2]])
     };
     let mut fixture = GroupFixture::leaderless(&[1, 2], 1)
@@ -462,7 +461,7 @@
 fn leader_of_an_earlier_term_than_the_record_steps_down() {
     let survivors = VoterRecord {
         term: 2,
-        left_behind: Some(DiskId(1)),
+        left_behind: vec![disks(&[1])],
         ..unsettled(&[2], &[&[1, 2]])
     };
     let elected = VoterRecord {
@@ -472,7 +471,7 @@
     };
     let other_term = VoterRecord {
         voters: disks(&[1, 2]),
-        left_behind: None,
+        left_behind: Vec::new(),
         ..elected.clone()
     };
     for record in [survivors, elected, other_term] {
@@ -544,6 +543,97 @@
     assert!(!three.is_drained("node-4"), "two of three commit");
 }
 
+/// The record names the smaller number of disks while a change of it may be in force or not.
+#[test]
+fn required_number_of_disks_is_recorded_before_it_changes() {
+    let steps = |in_force: usize, losses: usize| {
+        let mut fixture = GroupFixture::leading(&[1, 2, 3], losses);
+        fixture.status.membership.min_disks = in_force;
+        let settled = fixture.record.take().expect("the fixture has a record");
+        let fixture_record = VoterRecord {
+            min_disks: in_force,
+            ..settled
+        };
+        let mut fixture = fixture.with_record(fixture_record);
+        let GroupAction::Record(record) = fixture.step(0.1) else {
+            panic!("the number of disks differs");
+        };
+        let mut fixture = fixture.with_record(record.clone());
+        (record, fixture.step(0.2))
+    };
+    let (raised, change) = steps(0, 2);
+    assert_eq!((raised.min_disks, raised.settled), (0, false));
+    assert_eq!(
+        change,
+        GroupAction::Change(MembershipChange::SetMinDisks(3))
+    );
+    let (lowered, change) = steps(3, 1);
+    assert_eq!((lowered.min_disks, lowered.settled), (2, false));
+    assert_eq!(
+        change,
+        GroupAction::Change(MembershipChange::SetMinDisks(2))
+    );
+}
+
+/// Two of four voters continue and can accept nothing; what was accepted before is on one of the other two at least.
+/// If the two are lost, the others must be able to continue.
+#[test]
+fn disks_left_behind_by_voters_that_accept_nothing_continue_together() {
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2);
+    fixture.candidates.push(candidate(5, 5));
+    fixture.status.responsive = disks(&[2]);
+    let GroupAction::Record(record) = fixture.step(1.1) else {
+        panic!("two of four hold everything");
+    };
+    assert_eq!(record.left_behind, [disks(&[3, 4])]);
+    let left = VoterRecord {
+        voters: disks(&[3, 4]),
+        before: vec![disks(&[1, 2, 3, 4])],
+        left_behind: vec![disks(&[1, 2])],
+        ..record
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2).with_record(left.clone());
+    fixture.status.responsive = disks(&[2]);
+    assert_eq!(fixture.step(0.0), GroupAction::Idle, "they may be back");
+    let mut lost = fixture.with_new_disk(3).with_new_disk(4);
+    let GroupAction::Record(begun) = lost.step(0.1) else {
+        panic!("the others are lost");
+    };
+    assert_eq!((begun.voters, begun.history), (disks(&[1, 2]), 1));
+    // With a third voter they may have accepted something that is missing here.
+    let accepting = VoterRecord {
+        voters: disks(&[3, 4, 5]),
+        before: vec![disks(&[3, 4])],
+        min_disks: 3,
+        ..left
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2).with_record(accepting);
+    fixture.candidates.push(candidate(5, 5));
+    fixture.status.responsive = disks(&[2]);
+    assert_eq!(fixture.step(0.0), GroupAction::Idle);
+    assert_eq!(fixture.step(2.0), GroupAction::Idle);
+}
+
+#[test]
+fn record_of_an_earlier_version_names_one_disk_left_behind() {
+    let record = |text: &str| serde_json::from_str::<VoterRecord>(text).unwrap();
+    let earlier = r#"{"voters":[2],"settled":true,"term":3,"left_behind":1,"history":0}"#;
+    let decoded = record(earlier);
+    assert_eq!(decoded.left_behind, [disks(&[1])]);
+    assert_eq!(decoded.quorum_of(&disks(&[1, 2, 3])), 2);
+    assert!(
+        serde_json::to_string(&decoded)
+            .unwrap()
+            .contains(r#""left_behind":1"#)
+    );
+    let several = VoterRecord {
+        left_behind: vec![disks(&[1, 3]), disks(&[4])],
+        ..decoded
+    };
+    let written = serde_json::to_string(&several).unwrap();
+    assert_eq!(record(&written), several);
+}
+
 #[test]
 fn leader_on_a_leaving_node_hands_over_only_to_a_staying_node() {
     let leaving = |nodes: &[&str]| LeavingNodes {
--- a/crates/firshore-replication/src/replica/election.rs
+++ b/crates/firshore-replication/src/replica/election.rs
@@ -58,9 +58,9 @@
     }
 
     /// Returns whether these votes are a quorum of the effective membership, and the log has an entry of its history.
-    fn is_majority(&self, granted_by: &BTreeSet<DiskId>) -> bool {
+    fn is_quorum(&self, granted_by: &BTreeSet<DiskId>) -> bool {
         let membership = self.log.membership();
-        self.has_entry_of_history() && membership.majority(|disk| granted_by.contains(&disk))
+        self.has_entry_of_history() && membership.has_quorum(|disk| granted_by.contains(&disk))
     }
 
     /// Returns the survivors of a lost quorum, if all of them have granted their votes.
@@ -126,7 +126,7 @@
         let Role::PreCandidate(granted_by) = &self.role else {
             return;
         };
-        if self.is_majority(granted_by) || self.unanimous_survivors(granted_by).is_some() {
+        if self.is_quorum(granted_by) || self.unanimous_survivors(granted_by).is_some() {
             self.start_election(false);
         }
     }
@@ -176,7 +176,7 @@
         let Role::Candidate(granted_by) = &self.role else {
             return;
         };
-        if self.is_majority(granted_by) {
+        if self.is_quorum(granted_by) {
             self.become_leader();
         } else if let Some(survivors) = self.unanimous_survivors(granted_by) {
             self.begin_leadership();
--- a/crates/firshore-replication/src/replica/leader.rs
+++ b/crates/firshore-replication/src/replica/leader.rs
@@ -185,7 +185,7 @@
             return false;
         };
         let oldest = self.now.saturating_sub(self.timing.election_timeout);
-        self.log.membership().majority(|disk| {
+        self.log.membership().has_quorum(|disk| {
             disk == self.disk
                 || leadership
                     .progress
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -5,7 +5,7 @@
 use crate::error::ReplicaError;
 use crate::progress::Progress;
 use crate::types::{
-    DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole,
+    DiskId, EntryContent, Membership, MembershipChange, Position, ReplicaInfo, ReplicaRole, Term,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,6 +25,8 @@
     pub left_behind: bool,
     /// History in which they continue; a later one if they were left behind.
     pub history: u64,
+    /// Earliest term of their leader: the term in which they were recorded.
+    pub min_term: Term,
 }
 
 impl Replica {
@@ -80,6 +82,7 @@
         if survivors.history > self.hard_state.history {
             self.begin_history(survivors.history);
         }
+        self.adopt_term(survivors.min_term.saturating_sub(1));
         if self.recovery.as_ref() != Some(disks) {
             self.recovery = Some(disks.clone());
             self.start_pre_vote();
@@ -96,6 +99,7 @@
         });
         let membership = Membership {
             replicas: replicas.collect(),
+            min_disks: self.log.membership().min_disks,
         };
         self.append_as_leader(EntryContent::Membership(membership));
         self.update_progress_set();
@@ -133,6 +137,7 @@
                     return Err(ReplicaError::InvalidChange);
                 }
             }
+            MembershipChange::SetMinDisks(min_disks) => membership.min_disks = *min_disks,
         }
         Ok(membership)
     }
--- a/crates/firshore-replication/src/replica/read.rs
+++ b/crates/firshore-replication/src/replica/read.rs
@@ -55,7 +55,7 @@
             return;
         };
         while let Some(read) = leadership.reads.front() {
-            let confirmed = membership.majority(|disk| {
+            let confirmed = membership.has_quorum(|disk| {
                 let progress = leadership.progress.get(&disk);
                 disk == local || progress.is_some_and(|progress| progress.round >= read.round)
             });
--- a/crates/firshore-replication/src/types.rs
+++ b/crates/firshore-replication/src/types.rs
@@ -60,6 +60,24 @@
 pub struct Membership {
     /// Replicas by disk identity.
     pub replicas: BTreeMap<DiskId, ReplicaInfo>,
+    /// Number of disks on which an entry must be before it is committed, as far as there are as many voters.
+    /// Memberships of earlier versions don't have it: a majority commits.
+    #[serde(default, skip_serializing_if = "requires_majority_only")]
+    pub min_disks: usize,
+}
+
+fn requires_majority_only(min_disks: &usize) -> bool {
+    *min_disks == 0
+}
+
+/// Returns the size of the quorum of `voters` voters whose entries must be on `min_disks` disks: a majority, or more
+/// voters if a majority has fewer disks.
+///
+/// Each such quorum contains a majority, so quorums of memberships that differ in one voter or in `min_disks`
+/// intersect.
+pub fn quorum_size(voters: usize, min_disks: usize) -> usize {
+    let majority = voters / 2 + 1;
+    majority.max(min_disks.min(voters))
 }
 
 impl Membership {
@@ -78,19 +96,25 @@
             .is_some_and(|replica| replica.role == ReplicaRole::Voter)
     }
 
-    /// Returns the number of voters that form a quorum.
+    /// Returns the number of voters that form a quorum, of elections as of commits.
     pub fn quorum(&self) -> usize {
-        self.voters().count() / 2 + 1
+        quorum_size(self.voters().count(), self.min_disks)
+    }
+
+    /// Returns the number of voters that form a majority. A quorum may be larger.
+    pub fn majority(&self) -> usize {
+        quorum_size(self.voters().count(), 0)
     }
 
     /// Returns whether the voters for which `agrees` holds form a quorum.
-    pub fn majority(&self, agrees: impl Fn(DiskId) -> bool) -> bool {
+    pub fn has_quorum(&self, agrees: impl Fn(DiskId) -> bool) -> bool {
         let agreeing = self.voters().filter(|disk| agrees(*disk)).count();
         agreeing >= self.quorum()
     }
 }
 
-/// A change of a single replica; larger changes are unsafe in one step (Ongaro 2014, section 4.1).
+/// A change of a single replica or of the required number of disks; larger changes are unsafe in one step
+/// (Ongaro 2014, section 4.1).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembershipChange {
     /// Adds an empty replica as a learner.
@@ -99,6 +123,8 @@
     Promote(DiskId),
     /// Removes a replica.
     Remove(DiskId),
+    /// Sets the number of disks on which committed entries must be.
+    SetMinDisks(usize),
 }
 
 /// Content of a log entry.
--- a/crates/firshore-replication/tests/caught_up.rs
+++ b/crates/firshore-replication/tests/caught_up.rs
@@ -36,6 +36,7 @@
         let voters = [1, 2, 3].map(DiskId);
         let membership = Membership {
             replicas: voters.into_iter().map(|disk| (disk, info(disk))).collect(),
+            ..Membership::default()
         };
         let founding = StoredState::founding(membership);
         let mut stored = StoredState::default();
--- a/crates/firshore-replication/tests/continue_alone.rs
+++ b/crates/firshore-replication/tests/continue_alone.rs
@@ -19,6 +19,7 @@
     });
     Membership {
         replicas: replicas.collect(),
+        ..Membership::default()
     }
 }
 
@@ -28,6 +29,7 @@
         never_held: BTreeSet::new(),
         left_behind: false,
         history: 0,
+        min_term: 0,
     }
 }
 
--- a/crates/firshore-replication/tests/histories.rs
+++ b/crates/firshore-replication/tests/histories.rs
@@ -35,6 +35,7 @@
         let pair = [DiskId(1), DiskId(2)];
         let founding = StoredState::founding(Membership {
             replicas: replicas(&pair),
+            ..Membership::default()
         });
         let mut founded = StoredState::default();
         founded.apply(&founding);
@@ -104,6 +105,7 @@
             never_held: BTreeSet::new(),
             left_behind,
             history: u64::from(left_behind),
+            min_term: 0,
         };
         self.replica(disk).continue_with(&survivors).unwrap();
         self.run(&[disk], 100);
--- a/crates/firshore-replication/tests/later_history.rs
+++ b/crates/firshore-replication/tests/later_history.rs
@@ -58,6 +58,7 @@
         let mut stored = StoredState::default();
         stored.apply(&StoredState::founding(Membership {
             replicas: replicas(&[LONE, LEFT_BEHIND]),
+            ..Membership::default()
         }));
         let nodes = [LONE, LEFT_BEHIND].map(|disk| (disk, Node::new(disk, stored.clone())));
         Self {
@@ -117,6 +118,7 @@
             never_held: BTreeSet::new(),
             left_behind: history > 0,
             history,
+            min_term: 0,
         };
         let node = self.node(disk);
         node.replica.continue_with(&survivors).unwrap();
--- a/crates/firshore-replication/tests/read_rounds.rs
+++ b/crates/firshore-replication/tests/read_rounds.rs
@@ -34,6 +34,7 @@
     });
     let founding = Membership {
         replicas: infos.collect(),
+        ..Membership::default()
     };
     let replicas = (1..=3).map(|disk| {
         let batch = StoredState::founding(founding.clone());
--- a/crates/firshore-replication/tests/stalls.rs
+++ b/crates/firshore-replication/tests/stalls.rs
@@ -19,6 +19,7 @@
     });
     Membership {
         replicas: replicas.collect(),
+        ..Membership::default()
     }
 }
 
--- a/crates/firshore-server/src/journal/founding.rs
+++ b/crates/firshore-server/src/journal/founding.rs
@@ -1,9 +1,9 @@
 //! Founds a group once: the first replicas are named by an object in the object API that can only
 //! be created, never replaced. Every later change is committed in the group's own log.
 
-use super::Group;
 use super::maintenance::{own_candidate, survey};
 use super::placement::{self, Candidate, TARGET_VOTERS};
+use super::{Group, MIN_DISKS};
 use crate::platform::object_api::{ObjectApi, ObjectError};
 use crate::shared::Shared;
 use firshore_replication::types::Membership;
@@ -71,7 +71,7 @@
     if !(enough || patient) {
         return;
     }
-    let membership = placement::founding_membership(found, own, TARGET_VOTERS);
+    let membership = placement::founding_membership(found, own, TARGET_VOTERS, MIN_DISKS);
     if membership.replicas.len() < TARGET_VOTERS {
         warn!(shared.log, "journal: Fewer than three disks; a lost one loses jobs."; "group" => group.id().0);
     }
@@ -93,5 +93,10 @@
         warn!(shared.log, "journal: Not alone; remove journal.standalone."; "disks" => disks);
         return;
     }
-    group.set_founding(placement::founding_membership(&[], &own, TARGET_VOTERS));
+    group.set_founding(placement::founding_membership(
+        &[],
+        &own,
+        TARGET_VOTERS,
+        MIN_DISKS,
+    ));
 }
--- a/crates/firshore-server/src/journal/maintenance.rs
+++ b/crates/firshore-server/src/journal/maintenance.rs
@@ -1,8 +1,8 @@
 //! Upkeep of the groups on this node: founding, placement of replicas, forgetting old claims.
 
-use super::Group;
 use super::founding;
 use super::placement::{Candidate, GroupView, TARGET_VOTERS};
+use super::{Group, MIN_DISKS};
 use crate::clock::unix_milliseconds;
 use crate::shared::Shared;
 use firshore_journal::claim::ClaimCommand;
@@ -50,7 +50,7 @@
     let status = group.status();
     let view = GroupView {
         target: TARGET_VOTERS,
-        min_disks: 1,
+        min_disks: MIN_DISKS,
         leader: status.disk,
         membership: status.membership.clone(),
         unresponsive: status.unresponsive.clone(),
--- a/crates/firshore-server/src/journal/mod.rs
+++ b/crates/firshore-server/src/journal/mod.rs
@@ -11,6 +11,9 @@
 pub use client::Leaders;
 pub use firshore_log::{GroupStatus, placement};
 
+/// Number of disks that must hold what a group commits; a majority of three has more.
+const MIN_DISKS: usize = 1;
+
 /// A replica of the product's journal.
 pub type Group = firshore_log::Group<JournalState>;
 
--- a/crates/firshore-server/src/journal/transport.rs
+++ b/crates/firshore-server/src/journal/transport.rs
@@ -1,5 +1,6 @@
 //! How replicas of the journal reach each other: through the peers that membership knows.
 
+use super::MIN_DISKS;
 use crate::shared::Shared;
 use firshore_log::machine::{ReplicaSettings, Transport};
 use firshore_protocol::message::Request;
@@ -35,7 +36,7 @@
 pub fn settings(shared: &Shared) -> ReplicaSettings {
     let journal = &shared.settings.journal;
     ReplicaSettings {
-        min_disks: 1,
+        min_disks: MIN_DISKS,
         timing: Timing::default(),
         replace_after: Duration::from_secs(journal.replace_after_seconds),
         reserve_bytes: journal.reserve_bytes,
