--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -106,9 +106,9 @@
 
     /// Returns whether a voter can be removed; checked before every step that removes a copy. A responsive
     /// voter is removed only if a majority of the remaining voters meets the durability guarantee and enough of
-    /// them hold all committed entries: if all of them had to commit, the next lost disk would stop the group. An unresponsive voter does not count as a copy. Entries in flight to
-    /// the remaining voters need no check: the removal itself, and every entry before it, must be committed by
-    /// a quorum of them.
+    /// them hold all committed entries: if all of them had to commit, the next lost disk would stop the group. An
+    /// unresponsive voter does not count as a copy. Entries in flight to the remaining voters need no check: the
+    /// removal itself, and every entry before it, must be committed by a quorum of them.
     fn can_remove(&self, disk: DiskId) -> bool {
         let mut remaining = self.membership.clone();
         remaining.replicas.remove(&disk);
