--- a/crates/firshore-adapter/src/backend.rs
+++ b/crates/firshore-adapter/src/backend.rs
@@ -1,6 +1,7 @@
 //! Back ends: their identity, the terms sent with a request, and the content of responses.
 
 use crate::incarnation::Incarnation;
+use crate::objects::Revision;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
 use firshore_types::ids::{ServiceName, TenantName, ZoneName};
@@ -23,6 +24,17 @@
     pub slots: u32,
     /// Whether it has announced that it will shut down.
     pub leaving: bool,
+    /// Present while it is cold and gets requests at a limited rate.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Remaining warm-up of a cold back end, as its entry states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WarmUp {
+    /// Remaining time when the entry was written.
+    pub remaining: Duration,
+    /// Revision of the entry: the same entry read again doesn't start the warm-up anew.
+    pub revision: Revision,
 }
 
 /// Load that a back end reports with a response.
--- a/crates/firshore-adapter/src/configuration.rs
+++ b/crates/firshore-adapter/src/configuration.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 /// Settings of a service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Maximum connections that one back end accepts from all nodes together; 0: unknown.
     pub connections_per_backend: u32,
     /// Concurrent requests of one back end, if configured.
     pub slots: Option<u32>,
+    /// Requests per second that one cold back end may get from all nodes together; `None`: unlimited.
+    pub cold_rate: Option<f64>,
 }
 
 /// Size and time limits on callers' requests.
--- a/crates/firshore-adapter/src/decode.rs
+++ b/crates/firshore-adapter/src/decode.rs
@@ -63,6 +63,10 @@
     /// Returns the kind that holds requests to empty nodes.
     fn retirement_kind(&self) -> &str;
 
+    /// Returns the kind that holds requests to drain zones. Each object is named after a zone, whose back ends get
+    /// no further requests until it is removed.
+    fn zone_drain_kind(&self) -> &str;
+
     /// Decodes a back end.
     fn backend(&self, object: &Object) -> Result<Backend, DecodeError>;
 
--- a/crates/firshore-adapter/src/lib.rs
+++ b/crates/firshore-adapter/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod incarnation;
 pub mod jobs;
 pub mod objects;
+pub mod residency;
 pub mod route;
 pub mod tenant;
 
--- a/crates/firshore-adapter/src/route.rs
+++ b/crates/firshore-adapter/src/route.rs
@@ -1,5 +1,6 @@
 //! Routes: map requests to services and set their limits.
 
+use crate::residency::AllowedRegions;
 use firshore_types::ids::ServiceName;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -66,6 +67,8 @@
     pub prefix_affinity: bool,
     /// Present if requests are batch jobs.
     pub jobs: Option<JobTerms>,
+    /// Regions in which its requests may be processed and stored.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Routes by host; within a host the longest prefix comes first.
--- a/crates/firshore-adapter/src/tenant.rs
+++ b/crates/firshore-adapter/src/tenant.rs
@@ -1,8 +1,9 @@
 //! Tenants: identified by the key that a request carries, each with a rate limit.
 
+use crate::residency::AllowedRegions;
 use firshore_types::ids::TenantName;
 use quick_error::quick_error;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 quick_error! {
@@ -50,6 +51,8 @@
     pub priority: Option<u32>,
     /// Rate limit; `None`: unlimited.
     pub limit: Option<RateLimit>,
+    /// Regions in which its requests may be processed and stored.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// A tenant as declared.
@@ -65,7 +68,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TenantTable {
     by_key: HashMap<String, Arc<Tenant>>,
-    tenants: Vec<Arc<Tenant>>,
+    by_name: BTreeMap<TenantName, Arc<Tenant>>,
 }
 
 fn is_amount(value: f64) -> bool {
@@ -99,17 +102,15 @@
     /// another tenant.
     pub fn new(declared: impl IntoIterator<Item = DeclaredTenant>) -> Result<Self, TenantError> {
         let mut table = Self::default();
-        let mut names = HashSet::new();
         for declaration in declared {
             check(&declaration.tenant)?;
-            if !names.insert(declaration.tenant.name.clone()) {
-                return Err(TenantError::NamedTwice(declaration.tenant.name));
-            }
             let tenant = Arc::new(declaration.tenant);
+            if let Some(twin) = table.by_name.insert(tenant.name.clone(), tenant.clone()) {
+                return Err(TenantError::NamedTwice(twin.name.clone()));
+            }
             for key in declaration.keys {
                 table.insert(key, &tenant)?;
             }
-            table.tenants.push(tenant);
         }
         Ok(table)
     }
@@ -133,18 +134,23 @@
         self.by_key.get(key)
     }
 
-    /// Returns all tenants.
+    /// Returns the tenant with a name.
+    pub fn named(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
+        self.by_name.get(name)
+    }
+
+    /// Returns all tenants in order of name.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Tenant>> {
-        self.tenants.iter()
+        self.by_name.values()
     }
 
     /// Returns the number of tenants.
     pub fn len(&self) -> usize {
-        self.tenants.len()
+        self.by_name.len()
     }
 
     /// Returns whether the table is empty.
     pub fn is_empty(&self) -> bool {
-        self.tenants.is_empty()
+        self.by_name.is_empty()
     }
 }
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -4,20 +4,25 @@
 mod claims;
 mod selection;
 mod service_stats;
+mod slow_start;
 mod state;
+mod zone_drains;
 
 use crate::attempts::Attempts;
 use crate::pace::ResponseQuality;
 use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use rand::Rng;
 use service_stats::ServiceStats;
+use slow_start::SlowStart;
 use state::{BackendState, FAILURES_TO_EJECT, LoadReport, MAX_EJECTION};
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
+use zone_drains::ZoneDrains;
 
 /// Requests in flight at a service, from this node and from all nodes.
 #[derive(Clone, Copy, Debug, Default)]
@@ -84,6 +89,8 @@
     pub service: &'a ServiceName,
     /// Sends of the request so far.
     pub attempts: &'a Attempts,
+    /// Zones in which it may be processed.
+    pub residency: &'a ResidencyPermit,
     /// Hash for prefix affinity.
     pub affinity: Option<u64>,
     /// Maximum load of a back end in requests per slot, including this request.
@@ -115,6 +122,8 @@
     view_at: Option<Instant>,
     /// Time between two views of other nodes' requests.
     view_interval: Duration,
+    slow_start: SlowStart,
+    zone_drains: ZoneDrains,
 }
 
 impl Fleet {
@@ -127,25 +136,29 @@
             service_stats: HashMap::new(),
             view_at: None,
             view_interval: Duration::ZERO,
+            slow_start: SlowStart::default(),
+            zone_drains: ZoneDrains::default(),
         }
     }
 
     /// Applies a complete listing. Returns the effect of each entry.
-    pub fn replace(&mut self, backends: Vec<Backend>) -> Vec<EntryChange> {
+    pub fn replace(&mut self, now: Instant, backends: Vec<Backend>) -> Vec<EntryChange> {
         let names = backends
             .iter()
             .map(|backend| backend.incarnation.name.clone());
         let apply_entry: HashSet<BackendName> = names.collect();
         self.states.retain(|one, _| apply_entry.contains(one));
         let backends = backends.into_iter();
-        let changes = backends.map(|backend| self.insert_state(backend)).collect();
+        let changes = backends
+            .map(|backend| self.insert_state(now, backend))
+            .collect();
         self.index();
         changes
     }
 
     /// Applies an entry that was added or has changed.
-    pub fn upsert(&mut self, backend: Backend) -> EntryChange {
-        let change = self.insert_state(backend);
+    pub fn upsert(&mut self, now: Instant, backend: Backend) -> EntryChange {
+        let change = self.insert_state(now, backend);
         self.index();
         change
     }
@@ -156,11 +169,15 @@
         self.index();
     }
 
-    fn insert_state(&mut self, backend: Backend) -> EntryChange {
-        match self.states.entry(backend.incarnation.name.clone()) {
-            Entry::Occupied(mut state) => state.get_mut().apply_entry(backend),
+    fn insert_state(&mut self, now: Instant, backend: Backend) -> EntryChange {
+        let name = backend.incarnation.name.clone();
+        if backend.warm_up.is_some() {
+            self.slow_start.record_cold(name.clone());
+        }
+        match self.states.entry(name) {
+            Entry::Occupied(mut state) => state.get_mut().apply_entry(now, backend),
             Entry::Vacant(vacant) => {
-                vacant.insert(BackendState::new(backend, None));
+                vacant.insert(BackendState::new(now, backend, None));
                 EntryChange::Listed
             }
         }
@@ -335,7 +352,11 @@
         state.in_flight += 1;
         state.claims.take(now);
         state.unresponsive_since.get_or_insert(now);
+        let is_cold = state.is_cold(now);
         let service = state.backend.service.clone();
+        if is_cold {
+            self.slow_start.use_permit(now, &incarnation.name);
+        }
         self.service_stats.entry(service).or_default().sent(now);
     }
 
--- a/crates/firshore-gateway/src/fleet/selection.rs
+++ b/crates/firshore-gateway/src/fleet/selection.rs
@@ -5,6 +5,7 @@
 use super::{BackendRequirements, Fleet};
 use crate::choice::{self, Candidate, Placement};
 use firshore_adapter::backend::Backend;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_admission::admission::CapacityOutlook;
 use firshore_types::ids::ServiceName;
 use rand::Rng;
@@ -52,6 +53,7 @@
             .filter_map(|name| self.states.get(name))
             .filter(|state| requirements.attempts.allows(&state.backend.incarnation))
             .filter(|state| !state.backend.leaving)
+            .filter(|state| self.may_send_to(now, state, requirements.residency))
             .collect();
         let trusted: Vec<&BackendState> = usable
             .iter()
@@ -62,6 +64,15 @@
         if trusted.is_empty() { usable } else { trusted }
     }
 
+    /// Returns whether no rule forbids a request to a back end: its zone is allowed and not drained, and if it is
+    /// cold, there is a permit.
+    fn may_send_to(&self, now: Instant, state: &BackendState, residency: &ResidencyPermit) -> bool {
+        let zone = &state.backend.zone;
+        residency.allows(zone)
+            && self.zone_drains.allows(zone)
+            && (!state.is_cold(now) || self.slow_start.allows(now, &state.backend))
+    }
+
     pub(super) fn stats(&self, service: &ServiceName) -> ServiceStats {
         self.service_stats.get(service).cloned().unwrap_or_default()
     }
@@ -211,6 +222,13 @@
         })
     }
 
+    /// Returns whether a service has a back end in the permitted zones, whatever its state.
+    pub fn has_any(&self, service: &ServiceName, residency: &ResidencyPermit) -> bool {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let mut states = names.filter_map(|name| self.states.get(name));
+        states.any(|state| residency.allows(&state.backend.zone))
+    }
+
     /// Returns the rate, in requests per second, at which a service begins requests while all slots are in use.
     pub fn begin_rate(&self, now: Instant, requirements: &BackendRequirements<'_>) -> f64 {
         let usable = self.usable(now, requirements);
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -70,11 +70,14 @@
     pub(super) ejected_until: Option<Instant>,
     /// Time of the last byte, or of the first send since requests are in flight.
     pub(super) unresponsive_since: Option<Instant>,
+    /// End of its warm-up; `None` if it isn't cold.
+    cold_until: Option<Instant>,
 }
 
 impl BackendState {
-    pub(super) fn new(backend: Backend, previous: Option<PreviousProcess>) -> Self {
+    pub(super) fn new(now: Instant, backend: Backend, previous: Option<PreviousProcess>) -> Self {
         Self {
+            cold_until: cold_until(now, &backend),
             identity: xxh3_64(backend.incarnation.name.as_str().as_bytes()),
             backend,
             previous,
@@ -92,7 +95,7 @@
     }
 
     /// Applies an entry of the same back end.
-    pub(super) fn apply_entry(&mut self, mut backend: Backend) -> EntryChange {
+    pub(super) fn apply_entry(&mut self, now: Instant, mut backend: Backend) -> EntryChange {
         let current = &self.backend.incarnation;
         if backend.incarnation.is_succeeded_by(current) {
             return EntryChange::Outdated(current.clone());
@@ -102,6 +105,9 @@
             backend.incarnation = current.clone();
         }
         if backend.incarnation == *current {
+            if backend.warm_up != self.backend.warm_up {
+                self.cold_until = cold_until(now, &backend);
+            }
             self.backend = backend;
             return EntryChange::Listed;
         }
@@ -111,7 +117,7 @@
         };
         let ended = previous.incarnation.clone();
         // Load, failures and ejections of the previous process don't apply to the new one.
-        *self = Self::new(backend, Some(previous));
+        *self = Self::new(now, backend, Some(previous));
         EntryChange::StartedAgain(ended)
     }
 
@@ -120,6 +126,11 @@
         since.is_some_and(|since| now.saturating_duration_since(since) > UNRESPONSIVE_AFTER)
     }
 
+    /// Returns whether it is cold.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     pub(super) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
@@ -186,3 +197,9 @@
         self.ejected_until = Some(now + length.min(MAX_EJECTION));
     }
 }
+
+/// Returns the end of a warm-up whose entry is received now. The entry may be older, so this is the latest end.
+fn cold_until(now: Instant, backend: &Backend) -> Option<Instant> {
+    let warm_up = backend.warm_up?;
+    now.checked_add(warm_up.remaining)
+}
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -148,6 +148,7 @@
         BackendRequirements {
             service: &self.service,
             attempts: &self.attempts,
+            residency: &self.residency,
             affinity: None,
             load_limit: f32::INFINITY,
             begin_objective: Some(self.route.objective),
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -12,6 +12,9 @@
 /// Time after which a refused caller should retry.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// The same where no back end in an allowed region is listed: only operators can change that.
+const REGION_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 impl Forwarding<'_> {
     pub(super) async fn give_up(
         &mut self,
@@ -37,16 +40,26 @@
             NextStep::RefuseNotRun => {
                 // No back end had a free slot. Counting it as pressure preempts batch items of the service.
                 self.gateway.pressure.borrow_mut().refused(&self.service);
-                Refusal::not_run(
-                    ErrorCode::NoBackend,
-                    format!("No back end of '{}' took the request.", self.service),
-                    RETRY_AFTER,
-                )
+                self.refused_by_all()
             }
         };
         self.answer_refusal(&refusal, reason, connection).await
     }
 
+    /// Returns the refusal of a request that no back end took.
+    fn refused_by_all(&self) -> Refusal {
+        let fleet = self.gateway.fleet.borrow();
+        if self.residency.is_restricted() && !fleet.has_any(&self.service, &self.residency) {
+            return Refusal::not_run(
+                ErrorCode::NoAllowedRegion,
+                format!("'{}' has no back end in an allowed region.", self.service),
+                REGION_RETRY_AFTER,
+            );
+        }
+        let message = format!("No back end of '{}' took the request.", self.service);
+        Refusal::not_run(ErrorCode::NoBackend, message, RETRY_AFTER)
+    }
+
     /// Refuses a quarantined request.
     pub(super) async fn refuse_quarantined(
         &mut self,
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -23,6 +23,7 @@
 use firshore_adapter::backend::{AnswerHead, Backend, Ran, SendTerms};
 use firshore_adapter::caller::RequestTerms;
 use firshore_adapter::incarnation::Incarnation;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_admission::admission::ShareStatus;
@@ -102,6 +103,8 @@
     route: Arc<Route>,
     service: ServiceName,
     tenant: Option<Arc<Tenant>>,
+    /// Zones in which it may be processed.
+    residency: ResidencyPermit,
     request: CallerRequest,
     terms: RequestTerms,
     /// When the caller must have the complete response.
@@ -132,6 +135,7 @@
     let mut forwarding = Forwarding {
         gateway,
         service,
+        residency: gateway.residency(&route, tenant.as_deref()),
         tenant,
         deadline: request.arrived + wait,
         attempts: Attempts::new(route.repetition, route.attempts),
@@ -276,6 +280,7 @@
         let requirements = BackendRequirements {
             service: &self.service,
             attempts: &self.attempts,
+            residency: &self.residency,
             affinity,
             load_limit: f32::INFINITY,
             begin_objective: Some(self.route.objective),
--- a/crates/firshore-gateway/src/freshness.rs
+++ b/crates/firshore-gateway/src/freshness.rs
@@ -101,4 +101,6 @@
     pub configuration: Rc<Freshness>,
     /// Back ends, and which of them are leaving.
     pub backends: Rc<Freshness>,
+    /// Zones that are drained.
+    pub zone_drains: Rc<Freshness>,
 }
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use firshore_adapter::configuration::ServingConfiguration;
 use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
+use firshore_adapter::residency::{ResidencyPermit, ZoneRegions};
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_admission::shares::ShareTable;
@@ -28,7 +29,7 @@
 use rand::rngs::StdRng;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -42,10 +43,11 @@
     /// Returns whether the storage of jobs is reachable, as far as this node knows.
     fn is_reachable(&self) -> bool;
 
-    /// Stores a job. Has no effect if the same job is stored already.
+    /// Stores a job, at nodes in the permitted zones only. Has no effect if the same job is stored already.
     fn submit<'a>(
         &'a self,
         route: Arc<Route>,
+        residency: ResidencyPermit,
         job: JobId,
         items: Vec<JobItem>,
     ) -> JobFuture<'a, ()>;
@@ -102,6 +104,8 @@
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
+    zone_regions: RefCell<Arc<ZoneRegions>>,
+    follows_zone_drains: Cell<bool>,
 }
 
 /// Counts a request as in flight at a back end until dropped.
@@ -172,6 +176,8 @@
             split: RefCell::default(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
+            zone_regions: RefCell::default(),
+            follows_zone_drains: Cell::new(false),
         }
     }
 
@@ -184,6 +190,30 @@
         }
     }
 
+    /// Sets the region of each zone.
+    pub fn set_zone_regions(&self, regions: ZoneRegions) {
+        *self.zone_regions.borrow_mut() = Arc::new(regions);
+    }
+
+    /// Returns the permit of a request for the zones in which it may be processed and stored.
+    pub fn residency(&self, route: &Route, tenant: Option<&Tenant>) -> ResidencyPermit {
+        let tenant = tenant.map(|tenant| &tenant.allowed_regions);
+        let regions = self.zone_regions.borrow();
+        ResidencyPermit::new(&route.allowed_regions, tenant, &regions)
+    }
+
+    /// Declares that drains of zones are followed: no back end is used until they are known.
+    pub fn follow_zone_drains(&self) {
+        self.follows_zone_drains.set(true);
+        self.fleet.borrow_mut().await_zone_drains();
+    }
+
+    /// Sets the zones whose back ends get no further requests.
+    pub fn set_drained_zones(&self, drained: HashSet<ZoneName>) {
+        self.fleet.borrow_mut().set_drained_zones(drained);
+        self.overload.capacity_changed();
+    }
+
     /// Records that a request is about to be sent to a back end. It is in flight until the guard is dropped.
     pub fn begin_send(&self, incarnation: &Incarnation) -> InFlight {
         let now = Instant::now();
@@ -231,6 +261,14 @@
         let tenants = configuration.tenants.iter();
         let tenants = tenants.flat_map(|tenants| tenants.iter().map(Arc::as_ref));
         self.limiter.borrow_mut().configure(tenants);
+        let services = configuration.services.iter();
+        let cold_rates = services.filter_map(|(name, service)| {
+            let rate = service.cold_rate?;
+            Some((name.clone(), rate))
+        });
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.set_cold_rates(cold_rates.collect());
+        drop(fleet);
         *current = Some(Arc::new(configuration));
     }
 
@@ -240,7 +278,8 @@
             .iter()
             .map(|backend| backend.incarnation.clone())
             .collect();
-        let changes = self.fleet.borrow_mut().replace(backends);
+        let now = Instant::now();
+        let changes = self.fleet.borrow_mut().replace(now, backends);
         for (listed, change) in incarnations.iter().zip(&changes) {
             self.log_entry(listed, change);
         }
@@ -249,7 +288,7 @@
     /// Applies an entry that was added or has changed.
     pub fn upsert_backend(&self, backend: Backend) {
         let listed = backend.incarnation.clone();
-        let change = self.fleet.borrow_mut().upsert(backend);
+        let change = self.fleet.borrow_mut().upsert(Instant::now(), backend);
         self.log_entry(&listed, &change);
     }
 
@@ -270,10 +309,16 @@
     /// Discards the back ends and the configuration, because they are no longer updated. They must not be used
     /// when the gateway is used again later.
     pub fn forget(&self) {
-        self.fleet.borrow_mut().replace(Vec::new());
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.replace(Instant::now(), Vec::new());
+        if self.follows_zone_drains.get() {
+            fleet.await_zone_drains();
+        }
+        drop(fleet);
         self.configuration.borrow_mut().take();
         self.freshness.configuration.forget();
         self.freshness.backends.forget();
+        self.freshness.zone_drains.forget();
     }
 
     /// Counts a request against the limit of its tenant.
@@ -346,7 +391,9 @@
     /// can't accept jobs and has no view of other nodes' requests.
     pub fn is_ready(&self) -> bool {
         let reaches_jobs = self.jobs.as_ref().is_none_or(|jobs| jobs.is_reachable());
-        self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty() && reaches_jobs
+        let fleet = self.fleet.borrow();
+        let knows_back_ends = !fleet.is_empty() && fleet.knows_zone_drains();
+        self.configuration.borrow().is_some() && knows_back_ends && reaches_jobs
     }
 
     /// Returns the remaining quarantine of a request that crashes back ends; `None` if it is not quarantined. The
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -240,7 +240,10 @@
     };
     let count = items.len();
     let job = job_id(tenant.as_deref(), id);
-    let submitted = jobs.submit(route.clone(), job.clone(), items).await;
+    let residency = gateway.residency(&route, tenant.as_deref());
+    let submitted = jobs
+        .submit(route.clone(), residency, job.clone(), items)
+        .await;
     gateway.metrics.job_submitted(submitted.is_ok());
     match submitted {
         Ok(()) => {
--- a/crates/firshore-gateway/tests/access.rs
+++ b/crates/firshore-gateway/tests/access.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
 use firshore_gateway::freshness::FreshnessSource;
 use firshore_gateway::gateway::{JobFuture, JobService};
@@ -196,6 +197,7 @@
     fn submit<'a>(
         &'a self,
         _route: Arc<Route>,
+        _residency: ResidencyPermit,
         job: JobId,
         _items: Vec<JobItem>,
     ) -> JobFuture<'a, ()> {
--- a/crates/firshore-gateway/tests/capacity.rs
+++ b/crates/firshore-gateway/tests/capacity.rs
@@ -3,6 +3,7 @@
 
 use firshore_adapter::backend::{Backend, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Repetition;
 use firshore_admission::admission::CapacityOutlook;
 use firshore_gateway::attempts::Attempts;
@@ -45,8 +46,9 @@
         zone: "here".into(),
         slots: SLOTS,
         leaving: false,
+        warm_up: None,
     });
-    fleet.replace(listed.collect());
+    fleet.replace(Instant::now(), listed.collect());
     for _ in 0..100 {
         fleet.record_served(&"llm".into(), FIRST_EVENT, REST);
     }
@@ -69,6 +71,7 @@
 fn outlook(fleet: &Fleet, now: Instant) -> CapacityOutlook {
     let service = ServiceName::from("llm");
     let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -76,6 +79,7 @@
         load_limit: f32::INFINITY,
         begin_objective: None,
         begin_within: None,
+        residency: &residency,
     };
     fleet.outlook(now, &requirements, BEGIN_WITHIN).unwrap()
 }
@@ -364,6 +368,7 @@
 fn has_backend(fleet: &Fleet, now: Instant) -> bool {
     let service = ServiceName::from("llm");
     let attempts = Attempts::new(Repetition::Idempotent, 1);
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -371,6 +376,7 @@
         load_limit: f32::INFINITY,
         begin_objective: None,
         begin_within: Some(BEGIN_WITHIN),
+        residency: &residency,
     };
     let mut random = ChaCha8Rng::seed_from_u64(1);
     fleet.choose(now, &requirements, &mut random).is_some()
--- a/crates/firshore-gateway/tests/crash_monitor.rs
+++ b/crates/firshore-gateway/tests/crash_monitor.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Fixture, fixture, send};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -94,8 +94,13 @@
         zone: "here".into(),
         slots: 10,
         leaving: false,
+        warm_up: None,
     };
-    fixture.gateway.fleet.borrow_mut().upsert(backend.clone());
+    fixture
+        .gateway
+        .fleet
+        .borrow_mut()
+        .upsert(Instant::now(), backend.clone());
     let gateway = fixture.gateway.clone();
     actix_rt::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
@@ -103,7 +108,7 @@
         let _ = stream.read(&mut bytes).await;
         if leaving {
             let backend = Backend { leaving, ..backend };
-            gateway.fleet.borrow_mut().upsert(backend);
+            gateway.fleet.borrow_mut().upsert(Instant::now(), backend);
         }
         drop((listener, stream));
     });
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -3,6 +3,7 @@
 use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::caller::PromptPart;
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::{Repetition, Route, RouteTable, WeightedService};
 use firshore_gateway::attempts::{Attempts, NextStep, SendEnd};
 use firshore_gateway::choice::{Candidate, Placement, affinity_key, choose};
@@ -26,12 +27,16 @@
         zone: zone.into(),
         slots: 10,
         leaving: false,
+        warm_up: None,
     }
 }
 
 fn fleet(names: &[&str]) -> Fleet {
     let mut fleet = Fleet::new("here".into());
-    fleet.replace(names.iter().map(|name| backend(name, "here")).collect());
+    fleet.replace(
+        Instant::now(),
+        names.iter().map(|name| backend(name, "here")).collect(),
+    );
     fleet
 }
 
@@ -43,6 +48,7 @@
 ) -> Option<String> {
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let service = "llm".into();
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts,
@@ -50,6 +56,7 @@
         load_limit: f32::INFINITY,
         begin_objective: None,
         begin_within: None,
+        residency: &residency,
     };
     let found = fleet.choose(now, &requirements, &mut random);
     found.map(|backend| backend.incarnation.name.to_string())
@@ -74,6 +81,7 @@
         public: false,
         prefix_affinity: false,
         jobs: None,
+        allowed_regions: Default::default(),
     }
 }
 
@@ -247,6 +255,7 @@
     fleet.apply_remote_load(now, &others.collect(), &mut ChaCha8Rng::seed_from_u64(1));
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let service = "llm".into();
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -254,6 +263,7 @@
         load_limit: f32::INFINITY,
         begin_objective: None,
         begin_within: None,
+        residency: &residency,
     };
     let to_idle_backend = (0..GATEWAYS)
         .filter(|gateway| {
@@ -308,10 +318,13 @@
     let now = Instant::now();
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let mut fleet = fleet(&["a", "b"]);
-    fleet.upsert(Backend {
-        leaving: true,
-        ..backend("a", "here")
-    });
+    fleet.upsert(
+        Instant::now(),
+        Backend {
+            leaving: true,
+            ..backend("a", "here")
+        },
+    );
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
     fleet.remove(&"b".into());
     assert_eq!(chosen(&fleet, now, &attempts, None), None);
@@ -416,6 +429,7 @@
     let now = Instant::now();
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let service = "llm".into();
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -423,6 +437,7 @@
         load_limit: f32::INFINITY,
         begin_objective: None,
         begin_within: None,
+        residency: &residency,
     };
     let mut fleet = fleet(&["a", "b", "c"]);
     let others = HashMap::from([("a".into(), 4), ("b".into(), 2)]);
@@ -467,7 +482,8 @@
                 slots,
                 ..backend("b", "here")
             };
-            fleet.replace(vec![backend]);
+            fleet.replace(Instant::now(), vec![backend]);
+            let residency = ResidencyPermit::default();
             let requirements = BackendRequirements {
                 service: &service,
                 attempts: &attempts,
@@ -475,6 +491,7 @@
                 load_limit: load,
                 begin_objective: None,
                 begin_within: None,
+                residency: &residency,
             };
             let mut random = ChaCha8Rng::seed_from_u64(1);
             let mut started = 0;
@@ -503,6 +520,7 @@
 fn count_choices(fleet: &Fleet, now: Instant, begin_objective: Option<Duration>) -> [usize; 2] {
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let service = "llm".into();
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -510,6 +528,7 @@
         load_limit: f32::INFINITY,
         begin_objective,
         begin_within: None,
+        residency: &residency,
     };
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let mut counts = [0; 2];
--- a/crates/firshore-gateway/tests/forwarding.rs
+++ b/crates/firshore-gateway/tests/forwarding.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Fixture, gateway, send};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -235,7 +235,11 @@
         );
         let received = request(fixture.address, "/unknown/", "").await;
         assert!(matches(&received, &status(404)), "no route: {received:?}");
-        fixture.gateway.fleet.borrow_mut().replace(Vec::new());
+        fixture
+            .gateway
+            .fleet
+            .borrow_mut()
+            .replace(Instant::now(), Vec::new());
         let received = request(fixture.address, "/once/", "").await;
         assert!(
             matches(&received, &status(503)),
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -3,6 +3,7 @@
 use crate::engine::{Engine, SLOTS, Submission};
 use firshore_adapter::backend::Backend;
 use firshore_adapter::incarnation::{BackendName, Incarnation};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Repetition;
 use firshore_admission::admission::{Admission, AdmissionRequest, ShareStatus, decide};
 use firshore_gateway::attempts::{Attempts, NextStep, SendEnd};
@@ -140,6 +141,7 @@
         zone: format!("z{}", engine % 3).as_str().into(),
         slots: SLOTS as u32,
         leaving: false,
+        warm_up: None,
     }
 }
 
@@ -156,7 +158,7 @@
         let view_interval =
             Duration::from_secs_f64(random.random_range(scenario.view_interval.clone()));
         let mut fleet = Fleet::new(format!("z{}", number % 3).as_str().into());
-        fleet.replace((0..ENGINES).map(listed).collect());
+        fleet.replace(Instant::now(), (0..ENGINES).map(listed).collect());
         fleet.set_view_interval(view_interval * 2);
         Self {
             fleet,
@@ -296,6 +298,7 @@
             behind_others: gateway.queue.first().is_some_and(|first| *first < key),
             node_is_draining: false,
         };
+        let residency = ResidencyPermit::default();
         let mut requirements = BackendRequirements {
             service: &self.service,
             attempts: &arrived.attempts,
@@ -303,6 +306,7 @@
             load_limit: f32::INFINITY,
             begin_objective: None,
             begin_within: None,
+            residency: &residency,
         };
         let Some(outlook) =
             gateway
--- a/crates/firshore-gateway/tests/successors.rs
+++ b/crates/firshore-gateway/tests/successors.rs
@@ -8,6 +8,7 @@
 use firshore_adapter::backend::{Backend, ReportedLoad};
 use firshore_adapter::decode::Decoder;
 use firshore_adapter::objects::Object;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Repetition;
 use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
 use firshore_gateway::attempts::{Attempts, NextStep, SendEnd};
@@ -71,7 +72,7 @@
 
 fn fleet(backends: &[Backend]) -> Fleet {
     let mut fleet = Fleet::new("here".into());
-    fleet.replace(backends.to_vec());
+    fleet.replace(Instant::now(), backends.to_vec());
     fleet
 }
 
@@ -82,6 +83,7 @@
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let mut found: Vec<Backend> = Vec::new();
     for _ in 0..200 {
+        let residency = ResidencyPermit::default();
         let requirements = BackendRequirements {
             service: &service,
             attempts: &attempts,
@@ -89,6 +91,7 @@
             load_limit: f32::INFINITY,
             begin_objective: None,
             begin_within: None,
+            residency: &residency,
         };
         let backend = fleet.choose(now, &requirements, &mut random).unwrap();
         if !found.contains(&backend) {
@@ -109,7 +112,7 @@
     let mut fleet = fleet(&[old.clone(), other]);
     fleet.record_outcome(now, &old.incarnation, BackendOutcome::Unreachable);
     assert!(!chosen(&fleet, now).contains(&old), "it is ejected");
-    fleet.upsert(new.clone());
+    fleet.upsert(Instant::now(), new.clone());
     assert!(chosen(&fleet, now).contains(&new));
 }
 
@@ -128,7 +131,7 @@
         pace: None,
     };
     fleet.record_load(now, &old.incarnation, load);
-    fleet.replace(vec![new.clone()]);
+    fleet.replace(Instant::now(), vec![new.clone()]);
     assert_eq!(fleet.load(now, &new.incarnation), Some(0.0));
     fleet.record_start(now, &new.incarnation);
     // Late events of the old process must not affect the new one.
@@ -145,9 +148,9 @@
     let (old, new) = (listed("a", 1, 1_000), listed("a", 2, 2_000));
     let mut fleet = fleet(std::slice::from_ref(&new));
     fleet.record_start(now, &new.incarnation);
-    fleet.upsert(old.clone());
+    fleet.upsert(Instant::now(), old.clone());
     assert_eq!(chosen(&fleet, now), std::slice::from_ref(&new));
-    fleet.replace(vec![old]);
+    fleet.replace(Instant::now(), vec![old]);
     assert_eq!(chosen(&fleet, now), std::slice::from_ref(&new));
     assert_eq!(fleet.load(now, &new.incarnation), Some(0.1));
 }
@@ -165,7 +168,7 @@
     };
     let mut fleet = fleet(&[without_start(false)]);
     fleet.record_start(now, &without_start(false).incarnation);
-    fleet.upsert(without_start(true));
+    fleet.upsert(Instant::now(), without_start(true));
     assert_eq!(
         fleet.load(now, &without_start(false).incarnation),
         Some(0.1)
@@ -210,7 +213,10 @@
 
 impl Fixture {
     fn list(&self, entry: &Entry) {
-        self.gateway.fleet.borrow_mut().upsert(entry.decode());
+        self.gateway
+            .fleet
+            .borrow_mut()
+            .upsert(Instant::now(), entry.decode());
     }
 
     fn fingerprint(&self, path: &str) -> RequestFingerprint {
@@ -399,7 +405,7 @@
     let mut fleet = fleet(std::slice::from_ref(&new));
     fleet.remove(&old.incarnation.name);
     assert!(fleet.is_empty());
-    fleet.upsert(new.clone());
+    fleet.upsert(Instant::now(), new.clone());
     assert_eq!(chosen(&fleet, now), [new]);
 }
 
@@ -414,7 +420,7 @@
         !chosen(&fleet, now).contains(&first),
         "its next start has exited too"
     );
-    fleet.upsert(third.clone());
+    fleet.upsert(Instant::now(), third.clone());
     fleet.record_exit(now, &second.incarnation);
     assert!(chosen(&fleet, now).contains(&third));
 }
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -85,8 +86,12 @@
         zone: "here".into(),
         slots: 10,
         leaving: false,
+        warm_up: None,
     });
-    gateway.fleet.borrow_mut().replace(listed.collect());
+    gateway
+        .fleet
+        .borrow_mut()
+        .replace(Instant::now(), listed.collect());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     actix_rt::spawn(serve::accept(gateway.clone(), listener));
--- a/crates/firshore-gateway/tests/suspended.rs
+++ b/crates/firshore-gateway/tests/suspended.rs
@@ -51,6 +51,7 @@
                 per_second: 1_000.0,
                 burst: 1_000.0,
             }),
+            allowed_regions: Default::default(),
         };
         let view = TenantView {
             tenant: TenantDigest::from(&ann.name),
--- a/crates/firshore-gateway/tests/uneven.rs
+++ b/crates/firshore-gateway/tests/uneven.rs
@@ -3,6 +3,7 @@
 
 use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::incarnation::Incarnation;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Repetition;
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::fleet::{BackendRequirements, Fleet};
@@ -142,8 +143,9 @@
         zone: "here".into(),
         slots: SLOTS as u32,
         leaving: false,
+        warm_up: None,
     });
-    fleet.replace(listed.collect());
+    fleet.replace(Instant::now(), listed.collect());
     fleet.set_view_interval(Duration::from_millis(VIEW_INTERVAL_MS));
     fleet
 }
@@ -192,6 +194,7 @@
     let (mut world, start) = (World::new(), Instant::now());
     let mut fleets: Vec<Fleet> = (0..GATEWAYS).map(|_| new_fleet()).collect();
     let (service, attempts) = ("llm".into(), Attempts::new(Repetition::Idempotent, 1));
+    let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
         service: &service,
         attempts: &attempts,
@@ -199,6 +202,7 @@
         load_limit: f32::INFINITY,
         begin_objective: Some(Duration::from_millis(OBJECTIVE_MS)),
         begin_within: None,
+        residency: &residency,
     };
     for now in 0..LENGTH_MS {
         let at = start + Duration::from_millis(now);
--- a/crates/firshore-limits/src/lib.rs
+++ b/crates/firshore-limits/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limiter;
 pub mod relay;
 pub mod report;
+pub mod slow_start;
 mod window;
 
 use std::time::Duration;
--- a/crates/firshore-limits/tests/cut_off.rs
+++ b/crates/firshore-limits/tests/cut_off.rs
@@ -99,6 +99,7 @@
         name: "t".into(),
         priority: None,
         limit: Some(limit),
+        allowed_regions: Default::default(),
     }
 }
 
--- a/crates/firshore-limits/tests/support/mod.rs
+++ b/crates/firshore-limits/tests/support/mod.rs
@@ -218,6 +218,7 @@
                 name: "t".into(),
                 priority: None,
                 limit: Some(limit(scenario, 1.0)),
+                allowed_regions: Default::default(),
             },
             waiting: Vec::new(),
             retries: Vec::new(),
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -14,8 +14,10 @@
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::freshness::Freshness;
 use firshore_gateway::gateway::Gateway;
+use firshore_types::ids::ZoneName;
 use slog::{info, warn};
 use std::cell::RefCell;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,6 +45,8 @@
 pub struct FollowedKinds {
     backends: RelayedKind,
     configuration: RelayedKind,
+    /// Present if the operators may drain zones.
+    zone_drains: Option<RelayedKind>,
 }
 
 impl FollowedKinds {
@@ -57,6 +61,14 @@
                 options: relay_options(objects, backends, backends.relay_spacing()),
                 budget: backends,
             },
+            zone_drains: objects.zone_drain_bound().map(|bound| {
+                let budget = FreshnessBudget::new(bound);
+                RelayedKind {
+                    name: decoder.zone_drain_kind().to_owned(),
+                    options: relay_options(objects, budget, budget.relay_spacing()),
+                    budget,
+                }
+            }),
             // No delay after a change: a new configuration has to take effect on all nodes at once.
             configuration: RelayedKind {
                 name: decoder.configuration_kind().to_owned(),
@@ -68,7 +80,9 @@
 
     /// Returns the kinds that relays distribute.
     pub fn relayed(self) -> Vec<RelayedKind> {
-        vec![self.backends, self.configuration]
+        let mut kinds = vec![self.backends, self.configuration];
+        kinds.extend(self.zone_drains);
+        kinds
     }
 }
 
@@ -78,7 +92,7 @@
     gateway: &Rc<Gateway>,
     objects: &Objects,
     make_client: impl Fn() -> RelayClient,
-) -> [Task; 2] {
+) -> Vec<Task> {
     let kinds = FollowedKinds::new(gateway, objects);
     let watcher = |kind: RelayedKind, freshness: &Rc<Freshness>| {
         freshness.limit_age(kind.budget.bound());
@@ -105,7 +119,52 @@
         watcher(kinds.configuration, &freshness.configuration),
         move |update| configuration_applier.apply_configuration(update),
     );
-    [Task::spawn(backends), Task::spawn(configuration)]
+    let mut tasks = vec![Task::spawn(backends), Task::spawn(configuration)];
+    if let Some(kind) = kinds.zone_drains {
+        gateway.follow_zone_drains();
+        let applier = ZoneDrainApplier::new(gateway);
+        let zone_drains = watcher::follow(watcher(kind, &freshness.zone_drains), move |update| {
+            applier.apply(update);
+        });
+        tasks.push(Task::spawn(zone_drains));
+    }
+    tasks
+}
+
+/// Applies drains of zones to the gateway.
+struct ZoneDrainApplier {
+    gateway: Rc<Gateway>,
+    drained: RefCell<HashSet<ZoneName>>,
+}
+
+impl ZoneDrainApplier {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            drained: RefCell::default(),
+        }
+    }
+
+    fn apply(&self, update: ObjectUpdate) {
+        let mut drained = self.drained.borrow_mut();
+        match update {
+            ObjectUpdate::All(objects) => {
+                let zones = objects.into_iter().map(|object| ZoneName(object.name));
+                *drained = zones.collect();
+            }
+            ObjectUpdate::Changed(changes) => {
+                for change in changes {
+                    match change {
+                        Change::Written(object) => drained.insert(ZoneName(object.name)),
+                        Change::Removed(name) => drained.remove(&ZoneName(name)),
+                    };
+                }
+            }
+        }
+        let zones: BTreeSet<&str> = drained.iter().map(ZoneName::as_str).collect();
+        info!(self.gateway.log, "fleet: Drained zones changed."; "zones" => ?zones);
+        self.gateway.set_drained_zones(drained.clone());
+    }
 }
 
 /// Applies updates of one kind to the gateway.
--- a/crates/firshore-node/src/journal/client.rs
+++ b/crates/firshore-node/src/journal/client.rs
@@ -9,10 +9,12 @@
 use crate::pace_table::BackendPace;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobId, JobItem, ResultPage};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
 use firshore_gateway::gateway::{JobFuture, JobService};
 use firshore_jobs::command::JobHeader;
 use firshore_limits::report::UsageResponse;
+use firshore_limits::slow_start::PermitGrant;
 use firshore_link::client::PeerError;
 use firshore_log::placement::Candidate;
 use firshore_log::refusal::JournalRefusal;
@@ -67,6 +69,8 @@
     pub usage: Option<UsageResponse>,
     /// Paces of back ends that others reported recently.
     pub paces: Vec<BackendPace>,
+    /// Permits for requests to cold back ends.
+    pub permits: Vec<PermitGrant>,
 }
 
 impl LoadResponse {
@@ -79,6 +83,7 @@
             age: Duration::from_millis(age),
             usage,
             paces: Vec::new(),
+            permits: Vec::new(),
         }
     }
 }
@@ -204,11 +209,16 @@
                 pause,
                 news,
                 paces,
+                permits,
                 ..
             }) => {
                 *self.leader.borrow_mut() = Some(target);
                 let others = LoadResponse::new(counts, pause, 0, news);
-                Some(LoadResponse { paces, ..others })
+                Some(LoadResponse {
+                    paces,
+                    permits,
+                    ..others
+                })
             }
             AttemptOutcome::Redirected(leader) => {
                 *self.leader.borrow_mut() = leader;
@@ -239,12 +249,17 @@
                 leader,
                 news,
                 paces,
+                permits,
             }) => {
                 if leader.is_some() {
                     *self.leader.borrow_mut() = leader;
                 }
                 let others = LoadResponse::new(counts, pause, age, news);
-                Some(LoadResponse { paces, ..others })
+                Some(LoadResponse {
+                    paces,
+                    permits,
+                    ..others
+                })
             }
             AttemptOutcome::Redirected(Some(leader)) => {
                 *self.leader.borrow_mut() = Some(leader);
@@ -286,6 +301,31 @@
         self.registry.candidates()
     }
 
+    /// Checks that a job may be stored on any of the nodes with disks, since replicas move among all of them.
+    async fn check_residency(&self, residency: &ResidencyPermit) -> Result<(), ApiError> {
+        if !residency.is_restricted() {
+            return Ok(());
+        }
+        if self.candidates().is_empty() {
+            self.registry.refresh().await;
+        }
+        let candidates = self.candidates();
+        if candidates.is_empty() {
+            return Err(unavailable(false));
+        }
+        let forbidden = candidates.iter().find(|node| !residency.allows(&node.zone));
+        match forbidden {
+            None => Ok(()),
+            Some(node) => {
+                let message = format!(
+                    "Jobs are also stored in zone '{}', outside the allowed regions.",
+                    node.zone
+                );
+                Err(ApiError::not_run(ErrorCode::NoAllowedRegion, message))
+            }
+        }
+    }
+
     /// Returns the nodes to query, starting at a random one.
     fn rotated_nodes(&self) -> Vec<NodeName> {
         let mut names = self.registry.names();
@@ -366,10 +406,12 @@
     fn submit<'a>(
         &'a self,
         route: Arc<Route>,
+        residency: ResidencyPermit,
         job: JobId,
         items: Vec<JobItem>,
     ) -> JobFuture<'a, ()> {
         async move {
+            self.check_residency(&residency).await?;
             let terms = route.jobs;
             let give_up_after =
                 terms.map_or(u64::MAX, |terms| terms.give_up_after.as_millis() as u64);
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -12,6 +12,7 @@
 use firshore_gateway::pressure::ServicePressure;
 use firshore_jobs::command::JobHeader;
 use firshore_limits::report::{UsageReport, UsageResponse};
+use firshore_limits::slow_start::PermitGrant;
 use firshore_log::refusal::JournalRefusal;
 use firshore_replication::message::Envelope;
 use firshore_replication::types::GroupId;
@@ -190,6 +191,9 @@
         /// Paces that others reported since the node's last report.
         #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
         paces: Vec<BackendPace>,
+        /// Permits for requests to cold back ends.
+        #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+        permits: Vec<PermitGrant>,
     },
     /// A page of objects of a kind.
     #[serde(rename = "o")]
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -22,6 +22,7 @@
 use firshore_jobs::table::JobTable;
 use firshore_limits::ledger::UsageLedger;
 use firshore_limits::report::{UsageReport, UsageResponse};
+use firshore_limits::slow_start::PermitPool;
 use firshore_link::listener::Handler;
 use firshore_log::machine::SharedState;
 use firshore_log::placement::allows_reads;
@@ -53,6 +54,9 @@
 /// Minimum interval between two load reports of a node.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Maximum number of permits for cold back ends in one response: the reporters share them.
+const MAX_GRANTS: usize = 4;
+
 /// Returns the interval between a node's reports when `nodes` of them report.
 fn exchange_interval(nodes: usize) -> Duration {
     let fair = Duration::from_millis(1_000 * nodes as u64 / EXCHANGES_PER_SECOND);
@@ -96,6 +100,8 @@
     pub reported: Notify,
     /// Notified when a node's requests found no free slot.
     pub crowded: Notify,
+    /// Permits for requests to cold back ends that no node has taken yet.
+    pub permits: RefCell<PermitPool>,
     /// Remaining limits of tenants, for the term in which this node leads.
     ledger: RefCell<Option<TermLedger>>,
     /// Time span over which rates of tenants are counted.
@@ -118,6 +124,7 @@
             pressure: RefCell::default(),
             reported: Notify::new(),
             crowded: Notify::new(),
+            permits: RefCell::default(),
             ledger: RefCell::default(),
             rate_span,
         }
@@ -151,6 +158,7 @@
             leader: None,
             news,
             paces: paces.take_updates(now, &client),
+            permits: self.permits.borrow_mut().grant(now, MAX_GRANTS),
         }
     }
 
@@ -205,6 +213,7 @@
                 leader,
                 news: relayed.usage,
                 paces: relayed.paces,
+                permits: relayed.permits,
             },
         }
     }
--- a/crates/firshore-node/src/load_exchange.rs
+++ b/crates/firshore-node/src/load_exchange.rs
@@ -77,12 +77,15 @@
             let limits = self.gateway.has_limits();
             let reports =
                 busy || was_busy || self.gateway.requests_open() > 0 || isolated || limits;
+            let asked_at = Instant::now();
             if reports && let Some(others) = self.report(counts, urgent).await {
                 busy_interval = others.interval.clamp(MIN_BUSY_INTERVAL, MAX_BUSY_INTERVAL);
                 let view_interval = busy_interval + others.age;
                 let paces = paces_from_wire(others.paces);
                 let mut fleet = self.gateway.fleet.borrow_mut();
                 fleet.apply_remote_paces(Instant::now(), paces);
+                let permits = others.permits.into_iter();
+                fleet.add_permits(permits.map(|grant| grant.accept(asked_at)));
                 drop(fleet);
                 self.gateway
                     .apply_remote_load(&others.counts, view_interval);
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -20,6 +20,7 @@
 use crate::settings::{Settings, Storage};
 use crate::status_listener;
 use firshore_adapter::Adapter;
+use firshore_adapter::residency::ZoneRegions;
 use firshore_crashes::fingerprint::FingerprintKey;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
@@ -101,6 +102,7 @@
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(fingerprint_key, remember));
     gateway.overload.enable(settings.overload.refuse_late);
+    gateway.set_zone_regions(ZoneRegions::new(settings.zones.clone()));
     let crashes = CrashExchange::new(
         settings.name.clone(),
         settings.zone.clone(),
--- a/crates/firshore-node/src/relay/loads.rs
+++ b/crates/firshore-node/src/relay/loads.rs
@@ -11,6 +11,7 @@
 use firshore_gateway::pressure::PressureCounter;
 use firshore_limits::relay::UsageRelay;
 use firshore_limits::report::UsageResponse;
+use firshore_limits::slow_start::{PermitGrant, PermitPool};
 use firshore_types::ids::NodeName;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,6 +29,9 @@
 /// directly.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(800);
 
+/// Maximum number of permits for cold back ends in one response: the nodes of the zone share them.
+const MAX_GRANTS: usize = 1;
+
 /// A relay's response to a load report.
 #[derive(Debug)]
 pub struct RelayedLoad {
@@ -41,6 +45,8 @@
     pub usage: Option<UsageResponse>,
     /// Paces of back ends that others reported since this node's last report.
     pub paces: Vec<BackendPace>,
+    /// Permits for requests to cold back ends.
+    pub permits: Vec<PermitGrant>,
 }
 
 /// The load last received from the leader.
@@ -60,6 +66,8 @@
     pressure: RefCell<PressureCounter>,
     /// Use of limits by these nodes' tenants, and what remains.
     uses: RefCell<UsageRelay>,
+    /// Permits for requests to cold back ends, from the leader.
+    permits: RefCell<PermitPool>,
     /// Whether a node reported that tenants have limits.
     has_limits: Cell<bool>,
     reported: Notify,
@@ -77,6 +85,7 @@
             paces: RefCell::default(),
             pressure: RefCell::default(),
             uses: UsageRelay::new(rate_span).into(),
+            permits: RefCell::default(),
             has_limits: Cell::default(),
             reported: Notify::new(),
             crowded: Notify::new(),
@@ -129,6 +138,7 @@
             nodes: table.nodes(),
             usage,
             paces: paces.take_updates(now, &client),
+            permits: self.permits.borrow_mut().grant(now, MAX_GRANTS),
         })
     }
 
@@ -169,6 +179,11 @@
         let mut paces = self.paces.borrow_mut();
         paces.record(queried_at, &PaceSource::Leader, others.paces);
         drop(paces);
+        let mut permits = self.permits.borrow_mut();
+        for grant in others.permits {
+            permits.add(grant.accept(queried_at));
+        }
+        drop(permits);
         self.record_leader_report(queried_at, others.counts);
     }
 
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -16,6 +16,7 @@
 mod progress_sender;
 pub mod progress_store;
 mod schedule;
+mod slow_start;
 pub mod urgency;
 
 use crate::journal::service::ClusterLoad;
@@ -29,6 +30,7 @@
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::gateway::Gateway;
 use firshore_jobs::command::{ItemIndex, JobHeader};
+use firshore_limits::slow_start::PermitIssuer;
 use firshore_types::ids::ServiceName;
 use preemption::PreemptionPolicy;
 use progress::ItemProgress;
@@ -108,6 +110,8 @@
     preemption: RefCell<PreemptionPolicy>,
     /// Remaining work of items, and the free slots for it.
     backlog: RefCell<BacklogEstimate>,
+    /// Issues permits for cold back ends while this node leads.
+    permits: RefCell<Option<PermitIssuer>>,
     /// Wakes the scheduler when a run ended.
     run_ended: Notify,
 }
@@ -129,6 +133,7 @@
             due_times: RefCell::default(),
             preemption: RefCell::default(),
             backlog: RefCell::default(),
+            permits: RefCell::default(),
             run_ended: Notify::new(),
         })
     }
@@ -146,6 +151,7 @@
             let waiting = match leads {
                 true => {
                     self.preempt();
+                    self.issue_permits();
                     self.schedule()
                 }
                 false => {
@@ -209,6 +215,7 @@
     fn take_over(&self) {
         let now = Instant::now();
         self.turn.set(self.turn.get() + 1);
+        self.begin_slow_start(now);
         let held_items = self.journal.progress.borrow().held();
         let mut progress = self.progress.borrow_mut();
         for (key, held) in held_items {
@@ -305,6 +312,7 @@
         }
         self.running.borrow_mut().clear();
         self.progress.borrow_mut().clear();
+        self.end_slow_start();
         self.clear_pressure();
     }
 
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -8,12 +8,13 @@
 use crate::task::Task;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::jobs::caller_id;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::choice::affinity_key;
 use firshore_gateway::fleet::BackendRequirements;
 use firshore_jobs::table::OpenItem;
-use firshore_types::ids::ServiceName;
+use firshore_types::ids::{ServiceName, TenantName};
 use slog::info;
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -213,6 +214,16 @@
         configuration.routes.find(&item.header.host, path).cloned()
     }
 
+    /// Returns the permit of an item for the zones in which it may run, by the present route and tenant.
+    fn residency(&self, route: &Route, tenant: Option<&TenantName>) -> ResidencyPermit {
+        let configuration = self.gateway.configuration();
+        let tenants = configuration
+            .as_ref()
+            .and_then(|current| current.tenants.as_ref());
+        let tenant = tenant.and_then(|name| tenants?.named(name));
+        self.gateway.residency(route, tenant.map(Arc::as_ref))
+    }
+
     /// Starts an item if it may run now and a back end has a free slot.
     fn try_start(self: &Rc<Self>, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) {
         let (key, item) = (waiting.key.clone(), waiting.item);
@@ -296,6 +307,7 @@
         let headers = item::headers(item.item);
         let terms = self.gateway.adapter.caller.read_terms(&headers);
         let attempts = Attempts::new(route.repetition, u32::MAX);
+        let residency = self.residency(&route, item.header.tenant.as_ref());
         let limit = match at_risk {
             true => MAX_AT_RISK_ITEM_LOAD,
             false => MAX_ITEM_LOAD,
@@ -304,6 +316,7 @@
         let requirements = BackendRequirements {
             service: &service,
             attempts: &attempts,
+            residency: &residency,
             affinity: affinity_key(&terms.prompt),
             // Requests of isolated nodes are in no node's count, but in the loads that back ends report with
             // items.
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -6,6 +6,7 @@
 pub use firshore_types::settings::SettingsError;
 use schemars::JsonSchema;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -20,6 +21,9 @@
     pub region: RegionName,
     /// Zone of the node.
     pub zone: ZoneName,
+    /// Region of each zone. Requests that are restricted to some regions use no zone that is missing here.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneName, RegionName>,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Store of versioned objects.
@@ -77,6 +81,9 @@
     /// Maximum time until a back end that is marked as leaving gets no new requests, in milliseconds.
     #[serde(default = "default_bound_milliseconds")]
     pub leaving_bound_milliseconds: f64,
+    /// Maximum time until the back ends of a drained zone get no new requests, in milliseconds; absent where the
+    /// operators drain no zones.
+    pub zone_drain_bound_milliseconds: Option<f64>,
 }
 
 impl Objects {
@@ -89,6 +96,12 @@
     pub fn leaving_bound(&self) -> Duration {
         Duration::from_secs_f64(self.leaving_bound_milliseconds / 1_000.0)
     }
+
+    /// Returns the maximum time until the back ends of a drained zone get no new requests.
+    pub fn zone_drain_bound(&self) -> Option<Duration> {
+        let milliseconds = self.zone_drain_bound_milliseconds?;
+        Some(Duration::from_secs_f64(milliseconds / 1_000.0))
+    }
 }
 
 fn default_bound_milliseconds() -> f64 {
@@ -345,6 +358,12 @@
                 MIN_BOUND_MILLISECONDS,
                 "Set at least 1000.",
             ),
+            (
+                "objects.zone_drain_bound_milliseconds",
+                (self.objects.zone_drain_bound_milliseconds).unwrap_or(MIN_BOUND_MILLISECONDS),
+                MIN_BOUND_MILLISECONDS,
+                "Set at least 1000, or remove it.",
+            ),
             (
                 "cluster.catch_up_seconds",
                 self.cluster.catch_up_seconds,
--- a/crates/firshore-node/tests/client.rs
+++ b/crates/firshore-node/tests/client.rs
@@ -4,6 +4,7 @@
 
 use cluster::{free_address, log, peers, route, run, secret};
 use firshore_adapter::jobs::JobId;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_gateway::gateway::JobService;
 use firshore_link::handshake::ClusterSecret;
 use firshore_link::listener::{self, Handler};
@@ -67,6 +68,7 @@
             news: None,
             paces: Vec::new(),
             leader: None,
+            permits: Vec::new(),
         })
         .boxed_local()
     }
@@ -156,7 +158,12 @@
         }
         assert!(!client.is_reachable());
         let start = std::time::Instant::now();
-        let submitted = client.submit(route(), JobId::of_nobody("job"), cluster::items(1));
+        let submitted = client.submit(
+            route(),
+            ResidencyPermit::default(),
+            JobId::of_nobody("job"),
+            cluster::items(1),
+        );
         let error = submitted.await.expect_err("no node responds");
         assert_eq!(error.execution, Execution::None);
         assert!(start.elapsed() < Duration::from_millis(50));
@@ -181,7 +188,14 @@
             let registry = Rc::new(Registry::new(store, log()));
             let client = JournalClient::new("caller".into(), registry, peers(), log());
             let items = cluster::items(1);
-            let submitted = client.submit(route(), JobId::of_nobody("job"), items).await;
+            let submitted = client
+                .submit(
+                    route(),
+                    ResidencyPermit::default(),
+                    JobId::of_nobody("job"),
+                    items,
+                )
+                .await;
             let error = submitted.expect_err("there is no space");
             assert_eq!(
                 error.execution, expected,
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // Each test file uses only some of it.
 
 use firshore_adapter::jobs::{ItemOutcome, JobId, JobItem};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::{JobTerms, Repetition, Route, WeightedService};
 use firshore_gateway::gateway::{Gateway, JobService};
 use firshore_jobs::command::{Action, Completion};
@@ -24,7 +25,7 @@
 use firshore_node::relay::{Relay, RelayedKind};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
-use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, adapter};
+use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, ZONE_DRAINS, adapter};
 use firshore_stand_in::backend::{EVENTS, ScriptedBackend};
 use firshore_stand_in::store::MemoryStore;
 use rand::SeedableRng;
@@ -93,7 +94,8 @@
 pub fn settings(number: usize, folder: &std::path::Path, address: SocketAddr) -> Settings {
     let text = format!(
         "name = 'n{number}'\nregion = 'r'\nzone = 'z{number}'\n[listen]\npeers = '{address}'\n\
-         [objects]\naddress = '127.0.0.1:1'\n[cluster]\nsecret = '{}'\n\
+         [objects]\naddress = '127.0.0.1:1'\n\
+         zone_drain_bound_milliseconds = 2000\n[cluster]\nsecret = '{}'\n\
          [storage]\ndata_folder = '{}'\n[limits]\nmemory_megabytes = 16\n",
         secret(),
         folder.display()
@@ -128,7 +130,7 @@
 
 /// Returns the object kinds that the nodes of tests relay.
 pub fn relayed_kinds() -> Vec<RelayedKind> {
-    let kinds = [BACKENDS, CONFIGURATION].map(|name| RelayedKind {
+    let kinds = [BACKENDS, CONFIGURATION, ZONE_DRAINS].map(|name| RelayedKind {
         name: name.to_owned(),
         options: WatchOptions {
             history: Duration::from_secs(20),
@@ -319,7 +321,12 @@
     pub async fn submit(&self, job: &str, items: usize) {
         while self
             .client
-            .submit(route(), JobId::of_nobody(job), self::items(items))
+            .submit(
+                route(),
+                ResidencyPermit::default(),
+                JobId::of_nobody(job),
+                self::items(items),
+            )
             .await
             .is_err()
         {
@@ -432,6 +439,7 @@
             give_up_after: Duration::from_secs(60),
             most_waiting_tokens: None,
         }),
+        allowed_regions: Default::default(),
     })
 }
 
--- a/crates/firshore-node/tests/crash_world/backends.rs
+++ b/crates/firshore-node/tests/crash_world/backends.rs
@@ -40,6 +40,7 @@
             zone: "z0".into(),
             slots: 12,
             leaving: false,
+            warm_up: None,
         };
         Rc::new(Self {
             backend,
--- a/crates/firshore-node/tests/disk_world/ledger.rs
+++ b/crates/firshore-node/tests/disk_world/ledger.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{items, pause, route, whole};
 use firshore_adapter::jobs::{ItemOutcome, JobId, ResultPage};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_gateway::gateway::JobService;
 use firshore_node::journal::client::JournalClient;
 use firshore_stand_in::job_ledger::{JobLedger, ReadEnd, ShownResult};
@@ -39,7 +40,12 @@
 pub async fn submit(client: &JournalClient, ledger: &ClientLedger, job: &str) -> bool {
     while !ledger.is_closed() {
         ledger.count_request();
-        let response = client.submit(route(), JobId::of_nobody(job), items(ITEMS));
+        let response = client.submit(
+            route(),
+            ResidencyPermit::default(),
+            JobId::of_nobody(job),
+            items(ITEMS),
+        );
         if response.await.is_ok() {
             ledger.accept(job);
             return true;
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -3,6 +3,7 @@
 mod cluster;
 
 use firshore_adapter::jobs::{ItemOutcome, JobId};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_crashes::fingerprint::FingerprintInput;
 use firshore_crashes::report::{CrashReport, LostRun, ReportedExit};
 use firshore_crashes::sync::CrashSyncRequest;
@@ -162,7 +163,12 @@
             }
             while cluster
                 .client
-                .submit(route(), job.clone(), items.clone())
+                .submit(
+                    route(),
+                    ResidencyPermit::default(),
+                    job.clone(),
+                    items.clone(),
+                )
                 .await
                 .is_err()
             {
--- a/crates/firshore-node/tests/memory.rs
+++ b/crates/firshore-node/tests/memory.rs
@@ -4,6 +4,7 @@
 
 use cluster::*;
 use firshore_adapter::jobs::{JobId, JobItem};
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_gateway::gateway::JobService;
 use firshore_node::memory::{ByteCounter, LOG_FRACTION, MemoryBudget, MemoryUse};
 use firshore_stand_in::backend::{Play, ScriptedBackend};
@@ -75,6 +76,7 @@
             let job = format!("heap{number}");
             let submitted = cluster.client.submit(
                 route(),
+                ResidencyPermit::default(),
                 JobId::of_nobody(job.as_str()),
                 large_items(200, 2_048),
             );
@@ -92,6 +94,7 @@
         assert!(refused > 0, "jobs beyond the budget are refused");
         let again = cluster.client.submit(
             route(),
+            ResidencyPermit::default(),
             JobId::of_nobody(accepted[0].as_str()),
             large_items(200, 2_048),
         );
@@ -101,10 +104,12 @@
         for job in &accepted {
             cluster.results(job, 200).await;
         }
-        let later =
-            cluster
-                .client
-                .submit(route(), JobId::of_nobody("later"), large_items(200, 2_048));
+        let later = cluster.client.submit(
+            route(),
+            ResidencyPermit::default(),
+            JobId::of_nobody("later"),
+            large_items(200, 2_048),
+        );
         later.await.expect("memory is available again");
     });
 }
--- a/crates/firshore-node/tests/relay_loads.rs
+++ b/crates/firshore-node/tests/relay_loads.rs
@@ -183,6 +183,7 @@
             age: 0,
             news: None,
             paces: Vec::new(),
+            permits: Vec::new(),
             leader: None,
         };
         ready(response).boxed_local()
--- a/crates/firshore-node/tests/retries.rs
+++ b/crates/firshore-node/tests/retries.rs
@@ -5,6 +5,7 @@
 
 use cluster::*;
 use firshore_adapter::jobs::JobId;
+use firshore_adapter::residency::ResidencyPermit;
 use firshore_gateway::gateway::JobService;
 use firshore_node::journal::messages::{PeerRequest, PeerResponse};
 use futures_util::future::join_all;
@@ -35,7 +36,9 @@
         let before = leader.journal.replica.status().last.index;
         let attempts = (0..ATTEMPTS).map(|_| {
             let job = JobId::of_nobody("again");
-            cluster.client.submit(route(), job, items(20))
+            cluster
+                .client
+                .submit(route(), ResidencyPermit::default(), job, items(20))
         });
         for accepted in join_all(attempts).await {
             accepted.expect("every attempt is acknowledged");
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -5,16 +5,18 @@
 use actix_http::{Method, ResponseHead};
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::{
-    AnswerHead, Backend, BackendDialect, Pace, Ran, ReportedLoad, SendTerms,
+    AnswerHead, Backend, BackendDialect, Pace, Ran, ReportedLoad, SendTerms, WarmUp,
 };
 use firshore_adapter::caller::{CallerDialect, CallerKey, PromptPart, RequestTerms};
-use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
+use firshore_adapter::configuration::{CallerLimits, Service, ServingConfiguration};
 use firshore_adapter::decode::{DecodeError, Decoder, Retirement, RetirementProgress};
 use firshore_adapter::incarnation::{Incarnation, StartTime};
 use firshore_adapter::jobs::{JobCall, JobCallError, JobDialect, JobItem, ResultPage};
 use firshore_adapter::objects::Object;
+use firshore_adapter::residency::AllowedRegions;
 use firshore_adapter::route::{JobTerms, Repetition, Route, RouteTable, WeightedService};
 use firshore_adapter::tenant::{DeclaredTenant, RateLimit, Tenant, TenantTable};
+use firshore_types::ids::{RegionName, ServiceName};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -48,6 +50,8 @@
 pub const CONFIGURATION: &str = "configuration";
 /// Kind of retirements.
 pub const RETIREMENTS: &str = "emptyings";
+/// Kind of zone drains.
+pub const ZONE_DRAINS: &str = "zone-drains";
 
 /// The adapter over a store.
 pub fn adapter(store: Rc<MemoryStore>) -> Adapter {
@@ -183,6 +187,10 @@
     leaving: bool,
     /// Start of its process.
     started: Option<u64>,
+    /// Its zone; `here` if absent.
+    zone: Option<String>,
+    /// Remaining time for which it is cold, in milliseconds.
+    cold_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -191,6 +199,17 @@
     routes: Vec<PlainRoute>,
     #[serde(default)]
     tenants: Vec<PlainTenant>,
+    /// Requests per second that a cold back end may get, by service.
+    #[serde(default)]
+    cold_rates: HashMap<ServiceName, f64>,
+}
+
+fn cold_service((name, rate): (ServiceName, f64)) -> (ServiceName, Service) {
+    let service = Service {
+        cold_rate: Some(rate),
+        ..Service::default()
+    };
+    (name, service)
 }
 
 #[derive(Deserialize)]
@@ -199,6 +218,9 @@
     keys: Vec<String>,
     /// Requests a second; the burst is as many.
     rate: Option<f64>,
+    /// Regions to which it is restricted.
+    #[serde(default)]
+    regions: Vec<RegionName>,
 }
 
 impl PlainTenant {
@@ -212,6 +234,7 @@
                 name: self.name.as_str().into(),
                 priority: None,
                 limit,
+                allowed_regions: AllowedRegions::new(self.regions),
             },
             keys: self.keys,
         }
@@ -228,6 +251,9 @@
     #[serde(default)]
     public: bool,
     most_waiting_tokens: Option<u64>,
+    /// Regions to which it is restricted.
+    #[serde(default)]
+    regions: Vec<RegionName>,
 }
 
 /// Host of every route.
@@ -262,6 +288,7 @@
             public: self.public,
             prefix_affinity: false,
             jobs,
+            allowed_regions: AllowedRegions::new(self.regions),
         }
     }
 }
@@ -288,6 +315,10 @@
         RETIREMENTS
     }
 
+    fn zone_drain_kind(&self) -> &str {
+        ZONE_DRAINS
+    }
+
     fn backend(&self, object: &Object) -> Result<Backend, DecodeError> {
         let backend: PlainBackend = read(object)?;
         Ok(Backend {
@@ -297,9 +328,13 @@
             },
             service: backend.service.as_str().into(),
             address: backend.address,
-            zone: "here".into(),
+            zone: backend.zone.as_deref().unwrap_or("here").into(),
             slots: backend.slots,
             leaving: backend.leaving,
+            warm_up: backend.cold_ms.map(|remaining| WarmUp {
+                remaining: Duration::from_millis(remaining),
+                revision: object.revision,
+            }),
         })
     }
 
@@ -316,7 +351,11 @@
         Ok(ServingConfiguration {
             version: configuration.version,
             routes: RouteTable::new(routes),
-            services: HashMap::new(),
+            services: configuration
+                .cold_rates
+                .into_iter()
+                .map(cold_service)
+                .collect(),
             limits: CallerLimits::default(),
             tenants: (!tenants.is_empty()).then_some(tenants),
         })
--- a/crates/firshore-types/src/error.rs
+++ b/crates/firshore-types/src/error.rs
@@ -93,6 +93,8 @@
     Unavailable = "unavailable", 503, "Send it to another node, or wait as 'Retry-After' says.";
     /// No live back end is eligible.
     NoBackend = "no_backend", 503, "Wait as 'Retry-After' says; operators: check the pool's selector and the machine list.";
+    /// No place in the regions that the route and the tenant allow can run or store the request.
+    NoAllowedRegion = "no_allowed_region", 503, "Operators: list back ends and nodes with disks in the regions that the route and the tenant allow.";
     /// Back ends crash while they run the request.
     CrashesBackends = "crashes_back_ends", 503, "Do not repeat it unchanged before 'Retry-After' is over; operators: find the back ends in the log by 'explain'.";
     /// The journal cannot commit now.
