A gateway's work no longer grows with the number of back ends

Change: indexes by service, by hash of the name and by address, changed by entry; a view visits the back ends that it names and those that were active before; the allotment of slots is drawn when it is asked for; of a service of more than 256 back ends, a request considers a sample, by its affinity or at random, and goes on while it finds none. Services of up to 256 are considered whole, as before.

--- a/crates/firshore-gateway/src/attempts.rs
+++ b/crates/firshore-gateway/src/attempts.rs
@@ -86,6 +86,11 @@
         !self.may_have_run.is_empty()
     }
 
+    /// Returns the back ends that may have run the request.
+    pub fn tried(&self) -> impl Iterator<Item = &Incarnation> {
+        self.may_have_run.iter()
+    }
+
     /// Returns the number of sends so far.
     pub fn sends(&self) -> u32 {
         self.sends
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -2,10 +2,12 @@
 //! passed in.
 
 mod claims;
+mod index;
 mod selection;
 mod service_stats;
 mod slow_start;
 mod state;
+mod views;
 mod zone_drains;
 
 use crate::attempts::Attempts;
@@ -15,30 +17,15 @@
 use firshore_adapter::residency::ResidencyPermit;
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
-use rand::Rng;
+use index::FleetIndex;
 use service_stats::ServiceStats;
 use slow_start::SlowStart;
 use state::{BackendState, FAILURES_TO_EJECT, LoadReport, MAX_EJECTION};
-use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cell::Cell;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 use zone_drains::ZoneDrains;
 
-/// Requests in flight at a service, from this node and from all nodes.
-#[derive(Clone, Copy, Debug, Default)]
-struct LocalFraction {
-    local: u32,
-    total: u32,
-}
-
-impl LocalFraction {
-    /// Returns this node's fraction of the free capacity: its fraction of the requests in flight, and more than 0 if
-    /// it has none.
-    fn of_capacity(&self) -> f32 {
-        (self.local as f32 + 1.0) / (self.total as f32 + 1.0)
-    }
-}
-
 /// Outcome of a request as evidence about the back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendOutcome {
@@ -116,12 +103,18 @@
 pub struct Fleet {
     zone: ZoneName,
     states: HashMap<BackendName, BackendState>,
-    by_service: BTreeMap<ServiceName, Vec<BackendName>>,
+    index: FleetIndex,
     service_stats: HashMap<ServiceName, ServiceStats>,
     /// When the last view of other nodes' requests was applied.
     view_at: Option<Instant>,
     /// Time between two views of other nodes' requests.
     view_interval: Duration,
+    /// Position of the ring of large services from which the next request looks for a back end.
+    ring_position: Cell<u64>,
+    /// Number of back ends that were visited since the start.
+    visits: Cell<u64>,
+    /// Back ends with a pace that this node has not passed on yet.
+    unreported_paces: BTreeSet<BackendName>,
     slow_start: SlowStart,
     zone_drains: ZoneDrains,
 }
@@ -132,10 +125,13 @@
         Self {
             zone,
             states: HashMap::new(),
-            by_service: BTreeMap::new(),
+            index: FleetIndex::default(),
             service_stats: HashMap::new(),
             view_at: None,
             view_interval: Duration::ZERO,
+            ring_position: Cell::new(0),
+            visits: Cell::new(0),
+            unreported_paces: BTreeSet::new(),
             slow_start: SlowStart::default(),
             zone_drains: ZoneDrains::default(),
         }
@@ -143,43 +139,47 @@
 
     /// Applies a complete listing. Returns the effect of each entry.
     pub fn replace(&mut self, now: Instant, backends: Vec<Backend>) -> Vec<EntryChange> {
-        let names = backends
-            .iter()
-            .map(|backend| backend.incarnation.name.clone());
-        let apply_entry: HashSet<BackendName> = names.collect();
-        self.states.retain(|one, _| apply_entry.contains(one));
-        let backends = backends.into_iter();
-        let changes = backends
-            .map(|backend| self.insert_state(now, backend))
+        let names = backends.iter();
+        let listed: HashSet<&BackendName> =
+            names.map(|backend| &backend.incarnation.name).collect();
+        let known = self.states.keys();
+        let unlisted: Vec<BackendName> = known
+            .filter(|name| !listed.contains(name))
+            .cloned()
             .collect();
-        self.index();
-        changes
+        for name in &unlisted {
+            self.remove(name);
+        }
+        let backends = backends.into_iter();
+        backends.map(|backend| self.upsert(now, backend)).collect()
     }
 
     /// Applies an entry that was added or has changed.
     pub fn upsert(&mut self, now: Instant, backend: Backend) -> EntryChange {
-        let change = self.insert_state(now, backend);
-        self.index();
+        let name = backend.incarnation.name.clone();
+        if backend.warm_up.is_some() {
+            self.slow_start.record_cold(name.clone());
+        }
+        self.visits.set(self.visits.get() + 1);
+        let Some(state) = self.states.get_mut(&name) else {
+            let state = BackendState::new(now, backend, None);
+            self.index.insert(&state.backend, state.identity);
+            self.states.insert(name, state);
+            return EntryChange::Listed;
+        };
+        self.index.remove(&state.backend, state.identity);
+        let change = state.apply_entry(now, backend);
+        self.index.insert(&state.backend, state.identity);
+        if state.is_active() {
+            self.index.activate(&state.backend);
+        }
         change
     }
 
     /// Removes a back end that is no longer listed, whichever process ran it.
     pub fn remove(&mut self, name: &BackendName) {
-        self.states.remove(name);
-        self.index();
-    }
-
-    fn insert_state(&mut self, now: Instant, backend: Backend) -> EntryChange {
-        let name = backend.incarnation.name.clone();
-        if backend.warm_up.is_some() {
-            self.slow_start.record_cold(name.clone());
-        }
-        match self.states.entry(name) {
-            Entry::Occupied(mut state) => state.get_mut().apply_entry(now, backend),
-            Entry::Vacant(vacant) => {
-                vacant.insert(BackendState::new(now, backend, None));
-                EntryChange::Listed
-            }
+        if let Some(state) = self.states.remove(name) {
+            self.index.remove(&state.backend, state.identity);
         }
     }
 
@@ -194,20 +194,6 @@
         state.filter(|state| state.backend.incarnation == *incarnation)
     }
 
-    fn index(&mut self) {
-        self.by_service.clear();
-        for (name, state) in &self.states {
-            let of_service = self
-                .by_service
-                .entry(state.backend.service.clone())
-                .or_default();
-            of_service.push(name.clone());
-        }
-        for names in self.by_service.values_mut() {
-            names.sort();
-        }
-    }
-
     /// Returns whether a process is listed, or was until the next start of its back end, and has not announced that
     /// it leaves.
     pub fn is_staying(&self, incarnation: &Incarnation) -> bool {
@@ -229,9 +215,20 @@
 
     /// Returns whether another back end is listed at the same address, which proves that this one has ended.
     pub fn has_successor(&self, backend: &Backend) -> bool {
-        let name = &backend.incarnation.name;
-        let mut others = self.states.values().map(|state| &state.backend);
-        others.any(|other| other.address == backend.address && other.incarnation.name != *name)
+        let mut names = self.index.at_address(backend.address);
+        names.any(|name| *name != backend.incarnation.name)
+    }
+
+    /// Returns the number of back ends that were visited for changes, views, exchanges and requests since the start.
+    /// It grows with these and not with the number of back ends.
+    pub fn visits(&self) -> u64 {
+        self.visits.get()
+    }
+
+    /// Returns the state of a back end, and counts the visit.
+    fn visit(&self, name: &BackendName) -> Option<&BackendState> {
+        self.visits.set(self.visits.get() + 1);
+        self.states.get(name)
     }
 
     /// Returns the number of back ends.
@@ -262,18 +259,21 @@
 
     /// Returns the services that have back ends.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.by_service.keys()
+        self.index.services().map(|(service, _)| service)
     }
 
     /// Returns the estimated occupancy of a service, without back ends that leave.
     pub fn occupancy(&self, now: Instant, service: &ServiceName) -> Occupancy {
-        let names = self.by_service.get(service).into_iter().flatten();
-        let states = names.filter_map(|name| self.states.get(name));
+        let Some(index) = self.index.service(service) else {
+            return Occupancy::default();
+        };
+        let active = index.active.iter();
+        let states = active.filter_map(|name| self.visit(name));
         let present = states.filter(|state| !state.backend.leaving);
-        present.fold(Occupancy::default(), |sum, state| Occupancy {
-            slots: sum.slots + state.backend.slots,
-            held: sum.held + state.held(now),
-        })
+        Occupancy {
+            slots: index.slots,
+            held: present.map(|state| state.held(now)).sum(),
+        }
     }
 
     /// Returns whether a back end is estimated to hold more requests than it has slots.
@@ -296,49 +296,6 @@
             .map(|state| &state.backend.incarnation)
     }
 
-    /// Returns the requests of this node in flight at the current process of each back end.
-    pub fn in_flight(&self) -> impl Iterator<Item = (BackendName, u32)> {
-        let states = self.states.iter();
-        states.map(|(name, state)| (name.clone(), state.in_flight))
-    }
-
-    /// Applies a view of the requests that other nodes have in flight. Back ends that it doesn't contain are idle.
-    pub fn apply_remote_load(
-        &mut self,
-        now: Instant,
-        remote: &HashMap<BackendName, u32>,
-        random: &mut impl Rng,
-    ) {
-        self.view_at = Some(now);
-        let mut fractions: HashMap<ServiceName, LocalFraction> = HashMap::new();
-        for (name, state) in &mut self.states {
-            let remote = remote.get(name).copied().unwrap_or(0);
-            let view = LoadReport {
-                remote,
-                at: now,
-                from_backend: false,
-            };
-            state.view = Some(view);
-            state.report = Some(view);
-            let fraction = fractions.entry(state.backend.service.clone()).or_default();
-            fraction.local += state.in_flight;
-            fraction.total += state.in_flight + remote;
-        }
-        // In the order of names, so that equal random seeds give equal results.
-        for (service, names) in &self.by_service {
-            let stats = self.service_stats.get(service).cloned().unwrap_or_default();
-            let fraction = fractions
-                .get(service)
-                .map_or(0.0, LocalFraction::of_capacity);
-            for name in names {
-                if let Some(state) = self.states.get_mut(name) {
-                    let free = state.free_capacity(now, &stats, Duration::ZERO);
-                    state.claims.allot(now, free, fraction, random);
-                }
-            }
-        }
-    }
-
     /// Sets the time between two views of other nodes' requests.
     pub fn set_view_interval(&mut self, interval: Duration) {
         self.view_interval = interval;
@@ -346,6 +303,7 @@
 
     /// Records that a request is about to be sent.
     pub fn record_start(&mut self, now: Instant, incarnation: &Incarnation) {
+        self.fix_claims(incarnation);
         let Some(state) = self.state_mut(incarnation) else {
             return;
         };
@@ -357,6 +315,7 @@
         if is_cold {
             self.slow_start.use_permit(now, &incarnation.name);
         }
+        self.activate(&incarnation.name);
         self.service_stats.entry(service).or_default().sent(now);
     }
 
@@ -396,6 +355,7 @@
 
     /// Records that a request has ended, successfully or not.
     pub fn record_end(&mut self, now: Instant, incarnation: &Incarnation) {
+        self.fix_claims(incarnation);
         let Some(state) = self.state_mut(incarnation) else {
             return;
         };
@@ -416,6 +376,7 @@
 
     /// Records the load that a back end reported with a response.
     pub fn record_load(&mut self, now: Instant, incarnation: &Incarnation, load: ReportedLoad) {
+        self.fix_claims(incarnation);
         let Some(state) = self.state_mut(incarnation) else {
             return;
         };
@@ -437,32 +398,9 @@
         stats.record_unseen(now, beyond);
         if let Some(pace) = pace {
             stats.record_pace(pace);
+            self.unreported_paces.insert(incarnation.name.clone());
         }
-    }
-
-    /// Returns the paces that back ends reported to this node since the last call, to be reported to other nodes.
-    pub fn take_unreported_paces(&mut self) -> Vec<PaceReport> {
-        let states = self.states.iter_mut();
-        let paces = states.filter_map(|(name, state)| {
-            Some(PaceReport {
-                backend: name.clone(),
-                pace: state.unreported_pace.take()?,
-            })
-        });
-        paces.collect()
-    }
-
-    /// Applies paces that back ends reported to other nodes.
-    pub fn apply_remote_paces(&mut self, now: Instant, paces: Vec<PaceReport>) {
-        for report in paces {
-            let Some(state) = self.states.get_mut(&report.backend) else {
-                continue;
-            };
-            state.pace.record_report(now, report.pace);
-            let service = state.backend.service.clone();
-            let stats = self.service_stats.entry(service).or_default();
-            stats.record_pace(state.pace.factor(now));
-        }
+        self.activate(&incarnation.name);
     }
 
     /// Records that a process has ended, as observed by this node or another one. Its back end gets no requests until
@@ -501,6 +439,11 @@
                 return false;
             }
             BackendOutcome::Full => {
+                self.fix_claims(incarnation);
+                self.activate(&incarnation.name);
+                let Some(state) = self.state_mut(incarnation) else {
+                    return false;
+                };
                 state.report = Some(LoadReport {
                     remote: state.backend.slots * 2,
                     at: now,
--- a/crates/firshore-gateway/src/fleet/selection.rs
+++ b/crates/firshore-gateway/src/fleet/selection.rs
@@ -5,10 +5,11 @@
 use super::{BackendRequirements, Fleet};
 use crate::choice::{self, Candidate, Placement};
 use firshore_adapter::backend::Backend;
+use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::residency::ResidencyPermit;
 use firshore_admission::admission::CapacityOutlook;
 use firshore_types::ids::ServiceName;
-use rand::Rng;
+use rand::{Rng, RngExt};
 use std::time::{Duration, Instant};
 
 /// Maximum age of a view, and interval between views, at which the least loaded back end is likely to be still the
@@ -18,6 +19,10 @@
 /// Maximum age at which a view shows the free capacity. A burst fills all slots in about this time.
 const MAX_USABLE_VIEW_AGE: Duration = Duration::from_millis(600);
 
+/// Number of back ends of a large service that are considered for a request. The error of the free capacity that
+/// they show is about 3 in 100; the work of a request doesn't grow with the service.
+const SAMPLE_SIZE: usize = 256;
+
 /// Fraction of a service's slots in use from which it counts as full.
 const FULL_OCCUPANCY: f32 = 0.9;
 
@@ -43,25 +48,53 @@
 }
 
 impl Fleet {
-    /// Returns the back ends that may run a request, without ejected and unresponsive ones if there are others.
+    /// Returns the back ends that may run a request, without ejected and unresponsive ones if there are others. Of a
+    /// large service these are a sample, whose position is that of its affinity or changes with each request.
     fn usable(&self, now: Instant, requirements: &BackendRequirements<'_>) -> Vec<&BackendState> {
-        let Some(names) = self.by_service.get(requirements.service) else {
+        let Some(index) = self.index.service(requirements.service) else {
             return Vec::new();
         };
-        let usable: Vec<&BackendState> = names
-            .iter()
-            .filter_map(|name| self.states.get(name))
-            .filter(|state| requirements.attempts.allows(&state.backend.incarnation))
-            .filter(|state| !state.backend.leaving)
-            .filter(|state| self.may_send_to(now, state, requirements.residency))
-            .collect();
-        let trusted: Vec<&BackendState> = usable
-            .iter()
-            .filter(|state| !state.is_ejected(now) && !state.is_unresponsive(now))
-            .copied()
-            .collect();
-        // If all are excluded, the cause is more likely at this node.
-        if trusted.is_empty() { usable } else { trusted }
+        let visit = |names: &mut dyn Iterator<Item = &BackendName>| -> Vec<&BackendState> {
+            let states = names.filter_map(|name| self.visit(name));
+            states
+                .filter(|state| self.may_run(now, state, requirements))
+                .collect()
+        };
+        if index.len() <= SAMPLE_SIZE {
+            return trusted(now, visit(&mut index.names()));
+        }
+        let start = requirements.affinity.unwrap_or(self.ring_position.get());
+        let mut ring = index.from_position(start);
+        // A request that may run on no further back end is sent again to one that was tried.
+        let mut tried = requirements.attempts.tried().map(|tried| &tried.name);
+        let mut usable = visit(&mut tried);
+        for _ in 0..index.len().div_ceil(SAMPLE_SIZE) {
+            usable.extend(visit(&mut ring.by_ref().take(SAMPLE_SIZE)));
+            // The rest is visited only where a whole sample is unusable, such as that of a lost zone.
+            if usable.iter().any(|state| state.is_trusted(now)) {
+                break;
+            }
+        }
+        usable.sort_by(|one, other| {
+            one.backend
+                .incarnation
+                .name
+                .cmp(&other.backend.incarnation.name)
+        });
+        usable.dedup_by(|one, other| one.backend.incarnation == other.backend.incarnation);
+        trusted(now, usable)
+    }
+
+    /// Returns whether no rule and no earlier attempt forbids a request to a back end.
+    fn may_run(
+        &self,
+        now: Instant,
+        state: &BackendState,
+        requirements: &BackendRequirements<'_>,
+    ) -> bool {
+        requirements.attempts.allows(&state.backend.incarnation)
+            && !state.backend.leaving
+            && self.may_send_to(now, state, requirements.residency)
     }
 
     /// Returns whether no rule forbids a request to a back end: its zone is allowed and not drained, and if it is
@@ -134,14 +167,26 @@
         }
     }
 
-    /// Returns whether this node has no requests in flight at the back ends. It then needs no claim for its first
-    /// one: claims come from its own requests, so it would never get any.
-    fn none_in_flight(usable: &[&BackendState]) -> bool {
-        usable.iter().all(|state| state.in_flight == 0)
+    /// Returns whether this node has no requests in flight at the usable back ends. It then needs no claim for its
+    /// first one: claims come from its own requests, so it would never get any.
+    fn none_in_flight(
+        &self,
+        now: Instant,
+        requirements: &BackendRequirements<'_>,
+        usable: &[&BackendState],
+    ) -> bool {
+        let index = self.index.service(requirements.service);
+        let active = index.into_iter().flat_map(|index| &index.active);
+        let states = active.filter_map(|name| self.visit(name));
+        let mut busy = states.filter(|state| state.in_flight > 0);
+        let is_usable =
+            |state: &BackendState| state.is_trusted(now) && self.may_run(now, state, requirements);
+        usable.iter().all(|state| state.in_flight == 0) && !busy.any(is_usable)
     }
 
     /// Returns whether an admitted request may take a slot of a back end.
     fn may_take(
+        &self,
         state: &BackendState,
         now: Instant,
         stats: &ServiceStats,
@@ -149,7 +194,11 @@
     ) -> bool {
         match supply {
             CapacitySupply::Wait(_) | CapacitySupply::Plenty => true,
-            CapacitySupply::Scarce => state.claims.has_any(now),
+            CapacitySupply::Scarce => {
+                let index = self.index.service(&state.backend.service);
+                let view = index.and_then(|index| index.allotment.as_ref());
+                state.has_claim(now, view, stats)
+            }
             CapacitySupply::Unknown => stats.allows_blind_send(now),
         }
     }
@@ -166,10 +215,13 @@
         let supply = requirements
             .begin_within
             .map(|begin_within| self.supply(now, &usable, &stats, begin_within));
-        let none_in_flight = Self::none_in_flight(&usable);
+        let none_in_flight = self.none_in_flight(now, requirements, &usable);
         let may_take = |state: &BackendState| {
-            none_in_flight || supply.is_none_or(|supply| Self::may_take(state, now, &stats, supply))
+            none_in_flight || supply.is_none_or(|supply| self.may_take(state, now, &stats, supply))
         };
+        if self.is_sampled(requirements.service) {
+            self.ring_position.set(random.random());
+        }
         let states: Vec<&BackendState> = usable
             .into_iter()
             .filter(|state| state.held(now) < state.allowed(requirements.load_limit))
@@ -206,14 +258,14 @@
         let shortest = delays.min()?;
         let supply = self.supply(now, &usable, &stats, begin_within);
         let mut states = usable.iter();
-        let may_take = states.any(|state| Self::may_take(state, now, &stats, supply));
+        let may_take = states.any(|state| self.may_take(state, now, &stats, supply));
         let (begin_delay, is_scarce) = match supply {
             CapacitySupply::Wait(wait) => (wait, !wait.is_zero()),
             CapacitySupply::Scarce => (shortest, true),
             CapacitySupply::Plenty | CapacitySupply::Unknown => (shortest, false),
         };
         let waits_too_long = matches!(supply, CapacitySupply::Wait(wait) if wait > begin_within);
-        let none_in_flight = Self::none_in_flight(&usable);
+        let none_in_flight = self.none_in_flight(now, requirements, &usable);
         Some(CapacityOutlook {
             has_slot: none_in_flight || (may_take && !waits_too_long),
             is_scarce,
@@ -224,7 +276,8 @@
 
     /// Returns whether a service has a back end in the permitted zones, whatever its state.
     pub fn has_any(&self, service: &ServiceName, residency: &ResidencyPermit) -> bool {
-        let names = self.by_service.get(service).into_iter().flatten();
+        let index = self.index.service(service);
+        let names = index.into_iter().flat_map(|index| index.names());
         let mut states = names.filter_map(|name| self.states.get(name));
         states.any(|state| residency.allows(&state.backend.zone))
     }
@@ -232,8 +285,19 @@
     /// Returns the rate, in requests per second, at which a service begins requests while all slots are in use.
     pub fn begin_rate(&self, now: Instant, requirements: &BackendRequirements<'_>) -> f64 {
         let usable = self.usable(now, requirements);
-        let slots = usable.iter().map(|state| state.slots());
-        self.stats(requirements.service).begin_rate(slots.sum())
+        let sampled: f32 = usable.iter().map(|state| state.slots()).sum();
+        let slots = match self.index.service(requirements.service) {
+            Some(index) if index.len() > SAMPLE_SIZE => {
+                sampled * index.len() as f32 / SAMPLE_SIZE as f32
+            }
+            _ => sampled,
+        };
+        self.stats(requirements.service).begin_rate(slots)
+    }
+
+    fn is_sampled(&self, service: &ServiceName) -> bool {
+        let index = self.index.service(service);
+        index.is_some_and(|index| index.len() > SAMPLE_SIZE)
     }
 
     fn view_age(&self, now: Instant) -> Option<Duration> {
@@ -249,6 +313,14 @@
     }
 }
 
+/// Returns the back ends that are neither ejected nor unresponsive. If all are, the cause is more likely at this node,
+/// and all are returned.
+fn trusted(now: Instant, usable: Vec<&BackendState>) -> Vec<&BackendState> {
+    let states = usable.iter().copied();
+    let trusted: Vec<&BackendState> = states.filter(|state| state.is_trusted(now)).collect();
+    if trusted.is_empty() { usable } else { trusted }
+}
+
 /// Returns the back ends that are expected to respond in time, if one of them has a free slot; otherwise all, since
 /// a late response is better than none.
 fn fast_enough<'a>(
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -1,7 +1,7 @@
 //! Estimated state of one back end.
 
 use super::EntryChange;
-use super::claims::SlotClaims;
+use super::claims::{SlotClaims, ViewAllotment};
 use super::service_stats::ServiceStats;
 use crate::pace::PaceEstimate;
 use firshore_adapter::backend::{Backend, Pace};
@@ -135,6 +135,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether it is neither ejected nor unresponsive.
+    pub(super) fn is_trusted(&self, now: Instant) -> bool {
+        !self.is_ejected(now) && !self.is_unresponsive(now)
+    }
+
     /// Returns the requests of other gateways by the last report, which fades with age.
     pub(super) fn remote_load(&self, now: Instant) -> f32 {
         self.report.map_or(0.0, |report| report.decayed(now))
@@ -177,6 +182,41 @@
         (concurrency_limit - self.held_with_unseen(now, stats)).max(0.0)
     }
 
+    /// Returns whether a slot may be taken, by the claims of this node.
+    pub(super) fn has_claim(
+        &self,
+        now: Instant,
+        view: Option<&ViewAllotment>,
+        stats: &ServiceStats,
+    ) -> bool {
+        let free_slots = |at| self.free_capacity(at, stats, Duration::ZERO);
+        self.claims.has_any(now, view, self.identity, free_slots)
+    }
+
+    /// Fixes the slots that this node may take by a view, before the load changes.
+    pub(super) fn fix_claims(&mut self, view: Option<&ViewAllotment>, stats: &ServiceStats) {
+        if let Some(view) = view {
+            let free_slots = self.free_capacity(view.at, stats, Duration::ZERO);
+            self.claims.fix(view, self.identity, free_slots);
+        }
+    }
+
+    /// Applies the requests of other gateways that a view shows.
+    pub(super) fn apply_view(&mut self, at: Instant, remote: u32) {
+        let view = LoadReport {
+            remote,
+            at,
+            from_backend: false,
+        };
+        self.view = Some(view);
+        self.report = Some(view);
+    }
+
+    /// Returns whether it holds requests by the last view or report, or of this node.
+    pub(super) fn is_active(&self) -> bool {
+        self.in_flight > 0 || self.report.is_some_and(|report| report.remote > 0)
+    }
+
     pub(super) fn load(&self, now: Instant) -> f32 {
         (self.in_flight as f32 + self.remote_load(now)) / self.slots()
     }
--- a/crates/firshore-gateway/tests/capacity.rs
+++ b/crates/firshore-gateway/tests/capacity.rs
@@ -61,7 +61,8 @@
     let local: HashMap<BackendName, u32> = fleet.in_flight().collect();
     let others = held.iter().enumerate().map(|(number, held)| {
         let name = incarnation(number).name;
-        let others = held - local[&name].min(*held);
+        let own = local.get(&name).copied().unwrap_or(0);
+        let others = held - own.min(*held);
         (name, others)
     });
     let mut random = ChaCha8Rng::seed_from_u64(1);
--- a/crates/firshore-node/tests/crash_world/nodes.rs
+++ b/crates/firshore-node/tests/crash_world/nodes.rs
@@ -260,7 +260,9 @@
 async fn follow_listing(pool: Rc<BackendPool>, fleet: Rc<RefCell<Fleet>>, seed: u64) {
     let mut listing_version = pool.listing_version.subscribe();
     loop {
-        fleet.borrow_mut().replace(Instant::now(), pool.backends());
+        fleet
+            .borrow_mut()
+            .replace(Instant::now().into_std(), pool.backends());
         if listing_version.changed().await.is_err() {
             return;
         }
