A relay's answers cost what has changed, and a mass removal makes nobody list again

Cause: a query for changes visited all objects of the kind, for each of a zone's nodes; a page of a listing visited all before it; names of removed objects were kept up to 1,024, so that the removal of a seventh of 10,000 back ends at once made all nodes list everything again; the oldest name was found by visiting all. Change: changes are indexed by the revision at which they were observed; as many removed names are kept as there are objects, 1,024 at least, which holds at any size. Tests: a mass removal at 10,000 objects; queries visit the changes only, at 100, 1,000 and 10,000 (before: all).

--- a/crates/firshore-gateway/src/fleet/index.rs
+++ b/crates/firshore-gateway/src/fleet/index.rs
@@ -34,7 +34,7 @@
     }
 
     /// Returns all back ends, starting at a position of the ring and wrapping around at its end.
-    pub(super) fn from_position(&self, start: u64) -> impl Iterator<Item = &BackendName> {
+    pub(super) fn ring_from(&self, start: u64) -> impl Iterator<Item = &BackendName> {
         let start = (start, BackendName::from(""));
         let (before, after) = (self.ring.range(..start.clone()), self.ring.range(start..));
         after.chain(before).map(|(_, name)| name)
--- a/crates/firshore-gateway/src/fleet/selection.rs
+++ b/crates/firshore-gateway/src/fleet/selection.rs
@@ -64,7 +64,7 @@
             return trusted(now, visit(&mut index.names()));
         }
         let start = requirements.affinity.unwrap_or(self.ring_position.get());
-        let mut ring = index.from_position(start);
+        let mut ring = index.ring_from(start);
         // A request that may run on no further back end is sent again to one that was tried.
         let mut tried = requirements.attempts.tried().map(|tried| &tried.name);
         let mut usable = visit(&mut tried);
--- a/crates/firshore-node/src/relay/cache.rs
+++ b/crates/firshore-node/src/relay/cache.rs
@@ -11,7 +11,9 @@
 use firshore_crashes::report::TableCursor;
 use firshore_types::payload::Payload;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound;
 
 /// Size limit of one page, in bytes; the object that exceeds it is the last one.
 const PAGE_BYTES: usize = 256 * 1024;
@@ -20,8 +22,9 @@
 /// again.
 const MAX_GAPS: usize = 16;
 
-/// Maximum number of names of removed objects that are kept. Observers that know less list again.
-const MAX_REMOVED_NAMES: usize = 1_024;
+/// Number of names of removed objects that are kept at least. Beyond it, as many are kept as there are objects, so that
+/// observers of a kind of any size don't list again after a mass removal. Observers that know less list again.
+const MIN_REMOVED_NAMES: usize = 1_024;
 
 /// An object in the form in which it is sent: encoded once, sent to many nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,6 +128,13 @@
 pub struct KindCache {
     objects: BTreeMap<String, CachedObject>,
     removed: BTreeMap<String, Revision>,
+    /// Names of objects and of removed objects, by the revision at which their last change was observed: a query for
+    /// changes visits these only.
+    by_change: BTreeSet<(Revision, String)>,
+    /// The same of removed objects only.
+    by_removal: BTreeSet<(Revision, String)>,
+    /// Number of names visited by queries.
+    visits: Cell<u64>,
     /// All changes from this revision on are kept.
     complete_from: Revision,
     /// Gaps in the observed revisions, oldest first.
@@ -231,30 +241,53 @@
     }
 
     fn write(&mut self, object: Object, observed_at: Revision) {
-        self.removed.remove(&object.name);
+        let name = object.name.clone();
+        self.forget_change(&name);
         let object = RelayedObject::of(object);
         let kept = CachedObject {
             object,
             observed_at,
         };
-        self.objects.insert(kept.object.name.clone(), kept);
+        self.objects.insert(name.clone(), kept);
+        self.by_change.insert((observed_at, name));
         self.changed_at = self.changed_at.max(observed_at);
     }
 
     fn remove(&mut self, name: String, observed_at: Revision) {
+        self.forget_change(&name);
         self.objects.remove(&name);
-        self.removed.insert(name, observed_at);
+        self.removed.insert(name.clone(), observed_at);
+        self.by_removal.insert((observed_at, name.clone()));
+        self.by_change.insert((observed_at, name));
         self.changed_at = self.changed_at.max(observed_at);
-        if self.removed.len() <= MAX_REMOVED_NAMES {
-            return;
-        }
-        let oldest = self.removed.iter().min_by_key(|(_, at)| **at);
-        if let Some((name, at)) = oldest.map(|(name, at)| (name.clone(), *at)) {
+        while self.removed.len() > self.objects.len().max(MIN_REMOVED_NAMES)
+            && let Some((at, name)) = self.by_removal.pop_first()
+        {
             self.removed.remove(&name);
+            self.by_change.remove(&(at, name));
             self.complete_from = self.complete_from.max(at);
         }
     }
 
+    /// Removes a name from the changes, before its next change is recorded.
+    fn forget_change(&mut self, name: &str) {
+        let written = self.objects.get(name).map(|kept| kept.observed_at);
+        if let Some(at) = written {
+            self.by_change.remove(&(at, name.to_owned()));
+        }
+        if let Some(at) = self.removed.remove(name) {
+            let change = (at, name.to_owned());
+            self.by_removal.remove(&change);
+            self.by_change.remove(&change);
+        }
+    }
+
+    /// Returns the number of names that queries have visited: it grows with the changes returned, not with the number
+    /// of objects.
+    pub fn visits(&self) -> u64 {
+        self.visits.get()
+    }
+
     /// Returns the revision of a response to a client that knows the store at `known`.
     fn response_revision(&self, known: Revision) -> Result<Revision, CacheMiss> {
         match self.revision {
@@ -276,10 +309,12 @@
             ..RelayedPage::default()
         };
         let mut bytes = 0;
-        for (name, kept) in &self.objects {
-            if after.is_some_and(|after| name.as_str() <= after) {
-                continue;
-            }
+        let from = match after {
+            Some(after) => Bound::Excluded(after),
+            None => Bound::Unbounded,
+        };
+        for (_, kept) in self.objects.range::<str, _>((from, Bound::Unbounded)) {
+            self.visits.set(self.visits.get() + 1);
             if bytes >= PAGE_BYTES {
                 page.more = true;
                 break;
@@ -304,14 +339,17 @@
         if self.changed_at <= known {
             return Ok(None);
         }
-        let written = self.objects.values();
-        let written = written.filter(|kept| kept.observed_at > known);
-        let removed = self.removed.iter().filter(|(_, at)| **at > known);
-        Ok(Some(RelayedChanges {
-            written: written.map(|kept| kept.object.clone()).collect(),
-            removed: removed.map(|(name, _)| name.clone()).collect(),
+        let mut changes = RelayedChanges {
             revision,
-            contact: RelayContact::default(),
-        }))
+            ..RelayedChanges::default()
+        };
+        for (_, name) in self.by_change.range((known + 1, String::new())..) {
+            self.visits.set(self.visits.get() + 1);
+            match self.objects.get(name) {
+                Some(kept) => changes.written.push(kept.object.clone()),
+                None => changes.removed.push(name.clone()),
+            }
+        }
+        Ok(Some(changes))
     }
 }
--- a/crates/firshore-node/tests/relay_cache.rs
+++ b/crates/firshore-node/tests/relay_cache.rs
@@ -175,3 +175,43 @@
     );
     assert_eq!(cache.changes(405).unwrap_err(), CacheMiss::Forgotten);
 }
+
+/// Returns a cache of many objects.
+fn large_cache(size: usize) -> KindCache {
+    let mut cache = KindCache::default();
+    let objects = (0..size).map(|number| object(&format!("o{number:06}"), 1));
+    cache.apply(Some(ObjectUpdate::All(objects.collect())), 10);
+    cache
+}
+
+#[test]
+fn nobody_lists_again_after_a_mass_removal() {
+    const SIZE: usize = 10_000;
+    const REMOVED: usize = SIZE / 7;
+    let mut cache = large_cache(SIZE);
+    for number in 0..REMOVED {
+        let removed = Change::Removed(format!("o{number:06}"));
+        apply_changes(&mut cache, vec![removed], 11 + number as u64);
+    }
+    let (written, removed, _) = changes_since(&cache, 10).unwrap();
+    assert_eq!((written.len(), removed.len()), (0, REMOVED));
+}
+
+#[test]
+fn queries_for_changes_visit_the_changes_only() {
+    let visits = |size: usize| {
+        let mut cache = large_cache(size);
+        let written = Change::Written(object("o000005", 12));
+        let removed = Change::Removed("o000007".to_owned());
+        apply_changes(&mut cache, vec![written, removed], 12);
+        let (written, removed, _) = changes_since(&cache, 10).unwrap();
+        assert_eq!((written.len(), removed.len()), (1, 1));
+        let of_changes = cache.visits();
+        let last = cache.list(Some(&format!("o{:06}", size - 2)), 10).unwrap();
+        assert_eq!(last.objects.len(), 1);
+        (of_changes, cache.visits() - of_changes)
+    };
+    for size in [100, 1_000, 10_000] {
+        assert_eq!(visits(size), (2, 1), "{size} objects");
+    }
+}
