Relays per zone follow the zone's disks; expired load reports are found without visiting all

Cause: two relays a zone, whatever its size: 84 gateways each on the whole fleet, and twice that on twice the fleet; each load report visited the reports of all nodes.

--- a/crates/firshore-node/src/load_table.rs
+++ b/crates/firshore-node/src/load_table.rs
@@ -12,7 +12,7 @@
 use firshore_limits::report::UsageReport;
 use firshore_types::ids::NodeName;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Age at which a node's report expires.
@@ -63,6 +63,8 @@
 #[derive(Default)]
 pub struct LoadTable {
     nodes: HashMap<NodeName, NodeCounts>,
+    /// Nodes by the time of their last report: those that expire are found without visiting the others.
+    by_report: BTreeSet<(Instant, NodeName)>,
     sums: HashMap<BackendName, u32>,
 }
 
@@ -93,27 +95,29 @@
                 }
             }
         }
-        if let Some(previous) = self.nodes.insert(
-            node,
-            NodeCounts {
-                counts,
-                received_at: now,
-            },
-        ) {
+        let reported = NodeCounts {
+            counts,
+            received_at: now,
+        };
+        self.by_report.insert((now, node.clone()));
+        if let Some(previous) = self.nodes.insert(node.clone(), reported) {
             subtract(&mut self.sums, &previous.counts);
+            if previous.received_at != now {
+                self.by_report.remove(&(previous.received_at, node));
+            }
         }
     }
 
     /// Removes expired reports.
     pub fn remove_expired(&mut self, now: Instant) {
-        let sums = &mut self.sums;
-        self.nodes.retain(|_, reported| {
-            let is_fresh = now.saturating_duration_since(reported.received_at) < REPORT_LIFETIME;
-            if !is_fresh {
-                subtract(sums, &reported.counts);
+        while let Some((received_at, _)) = self.by_report.first()
+            && now.saturating_duration_since(*received_at) >= REPORT_LIFETIME
+            && let Some((_, node)) = self.by_report.pop_first()
+        {
+            if let Some(reported) = self.nodes.remove(&node) {
+                subtract(&mut self.sums, &reported.counts);
             }
-            is_fresh
-        });
+        }
     }
 
     /// Returns the sums over all nodes, as of the last change.
--- a/crates/firshore-node/src/relay/ranking.rs
+++ b/crates/firshore-node/src/relay/ranking.rs
@@ -11,8 +11,12 @@
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Relays in each zone; a second one, so that one may be lost.
-const RELAYS_PER_ZONE: usize = 2;
+/// Minimum number of relays in each zone; a second one, so that one may be lost.
+const MIN_RELAYS_PER_ZONE: usize = 2;
+
+/// Nodes with disks in a zone for each relay. The nodes of a zone that serve callers grow with those that have disks,
+/// so the nodes of one relay don't grow with the zone.
+const DISKS_PER_RELAY: usize = 15;
 
 /// Maximum number of relays that a node queries before it treats all as unresponsive.
 const MAX_QUERIED: usize = 4;
@@ -34,7 +38,7 @@
     }
     for (zone, nodes) in &mut zones {
         nodes.sort_by_key(|node| Reverse(rank(zone, node)));
-        nodes.truncate(RELAYS_PER_ZONE);
+        nodes.truncate(MIN_RELAYS_PER_ZONE.max(nodes.len() / DISKS_PER_RELAY));
     }
     zones
 }
