--- a/crates/firshore-lab/src/experiment/configuration_size/mod.rs
+++ b/crates/firshore-lab/src/experiment/configuration_size/mod.rs
@@ -83,7 +83,8 @@
         .map_err(|error| error.to_string())
 }
 
-fn resident_bytes() -> Result<f64, String> {
+/// Returns the resident memory of this process in bytes.
+pub(super) fn resident_bytes() -> Result<f64, String> {
     let text = std::fs::read_to_string("/proc/self/statm").map_err(|error| error.to_string())?;
     let pages = text.split_whitespace().nth(1);
     let pages = pages.and_then(|pages| pages.parse::<f64>().ok());
--- a/crates/firshore-lab/src/experiment/mod.rs
+++ b/crates/firshore-lab/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod convergence;
 pub mod durability;
 mod failures;
+pub mod fleet_size;
 pub mod journal;
 pub mod limits;
 pub mod node_cost;
@@ -75,6 +76,11 @@
         measures: "promises kept by real processes under planned stops and failures",
         run: failures::run,
     },
+    Entry {
+        name: "fleet-size",
+        measures: "memory and processor time of one gateway and one relay as the back ends grow",
+        run: fleet_size::run,
+    },
     Entry {
         name: "journal",
         measures: "rates, bytes on disk for each item and recovery of one journal group",
