--- a/crates/firshore-lab/src/experiment/fleet_size/hollow.rs
+++ b/crates/firshore-lab/src/experiment/fleet_size/hollow.rs
@@ -113,10 +113,14 @@
     ///
     /// Fails if the resident memory can't be read.
     pub fn measure(size: usize, seed: u64) -> Result<(Self, StepCost), String> {
-        let objects: Vec<Object> = (0..size).map(|number| entry(number, 1)).collect();
         let before = resident_bytes()?;
         let mut cache = KindCache::default();
-        cache.apply(Some(ObjectUpdate::All(objects)), 1);
+        cache.apply(Some(ObjectUpdate::All(Vec::new())), 1);
+        // One by one, so that no freed listing hides what the cache holds.
+        for number in 0..size {
+            let written = Change::Written(entry(number, 1));
+            cache.apply(Some(ObjectUpdate::Changed(vec![written])), 1);
+        }
         let relay_bytes = resident_bytes()? - before;
         let mut hollow = Self {
             cache,
