Changes of many back ends and listings of many nodes are one log line

Change: updates of more than 16 back ends, and listings of more than 16 nodes, are one line with their number. Measured: not by itself; no test asserts these lines.

--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -21,6 +21,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Maximum number of changes in one update that are logged each. Larger updates come from a start or a loss of many
+/// back ends, which all nodes see: one line tells their number.
+const MAX_LOGGED_CHANGES: usize = 16;
+
 /// Returns the options with which a kind is watched.
 pub fn watch_options(objects: &Objects, spacing: Duration) -> WatchOptions {
     WatchOptions {
@@ -192,26 +196,38 @@
                 self.gateway.replace_backends(backends);
             }
             ObjectUpdate::Changed(changes) => {
+                let log_each = changes.len() <= MAX_LOGGED_CHANGES;
+                if !log_each {
+                    let removed = changes
+                        .iter()
+                        .filter(|change| matches!(change, Change::Removed(_)));
+                    info!(self.gateway.log, "fleet: Many back ends changed.";
+                        "count" => changes.len(), "removed" => removed.count());
+                }
                 for change in changes {
-                    self.apply_backend(change);
+                    self.apply_backend(change, log_each);
                 }
             }
         }
     }
 
-    fn apply_backend(&self, change: Change) {
+    fn apply_backend(&self, change: Change, log: bool) {
         let gateway = &self.gateway;
         match change {
             Change::Removed(name) => {
-                info!(gateway.log, "fleet: Back end removed."; "backend" => &name);
+                if log {
+                    info!(gateway.log, "fleet: Back end removed."; "backend" => &name);
+                }
                 self.refusals.borrow_mut().forget(&name);
                 gateway.fleet.borrow_mut().remove(&BackendName::from(name));
             }
             Change::Written(object) => match self.decode_backend(&object) {
                 Some(backend) => {
-                    info!(gateway.log, "fleet: Back end updated."; "backend" => %backend.incarnation,
-                        "service" => %backend.service, "leaving" => backend.leaving,
-                        "revision" => object.revision);
+                    if log {
+                        info!(gateway.log, "fleet: Back end updated.";
+                            "backend" => %backend.incarnation, "service" => %backend.service,
+                            "leaving" => backend.leaving, "revision" => object.revision);
+                    }
                     gateway.upsert_backend(backend);
                 }
                 // The former entry is no longer valid: requests could go to a back end of another service.
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -48,6 +48,9 @@
     pub disk: DiskId,
 }
 
+/// Maximum number of nodes in a listing that are logged each: every node lists all of them.
+const MAX_LOGGED_NODES: usize = 16;
+
 /// Minimum time between two listings.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -397,8 +400,12 @@
         match observed {
             ObjectUpdate::All(objects) => {
                 self.state.borrow_mut().unreadable.clear();
+                let log_each = objects.len() <= MAX_LOGGED_NODES;
+                if !log_each {
+                    info!(self.log, "registry: Many nodes listed."; "count" => objects.len());
+                }
                 for object in &objects {
-                    self.apply_object(object);
+                    self.apply_object(object, log_each);
                 }
                 let listed: BTreeSet<&str> = objects.iter().map(|one| one.name.as_str()).collect();
                 let mut state = self.state.borrow_mut();
@@ -410,7 +417,7 @@
             ObjectUpdate::Changed(changes) => {
                 for change in changes {
                     match change {
-                        Change::Written(object) => self.apply_object(&object),
+                        Change::Written(object) => self.apply_object(&object, true),
                         Change::Removed(name) => self.forget(&name),
                     }
                 }
@@ -423,7 +430,7 @@
             .collect();
     }
 
-    fn apply_object(&self, object: &Object) {
+    fn apply_object(&self, object: &Object, log: bool) {
         let mut state = self.state.borrow_mut();
         if object.name == FOUNDING {
             match Membership::deserialize(&object.spec) {
@@ -448,7 +455,7 @@
         match NodeRecord::deserialize(&object.spec) {
             Ok(record) => {
                 let before = state.nodes.get(&NodeName::from(name));
-                if before.is_none_or(|(_, before)| *before != record) {
+                if log && before.is_none_or(|(_, before)| *before != record) {
                     info!(self.log, "registry: Node listed."; "node" => name, "disk" => %record.disk,
                         "address" => %record.address, "revision" => object.revision);
                 }
