--- a/crates/firshore-node/src/relay/budget.rs
+++ b/crates/firshore-node/src/relay/budget.rs
@@ -1,8 +1,8 @@
 //! Divides the time within which a change must be visible among the steps that deliver it. No I/O;
 //! the time and random numbers are passed in.
 //!
-//! Independent timeouts add up: several unresponsive relays queried in turn, plus a backoff, can
-//! exceed the bound: three silent relays, queried in turn, and a backoff before the store once took 5 s of 2 s. Therefore each timeout is a fraction of the bound, and the store is queried
+//! Independent timeouts add up: three silent relays queried in turn, and a backoff before the store, once
+//! took 5 s of a bound of 2 s. Therefore each timeout is a fraction of the bound, and the store is queried
 //! directly once [`StoreSchedule::due`] is reached, whatever the relays do meanwhile.
 
 use std::time::Duration;
