A start of all nodes lists the nodes once and the store not at all for long listings

A first listing of many pages from a relay counted as no data until its end, so that its later pages were also asked of the store. Change: where the whole cluster starts, a node without a disk first lists the nodes after 0.25 to 0.35 of the bound; each page of the first listing from a relay postpones the direct query.

--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -218,6 +218,8 @@
     addresses: Addresses,
     local_revision: LocalRevision,
     refreshed_at: Cell<Option<Instant>>,
+    /// Before this, nothing is listed.
+    deferred_until: Cell<Option<Instant>>,
     listed_at: Cell<Option<std::time::Instant>>,
     /// Whether something was written that no listing has shown yet.
     write_pending: Cell<bool>,
@@ -234,15 +236,25 @@
             addresses: Addresses::default(),
             local_revision: LocalRevision::default(),
             refreshed_at: Cell::new(None),
+            deferred_until: Cell::new(None),
             listed_at: Cell::new(None),
             write_pending: Cell::new(false),
             refusals: RefCell::default(),
         }
     }
 
-    /// Lists the nodes again, unless that was done recently. Returns whether they were listed.
+    /// Lists nothing for a while. For a node that starts together with all others: a listing before the nodes with
+    /// disks have registered shows some of them, from which each node would rank other relays.
+    pub fn defer_listing(&self, delay: Duration) {
+        self.deferred_until.set(Some(Instant::now() + delay));
+    }
+
+    /// Lists the nodes again, unless that was done recently or is deferred. Returns whether they were listed.
     pub async fn refresh(&self) -> bool {
         let now = Instant::now();
+        if self.deferred_until.get().is_some_and(|until| now < until) {
+            return false;
+        }
         let recent = |at: Instant| now.duration_since(at) < REFRESH_INTERVAL;
         if self.refreshed_at.get().is_some_and(recent) {
             return false;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -29,8 +29,8 @@
 use firshore_logging::Destination;
 use firshore_metrics::Builder;
 use firshore_types::ids::NodeName;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -48,6 +48,10 @@
 /// Time reserved for the exit of the process after the last request.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Fraction of the bound on the configuration after which a node without a disk first lists the nodes, where the whole
+/// cluster starts: nodes with disks have registered by then, and the store is not queried directly before 0.6 of it.
+const FIRST_LISTING_DELAY: std::ops::Range<f64> = 0.25..0.35;
+
 /// Interval between checks whether all requests have ended.
 const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -81,6 +85,11 @@
     let (peers, calls) = PeerClient::new();
     actix_rt::spawn(client::run(calls, secret));
     let registry = Rc::new(Registry::new(adapter.objects.clone(), log.clone()));
+    if settings.cluster.first_start && settings.storage.is_none() {
+        let bound = settings.objects.configuration_bound();
+        let jitter = rand::rng().random_range(FIRST_LISTING_DELAY);
+        registry.defer_listing(bound.mul_f64(jitter));
+    }
     let jobs = Rc::new(JournalClient::new(
         settings.name.clone(),
         registry.clone(),
--- a/crates/firshore-node/src/relay/budget.rs
+++ b/crates/firshore-node/src/relay/budget.rs
@@ -187,6 +187,7 @@
 #[derive(Debug)]
 pub struct StoreSchedule {
     budget: FreshnessBudget,
+    /// Start, or the last page of the first listing.
     started_at: Instant,
     /// Position in the ranges of delays, from 0 to 1.
     jitter: f64,
@@ -252,6 +253,12 @@
         }
     }
 
+    /// Records that a relay has delivered a page of the first listing: a long listing makes progress and is no reason
+    /// to query the store.
+    pub fn record_progress(&mut self, now: Instant) {
+        self.started_at = now;
+    }
+
     /// Records that the store did not respond.
     pub fn record_failure(&mut self, now: Instant) {
         self.failures += 1;
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -279,6 +279,9 @@
                     };
                     let as_of = response.as_of(relayed.contact);
                     self.record_relayed(as_of);
+                    let mut schedule = self.schedule.borrow_mut();
+                    schedule.record_progress(firshore_clock::now());
+                    drop(schedule);
                     (page(relayed), as_of, response.source())
                 }
                 FirstResponse::FromStore(response) => (response.value, response.queried_at, FreshnessSource::Store),
--- a/crates/firshore-node/tests/budget.rs
+++ b/crates/firshore-node/tests/budget.rs
@@ -119,3 +119,23 @@
         );
     }
 }
+
+#[test]
+fn long_first_listing_from_a_relay_is_no_reason_to_query_the_store() {
+    for budget in budgets() {
+        let start = Instant::now();
+        let mut schedule = StoreSchedule::new(budget, start, 0.0);
+        let first_due = schedule.due(None, false);
+        for page in 1..20 {
+            let now = start + budget.bound().mul_f64(0.3) * page;
+            assert!(schedule.due(None, false) > now, "{budget:?}, page {page}");
+            schedule.record_progress(now);
+        }
+        assert!(schedule.due(None, false) > first_due + budget.bound() * 5);
+        let known = Some(start);
+        assert!(
+            schedule.due(known, false) < first_due + budget.bound(),
+            "once listed"
+        );
+    }
+}
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -9,7 +9,9 @@
 use firshore_crashes::sync::CrashSyncRequest;
 use firshore_gateway::gateway::JobService;
 use firshore_node::journal::GROUP;
+use firshore_node::journal::client::JournalClient;
 use firshore_node::journal::messages::PeerRequest;
+use firshore_node::journal::registry::Registry;
 use firshore_replication::message::{Envelope, Message};
 use firshore_replication::types::DiskId;
 use firshore_stand_in::adapter::{BACKENDS, HOST, KEY, RETIREMENTS, TENANT};
@@ -17,6 +19,7 @@
 use firshore_stand_in::store::Fault;
 use firshore_types::ids::TenantName;
 use serde_json::json;
+use std::rc::Rc;
 use std::time::Duration;
 
 use cluster::*;
@@ -476,3 +479,35 @@
         assert!(backend.seen().iter().all(|seen| seen.path != fatal.path));
     });
 }
+
+#[test]
+fn other_clients_of_a_tenant_examine_resubmit_and_end_a_job() {
+    run(async {
+        let cluster = Cluster::start().await;
+        cluster.submit("job", 3).await;
+        let registry = Rc::new(Registry::new(cluster.store.clone(), log()));
+        let other = JournalClient::new("other".into(), registry, peers(), log());
+        let job = || JobId::of_nobody("job");
+        let submitted = other
+            .submit(route(), ResidencyPermit::default(), job(), items(3))
+            .await;
+        assert!(submitted.is_ok(), "a job that was just accepted");
+        cluster.complete("job", 1, &whole()).await;
+        cluster.complete("job", 0, &ItemOutcome::GivenUp).await;
+        for (from, expected) in [(0, 2), (1, 1), (2, 0), (9, 0)] {
+            let page = other.results(job(), from, Duration::ZERO).await.unwrap();
+            let page = page.expect("the job is known");
+            assert_eq!(page.results.len(), expected, "from {from}");
+        }
+        let listed = other.body(job(), "i1".into()).await.unwrap();
+        assert_eq!(listed, None, "its result is listed");
+        let open = other.body(job(), "i2".into()).await.unwrap();
+        assert_eq!(open.map(|body| body.0.to_vec()), Some(b"body 2".to_vec()));
+        for _ in 0..2 {
+            assert!(other.end(job()).await.unwrap(), "ended, and once more");
+        }
+        let page = other.results(job(), 0, Duration::ZERO).await.unwrap();
+        assert_eq!(page.expect("it stays").results.len(), 2);
+        assert!(!other.end(JobId::of_nobody("unknown")).await.unwrap());
+    });
+}
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -628,3 +628,27 @@
         assert!(follower.freshness.as_of() <= Some(lost_at));
     });
 }
+
+#[test]
+fn nodes_that_start_together_list_once_the_others_have_registered() {
+    run(async {
+        let store = MemoryStore::new();
+        let registry = Registry::new(store.clone(), log());
+        registry.defer_listing(Duration::from_millis(200));
+        let calls = store.calls();
+        assert!(!registry.refresh().await);
+        assert_eq!(store.calls(), calls, "nothing is listed");
+        for number in 0..9 {
+            let record = NodeRecord {
+                address: free_address(),
+                zone: "z".into(),
+                disk: DiskId(number),
+            };
+            let spec = serde_json::to_value(record).unwrap();
+            store.put(KIND, &format!("node.n{number}"), spec);
+        }
+        actix_rt::time::sleep(Duration::from_millis(250)).await;
+        assert!(registry.refresh().await);
+        assert_eq!(registry.candidates().len(), 9);
+    });
+}
