A stopping node serves what ends before it stops

Change: admission knows when the node stops; only a request that may outlive it is refused for that.

--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -46,8 +46,8 @@
     pub share_status: ShareStatus,
     /// Whether requests that go first wait at the node.
     pub behind_others: bool,
-    /// Whether the node is draining: a queued request may not end before the node stops.
-    pub node_is_draining: bool,
+    /// Time until the node stops, which aborts requests; `None` if it isn't draining.
+    pub node_stops_in: Option<Duration>,
 }
 
 impl AdmissionRequest {
@@ -65,6 +65,12 @@
         self.objective.mul_f64(fraction).saturating_sub(self.age)
     }
 
+    /// Returns whether the node may stop before the request has ended.
+    fn may_be_aborted(&self) -> bool {
+        let longest = self.timeout.min(self.time_left).saturating_sub(self.age);
+        self.node_stops_in.is_some_and(|left| left < longest)
+    }
+
     /// Returns the time for which it may still wait at the node.
     pub fn remaining_wait(&self) -> Duration {
         self.objective
@@ -100,13 +106,14 @@
 /// Decides what to do with a request.
 pub fn decide(request: &AdmissionRequest, outlook: &CapacityOutlook) -> Admission {
     let beyond_share = outlook.is_scarce && request.share_status == ShareStatus::Beyond;
-    let may_be_aborted = outlook.is_scarce && request.node_is_draining;
-    if outlook.has_slot && !request.behind_others && !beyond_share && !may_be_aborted {
+    let may_be_aborted = request.may_be_aborted();
+    let waits_and_aborts = outlook.is_scarce && may_be_aborted;
+    if outlook.has_slot && !request.behind_others && !beyond_share && !waits_and_aborts {
         return Admission::Send;
     }
     let wait = request.remaining_wait();
     // A caller beyond its share must not be queued before those within theirs.
-    match wait.is_zero() || request.node_is_draining || beyond_share {
+    match wait.is_zero() || may_be_aborted || beyond_share {
         true => Admission::Refuse,
         false => Admission::Wait(wait),
     }
--- a/crates/firshore-admission/tests/admission.rs
+++ b/crates/firshore-admission/tests/admission.rs
@@ -16,7 +16,7 @@
         age: Duration::ZERO,
         share_status: ShareStatus::Within,
         behind_others: false,
-        node_is_draining: false,
+        node_stops_in: None,
     }
 }
 
@@ -70,9 +70,9 @@
 
 /// A queued request is aborted when the node stops.
 #[test]
-fn draining_node_queues_no_requests() {
+fn draining_node_queues_no_requests_that_may_outlive_it() {
     let draining = AdmissionRequest {
-        node_is_draining: true,
+        node_stops_in: Some(TIMEOUT - Duration::from_millis(1)),
         ..request()
     };
     assert_eq!(decide(&draining, &outlook(true, false)), Admission::Send);
@@ -80,6 +80,29 @@
     assert_eq!(decide(&draining, &outlook(false, true)), Admission::Refuse);
 }
 
+/// The load of soak seed 8844: a node that stops in 8 s keeps the connections of its callers, while slots are scarce.
+/// It refused all of them until it was gone.
+#[test]
+fn draining_node_serves_requests_that_end_before_it_stops() {
+    let draining = AdmissionRequest {
+        node_stops_in: Some(TIMEOUT),
+        ..request()
+    };
+    for outlook in [
+        outlook(true, false),
+        outlook(true, true),
+        outlook(false, true),
+    ] {
+        assert_eq!(decide(&draining, &outlook), decide(&request(), &outlook));
+    }
+    let late = AdmissionRequest {
+        age: Duration::from_millis(50),
+        node_stops_in: Some(TIMEOUT - Duration::from_millis(51)),
+        ..request()
+    };
+    assert_eq!(decide(&late, &outlook(true, true)), Admission::Refuse);
+}
+
 #[test]
 fn retry_is_detected_by_its_time_left() {
     assert!(!request().is_retry());
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -105,7 +105,7 @@
             age: self.request.arrived.elapsed(),
             share_status: self.share_status.get().unwrap_or(ShareStatus::Within),
             behind_others,
-            node_is_draining: self.gateway.leaving.is_leaving(),
+            node_stops_in: self.gateway.leaving.stops_in(Instant::now()),
         }
     }
 
--- a/crates/firshore-gateway/src/leaving.rs
+++ b/crates/firshore-gateway/src/leaving.rs
@@ -1,6 +1,8 @@
 //! Shutdown of a node: it announces that it leaves, accepts requests for a grace period, then stops accepting.
 
+use std::cell::Cell;
 use std::future::Future;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Phase of a node's shutdown.
@@ -20,11 +22,16 @@
 #[derive(Debug, Default)]
 pub struct Leaving {
     phase: watch::Sender<Phase>,
+    /// When requests that are still in flight are aborted.
+    stops_at: Cell<Option<Instant>>,
 }
 
 impl Leaving {
-    /// Starts the shutdown. Has no effect once it has started.
-    pub fn begin(&self) {
+    /// Starts the shutdown; the node stops at `stops_at` at the latest. Has no effect once it has started.
+    pub fn begin(&self, stops_at: Instant) {
+        if !self.is_leaving() {
+            self.stops_at.set(Some(stops_at));
+        }
         self.advance(Phase::Announced);
     }
 
@@ -46,6 +53,12 @@
         *self.phase.borrow() != Phase::Serving
     }
 
+    /// Returns the time until the node stops; `None` if the shutdown has not started.
+    pub fn stops_in(&self, now: Instant) -> Option<Duration> {
+        let stops_at = self.stops_at.get()?;
+        Some(stops_at.saturating_duration_since(now))
+    }
+
     /// Resolves once the node has reached `phase`.
     pub fn reached(&self, phase: Phase) -> impl Future<Output = ()> + use<> {
         let mut receiver = self.phase.subscribe();
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -296,7 +296,7 @@
             age: self.now - self.start - arrived.arrived,
             share_status: ShareStatus::Within,
             behind_others: gateway.queue.first().is_some_and(|first| *first < key),
-            node_is_draining: false,
+            node_stops_in: None,
         };
         let residency = ResidencyPermit::default();
         let mut requirements = BackendRequirements {
