A request at hard load visits its own and the sampled back ends only

Cause: whether this node has requests in flight was found among all back ends that hold any: all of them at hard load. Change: back ends with requests of this node are an index of their own; reports use it too. Test: a_request_at_hard_load_does_not_visit_all_busy_back_ends (red before).

--- a/crates/firshore-gateway/src/fleet/index.rs
+++ b/crates/firshore-gateway/src/fleet/index.rs
@@ -18,6 +18,8 @@
     pub(super) slots: u32,
     /// Back ends that hold requests by any estimate; all others are idle.
     pub(super) active: BTreeSet<BackendName>,
+    /// Back ends that hold requests of this node.
+    pub(super) local: BTreeSet<BackendName>,
     /// Slots that this node may take by the last view.
     pub(super) allotment: Option<ViewAllotment>,
 }
@@ -72,6 +74,7 @@
         service.names.remove(name);
         service.ring.remove(&(identity, name.clone()));
         service.active.remove(name);
+        service.local.remove(name);
         service.slots -= counted_slots(backend);
         if service.names.is_empty() {
             self.services.remove(&backend.service);
@@ -112,6 +115,23 @@
         }
     }
 
+    /// Records whether a back end holds requests of this node.
+    pub(super) fn set_local(&mut self, backend: &Backend, holds_any: bool) {
+        let name = &backend.incarnation.name;
+        let Some(service) = self.services.get_mut(&backend.service) else {
+            return;
+        };
+        match holds_any {
+            true => service.local.insert(name.clone()),
+            false => service.local.remove(name),
+        };
+    }
+
+    /// Returns the back ends that hold requests of this node.
+    pub(super) fn local(&self) -> impl Iterator<Item = &BackendName> {
+        self.services.values().flat_map(|service| &service.local)
+    }
+
     /// Returns the back ends that hold requests.
     pub(super) fn active(&self) -> impl Iterator<Item = &BackendName> {
         self.services.values().flat_map(|service| &service.active)
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -173,6 +173,7 @@
         if state.is_active() {
             self.index.activate(&state.backend);
         }
+        self.index.set_local(&state.backend, state.in_flight > 0);
         change
     }
 
@@ -316,6 +317,7 @@
             self.slow_start.use_permit(now, &incarnation.name);
         }
         self.activate(&incarnation.name);
+        self.update_local(&incarnation.name);
         self.service_stats.entry(service).or_default().sent(now);
     }
 
@@ -372,6 +374,7 @@
         if state.free_capacity(now, &stats, Duration::ZERO) > 0.0 {
             state.claims.release(now);
         }
+        self.update_local(&incarnation.name);
     }
 
     /// Records the load that a back end reported with a response.
--- a/crates/firshore-gateway/src/fleet/selection.rs
+++ b/crates/firshore-gateway/src/fleet/selection.rs
@@ -177,9 +177,8 @@
         usable: &[&BackendState],
     ) -> bool {
         let index = self.index.service(requirements.service);
-        let active = index.into_iter().flat_map(|index| &index.active);
-        let states = active.filter_map(|name| self.visit(name));
-        let mut busy = states.filter(|state| state.in_flight > 0);
+        let local = index.into_iter().flat_map(|index| &index.local);
+        let mut busy = local.filter_map(|name| self.visit(name));
         let is_usable =
             |state: &BackendState| state.is_trusted(now) && self.may_run(now, state, requirements);
         usable.iter().all(|state| state.in_flight == 0) && !busy.any(is_usable)
--- a/crates/firshore-gateway/src/fleet/views.rs
+++ b/crates/firshore-gateway/src/fleet/views.rs
@@ -26,10 +26,9 @@
 impl Fleet {
     /// Returns the requests of this node in flight at the current process of each back end, without idle ones.
     pub fn in_flight(&self) -> impl Iterator<Item = (BackendName, u32)> {
-        let active = self.index.active();
-        let states = active.filter_map(|name| Some((name, self.visit(name)?)));
-        let busy = states.filter(|(_, state)| state.in_flight > 0);
-        busy.map(|(name, state)| (name.clone(), state.in_flight))
+        let local = self.index.local();
+        let states = local.filter_map(|name| Some((name, self.visit(name)?)));
+        states.map(|(name, state)| (name.clone(), state.in_flight))
     }
 
     /// Applies a view of the requests that other nodes have in flight. Back ends that it doesn't contain are idle.
@@ -88,6 +87,13 @@
         }
     }
 
+    /// Records that the requests of this node at a back end have changed.
+    pub(super) fn update_local(&mut self, name: &BackendName) {
+        if let Some(state) = self.states.get(name) {
+            self.index.set_local(&state.backend, state.in_flight > 0);
+        }
+    }
+
     /// Records that a back end may hold requests.
     pub(super) fn activate(&mut self, name: &BackendName) {
         if let Some(state) = self.states.get(name) {
--- a/crates/firshore-gateway/tests/work.rs
+++ b/crates/firshore-gateway/tests/work.rs
@@ -115,6 +115,27 @@
     }
 }
 
+/// At hard load other nodes hold requests at all back ends, of which a request considers the sample only.
+#[test]
+fn a_request_at_hard_load_does_not_visit_all_busy_back_ends() {
+    let visits = |size: usize| {
+        let now = Instant::now();
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let mut fleet = fleet(now, size);
+        let view = (0..size).map(|number| (name(number), 7)).collect();
+        fleet.apply_remote_load(now, &view, &mut random);
+        fleet.record_start(now, &incarnation(3));
+        let before = fleet.visits();
+        let service = ServiceName::from("llm");
+        let attempts = Attempts::new(Repetition::Idempotent, 2);
+        let residency = ResidencyPermit::default();
+        let requirements = requirements(&service, &attempts, &residency);
+        assert!(fleet.choose(now, &requirements, &mut random).is_some());
+        fleet.visits() - before
+    };
+    assert_eq!(visits(10_000), visits(1_000));
+}
+
 #[test]
 fn requests_reach_all_back_ends_of_a_large_service_evenly() {
     const SIZE: usize = 1_500;
