The first listing at a cluster's start waits 0.35 to 0.45 s, and rounds before it are not counted

Change: an absolute delay, as nodes register within 0.1 s of their start; no round is counted before it.

--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -249,10 +249,16 @@
         self.deferred_until.set(Some(Instant::now() + delay));
     }
 
+    /// Returns whether listings are deferred.
+    pub fn is_deferred(&self) -> bool {
+        let until = self.deferred_until.get();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Lists the nodes again, unless that was done recently or is deferred. Returns whether they were listed.
     pub async fn refresh(&self) -> bool {
         let now = Instant::now();
-        if self.deferred_until.get().is_some_and(|until| now < until) {
+        if self.is_deferred() {
             return false;
         }
         let recent = |at: Instant| now.duration_since(at) < REFRESH_INTERVAL;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -48,9 +48,9 @@
 /// Time reserved for the exit of the process after the last request.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-/// Fraction of the bound on the configuration after which a node without a disk first lists the nodes, where the whole
-/// cluster starts: nodes with disks have registered by then, and the store is not queried directly before 0.6 of it.
-const FIRST_LISTING_DELAY: std::ops::Range<f64> = 0.25..0.35;
+/// Milliseconds after which a node without a disk first lists the nodes, where the whole cluster starts: nodes with
+/// disks start within 0.3 s and register within 0.1 s.
+const FIRST_LISTING_DELAY_MS: std::ops::Range<u64> = 350..450;
 
 /// Interval between checks whether all requests have ended.
 const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -86,9 +86,8 @@
     actix_rt::spawn(client::run(calls, secret));
     let registry = Rc::new(Registry::new(adapter.objects.clone(), log.clone()));
     if settings.cluster.first_start && settings.storage.is_none() {
-        let bound = settings.objects.configuration_bound();
-        let jitter = rand::rng().random_range(FIRST_LISTING_DELAY);
-        registry.defer_listing(bound.mul_f64(jitter));
+        let delay = rand::rng().random_range(FIRST_LISTING_DELAY_MS);
+        registry.defer_listing(Duration::from_millis(delay));
     }
     let jobs = Rc::new(JournalClient::new(
         settings.name.clone(),
--- a/crates/firshore-node/src/relay/store.rs
+++ b/crates/firshore-node/src/relay/store.rs
@@ -154,10 +154,14 @@
     /// failed rounds, as a listing is a call to the store, and in the background, as the store may
     /// be unresponsive.
     fn refresh_relays(&self) {
+        let registry = &self.relay_client.registry;
+        if registry.is_deferred() {
+            return;
+        }
         let rounds = self.failed_rounds.get().saturating_add(1);
         self.failed_rounds.set(rounds);
         if rounds.is_power_of_two() {
-            let registry = self.relay_client.registry.clone();
+            let registry = registry.clone();
             actix_rt::spawn(async move { registry.refresh().await });
         }
     }
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -636,6 +636,7 @@
         let registry = Registry::new(store.clone(), log());
         registry.defer_listing(Duration::from_millis(200));
         let calls = store.calls();
+        assert!(registry.is_deferred());
         assert!(!registry.refresh().await);
         assert_eq!(store.calls(), calls, "nothing is listed");
         for number in 0..9 {
