Leaving: the older node's shutdown needs no end

The workspace did not build since: the older node shares Leaving between threads and begins without an end. The end is set once, and a node without one counts as stopping at any time, as before.

--- a/crates/firshore-gateway/src/leaving.rs
+++ b/crates/firshore-gateway/src/leaving.rs
@@ -1,7 +1,7 @@
 //! Shutdown of a node: it announces that it leaves, accepts requests for a grace period, then stops accepting.
 
-use std::cell::Cell;
 use std::future::Future;
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
@@ -23,15 +23,18 @@
 pub struct Leaving {
     phase: watch::Sender<Phase>,
     /// When requests that are still in flight are aborted.
-    stops_at: Cell<Option<Instant>>,
+    stops_at: OnceLock<Instant>,
 }
 
 impl Leaving {
-    /// Starts the shutdown; the node stops at `stops_at` at the latest. Has no effect once it has started.
-    pub fn begin(&self, stops_at: Instant) {
-        if !self.is_leaving() {
-            self.stops_at.set(Some(stops_at));
-        }
+    /// Starts the shutdown of a node that stops at `stops_at` at the latest. Has no effect once it has started.
+    pub fn begin_until(&self, stops_at: Instant) {
+        self.stops_at.get_or_init(|| stops_at);
+        self.begin();
+    }
+
+    /// Starts the shutdown of a node that may stop at any time. Has no effect once it has started.
+    pub fn begin(&self) {
         self.advance(Phase::Announced);
     }
 
@@ -55,8 +58,11 @@
 
     /// Returns the time until the node stops; `None` if the shutdown has not started.
     pub fn stops_in(&self, now: Instant) -> Option<Duration> {
-        let stops_at = self.stops_at.get()?;
-        Some(stops_at.saturating_duration_since(now))
+        if !self.is_leaving() {
+            return None;
+        }
+        let stops_at = self.stops_at.get();
+        Some(stops_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)))
     }
 
     /// Resolves once the node has reached `phase`.
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -326,7 +326,7 @@
 async fn shut_down(settings: &Settings, gateway: &Rc<Gateway>, callers: Callers) {
     let grace = settings.leave.grace();
     let end = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
-    gateway.leaving.begin(end.into_std());
+    gateway.leaving.begin_until(end.into_std());
     info!(gateway.log, "node: Shutting down."; "grace_ms" => grace.as_millis() as u64);
     if let Some(callers) = callers {
         actix_rt::time::sleep(grace.mul_f64(ANNOUNCED_FRACTION)).await;
