A history that was begun goes on after the loss of a beginner

Callers: after two tolerated losses of four disks the group had no leader for good; accepted jobs could not be read.

Cause: a replica that the record names as a beginner of a history only ever asked all beginners for their votes, also after they had elected a leader. When one of them lost its disk before the record was settled, the other one, which held everything, waited for its vote.

Change: a beginner whose log holds an entry of the history follows the rule for voters. Those that go on are recorded as beginners again, since the rest may lack that entry. Sets left behind are asked first, so that a beginner that never votes does not shut them out.

Evidence: disk_of_a_begun_history_continues_after_the_others_are_lost failed without the change.

--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -13,7 +13,7 @@
 
 use super::group_manager::{GroupAction, GroupInput, LeavingNodes, is_superseded, voters_of};
 use super::registry::VoterRecord;
-use firshore_replication::replica::Survivors;
+use firshore_replication::replica::{Survivors, history_of};
 use firshore_replication::types::{DiskId, ReplicaInfo, ReplicaRole};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,14 +42,14 @@
     };
     let record = input.recorded.unwrap_or(&unrecorded);
     let local = input.status.disk;
-    if record.is_begun_by(local) {
-        return begin_history(input, record);
-    }
     // A disk left behind by an earlier group may also be one of the voters that continue.
     let left_behind = step_left_behind(input, record, min_disks, unchanged);
     if left_behind != GroupAction::Idle {
         return left_behind;
     }
+    if record.is_begun_by(local) && !has_begun(input, record) {
+        return begin_history(input, record);
+    }
     if !record
         .possible_voters()
         .iter()
@@ -92,7 +92,8 @@
 ) -> Vec<BTreeSet<DiskId>> {
     let present = voters_of(&input.status.membership);
     let mut possible = record.possible_voters();
-    if record.voters == voters_of(&input.status.committed_membership) {
+    let has_begun = record.begins && has_begun(input, record);
+    if has_begun || record.voters == voters_of(&input.status.committed_membership) {
         possible.truncate(1);
     }
     // A group too small to accept anything doesn't bind replicas whose log names its successor.
@@ -305,6 +306,12 @@
     })
 }
 
+/// Returns whether this replica's log holds an entry of the recorded history. All disks that begin it elected its
+/// first leader, so the log then holds everything that any of them held.
+fn has_begun(input: &GroupInput, record: &VoterRecord) -> bool {
+    history_of(input.status.last.term) >= record.history
+}
+
 /// Returns the addresses of these disks' replicas, if all are listed.
 fn survivors(
     input: &GroupInput,
@@ -327,6 +334,8 @@
 ) -> GroupAction {
     let voters: BTreeSet<DiskId> = replicas.keys().copied().collect();
     let history = input.status.history;
+    // The others of those that begin a history may not hold an entry of it. So the fewer ones begin it again.
+    let begins = record.begins && !record.settled;
     if record.voters == voters && !record.settled && !input.write_unconfirmed {
         return GroupAction::ContinueWith(Survivors {
             replicas,
@@ -342,9 +351,12 @@
         settled: false,
         term: input.status.term.max(record.term) + 1,
         gone: record.never_held(possible.first().unwrap_or(&BTreeSet::new())),
-        before: possible,
+        before: match begins {
+            true => Vec::new(),
+            false => possible,
+        },
         history,
-        begins: false,
+        begins,
         min_disks: record.min_disks,
     })
 }
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -747,3 +747,33 @@
     }
     assert_eq!(attempted, disks(&[4, 5, 6]));
 }
+
+/// Guards against disks that begin a history and wait for one of them that is lost, although their first leader was
+/// elected already: the one that holds an entry of the history holds everything.
+#[test]
+fn disk_of_a_begun_history_continues_after_the_others_are_lost() {
+    let record = VoterRecord {
+        history: 1,
+        begins: true,
+        left_behind: vec![disks(&[3, 4])],
+        min_disks: 3,
+        ..unsettled(&[1, 2], &[])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2], 2).with_record(record);
+    fixture.status.history = 1;
+    assert!(continues_with(&fixture.step(0.1)), "nobody is elected yet");
+    fixture.status.last.term = 1 << 32;
+    assert_eq!(
+        fixture.step(0.2),
+        GroupAction::Idle,
+        "both can elect a leader"
+    );
+    let mut lost = fixture.with_new_disk(2);
+    let GroupAction::Record(record) = lost.step(0.3) else {
+        panic!("the other disk is lost");
+    };
+    assert_eq!((record.voters.clone(), record.history), (disks(&[1]), 1));
+    assert!(record.begins, "the other one may lack what this one holds");
+    let mut lost = lost.with_record(record);
+    assert!(continues_with(&lost.step(0.4)));
+}
--- a/crates/firshore-replication/src/replica/history.rs
+++ b/crates/firshore-replication/src/replica/history.rs
@@ -16,6 +16,11 @@
     history.saturating_mul(TERMS_PER_HISTORY)
 }
 
+/// Returns the history that a term belongs to.
+pub fn history_of(term: Term) -> u64 {
+    term / TERMS_PER_HISTORY
+}
+
 impl Replica {
     /// Returns whether a message of `history` belongs to the history of this log. An empty replica adopts a later
     /// history. Returns `false` while the replica awaits its restore.
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod read;
 mod snapshot;
 
+pub use history::history_of;
 pub use membership::Survivors;
 
 use crate::error::ReplicaError;
