Sets of disks that hold everything are derived from the record

Cause: which disks hold everything follows from the record of voters. It was worked out by cases instead: from what the survivor's log knows to be committed (nothing after a restart), from the left out disks only, as one set where each disk of it is enough, and not at all where survivors might accept something.

A set with a part of the voters takes over only where these cannot go on. Sets stay until a leader's group can accept something.

Test changed: disks_left_behind_by_voters_that_accept_nothing_continue_ together expected the one pair that was left out; any two of the four hold everything, and it expects exactly these five pairs now.

--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -7,13 +7,13 @@
 //! themselves to the record first, by compare-and-set, in a term after each known one: a leader that
 //! was suspended meanwhile must not overwrite it.
 //!
-//! Disks that too few voters to accept anything left behind need no such proof, if together they hold
-//! everything. They begin a later history by writing the record; the others have to write the record
-//! before they accept anything, and are then excluded.
+//! Disks that too few voters to accept anything left behind need no such proof, see
+//! [`left_behind`](super::left_behind).
 
 use super::group_manager::{GroupAction, GroupInput, LeavingNodes, is_superseded, voters_of};
+use super::left_behind;
 use super::registry::VoterRecord;
-use firshore_replication::replica::{Survivors, history_of};
+use firshore_replication::replica::Survivors;
 use firshore_replication::types::{DiskId, ReplicaInfo, ReplicaRole};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,14 +42,40 @@
     };
     let record = input.recorded.unwrap_or(&unrecorded);
     let local = input.status.disk;
-    // A disk left behind by an earlier group may also be one of the voters that continue.
-    let left_behind = step_left_behind(input, record, min_disks, unchanged);
-    if left_behind != GroupAction::Idle {
-        return left_behind;
-    }
-    if record.is_begun_by(local) && !has_begun(input, record) {
-        return begin_history(input, record);
-    }
+    let sets = record.left_behind.iter();
+    // A set that has a part of the voters takes over only where the voters cannot continue in their history.
+    let has_part = |disks: &BTreeSet<DiskId>| {
+        !disks.is_disjoint(&record.voters) && !disks.is_subset(&record.voters)
+    };
+    let (partial, whole): (Vec<_>, Vec<_>) = sets
+        .filter(|disks| disks.contains(&local))
+        .partition(|disks| has_part(disks));
+    let begin = |sets| left_behind::step(input, record, sets, min_disks, unchanged);
+    let awaits_history = record.is_begun_by(local) && !left_behind::has_begun(input, record);
+    let steps = [
+        begin(whole),
+        match awaits_history {
+            true => GroupAction::Idle,
+            false => step_of_voters(input, record, min_disks, leaderless),
+        },
+        begin(partial),
+        match awaits_history {
+            true => left_behind::begin_history(input, record),
+            false => GroupAction::Idle,
+        },
+    ];
+    let mut due = steps.into_iter().filter(|step| *step != GroupAction::Idle);
+    due.next().unwrap_or(GroupAction::Idle)
+}
+
+/// Returns the next step of a replica that is one of the recorded voters.
+fn step_of_voters(
+    input: &GroupInput,
+    record: &VoterRecord,
+    min_disks: usize,
+    leaderless: LeaderlessTime,
+) -> GroupAction {
+    let local = input.status.disk;
     if !record
         .possible_voters()
         .iter()
@@ -92,8 +118,8 @@
 ) -> Vec<BTreeSet<DiskId>> {
     let present = voters_of(&input.status.membership);
     let mut possible = record.possible_voters();
-    let has_begun = record.begins && has_begun(input, record);
-    if has_begun || record.voters == voters_of(&input.status.committed_membership) {
+    let has_begun = record.begins && left_behind::has_begun(input, record);
+    if has_begun || is_known_committed(input, record) {
         possible.truncate(1);
     }
     // A group too small to accept anything doesn't bind replicas whose log names its successor.
@@ -109,6 +135,12 @@
     possible
 }
 
+/// Returns whether this replica's log shows that the recorded change is committed.
+pub(super) fn is_known_committed(input: &GroupInput, record: &VoterRecord) -> bool {
+    let committed = voters_of(&input.status.committed_membership);
+    record.voters == committed
+}
+
 /// The disks of the groups that may be in force.
 struct DiskSets {
     /// Disks that continue.
@@ -170,150 +202,18 @@
 }
 
 /// Returns whether this disk is the local one, or its replica has responded recently.
-fn responds(input: &GroupInput, disk: DiskId) -> bool {
+pub(super) fn responds(input: &GroupInput, disk: DiskId) -> bool {
     disk == input.status.disk || input.status.responsive.contains(&disk)
 }
 
 /// Returns whether a disk was on a node that was reported as drained.
-fn is_drained_disk(input: &GroupInput, leaving: &LeavingNodes, disk: DiskId) -> bool {
+pub(super) fn is_drained_disk(input: &GroupInput, leaving: &LeavingNodes, disk: DiskId) -> bool {
     let mut listed = input.candidates.iter();
     listed.any(|one| one.disk == disk && leaving.done.contains(&one.node))
 }
 
-/// Returns the next step of a disk that was left behind.
-///
-/// A set of disks left behind holds all accepted jobs, as those that left it can accept nothing before
-/// they have written enough voters to the record. Once such a set is recorded first, it needs no proof
-/// that the others are lost: a replica that stays in the earlier history is excluded.
-fn step_left_behind(
-    input: &GroupInput,
-    record: &VoterRecord,
-    min_disks: usize,
-    unchanged: LeaderlessTime,
-) -> GroupAction {
-    let sets = record.left_behind.iter();
-    let mut steps = sets
-        .filter(|disks| disks.contains(&input.status.disk))
-        .map(|disks| step_of_set(input, record, disks, min_disks, unchanged));
-    let due = steps.find(|step| *step != GroupAction::Idle);
-    due.unwrap_or(GroupAction::Idle)
-}
-
-fn step_of_set(
-    input: &GroupInput,
-    record: &VoterRecord,
-    disks: &BTreeSet<DiskId>,
-    min_disks: usize,
-    unchanged: LeaderlessTime,
-) -> GroupAction {
-    let others: BTreeSet<DiskId> = record.voters.difference(disks).copied().collect();
-    let (lost, present): (BTreeSet<DiskId>, BTreeSet<DiskId>) =
-        others.iter().partition(|disk| is_superseded(input, **disk));
-    let all_lost = present.is_empty();
-    if !all_lost && !holds_everything(disks, record, min_disks) {
-        return step_with_learner(input, record, disks, &lost, &present);
-    }
-    // All of the set must vote; without one of them, the voters or another set may continue.
-    if !disks.iter().all(|disk| responds(input, *disk)) {
-        return GroupAction::Idle;
-    }
-    if all_lost {
-        return record_next_history(input, record, disks.clone(), Vec::new(), None);
-    }
-    if !unchanged.timed_out {
-        return GroupAction::Idle;
-    }
-    let Some(leaving) = input.leaving else {
-        return GroupAction::ListLeaving;
-    };
-    let all = disks.union(&others).copied().collect();
-    if !unchanged.catch_up_elapsed && !has_replacement(input, leaving, &all) {
-        return GroupAction::Idle;
-    }
-    // The others may do the same later, if they are a whole group.
-    let is_group = disks.is_disjoint(&record.voters) || record.before.contains(&others);
-    let others = (lost.is_empty() && is_group).then_some(others);
-    record_next_history(input, record, disks.clone(), Vec::new(), others)
-}
-
-/// Returns whether these disks hold everything accepted: each recorded group is too small to accept
-/// anything, or its quorums contain one of them.
-fn holds_everything(disks: &BTreeSet<DiskId>, record: &VoterRecord, min_disks: usize) -> bool {
-    record.possible_voters().iter().all(|voters| {
-        let quorum = record.quorum_of(voters);
-        quorum < min_disks || voters.difference(disks).count() < quorum
-    })
-}
-
-/// Returns the next step of a disk that a single voter left behind before it lost its own disk, about
-/// to promote a learner. If that change is in the learner's log, its log is the longer one and holds
-/// everything; otherwise the disk left behind does.
-fn step_with_learner(
-    input: &GroupInput,
-    record: &VoterRecord,
-    disks: &BTreeSet<DiskId>,
-    lost: &BTreeSet<DiskId>,
-    present: &BTreeSet<DiskId>,
-) -> GroupAction {
-    let by_single = lost.len() == 1 && record.before == [lost.clone()];
-    if !by_single || present.len() != 1 || disks.len() != 1 {
-        return GroupAction::Idle;
-    }
-    let voters = disks.union(present).copied().collect();
-    let before = vec![record.voters.clone()];
-    record_next_history(input, record, voters, before, None)
-}
-
-/// Records that these disks begin the next history, and that `others` hold all accepted jobs as well.
-/// Until they have begun it, one of them may hold entries that only a group in `before` has committed.
-fn record_next_history(
-    input: &GroupInput,
-    record: &VoterRecord,
-    voters: BTreeSet<DiskId>,
-    before: Vec<BTreeSet<DiskId>>,
-    others: Option<BTreeSet<DiskId>>,
-) -> GroupAction {
-    let mut left_behind = record.left_behind.clone();
-    left_behind.retain(|disks| disks.is_disjoint(&voters));
-    left_behind.extend(others);
-    GroupAction::Record(VoterRecord {
-        voters,
-        settled: false,
-        term: input.status.term,
-        before,
-        gone: BTreeSet::new(),
-        left_behind,
-        history: record.history + 1,
-        begins: true,
-        min_disks: record.min_disks,
-    })
-}
-
-/// Continues in the history that this disk begins according to the record.
-fn begin_history(input: &GroupInput, record: &VoterRecord) -> GroupAction {
-    let Some(replicas) = survivors(input, &record.voters) else {
-        return GroupAction::Idle;
-    };
-    if input.write_unconfirmed {
-        return GroupAction::Record(record.clone());
-    }
-    GroupAction::ContinueWith(Survivors {
-        replicas,
-        never_held: BTreeSet::new(),
-        left_behind: true,
-        history: record.history,
-        min_term: 0,
-    })
-}
-
-/// Returns whether this replica's log holds an entry of the recorded history. All disks that begin it elected its
-/// first leader, so the log then holds everything that any of them held.
-fn has_begun(input: &GroupInput, record: &VoterRecord) -> bool {
-    history_of(input.status.last.term) >= record.history
-}
-
 /// Returns the addresses of these disks' replicas, if all are listed.
-fn survivors(
+pub(super) fn survivors(
     input: &GroupInput,
     disks: &BTreeSet<DiskId>,
 ) -> Option<BTreeMap<DiskId, ReplicaInfo>> {
@@ -334,7 +234,6 @@
 ) -> GroupAction {
     let voters: BTreeSet<DiskId> = replicas.keys().copied().collect();
     let history = input.status.history;
-    // The others of those that begin a history may not hold an entry of it. So the fewer ones begin it again.
     let begins = record.begins && !record.settled;
     if record.voters == voters && !record.settled && !input.write_unconfirmed {
         return GroupAction::ContinueWith(Survivors {
@@ -346,7 +245,7 @@
         });
     }
     GroupAction::Record(VoterRecord {
-        left_behind: sets_left_behind(input, leaving, record, min_disks, &voters),
+        left_behind: left_behind::sets_left_behind(input, leaving, record, min_disks, &voters),
         voters,
         settled: false,
         term: input.status.term.max(record.term) + 1,
@@ -361,76 +260,13 @@
     })
 }
 
-/// Returns the sets of disks that hold all accepted jobs and without which these voters continue. Empty
-/// if these voters may be enough to accept something.
-fn sets_left_behind(
-    input: &GroupInput,
-    leaving: &LeavingNodes,
-    record: &VoterRecord,
-    min_disks: usize,
-    voters: &BTreeSet<DiskId>,
-) -> Vec<BTreeSet<DiskId>> {
-    if record.quorum_of(voters) >= min_disks {
-        return Vec::new();
-    }
-    let mut sets = record.left_behind.clone();
-    sets.retain(|disks| disks != voters && holds_everything(disks, record, min_disks));
-    for disks in sets_left_out(input, leaving, record, voters) {
-        if !sets.contains(&disks) {
-            sets.push(disks);
-        }
-    }
-    sets
-}
-
-/// Returns the sets of disks of the present group without which these voters continue, and each of which
-/// holds all accepted jobs as it intersects each quorum. Empty if the group may not be in force yet, since
-/// its disks need not hold what was accepted before.
-fn sets_left_out(
-    input: &GroupInput,
-    leaving: &LeavingNodes,
-    record: &VoterRecord,
-    voters: &BTreeSet<DiskId>,
-) -> Vec<BTreeSet<DiskId>> {
-    let membership = &input.status.membership;
-    let group = voters_of(membership);
-    let mut recorded = record.possible_voters();
-    recorded.retain(|voters| {
-        !voters
-            .iter()
-            .any(|disk| is_drained_disk(input, leaving, *disk))
-    });
-    let in_force = recorded.iter().all(|voters| *voters == group)
-        || group == voters_of(&input.status.committed_membership);
-    if !in_force {
-        return Vec::new();
-    }
-    let left_out = group.difference(voters).copied();
-    let left_out: Vec<DiskId> = left_out
-        .filter(|disk| !is_superseded(input, *disk))
-        .collect();
-    subsets(&left_out, group.len() + 1 - membership.quorum())
-}
-
-/// Returns the subsets of these disks that have `len` disks.
-fn subsets(disks: &[DiskId], len: usize) -> Vec<BTreeSet<DiskId>> {
-    if len == 0 {
-        return vec![BTreeSet::new()];
-    }
-    let Some((first, rest)) = disks.split_first() else {
-        return Vec::new();
-    };
-    let mut sets = subsets(rest, len - 1);
-    for set in &mut sets {
-        set.insert(*first);
-    }
-    sets.extend(subsets(rest, len));
-    sets
-}
-
 /// Returns whether a disk beyond these could hold a replica, on any node that is not drained. Nodes
 /// to drain count too, as they are better than none.
-fn has_replacement(input: &GroupInput, leaving: &LeavingNodes, pair: &BTreeSet<DiskId>) -> bool {
+pub(super) fn has_replacement(
+    input: &GroupInput,
+    leaving: &LeavingNodes,
+    pair: &BTreeSet<DiskId>,
+) -> bool {
     let mut present = input
         .candidates
         .iter()
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -6,6 +6,7 @@
 pub mod excluded_disks;
 pub mod group_manager;
 pub mod leader_tasks;
+mod left_behind;
 mod lost_quorum;
 pub mod maintenance;
 pub mod messages;
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -186,6 +186,14 @@
     assert_eq!(failed, [0; 3], "failed seeds of {of} for each deployment");
 }
 
+/// Seeds in which a disk holds everything, and nothing records it: the survivor that left it behind had restarted, or the
+/// record names it only together with another disk that is lost.
+#[test]
+fn each_disk_that_holds_everything_has_a_way_back() {
+    let seeds = [640012114, 640060190, 710000107];
+    assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, seeds.into_iter()), 0);
+}
+
 /// A seed in which disks that were left behind begin a later history although one of them is gone, while two others hold
 /// everything: the gone one never votes.
 #[test]
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -597,7 +597,9 @@
     let GroupAction::Record(record) = fixture.step(1.1) else {
         panic!("two of four hold everything");
     };
-    assert_eq!(record.left_behind, [disks(&[3, 4])]);
+    // Any two of the four hold everything, also if one of them continues.
+    let pairs = [[1, 3], [1, 4], [2, 3], [2, 4], [3, 4]];
+    assert_eq!(record.left_behind, pairs.map(|pair| disks(&pair)));
     let left = VoterRecord {
         voters: disks(&[3, 4]),
         before: vec![disks(&[1, 2, 3, 4])],
@@ -777,3 +779,79 @@
     let mut lost = lost.with_record(record);
     assert!(continues_with(&lost.step(0.4)));
 }
+
+/// Guards against a survivor that has restarted, so that it knows of no committed change, and records nobody whom it
+/// leaves behind.
+#[test]
+fn survivor_that_restarted_records_whom_it_leaves_behind() {
+    let record = VoterRecord {
+        min_disks: 3,
+        ..unsettled(&[1, 2], &[&[1, 2, 3]])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3], 2)
+        .with_new_disk(3)
+        .with_record(record);
+    fixture.status.committed_membership = Membership::default();
+    fixture.status.membership.min_disks = 3;
+    fixture.status.responsive = BTreeSet::new();
+    let GroupAction::Record(record) = fixture.step(1.1) else {
+        panic!("each of the three holds everything");
+    };
+    assert_eq!(record.voters, disks(&[1]));
+    assert_eq!(record.left_behind, [disks(&[2])]);
+}
+
+/// Guards against a lone voter whose added voter is lost, and which a later history left behind only together with that
+/// one: each voter of a group in force holds everything.
+#[test]
+fn each_voter_of_a_shut_out_pair_may_begin_a_history() {
+    let record = VoterRecord {
+        voters: disks(&[2, 3]),
+        settled: true,
+        term: 1,
+        min_disks: 3,
+        left_behind: vec![disks(&[1])],
+        ..VoterRecord::default()
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3], 2).with_record(record);
+    assert_eq!(fixture.step(0.0), GroupAction::Idle);
+    let GroupAction::Record(begun) = fixture.step(1.1) else {
+        panic!("the pair can accept nothing");
+    };
+    assert_eq!((begun.voters, begun.history), (disks(&[1]), 1));
+    assert_eq!(begun.left_behind, [disks(&[2]), disks(&[3])]);
+}
+
+/// Guards against survivors that were enough to accept something, lose a disk before they are elected, and have
+/// forgotten that the others of them hold everything.
+#[test]
+fn sets_left_behind_outlast_survivors_that_are_not_elected() {
+    let record = VoterRecord {
+        min_disks: 3,
+        left_behind: vec![disks(&[1, 4]), disks(&[3, 4])],
+        ..unsettled(&[1, 2], &[&[1, 2, 3, 4]])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2], 2)
+        .with_new_disk(2)
+        .with_record(record);
+    fixture
+        .candidates
+        .extend([candidate(3, 3), candidate(4, 4)]);
+    fixture.status.responsive = disks(&[3, 4]);
+    let GroupAction::Record(record) = fixture.step(0.1) else {
+        panic!("three of four hold everything");
+    };
+    assert_eq!(record.voters, disks(&[1, 3, 4]));
+    assert!(record.left_behind.contains(&disks(&[1, 4])));
+    // Disk 3 is lost as well, and may have been one of a pair that committed something that was not accepted.
+    let record = VoterRecord {
+        before: vec![disks(&[2, 3]), disks(&[1, 2, 3, 4])],
+        ..record
+    };
+    let mut lost = GroupFixture::leaderless(&[1, 2, 3, 4], 2)
+        .with_new_disk(2)
+        .with_new_disk(3)
+        .with_record(record);
+    lost.status.responsive = disks(&[4]);
+    assert_eq!(recorded_voters(lost.step(0.1)), Some(disks(&[1, 4])));
+}
