An earlier group of the same voters does not prove a change committed

Callers: none were seen to notice; two histories of committed entries under one number were possible for a disk that is taken in again.

Cause: a recorded change counted as committed, and a small group before it was passed over, where the log names the same voters. They may have been in force before the group that recorded the change.

Change: both ask whether the log holds entries of the term in which the voters were recorded.

--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -123,7 +123,7 @@
         possible.truncate(1);
     }
     // A group too small to accept anything doesn't bind replicas whose log names its successor.
-    if record.voters == present {
+    if record.voters == present && holds_recorded_term(input, record) {
         possible.retain(|voters| *voters == present || record.quorum_of(voters) >= min_disks);
     }
     // A node is reported as drained only once the change that removed its disk is committed.
@@ -138,7 +138,13 @@
 /// Returns whether this replica's log shows that the recorded change is committed.
 pub(super) fn is_known_committed(input: &GroupInput, record: &VoterRecord) -> bool {
     let committed = voters_of(&input.status.committed_membership);
-    record.voters == committed
+    record.voters == committed && holds_recorded_term(input, record)
+}
+
+/// Returns whether this replica's log holds entries of the term in which the voters were recorded. Otherwise the same
+/// voters in the log may be a group from before the one that recorded them.
+fn holds_recorded_term(input: &GroupInput, record: &VoterRecord) -> bool {
+    input.status.last.term >= record.term
 }
 
 /// The disks of the groups that may be in force.
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -855,3 +855,16 @@
     lost.status.responsive = disks(&[4]);
     assert_eq!(recorded_voters(lost.step(0.1)), Some(disks(&[1, 4])));
 }
+
+/// Guards against a disk that takes a recorded change to be committed because the same voters were in force before.
+#[test]
+fn earlier_group_of_the_same_voters_does_not_show_that_a_change_is_committed() {
+    let record = VoterRecord {
+        term: 7,
+        ..unsettled(&[1, 2], &[&[2]])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2], 1).with_record(record);
+    assert_eq!(fixture.step(2.0), GroupAction::Idle, "disk 2 may hold more");
+    fixture.status.last.term = 7;
+    assert_eq!(recorded_voters(fixture.step(2.0)), Some(disks(&[1])));
+}
