Gateway: names of removed cold back ends are dropped

Seen: by reading, not reported. On a gateway that never leads, memory grows by the name of each back end that ever started cold, until the process ends; at a takeover the new leader's first round schedules all of them.

Cause: Fleet keeps the names of back ends that said they are cold until take_newly_cold, which only the issuer of permits calls, and Fleet::remove left them there.

Change: Fleet::remove, which Fleet::replace uses for what is no longer listed, drops the name. So the set holds listed back ends only, which bounds it.

Measured: removed_back_ends_are_no_longer_newly_cold adds and removes 101 cold back ends: all 101 names were left before, none now.

Left as it is: begin_slow_start walks the fleet with Fleet::cold. A node that leads for the second time took its names in its first term, so the set alone would miss those that are still cold.

--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -179,6 +179,7 @@
 
     /// Removes a back end that is no longer listed, whichever process ran it.
     pub fn remove(&mut self, name: &BackendName) {
+        self.slow_start.remove(name);
         if let Some(state) = self.states.remove(name) {
             self.index.remove(&state.backend, state.identity);
         }
--- a/crates/firshore-gateway/src/fleet/slow_start.rs
+++ b/crates/firshore-gateway/src/fleet/slow_start.rs
@@ -14,7 +14,8 @@
     /// Requests per second that a cold back end may get from all nodes, by service.
     rates: HashMap<ServiceName, f64>,
     permits: PermitPool,
-    /// Back ends whose entries said that they are cold since this was last taken.
+    /// Listed back ends whose entries said that they are cold since this was last taken, which only the issuer of
+    /// permits does.
     newly_cold: BTreeSet<BackendName>,
 }
 
@@ -24,6 +25,11 @@
         self.newly_cold.insert(backend);
     }
 
+    /// Removes a back end that is no longer listed.
+    pub(super) fn remove(&mut self, backend: &BackendName) {
+        self.newly_cold.remove(backend);
+    }
+
     /// Returns whether a request may be sent to a cold back end.
     pub(super) fn allows(&self, now: Instant, backend: &Backend) -> bool {
         !self.rates.contains_key(&backend.service)
@@ -64,7 +70,7 @@
         cold.map(|(name, _)| name)
     }
 
-    /// Takes the back ends whose entries said that they are cold since the last call.
+    /// Takes the listed back ends whose entries said that they are cold since the last call.
     pub fn take_newly_cold(&mut self) -> BTreeSet<BackendName> {
         std::mem::take(&mut self.slow_start.newly_cold)
     }
--- a/crates/firshore-gateway/tests/placement_rules.rs
+++ b/crates/firshore-gateway/tests/placement_rules.rs
@@ -128,6 +128,28 @@
     assert!(fleet.take_newly_cold().is_empty());
 }
 
+#[test]
+fn removed_back_ends_are_no_longer_newly_cold() {
+    let now = Instant::now();
+    let mut fleet = limited_fleet(now, Vec::new());
+    for number in 0..100 {
+        let name = format!("a-{number}");
+        fleet.upsert(now, cold(&name, 1));
+        fleet.remove(&name.as_str().into());
+    }
+    fleet.upsert(now, cold("stays", 1));
+    fleet.upsert(now, cold("unlisted", 1));
+    fleet.replace(now, vec![cold("stays", 1)]);
+    let stays: BTreeSet<BackendName> = ["stays".into()].into();
+    assert_eq!(fleet.take_newly_cold(), stays);
+
+    fleet.upsert(now, cold("again", 1));
+    fleet.remove(&"again".into());
+    fleet.upsert(now, cold("again", 2));
+    let again: BTreeSet<BackendName> = ["again".into()].into();
+    assert_eq!(fleet.take_newly_cold(), again);
+}
+
 #[test]
 fn a_service_without_a_cold_rate_uses_cold_back_ends() {
     let now = Instant::now();
