A stopping node's refusals send callers to other nodes in time

Cause: asked to stop, a node refuses what may outlive it while slots are scarce. It counted these refusals for the retry plan, as if the service could begin nothing: from 0.3 s on it told its callers to wait 5 s, longer than they had, so they gave up while other nodes could serve them. Change: such a refusal does not count for the plan; where another node would send the request now, its retry is 50 ms later. The log line tells what another node would do, and when the node stops. Tests: both loads (red before), and the decision alone.

--- a/crates/firshore-admission/src/admission.rs
+++ b/crates/firshore-admission/src/admission.rs
@@ -118,3 +118,16 @@
         false => Admission::Wait(wait),
     }
 }
+
+/// Returns what a node that doesn't stop would do with a refused request; `None` if it would refuse it too.
+pub fn decision_elsewhere(
+    refused: &AdmissionRequest,
+    outlook: &CapacityOutlook,
+) -> Option<Admission> {
+    refused.node_stops_in?;
+    let elsewhere = AdmissionRequest {
+        node_stops_in: None,
+        ..*refused
+    };
+    Some(decide(&elsewhere, outlook)).filter(|decision| *decision != Admission::Refuse)
+}
--- a/crates/firshore-admission/tests/admission.rs
+++ b/crates/firshore-admission/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Decisions to send a request, let it wait at the node, or refuse it.
 
 use firshore_admission::admission::{
-    Admission, AdmissionRequest, CapacityOutlook, ShareStatus, decide,
+    Admission, AdmissionRequest, CapacityOutlook, ShareStatus, decide, decision_elsewhere,
 };
 use std::time::Duration;
 
@@ -103,6 +103,25 @@
     assert_eq!(decide(&late, &outlook(true, true)), Admission::Refuse);
 }
 
+/// Guards against callers of a stopping node that are told that the service is full, though another node would admit them.
+#[test]
+fn refusal_of_a_stopping_node_tells_what_another_node_would_do() {
+    let draining = AdmissionRequest {
+        node_stops_in: Some(TIMEOUT - Duration::from_millis(1)),
+        ..request()
+    };
+    for full in [outlook(true, true), outlook(false, true)] {
+        let elsewhere = Some(decide(&request(), &full));
+        assert_eq!(decision_elsewhere(&draining, &full), elsewhere);
+        assert_eq!(decision_elsewhere(&request(), &full), None);
+        let beyond = AdmissionRequest {
+            share_status: ShareStatus::Beyond,
+            ..draining
+        };
+        assert_eq!(decision_elsewhere(&beyond, &full), None);
+    }
+}
+
 #[test]
 fn retry_is_detected_by_its_time_left() {
     assert!(!request().is_retry());
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -16,19 +16,30 @@
 use firshore_limits::report::TenantDigest;
 use firshore_types::error::ErrorCode;
 use slog::info;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Fraction of a caller's remaining time after which it is asked to retry.
 const RETRY_FRACTION: f64 = 1.0 / 3.0;
 
+/// Time after which a caller should retry at another node that would send its request now. Bounds the retries of callers
+/// that reach the stopping node again.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+
 /// Result of the selection of a back end.
 pub(super) enum Selection {
     /// The request is sent to this back end.
     Backend(Backend),
     /// No back end may run the request.
     NoBackend,
-    /// The request would begin too late.
-    NoCapacity(CapacityOutlook),
+    /// The request would begin too late, or may outlive the node.
+    NoCapacity(NoCapacity),
+}
+
+/// Why a request is refused by admission control.
+pub(super) struct NoCapacity {
+    outlook: CapacityOutlook,
+    /// What a node that doesn't stop would do with it; `None` if it would refuse it too.
+    elsewhere: Option<Admission>,
 }
 
 impl Forwarding<'_> {
@@ -71,7 +82,10 @@
                     None => return Ok(Selection::NoBackend),
                 },
                 Admission::Wait(wait) => wait,
-                Admission::Refuse => return Ok(Selection::NoCapacity(outlook)),
+                Admission::Refuse => {
+                    let elsewhere = admission::decision_elsewhere(&request, &outlook);
+                    return Ok(Selection::NoCapacity(NoCapacity { outlook, elsewhere }));
+                }
             };
             if queued.is_none() {
                 self.gateway.pressure.borrow_mut().waited(&self.service);
@@ -169,25 +183,29 @@
         self.gateway.metrics.admission_ended(&self.service, end);
     }
 
-    /// Refuses a request that would begin too late, with the time to retry.
+    /// Refuses a request that would begin too late or may outlive the node, with the time to retry.
     pub(super) async fn refuse_without_capacity(
         &mut self,
-        outlook: CapacityOutlook,
+        NoCapacity { outlook, elsewhere }: NoCapacity,
         connection: &mut CallerConnection,
     ) -> Handled {
         let end = AdmissionEnd::Refused;
         self.gateway.metrics.admission_ended(&self.service, end);
         self.gateway.pressure.borrow_mut().refused(&self.service);
         let request = self.admission_request(false);
-        let retry = self.retry_time();
+        let retry = self.retry_time(elsewhere);
         let wait = retry.wait();
         info!(self.gateway.log, "forward: No capacity in time."; "request" => &self.terms.id,
             "service" => %self.service, "begin_delay_ms" => outlook.begin_delay.as_millis() as u64,
             "begin_within_ms" => request.begin_within().as_millis() as u64,
             "picture_age_ms" => outlook.age.map(|age| age.as_millis() as u64),
             "returned" => request.is_retry(), "standing" => ?request.share_status,
-            "told" => ?retry, "wait_ms" => wait.as_millis() as u64);
-        let message = format!("'{}' has no room for the request in time.", self.service);
+            "told" => ?retry, "wait_ms" => wait.as_millis() as u64, "elsewhere" => ?elsewhere,
+            "node_stops_in_ms" => request.node_stops_in.map(|left| left.as_millis() as u64));
+        let message = match elsewhere {
+            Some(_) => "The node may stop before the request has ended.".to_owned(),
+            None => format!("'{}' has no room for the request in time.", self.service),
+        };
         let refusal = Refusal::not_run(ErrorCode::Overloaded, message, wait);
         self.answer_refusal(&refusal, "no capacity in time", connection)
             .await
@@ -195,7 +213,10 @@
 
     /// Returns when the caller should retry. The plan has no slot for a caller that has retried already, because it
     /// rarely retries again.
-    fn retry_time(&self) -> RetryTime {
+    fn retry_time(&self, elsewhere: Option<Admission>) -> RetryTime {
+        if elsewhere == Some(Admission::Send) {
+            return RetryTime::Free(ELSEWHERE_RETRY);
+        }
         let (now, time_left) = (Instant::now(), self.remaining());
         let unplanned = RetryTime::Beyond(time_left.mul_f64(RETRY_FRACTION));
         if self.admission_request(false).is_retry() {
@@ -203,6 +224,10 @@
         }
         let control = &self.gateway.overload;
         let mut random = self.gateway.random.borrow_mut();
+        if elsewhere.is_none() {
+            // Refusals because the node stops are no sign of the service's capacity.
+            control.record_refusal(now, &self.service);
+        }
         let planned = control.plan_retry(now, &self.service, time_left, &mut *random);
         planned.unwrap_or(unplanned)
     }
--- a/crates/firshore-gateway/src/overload.rs
+++ b/crates/firshore-gateway/src/overload.rs
@@ -135,6 +135,13 @@
         }
     }
 
+    /// Records that a request was refused because it would begin too late.
+    pub fn record_refusal(&self, now: Instant, service: &ServiceName) {
+        if let Some(demand) = self.demands.borrow_mut().get_mut(service) {
+            demand.history.record_refusal(now);
+        }
+    }
+
     /// Plans when a caller that is refused now should retry; `None` for a service without recorded arrivals.
     pub fn plan_retry(
         &self,
@@ -145,7 +152,6 @@
     ) -> Option<RetryTime> {
         let mut demands = self.demands.borrow_mut();
         let ServiceDemand { history, plan } = demands.get_mut(service)?;
-        history.record_refusal(now);
         let request = RetryRequest {
             time_left,
             capacity: history.capacity(now),
--- /dev/null
+++ b/crates/firshore-gateway/tests/leaving.rs
@@ -0,0 +1,128 @@
+//! What a stopping node tells the callers that it can't serve any more.
+
+mod support;
+
+use firshore_adapter::incarnation::BackendName;
+use firshore_stand_in::adapter::REQUEST_ID;
+use firshore_stand_in::backend::Play;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use support::Fixture;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Time that each caller has.
+const TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Time until the node stops: less than its callers have.
+const STOPS_IN: Duration = Duration::from_millis(2_500);
+
+/// Time for which callers arrive; longer than it takes to estimate this node's capacity from its refusals.
+const ARRIVALS: Duration = Duration::from_millis(1_200);
+
+/// Time between two callers.
+const GAP: Duration = Duration::from_millis(20);
+
+/// Maximum wait before a retry at another node that has a slot now.
+const MAX_WAIT_FOR_SLOT: Duration = Duration::from_millis(100);
+
+/// A refusal as the caller reads it.
+#[derive(Debug)]
+struct Refused {
+    retry_after: Duration,
+    closes_connection: bool,
+}
+
+async fn fixture() -> Fixture {
+    let route = json!({"prefix": "/", "service": "s", "repetition": "idempotent",
+        "timeout": TIMEOUT.as_millis() as u64, "attempts": 2});
+    let configuration = json!({"version": 1, "routes": [route]});
+    let fixture = support::fixture(configuration, &[&[]], Play::Whole).await;
+    fixture.gateway.overload.enable(true);
+    fixture
+}
+
+/// Gives the node a new view, in which other nodes have `held` requests at the back end with its 10 slots.
+fn view(fixture: &Fixture, held: u32) {
+    let name: BackendName = fixture.backends[0].name.as_str().into();
+    let mut random = StdRng::seed_from_u64(1);
+    let mut fleet = fixture.gateway.fleet.borrow_mut();
+    fleet.set_view_interval(GAP);
+    fleet.apply_remote_load(Instant::now(), &HashMap::from([(name, held)]), &mut random);
+}
+
+/// Sends a request that allows to keep the connection open.
+async fn request(address: SocketAddr) -> Result<(), Refused> {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "POST /x HTTP/1.1\r\nhost: a.example\r\n{REQUEST_ID}: r1\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    let reading = stream.read_to_string(&mut response);
+    let closed = tokio::time::timeout(Duration::from_secs(1), reading).await;
+    if response.starts_with("HTTP/1.1 200") {
+        return Ok(());
+    }
+    assert!(response.starts_with("HTTP/1.1 429"), "{response}");
+    let head = response.to_ascii_lowercase();
+    let wait = head
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    Err(Refused {
+        retry_after: Duration::from_secs_f64(wait.unwrap().parse().unwrap()),
+        closes_connection: closed.is_ok() && head.contains("\r\nconnection: close"),
+    })
+}
+
+/// Lets callers arrive at a stopping node, while other nodes have `held` requests at the back end.
+async fn refusals(held: u32) -> Vec<Refused> {
+    let fixture = fixture().await;
+    view(&fixture, held);
+    fixture
+        .gateway
+        .leaving
+        .begin_until(Instant::now() + STOPS_IN);
+    let begin = Instant::now();
+    let mut refusals = Vec::new();
+    while begin.elapsed() < ARRIVALS {
+        view(&fixture, held);
+        refusals.extend(request(fixture.address).await.err());
+        actix_rt::time::sleep(GAP).await;
+    }
+    assert!(refusals.len() >= 20, "{refusals:?}");
+    assert!(
+        refusals.iter().all(|one| one.closes_connection),
+        "{refusals:?}"
+    );
+    refusals
+}
+
+/// Guards against callers of a stopping node that give up, as they are told to wait for capacity that it lacks only
+/// because it refuses all, though another node has a slot for them.
+#[test]
+fn callers_of_a_stopping_node_are_sent_to_a_slot_at_another_node() {
+    actix_rt::System::new().block_on(async {
+        let refusals = refusals(11).await;
+        let waits: Vec<Duration> = refusals.iter().map(|one| one.retry_after).collect();
+        assert!(
+            waits.iter().all(|wait| *wait <= MAX_WAIT_FOR_SLOT),
+            "{waits:?}"
+        );
+    });
+}
+
+/// Guards against callers of a stopping node that give up while the service is full: its own refusals are no sign that
+/// the service has no capacity within their time.
+#[test]
+fn callers_of_a_stopping_node_of_a_full_service_retry_within_their_time() {
+    actix_rt::System::new().block_on(async {
+        let refusals = refusals(60).await;
+        let waits: Vec<Duration> = refusals.iter().map(|one| one.retry_after).collect();
+        assert!(waits.iter().all(|wait| *wait <= TIMEOUT / 3), "{waits:?}");
+    });
+}
