A stopping node's retry plan keeps the capacity known before

Cause: requests that had waited were still counted as refused beside no starts, so the known capacity sank. Change: a stopping node counts no refusals for its plan.

--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -224,8 +224,8 @@
         }
         let control = &self.gateway.overload;
         let mut random = self.gateway.random.borrow_mut();
-        if elsewhere.is_none() {
-            // Refusals because the node stops are no sign of the service's capacity.
+        if !self.gateway.leaving.is_leaving() {
+            // A stopping node begins few requests, whatever the service's capacity is.
             control.record_refusal(now, &self.service);
         }
         let planned = control.plan_retry(now, &self.service, time_left, &mut *random);
