Copies: the guarantee as an invariant after every step, and the time until a loss is made good

World::with_way_on_check asks after every step whether each choice of further tolerated losses leaves a copy and a way on. FIRSHORE_COPIES_RECOVERY prints how long after a loss both are back. Existing tests draw and check as before.

--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -7,6 +7,7 @@
 
 mod copies_world;
 
+use copies_world::recovery::RecoveryTimes;
 use copies_world::scene::{self, Deployment, Event};
 use copies_world::{RunCounts, World};
 use rand::SeedableRng;
@@ -15,6 +16,9 @@
 /// Seeds per deployment without `FIRSHORE_COPIES_SEEDS`.
 const SEEDS: u64 = 150;
 
+/// Variable with which the times from a loss until the deployment is as safe as before are printed.
+const MEASURE_RECOVERY: &str = "FIRSHORE_COPIES_RECOVERY";
+
 /// Time span of the events, in milliseconds.
 const EVENTS_SPAN_MS: u64 = 45_000;
 
@@ -60,16 +64,22 @@
 fn run_worlds(seeds: impl Iterator<Item = u64>, world: impl Fn(u64) -> World) -> usize {
     let mut failed = Vec::new();
     let mut counts = RunCounts::default();
+    let mut times = RecoveryTimes::default();
+    let measure = std::env::var_os(MEASURE_RECOVERY).is_some();
     for seed in seeds {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let events = scene::random_events(&mut random, EVENTS_SPAN_MS);
-        let mut world = world(seed);
+        let mut world = match measure {
+            true => world(seed).with_recovery_times(),
+            false => world(seed),
+        };
         match world.run(&events) {
             Ok(run) => {
                 counts.accepted += run.accepted;
                 counts.read += run.read;
                 counts.wiped += run.wiped;
                 counts.drained += run.drained;
+                times.merge(&world.recovery_times());
             }
             Err(violation) => {
                 if failed.len() < 3 {
@@ -80,6 +90,9 @@
         }
     }
     println!("{counts:?}");
+    if measure {
+        println!("{times:#?}");
+    }
     for (seed, violation) in failed.iter().take(20) {
         println!(
             "seed {seed}: {} ms: {}",
@@ -89,6 +102,12 @@
     failed.len()
 }
 
+/// Checks the invariant after every step, with clients that read.
+fn run_with_invariant(deployment: Deployment, seeds: impl Iterator<Item = u64>) -> usize {
+    let world = |seed| World::new(deployment, seed).with_readers();
+    run_worlds(seeds, |seed| world(seed).with_way_on_check())
+}
+
 #[test]
 fn accepted_commands_survive_tolerated_losses() {
     let failed = DEPLOYMENTS.map(|deployment| run_seeds(deployment, seeds()));
@@ -230,3 +249,13 @@
     ];
     assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, seeds.into_iter()), 0);
 }
+
+/// Guards against a step after which a tolerated loss leaves too few copies or no way on, although no loss comes at that
+/// moment. Readers count as well.
+#[test]
+fn each_step_leaves_a_way_on_with_spare_machines() {
+    let [_, six, ten] = DEPLOYMENTS;
+    let failed = [six, ten].map(|deployment| run_with_invariant(deployment, seeds()));
+    let of = seeds().count();
+    assert_eq!(failed, [0; 2], "failed seeds of {of} for each deployment");
+}
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -1,8 +1,10 @@
 //! Simulation of machines with disks in virtual time. Replicas and group maintenance are the production code; the
 //! object store, the network and the clients are simulated.
 
+mod invariant;
 pub mod machine;
 mod readers;
+pub mod recovery;
 pub mod scene;
 mod store;
 
@@ -13,10 +15,12 @@
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, MembershipChange};
 use firshore_types::ids::NodeName;
+use invariant::WayOnCheck;
 use machine::{AcceptedCommand, Disk, Machine, ProcessState};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use readers::Readers;
+use recovery::RecoveryMeter;
 use scene::{Deployment, Event};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -102,6 +106,12 @@
     counts: RunCounts,
     /// Clients that read from leaders, in scenarios with readers.
     readers: Option<Readers>,
+    /// Voters that founded the group.
+    founders: BTreeSet<DiskId>,
+    /// The invariant, in scenarios that check it after every step.
+    way_on: Option<WayOnCheck>,
+    /// The recovery times, where they are measured.
+    meter: Option<RecoveryMeter>,
     /// Trace lines, printed after a failure.
     pub trace: Vec<String>,
 }
@@ -143,6 +153,9 @@
             accepted: None,
             counts: RunCounts::default(),
             readers: None,
+            founders: BTreeSet::new(),
+            way_on: None,
+            meter: None,
             trace: Vec::new(),
         };
         world.found_group();
@@ -153,6 +166,7 @@
         let all: Vec<Candidate> = self.machines.iter().map(candidate).collect();
         let (voters, disks) = (self.policy.target_voters, self.policy.min_disks);
         let membership = placement::founding_membership(&all, &all[0], voters, disks);
+        self.founders = membership.voters().collect();
         for machine in &mut self.machines {
             self.store
                 .nodes
@@ -189,8 +203,10 @@
             }
             self.remove_drained();
             self.expire_losses();
+            self.check_way_on()?;
             self.check_copies()?;
             self.check_reads()?;
+            self.measure_recovery();
             if self.now > last.max(self.disrupted_until) + RECOVERY_MS {
                 self.check_recovered()?;
                 return Ok(self.counts);
--- a/crates/firshore-node/tests/copies_world/readers.rs
+++ b/crates/firshore-node/tests/copies_world/readers.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Returns the latest command that a read returned.
+    pub(super) fn returned(&self) -> Option<&AcceptedCommand> {
+        self.readers.as_ref()?.returned.as_ref()
+    }
+
     /// Checks that entries returned by reads are on as many disks as accepted commands must be.
     pub(super) fn check_reads(&self) -> Result<(), Violation> {
         let Some(readers) = &self.readers else {
