A leader derives whom survivors left behind if their record is overwritten

Cause: a leader elected in the very term of a survivor's record wrote its own group over it. The survivor, elected later, copied the field of disks left behind from that record, where it is empty.

Change: where the record does not name the voters in force, their leader derives from it whom they left behind, as survivors do.

--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -4,6 +4,7 @@
 
 use super::SILENCE_FRACTION;
 use super::excluded_disks::ExcludedDisks;
+use super::left_behind::sets_left_behind;
 use super::lost_quorum::{self, LeaderlessTime};
 use super::registry::VoterRecord;
 use firshore_log::GroupStatus;
@@ -289,7 +290,7 @@
         let change = group.next_change(&self.with_fewest_failures(usable, &group));
         let present = voters_of(&status.membership);
         let Some(change) = change else {
-            return settle_record(input, present, self.policy.min_disks);
+            return settle_record(input, leaving, present, self.policy.min_disks);
         };
         let voters = voters_after(&status.membership, &change);
         let min_disks = min_disks_during(&status.membership, &change);
@@ -299,8 +300,8 @@
                 voters,
                 settled: false,
                 term: status.term,
+                left_behind: recorded_left_behind(input, leaving, &present, self.policy.min_disks),
                 before: vec![present],
-                left_behind: left_behind(input, self.policy.min_disks),
                 history: status.history,
                 begins: false,
                 min_disks,
@@ -455,18 +456,30 @@
     (same_history && record.term > input.status.term).then_some(record.term)
 }
 
-/// Returns the recorded sets of disks that were left behind, while too few voters to accept anything
-/// commit: each still holds all accepted jobs.
-fn left_behind(input: &GroupInput, min_disks: usize) -> Vec<BTreeSet<DiskId>> {
+/// Returns the sets of disks that were left behind, while too few voters to accept anything commit: each holds all
+/// accepted jobs. If the record does not name the voters in force, they continued as survivors, and a leader of the
+/// group before has overwritten their record.
+fn recorded_left_behind(
+    input: &GroupInput,
+    leaving: &LeavingNodes,
+    present: &BTreeSet<DiskId>,
+    min_disks: usize,
+) -> Vec<BTreeSet<DiskId>> {
     let accepts = input.status.membership.quorum() >= min_disks;
-    let record = input.recorded.filter(|_| !accepts);
-    record.map_or_else(Vec::new, |record| record.left_behind.clone())
+    let Some(record) = input.recorded.filter(|_| !accepts) else {
+        return Vec::new();
+    };
+    match record.possible_voters().contains(present) {
+        true => record.left_behind.clone(),
+        false => sets_left_behind(input, leaving, record, min_disks, present),
+    }
 }
 
 /// Records that the change to these voters is committed. Disks that were left behind stay recorded
 /// while fewer disks than `accepting_disks` commit, as nothing is accepted meanwhile.
 fn settle_record(
     input: &GroupInput,
+    leaving: &LeavingNodes,
     voters: BTreeSet<DiskId>,
     accepting_disks: usize,
 ) -> GroupAction {
@@ -478,7 +491,7 @@
     if record.settled && current && !input.write_unconfirmed {
         return GroupAction::Idle;
     }
-    let mut left_behind = left_behind(input, accepting_disks);
+    let mut left_behind = recorded_left_behind(input, leaving, &voters, accepting_disks);
     left_behind.retain(|disks| !disks.is_subset(&voters));
     // Voters that the record doesn't name were in force before; lost ones may have been present
     // then.
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -868,3 +868,23 @@
     fixture.status.last.term = 7;
     assert_eq!(recorded_voters(fixture.step(2.0)), Some(disks(&[1])));
 }
+
+/// Guards against survivors whose record was overwritten by a leader of the group before, elected at the same time: the
+/// disks that they continued without hold everything, and must stay recorded.
+#[test]
+fn survivors_whose_record_was_overwritten_record_whom_they_left_behind() {
+    let record = VoterRecord {
+        voters: disks(&[1, 2]),
+        settled: true,
+        term: 10,
+        min_disks: 2,
+        ..VoterRecord::default()
+    };
+    let mut fixture = GroupFixture::leading(&[1], 1).with_record(record);
+    fixture.status.term = 11;
+    let GroupAction::Record(record) = fixture.step(0.1) else {
+        panic!("the record names another group");
+    };
+    assert_eq!(record.voters, disks(&[1]));
+    assert_eq!(record.left_behind, [disks(&[2])]);
+}
