Sets left behind: what the review and the exhaustive search found

- A set derived from a record of survivors could lack what was accepted: their `before` passes over small groups.
The record says who wrote it (by_survivors), and nothing is derived from such a one (the exhaustive search showed an elected replica without what was accepted).
- A group whose log requires more disks than the record counted as too small to accept anything: the number of voters counts (may_accept).
- Learners that were left behind never hear each other: where all recorded voters are lost, a listed set is recorded after the timeout.
- A set with a disk of a drained node does not begin a history.
- Attempts with disks go to the one that failed least recently; by the number of failures a disk that was away for long waited for dead ones.
- Sets that have some of each group come after the rule for voters.

--- a/crates/firshore-node/src/journal/excluded_disks.rs
+++ b/crates/firshore-node/src/journal/excluded_disks.rs
@@ -58,12 +58,16 @@
         exclusion.is_some_and(|exclusion| now < exclusion.until)
     }
 
-    /// Returns the number of consecutive failed attempts with a disk.
-    pub fn failures(&self, disk: DiskId) -> u32 {
+    fn failures(&self, disk: DiskId) -> u32 {
         let exclusion = self.disks.get(&disk);
         exclusion.map_or(0, |exclusion| exclusion.failures)
     }
 
+    /// Returns until when a disk is or was excluded after its last attempt; `None` if that did not fail.
+    pub fn excluded_until(&self, disk: DiskId) -> Option<Instant> {
+        self.disks.get(&disk).map(|exclusion| exclusion.until)
+    }
+
     /// Returns whether the last attempt with a disk failed.
     pub fn has_failed(&self, disk: DiskId) -> bool {
         self.disks.contains_key(&disk)
--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -287,7 +287,7 @@
             let backoff = self.excluded.record_timeout(now, learner);
             return GroupAction::PassOver(learner, backoff);
         }
-        let change = group.next_change(&self.with_fewest_failures(usable, &group));
+        let change = group.next_change(&self.least_recently_failed(usable, &group));
         let present = voters_of(&status.membership);
         let Some(change) = change else {
             return settle_record(input, leaving, present, self.policy.min_disks);
@@ -304,6 +304,7 @@
                 before: vec![present],
                 history: status.history,
                 begins: false,
+                by_survivors: false,
                 min_disks,
             });
         }
@@ -383,17 +384,17 @@
         usable.into_iter().cloned().collect()
     }
 
-    /// Returns those of the disks that the group can use that failed least often. A lost node stays listed, and must
-    /// not block a disk that may be reachable by now.
-    fn with_fewest_failures(
+    /// Returns, of the disks that the group can use, those that never failed, or else the one that failed least
+    /// recently. A lost node stays listed, and must not block a disk that may be reachable by now.
+    fn least_recently_failed(
         &self,
         mut usable: Vec<Candidate>,
         group: &GroupView,
     ) -> Vec<Candidate> {
-        let failures = |one: &Candidate| self.excluded.failures(one.disk);
+        let failed = |one: &Candidate| self.excluded.excluded_until(one.disk);
         usable.retain(|one| group.can_use(one));
-        let fewest = usable.iter().map(failures).min();
-        usable.retain(|one| Some(failures(one)) == fewest);
+        let earliest = usable.iter().map(failed).min();
+        usable.retain(|one| Some(failed(one)) == earliest);
         usable
     }
 
@@ -506,6 +507,7 @@
         left_behind,
         history: input.status.history,
         begins: false,
+        by_survivors: false,
         min_disks,
     })
 }
--- a/crates/firshore-node/src/journal/left_behind.rs
+++ b/crates/firshore-node/src/journal/left_behind.rs
@@ -20,11 +20,11 @@
 pub fn step(
     input: &GroupInput,
     record: &VoterRecord,
-    sets: Vec<&BTreeSet<DiskId>>,
+    sets: &[&BTreeSet<DiskId>],
     min_disks: usize,
     unchanged: LeaderlessTime,
 ) -> GroupAction {
-    let steps = sets.into_iter();
+    let steps = sets.iter();
     let mut steps = steps.map(|disks| step_of_set(input, record, disks, min_disks, unchanged));
     let due = steps.find(|step| *step != GroupAction::Idle);
     due.unwrap_or(GroupAction::Idle)
@@ -47,7 +47,7 @@
     if !all_lost && !holds_everything(disks, record, min_disks) {
         return step_with_learner(input, record, disks, min_disks, &lost, &present);
     }
-    // All of the set must vote. Another set may be complete.
+    // All of the set must vote; without one of them, the voters or another set may continue.
     if !disks.iter().all(|disk| responds(input, *disk)) {
         return GroupAction::Idle;
     }
@@ -59,6 +59,12 @@
     let Some(leaving) = input.leaving else {
         return GroupAction::ListLeaving;
     };
+    if disks
+        .iter()
+        .any(|disk| is_drained_disk(input, leaving, *disk))
+    {
+        return GroupAction::Idle;
+    }
     let all = disks.union(&others).copied().collect();
     if !all_lost && !unchanged.catch_up_elapsed && !has_replacement(input, leaving, &all) {
         return GroupAction::Idle;
@@ -66,17 +72,42 @@
     record_next_history(input, record, min_disks, disks.clone(), Vec::new())
 }
 
+/// Returns the next step if all recorded voters are lost and nobody else has continued: the first of these sets
+/// whose disks are all listed is recorded although not all of them respond. Replicas without a vote find each other only by the record.
+pub fn step_unheard(
+    input: &GroupInput,
+    record: &VoterRecord,
+    sets: &[&BTreeSet<DiskId>],
+    min_disks: usize,
+    unchanged: LeaderlessTime,
+) -> GroupAction {
+    let all_lost = record.voters.iter().all(|disk| is_superseded(input, *disk));
+    let mut listed = sets
+        .iter()
+        .filter(|disks| survivors(input, disks).is_some());
+    match listed.next() {
+        Some(disks) if all_lost && unchanged.timed_out => {
+            record_next_history(input, record, min_disks, (*disks).clone(), Vec::new())
+        }
+        _ => GroupAction::Idle,
+    }
+}
+
 /// Returns whether these disks hold everything accepted: each recorded group is too small to accept
 /// anything, or its quorums contain one of them.
 fn holds_everything(disks: &BTreeSet<DiskId>, record: &VoterRecord, min_disks: usize) -> bool {
     let groups = record.possible_voters();
-    let mut accepting = groups
-        .iter()
-        .filter(|voters| record.quorum_of(voters) >= min_disks);
-    accepting.all(|voters| intersects_quorums(disks, record, voters))
+    let mut accepting = groups.iter().filter(|voters| may_accept(voters, min_disks));
+    accepting.all(|voters| is_in_each_quorum(disks, record, voters))
+}
+
+/// Returns whether these voters may accept something that must be on `min_disks` disks. Their log may require more
+/// disks for a commit than the record, so the number of voters counts.
+pub(super) fn may_accept(voters: &BTreeSet<DiskId>, min_disks: usize) -> bool {
+    voters.len() >= min_disks
 }
 
-fn intersects_quorums(
+fn is_in_each_quorum(
     disks: &BTreeSet<DiskId>,
     record: &VoterRecord,
     voters: &BTreeSet<DiskId>,
@@ -125,6 +156,7 @@
         gone: BTreeSet::new(),
         history: record.history + 1,
         begins: true,
+        by_survivors: false,
         min_disks: record.min_disks,
     })
 }
@@ -165,9 +197,7 @@
     let mut sets: BTreeSet<BTreeSet<DiskId>> = known
         .filter(|disks| holds_everything(disks, record, min_disks))
         .collect();
-    // Part of the voters continue by the rule for voters.
-    let others = complete_sets(input, leaving, record, min_disks).into_iter();
-    sets.extend(others.filter(|disks| !disks.is_subset(voters)));
+    sets.extend(complete_sets(input, leaving, record, min_disks));
     sets.remove(voters);
     let is_lost = |disks: &BTreeSet<DiskId>| disks.iter().any(|disk| is_superseded(input, *disk));
     sets.into_iter().filter(|disks| !is_lost(disks)).collect()
@@ -182,8 +212,8 @@
     record: &VoterRecord,
     min_disks: usize,
 ) -> Vec<BTreeSet<DiskId>> {
-    if record.begins && !record.settled {
-        // Each may hold what the others lack until they have elected a leader.
+    if !record.settled && (record.begins || record.by_survivors) {
+        // Each may hold what the others lack until they have elected a leader. Smaller sets are known already.
         return vec![record.voters.clone()];
     }
     let mut groups = record.possible_voters();
@@ -197,7 +227,7 @@
     let Some(oldest) = groups.pop() else {
         return Vec::new();
     };
-    groups.retain(|voters| record.quorum_of(voters) >= min_disks);
+    groups.retain(|voters| may_accept(voters, min_disks));
     groups.push(oldest);
     let smallest = groups.iter().flat_map(|voters| {
         let disks: Vec<DiskId> = voters.iter().copied().collect();
@@ -205,7 +235,7 @@
     });
     let is_complete = |disks: &BTreeSet<DiskId>| {
         let mut groups = groups.iter();
-        groups.all(|voters| intersects_quorums(disks, record, voters))
+        groups.all(|voters| is_in_each_quorum(disks, record, voters))
     };
     smallest.filter(is_complete).collect()
 }
--- a/crates/firshore-node/src/journal/lost_quorum.rs
+++ b/crates/firshore-node/src/journal/lost_quorum.rs
@@ -11,7 +11,7 @@
 //! [`left_behind`](super::left_behind).
 
 use super::group_manager::{GroupAction, GroupInput, LeavingNodes, is_superseded, voters_of};
-use super::left_behind;
+use super::left_behind::{self, may_accept};
 use super::registry::VoterRecord;
 use firshore_replication::replica::Survivors;
 use firshore_replication::types::{DiskId, ReplicaInfo, ReplicaRole};
@@ -43,26 +43,28 @@
     let record = input.recorded.unwrap_or(&unrecorded);
     let local = input.status.disk;
     let sets = record.left_behind.iter();
-    // A set that has a part of the voters takes over only where the voters cannot continue in their history.
-    let has_part = |disks: &BTreeSet<DiskId>| {
-        !disks.is_disjoint(&record.voters) && !disks.is_subset(&record.voters)
-    };
-    let (partial, whole): (Vec<_>, Vec<_>) = sets
+    // A set that has some of each group takes over only where the voters cannot continue in their history.
+    let groups = record.possible_voters();
+    let is_left_out =
+        |disks: &BTreeSet<DiskId>| groups.iter().any(|voters| disks.is_disjoint(voters));
+    let (left_out, overlapping): (Vec<_>, Vec<_>) = sets
         .filter(|disks| disks.contains(&local))
-        .partition(|disks| has_part(disks));
-    let begin = |sets| left_behind::step(input, record, sets, min_disks, unchanged);
+        .partition(|disks| is_left_out(disks));
+    let begin =
+        |sets: &[&BTreeSet<DiskId>]| left_behind::step(input, record, sets, min_disks, unchanged);
     let awaits_history = record.is_begun_by(local) && !left_behind::has_begun(input, record);
     let steps = [
-        begin(whole),
+        begin(&left_out),
         match awaits_history {
             true => GroupAction::Idle,
             false => step_of_voters(input, record, min_disks, leaderless),
         },
-        begin(partial),
+        begin(&overlapping),
         match awaits_history {
             true => left_behind::begin_history(input, record),
             false => GroupAction::Idle,
         },
+        left_behind::step_unheard(input, record, &left_out, min_disks, unchanged),
     ];
     let mut due = steps.into_iter().filter(|step| *step != GroupAction::Idle);
     due.next().unwrap_or(GroupAction::Idle)
@@ -124,7 +126,7 @@
     }
     // A group too small to accept anything doesn't bind replicas whose log names its successor.
     if record.voters == present && holds_recorded_term(input, record) {
-        possible.retain(|voters| *voters == present || record.quorum_of(voters) >= min_disks);
+        possible.retain(|voters| *voters == present || may_accept(voters, min_disks));
     }
     // A node is reported as drained only once the change that removed its disk is committed.
     possible.retain(|voters| {
@@ -262,6 +264,7 @@
         },
         history,
         begins,
+        by_survivors: true,
         min_disks: record.min_disks,
     })
 }
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -93,8 +93,8 @@
     /// anything that it committed.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub gone: BTreeSet<DiskId>,
-    /// Sets of disks that too few voters to accept anything left behind. They may be intact, and
-    /// each set holds all accepted jobs.
+    /// Sets of disks each of which holds all accepted jobs as long as no recorded group that may
+    /// accept something has a quorum without one of them. A set may have some of the voters.
     #[serde(default, skip_serializing_if = "Vec::is_empty", with = "left_behind")]
     pub left_behind: Vec<BTreeSet<DiskId>>,
     /// History of the log in which these are the voters. A disk that was left behind continues in
@@ -104,6 +104,10 @@
     /// Whether these voters begin that history, leaving the earlier one for good.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub begins: bool,
+    /// Whether survivors of a lost quorum wrote it. They pass over groups before that accepted
+    /// nothing, so the last of `before` need not have been in force.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub by_survivors: bool,
     /// Number of disks that each group that may be in force requires for committed entries, or
     /// less. Records of earlier versions don't have it: majorities commit.
     #[serde(default)]
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -118,6 +118,22 @@
         self.manager.step(now, &group_input)
     }
 
+    /// Lets the attempt with the next learner fail, and returns its disk.
+    fn fail_attempt(&mut self, fraction: f64) -> DiskId {
+        let GroupAction::Change(MembershipChange::AddLearner(disk, info)) = self.step(fraction)
+        else {
+            panic!("a disk is needed");
+        };
+        let without = self.status.membership.clone();
+        self.status.membership.replicas.insert(disk, info);
+        self.status.unresponsive = BTreeSet::from([disk]);
+        let step = self.step(fraction + 0.01);
+        assert!(matches!(step, GroupAction::PassOver(..)), "{step:?}");
+        self.status.membership = without;
+        self.status.unresponsive = BTreeSet::new();
+        disk
+    }
+
     fn is_drained(&mut self, node: &str) -> bool {
         let local = NodeName::from("node-1");
         let group_input = GroupInput {
@@ -684,7 +700,7 @@
 /// Attempts must alternate between failing disks, or a lone voter keeps trying lost nodes while one that has
 /// returned waits.
 #[test]
-fn disks_with_fewer_failures_are_attempted_first() {
+fn disks_that_failed_less_recently_are_attempted_first() {
     let mut fixture = GroupFixture::leading(&[1], 1);
     fixture
         .candidates
@@ -726,27 +742,8 @@
         open: BTreeSet::from([NodeName::from("node-3")]),
         ..LeavingNodes::default()
     });
-    let mut attempted = BTreeSet::new();
-    for attempt in 0..3 {
-        let at = 0.2 * f64::from(attempt);
-        let GroupAction::Change(MembershipChange::AddLearner(disk, info)) = fixture.step(at) else {
-            panic!("a disk is needed");
-        };
-        attempted.insert(disk);
-        let mut group = membership(&[1, 2, 3]);
-        group.replicas.insert(
-            disk,
-            ReplicaInfo {
-                role: ReplicaRole::Learner,
-                ..info
-            },
-        );
-        fixture.status.membership = group;
-        fixture.status.unresponsive = BTreeSet::from([disk]);
-        assert!(matches!(fixture.step(at + 0.01), GroupAction::PassOver(..)));
-        fixture.status.membership = membership(&[1, 2, 3]);
-        fixture.status.unresponsive = BTreeSet::new();
-    }
+    let attempted = [0.0, 0.2, 0.4].map(|at| fixture.fail_attempt(at));
+    let attempted = BTreeSet::from(attempted);
     assert_eq!(attempted, disks(&[4, 5, 6]));
 }
 
@@ -888,3 +885,133 @@
     assert_eq!(record.voters, disks(&[1]));
     assert_eq!(record.left_behind, [disks(&[2])]);
 }
+
+/// Guards against a disk that can be reached again and waits until lost nodes have failed as often as it has.
+#[test]
+fn disk_with_many_failures_takes_its_turn() {
+    let mut fixture = GroupFixture::leading(&[1], 1);
+    fixture.candidates.push(candidate(4, 4));
+    for attempt in 0..20 {
+        assert_eq!(fixture.fail_attempt(f64::from(attempt)), DiskId(4));
+    }
+    fixture
+        .candidates
+        .extend([candidate(2, 2), candidate(3, 3)]);
+    let turns = [20.0, 20.3, 20.6].map(|at| fixture.fail_attempt(at));
+    assert_eq!(BTreeSet::from(turns), disks(&[2, 3, 4]));
+}
+
+/// Guards against learners that were left behind and wait for each other's messages, which replicas without a vote do
+/// not send: they find each other by the record.
+#[test]
+fn set_whose_disks_do_not_hear_each_other_begins_after_the_timeout() {
+    let record = VoterRecord {
+        min_disks: 3,
+        left_behind: vec![disks(&[1, 4])],
+        ..unsettled(&[2, 3], &[])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2)
+        .with_new_disk(2)
+        .with_new_disk(3)
+        .with_record(record);
+    fixture.status.responsive = BTreeSet::new();
+    assert_eq!(fixture.step(0.1), GroupAction::Idle, "it may respond yet");
+    assert_eq!(recorded_voters(fixture.step(0.5)), Some(disks(&[1, 4])));
+}
+
+/// Guards against a group whose log requires more disks than the record: with enough voters it may have accepted
+/// something, so a set that it left behind must not begin a history without it.
+#[test]
+fn group_with_enough_voters_counts_as_accepting() {
+    let record = VoterRecord {
+        min_disks: 2,
+        left_behind: vec![disks(&[1])],
+        ..unsettled(&[2, 3, 4], &[&[2]])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2).with_record(record);
+    assert_eq!(fixture.step(0.0), GroupAction::Idle);
+    assert_eq!(fixture.step(2.0), GroupAction::Idle);
+}
+
+/// Guards against a new leader that promotes a learner beside a voter that it has never heard: if that voter is gone,
+/// its disk and that of its replacement are two of five.
+#[test]
+fn learner_waits_until_the_leader_has_heard_each_voter() {
+    let mut fixture = GroupFixture::leading(&[1, 2, 3, 4], 2);
+    fixture.status.membership.min_disks = 3;
+    fixture.candidates.push(candidate(5, 5));
+    let learner = candidate(5, 5).info(ReplicaRole::Learner);
+    let replicas = &mut fixture.status.membership.replicas;
+    replicas.insert(DiskId(5), learner);
+    fixture.record.as_mut().expect("it is recorded").min_disks = 3;
+    // Disk 4 has sent nothing; the leader is too new to count it as unresponsive.
+    fixture.status.confirmed = disks(&[2, 3, 5]);
+    fixture.status.caught_up = disks(&[1, 2, 3, 5]);
+    assert_eq!(recorded_voters(fixture.step(0.1)), None);
+}
+
+/// Guards against a history that a disk begins with one that doesn't respond, as soon as the voters that left both
+/// behind are lost: a record that begins a history names no other way.
+#[test]
+fn set_left_behind_begins_a_history_only_with_disks_that_respond() {
+    // Of four voters, 1 and 3 are left; 2 is gone without a replacement of its name, and 4 lost its disk.
+    let left = VoterRecord {
+        left_behind: vec![disks(&[1, 2]), disks(&[1, 3])],
+        min_disks: 3,
+        ..unsettled(&[4], &[&[1, 2, 3, 4]])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2)
+        .with_new_disk(4)
+        .with_record(left);
+    fixture.status.membership.min_disks = 3;
+    fixture.status.responsive = disks(&[3]);
+    for fraction in [0.1, 0.4, 1.1] {
+        let voters = recorded_voters(fixture.step(fraction));
+        assert_ne!(voters, Some(disks(&[1, 2])), "disk 2 is silent");
+    }
+    assert_eq!(recorded_voters(fixture.step(1.2)), Some(disks(&[1, 3])));
+}
+
+/// Guards against a record that begins a history and that nobody can leave: one of its voters lost its disk before
+/// they elected a leader, and the other holds everything together with one left behind.
+#[test]
+fn history_that_cannot_begin_is_replaced() {
+    let begun = VoterRecord {
+        left_behind: vec![disks(&[1, 3]), disks(&[1, 4]), disks(&[3, 4])],
+        history: 1,
+        begins: true,
+        min_disks: 3,
+        ..unsettled(&[1, 2], &[])
+    };
+    let mut fixture = GroupFixture::leaderless(&[1, 2, 3, 4], 2)
+        .with_new_disk(2)
+        .with_record(begun);
+    fixture.status.membership.min_disks = 3;
+    fixture.status.history = 1;
+    fixture.status.responsive = disks(&[3, 4]);
+    fixture.step(0.0);
+    let voters = recorded_voters(fixture.step(1.1));
+    assert_eq!(voters, Some(disks(&[1, 3])));
+}
+
+/// Guards against a pause after failed attempts that is longer than the time to catch up: a disk that is back within
+/// it is still no copy when the loss of another one is allowed again.
+#[test]
+fn failed_disk_is_attempted_again_within_the_time_to_catch_up() {
+    let mut fixture = GroupFixture::leading(&[1], 1);
+    fixture.candidates.push(candidate(2, 2));
+    let learner = candidate(2, 2).info(ReplicaRole::Learner);
+    for attempt in 0..8 {
+        fixture.status.membership = membership(&[1]);
+        fixture
+            .status
+            .membership
+            .replicas
+            .insert(DiskId(2), learner.clone());
+        fixture.status.unresponsive = disks(&[2]);
+        let GroupAction::PassOver(_, backoff) = fixture.step(2.0 * f64::from(attempt)) else {
+            panic!("the learner is silent");
+        };
+        assert!(backoff < CATCH_UP_TIMEOUT, "{backoff:?}");
+    }
+}
