--- a/crates/firshore-node/tests/copies_world/scene.rs
+++ b/crates/firshore-node/tests/copies_world/scene.rs
@@ -35,6 +35,13 @@
     SuspendLeader(u64, u64),
     /// The running leader loses its disk; its machine restarts with an empty one.
     WipeLeader,
+    /// A voter that follows is removed permanently; an empty machine with another name replaces it after this time in
+    /// milliseconds.
+    ReplaceFollower(u64),
+    /// The machine added last loses its disk, and restarts with an empty one.
+    WipeNewest,
+    /// The leader's process is killed, and restarts after this time in milliseconds.
+    KillLeader(u64),
     /// A process is killed and restarts.
     Kill,
     /// All processes stop at the same time and restart.
