--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -4,6 +4,7 @@
 
 use super::SILENCE_FRACTION;
 use super::excluded_disks::ExcludedDisks;
+use super::left_behind::sets_left_behind;
 use super::lost_quorum::{self, LeaderlessTime};
 use super::registry::VoterRecord;
 use firshore_log::GroupStatus;
@@ -286,10 +287,10 @@
             let backoff = self.excluded.record_timeout(now, learner);
             return GroupAction::PassOver(learner, backoff);
         }
-        let change = group.next_change(&self.with_fewest_failures(usable, &group));
+        let change = group.next_change(&self.least_recently_failed(usable, &group));
         let present = voters_of(&status.membership);
         let Some(change) = change else {
-            return settle_record(input, present, self.policy.min_disks);
+            return settle_record(input, leaving, present, self.policy.min_disks);
         };
         let voters = voters_after(&status.membership, &change);
         let min_disks = min_disks_during(&status.membership, &change);
@@ -299,10 +300,11 @@
                 voters,
                 settled: false,
                 term: status.term,
+                left_behind: recorded_left_behind(input, leaving, &present, self.policy.min_disks),
                 before: vec![present],
-                left_behind: left_behind(input, self.policy.min_disks),
                 history: status.history,
                 begins: false,
+                by_survivors: false,
                 min_disks,
             });
         }
@@ -382,17 +384,17 @@
         usable.into_iter().cloned().collect()
     }
 
-    /// Returns those of the disks that the group can use that failed least often. A lost node stays listed, and must
-    /// not block a disk that may be reachable by now.
-    fn with_fewest_failures(
+    /// Returns, of the disks that the group can use, those that never failed, or else the one that failed least
+    /// recently. A lost node stays listed, and must not block a disk that may be reachable by now.
+    fn least_recently_failed(
         &self,
         mut usable: Vec<Candidate>,
         group: &GroupView,
     ) -> Vec<Candidate> {
-        let failures = |one: &Candidate| self.excluded.failures(one.disk);
+        let failed = |one: &Candidate| self.excluded.excluded_until(one.disk);
         usable.retain(|one| group.can_use(one));
-        let fewest = usable.iter().map(failures).min();
-        usable.retain(|one| Some(failures(one)) == fewest);
+        let earliest = usable.iter().map(failed).min();
+        usable.retain(|one| Some(failed(one)) == earliest);
         usable
     }
 
@@ -455,18 +457,30 @@
     (same_history && record.term > input.status.term).then_some(record.term)
 }
 
-/// Returns the recorded sets of disks that were left behind, while too few voters to accept anything
-/// commit: each still holds all accepted jobs.
-fn left_behind(input: &GroupInput, min_disks: usize) -> Vec<BTreeSet<DiskId>> {
+/// Returns the sets of disks that were left behind, while too few voters to accept anything commit: each holds all
+/// accepted jobs. If the record does not name the voters in force, they continued as survivors, and a leader of the
+/// group before has overwritten their record.
+fn recorded_left_behind(
+    input: &GroupInput,
+    leaving: &LeavingNodes,
+    present: &BTreeSet<DiskId>,
+    min_disks: usize,
+) -> Vec<BTreeSet<DiskId>> {
     let accepts = input.status.membership.quorum() >= min_disks;
-    let record = input.recorded.filter(|_| !accepts);
-    record.map_or_else(Vec::new, |record| record.left_behind.clone())
+    let Some(record) = input.recorded.filter(|_| !accepts) else {
+        return Vec::new();
+    };
+    match record.possible_voters().contains(present) {
+        true => record.left_behind.clone(),
+        false => sets_left_behind(input, leaving, record, min_disks, present),
+    }
 }
 
 /// Records that the change to these voters is committed. Disks that were left behind stay recorded
 /// while fewer disks than `accepting_disks` commit, as nothing is accepted meanwhile.
 fn settle_record(
     input: &GroupInput,
+    leaving: &LeavingNodes,
     voters: BTreeSet<DiskId>,
     accepting_disks: usize,
 ) -> GroupAction {
@@ -478,7 +492,7 @@
     if record.settled && current && !input.write_unconfirmed {
         return GroupAction::Idle;
     }
-    let mut left_behind = left_behind(input, accepting_disks);
+    let mut left_behind = recorded_left_behind(input, leaving, &voters, accepting_disks);
     left_behind.retain(|disks| !disks.is_subset(&voters));
     // Voters that the record doesn't name were in force before; lost ones may have been present
     // then.
@@ -493,6 +507,7 @@
         left_behind,
         history: input.status.history,
         begins: false,
+        by_survivors: false,
         min_disks,
     })
 }
--- a/crates/firshore-node/tests/copies_world/mod.rs
+++ b/crates/firshore-node/tests/copies_world/mod.rs
@@ -1,8 +1,10 @@
 //! Simulation of machines with disks in virtual time. Replicas and group maintenance are the production code; the
 //! object store, the network and the clients are simulated.
 
+mod invariant;
 pub mod machine;
 mod readers;
+pub mod recovery;
 pub mod scene;
 mod store;
 
@@ -13,10 +15,12 @@
 use firshore_replication::storage::StoredState;
 use firshore_replication::types::{DiskId, MembershipChange};
 use firshore_types::ids::NodeName;
+use invariant::WayOnCheck;
 use machine::{AcceptedCommand, Disk, Machine, ProcessState};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use readers::Readers;
+use recovery::RecoveryMeter;
 use scene::{Deployment, Event};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -102,6 +106,12 @@
     counts: RunCounts,
     /// Clients that read from leaders, in scenarios with readers.
     readers: Option<Readers>,
+    /// Voters that founded the group.
+    founders: BTreeSet<DiskId>,
+    /// The invariant, in scenarios that check it after every step.
+    way_on: Option<WayOnCheck>,
+    /// The recovery times, where they are measured.
+    meter: Option<RecoveryMeter>,
     /// Trace lines, printed after a failure.
     pub trace: Vec<String>,
 }
@@ -143,6 +153,9 @@
             accepted: None,
             counts: RunCounts::default(),
             readers: None,
+            founders: BTreeSet::new(),
+            way_on: None,
+            meter: None,
             trace: Vec::new(),
         };
         world.found_group();
@@ -153,6 +166,7 @@
         let all: Vec<Candidate> = self.machines.iter().map(candidate).collect();
         let (voters, disks) = (self.policy.target_voters, self.policy.min_disks);
         let membership = placement::founding_membership(&all, &all[0], voters, disks);
+        self.founders = membership.voters().collect();
         for machine in &mut self.machines {
             self.store
                 .nodes
@@ -189,8 +203,10 @@
             }
             self.remove_drained();
             self.expire_losses();
+            self.check_way_on()?;
             self.check_copies()?;
             self.check_reads()?;
+            self.measure_recovery();
             if self.now > last.max(self.disrupted_until) + RECOVERY_MS {
                 self.check_recovered()?;
                 return Ok(self.counts);
@@ -231,12 +247,30 @@
                 }
             }
             Event::WipeLeader => self.wipe_where(Machine::is_running_leader),
+            Event::WipeNewest => {
+                let newest = self.machines.last().map(|machine| machine.name.clone());
+                self.wipe_where(|machine| {
+                    machine.is_running() && Some(&machine.name) == newest.as_ref()
+                });
+            }
+            Event::KillLeader(for_ms) => {
+                if let Some(machine) = self.pick_machine(Machine::is_running_leader) {
+                    self.kill(machine, for_ms);
+                }
+            }
+            Event::ReplaceFollower(after_ms) => {
+                let voters = self.voters();
+                let is_follower = |machine: &Machine| {
+                    machine.is_running()
+                        && !machine.status.leads
+                        && voters.contains(&machine.disk.id)
+                };
+                self.replace_where(is_follower, Some(after_ms));
+            }
             Event::Kill => {
                 if let Some(machine) = self.pick_machine(|machine| machine.is_running()) {
-                    let until = self.now + self.random.random_range(200..2_000);
-                    self.trace_event(format!("{} is killed", self.machines[machine].name));
-                    self.machines[machine].stop(ProcessState::DownUntil(until));
-                    self.extend_disruption(until);
+                    let for_ms = self.random.random_range(200..2_000);
+                    self.kill(machine, for_ms);
                 }
             }
             Event::PowerLoss => self.lose_power(),
@@ -244,7 +278,7 @@
                 self.wipe(true);
                 self.lose_power();
             }
-            Event::Replace => self.replace(),
+            Event::Replace => self.replace_where(Machine::is_present, None),
             Event::Add => {
                 let number = self.machines.len();
                 self.add(number);
@@ -404,11 +438,19 @@
         self.extend_disruption(until);
     }
 
-    fn replace(&mut self) {
+    fn kill(&mut self, machine: usize, for_ms: u64) {
+        let until = self.now + for_ms;
+        self.trace_event(format!("{} is killed", self.machines[machine].name));
+        self.machines[machine].stop(ProcessState::DownUntil(until));
+        self.extend_disruption(until);
+    }
+
+    /// Removes a machine permanently. Another one replaces it after `after_ms`, or after a random time.
+    fn replace_where(&mut self, fits: impl Fn(&Machine) -> bool, after_ms: Option<u64>) {
         if !self.can_lose_disk() {
             return;
         }
-        let Some(machine) = self.pick_machine(Machine::is_present) else {
+        let Some(machine) = self.pick_machine(fits) else {
             return;
         };
         self.trace_event(format!(
@@ -416,7 +458,8 @@
             self.machines[machine].name
         ));
         self.machines[machine].stop(ProcessState::Removed);
-        let at = self.now + self.random.random_range(300..2_500);
+        let after_ms = after_ms.unwrap_or_else(|| self.random.random_range(300..2_500));
+        let at = self.now + after_ms;
         let loss = self.record_loss(None, at);
         self.replacements_due.push((at, loss));
         self.extend_disruption(at);
