A leader that is short of copies does not hand over

Cause: a leader on a node to be drained stepped aside as soon as one other voter held everything, in the middle of taking in more. The next leader tried the disks of lost nodes first again.

Change: it hands over only while enough disks hold everything.

--- a/crates/firshore-node/src/journal/group_manager.rs
+++ b/crates/firshore-node/src/journal/group_manager.rs
@@ -271,9 +271,11 @@
         let status = input.status;
         let group = self.group(now, input, leaving);
         if leaving.contains(input.node)
+            && !group.is_underreplicated()
             && let Some(heir) = group.transfer_target()
         {
-            // The next leader removes this replica.
+            // The next leader removes this replica. It does not know which disks failed as learners, so a leader that
+            // is short of copies stays.
             return GroupAction::StepAside(heir);
         }
         let usable = self.usable(now, input, leaving, group.is_underreplicated());
--- a/crates/firshore-node/tests/copies.rs
+++ b/crates/firshore-node/tests/copies.rs
@@ -288,6 +288,13 @@
     assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, [640031845].into_iter()), 0);
 }
 
+/// A seed in which a leader on a node to drain hands over while it takes in copies, and the next one starts with the
+/// disks of lost nodes.
+#[test]
+fn leader_short_of_copies_completes_them() {
+    assert_eq!(run_seeds(MINIMAL_DEPLOYMENT, [762000856].into_iter()), 0);
+}
+
 /// A seed in which the only other disk is reached again and holds everything too late, since it stays excluded for
 /// longer than a new disk has for that.
 #[test]
@@ -343,3 +350,12 @@
     let failed = run_with_invariant(MINIMAL_DEPLOYMENT, way_on_seeds());
     assert_eq!(failed, 0, "failed seeds");
 }
+
+/// Seeds of `each_step_leaves_a_way_on_of_four_disks` after 20 in which a step leaves no way on, though no loss comes at
+/// that moment. Listed in `KNOWN-RED.txt`.
+#[test]
+fn each_step_leaves_a_way_on_of_four_disks_in_more_seeds() {
+    let seeds = [25, 46, 119, 127];
+    let failed = run_with_invariant(MINIMAL_DEPLOYMENT, seeds.into_iter());
+    assert_eq!(failed, 0, "failed seeds");
+}
--- a/crates/firshore-node/tests/group_manager.rs
+++ b/crates/firshore-node/tests/group_manager.rs
@@ -1015,3 +1015,19 @@
         assert!(backoff < CATCH_UP_TIMEOUT, "{backoff:?}");
     }
 }
+
+/// Guards against a leader that hands over while too few disks hold everything: the next one tries the disks of lost
+/// nodes anew before those that can catch up.
+#[test]
+fn leader_short_of_copies_does_not_hand_over() {
+    let leaving = LeavingNodes {
+        open: BTreeSet::from([NodeName::from("node-1")]),
+        ..LeavingNodes::default()
+    };
+    let mut short = GroupFixture::leading(&[1, 2], 2);
+    short.leaving = Some(leaving.clone());
+    assert!(!matches!(short.step(0.1), GroupAction::StepAside(_)));
+    let mut enough = GroupFixture::leading(&[1, 2, 3, 4, 5], 2);
+    enough.leaving = Some(leaving);
+    assert!(matches!(enough.step(0.1), GroupAction::StepAside(_)));
+}
