Logs tell which back end continues a stream, and the software of each

The logs could not tell the hypotheses apart: no line named a version, the back end that continued a stream, or that a caller took one up.

'forward: Stream continues.' gives the position, whether the caller took the stream up, the former and the next back end with their software; entries and runs of items name it too. An entry's version is decoded and used nowhere yet.

--- a/crates/firshore-adapter/src/backend.rs
+++ b/crates/firshore-adapter/src/backend.rs
@@ -4,7 +4,7 @@
 use crate::objects::Revision;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
-use firshore_types::ids::{ServiceName, TenantName, ZoneName};
+use firshore_types::ids::{ServiceName, SoftwareVersion, TenantName, ZoneName};
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::time::Duration;
@@ -26,6 +26,8 @@
     pub leaving: bool,
     /// Present while it is cold and gets requests at a limited rate.
     pub warm_up: Option<WarmUp>,
+    /// Version of its software, if its entry names one.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Remaining warm-up of a cold back end, as its entry states.
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -30,7 +30,7 @@
 use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
-use firshore_types::ids::ServiceName;
+use firshore_types::ids::{ServiceName, SoftwareVersion};
 use headers::end_to_end;
 use slog::{info, warn};
 use std::cell::{Cell, OnceCell};
@@ -86,6 +86,7 @@
 /// Last send of a request, with the estimates at that time.
 struct LastSend {
     backend: Incarnation,
+    software: Option<SoftwareVersion>,
     at: Instant,
     /// Estimated load of the back end in requests per slot.
     load: f32,
@@ -206,6 +207,7 @@
                     return Ok(self.refuse_without_capacity(outlook, connection).await);
                 }
             };
+            self.log_continuation(&backend);
             let end = match self.send(&backend, connection).await? {
                 SendResult::Handled(handled) => return Ok(handled),
                 SendResult::Ended(end) => end,
@@ -246,6 +248,21 @@
         }
     }
 
+    /// Logs that a back end continues a stream, with its software and that of the former back end.
+    fn log_continuation(&self, backend: &Backend) {
+        let Some(after) = self.progress.events.last() else {
+            return;
+        };
+        let former = self.last_send.as_ref();
+        info!(self.gateway.log, "forward: Stream continues."; "request" => &self.terms.id,
+            "route" => &self.route.name, "after" => after,
+            "by_caller" => self.terms.resume_after.is_some(), "sends" => self.attempts.sends(),
+            "former" => former.map(|send| send.backend.to_string()),
+            "former_software" => former.and_then(|send| send.software.as_ref()).map(ToString::to_string),
+            "backend" => %backend.incarnation,
+            "software" => backend.software.as_ref().map(ToString::to_string));
+    }
+
     /// Returns the age of the request in milliseconds.
     fn age_ms(&self) -> u64 {
         self.request.arrived.elapsed().as_millis() as u64
@@ -344,6 +361,7 @@
         let incarnation = &backend.incarnation;
         LastSend {
             backend: incarnation.clone(),
+            software: backend.software.clone(),
             at: now,
             load: fleet.load(now, incarnation).unwrap_or(0.0),
             pace: fleet.pace(now, incarnation),
--- a/crates/firshore-gateway/tests/capacity.rs
+++ b/crates/firshore-gateway/tests/capacity.rs
@@ -47,6 +47,7 @@
         slots: SLOTS,
         leaving: false,
         warm_up: None,
+        software: None,
     });
     fleet.replace(Instant::now(), listed.collect());
     for _ in 0..100 {
--- a/crates/firshore-gateway/tests/crash_monitor.rs
+++ b/crates/firshore-gateway/tests/crash_monitor.rs
@@ -95,6 +95,7 @@
         slots: 10,
         leaving: false,
         warm_up: None,
+        software: None,
     };
     fixture
         .gateway
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -28,6 +28,7 @@
         slots: 10,
         leaving: false,
         warm_up: None,
+        software: None,
     }
 }
 
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -164,6 +164,7 @@
         slots: SLOTS as u32,
         leaving: false,
         warm_up: None,
+        software: None,
     }
 }
 
--- a/crates/firshore-gateway/tests/placement_rules.rs
+++ b/crates/firshore-gateway/tests/placement_rules.rs
@@ -25,6 +25,7 @@
         slots: 10,
         leaving: false,
         warm_up: None,
+        software: None,
     }
 }
 
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -87,6 +87,7 @@
         slots: 10,
         leaving: false,
         warm_up: None,
+        software: None,
     });
     gateway
         .fleet
--- a/crates/firshore-gateway/tests/uneven.rs
+++ b/crates/firshore-gateway/tests/uneven.rs
@@ -144,6 +144,7 @@
         slots: SLOTS as u32,
         leaving: false,
         warm_up: None,
+        software: None,
     });
     fleet.replace(Instant::now(), listed.collect());
     fleet.set_view_interval(Duration::from_millis(VIEW_INTERVAL_MS));
--- a/crates/firshore-gateway/tests/work.rs
+++ b/crates/firshore-gateway/tests/work.rs
@@ -33,6 +33,7 @@
         slots: 8,
         leaving: false,
         warm_up: None,
+        software: None,
     }
 }
 
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -226,6 +226,7 @@
                     if log {
                         info!(gateway.log, "fleet: Back end updated.";
                             "backend" => %backend.incarnation, "service" => %backend.service,
+                            "software" => backend.software.as_ref().map(ToString::to_string),
                             "leaving" => backend.leaving, "revision" => object.revision);
                     }
                     gateway.upsert_backend(backend);
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -254,6 +254,7 @@
         let service = backend.service.clone();
         info!(self.gateway.log, "runner: Run started."; "job" => caller_id(&key.0), "item" => key.1,
             "backend" => %backend.incarnation, "produced" => waiting.produced,
+            "software" => backend.software.as_ref().map(ToString::to_string),
             "urgency" => ?waiting.due.urgency(now));
         let run = ItemRun {
             gateway: self.gateway.clone(),
--- a/crates/firshore-node/tests/crash_world/backends.rs
+++ b/crates/firshore-node/tests/crash_world/backends.rs
@@ -41,6 +41,7 @@
             slots: 12,
             leaving: false,
             warm_up: None,
+            software: None,
         };
         Rc::new(Self {
             backend,
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -16,7 +16,7 @@
 use firshore_adapter::residency::AllowedRegions;
 use firshore_adapter::route::{JobTerms, Repetition, Route, RouteTable, WeightedService};
 use firshore_adapter::tenant::{DeclaredTenant, RateLimit, Tenant, TenantTable};
-use firshore_types::ids::{RegionName, ServiceName};
+use firshore_types::ids::{RegionName, ServiceName, SoftwareVersion};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -191,6 +191,8 @@
     zone: Option<String>,
     /// Remaining time for which it is cold, in milliseconds.
     cold_ms: Option<u64>,
+    /// Version of its software.
+    software: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -335,6 +337,7 @@
                 remaining: Duration::from_millis(remaining),
                 revision: object.revision,
             }),
+            software: backend.software.as_deref().map(SoftwareVersion::from),
         })
     }
 
--- a/crates/firshore-types/src/ids.rs
+++ b/crates/firshore-types/src/ids.rs
@@ -48,6 +48,10 @@
     /// Name of a declared engine pool.
     PoolName
 );
+text_identifier!(
+    /// Version of a back end's software. Versions are equal or not; they have no order.
+    SoftwareVersion
+);
 text_identifier!(
     /// Name of a declared tenant.
     TenantName
