--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use firshore_stand_in::adapter::{Plain, REQUEST_ID, adapter};
 use firshore_stand_in::backend::{Play, ScriptedBackend, Seen};
 use firshore_stand_in::store::MemoryStore;
+use firshore_types::ids::SoftwareVersion;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::Value;
@@ -18,7 +19,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -37,6 +37,19 @@
         backends.flat_map(|backend| backend.seen()).collect()
     }
 
+    /// Lists the back ends with these software versions. Their events name the version.
+    pub fn list_software(&self, versions: &[&str]) {
+        let listed = self
+            .backends
+            .iter()
+            .zip(versions)
+            .map(|(backend, version)| {
+                backend.set_text(&format!("{version}-"));
+                listed(backend, Some(version))
+            });
+        self.gateway.replace_backends(listed.collect());
+    }
+
     /// Applies a configuration.
     pub fn configure(&self, configuration: Value) {
         let object = Object {
@@ -48,6 +61,19 @@
     }
 }
 
+fn listed(backend: &ScriptedBackend, software: Option<&str>) -> Backend {
+    Backend {
+        incarnation: Incarnation::named(backend.name.clone()),
+        service: "s".into(),
+        address: backend.address,
+        zone: "here".into(),
+        slots: 10,
+        leaving: false,
+        warm_up: None,
+        software: software.map(SoftwareVersion::from),
+    }
+}
+
 /// Creates a gateway without configuration and back ends.
 pub fn gateway(jobs: Option<Rc<dyn JobService>>) -> Gateway {
     Gateway::new(
@@ -79,20 +105,8 @@
         backends.push(ScriptedBackend::start(&name, script, afterwards).await);
     }
     let gateway = Rc::new(gateway(jobs));
-    let listed = backends.iter().map(|backend| Backend {
-        incarnation: Incarnation::named(backend.name.clone()),
-        service: "s".into(),
-        address: backend.address,
-        zone: "here".into(),
-        slots: 10,
-        leaving: false,
-        warm_up: None,
-        software: None,
-    });
-    gateway
-        .fleet
-        .borrow_mut()
-        .replace(Instant::now(), listed.collect());
+    let listed = backends.iter().map(|backend| listed(backend, None));
+    gateway.replace_backends(listed.collect());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     actix_rt::spawn(serve::accept(gateway.clone(), listener));
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -37,6 +37,8 @@
 pub const LOAD: &str = "x-load";
 /// Last event held.
 pub const RESUME_AFTER: &str = "x-resume-after";
+/// Identifier of the attempt that brought the first event of a resumed stream.
+pub const RESUMES: &str = "x-resumes";
 /// A caller's key.
 pub const KEY: &str = "x-key";
 /// Tenant that a request comes from.
--- a/crates/firshore-stand-in/src/backend.rs
+++ b/crates/firshore-stand-in/src/backend.rs
@@ -73,6 +73,8 @@
     seen: RefCell<Vec<Seen>>,
     left: Cell<usize>,
     afterwards: Cell<Play>,
+    /// What the data of its events begins with.
+    text: RefCell<String>,
 }
 
 impl ScriptedBackend {
@@ -98,6 +100,7 @@
             seen: RefCell::default(),
             left: Cell::new(0),
             afterwards: Cell::new(afterwards),
+            text: RefCell::new("e".to_owned()),
         });
         let serving = backend.clone();
         actix_rt::spawn(async move {
@@ -108,6 +111,11 @@
         backend
     }
 
+    /// Sets what the data of its events begins with.
+    pub fn set_text(&self, text: &str) {
+        *self.text.borrow_mut() = text.to_owned();
+    }
+
     /// Requests that arrived.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
@@ -191,7 +199,7 @@
         let head = format!("{head}transfer-encoding: chunked\r\n\r\n");
         let mut sent = stream.write_all(head.as_bytes()).await.is_ok();
         for number in first..=last {
-            let event = format!("id: {number}\ndata: e{number}\n\n");
+            let event = format!("id: {number}\ndata: {}{number}\n\n", self.text.borrow());
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             sent = sent && stream.write_all(chunk.as_bytes()).await.is_ok();
             actix_rt::time::sleep(PACE).await;
