--- a/crates/firshore-adapter/src/backend.rs
+++ b/crates/firshore-adapter/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::incarnation::Incarnation;
 use crate::objects::Revision;
+use crate::text_origin::ResumePermit;
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
 use firshore_types::ids::{ServiceName, SoftwareVersion, TenantName, ZoneName};
@@ -105,8 +106,8 @@
     pub incarnation: &'a Incarnation,
     /// Time remaining until the deadline.
     pub remaining: Duration,
-    /// Number of the last event received, if a stream is resumed.
-    pub resume_after: Option<u64>,
+    /// Permit to continue a text, if one is continued.
+    pub resume: Option<ResumePermit>,
     /// Tenant of the request, if known.
     pub tenant: Option<&'a TenantName>,
 }
--- a/crates/firshore-adapter/src/caller.rs
+++ b/crates/firshore-adapter/src/caller.rs
@@ -23,6 +23,8 @@
     pub prompt: Vec<PromptPart>,
     /// Number of the last event that the caller received of a resumed stream.
     pub resume_after: Option<u64>,
+    /// Identifier of the attempt that brought the first event of a resumed stream, as the caller states it.
+    pub resumes: Option<String>,
 }
 
 /// The key that a request carries.
--- a/crates/firshore-adapter/src/incarnation.rs
+++ b/crates/firshore-adapter/src/incarnation.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 /// Name under which a back end is listed. A restarted process keeps the name.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
 pub struct BackendName(Arc<str>);
 
 impl BackendName {
@@ -15,6 +16,12 @@
     }
 }
 
+impl From<BackendName> for String {
+    fn from(name: BackendName) -> Self {
+        name.as_str().to_owned()
+    }
+}
+
 impl<T: Into<Arc<str>>> From<T> for BackendName {
     fn from(name: T) -> Self {
         Self(name.into())
@@ -34,11 +41,13 @@
 pub struct StartTime(pub u64);
 
 /// Identity of one run of a back end's process. Unlike an address or a name, it is never reused.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
     /// Name.
+    #[serde(rename = "n")]
     pub name: BackendName,
     /// Start time, if the back end reports it.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub started: Option<StartTime>,
 }
 
--- a/crates/firshore-adapter/src/lib.rs
+++ b/crates/firshore-adapter/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod residency;
 pub mod route;
 pub mod tenant;
+pub mod text_origin;
 
 use std::rc::Rc;
 
--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -12,9 +12,11 @@
 
 use crate::attempts::Attempts;
 use crate::pace::ResponseQuality;
+use crate::software_history::SoftwareHistory;
 use firshore_adapter::backend::{Backend, Pace, ReportedLoad};
 use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_adapter::residency::ResidencyPermit;
+use firshore_adapter::text_origin::TextOrigin;
 use firshore_exchange::endpoint::Endpoint;
 use firshore_types::ids::{ServiceName, ZoneName};
 use index::FleetIndex;
@@ -78,6 +80,8 @@
     pub attempts: &'a Attempts,
     /// Zones in which it may be processed.
     pub residency: &'a ResidencyPermit,
+    /// What began the text that it continues; `None` if it begins one.
+    pub origin: Option<&'a TextOrigin>,
     /// Hash for prefix affinity.
     pub affinity: Option<u64>,
     /// Maximum load of a back end in requests per slot, including this request.
@@ -117,6 +121,9 @@
     unreported_paces: BTreeSet<BackendName>,
     slow_start: SlowStart,
     zone_drains: ZoneDrains,
+    software: SoftwareHistory,
+    /// Whether a software version was listed that had not been listed recently.
+    has_new_software: bool,
 }
 
 impl Fleet {
@@ -134,9 +141,21 @@
             unreported_paces: BTreeSet::new(),
             slow_start: SlowStart::default(),
             zone_drains: ZoneDrains::default(),
+            software: SoftwareHistory::default(),
+            has_new_software: false,
         }
     }
 
+    /// Returns the software versions that were listed recently.
+    pub fn software(&self) -> &SoftwareHistory {
+        &self.software
+    }
+
+    /// Returns whether a software version was listed, since the last call, that had not been listed recently.
+    pub fn take_new_software(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_software)
+    }
+
     /// Applies a complete listing. Returns the effect of each entry.
     pub fn replace(&mut self, now: Instant, backends: Vec<Backend>) -> Vec<EntryChange> {
         let names = backends.iter();
@@ -148,7 +167,7 @@
             .cloned()
             .collect();
         for name in &unlisted {
-            self.remove(name);
+            self.remove(now, name);
         }
         let backends = backends.into_iter();
         backends.map(|backend| self.upsert(now, backend)).collect()
@@ -162,6 +181,7 @@
         }
         self.visits.set(self.visits.get() + 1);
         let Some(state) = self.states.get_mut(&name) else {
+            self.has_new_software |= self.software.list(now, &backend);
             let state = BackendState::new(now, backend, None);
             self.index.insert(&state.backend, state.identity);
             self.states.insert(name, state);
@@ -174,12 +194,16 @@
             self.index.activate(&state.backend);
         }
         self.index.set_local(&state.backend, state.in_flight > 0);
+        if !matches!(change, EntryChange::Outdated(_)) {
+            self.has_new_software |= self.software.list(now, &state.backend);
+        }
         change
     }
 
     /// Removes a back end that is no longer listed, whichever process ran it.
-    pub fn remove(&mut self, name: &BackendName) {
+    pub fn remove(&mut self, now: Instant, name: &BackendName) {
         self.slow_start.remove(name);
+        self.software.remove(now, name);
         if let Some(state) = self.states.remove(name) {
             self.index.remove(&state.backend, state.identity);
         }
--- a/crates/firshore-gateway/src/fleet/selection.rs
+++ b/crates/firshore-gateway/src/fleet/selection.rs
@@ -7,6 +7,7 @@
 use firshore_adapter::backend::Backend;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::residency::ResidencyPermit;
+use firshore_adapter::text_origin::TextOrigin;
 use firshore_admission::admission::CapacityOutlook;
 use firshore_types::ids::ServiceName;
 use rand::{Rng, RngExt};
@@ -95,6 +96,9 @@
     ) -> bool {
         requirements.attempts.allows(&state.backend.incarnation)
             && !state.backend.leaving
+            && requirements
+                .origin
+                .is_none_or(|origin| origin.allows(&state.backend))
             && self.may_send_to(now, state, requirements.residency)
     }
 
@@ -287,6 +291,35 @@
         states.any(|state| residency.allows(&state.backend.zone))
     }
 
+    /// Returns whether a back end is listed that may continue a text, whatever its load.
+    pub fn can_continue(&self, origin: &TextOrigin, residency: &ResidencyPermit) -> bool {
+        let mut staying = self.staying(origin.service(), residency);
+        staying.any(|backend| origin.allows(backend))
+    }
+
+    /// Returns whether a back end of a service is listed that may begin a text but not continue this one.
+    pub fn can_begin_anew(
+        &self,
+        service: &ServiceName,
+        origin: Option<&TextOrigin>,
+        residency: &ResidencyPermit,
+    ) -> bool {
+        let mut staying = self.staying(service, residency);
+        staying.any(|backend| origin.is_none_or(|origin| !origin.allows(backend)))
+    }
+
+    /// Returns the back ends of a service in the permitted zones that have not announced that they leave.
+    fn staying(
+        &self,
+        service: &ServiceName,
+        residency: &ResidencyPermit,
+    ) -> impl Iterator<Item = &Backend> {
+        let index = self.index.service(service);
+        let names = index.into_iter().flat_map(|index| index.names());
+        let backends = names.filter_map(|name| Some(&self.states.get(name)?.backend));
+        backends.filter(|backend| !backend.leaving && residency.allows(&backend.zone))
+    }
+
     /// Returns the rate, in requests per second, at which a service begins requests while all slots are in use.
     pub fn begin_rate(&self, now: Instant, requirements: &BackendRequirements<'_>) -> f64 {
         let usable = self.usable(now, requirements);
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -163,6 +163,7 @@
             service: &self.service,
             attempts: &self.attempts,
             residency: &self.residency,
+            origin: self.required_origin(),
             affinity: None,
             load_limit: f32::INFINITY,
             begin_objective: Some(self.route.objective),
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -3,7 +3,7 @@
 use super::{Forwarding, Handled, Interrupted};
 use crate::attempts::NextStep;
 use crate::caller_connection::CallerConnection;
-use crate::metrics::RequestEnd;
+use crate::metrics::{ContinuationEnd, RequestEnd};
 use crate::refusal::Refusal;
 use firshore_types::error::ErrorCode;
 use slog::info;
@@ -23,6 +23,10 @@
         connection: &mut CallerConnection,
     ) -> Handled {
         if self.progress.head_sent {
+            if self.refusal_without_software().is_some() {
+                let metrics = &self.gateway.metrics;
+                metrics.continuation_ended(ContinuationEnd::NoBackend);
+            }
             self.end = RequestEnd::BrokenOff;
             self.log_given_up(None, reason);
             return Handled::Close;
@@ -38,6 +42,11 @@
             },
             NextStep::FailMaybeRun => self.failed(),
             NextStep::RefuseNotRun => {
+                if let Some(refusal) = self.refusal_without_software() {
+                    let metrics = &self.gateway.metrics;
+                    metrics.continuation_ended(ContinuationEnd::NoBackend);
+                    return self.answer_refusal(&refusal, reason, connection).await;
+                }
                 // No back end had a free slot. Counting it as pressure preempts batch items of the service.
                 self.gateway.pressure.borrow_mut().refused(&self.service);
                 self.refused_by_all()
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! after a part of it was returned, the caller's connection is closed.
 
 mod admit;
+mod continuation;
 mod give_up;
 mod headers;
 mod relay;
@@ -26,11 +27,12 @@
 use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
+use firshore_adapter::text_origin::TextOrigin;
 use firshore_admission::admission::ShareStatus;
 use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
-use firshore_types::ids::{ServiceName, SoftwareVersion};
+use firshore_types::ids::ServiceName;
 use headers::end_to_end;
 use slog::{info, warn};
 use std::cell::{Cell, OnceCell};
@@ -67,6 +69,10 @@
     /// Bytes of response bodies that have arrived.
     received: u64,
     events: EventStream,
+    /// What produced the first event; set together with its position.
+    origin: Option<TextOrigin>,
+    /// When the request was sent that produced the first event, if known.
+    begun_at: Option<Instant>,
 }
 
 /// Failure reported by a back end, returned to the caller if no later send succeeds.
@@ -86,7 +92,6 @@
 /// Last send of a request, with the estimates at that time.
 struct LastSend {
     backend: Incarnation,
-    software: Option<SoftwareVersion>,
     at: Instant,
     /// Estimated load of the back end in requests per slot.
     load: f32,
@@ -141,9 +146,9 @@
         deadline: request.arrived + wait,
         attempts: Attempts::new(route.repetition, route.attempts),
         progress: Progress {
-            head_sent: false,
-            received: 0,
-            events: EventStream::after(terms.resume_after),
+            // Other responses have no positions.
+            events: EventStream::after(terms.resume_after.filter(|_| route.streams)),
+            ..Progress::default()
         },
         route,
         request,
@@ -190,6 +195,9 @@
 
 impl Forwarding<'_> {
     async fn run(&mut self, connection: &mut CallerConnection) -> Result<Handled, Interrupted> {
+        if let Some(refused) = self.take_up(connection).await? {
+            return Ok(refused);
+        }
         loop {
             if self.remaining() < MIN_REMAINING {
                 return Err(Interrupted::TimedOut);
@@ -197,6 +205,10 @@
             if let Some(wait) = self.gateway.quarantined_for(|| self.fingerprint()) {
                 return Ok(self.refuse_quarantined(wait, connection).await);
             }
+            if self.has_doubtful_origin() {
+                let next = self.attempts.give_up();
+                return Ok(self.give_up(next, "origin in doubt", connection).await);
+            }
             let backend = match self.find_backend(connection).await? {
                 Selection::Backend(backend) => backend,
                 Selection::NoBackend => {
@@ -248,21 +260,6 @@
         }
     }
 
-    /// Logs that a back end continues a stream, with its software and that of the former back end.
-    fn log_continuation(&self, backend: &Backend) {
-        let Some(after) = self.progress.events.last() else {
-            return;
-        };
-        let former = self.last_send.as_ref();
-        info!(self.gateway.log, "forward: Stream continues."; "request" => &self.terms.id,
-            "route" => &self.route.name, "after" => after,
-            "by_caller" => self.terms.resume_after.is_some(), "sends" => self.attempts.sends(),
-            "former" => former.map(|send| send.backend.to_string()),
-            "former_software" => former.and_then(|send| send.software.as_ref()).map(ToString::to_string),
-            "backend" => %backend.incarnation,
-            "software" => backend.software.as_ref().map(ToString::to_string));
-    }
-
     /// Returns the age of the request in milliseconds.
     fn age_ms(&self) -> u64 {
         self.request.arrived.elapsed().as_millis() as u64
@@ -298,6 +295,7 @@
             service: &self.service,
             attempts: &self.attempts,
             residency: &self.residency,
+            origin: self.required_origin(),
             affinity,
             load_limit: f32::INFINITY,
             begin_objective: Some(self.route.objective),
@@ -316,7 +314,7 @@
         let terms = SendTerms {
             incarnation: &backend.incarnation,
             remaining: self.remaining(),
-            resume_after: self.progress.events.last(),
+            resume: self.resume_permit(backend),
             tenant: self.tenant.as_deref().map(|tenant| &tenant.name),
         };
         self.gateway
@@ -361,7 +359,6 @@
         let incarnation = &backend.incarnation;
         LastSend {
             backend: incarnation.clone(),
-            software: backend.software.clone(),
             at: now,
             load: fleet.load(now, incarnation).unwrap_or(0.0),
             pace: fleet.pace(now, incarnation),
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -181,6 +181,7 @@
                 continue;
             }
             if !self.progress.head_sent {
+                self.record_origin(backend, connection).await?;
                 self.put_stream_head(&exchange.head, connection);
             }
             connection.put_chunk(events);
@@ -193,6 +194,7 @@
         self.gateway
             .record_outcome(&backend.incarnation, BackendOutcome::Answered);
         self.record_completion(&exchange.head);
+        self.forget_origin();
         if !self.progress.head_sent {
             self.put_stream_head(&exchange.head, connection);
         }
--- a/crates/firshore-gateway/src/freshness.rs
+++ b/crates/firshore-gateway/src/freshness.rs
@@ -27,6 +27,47 @@
     }
 }
 
+/// Maximum time between two confirmations that counts as no gap: shorter than any entry stays listed.
+const MAX_GAP: Duration = Duration::from_millis(1_000);
+
+/// Time for which the object store was observed without a gap.
+#[derive(Debug, Default)]
+pub struct Continuity {
+    last: Cell<Option<Instant>>,
+    since: Cell<Option<Instant>>,
+}
+
+impl Continuity {
+    /// Records that the store was observed as of a moment (on the clock of [`firshore_clock`]).
+    pub fn confirm(&self, as_of: Instant) {
+        let last = self.last.get();
+        if last.is_some_and(|last| as_of <= last) {
+            return;
+        }
+        self.last.set(Some(as_of));
+        let follows = last.is_some_and(|last| as_of.duration_since(last) <= MAX_GAP);
+        if !follows {
+            self.since.set(Some(as_of));
+        }
+    }
+
+    /// Returns the time since the last gap; `None` before the first observation.
+    pub fn unbroken_for(&self) -> Option<Duration> {
+        self.since.get().map(firshore_clock::elapsed)
+    }
+
+    /// Returns the age of the last observation; `None` before the first one.
+    pub fn last_age(&self) -> Option<Duration> {
+        self.last.get().map(firshore_clock::elapsed)
+    }
+
+    /// Discards all observations.
+    pub fn forget(&self) {
+        self.last.set(None);
+        self.since.set(None);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Confirmation {
     as_of: Instant,
@@ -37,6 +78,7 @@
 #[derive(Debug, Default)]
 pub struct Freshness {
     confirmation: RefCell<Option<Confirmation>>,
+    continuity: Continuity,
     /// Maximum age at which decisions may use the copy; `None`: unlimited.
     max_age: Cell<Option<Duration>>,
 }
@@ -52,11 +94,18 @@
             return;
         }
         *confirmation = Some(Confirmation { as_of, source });
+        self.continuity.confirm(as_of);
+    }
+
+    /// Returns the time since the copy last had a gap; `None` before the first confirmation.
+    pub fn unbroken_for(&self) -> Option<Duration> {
+        self.continuity.unbroken_for()
     }
 
     /// Discards the last confirmation.
     pub fn forget(&self) {
         self.confirmation.borrow_mut().take();
+        self.continuity.forget();
     }
 
     /// Returns the moment as of which the copy is current; `None` before the first confirmation.
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -8,6 +8,9 @@
 use crate::overload::OverloadControl;
 use crate::pressure::PressureCounter;
 use crate::split::Split;
+use crate::stream_origin::{
+    OriginAnswers, OriginKnowledge, OriginQuery, OriginRecord, OriginTable,
+};
 use firshore_adapter::Adapter;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::configuration::ServingConfiguration;
@@ -22,7 +25,7 @@
 use firshore_limits::report::{UsageReport, UsageResponse};
 use firshore_metrics::Builder;
 use firshore_types::error::ApiError;
-use firshore_types::ids::ZoneName;
+use firshore_types::ids::{ServiceName, ZoneName};
 use firshore_types::payload::Payload;
 use futures_util::future::LocalBoxFuture;
 use rand::RngExt;
@@ -67,6 +70,15 @@
     fn end<'a>(&'a self, job: JobId) -> JobFuture<'a, bool>;
 }
 
+/// Origins of streams at other nodes.
+pub trait OriginStore {
+    /// Records origins. Returns whether another node holds the first one.
+    fn record(&self, records: Vec<OriginRecord>) -> LocalBoxFuture<'_, bool>;
+
+    /// Queries what other nodes know about the beginning of a stream.
+    fn query(&self, query: OriginQuery) -> LocalBoxFuture<'_, OriginAnswers>;
+}
+
 /// State shared by all connections of a node.
 pub struct Gateway {
     /// Root logger.
@@ -101,6 +113,12 @@
     pub overload: Rc<OverloadControl>,
     /// Fair shares of tenants in services that are full.
     pub shares: RefCell<ShareTable>,
+    /// Origins of the streams that this node began.
+    pub origins: RefCell<OriginTable>,
+    /// Origins of streams at other nodes; `None` on a node without others.
+    pub origin_store: Option<Rc<dyn OriginStore>>,
+    /// Notified when a software version was listed that had not been listed recently.
+    pub software_changed: Notify,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -174,6 +192,9 @@
             pressure: RefCell::default(),
             limits_pressing: Notify::new(),
             split: RefCell::default(),
+            origins: RefCell::default(),
+            origin_store: None,
+            software_changed: Notify::new(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
             zone_regions: RefCell::default(),
@@ -190,6 +211,22 @@
         }
     }
 
+    /// Sets where origins of streams are recorded and found.
+    pub fn with_origin_store(self, store: Rc<dyn OriginStore>) -> Self {
+        Self {
+            origin_store: Some(store),
+            ..self
+        }
+    }
+
+    /// Returns what this node knows about the software versions of a service.
+    pub fn origin_knowledge(&self, service: &ServiceName) -> OriginKnowledge {
+        let freshness = &self.freshness.backends;
+        let observed = freshness.unbroken_for().filter(|_| !freshness.is_stale());
+        let fleet = self.fleet.borrow();
+        OriginKnowledge::of(fleet.software(), Instant::now(), service, observed)
+    }
+
     /// Sets the region of each zone.
     pub fn set_zone_regions(&self, regions: ZoneRegions) {
         *self.zone_regions.borrow_mut() = Arc::new(regions);
@@ -283,6 +320,18 @@
         for (listed, change) in incarnations.iter().zip(&changes) {
             self.log_entry(listed, change);
         }
+        self.notify_of_software();
+    }
+
+    /// Removes a back end that is no longer listed.
+    pub fn remove_backend(&self, name: &BackendName) {
+        self.fleet.borrow_mut().remove(Instant::now(), name);
+    }
+
+    fn notify_of_software(&self) {
+        if self.fleet.borrow_mut().take_new_software() {
+            self.software_changed.notify_one();
+        }
     }
 
     /// Applies an entry that was added or has changed.
@@ -290,6 +339,7 @@
         let listed = backend.incarnation.clone();
         let change = self.fleet.borrow_mut().upsert(Instant::now(), backend);
         self.log_entry(&listed, &change);
+        self.notify_of_software();
     }
 
     fn log_entry(&self, listed: &Incarnation, change: &EntryChange) {
@@ -374,8 +424,12 @@
 
     /// Updates the gauges.
     pub fn refresh_metrics(&self) {
-        let backends = self.fleet.borrow().len();
-        self.metrics.backends.set(backends as i64);
+        let fleet = self.fleet.borrow();
+        self.metrics.backends.set(fleet.len() as i64);
+        for (service, count) in fleet.software().counts(Instant::now()) {
+            self.metrics.set_software_versions(service, count);
+        }
+        drop(fleet);
         self.metrics.requests_open.set(self.requests_open() as i64);
         self.metrics.set_freshness_ages(&self.freshness);
         let table = self.crashes.table();
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -21,4 +21,6 @@
 pub mod pressure;
 pub mod refusal;
 pub mod serve;
+pub mod software_history;
 pub mod split;
+pub mod stream_origin;
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -56,6 +56,51 @@
     }
 }
 
+/// What became of a stream that was to continue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContinuationEnd {
+    /// It was sent to a back end of its software version.
+    Continued,
+    /// No back end of its software version is listed.
+    NoBackend,
+    /// It is unknown what began it.
+    UnknownOrigin,
+}
+
+impl ContinuationEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Continued => "continued",
+            Self::NoBackend => "no_back_end",
+            Self::UnknownOrigin => "unknown_origin",
+        }
+    }
+}
+
+/// Result of recording what began a stream at other nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordEnd {
+    /// Another node has the record.
+    Recorded,
+    /// No other node answered in time.
+    Unanswered,
+}
+
+impl RecordEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Recorded => "recorded",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// Labels of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Labels of requests by service and end.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -113,6 +158,9 @@
     /// Listed back ends.
     pub backends: Gauge,
     freshness_ages: Family<FreshnessLabels, Gauge>,
+    continuations: Family<EndLabels, Counter>,
+    origin_records: Family<EndLabels, Counter>,
+    software_versions: Family<ServiceLabels, Gauge>,
 }
 
 fn send_label(end: SendEnd) -> &'static str {
@@ -198,6 +246,21 @@
                 "Time since the store was last known to hold what this node believes, in milliseconds; \
                  -1 before the first answer.",
             ),
+            continuations: builder.counters(
+                "stream_continuations",
+                "end",
+                "Streams that were to continue at another back end, by what became of them.",
+            ),
+            origin_records: builder.counters(
+                "stream_records",
+                "end",
+                "Streams whose software version was recorded at other nodes, by whether one of these answered.",
+            ),
+            software_versions: builder.gauges(
+                "software_versions",
+                "service",
+                "Software versions of a service's back ends that were listed within the lifetime of streams.",
+            ),
         }
     }
 
@@ -214,6 +277,28 @@
         }
     }
 
+    /// Counts what became of a stream that was to continue.
+    pub fn continuation_ended(&self, end: ContinuationEnd) {
+        let labels = EndLabels::new(end.label());
+        self.continuations.get_or_create(&labels).inc();
+    }
+
+    /// Counts a record of what began a stream.
+    pub fn origin_recorded(&self, end: RecordEnd) {
+        let labels = EndLabels::new(end.label());
+        self.origin_records.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of software versions of a service.
+    pub fn set_software_versions(&self, service: &ServiceName, count: usize) {
+        let labels = ServiceLabels {
+            service: service.to_string(),
+        };
+        self.software_versions
+            .get_or_create(&labels)
+            .set(count as i64);
+    }
+
     /// Counts the end of a request.
     pub fn request_ended(&self, service: &ServiceName, end: RequestEnd, age: Duration) {
         let labels = RequestLabels {
--- a/crates/firshore-gateway/tests/capacity.rs
+++ b/crates/firshore-gateway/tests/capacity.rs
@@ -75,6 +75,7 @@
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
@@ -400,6 +401,7 @@
     let attempts = Attempts::new(Repetition::Idempotent, 1);
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
--- a/crates/firshore-gateway/tests/decisions.rs
+++ b/crates/firshore-gateway/tests/decisions.rs
@@ -51,6 +51,7 @@
     let service = "llm".into();
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts,
         affinity,
@@ -237,7 +238,7 @@
     }
     let second = chosen(&local, now, &attempts, key).unwrap();
     assert_ne!(second, preferred, "a busy back end is skipped");
-    local.remove(&preferred.as_str().into());
+    local.remove(now, &preferred.as_str().into());
     assert_eq!(
         chosen(&local, now, &attempts, key),
         Some(second),
@@ -258,6 +259,7 @@
     let service = "llm".into();
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
@@ -327,7 +329,7 @@
         },
     );
     assert_eq!(chosen(&fleet, now, &attempts, None).as_deref(), Some("b"));
-    fleet.remove(&"b".into());
+    fleet.remove(now, &"b".into());
     assert_eq!(chosen(&fleet, now, &attempts, None), None);
 }
 
@@ -432,6 +434,7 @@
     let service = "llm".into();
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
@@ -486,6 +489,7 @@
             fleet.replace(Instant::now(), vec![backend]);
             let residency = ResidencyPermit::default();
             let requirements = BackendRequirements {
+                origin: None,
                 service: &service,
                 attempts: &attempts,
                 affinity: None,
@@ -523,6 +527,7 @@
     let service = "llm".into();
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
--- a/crates/firshore-gateway/tests/overload/world.rs
+++ b/crates/firshore-gateway/tests/overload/world.rs
@@ -336,6 +336,7 @@
         };
         let residency = ResidencyPermit::default();
         let mut requirements = BackendRequirements {
+            origin: None,
             service: &self.service,
             attempts: &arrived.attempts,
             affinity: None,
--- a/crates/firshore-gateway/tests/placement_rules.rs
+++ b/crates/firshore-gateway/tests/placement_rules.rs
@@ -55,6 +55,7 @@
     for seed in 0..200 {
         for load_limit in [f32::INFINITY, 0.9] {
             let requirements = BackendRequirements {
+                origin: None,
                 service: &service,
                 attempts: &attempts,
                 residency,
@@ -136,7 +137,7 @@
     for number in 0..100 {
         let name = format!("a-{number}");
         fleet.upsert(now, cold(&name, 1));
-        fleet.remove(&name.as_str().into());
+        fleet.remove(now, &name.as_str().into());
     }
     fleet.upsert(now, cold("stays", 1));
     fleet.upsert(now, cold("unlisted", 1));
@@ -145,7 +146,7 @@
     assert_eq!(fleet.take_newly_cold(), stays);
 
     fleet.upsert(now, cold("again", 1));
-    fleet.remove(&"again".into());
+    fleet.remove(now, &"again".into());
     fleet.upsert(now, cold("again", 2));
     let again: BTreeSet<BackendName> = ["again".into()].into();
     assert_eq!(fleet.take_newly_cold(), again);
--- a/crates/firshore-gateway/tests/successors.rs
+++ b/crates/firshore-gateway/tests/successors.rs
@@ -85,6 +85,7 @@
     for _ in 0..200 {
         let residency = ResidencyPermit::default();
         let requirements = BackendRequirements {
+            origin: None,
             service: &service,
             attempts: &attempts,
             affinity: None,
@@ -403,7 +404,7 @@
     let now = Instant::now();
     let (old, new) = (listed("a", 1, 1_000), listed("a", 1, 2_000));
     let mut fleet = fleet(std::slice::from_ref(&new));
-    fleet.remove(&old.incarnation.name);
+    fleet.remove(now, &old.incarnation.name);
     assert!(fleet.is_empty());
     fleet.upsert(Instant::now(), new.clone());
     assert_eq!(chosen(&fleet, now), [new]);
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -105,7 +105,7 @@
         backends.push(ScriptedBackend::start(&name, script, afterwards).await);
     }
     let gateway = Rc::new(gateway(jobs));
-    let listed = backends.iter().map(|backend| listed(backend, None));
+    let listed = backends.iter().map(|backend| listed(backend, Some("v1")));
     gateway.replace_backends(listed.collect());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/firshore-gateway/tests/uneven.rs
+++ b/crates/firshore-gateway/tests/uneven.rs
@@ -197,6 +197,7 @@
     let (service, attempts) = ("llm".into(), Attempts::new(Repetition::Idempotent, 1));
     let residency = ResidencyPermit::default();
     let requirements = BackendRequirements {
+        origin: None,
         service: &service,
         attempts: &attempts,
         affinity: None,
--- a/crates/firshore-gateway/tests/work.rs
+++ b/crates/firshore-gateway/tests/work.rs
@@ -49,6 +49,7 @@
     residency: &'a ResidencyPermit,
 ) -> BackendRequirements<'a> {
     BackendRequirements {
+        origin: None,
         service,
         attempts,
         residency,
@@ -78,7 +79,7 @@
     measure("change", &mut fleet, &mut |fleet| {
         fleet.upsert(now, backend(5));
         fleet.upsert(now, backend(size + 1));
-        fleet.remove(&name(size + 1));
+        fleet.remove(now, &name(size + 1));
     });
     measure("view", &mut fleet, &mut |fleet| {
         fleet.apply_remote_load(now, &view, &mut random);
--- a/crates/firshore-lab/src/experiment/fleet_size/hollow.rs
+++ b/crates/firshore-lab/src/experiment/fleet_size/hollow.rs
@@ -191,7 +191,10 @@
         let object = entry(round * 31 % self.size, self.revision);
         match Plain.backend(&object) {
             Ok(backend) => drop(self.fleet.upsert(Instant::now(), backend)),
-            Err(_) => self.fleet.remove(&BackendName::from(object.name)),
+            Err(_) => {
+                let name = BackendName::from(object.name);
+                self.fleet.remove(Instant::now(), &name);
+            }
         }
     }
 
@@ -208,6 +211,7 @@
         let (service, residency) = (ServiceName::from("llm"), ResidencyPermit::default());
         let attempts = Attempts::new(Repetition::Idempotent, 2);
         let requirements = BackendRequirements {
+            origin: None,
             service: &service,
             attempts: &attempts,
             residency: &residency,
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -219,7 +219,7 @@
                     info!(gateway.log, "fleet: Back end removed."; "backend" => &name);
                 }
                 self.refusals.borrow_mut().forget(&name);
-                gateway.fleet.borrow_mut().remove(&BackendName::from(name));
+                gateway.remove_backend(&BackendName::from(name));
             }
             Change::Written(object) => match self.decode_backend(&object) {
                 Some(backend) => {
@@ -234,7 +234,7 @@
                 // The former entry is no longer valid: requests could go to a back end of another service.
                 None => {
                     let name = BackendName::from(object.name);
-                    gateway.fleet.borrow_mut().remove(&name);
+                    gateway.remove_backend(&name);
                 }
             },
         }
--- a/crates/firshore-node/src/journal/messages.rs
+++ b/crates/firshore-node/src/journal/messages.rs
@@ -10,6 +10,7 @@
 use firshore_adapter::objects::Revision;
 use firshore_crashes::sync::{CrashSyncRequest, CrashSyncResponse};
 use firshore_gateway::pressure::ServicePressure;
+use firshore_gateway::stream_origin::{OriginKnowledge, OriginQuery, OriginRecord};
 use firshore_jobs::command::JobHeader;
 use firshore_limits::report::{UsageReport, UsageResponse};
 use firshore_limits::slow_start::PermitGrant;
@@ -121,6 +122,12 @@
     /// Crashes of back ends that the sender knows, and a query for those that the peer knows.
     #[serde(rename = "x")]
     Crashes(CrashSyncRequest),
+    /// Keep origins of streams that the sender began.
+    #[serde(rename = "u")]
+    RecordOrigins(Vec<OriginRecord>),
+    /// Find what began a stream.
+    #[serde(rename = "f")]
+    FindOrigin(OriginQuery),
     /// Load report: requests that the sender has in flight at back ends.
     #[serde(rename = "l")]
     Load {
@@ -204,6 +211,9 @@
     /// Crashes of back ends that the peer knows.
     #[serde(rename = "x")]
     Crashes(CrashSyncResponse),
+    /// What the peer knows about the beginning of a stream.
+    #[serde(rename = "f")]
+    Origin(OriginKnowledge),
     /// Changes since that revision are no longer kept; the sender has to list again.
     #[serde(rename = "h")]
     HistoryGone,
--- a/crates/firshore-node/src/journal/mod.rs
+++ b/crates/firshore-node/src/journal/mod.rs
@@ -23,6 +23,7 @@
 use crate::relay::loads::LoadRelay;
 use crate::runner::progress_store::ProgressStore;
 use crate::settings::{Settings, Storage};
+use crate::stream_origins::StreamOrigins;
 use crate::task::Task;
 use client::JournalClient;
 use firshore_gateway::crash_monitor::CrashMonitor;
@@ -98,6 +99,8 @@
     pub jobs: Rc<JournalClient>,
     /// Crashes of back ends that nodes have observed.
     pub crashes: Rc<CrashMonitor>,
+    /// Origins of streams, kept for other nodes.
+    pub origins: Rc<StreamOrigins>,
 }
 
 /// The journal on a node with a disk.
@@ -190,6 +193,7 @@
             ledger: ledger.clone(),
             budget,
             crashes: relays.crashes.clone(),
+            origins: relays.origins.clone(),
             missing: Rc::new(MissingResults::new(log.clone())),
             submissions: PendingSubmissions::default(),
             log: log.clone(),
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -13,6 +13,7 @@
 use crate::relay::loads::LoadRelay;
 use crate::runner::handover::ProgressDelta;
 use crate::runner::progress_store::{Leadership, ProgressStore};
+use crate::stream_origins::StreamOrigins;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::crash_monitor::CrashMonitor;
@@ -79,6 +80,8 @@
     pub(super) budget: MemoryBudget,
     /// Crashes of back ends that this node knows.
     pub(super) crashes: Rc<CrashMonitor>,
+    /// Origins of streams, kept for other nodes.
+    pub(super) origins: Rc<StreamOrigins>,
     /// Logs results that cannot be read.
     pub(super) missing: Rc<MissingResults>,
     /// Jobs whose commit is pending.
@@ -330,6 +333,14 @@
                 let response = PeerResponse::Crashes(self.crashes.handle_request(&question));
                 return std::future::ready(response).boxed_local();
             }
+            PeerRequest::RecordOrigins(records) => {
+                self.origins.record(std::time::Instant::now(), records);
+                return std::future::ready(PeerResponse::Done).boxed_local();
+            }
+            PeerRequest::FindOrigin(query) => {
+                let knowledge = self.origins.find(std::time::Instant::now(), &query);
+                return std::future::ready(PeerResponse::Origin(knowledge)).boxed_local();
+            }
             _ => {}
         }
         if request.is_mutation() && !super::is_durable(&replica, self.min_disks) {
@@ -380,6 +391,8 @@
         | PeerRequest::List { .. }
         | PeerRequest::Watch { .. }
         | PeerRequest::Crashes(_)
+        | PeerRequest::RecordOrigins(_)
+        | PeerRequest::FindOrigin(_)
         | PeerRequest::Progress { .. } => Ok(PeerResponse::Done),
     }
 }
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -12,6 +12,7 @@
 use crate::journal::{Journal, NodeRelays, PeerClient};
 use crate::load_exchange::LoadExchange;
 use crate::metrics::{JournalNode, NodeMetrics, RunnerMetrics};
+use crate::origin_exchange::{OriginExchange, OriginStoreClient};
 use crate::readiness;
 use crate::relay::client::{ContactListener, RelayClient};
 use crate::relay::loads::LoadRelay;
@@ -19,6 +20,7 @@
 use crate::runner::Runner;
 use crate::settings::{Settings, Storage};
 use crate::status_listener;
+use crate::stream_origins::StreamOrigins;
 use firshore_adapter::Adapter;
 use firshore_adapter::residency::ZoneRegions;
 use firshore_crashes::fingerprint::FingerprintKey;
@@ -106,11 +108,20 @@
         random,
         &mut builder,
     );
+    let origins = OriginExchange::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        registry.clone(),
+        peers.clone(),
+        log.clone(),
+    );
+    let gateway = gateway.with_origin_store(Rc::new(OriginStoreClient(origins.clone())));
     let fingerprint_key = FingerprintKey::new(settings.cluster.secret.as_bytes());
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(fingerprint_key, remember));
     gateway.overload.enable(settings.overload.refuse_late);
     gateway.set_zone_regions(ZoneRegions::new(settings.zones.clone()));
+    actix_rt::spawn(origins.report_when_versions_change(gateway.clone()));
     let crashes = CrashExchange::new(
         settings.name.clone(),
         settings.zone.clone(),
@@ -252,11 +263,13 @@
         client_factory,
     } = access;
     let kinds = FollowedKinds::new(gateway, &settings.objects).relayed();
+    let origins = StreamOrigins::new(gateway.adapter.decoder.clone());
     let relay = Relay::new(
         gateway.adapter.objects.clone(),
         gateway.log.clone(),
         kinds,
         announce_to_relays(&settings.name, &registry, &peers),
+        origins.clone(),
     );
     actix_rt::spawn(relay.clone().run());
     let relays = NodeRelays {
@@ -264,6 +277,7 @@
         loads: Rc::new(LoadRelay::new(settings.tenants.rate_span())),
         jobs,
         crashes: gateway.crashes.clone(),
+        origins,
     };
     let journal = Journal::start(settings, storage, registry, relays, &peers, &gateway.log).await?;
     let retirements = Rc::new(Retirements::default());
--- a/crates/firshore-node/src/relay/mod.rs
+++ b/crates/firshore-node/src/relay/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::journal::messages::PeerResponse;
 use crate::list_watch::{ListWatch, ObjectUpdate, WatchOptions};
+use crate::stream_origins::StreamOrigins;
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
 use budget::FreshnessBudget;
@@ -51,6 +52,8 @@
     kinds: Vec<RelayedKind>,
     /// Notifies the other relays of a change of a kind and its revision.
     announce: Announce,
+    /// Observes the back ends as well.
+    origins: Rc<StreamOrigins>,
     served_kinds: RefCell<HashMap<String, Rc<ServedKind>>>,
 }
 
@@ -262,18 +265,20 @@
 }
 
 impl Relay {
-    /// Creates a relay for these kinds; `announce` notifies other relays of changes.
+    /// Creates a relay for these kinds; `announce` notifies other relays of changes, `origins` observes the back ends.
     pub fn new(
         store: Rc<dyn ObjectStore>,
         log: Logger,
         kinds: Vec<RelayedKind>,
         announce: Announce,
+        origins: Rc<StreamOrigins>,
     ) -> Rc<Self> {
         Rc::new(Self {
             store,
             log,
             kinds,
             announce,
+            origins,
             served_kinds: RefCell::default(),
         })
     }
@@ -307,7 +312,12 @@
         };
         let weak_kind = Rc::downgrade(&served);
         let (announce, kind) = (self.announce.clone(), relayed.name.clone());
+        let origins = self.origins.clone();
+        origins.begin(&kind);
         let task = watcher::observe(watcher, move |observed, list_watch, as_of| {
+            if list_watch.is_connected() && list_watch.revision().is_some() {
+                origins.observe(&kind, observed.as_ref(), as_of);
+            }
             let served = weak_kind.upgrade();
             if let Some(changed) =
                 served.and_then(|served| served.apply(observed, list_watch, as_of))
@@ -384,11 +394,18 @@
                 was_reachable = is_reachable;
                 info!(self.log, "relay: Store reachability changed."; "open" => is_reachable);
             }
-            let served: Vec<Rc<ServedKind>> =
-                self.served_kinds.borrow().values().cloned().collect();
-            for one in served {
+            let served: Vec<(String, Rc<ServedKind>)> = self
+                .served_kinds
+                .borrow()
+                .iter()
+                .map(|(kind, one)| (kind.clone(), one.clone()))
+                .collect();
+            for (kind, one) in served {
                 match revision {
-                    Some(revision) => one.record_probe(queried_at, revision),
+                    Some(revision) => {
+                        one.record_probe(queried_at, revision);
+                        self.origins.confirm(&kind, one.confirmed_at.get());
+                    }
                     None => one.lose_contact(),
                 }
             }
--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -4,6 +4,7 @@
 //! events, as numbered by the engine.
 
 use super::ItemKey;
+use firshore_adapter::text_origin::TextOrigin;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -34,6 +35,9 @@
     /// Engine's number of the last event.
     #[serde(rename = "l")]
     pub last: Option<u64>,
+    /// What produced the first event. Reports of earlier versions don't have it: nothing may continue these events.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<TextOrigin>,
 }
 
 /// End of a delta.
@@ -43,6 +47,8 @@
     pub key: ItemKey,
     /// Number of events that a node holds after it applied the delta.
     pub events: usize,
+    /// What produced the first of them.
+    pub origin: Option<TextOrigin>,
 }
 
 impl ProgressDelta {
@@ -51,6 +57,7 @@
         DeltaEnd {
             key: (self.job.clone(), self.index),
             events: self.offset + self.events.len(),
+            origin: self.origin.clone(),
         }
     }
 
@@ -67,6 +74,8 @@
     pub events: Vec<String>,
     /// Engine's number of the last event.
     pub last: Option<u64>,
+    /// What produced the first event, if known.
+    pub origin: Option<TextOrigin>,
 }
 
 /// Copies of the events of all items.
@@ -83,7 +92,8 @@
         for delta in deltas {
             let key = (delta.job, delta.index);
             let held = self.items.entry(key.clone()).or_default();
-            if delta.offset > held.events.len() {
+            let follows = delta.offset <= held.events.len() && delta.origin == held.origin;
+            if delta.offset > 0 && !follows {
                 self.items.remove(&key);
                 gaps.push(key);
                 continue;
@@ -91,6 +101,7 @@
             held.events.truncate(delta.offset);
             held.events.extend(delta.events);
             held.last = delta.last;
+            held.origin = delta.origin;
         }
         gaps
     }
@@ -119,44 +130,62 @@
             offset: 0,
             events: held.events.clone(),
             last: held.last,
+            origin: held.origin.clone(),
         });
         items.collect()
     }
 }
 
-/// Number of events of each item that were sent to one other node.
+/// Events of an item, as its runner holds them.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldEvents<'a> {
+    /// Data of the events.
+    pub events: &'a [String],
+    /// Engine's number of the last event.
+    pub last: Option<u64>,
+    /// What produced the first event, if known.
+    pub origin: Option<&'a TextOrigin>,
+}
+
+/// Events of an item that were sent to one other node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct SentEvents {
+    count: usize,
+    origin: Option<TextOrigin>,
+}
+
+/// Events of each item that were sent to one other node.
 #[derive(Debug, Default)]
 pub struct SentProgress {
-    lengths: HashMap<ItemKey, usize>,
+    sent: HashMap<ItemKey, SentEvents>,
 }
 
 impl SentProgress {
-    /// Returns the events of an item that were not sent yet, or `None` if there are none.
-    pub fn delta(
-        &self,
-        key: &ItemKey,
-        events: &[String],
-        last: Option<u64>,
-    ) -> Option<ProgressDelta> {
-        let offset = self.lengths.get(key).copied().unwrap_or(0);
-        let rest = events.get(offset..).filter(|rest| !rest.is_empty())?;
+    /// Returns the events of an item that were not sent yet, or `None` if there are none. An item that began anew is
+    /// sent from the start.
+    pub fn delta(&self, key: &ItemKey, held: HeldEvents<'_>) -> Option<ProgressDelta> {
+        let sent = self.sent.get(key);
+        let sent = sent.filter(|sent| sent.origin.as_ref() == held.origin);
+        let offset = sent.map_or(0, |sent| sent.count);
+        let rest = held.events.get(offset..).filter(|rest| !rest.is_empty())?;
         Some(ProgressDelta {
             job: key.0.clone(),
             index: key.1,
             offset,
             events: rest.to_vec(),
-            last,
+            last: held.last,
+            origin: held.origin.cloned(),
         })
     }
 
     /// Returns the events of these items that were not sent yet, up to about `limit` bytes.
     pub fn deltas<'a>(
         &self,
-        items: impl Iterator<Item = (&'a ItemKey, &'a [String], Option<u64>)>,
+        items: impl Iterator<Item = (&'a ItemKey, HeldEvents<'a>)>,
         limit: usize,
     ) -> Vec<ProgressDelta> {
         let mut bytes = 0;
-        let unsent = items.filter_map(|(key, events, last)| self.delta(key, events, last));
+        let unsent = items.filter_map(|(key, held)| self.delta(key, held));
         let within_limit = unsent.take_while(|delta| {
             let fits = bytes < limit;
             bytes += delta.bytes();
@@ -168,15 +197,19 @@
     /// Records the node's response: it holds the sent events, except those of items with gaps.
     pub fn acknowledge(&mut self, sent: Vec<DeltaEnd>, gaps: Vec<ItemKey>) {
         for end in sent {
-            self.lengths.insert(end.key, end.events);
+            let events = SentEvents {
+                count: end.events,
+                origin: end.origin,
+            };
+            self.sent.insert(end.key, events);
         }
         for key in gaps {
-            self.lengths.remove(&key);
+            self.sent.remove(&key);
         }
     }
 
     /// Removes items that are no longer open.
     pub fn retain(&mut self, is_open: impl Fn(&ItemKey) -> bool) {
-        self.lengths.retain(|key, _| is_open(key));
+        self.sent.retain(|key, _| is_open(key));
     }
 }
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -135,7 +135,7 @@
         let terms = SendTerms {
             incarnation: &self.backend.incarnation,
             remaining: RUN_TIME,
-            resume_after: self.progress.borrow().last_event(),
+            resume: self.progress.borrow().resume_permit(&self.backend),
             tenant: self.work.header.tenant.as_ref(),
         };
         let dialect = &self.gateway.adapter.backend;
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -1,7 +1,9 @@
 //! Progress of an item: its events, failed runs and the time of the next run. No I/O.
 
-use super::handover::{HeldProgress, event_bytes};
+use super::handover::{HeldEvents, HeldProgress, event_bytes};
+use firshore_adapter::backend::Backend;
 use firshore_adapter::jobs::ItemOutcome;
+use firshore_adapter::text_origin::{ResumePermit, TextOrigin};
 use firshore_gateway::events::{EventError, EventStream, event_data};
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,10 @@
 /// Interval between checks whether an item is still quarantined: each writes two log lines.
 const QUARANTINE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Number of consecutive runs without a further event after which an item begins anew at another software version: the
+/// only back end of its own may never work.
+const MAX_FRUITLESS_RUNS: u32 = 4;
+
 /// How a run of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -45,6 +51,14 @@
 pub struct ItemProgress {
     stream: EventStream,
     produced: Vec<String>,
+    /// What produced the first held event, if known.
+    origin: Option<TextOrigin>,
+    /// When the run started that produced it, as far as this node knows.
+    begun_at: Instant,
+    /// Consecutive runs that broke off without a further event.
+    fruitless_runs: u32,
+    /// Number of held events at the start of the last run.
+    held_at_start: usize,
     /// Runs that were not started or broke off.
     broken_runs: u32,
     first_seen: Instant,
@@ -58,6 +72,10 @@
         Self {
             stream: EventStream::default(),
             produced: Vec::new(),
+            origin: None,
+            begun_at: now,
+            fruitless_runs: 0,
+            held_at_start: 0,
             broken_runs: 0,
             first_seen: now,
             next_run_at: now,
@@ -69,6 +87,7 @@
         Self {
             stream: EventStream::after(held.last),
             produced: held.events,
+            origin: held.origin,
             ..Self::new(now)
         }
     }
@@ -93,9 +112,53 @@
         self.stream.last()
     }
 
-    /// Prepares a run: discards the partial event that a stopped run may have left.
-    pub fn start_run(&mut self) {
+    /// Returns what a back end must match to continue the held events; `None` if none are held or if it is unknown.
+    pub fn origin(&self) -> Option<&TextOrigin> {
+        self.last_event()?;
+        self.origin.as_ref()
+    }
+
+    /// Returns the held events.
+    pub fn held(&self) -> HeldEvents<'_> {
+        HeldEvents {
+            events: &self.produced,
+            last: self.last_event(),
+            origin: self.origin.as_ref(),
+        }
+    }
+
+    /// Returns the permit to continue the held events at a back end.
+    pub fn resume_permit(&self, backend: &Backend) -> Option<ResumePermit> {
+        self.origin()?.permit(backend, self.last_event()?)
+    }
+
+    /// Returns whether events are held that can't be continued: their origin is unknown, or `may_continue` rejects it and
+    /// the time at which it began, or the back ends that it allows have failed repeatedly.
+    pub fn is_stuck(&self, may_continue: impl FnOnce(&TextOrigin, Instant) -> bool) -> bool {
+        if self.last_event().is_none() {
+            return false;
+        }
+        let origin = self.origin();
+        let is_continued = origin.is_some_and(|origin| may_continue(origin, self.begun_at));
+        !is_continued || self.fruitless_runs >= MAX_FRUITLESS_RUNS
+    }
+
+    /// Discards the held events, so that the next run starts from the beginning.
+    pub fn begin_anew(&mut self) {
+        self.stream = EventStream::default();
+        self.produced.clear();
+        self.origin = None;
+        self.fruitless_runs = 0;
+    }
+
+    /// Prepares a run at a back end: discards the partial event that a stopped run may have left.
+    pub fn start_run(&mut self, now: Instant, backend: &Backend) {
         self.stream.discard_partial();
+        if self.last_event().is_none() {
+            self.origin = Some(TextOrigin::at(backend));
+            self.begun_at = now;
+        }
+        self.held_at_start = self.produced.len();
     }
 
     /// Parses a chunk of the stream.
@@ -127,12 +190,20 @@
         match end {
             RunEnd::Whole => {
                 // No events are held any more, so that a further run would start from the beginning.
-                self.stream = EventStream::default();
-                return Some(ItemOutcome::Done(std::mem::take(&mut self.produced)));
+                let text = std::mem::take(&mut self.produced);
+                self.begin_anew();
+                return Some(ItemOutcome::Done(text));
             }
             RunEnd::Impossible => return Some(ItemOutcome::GivenUp),
             RunEnd::Failed | RunEnd::HeldBack => {}
-            RunEnd::NotRun | RunEnd::Broken => self.broken_runs += 1,
+            RunEnd::NotRun => self.broken_runs += 1,
+            RunEnd::Broken => {
+                self.broken_runs += 1;
+                self.fruitless_runs = match self.produced.len() > self.held_at_start {
+                    true => 0,
+                    false => self.fruitless_runs + 1,
+                };
+            }
         }
         // This node never saw the item before its submission, so that no item is given up early.
         let expired = now.saturating_duration_since(self.first_seen) >= limits.give_up_after;
--- a/crates/firshore-node/src/runner/progress_sender.rs
+++ b/crates/firshore-node/src/runner/progress_sender.rs
@@ -105,9 +105,7 @@
         sent.retain(|key| progress.contains_key(key));
         let items = progress.iter().map(|(key, item)| (key, item.borrow()));
         let items: Vec<(&ItemKey, Ref<'_, ItemProgress>)> = items.collect();
-        let items = items
-            .iter()
-            .map(|(key, item)| (*key, item.produced(), item.last_event()));
+        let items = items.iter().map(|(key, item)| (*key, item.held()));
         sent.deltas(items, bytes)
     }
 }
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -10,11 +10,12 @@
 use firshore_adapter::jobs::caller_id;
 use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::Route;
+use firshore_adapter::text_origin::TextOrigin;
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::choice::affinity_key;
 use firshore_gateway::fleet::BackendRequirements;
 use firshore_jobs::table::OpenItem;
-use firshore_types::ids::{ServiceName, TenantName};
+use firshore_types::ids::{ServiceName, SoftwareVersion, TenantName};
 use slog::info;
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -56,6 +57,16 @@
     backlog: usize,
 }
 
+/// A service without a free slot for some items.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct FullService {
+    service: ServiceName,
+    /// Whether the items are at risk.
+    at_risk: bool,
+    /// Software version that began the items; `None` for items that begin.
+    software: Option<SoftwareVersion>,
+}
+
 /// State of one pass over the waiting items.
 #[derive(Default)]
 struct Pass {
@@ -67,8 +78,8 @@
     refused: usize,
     /// Whether the memory for events is used up, so that only items that already have events may start.
     memory_full: bool,
-    /// Services without a free slot, for items at risk (`true`) and for others (`false`).
-    full: HashSet<(ServiceName, bool)>,
+    /// Services without a free slot.
+    full: HashSet<FullService>,
     /// Services of the examined items.
     services: HashMap<ServiceName, ServicePass>,
 }
@@ -237,14 +248,16 @@
         {
             return;
         }
-        let Some(backend) = self.choose(now, waiting, pass) else {
+        let progress = former.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
+        self.discard_stuck_progress(&key, item, &mut progress.borrow_mut());
+        let origin = progress.borrow().origin().cloned();
+        let Some(backend) = self.choose(now, waiting, origin.as_ref(), pass) else {
             return;
         };
         pass.started += 1;
-        let progress = former.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
         let shared = progress.clone();
         self.progress.borrow_mut().insert(key.clone(), shared);
-        progress.borrow_mut().start_run();
+        progress.borrow_mut().start_run(now, &backend);
         let work = Work {
             header: item.header.clone(),
             index: item.index,
@@ -293,16 +306,63 @@
         self.running.borrow_mut().insert(key, run);
     }
 
-    /// Chooses a back end with a free slot for an item, from the present services of its route.
-    fn choose(&self, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) -> Option<Backend> {
+    /// Discards the events of an item that no back end may continue. It then begins anew.
+    fn discard_stuck_progress(
+        &self,
+        key: &ItemKey,
+        item: &OpenItem<'_>,
+        progress: &mut ItemProgress,
+    ) {
+        let Some(route) = self.route(item) else {
+            return;
+        };
+        let residency = self.residency(&route, item.header.tenant.as_ref());
+        let fleet = self.gateway.fleet.borrow();
+        let mut services = route.services.iter().map(|weighted| &weighted.service);
+        let is_stuck = progress.is_stuck(|origin, begun_at| {
+            services.any(|service| service == origin.service())
+                && fleet.can_continue(origin, &residency)
+                && !fleet.software().is_doubtful(origin, begun_at)
+        });
+        // Without a back end that may begin it, the events are kept: one that continues it may be listed later.
+        let mut services = route.services.iter().map(|weighted| &weighted.service);
+        let origin = progress.origin();
+        if !is_stuck || !services.any(|one| fleet.can_begin_anew(one, origin, &residency)) {
+            return;
+        }
+        info!(self.gateway.log, "runner: Item begins anew."; "job" => caller_id(&key.0), "item" => key.1,
+            "discarded" => progress.produced().len(),
+            "software" => progress.origin().and_then(TextOrigin::software).map(ToString::to_string),
+            "reason" => "no back end may continue it");
+        progress.begin_anew();
+    }
+
+    /// Chooses a back end with a free slot for an item, from the present services of its route, or from those that may
+    /// continue its events.
+    fn choose(
+        &self,
+        now: Instant,
+        waiting: &WaitingItem<'_>,
+        origin: Option<&TextOrigin>,
+        pass: &mut Pass,
+    ) -> Option<Backend> {
         let item = waiting.item;
         let route = self.route(item)?;
-        let service = self.gateway.split.borrow_mut().next(&route);
+        let service = match origin {
+            Some(origin) => origin.service().clone(),
+            None => self.gateway.split.borrow_mut().next(&route),
+        };
         // Items of a service under pressure are skipped and don't count as refused, so that items of other
         // services behind them are examined.
         let at_risk = self.start_permit(now, &service, waiting, pass)?;
-        if pass.full.contains(&(service.clone(), at_risk)) {
-            pass.refused += 1;
+        let full = FullService {
+            service: service.clone(),
+            at_risk,
+            software: origin.and_then(TextOrigin::software).cloned(),
+        };
+        if pass.full.contains(&full) {
+            // Items of other versions behind them may find a free slot.
+            pass.refused += usize::from(origin.is_none());
             return None;
         }
         let headers = item::headers(item.item);
@@ -315,6 +375,7 @@
         };
         let fleet = self.gateway.fleet.borrow();
         let requirements = BackendRequirements {
+            origin,
             service: &service,
             attempts: &attempts,
             residency: &residency,
@@ -330,7 +391,7 @@
         match chosen {
             Some(_) => self.service_pass(now, &service, pass).running += 1,
             None => {
-                pass.full.insert((service, at_risk));
+                pass.full.insert(full);
             }
         }
         chosen
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -25,7 +25,8 @@
 use firshore_node::relay::{Relay, RelayedKind};
 use firshore_node::runner::Runner;
 use firshore_node::settings::Settings;
-use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, ZONE_DRAINS, adapter};
+use firshore_node::stream_origins::StreamOrigins;
+use firshore_stand_in::adapter::{BACKENDS, CONFIGURATION, HOST, Plain, ZONE_DRAINS, adapter};
 use firshore_stand_in::backend::{EVENTS, ScriptedBackend};
 use firshore_stand_in::store::MemoryStore;
 use rand::SeedableRng;
@@ -153,7 +154,14 @@
     let registry = Rc::new(Registry::new(store.clone(), log()));
     let storage = settings.storage.clone().unwrap();
     let job_client = JournalClient::new(settings.name.clone(), registry.clone(), peers(), log());
-    let relay = Relay::new(store.clone(), log(), relayed_kinds(), Rc::new(|_, _| {}));
+    let origins = StreamOrigins::new(Rc::new(Plain));
+    let relay = Relay::new(
+        store.clone(),
+        log(),
+        relayed_kinds(),
+        Rc::new(|_, _| {}),
+        origins.clone(),
+    );
     let gateway = Rc::new(Gateway::new(
         log(),
         adapter(store.clone()),
@@ -168,6 +176,7 @@
         loads: Rc::new(LoadRelay::new(Duration::from_secs(5))),
         jobs: Rc::new(job_client),
         crashes: gateway.crashes.clone(),
+        origins,
     };
     let make_relay_client = relay_client_factory(number, &registry);
     let journal = Journal::start(&settings, &storage, registry, relays, &peers(), &log()).await;
@@ -401,7 +410,7 @@
 
     pub fn put_backend(&self, backend: &ScriptedBackend, leaving: bool) {
         let spec = json!({"service": "s", "address": backend.address, "slots": 10,
-            "leaving": leaving});
+            "leaving": leaving, "software": "v1"});
         self.store.put(BACKENDS, &backend.name, spec);
     }
 
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -1,11 +1,19 @@
 //! Tests of the progress of items, and of the load and progress that nodes report.
 
+use firshore_adapter::backend::Backend;
+use firshore_adapter::decode::Decoder;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::jobs::ItemOutcome;
+use firshore_adapter::objects::Object;
+use firshore_adapter::text_origin::TextOrigin;
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
 use firshore_node::runner::ItemKey;
-use firshore_node::runner::handover::{HeldItems, ProgressDelta, SentProgress};
+use firshore_node::runner::handover::{
+    HeldEvents, HeldItems, HeldProgress, ProgressDelta, SentProgress,
+};
 use firshore_node::runner::progress::{ItemProgress, RunEnd, RunLimits};
+use firshore_stand_in::adapter::Plain;
+use serde_json::json;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -56,9 +64,9 @@
 fn a_stopped_run_resumes_after_its_last_complete_event() {
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
-    progress.start_run();
+    progress.start_run(now, &backend("v1"));
     progress.feed(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    progress.start_run();
+    progress.start_run(now, &backend("v1"));
     assert_eq!(progress.last_event(), Some(1));
     progress.feed(b"id: 2\ndata: b\n\n").unwrap();
     let outcome = progress.end_run(now, RunEnd::Whole, 0, &LIMITS);
@@ -119,6 +127,25 @@
     assert!(table.sums().is_empty());
 }
 
+fn held_events(events: &[String], last: u64) -> HeldEvents<'_> {
+    HeldEvents {
+        events,
+        last: Some(last),
+        origin: None,
+    }
+}
+
+/// Returns a back end of a software version.
+fn backend(software: &str) -> Backend {
+    let object = Object {
+        name: format!("b-{software}"),
+        spec: json!({"service": "s", "address": "127.0.0.1:1", "slots": 1, "leaving": false,
+            "software": software}),
+        ..Object::default()
+    };
+    Plain.backend(&object).unwrap()
+}
+
 fn events(range: std::ops::RangeInclusive<u64>) -> Vec<String> {
     range.map(|number| format!("e{number}")).collect()
 }
@@ -129,12 +156,14 @@
     let mut sent = SentProgress::default();
     let mut held = HeldItems::default();
     for last in [2, 5] {
-        let delta = sent.delta(&key, &events(1..=last), Some(last)).unwrap();
+        let delta = sent
+            .delta(&key, held_events(&events(1..=last), last))
+            .unwrap();
         let gaps = held.apply(vec![delta.clone()]);
         assert!(gaps.is_empty());
         sent.acknowledge(vec![delta.end()], gaps);
     }
-    assert_eq!(sent.delta(&key, &events(1..=5), Some(5)), None);
+    assert_eq!(sent.delta(&key, held_events(&events(1..=5), 5)), None);
     let all = held.all();
     assert_eq!(all[&key].events, events(1..=5));
     assert_eq!(all[&key].last, Some(5));
@@ -154,7 +183,7 @@
     loop {
         let unsent = items
             .iter()
-            .map(|(key, events)| (key, events.as_slice(), Some(10)));
+            .map(|(key, events)| (key, held_events(events, 10)));
         let deltas = sent.deltas(unsent, LIMIT);
         if deltas.is_empty() {
             break;
@@ -174,14 +203,14 @@
     let key = ("job".to_owned(), 3);
     let mut sent = SentProgress::default();
     let mut held = HeldItems::default();
-    let first = sent.delta(&key, &events(1..=2), Some(2)).unwrap();
+    let first = sent.delta(&key, held_events(&events(1..=2), 2)).unwrap();
     // The node restarts right after its response and loses the delta.
     sent.acknowledge(vec![first.end()], Vec::new());
-    let second = sent.delta(&key, &events(1..=4), Some(4)).unwrap();
+    let second = sent.delta(&key, held_events(&events(1..=4), 4)).unwrap();
     let gaps = held.apply(vec![second.clone()]);
     assert_eq!(gaps, std::slice::from_ref(&key));
     sent.acknowledge(vec![second.end()], gaps);
-    let whole = sent.delta(&key, &events(1..=4), Some(4)).unwrap();
+    let whole = sent.delta(&key, held_events(&events(1..=4), 4)).unwrap();
     assert_eq!(whole.offset, 0);
     assert!(held.apply(vec![whole]).is_empty());
     assert_eq!(held.all()[&key].events, events(1..=4));
@@ -197,6 +226,7 @@
         offset,
         events,
         last: Some(last),
+        origin: None,
     };
     held.apply(vec![delta(0, events(1..=5), 5)]);
     held.apply(vec![delta(0, events(1..=2), 2)]);
@@ -206,3 +236,74 @@
     held.retain(|_| false);
     assert!(held.all().is_empty());
 }
+
+#[test]
+fn events_of_two_software_versions_were_joined_by_a_handover() {
+    let key = ("job".to_owned(), 3);
+    let (old, new) = (backend("v1"), backend("v2"));
+    let (old, new) = (TextOrigin::at(&old), TextOrigin::at(&new));
+    let mut sent = SentProgress::default();
+    let mut held = HeldItems::default();
+    let texts = [
+        (&old, events(1..=5)),
+        (&new, events(1..=2)),
+        (&new, events(1..=4)),
+    ];
+    for (origin, events) in &texts {
+        let held_events = HeldEvents {
+            origin: Some(*origin),
+            ..held_events(events, events.len() as u64)
+        };
+        let delta = sent.delta(&key, held_events).unwrap();
+        let gaps = held.apply(vec![delta.clone()]);
+        assert!(gaps.is_empty());
+        sent.acknowledge(vec![delta.end()], gaps);
+        assert_eq!(held.all()[&key].events, *events);
+        assert_eq!(held.all()[&key].origin.as_ref(), Some(*origin));
+    }
+    // A node that still holds the former text doesn't append to it.
+    let mut outdated = HeldItems::default();
+    let whole = |origin: &TextOrigin, offset, events| ProgressDelta {
+        job: key.0.clone(),
+        index: key.1,
+        offset,
+        events,
+        last: None,
+        origin: Some(origin.clone()),
+    };
+    outdated.apply(vec![whole(&old, 0, events(1..=5))]);
+    let gaps = outdated.apply(vec![whole(&new, 2, events(3..=4))]);
+    assert_eq!(gaps, [key.clone()]);
+}
+
+#[test]
+fn an_item_begins_anew_only_where_nothing_continues_it() {
+    let now = Instant::now();
+    let mut progress = ItemProgress::new(now);
+    progress.start_run(now, &backend("v1"));
+    assert!(!progress.is_stuck(|_, _| false), "no events are held");
+    progress.feed(b"id: 1\ndata: a\n\n").unwrap();
+    assert!(progress.is_stuck(|_, _| false));
+    assert!(!progress.is_stuck(|_, _| true));
+    assert_eq!(progress.resume_permit(&backend("v2")), None);
+    let permit = progress.resume_permit(&backend("v1")).unwrap();
+    assert_eq!(permit.after(), 1);
+    for run in 0..5 {
+        assert_eq!(progress.is_stuck(|_, _| true), run > 3, "{run} broken runs");
+        progress.start_run(now, &backend("v1"));
+        progress.end_run(now, RunEnd::NotRun, 0, &LIMITS);
+        progress.end_run(now, RunEnd::Broken, 0, &LIMITS);
+    }
+    progress.begin_anew();
+    assert_eq!(
+        (progress.last_event(), progress.produced().len()),
+        (None, 0)
+    );
+    let earlier_version = HeldProgress {
+        events: events(1..=2),
+        last: Some(2),
+        origin: None,
+    };
+    let resumed = ItemProgress::resumed(now, earlier_version);
+    assert!(resumed.is_stuck(|_, _| true), "its origin is unknown");
+}
--- a/crates/firshore-node/tests/progress_file.rs
+++ b/crates/firshore-node/tests/progress_file.rs
@@ -24,6 +24,7 @@
         offset,
         events: events.iter().map(|event| (*event).to_owned()).collect(),
         last: Some((offset + events.len()) as u64),
+        origin: None,
     }
 }
 
--- a/crates/firshore-node/tests/relay.rs
+++ b/crates/firshore-node/tests/relay.rs
@@ -16,8 +16,9 @@
 use firshore_node::relay::client::RelayClient;
 use firshore_node::relay::store::RelayedStore;
 use firshore_node::relay::{Announce, Relay};
+use firshore_node::stream_origins::StreamOrigins;
 use firshore_replication::types::DiskId;
-use firshore_stand_in::adapter::{BACKENDS, RETIREMENTS};
+use firshore_stand_in::adapter::{BACKENDS, Plain, RETIREMENTS};
 use firshore_stand_in::store::MemoryStore;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, join_all, pending};
@@ -219,6 +220,7 @@
             log(),
             relayed_kinds(),
             announce(addresses),
+            StreamOrigins::new(Rc::new(Plain)),
         );
         actix_rt::spawn(relay.clone().run());
         let address = free_address();
@@ -545,6 +547,7 @@
             log(),
             relayed_kinds(),
             Rc::new(|_, _| {}),
+            StreamOrigins::new(Rc::new(Plain)),
         );
         let first = relay.list(BACKENDS, None, 0).await;
         let PeerResponse::Page(page) = first else {
--- a/crates/firshore-node/tests/stale_world/machines.rs
+++ b/crates/firshore-node/tests/stale_world/machines.rs
@@ -8,7 +8,8 @@
 use firshore_node::list_watch::{IDLE_WAIT, WatchOptions};
 use firshore_node::relay::budget::FreshnessBudget;
 use firshore_node::relay::{Announce, Relay, RelayedKind};
-use firshore_stand_in::adapter::BACKENDS;
+use firshore_node::stream_origins::StreamOrigins;
+use firshore_stand_in::adapter::{BACKENDS, Plain};
 use futures_util::future::pending;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -155,6 +156,7 @@
             log(),
             kinds.to_vec(),
             self.announce(),
+            StreamOrigins::new(Rc::new(Plain)),
         );
         let process = RelayProcess {
             _task: Task::spawn(relay.clone().run()),
--- a/crates/firshore-node/tests/suspended.rs
+++ b/crates/firshore-node/tests/suspended.rs
@@ -6,7 +6,8 @@
 use cluster::{log, relayed_kinds, run};
 use firshore_node::journal::messages::PeerResponse;
 use firshore_node::relay::Relay;
-use firshore_stand_in::adapter::CONFIGURATION;
+use firshore_node::stream_origins::StreamOrigins;
+use firshore_stand_in::adapter::{CONFIGURATION, Plain};
 use firshore_stand_in::store::MemoryStore;
 use serde_json::json;
 use std::rc::Rc;
@@ -19,7 +20,13 @@
     run(async {
         let store = MemoryStore::new();
         store.put(CONFIGURATION, "newest", json!({"version": 1}));
-        let relay = Relay::new(store, log(), relayed_kinds(), Rc::new(|_, _| {}));
+        let relay = Relay::new(
+            store,
+            log(),
+            relayed_kinds(),
+            Rc::new(|_, _| {}),
+            StreamOrigins::new(Rc::new(Plain)),
+        );
         let page = relay.list(CONFIGURATION, None, 0).await;
         let PeerResponse::Page(page) = page else {
             panic!("{page:?}");
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -86,6 +86,7 @@
             deadline: number(headers, DEADLINE).map(Duration::from_millis),
             prompt: parts.map(|hash| PromptPart { hash, tokens: 100 }).collect(),
             resume_after: number(headers, RESUME_AFTER),
+            resumes: text(headers, RESUMES).map(str::to_owned),
         }
     }
 
@@ -108,8 +109,8 @@
         };
         set(INCARNATION, terms.incarnation.name.to_string());
         set(DEADLINE, terms.remaining.as_millis().to_string());
-        if let Some(last) = terms.resume_after {
-            set(RESUME_AFTER, last.to_string());
+        if let Some(permit) = terms.resume {
+            set(RESUME_AFTER, permit.after().to_string());
         }
         if let Some(tenant) = terms.tenant {
             set(TENANT, tenant.to_string());
--- a/crates/firshore-types/src/error.rs
+++ b/crates/firshore-types/src/error.rs
@@ -95,6 +95,10 @@
     NoBackend = "no_backend", 503, "Wait as 'Retry-After' says; operators: check the pool's selector and the machine list.";
     /// No place in the regions that the route and the tenant allow can run or store the request.
     NoAllowedRegion = "no_allowed_region", 503, "Operators: list back ends and nodes with disks in the regions that the route and the tenant allow.";
+    /// No back end of the software version that began the stream is listed.
+    SoftwareUnavailable = "software_unavailable", 503, "Begin the stream anew, without a position, or wait as 'Retry-After' says.";
+    /// It is unknown which software version began the stream.
+    OriginUnknown = "origin_unknown", 503, "Name the attempt that began the stream, or begin it anew, without a position.";
     /// Back ends crash while they run the request.
     CrashesBackends = "crashes_back_ends", 503, "Do not repeat it unchanged before 'Retry-After' is over; operators: find the back ends in the log by 'explain'.";
     /// The journal cannot commit now.
