--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -50,6 +50,13 @@
         self.gateway.replace_backends(listed.collect());
     }
 
+    /// Lists the back ends without software versions.
+    pub fn list_without_software(&self) {
+        let backends = self.backends.iter();
+        let listed = backends.map(|backend| listed(backend, None));
+        self.gateway.replace_backends(listed.collect());
+    }
+
     /// Applies a configuration.
     pub fn configure(&self, configuration: Value) {
         let object = Object {
@@ -98,13 +105,23 @@
     scripts: &[&[Play]],
     afterwards: Play,
     jobs: Option<Rc<dyn JobService>>,
+) -> Fixture {
+    fixture_of(gateway(jobs), configuration, scripts, afterwards).await
+}
+
+/// Like [`fixture`], with a gateway.
+pub async fn fixture_of(
+    gateway: Gateway,
+    configuration: Value,
+    scripts: &[&[Play]],
+    afterwards: Play,
 ) -> Fixture {
     let mut backends = Vec::new();
     for (number, script) in scripts.iter().enumerate() {
         let name = format!("b{number}");
         backends.push(ScriptedBackend::start(&name, script, afterwards).await);
     }
-    let gateway = Rc::new(gateway(jobs));
+    let gateway = Rc::new(gateway);
     let listed = backends.iter().map(|backend| listed(backend, Some("v1")));
     gateway.replace_backends(listed.collect());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
