A holder that can't be reached makes the node list the nodes again

A node with a disk may be replaced by one of another name; gateways list these nodes on demand only. Test: a record outlives one of its holders, in a cluster of three nodes.

--- a/crates/firshore-node/src/origin_exchange.rs
+++ b/crates/firshore-node/src/origin_exchange.rs
@@ -11,6 +11,7 @@
 use firshore_gateway::stream_origin::{
     OriginAnswers, OriginKnowledge, OriginQuery, OriginRecord, StreamKey,
 };
+use firshore_link::client::PeerError;
 use firshore_types::ids::{NodeName, ZoneName};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -81,7 +82,16 @@
     async fn call(&self, node: &NodeName, request: PeerRequest) -> Option<PeerResponse> {
         let address = self.registry.address(node)?;
         let call = self.peers.call(address, request);
-        timeout(ANSWER_TIMEOUT, call).await.ok()?.ok()
+        match timeout(ANSWER_TIMEOUT, call).await {
+            Ok(Ok(response)) => Some(response),
+            Ok(Err(PeerError::NotSent)) => {
+                // The node may have been replaced since the last listing.
+                let registry = self.registry.clone();
+                actix_rt::spawn(async move { registry.refresh().await });
+                None
+            }
+            _ => None,
+        }
     }
 
     /// Sends records to their holders. Returns whether a holder of the first record confirms it. The other messages are
--- a/crates/firshore-node/tests/software_versions.rs
+++ b/crates/firshore-node/tests/software_versions.rs
@@ -3,8 +3,16 @@
 mod cluster;
 
 use cluster::*;
+use firshore_adapter::decode::Decoder;
 use firshore_adapter::jobs::ItemOutcome;
-use firshore_stand_in::adapter::BACKENDS;
+use firshore_adapter::objects::Object;
+use firshore_adapter::text_origin::TextOrigin;
+use firshore_crashes::fingerprint::{FingerprintInput, FingerprintKey};
+use firshore_gateway::gateway::OriginStore;
+use firshore_gateway::stream_origin::{OriginQuery, OriginRecord, StreamKey};
+use firshore_node::journal::registry::Registry;
+use firshore_node::origin_exchange::{OriginExchange, OriginStoreClient, rank_holders};
+use firshore_stand_in::adapter::{BACKENDS, Plain};
 use firshore_stand_in::backend::{EVENTS, Play, ScriptedBackend};
 use serde_json::json;
 use std::rc::Rc;
@@ -59,3 +67,64 @@
         assert_unmixed(&cluster.results("job", ITEMS).await);
     });
 }
+
+fn record(attempt: &str) -> OriginRecord {
+    let object = Object {
+        name: "b".to_owned(),
+        spec: json!({"service": "s", "address": "127.0.0.1:1", "slots": 1, "leaving": false,
+            "software": "v1"}),
+        ..Object::default()
+    };
+    let input = FingerprintInput {
+        tenant: None,
+        host: "a.example",
+        method: "stream",
+        target: "route",
+        body: attempt.as_bytes(),
+    };
+    OriginRecord {
+        key: StreamKey(FingerprintKey::new(b"secret").fingerprint(&input)),
+        origin: TextOrigin::at(&Plain.backend(&object).unwrap()),
+        age: 0,
+    }
+}
+
+#[test]
+fn record_of_a_stream_outlives_one_of_its_holders() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.whole().await;
+        let registry = Rc::new(Registry::new(cluster.store.clone(), log()));
+        assert!(registry.refresh().await);
+        let (node, zone) = ("gateway".into(), "z0".into());
+        let exchange = OriginExchange::new(node, zone, registry.clone(), peers(), log());
+        let store = OriginStoreClient(exchange);
+        let recorded = record("r1");
+        assert!(store.record(vec![recorded.clone()]).await);
+        // The second copy is sent, too, but nobody waits for it.
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let holders = rank_holders(&recorded.key, registry.names());
+        let first: usize = holders[0].as_str()[1..].parse().unwrap();
+        cluster.kill(first);
+        let query = |key| OriginQuery {
+            key: Some(key),
+            service: "s".into(),
+        };
+        let answers = store.query(query(recorded.key)).await;
+        let mut found = answers
+            .known
+            .iter()
+            .filter_map(|known| known.record.as_ref());
+        assert_eq!(
+            found.next().map(|found| &found.origin),
+            Some(&recorded.origin)
+        );
+        let answers = store.query(query(record("r2").key)).await;
+        assert!(answers.holder_answered && answers.has_holders);
+        assert!(answers.known.iter().all(|known| known.record.is_none()));
+        assert!(
+            answers.known.iter().all(|known| !known.complete),
+            "none has watched for as long as a stream lasts"
+        );
+    });
+}
