--- a/crates/firshore-gateway/src/freshness.rs
+++ b/crates/firshore-gateway/src/freshness.rs
@@ -27,8 +27,9 @@
     }
 }
 
-/// Maximum time between two confirmations that counts as no gap: shorter than any entry stays listed.
-const MAX_GAP: Duration = Duration::from_millis(1_000);
+/// Maximum time between two confirmations that counts as no gap: longer than outages of the store last, in which nobody
+/// sees new entries, and shorter than the time in which a software version comes, serves and goes.
+const MAX_GAP: Duration = Duration::from_secs(10);
 
 /// Time for which the object store was observed without a gap.
 #[derive(Debug, Default)]
