Logs and metrics tell how the body of an answer ended

Whether the back end marked the end, by length or chunks, or only closed the connection, and whether that was inside an event, could not be told.

firshore_answer_ends counts each body read to its end (delimited, by_close, inside_event); 'answer: End not marked.' names request or item, back end and position wherever it is not a plain end. An EventTracker follows events without buffering, also where streams pass unsplit. Nothing else changes: forwarding and event_tracker pass.

--- a/crates/firshore-gateway/src/events.rs
+++ b/crates/firshore-gateway/src/events.rs
@@ -95,6 +95,61 @@
     }
 }
 
+/// Position of the end of a stream that is passed on as it comes. Buffers nothing.
+#[derive(Debug, Default)]
+pub struct EventTracker {
+    line: Line,
+    in_event: bool,
+    has_field: bool,
+    complete: u64,
+}
+
+/// What has arrived of the current line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    CarriageReturn,
+    Text,
+}
+
+impl EventTracker {
+    /// Takes in received bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' => self.end_line(),
+                b'\r' if self.line == Line::Empty => self.line = Line::CarriageReturn,
+                _ => {
+                    // A line that begins with a colon is a comment.
+                    self.has_field |= self.line != Line::Text && *byte != b':';
+                    self.line = Line::Text;
+                }
+            }
+            self.in_event |= *byte != b'\n';
+        }
+    }
+
+    fn end_line(&mut self) {
+        if self.line != Line::Text {
+            self.complete += u64::from(self.has_field);
+            self.in_event = false;
+            self.has_field = false;
+        }
+        self.line = Line::Empty;
+    }
+
+    /// Returns the number of complete events, without comments.
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// Returns whether the last event is incomplete.
+    pub fn is_inside_event(&self) -> bool {
+        self.in_event
+    }
+}
+
 /// Returns the length of the first complete event in `buffer` in bytes, including the blank line that ends it.
 pub fn event_length(buffer: &[u8]) -> Option<usize> {
     let mut line_start = 0;
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -2,8 +2,10 @@
 
 use super::headers::end_to_end;
 use super::{BackendFailure, Forwarding, Handled, Interrupted, SendResult, unless_interrupted};
+use crate::answer_end::{AnswerEnd, TextPosition};
 use crate::attempts::SendEnd;
 use crate::caller_connection::{CallerConnection, CallerDisconnected};
+use crate::events::EventTracker;
 use crate::fleet::BackendOutcome;
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
@@ -56,6 +58,7 @@
             return Ok(SendResult::Ended(SendEnd::Failed));
         }
         if whole {
+            self.record_end(backend, &exchange.body, TextPosition::Unstructured);
             self.record_completion(&head);
             return Ok(SendResult::Handled(
                 self.return_response(&head, body, connection).await,
@@ -67,6 +70,16 @@
         Ok(SendResult::Handled(handled))
     }
 
+    /// Records how a body ended.
+    fn record_end(&self, backend: &Backend, body: &ExchangeBody, position: TextPosition) {
+        let end = AnswerEnd {
+            marked: body.end(),
+            position,
+        };
+        self.gateway
+            .record_answer_end(&backend.incarnation, &self.terms.id, end);
+    }
+
     /// Records a complete response. A success clears the request of crashing back ends.
     fn record_completion(&self, head: &ResponseHead) {
         if !head.status.is_success() {
@@ -139,6 +152,7 @@
                 }
             }
         }
+        self.record_end(backend, &body, TextPosition::Unstructured);
         self.record_completion(head);
         connection.put_end();
         Ok(self.finish_response(connection).await)
@@ -164,6 +178,7 @@
         mut exchange: Exchange,
         connection: &mut CallerConnection,
     ) -> Result<SendResult, Interrupted> {
+        let mut tracker = EventTracker::default();
         loop {
             let chunk =
                 match unless_interrupted(connection, self.deadline, exchange.body.next()).await? {
@@ -173,6 +188,7 @@
                 };
             self.gateway.record_activity(&backend.incarnation);
             self.progress.received += chunk.len() as u64;
+            tracker.feed(&chunk);
             let events = match self.events_in(chunk) {
                 Ok(events) => events,
                 Err(error) => return Ok(self.stream_lost(backend, &error)),
@@ -187,6 +203,7 @@
             connection.put_chunk(events);
             self.flush_stream(connection).await?;
         }
+        self.record_end(backend, &exchange.body, TextPosition::from(&tracker));
         if self.progress.events.has_partial() {
             let error = ExchangeError::Truncated;
             return Ok(self.stream_lost(backend, &error));
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod access;
+pub mod answer_end;
 pub mod attempts;
 pub mod caller_connection;
 pub mod choice;
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Labels have few values: services, and the ends of requests, sends and runs.
 
+use crate::answer_end::AnswerEnd;
 use crate::attempts::SendEnd;
 use crate::freshness::StoreFreshness;
 use firshore_metrics::{Builder, Counter, EncodeLabelSet, Family, Gauge, Histogram};
@@ -160,6 +161,7 @@
     freshness_ages: Family<FreshnessLabels, Gauge>,
     continuations: Family<EndLabels, Counter>,
     origin_records: Family<EndLabels, Counter>,
+    answer_ends: Family<EndLabels, Counter>,
     software_versions: Family<ServiceLabels, Gauge>,
 }
 
@@ -256,6 +258,11 @@
                 "end",
                 "Streams whose software version was recorded at other nodes, by whether one of these answered.",
             ),
+            answer_ends: builder.counters(
+                "answer_ends",
+                "end",
+                "Bodies of back ends' answers, of requests and items, that were read to their end, by how they ended.",
+            ),
             software_versions: builder.gauges(
                 "software_versions",
                 "service",
@@ -289,6 +296,12 @@
         self.origin_records.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer whose body was read to its end.
+    pub fn answer_ended(&self, end: AnswerEnd) {
+        let labels = EndLabels::new(end.label());
+        self.answer_ends.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of software versions of a service.
     pub fn set_software_versions(&self, service: &ServiceName, count: usize) {
         let labels = ServiceLabels {
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -11,6 +11,8 @@
 use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
+use firshore_gateway::answer_end::{AnswerEnd, TextPosition};
+use firshore_gateway::events::EventTracker;
 use firshore_gateway::fleet::{BackendOutcome, endpoint};
 use firshore_gateway::gateway::{Gateway, InFlight};
 use firshore_jobs::command::{Action, Completion};
@@ -226,12 +228,14 @@
     }
 
     async fn read_stream(&self, mut exchange: Exchange) -> RunEnd {
+        let mut tracker = EventTracker::default();
         let held = self.progress.borrow().held_bytes();
         let incarnation = &self.backend.incarnation;
         loop {
             match timeout(CHUNK_TIMEOUT, exchange.body.next()).await {
                 Ok(Ok(Some(chunk))) => {
                     self.gateway.record_activity(incarnation);
+                    tracker.feed(&chunk);
                     if self.progress.borrow_mut().feed(&chunk).is_err() {
                         return RunEnd::Broken;
                     }
@@ -250,6 +254,12 @@
                 }
             }
         }
+        let end = AnswerEnd {
+            marked: exchange.body.end(),
+            position: TextPosition::from(&tracker),
+        };
+        self.gateway
+            .record_answer_end(incarnation, &self.work.item.id, end);
         self.gateway
             .record_outcome(incarnation, BackendOutcome::Answered);
         if self.progress.borrow().has_partial() {
