Failing tests: answers that broke off are framed as complete

For each way in which a back end marks the end of a body (length, chunks, close), each place where it may be cut (head, event, character, blank line, between events, size of a chunk), each way in which the connection ends (close, half-close, reset, exit): streams, resumable streams, answers, long answers, callers with and without chunks, items. What nothing shows (a close between two events or inside a text, by a back end that serves on) is left out by name.

--- a/crates/firshore-gateway/tests/event_tracker.rs
+++ b/crates/firshore-gateway/tests/event_tracker.rs
@@ -3,7 +3,8 @@
 use firshore_gateway::answer_end::TextPosition;
 use firshore_gateway::events::{EventTracker, event_length};
 
-const STREAM: &str = "id: 1\ndata: é1\n\nid: 2\r\ndata: é2\r\n\r\n: comment\n\n\ndata: a\ndata: b\n\n";
+const STREAM: &str =
+    "id: 1\ndata: é1\n\nid: 2\r\ndata: é2\r\n\r\n: comment\n\n\ndata: a\ndata: b\n\n";
 
 /// Returns the position in a stream that is cut after `bytes`, by a split into events.
 fn expected(bytes: &[u8]) -> TextPosition {
--- a/crates/firshore-stand-in/src/backend.rs
+++ b/crates/firshore-stand-in/src/backend.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 4;
@@ -50,8 +51,82 @@
     Breaks(u64),
     /// With a stream that never gets beyond this event.
     Stalls(u64),
+    /// With a body that is framed and cut as described.
+    Cut(Cut),
 }
 
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Marking {
+    /// By its length.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// By the close of the connection.
+    Close,
+}
+
+/// Where a body is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Nowhere: the body is whole.
+    Nowhere,
+    /// In the head.
+    Head,
+    /// Behind the head.
+    BeforeBody,
+    /// In an event, or in the middle of a body without events.
+    Inside,
+    /// In a character of an event.
+    Character,
+    /// In the blank line that ends an event.
+    BlankLine,
+    /// Between two events.
+    Between,
+    /// In the size of a chunk, in front of its line break.
+    ChunkSize,
+    /// In an event; the back end marks the end as if the body were whole.
+    InsideButMarked,
+}
+
+/// How a connection ends behind a body that was cut, or that only the close ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    /// Orderly; the back end serves on.
+    Orderly,
+    /// Orderly for this direction only; the back end serves on.
+    Half,
+    /// By a reset; the back end serves on.
+    Reset,
+    /// Orderly, as the process exits: it no longer listens.
+    Exit,
+}
+
+/// What a body holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// A stream of events.
+    Events,
+    /// A text, behind this number of spaces.
+    Text(usize),
+}
+
+/// A body that is framed and cut in a certain way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// How its end is marked.
+    pub marking: Marking,
+    /// Where it is cut.
+    pub place: Place,
+    /// How the connection ends.
+    pub closing: Closing,
+    /// What the body holds.
+    pub content: Content,
+}
+
+/// Events in front of a cut.
+pub const EVENTS_BEFORE_CUT: u64 = 2;
+
 /// A request as it arrived.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -75,6 +150,7 @@
     afterwards: Cell<Play>,
     /// What the data of its events begins with.
     text: RefCell<String>,
+    exited: Notify,
 }
 
 impl ScriptedBackend {
@@ -101,11 +177,18 @@
             left: Cell::new(0),
             afterwards: Cell::new(afterwards),
             text: RefCell::new("e".to_owned()),
+            exited: Notify::new(),
         });
         let serving = backend.clone();
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(serving.clone().serve(stream));
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = serving.exited.notified() => return,
+                };
+                if let Ok((stream, _)) = accepted {
+                    actix_rt::spawn(serving.clone().serve(stream));
+                }
             }
         });
         backend
@@ -180,10 +263,107 @@
                 self.events(after, request, stream).await;
                 return self.wait_for_leaving(stream).await;
             }
+            Play::Cut(cut) => return self.cut(cut, request, stream).await,
         };
         stream.write_all(answer.as_bytes()).await.is_ok() && keeps
     }
 
+    /// Answers with a body that is cut as described; tells whether the connection goes on.
+    async fn cut(&self, cut: Cut, request: &Seen, stream: &mut TcpStream) -> bool {
+        let pieces = match cut.content {
+            Content::Events => self.event_pieces(cut.place, request),
+            Content::Text(padding) => self.text_pieces(cut.place, padding),
+        };
+        let is_whole = matches!(cut.place, Place::Nowhere | Place::InsideButMarked);
+        let sent: usize = pieces.iter().map(Vec::len).sum();
+        let marking = match cut.marking {
+            Marking::Length if is_whole => format!("content-length: {sent}\r\n"),
+            Marking::Length => format!("content-length: {}\r\n", sent + 100),
+            Marking::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+            Marking::Close => String::new(),
+        };
+        let head = self.head("200 OK", request, &format!("{SIGNATURE}: s\r\n{marking}"));
+        if cut.place == Place::Head {
+            let _ = stream.write_all(head.as_bytes()).await;
+            return self.close(cut.closing, stream).await;
+        }
+        let _ = stream.write_all(format!("{head}\r\n").as_bytes()).await;
+        for piece in pieces {
+            let piece = match cut.marking {
+                Marking::Chunks => chunk(&piece),
+                Marking::Length | Marking::Close => piece,
+            };
+            let _ = stream.write_all(&piece).await;
+            actix_rt::time::sleep(PACE).await;
+        }
+        let end: &[u8] = match (cut.marking, cut.place) {
+            (Marking::Chunks, Place::Nowhere | Place::InsideButMarked) => b"0\r\n\r\n",
+            (Marking::Chunks, Place::ChunkSize) => b"1",
+            _ => b"",
+        };
+        let _ = stream.write_all(end).await;
+        match is_whole && cut.marking != Marking::Close {
+            true => true,
+            false => self.close(cut.closing, stream).await,
+        }
+    }
+
+    /// Returns the pieces of a stream up to where it is cut.
+    fn event_pieces(&self, place: Place, request: &Seen) -> Vec<Vec<u8>> {
+        let held = request.headers.get(RESUME_AFTER);
+        let first = held.map_or(1, |held| held.parse::<u64>().map_or(1, |held| held + 1));
+        let last = match place {
+            Place::Nowhere => EVENTS,
+            Place::Head | Place::BeforeBody => 0,
+            _ => EVENTS_BEFORE_CUT,
+        };
+        let mut pieces: Vec<Vec<u8>> = (first..=last).map(|number| self.event(number)).collect();
+        let next = self.event(last.max(first - 1) + 1);
+        let text = next.len() - self.text.borrow().len() - "3\n\n".len();
+        match place {
+            Place::Inside | Place::InsideButMarked => pieces.push(next[..text - 3].to_vec()),
+            Place::Character => pieces.push([&next[..text], &"é".as_bytes()[..1]].concat()),
+            Place::BlankLine => pieces.push(next[..next.len() - 1].to_vec()),
+            _ => {}
+        }
+        pieces
+    }
+
+    /// Returns the pieces of a body without events up to where it is cut.
+    fn text_pieces(&self, place: Place, padding: usize) -> Vec<Vec<u8>> {
+        let text = format!("{}answer of {}", " ".repeat(padding), self.name);
+        let text = text.into_bytes();
+        match place {
+            Place::Nowhere => vec![text],
+            Place::Head | Place::BeforeBody => Vec::new(),
+            _ => vec![text[..text.len() - 5].to_vec()],
+        }
+    }
+
+    fn event(&self, number: u64) -> Vec<u8> {
+        format!("id: {number}\ndata: {}{number}\n\n", self.text.borrow()).into_bytes()
+    }
+
+    /// Ends a connection; returns `false`, as it carries no further request.
+    async fn close(&self, closing: Closing, stream: &mut TcpStream) -> bool {
+        match closing {
+            Closing::Orderly => {}
+            Closing::Half => {
+                let _ = stream.shutdown().await;
+                return self.wait_for_leaving(stream).await;
+            }
+            Closing::Reset => {
+                let _ = stream.set_zero_linger();
+            }
+            Closing::Exit => {
+                self.exited.notify_waiters();
+                // The listener is dropped by its own task.
+                actix_rt::task::yield_now().await;
+            }
+        }
+        false
+    }
+
     async fn wait_for_leaving(&self, stream: &mut TcpStream) -> bool {
         let _ = stream.read(&mut [0; 16]).await;
         self.left.set(self.left.get() + 1);
@@ -199,9 +379,8 @@
         let head = format!("{head}transfer-encoding: chunked\r\n\r\n");
         let mut sent = stream.write_all(head.as_bytes()).await.is_ok();
         for number in first..=last {
-            let event = format!("id: {number}\ndata: {}{number}\n\n", self.text.borrow());
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            sent = sent && stream.write_all(chunk.as_bytes()).await.is_ok();
+            let event = chunk(&self.event(number));
+            sent = sent && stream.write_all(&event).await.is_ok();
             actix_rt::time::sleep(PACE).await;
         }
         sent
@@ -220,6 +399,10 @@
     }
 }
 
+fn chunk(piece: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat()
+}
+
 async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
