An answer is complete only with proof, not because its connection ended

Cause: the end of a connection was taken for the end of a message. The layer that reads knew that nothing marked the end (BodyEnd::ByClose); the layers that frame, count and commit did not ask. Streams that may not be repeated were passed as raw bytes, so that nobody knew whether they ended inside an event.

Now CompleteAnswer is the proof that an answer is complete. Without it nothing can write the end of an answer, count a completion (which clears a request of crashing back ends) or keep a result. It is had for a body whose end is marked and that does not end inside an event. Where only the close marks the end: never inside an event or before the first one; otherwise if the back end, unless it had announced its exit, still accepts a connection. What broke off is lost like any other answer: resumed or repeated where that is allowed.

--- a/crates/firshore-gateway/src/answer_end.rs
+++ b/crates/firshore-gateway/src/answer_end.rs
@@ -1,7 +1,15 @@
-//! How the body of a back end's answer ended.
+//! Decides whether an answer of a back end is complete.
+//!
+//! The end of a connection is not the end of a message. A body whose end neither a length nor chunks mark is complete
+//! only if its last event is, and if the back end still runs: a process that exits closes its connections in an orderly
+//! way, too.
 
 use crate::events::EventTracker;
+use crate::gateway::Gateway;
+use firshore_adapter::backend::Backend;
+use firshore_exchange::exchange::ExchangeError;
 use firshore_exchange::framing::BodyEnd;
+use slog::info;
 
 /// Where the last byte of a body lies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,10 +43,39 @@
     pub position: TextPosition,
 }
 
+/// What the end of a body says about the body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndVerdict {
+    /// It is complete.
+    Complete,
+    /// It broke off.
+    BrokenOff,
+    /// It is complete if the back end still runs.
+    Doubtful,
+}
+
+/// Proof that an answer is complete. Without it, nothing ends an answer to a caller or counts it as a success.
+#[derive(Debug)]
+pub struct CompleteAnswer(());
+
+impl CompleteAnswer {
+    /// Returns the proof for an answer that this node wrote itself.
+    pub fn local() -> Self {
+        Self(())
+    }
+}
+
 impl AnswerEnd {
-    /// Returns whether the end is like that of any answer and not worth a line in the log.
-    pub fn is_ordinary(self) -> bool {
-        self.marked == BodyEnd::Delimited && self.position != TextPosition::InsideEvent
+    /// Returns what the end says about the body. An unmarked end before the first event shows nothing of a stream.
+    pub fn verdict(self) -> EndVerdict {
+        match (self.marked, self.position) {
+            (_, TextPosition::InsideEvent) => EndVerdict::BrokenOff,
+            (BodyEnd::Delimited, _) => EndVerdict::Complete,
+            (BodyEnd::ByClose, TextPosition::BeforeEvents) => EndVerdict::BrokenOff,
+            (BodyEnd::ByClose, TextPosition::Unstructured | TextPosition::BetweenEvents) => {
+                EndVerdict::Doubtful
+            }
+        }
     }
 
     /// Returns the label of the end in metrics.
@@ -50,3 +87,33 @@
         }
     }
 }
+
+impl Gateway {
+    /// Determines whether an answer whose body was read to its end is complete. `text` identifies the request or item in
+    /// the log.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Truncated`] if it broke off.
+    pub async fn confirm_end(
+        &self,
+        backend: &Backend,
+        text: &str,
+        end: AnswerEnd,
+    ) -> Result<CompleteAnswer, ExchangeError> {
+        self.metrics.answer_ended(end);
+        let verdict = end.verdict();
+        if verdict == EndVerdict::Complete {
+            return Ok(CompleteAnswer(()));
+        }
+        let is_complete =
+            verdict == EndVerdict::Doubtful && !self.crashes.has_exited(backend).await;
+        info!(self.log, "answer: End not marked."; "request" => text,
+            "backend" => %backend.incarnation, "marked" => ?end.marked,
+            "position" => ?end.position, "complete" => is_complete);
+        match is_complete {
+            true => Ok(CompleteAnswer(())),
+            false => Err(ExchangeError::Truncated),
+        }
+    }
+}
--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -3,6 +3,7 @@
 //! The codec of `actix_http` parses and encodes. The socket is read here, so that a close is detected while a
 //! response is pending, and so that an interrupted response never looks complete.
 
+use crate::answer_end::CompleteAnswer;
 use actix_codec::{Decoder, Encoder};
 use actix_http::HttpMessage;
 use actix_http::body::BodySize;
@@ -229,7 +230,7 @@
     }
 
     /// Appends the end of the body to the output buffer, which completes the response.
-    pub fn put_end(&mut self) {
+    pub fn put_end(&mut self, _proof: CompleteAnswer) {
         self.put(Message::Chunk(None));
     }
 
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -180,6 +180,12 @@
         self.table_changed.notify_one();
     }
 
+    /// Returns whether a back end has exited without having announced it, as far as a new connection shows.
+    pub async fn has_exited(&self, backend: &Backend) -> bool {
+        let is_staying = self.fleet.borrow().is_staying(&backend.incarnation);
+        is_staying && (self.is_refused)(backend.address).await
+    }
+
     /// Waits, for a limited time, until a check of the back end is done.
     pub async fn settled(&self, backend: &Incarnation) {
         let settled = self.settled.notified();
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -1,6 +1,6 @@
 //! Ends requests without a response from a back end.
 
-use super::{Forwarding, Handled, Interrupted};
+use super::{BackendFailure, Forwarding, Handled, Interrupted};
 use crate::attempts::NextStep;
 use crate::caller_connection::CallerConnection;
 use crate::metrics::{ContinuationEnd, RequestEnd};
@@ -34,8 +34,13 @@
         let refusal = match next {
             NextStep::PassOn | NextStep::SendAgain => match self.failure.take() {
                 Some(failure) => {
+                    let BackendFailure {
+                        head,
+                        body,
+                        complete,
+                    } = failure;
                     return self
-                        .return_response(&failure.head, failure.body, connection)
+                        .return_response(&head, body, complete, connection)
                         .await;
                 }
                 None => self.failed(),
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod relay;
 
+use crate::answer_end::CompleteAnswer;
 use crate::attempts::{Attempts, NextStep, SendEnd};
 use crate::caller_connection::{CallerConnection, CallerRequest};
 use crate::choice::affinity_key;
@@ -79,6 +80,7 @@
 struct BackendFailure {
     head: ResponseHead,
     body: Bytes,
+    complete: CompleteAnswer,
 }
 
 /// Result of a send.
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -2,7 +2,7 @@
 
 use super::headers::end_to_end;
 use super::{BackendFailure, Forwarding, Handled, Interrupted, SendResult, unless_interrupted};
-use crate::answer_end::{AnswerEnd, TextPosition};
+use crate::answer_end::{AnswerEnd, CompleteAnswer, TextPosition};
 use crate::attempts::SendEnd;
 use crate::caller_connection::{CallerConnection, CallerDisconnected};
 use crate::events::EventTracker;
@@ -39,6 +39,17 @@
             Ok(read) => read,
             Err(error) => return Ok(self.lost(backend, &error)),
         };
+        let complete = match whole {
+            true => {
+                let position = TextPosition::Unstructured;
+                let confirming = self.confirm_end(backend, &exchange.body, position, connection);
+                match confirming.await? {
+                    Ok(complete) => Some(complete),
+                    Err(error) => return Ok(self.lost(backend, &error)),
+                }
+            }
+            false => None,
+        };
         let head = exchange.head;
         if head.status.is_success() && ran != Ran::Yes {
             let error =
@@ -53,39 +64,49 @@
         if implies_not_run(&head) {
             return Ok(SendResult::Ended(SendEnd::Lost));
         }
-        if head.status.is_server_error() && whole {
-            self.failure = Some(BackendFailure { head, body });
+        let Some(complete) = complete else {
+            let handled = self
+                .relay_rest(backend, &head, body, exchange.body, connection)
+                .await?;
+            return Ok(SendResult::Handled(handled));
+        };
+        if head.status.is_server_error() {
+            self.failure = Some(BackendFailure {
+                head,
+                body,
+                complete,
+            });
             return Ok(SendResult::Ended(SendEnd::Failed));
         }
-        if whole {
-            self.record_end(backend, &exchange.body, TextPosition::Unstructured);
-            self.record_completion(&head);
-            return Ok(SendResult::Handled(
-                self.return_response(&head, body, connection).await,
-            ));
-        }
-        let handled = self
-            .relay_rest(backend, &head, body, exchange.body, connection)
-            .await?;
-        Ok(SendResult::Handled(handled))
+        self.record_completion(&head, &complete);
+        Ok(SendResult::Handled(
+            self.return_response(&head, body, complete, connection)
+                .await,
+        ))
     }
 
-    /// Records how a body ended.
-    fn record_end(&self, backend: &Backend, body: &ExchangeBody, position: TextPosition) {
+    /// Determines whether a response whose body was read to its end is complete.
+    async fn confirm_end(
+        &self,
+        backend: &Backend,
+        body: &ExchangeBody,
+        position: TextPosition,
+        connection: &mut CallerConnection,
+    ) -> Result<Result<CompleteAnswer, ExchangeError>, Interrupted> {
         let end = AnswerEnd {
             marked: body.end(),
             position,
         };
-        self.gateway
-            .record_answer_end(&backend.incarnation, &self.terms.id, end);
+        let confirming = self.gateway.confirm_end(backend, &self.terms.id, end);
+        unless_interrupted(connection, self.deadline, confirming).await
     }
 
     /// Records a complete response. A success clears the request of crashing back ends.
-    fn record_completion(&self, head: &ResponseHead) {
+    fn record_completion(&self, head: &ResponseHead, proof: &CompleteAnswer) {
         if !head.status.is_success() {
             return;
         }
-        self.gateway.record_completion(|| self.fingerprint());
+        self.gateway.record_completion(proof, || self.fingerprint());
         // A run that resumes another one is shorter, and would distort the statistics.
         if self.attempts.sends() > 1 || self.terms.resume_after.is_some() {
             return;
@@ -104,6 +125,7 @@
         &self,
         head: &ResponseHead,
         body: Bytes,
+        complete: CompleteAnswer,
         connection: &mut CallerConnection,
     ) -> Handled {
         self.response_begins();
@@ -111,7 +133,7 @@
         let close = self.gateway.leaving.is_leaving();
         connection.put_head(head.status, end_to_end(&head.headers), size, close);
         connection.put_chunk(body);
-        connection.put_end();
+        connection.put_end(complete);
         self.finish_response(connection).await
     }
 
@@ -152,9 +174,17 @@
                 }
             }
         }
-        self.record_end(backend, &body, TextPosition::Unstructured);
-        self.record_completion(head);
-        connection.put_end();
+        let position = TextPosition::Unstructured;
+        let confirming = self.confirm_end(backend, &body, position, connection);
+        let complete = match confirming.await? {
+            Ok(complete) => complete,
+            Err(error) => {
+                self.lost(backend, &error);
+                return Ok(Handled::Close);
+            }
+        };
+        self.record_completion(head, &complete);
+        connection.put_end(complete);
         Ok(self.finish_response(connection).await)
     }
 
@@ -203,19 +233,20 @@
             connection.put_chunk(events);
             self.flush_stream(connection).await?;
         }
-        self.record_end(backend, &exchange.body, TextPosition::from(&tracker));
-        if self.progress.events.has_partial() {
-            let error = ExchangeError::Truncated;
-            return Ok(self.stream_lost(backend, &error));
-        }
+        let position = TextPosition::from(&tracker);
+        let confirming = self.confirm_end(backend, &exchange.body, position, connection);
+        let complete = match confirming.await? {
+            Ok(complete) => complete,
+            Err(error) => return Ok(self.stream_lost(backend, &error)),
+        };
         self.gateway
             .record_outcome(&backend.incarnation, BackendOutcome::Answered);
-        self.record_completion(&exchange.head);
+        self.record_completion(&exchange.head, &complete);
         self.forget_origin();
         if !self.progress.head_sent {
             self.put_stream_head(&exchange.head, connection);
         }
-        connection.put_end();
+        connection.put_end(complete);
         Ok(SendResult::Handled(self.finish_response(connection).await))
     }
 
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! State shared by the requests of a node.
 
-use crate::answer_end::AnswerEnd;
+use crate::answer_end::CompleteAnswer;
 use crate::crash_monitor::{CrashCounters, CrashMonitor};
 use crate::fleet::{BackendOutcome, EntryChange, Fleet};
 use crate::freshness::StoreFreshness;
@@ -463,18 +463,12 @@
         }
     }
 
-    /// Counts how the body of an answer ended, and logs what is not marked by its framing. `text` identifies the
-    /// request or item.
-    pub fn record_answer_end(&self, backend: &Incarnation, text: &str, end: AnswerEnd) {
-        self.metrics.answer_ended(end);
-        if !end.is_ordinary() {
-            info!(self.log, "answer: End not marked."; "request" => text, "backend" => %backend,
-                "marked" => ?end.marked, "position" => ?end.position);
-        }
-    }
-
     /// Records that a request has completed, so it does not crash back ends.
-    pub fn record_completion(&self, fingerprint: impl Fn() -> RequestFingerprint) {
+    pub fn record_completion(
+        &self,
+        _proof: &CompleteAnswer,
+        fingerprint: impl Fn() -> RequestFingerprint,
+    ) {
         if self.crashes.suspects_any() {
             self.crashes.record_completion(fingerprint());
         }
--- a/crates/firshore-gateway/src/refusal.rs
+++ b/crates/firshore-gateway/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Error responses of the node itself: refusals, which guarantee that the request did not run, and failures.
 
+use crate::answer_end::CompleteAnswer;
 use crate::caller_connection::{CallerConnection, CallerDisconnected};
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
@@ -63,7 +64,7 @@
         let size = BodySize::Sized(body.len() as u64);
         connection.put_head(self.status(), headers, size, close);
         connection.put_chunk(body);
-        connection.put_end();
+        connection.put_end(CompleteAnswer::local());
         connection.flush().await
     }
 }
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections, authenticates and routes their requests, and handles calls about batch jobs.
 
 use crate::access;
+use crate::answer_end::CompleteAnswer;
 use crate::caller_connection::{CallerConnection, CallerRequest, Incoming};
 use crate::forward::{self, Handled};
 use crate::gateway::Gateway;
@@ -331,7 +332,7 @@
     let size = BodySize::Sized(body.len() as u64);
     connection.put_head(status, headers, size, close);
     connection.put_chunk(body);
-    connection.put_end();
+    connection.put_end(CompleteAnswer::local());
     match connection.flush().await {
         Ok(()) if connection.keeps_open() => Handled::KeepOpen,
         _ => Handled::Close,
--- a/crates/firshore-gateway/tests/caller_connection.rs
+++ b/crates/firshore-gateway/tests/caller_connection.rs
@@ -5,6 +5,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use firshore_adapter::configuration::CallerLimits;
+use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, CallerDisconnected, Incoming};
 use std::future::pending;
 use std::io::{Read, Write};
@@ -56,7 +57,7 @@
         let size = BodySize::Sized(LONG_BODY_BYTES as u64);
         connection.put_head(StatusCode::OK, HeaderMap::new(), size, false);
         connection.put_chunk(Bytes::from(vec![b'x'; LONG_BODY_BYTES]));
-        connection.put_end();
+        connection.put_end(CompleteAnswer::local());
         // The gateway waits for buffer space before the caller starts reading.
         let reading = async {
             actix_rt::task::yield_now().await;
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -241,33 +241,37 @@
                     }
                 }
                 Ok(Ok(None)) => break,
-                Ok(Err(_)) | Err(_) => {
-                    // A run with new events doesn't count as a crash by this item. Without this, long items would
-                    // be quarantined if back ends exit every few seconds for other reasons.
-                    match self.progress.borrow().held_bytes() == held {
-                        true => self.record_lost_run(),
-                        false => self
-                            .gateway
-                            .record_outcome(incarnation, BackendOutcome::Broke),
-                    }
-                    return RunEnd::Broken;
-                }
+                Ok(Err(_)) | Err(_) => return self.broke_off(held),
             }
         }
         let end = AnswerEnd {
             marked: exchange.body.end(),
             position: TextPosition::from(&tracker),
         };
-        self.gateway
-            .record_answer_end(incarnation, &self.work.item.id, end);
+        let item = &self.work.item.id;
+        let confirmed = self.gateway.confirm_end(&self.backend, item, end).await;
+        let Ok(complete) = confirmed else {
+            return self.broke_off(held);
+        };
         self.gateway
             .record_outcome(incarnation, BackendOutcome::Answered);
-        if self.progress.borrow().has_partial() {
-            return RunEnd::Broken;
-        }
-        self.gateway.record_completion(|| self.fingerprint());
+        self.gateway
+            .record_completion(&complete, || self.fingerprint());
         RunEnd::Whole
     }
+
+    /// Records that the stream broke off. `held` is the size of the held events at its start, in bytes.
+    fn broke_off(&self, held: usize) -> RunEnd {
+        // A run with new events doesn't count as a crash by this item. Without this, long items would
+        // be quarantined if back ends exit every few seconds for other reasons.
+        match self.progress.borrow().held_bytes() == held {
+            true => self.record_lost_run(),
+            false => self
+                .gateway
+                .record_outcome(&self.backend.incarnation, BackendOutcome::Broke),
+        }
+        RunEnd::Broken
+    }
 }
 
 /// Commits the outcome of an item.
--- a/crates/firshore-node/src/status_listener.rs
+++ b/crates/firshore-node/src/status_listener.rs
@@ -6,6 +6,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use bytes::Bytes;
 use firshore_adapter::configuration::CallerLimits;
+use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, Incoming};
 use std::future::pending;
 use std::rc::Rc;
@@ -41,7 +42,7 @@
         let size = BodySize::Sized(text.len() as u64);
         connection.put_head(status, headers, size, false);
         connection.put_chunk(Bytes::from(text));
-        connection.put_end();
+        connection.put_end(CompleteAnswer::local());
         if connection.flush().await.is_err() || !connection.keeps_open() {
             return;
         }
