Callers of HTTP/1.0 get no chunks, and a reset where a body breaks off

A caller of HTTP/1.0 saw the sizes of chunks in the body of each stream and long answer, and took one that broke off for complete, as only the close marks its end there.

Cause: the codec writes chunks whatever the caller's version, and a connection that is dropped closes in an orderly way. Such a body now comes without chunks, its connection closes, and by a reset unless all of it was written.

--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -10,7 +10,7 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{EXPECT, HeaderMap};
 use actix_http::{
-    ConnectionType, KeepAlive, Method, Request, Response, ServiceConfig, StatusCode, Uri,
+    ConnectionType, KeepAlive, Method, Request, Response, ServiceConfig, StatusCode, Uri, Version,
 };
 use bytes::{Buf, Bytes, BytesMut};
 use firshore_adapter::configuration::CallerLimits;
@@ -74,6 +74,23 @@
     input: BytesMut,
     output: BytesMut,
     codec: Codec,
+    /// Whether the caller of the current request knows no chunks (HTTP/1.0).
+    lacks_chunks: bool,
+    /// Whether only the close marks the end of the last body.
+    is_ended_by_close: bool,
+    /// Whether the last body was appended to its end.
+    has_ended: bool,
+}
+
+impl Drop for CallerConnection {
+    /// Resets the connection where an orderly close would complete a body that broke off.
+    fn drop(&mut self) {
+        let is_written = self.has_ended && self.output.is_empty();
+        if self.is_ended_by_close && !is_written {
+            // If this fails, the connection has ended already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
 }
 
 impl CallerConnection {
@@ -86,6 +103,9 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             codec: Codec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone)),
+            lacks_chunks: false,
+            is_ended_by_close: false,
+            has_ended: false,
         }
     }
 
@@ -129,7 +149,10 @@
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<Request, Incoming> {
         loop {
             match self.codec.decode(&mut self.input) {
-                Ok(Some(Message::Item(head))) => return Ok(head),
+                Ok(Some(Message::Item(head))) => {
+                    self.lacks_chunks = head.version() < Version::HTTP_11;
+                    return Ok(head);
+                }
                 Ok(Some(Message::Chunk(_))) => {}
                 Ok(None) if self.input.len() > limits.head_bytes => {
                     let message = format!("The head exceeds {} bytes.", limits.head_bytes);
@@ -214,7 +237,10 @@
     ) {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
-        if close {
+        self.has_ended = false;
+        self.is_ended_by_close = self.lacks_chunks && size == BodySize::Stream;
+        response.head_mut().no_chunking(self.is_ended_by_close);
+        if close || self.is_ended_by_close {
             response
                 .head_mut()
                 .set_connection_type(ConnectionType::Close);
@@ -231,6 +257,7 @@
 
     /// Appends the end of the body to the output buffer, which completes the response.
     pub fn put_end(&mut self, _proof: CompleteAnswer) {
+        self.has_ended = true;
         self.put(Message::Chunk(None));
     }
 
