--- a/crates/firshore-crashes/src/fingerprint.rs
+++ b/crates/firshore-crashes/src/fingerprint.rs
@@ -54,6 +54,41 @@
     }
 }
 
+/// Identifies a part of the prompts of one caller across requests and nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartFingerprint {
+    /// Digest of the caller, as in [`RequestFingerprint`]: what a caller states about a part holds for that caller only.
+    #[serde(rename = "c")]
+    caller: u64,
+    /// Digest of the part.
+    #[serde(rename = "h")]
+    digest: u64,
+}
+
+impl PartFingerprint {
+    /// Returns the digest of the caller.
+    pub fn caller(&self) -> u64 {
+        self.caller
+    }
+}
+
+impl fmt::Display for PartFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.digest)
+    }
+}
+
+/// Input of a part's fingerprint.
+#[derive(Clone, Copy, Debug)]
+pub struct PartInput<'a> {
+    /// Tenant of the caller, if known.
+    pub tenant: Option<&'a TenantName>,
+    /// Value of the `Host` header.
+    pub host: &'a str,
+    /// Hash of the part's content, as the caller states it.
+    pub hash: u64,
+}
+
 /// The key for fingerprints, shared by all nodes of a cluster.
 #[derive(Clone)]
 pub struct FingerprintKey(Hmac<Sha256>);
@@ -78,11 +113,7 @@
 
     /// Returns the fingerprint of a request.
     pub fn fingerprint(&self, input: &FingerprintInput<'_>) -> RequestFingerprint {
-        let caller_parts = match input.tenant {
-            Some(tenant) => [b"tenant", tenant.as_str().as_bytes()],
-            None => [b"nobody", input.host.as_bytes()],
-        };
-        let (caller, _) = self.digest(caller_parts);
+        let caller = self.caller(input.tenant, input.host);
         let (high, low) = self.digest([
             &caller.to_be_bytes(),
             input.host.as_bytes(),
@@ -93,6 +124,25 @@
         RequestFingerprint { caller, high, low }
     }
 
+    /// Returns the fingerprint of a part of a prompt.
+    pub fn part(&self, input: &PartInput<'_>) -> PartFingerprint {
+        let caller = self.caller(input.tenant, input.host);
+        let (digest, _) = self.digest([
+            &caller.to_be_bytes(),
+            b"prompt part",
+            &input.hash.to_be_bytes(),
+        ]);
+        PartFingerprint { caller, digest }
+    }
+
+    fn caller(&self, tenant: Option<&TenantName>, host: &str) -> u64 {
+        let (caller, _) = match tenant {
+            Some(tenant) => self.digest([b"tenant", tenant.as_str().as_bytes()]),
+            None => self.digest([b"nobody", host.as_bytes()]),
+        };
+        caller
+    }
+
     /// Returns the first two 8-byte words of the digest of `parts`. Each part is prefixed with its length, so that
     /// bytes moved from one part to the next change the digest.
     fn digest<const COUNT: usize>(&self, parts: [&[u8]; COUNT]) -> (u64, u64) {
--- a/crates/firshore-crashes/tests/fingerprint.rs
+++ b/crates/firshore-crashes/tests/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Fingerprints of requests.
 
-use firshore_crashes::fingerprint::{FingerprintInput, FingerprintKey};
+use firshore_crashes::fingerprint::{FingerprintInput, FingerprintKey, PartInput};
 use firshore_types::ids::TenantName;
 use std::collections::BTreeSet;
 
@@ -95,3 +95,34 @@
         key.fingerprint(&of_tenant).caller()
     );
 }
+
+#[test]
+fn caller_and_hash_change_the_fingerprint_of_a_part() {
+    let key = FingerprintKey::new(b"secret");
+    let part = PartInput {
+        tenant: None,
+        host: "a.example",
+        hash: 7,
+    };
+    assert_eq!(key.part(&part), key.part(&part));
+    let tenant: TenantName = "a.example".into();
+    let others = [
+        PartInput { hash: 8, ..part },
+        PartInput {
+            host: "b.example",
+            ..part
+        },
+        PartInput {
+            tenant: Some(&tenant),
+            ..part
+        },
+    ];
+    for other in others {
+        assert_ne!(key.part(&part), key.part(&other), "{other:?}");
+    }
+    assert_eq!(
+        key.part(&part).caller(),
+        key.fingerprint(&REQUEST).caller(),
+        "a part and a request of one caller"
+    );
+}
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{BackendOutcome, BackendRequirements};
 use crate::gateway::Gateway;
 use crate::metrics::RequestEnd;
+use crate::prompt_parts::shared_parts;
 use actix_http::header::HOST;
 use actix_http::{RequestHead, ResponseHead};
 use admit::Selection;
@@ -30,7 +31,7 @@
 use firshore_adapter::tenant::Tenant;
 use firshore_adapter::text_origin::TextOrigin;
 use firshore_admission::admission::ShareStatus;
-use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
+use firshore_crashes::fingerprint::{FingerprintInput, PartFingerprint, RequestFingerprint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, ExchangeError, Reuse};
 use firshore_types::ids::ServiceName;
@@ -267,11 +268,22 @@
         self.request.arrived.elapsed().as_millis() as u64
     }
 
+    fn host(&self) -> &str {
+        let host = self.request.headers.get(HOST);
+        host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Returns the fingerprints of the parts of the prompt that other requests may share.
+    fn parts(&self) -> Vec<PartFingerprint> {
+        let tenant = self.tenant.as_deref().map(|tenant| &tenant.name);
+        let key = &self.gateway.fingerprint_key;
+        shared_parts(key, tenant, self.host(), &self.terms.prompt)
+    }
+
     /// Returns the fingerprint of the request, which is the same at all nodes and doesn't depend on its identifier.
     fn fingerprint(&self) -> RequestFingerprint {
         let compute = || {
-            let host = self.request.headers.get(HOST);
-            let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+            let host = self.host();
             let target = self.request.uri.path_and_query();
             self.gateway.fingerprint_key.fingerprint(&FingerprintInput {
                 tenant: self.tenant.as_deref().map(|tenant| &tenant.name),
@@ -375,7 +387,8 @@
             .record_outcome(&backend.incarnation, BackendOutcome::Broke);
         warn!(self.gateway.log, "forward: Answer lost."; "request" => &self.terms.id,
             "backend" => %backend.incarnation, "reason" => %error, "print" => %self.fingerprint(),
-            "age_ms" => self.age_ms());
+            "parts" => self.parts().iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
+            "received_bytes" => self.progress.received, "age_ms" => self.age_ms());
         let run = LostRun {
             fingerprint: self.fingerprint(),
             reached: self.progress.received,
