--- a/crates/firshore-stand-in/src/backend.rs
+++ b/crates/firshore-stand-in/src/backend.rs
@@ -1,6 +1,6 @@
 //! A back end that answers each request as a script says, byte by byte.
 
-use crate::adapter::{INCARNATION, LOAD, NOT_RUN, REQUEST_ID, RESUME_AFTER, SIGNATURE};
+use crate::adapter::{INCARNATION, LOAD, NOT_RUN, PROMPT, REQUEST_ID, RESUME_AFTER, SIGNATURE};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -124,6 +124,14 @@
     pub content: Content,
 }
 
+/// The back end exits as its answer begins.
+const EXIT: Play = Play::Cut(Cut {
+    marking: Marking::Chunks,
+    place: Place::BeforeBody,
+    closing: Closing::Exit,
+    content: Content::Events,
+});
+
 /// Events in front of a cut.
 pub const EVENTS_BEFORE_CUT: u64 = 2;
 
@@ -150,6 +158,8 @@
     afterwards: Cell<Play>,
     /// What the data of its events begins with.
     text: RefCell<String>,
+    /// Part of a prompt under which it exits.
+    fatal_part: Cell<Option<u64>>,
     exited: Notify,
 }
 
@@ -177,6 +187,7 @@
             left: Cell::new(0),
             afterwards: Cell::new(afterwards),
             text: RefCell::new("e".to_owned()),
+            fatal_part: Cell::new(None),
             exited: Notify::new(),
         });
         let serving = backend.clone();
@@ -199,6 +210,11 @@
         *self.text.borrow_mut() = text.to_owned();
     }
 
+    /// Lets it exit when it begins to answer a request with this part in its prompt.
+    pub fn set_fatal_part(&self, part: u64) {
+        self.fatal_part.set(Some(part));
+    }
+
     /// Requests that arrived.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
@@ -212,7 +228,10 @@
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
             let play = self.script.borrow_mut().pop_front();
-            let play = play.unwrap_or(self.afterwards.get());
+            let play = match self.fatal_part.get() {
+                Some(part) if request.has_part(part) => EXIT,
+                _ => play.unwrap_or(self.afterwards.get()),
+            };
             self.seen.borrow_mut().push(request.clone());
             if !self.play(play, &request, &mut stream).await {
                 return;
@@ -426,6 +445,12 @@
 }
 
 impl Seen {
+    /// Returns whether a part is in the prompt.
+    fn has_part(&self, part: u64) -> bool {
+        let prompt = self.headers.get(PROMPT).map_or("", String::as_str);
+        prompt.split(',').any(|found| found.parse() == Ok(part))
+    }
+
     /// The incarnation that the request was meant for.
     pub fn meant_for(&self) -> &str {
         self.headers.get(INCARNATION).map_or("", String::as_str)
