--- a/crates/firshore-crashes/src/detection.rs
+++ b/crates/firshore-crashes/src/detection.rs
@@ -4,26 +4,13 @@
 //! request is quarantined when it was lost at several exits at different times, none of its runs got past the
 //! point of these exits, and back ends don't exit as often without it.
 
+use crate::exit_list::{ExitList, MIN_EXITS};
 use crate::fingerprint::RequestFingerprint;
+use crate::part_detection;
+use crate::suspect::Suspect;
 use crate::table::{BackendExit, Quarantine, Suspicion};
 use firshore_adapter::incarnation::Incarnation;
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant};
-
-/// Exits, and distinct times of exits, that are needed to quarantine a request.
-const MIN_EXITS: usize = 3;
-
-/// Exits that are needed if more exits happened without the request. The back ends then crash for other reasons
-/// too, and a request may be lost at [`MIN_EXITS`] of them by coincidence.
-const MIN_EXITS_IN_DOUBT: usize = 5;
-
-/// Exits within this time count as one occasion: a power failure may stop several back ends that run copies of
-/// the same popular request.
-const OCCASION_SPAN: Duration = Duration::from_millis(200);
-
-/// Exits without the request count against a quarantine from this time before its first exit up to its last
-/// one. Later exits don't: they would release a request that still crashes back ends.
-const DOUBT_SPAN: Duration = Duration::from_secs(15);
 
 /// Response bytes by which one run must exceed another to count as having got past that run's exit. The last
 /// bytes sent before an exit may be lost with the connection.
@@ -31,18 +18,8 @@
 
 /// Result of an evaluation.
 pub(crate) struct Findings {
-    pub(crate) suspects: BTreeMap<RequestFingerprint, Suspicion>,
-    pub(crate) quarantined: BTreeMap<RequestFingerprint, Quarantine>,
-}
-
-/// All exits, ordered by time.
-struct ExitList<'a> {
-    backends: Vec<&'a Incarnation>,
-    times: Vec<Instant>,
-    /// Whether each exit is attributed to a quarantined request.
-    is_attributed: Vec<bool>,
-    /// Number of unattributed exits before each position.
-    open_before: Vec<usize>,
+    pub(crate) suspects: BTreeMap<Suspect, Suspicion>,
+    pub(crate) quarantined: BTreeMap<Suspect, Quarantine>,
 }
 
 /// Exits at which one request was lost, as positions in the [`ExitList`].
@@ -53,44 +30,75 @@
     furthest: Vec<usize>,
 }
 
-/// Evaluates all requests that were lost at exits. Completed requests are not suspected.
+/// Exits that are attributed to each quarantined request.
+type AttributedExits = BTreeMap<RequestFingerprint, Vec<usize>>;
+
+/// Evaluates all requests that were lost at exits, and the parts of their prompts. What `is_cleared` is not suspected.
 pub(crate) fn evaluate(
     exits: &HashMap<Incarnation, BackendExit>,
-    completed: impl Fn(&RequestFingerprint) -> bool,
+    is_cleared: impl Fn(&Suspect) -> bool,
 ) -> Findings {
     let mut sorted: Vec<(&Incarnation, &BackendExit)> = exits.iter().collect();
     sorted.sort_by_key(|(backend, exit)| (exit.at, *backend));
-    let mut list = ExitList::new(&sorted);
-    let mut by_request = exits_by_request(&sorted, completed);
+    let none_attributed = ExitList::new(&sorted);
+    let by_request = exits_by_request(&sorted, &is_cleared);
     let suspicion = |exits: &RequestExits| Suspicion {
         exits: exits.furthest.len(),
-        occasions: list.occasions(&exits.furthest),
+        occasions: none_attributed.occasions(&exits.furthest),
     };
     let suspects = by_request.iter();
-    let suspects = suspects.map(|(fingerprint, exits)| (*fingerprint, suspicion(exits)));
-    let suspects = suspects.collect();
-    let mut quarantined = BTreeMap::new();
-    // Exits attributed to one request are no evidence against the others that were lost there.
-    while let Some((fingerprint, found)) = strongest_suspect(&by_request, &list) {
-        list.attribute(&found);
-        quarantined.insert(fingerprint, list.quarantine(&found));
-        by_request.remove(&fingerprint);
+    let suspects = suspects.map(|(request, exits)| (Suspect::from(request), suspicion(exits)));
+    let mut suspects: BTreeMap<Suspect, Suspicion> = suspects.collect();
+    let mut list = none_attributed.clone();
+    let mut requests = attribute_to_requests(&by_request, &mut list);
+    let parts = part_detection::evaluate(&sorted, &list, &requests, &is_cleared);
+    suspects.extend(parts.suspects);
+    if !parts.quarantined.is_empty() {
+        // Exits that a part explains are no evidence against the requests that were lost there.
+        list = none_attributed.clone();
+        parts
+            .quarantined
+            .values()
+            .for_each(|exits| list.attribute(exits));
+        requests = attribute_to_requests(&by_request, &mut list);
     }
+    let requests = requests.iter();
+    let requests = requests.map(|(request, exits)| (Suspect::from(request), exits));
+    let parts = parts.quarantined.iter();
+    let parts = parts.map(|(part, exits)| (Suspect::from(part), exits));
+    let quarantined = requests.chain(parts);
     Findings {
         suspects,
-        quarantined,
+        quarantined: quarantined
+            .map(|(suspect, exits)| (suspect, none_attributed.quarantine(exits)))
+            .collect(),
     }
 }
 
+/// Attributes exits to the requests with sufficient evidence, and returns them. Exits attributed to one request are no
+/// evidence against the others that were lost there.
+fn attribute_to_requests(
+    by_request: &BTreeMap<RequestFingerprint, RequestExits>,
+    list: &mut ExitList<'_>,
+) -> AttributedExits {
+    let mut attributed = AttributedExits::new();
+    while let Some((request, found)) = strongest_suspect(by_request, list, &attributed) {
+        list.attribute(&found);
+        attributed.insert(request, found);
+    }
+    attributed
+}
+
 fn exits_by_request(
     sorted: &[(&Incarnation, &BackendExit)],
-    completed: impl Fn(&RequestFingerprint) -> bool,
+    is_cleared: impl Fn(&Suspect) -> bool,
 ) -> BTreeMap<RequestFingerprint, RequestExits> {
     let mut reached: BTreeMap<RequestFingerprint, Vec<(usize, u64)>> = BTreeMap::new();
     for (idx, (_, exit)) in sorted.iter().enumerate() {
-        for (fingerprint, bytes) in &exit.lost {
-            if !completed(fingerprint) {
-                reached.entry(*fingerprint).or_default().push((idx, *bytes));
+        for (fingerprint, run) in &exit.lost {
+            if !is_cleared(&fingerprint.into()) {
+                let runs = reached.entry(*fingerprint).or_default();
+                runs.push((idx, run.reached));
             }
         }
     }
@@ -117,17 +125,15 @@
 fn strongest_suspect(
     by_request: &BTreeMap<RequestFingerprint, RequestExits>,
     list: &ExitList<'_>,
+    attributed: &AttributedExits,
 ) -> Option<(RequestFingerprint, Vec<usize>)> {
     let mut most: Option<(RequestFingerprint, Vec<usize>)> = None;
     for (fingerprint, exits) in by_request
         .iter()
         .filter(|(_, exits)| exits.furthest.len() >= MIN_EXITS)
+        .filter(|(fingerprint, _)| !attributed.contains_key(fingerprint))
     {
-        let open = exits
-            .furthest
-            .iter()
-            .filter(|idx| !list.is_attributed[**idx]);
-        let open: Vec<usize> = open.copied().collect();
+        let open = list.open(&exits.furthest);
         let most_exits = most.as_ref().map_or(0, |(_, found)| found.len());
         if open.len() > most_exits && list.is_sufficient(&open, &exits.all) {
             most = Some((*fingerprint, open));
@@ -135,76 +141,3 @@
     }
     most
 }
-
-impl<'a> ExitList<'a> {
-    fn new(sorted: &[(&'a Incarnation, &'a BackendExit)]) -> Self {
-        let mut list = Self {
-            backends: sorted.iter().map(|(backend, _)| *backend).collect(),
-            times: sorted.iter().map(|(_, exit)| exit.at).collect(),
-            is_attributed: vec![false; sorted.len()],
-            open_before: Vec::new(),
-        };
-        list.update_open_counts();
-        list
-    }
-
-    fn update_open_counts(&mut self) {
-        self.open_before = vec![0];
-        let mut open = 0;
-        for is_attributed in &self.is_attributed {
-            open += usize::from(!is_attributed);
-            self.open_before.push(open);
-        }
-    }
-
-    fn attribute(&mut self, exits: &[usize]) {
-        exits.iter().for_each(|idx| self.is_attributed[*idx] = true);
-        self.update_open_counts();
-    }
-
-    fn quarantine(&self, exits: &[usize]) -> Quarantine {
-        let backends = exits.iter().map(|idx| self.backends[*idx].clone());
-        Quarantine {
-            backends: backends.collect(),
-            last_exit: self.times[exits[exits.len() - 1]],
-        }
-    }
-
-    /// Returns whether the unattributed exits `open` are sufficient evidence against a request that was lost at
-    /// all exits of `all`.
-    fn is_sufficient(&self, open: &[usize], all: &[usize]) -> bool {
-        if open.len() < MIN_EXITS || self.occasions(open) < MIN_EXITS {
-            return false;
-        }
-        open.len() >= MIN_EXITS_IN_DOUBT || self.count_without(open, all) <= open.len()
-    }
-
-    /// Returns the number of unattributed exits at which the request was not lost, from [`DOUBT_SPAN`] before its
-    /// first exit up to its last one.
-    fn count_without(&self, open: &[usize], all: &[usize]) -> usize {
-        let (first, last) = (self.times[open[0]], self.times[open[open.len() - 1]]);
-        let is_too_early = |at: &Instant| first.saturating_duration_since(*at) > DOUBT_SPAN;
-        let from = self.times.partition_point(is_too_early);
-        let to = self.times.partition_point(|at| *at <= last);
-        let with_request = all.iter().filter(|idx| (from..to).contains(idx));
-        let with_request = with_request
-            .filter(|idx| !self.is_attributed[**idx])
-            .count();
-        self.open_before[to] - self.open_before[from] - with_request
-    }
-
-    /// Returns the number of distinct times of exits.
-    fn occasions(&self, exits: &[usize]) -> usize {
-        let mut count = 0;
-        let mut occasion_start: Option<Instant> = None;
-        for at in exits.iter().map(|idx| self.times[*idx]) {
-            let is_same_occasion =
-                occasion_start.is_some_and(|start| at.duration_since(start) < OCCASION_SPAN);
-            if !is_same_occasion {
-                occasion_start = Some(at);
-                count += 1;
-            }
-        }
-        count
-    }
-}
--- a/crates/firshore-crashes/src/report.rs
+++ b/crates/firshore-crashes/src/report.rs
@@ -1,6 +1,6 @@
 //! Serialized form of the crash table's entries.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::fingerprint::{PartFingerprint, RequestFingerprint};
 use firshore_adapter::incarnation::StartTime;
 use serde::{Deserialize, Serialize};
 
@@ -16,7 +16,7 @@
 }
 
 /// A run of a request that was lost when its back end exited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostRun {
     /// Fingerprint of the request.
     #[serde(rename = "r")]
@@ -24,6 +24,9 @@
     /// Bytes of the response received before the exit.
     #[serde(rename = "n")]
     pub reached: u64,
+    /// Parts of its prompt, in order, that may have caused the exit. None if the run had got past its first event.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<PartFingerprint>,
 }
 
 /// An exit of a back end's process.
@@ -54,6 +57,17 @@
     pub age: u64,
 }
 
+/// A part of prompts with which a run got past its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedPart {
+    /// Fingerprint of the part.
+    #[serde(rename = "d")]
+    pub part: PartFingerprint,
+    /// Milliseconds since that run.
+    #[serde(rename = "a")]
+    pub age: u64,
+}
+
 /// A range of a table's changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -63,6 +77,9 @@
     /// Requests that completed although they had been lost at exits before.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub completions: Vec<ReportedCompletion>,
+    /// Parts that were cleared although they had been at exits before.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared_parts: Vec<ReportedPart>,
     /// Position of the sender's table up to which the report is complete.
     #[serde(rename = "p")]
     pub position: u64,
--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -1,16 +1,19 @@
 //! Records exits of back ends and the requests that were lost there.
 //!
 //! A back end runs several requests at a time, most of which didn't cause its exit. A suspected request that
-//! completes at any node is cleared: later exits no longer count against it.
+//! completes at any node is cleared, and so are the parts of its prompt: later exits no longer count against them.
 
 use crate::detection;
-use crate::fingerprint::RequestFingerprint;
-use crate::report::{CrashReport, LostRun, ReportedCompletion, ReportedExit, TableCursor};
+use crate::fingerprint::{PartFingerprint, RequestFingerprint};
+use crate::report::{
+    CrashReport, LostRun, ReportedCompletion, ReportedExit, ReportedPart, TableCursor,
+};
+use crate::suspect::Suspect;
 use firshore_adapter::incarnation::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-/// Maximum number of recorded exits; with [`MAX_LOST_RUNS`] requests each, they take about 800 kB.
+/// Maximum number of recorded exits; with [`MAX_LOST_RUNS`] requests of six parts each, they take about 2.5 MB.
 const MAX_EXITS: usize = 256;
 
 /// Maximum number of recorded requests per exit; more than a back end runs and queues at a time.
@@ -26,22 +29,53 @@
 #[derive(Clone, Debug)]
 pub(crate) struct BackendExit {
     pub(crate) at: Instant,
-    /// Requests that were lost there, each with the bytes of its response that had been received.
-    pub(crate) lost: BTreeMap<RequestFingerprint, u64>,
+    /// Requests that were lost there.
+    pub(crate) lost: BTreeMap<RequestFingerprint, LostRequest>,
     /// Position of the table's latest change to this exit.
     position: u64,
 }
 
+impl BackendExit {
+    /// Returns the requests that were lost there, and the parts of their prompts.
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        self.lost.iter().flat_map(|(request, lost)| {
+            let parts = lost.parts.iter().map(Suspect::from);
+            std::iter::once(Suspect::from(request)).chain(parts)
+        })
+    }
+}
+
+/// A request that was lost at an exit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LostRequest {
+    /// Bytes of its response that had been received.
+    pub(crate) reached: u64,
+    /// Parts of its prompt that may have caused the exit, in order.
+    pub(crate) parts: Vec<PartFingerprint>,
+}
+
+impl LostRequest {
+    /// Merges another record; the result doesn't depend on the order. Returns whether this one has changed.
+    fn merge(&mut self, run: &LostRun) -> bool {
+        let before = self.clone();
+        self.reached = self.reached.max(run.reached);
+        if (run.parts.len(), &run.parts) > (self.parts.len(), &self.parts) {
+            self.parts = run.parts.clone();
+        }
+        *self != before
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Completion {
     at: Instant,
     position: u64,
 }
 
-/// Why a request is quarantined.
+/// Why a request, or a part of prompts, is quarantined.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quarantine {
-    /// Back ends that exited while running the request, in the order of their exits.
+    /// Back ends that exited while running it, in the order of their exits.
     pub backends: Vec<Incarnation>,
     /// Time of the last of these exits.
     pub last_exit: Instant,
@@ -59,10 +93,10 @@
 /// A change of a table that its owner may have to act on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TableChange {
-    /// The request is quarantined from now on.
-    Quarantined(RequestFingerprint, Quarantine),
-    /// The request is no longer quarantined.
-    Released(RequestFingerprint),
+    /// It is quarantined from now on.
+    Quarantined(Suspect, Quarantine),
+    /// It is no longer quarantined.
+    Released(Suspect),
     /// Another node reported the exit of a back end.
     BackendExited(Incarnation),
 }
@@ -75,10 +109,10 @@
     retention: Duration,
     position: u64,
     exits: HashMap<Incarnation, BackendExit>,
-    completions: HashMap<RequestFingerprint, Completion>,
-    /// Requests that were lost at any of these exits and have not completed since.
-    suspects: BTreeMap<RequestFingerprint, Suspicion>,
-    quarantined: BTreeMap<RequestFingerprint, Quarantine>,
+    completions: HashMap<Suspect, Completion>,
+    /// What was at any of these exits and is not cleared.
+    suspects: BTreeMap<Suspect, Suspicion>,
+    quarantined: BTreeMap<Suspect, Quarantine>,
 }
 
 impl CrashTable {
@@ -114,27 +148,48 @@
         self.exits.is_empty()
     }
 
-    /// Returns whether any request is quarantined.
+    /// Returns whether anything is quarantined.
     pub fn has_quarantined(&self) -> bool {
         !self.quarantined.is_empty()
     }
 
-    /// Returns why a request is quarantined, or `None` if it isn't.
-    pub fn quarantine(&self, fingerprint: &RequestFingerprint) -> Option<&Quarantine> {
-        self.quarantined.get(fingerprint)
+    /// Returns whether any request is quarantined as a whole.
+    pub fn has_quarantined_requests(&self) -> bool {
+        has_requests(&self.quarantined)
+    }
+
+    /// Returns whether any part of prompts is quarantined.
+    pub fn has_quarantined_parts(&self) -> bool {
+        has_parts(&self.quarantined)
     }
 
-    /// Returns the evidence against a request; zero if there is none or the request was cleared.
-    pub fn suspicion(&self, fingerprint: &RequestFingerprint) -> Suspicion {
-        self.suspects.get(fingerprint).copied().unwrap_or_default()
+    /// Returns why a request or part is quarantined, or `None` if it isn't.
+    pub fn quarantine<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Option<&Quarantine> {
+        self.quarantined.get(&(*suspect).into())
     }
 
-    /// Returns the number of requests that were lost at an exit and not cleared since.
+    /// Returns the evidence against a request or part; zero if there is none or if it was cleared.
+    pub fn suspicion<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Suspicion {
+        let suspicion = self.suspects.get(&(*suspect).into());
+        suspicion.copied().unwrap_or_default()
+    }
+
+    /// Returns whether any request is suspected as a whole.
+    pub fn suspects_requests(&self) -> bool {
+        has_requests(&self.suspects)
+    }
+
+    /// Returns whether any part of prompts is suspected.
+    pub fn suspects_parts(&self) -> bool {
+        has_parts(&self.suspects)
+    }
+
+    /// Returns the number of requests and parts that were at an exit and are not cleared.
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Returns the number of quarantined requests.
+    /// Returns the number of quarantined requests and parts.
     pub fn quarantined_count(&self) -> usize {
         self.quarantined.len()
     }
@@ -162,11 +217,25 @@
         now: Instant,
         fingerprint: RequestFingerprint,
     ) -> Vec<TableChange> {
-        if !self.suspects.contains_key(&fingerprint) {
-            return Vec::new();
+        self.clear(now, [fingerprint.into()])
+    }
+
+    /// Records that a run got past the point at which these crash back ends. Has no effect on what is not suspected.
+    pub fn clear(
+        &mut self,
+        now: Instant,
+        cleared: impl IntoIterator<Item = Suspect>,
+    ) -> Vec<TableChange> {
+        let before = self.position;
+        for suspect in cleared {
+            if self.suspects.contains_key(&suspect) {
+                self.add_completion(now, suspect);
+            }
+        }
+        match self.position > before {
+            true => self.evaluate(),
+            false => Vec::new(),
         }
-        self.add_completion(now, fingerprint);
-        self.evaluate()
     }
 
     /// Merges another node's report. Entries older than the retention time are ignored.
@@ -185,7 +254,13 @@
         }
         for completion in &report.completions {
             if completion.age < self.retention.as_millis() as u64 {
-                self.add_completion(time_of(now, completion.age), completion.fingerprint);
+                let at = time_of(now, completion.age);
+                self.add_completion(at, completion.fingerprint.into());
+            }
+        }
+        for cleared in &report.cleared_parts {
+            if cleared.age < self.retention.as_millis() as u64 {
+                self.add_completion(time_of(now, cleared.age), cleared.part.into());
             }
         }
         if self.position > position_before {
@@ -194,8 +269,8 @@
         changes
     }
 
-    /// Removes exits and completions older than the retention time. A quarantined request whose exits are removed
-    /// is released.
+    /// Removes exits and completions older than the retention time. What is quarantined is released if its exits
+    /// are removed.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<TableChange> {
         let count_before = self.exits.len();
         let retention = self.retention;
@@ -223,23 +298,28 @@
             Some((_, last)) if !is_complete => last.position,
             _ => self.position,
         };
-        let completions = self.completions.iter();
-        let completions = completions.filter(|(_, completion)| {
-            completion.position > position && completion.position <= upto
-        });
-        CrashReport {
+        let mut report = CrashReport {
             ends: exits
                 .iter()
                 .map(|(backend, exit)| report_exit(now, backend, exit))
                 .collect(),
-            completions: completions
-                .map(|(fingerprint, completion)| ReportedCompletion {
-                    fingerprint: *fingerprint,
-                    age: age(now, completion.at),
-                })
-                .collect(),
             position: upto,
+            ..CrashReport::default()
+        };
+        for (suspect, completion) in &self.completions {
+            if completion.position <= position || completion.position > upto {
+                continue;
+            }
+            let age = age(now, completion.at);
+            match suspect {
+                Suspect::Request(fingerprint) => report.completions.push(ReportedCompletion {
+                    fingerprint: *fingerprint,
+                    age,
+                }),
+                Suspect::Part(part) => report.cleared_parts.push(ReportedPart { part: *part, age }),
+            }
         }
+        report
     }
 
     /// Returns the incarnation that a reported exit refers to. A report without a start time refers to the latest
@@ -277,9 +357,8 @@
             if !is_recorded && exit.lost.len() >= MAX_LOST_RUNS {
                 continue;
             }
-            let reached = exit.lost.entry(run.fingerprint).or_insert(run.reached);
-            changed |= !is_recorded || *reached < run.reached;
-            *reached = (*reached).max(run.reached);
+            let recorded = exit.lost.entry(run.fingerprint).or_default();
+            changed |= recorded.merge(run) || !is_recorded;
         }
         if changed {
             exit.position = next;
@@ -287,8 +366,8 @@
         }
     }
 
-    fn add_completion(&mut self, at: Instant, fingerprint: RequestFingerprint) {
-        if self.completions.contains_key(&fingerprint) {
+    fn add_completion(&mut self, at: Instant, suspect: Suspect) {
+        if self.completions.contains_key(&suspect) {
             return;
         }
         if self.completions.len() >= MAX_COMPLETIONS {
@@ -296,28 +375,27 @@
                 .completions
                 .iter()
                 .min_by_key(|(_, completion)| completion.at);
-            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
-            oldest.map(|fingerprint| self.completions.remove(&fingerprint));
+            let oldest = oldest.map(|(suspect, _)| *suspect);
+            oldest.map(|suspect| self.completions.remove(&suspect));
         }
         self.position += 1;
         let position = self.position;
         self.completions
-            .insert(fingerprint, Completion { at, position });
+            .insert(suspect, Completion { at, position });
     }
 
-    /// Removes the oldest exit if the table is full: of the exits without a quarantined request if there are any,
-    /// otherwise of the caller whose quarantined requests account for the most exits. So no caller can evict the
-    /// exits of another caller's quarantined request.
+    /// Removes the oldest exit if the table is full: of the exits without anything quarantined if there are any,
+    /// otherwise of the caller whose quarantined requests and parts account for the most exits. So no caller can evict
+    /// the exits of what another caller has quarantined.
     fn evict_excess(&mut self) {
         if self.exits.len() < MAX_EXITS {
             return;
         }
         let owner = |exit: &BackendExit| {
             let mut quarantined_here = exit
-                .lost
-                .keys()
-                .filter(|fingerprint| self.quarantined.contains_key(fingerprint));
-            quarantined_here.next().map(RequestFingerprint::caller)
+                .suspects()
+                .filter(|suspect| self.quarantined.contains_key(suspect));
+            quarantined_here.next().map(|suspect| suspect.caller())
         };
         let mut counts: HashMap<Option<u64>, usize> = HashMap::new();
         for exit in self.exits.values() {
@@ -339,29 +417,40 @@
         oldest.map(|backend| self.exits.remove(&backend));
     }
 
-    /// Evaluates all exits again and returns the requests that were quarantined or released.
+    /// Evaluates all exits again and returns what was quarantined or released.
     fn evaluate(&mut self) -> Vec<TableChange> {
         let completions = &self.completions;
-        let findings = detection::evaluate(&self.exits, |fingerprint| {
-            completions.contains_key(fingerprint)
-        });
+        let findings =
+            detection::evaluate(&self.exits, |suspect| completions.contains_key(suspect));
         self.suspects = findings.suspects;
         let before = std::mem::replace(&mut self.quarantined, findings.quarantined);
         let released = before
             .keys()
-            .filter(|fingerprint| !self.quarantined.contains_key(fingerprint));
+            .filter(|suspect| !self.quarantined.contains_key(suspect));
         let mut changes: Vec<TableChange> = released
-            .map(|fingerprint| TableChange::Released(*fingerprint))
+            .map(|suspect| TableChange::Released(*suspect))
             .collect();
-        for (fingerprint, quarantine) in &self.quarantined {
-            if !before.contains_key(fingerprint) {
-                changes.push(TableChange::Quarantined(*fingerprint, quarantine.clone()));
+        for (suspect, quarantine) in &self.quarantined {
+            if !before.contains_key(suspect) {
+                changes.push(TableChange::Quarantined(*suspect, quarantine.clone()));
             }
         }
         changes
     }
 }
 
+/// Returns whether any key is a whole request; these are ordered first.
+fn has_requests<T>(found: &BTreeMap<Suspect, T>) -> bool {
+    let first = found.first_key_value();
+    first.is_some_and(|(suspect, _)| matches!(suspect, Suspect::Request(_)))
+}
+
+/// Returns whether any key is a part; these are ordered last.
+fn has_parts<T>(found: &BTreeMap<Suspect, T>) -> bool {
+    let last = found.last_key_value();
+    last.is_some_and(|(suspect, _)| matches!(suspect, Suspect::Part(_)))
+}
+
 fn time_of(now: Instant, age: u64) -> Instant {
     now.checked_sub(Duration::from_millis(age)).unwrap_or(now)
 }
@@ -377,9 +466,10 @@
         started: backend.started,
         age: age(now, exit.at),
         lost: lost
-            .map(|(fingerprint, reached)| LostRun {
+            .map(|(fingerprint, lost)| LostRun {
                 fingerprint: *fingerprint,
-                reached: *reached,
+                reached: lost.reached,
+                parts: lost.parts.clone(),
             })
             .collect(),
     }
--- a/crates/firshore-crashes/tests/table.rs
+++ b/crates/firshore-crashes/tests/table.rs
@@ -32,6 +32,7 @@
     LostRun {
         fingerprint,
         reached,
+        parts: Vec::new(),
     }
 }
 
@@ -67,7 +68,7 @@
         &["b3"],
     );
     assert!(
-        matches!(&changes[..], [TableChange::Quarantined(request, _)] if *request == fingerprint("/a"))
+        matches!(&changes[..], [TableChange::Quarantined(request, _)] if *request == fingerprint("/a").into())
     );
     let quarantine = table.quarantine(&fingerprint("/a")).unwrap();
     let names: Vec<&str> = quarantine
@@ -127,7 +128,7 @@
     record_exits(&mut table, now, fingerprint("/a"), &["b1", "b2", "b3"]);
     assert!(table.has_quarantined());
     let changes = table.record_completion(now, fingerprint("/a"));
-    assert_eq!(changes, [TableChange::Released(fingerprint("/a"))]);
+    assert_eq!(changes, [TableChange::Released(fingerprint("/a").into())]);
 }
 
 #[test]
@@ -214,7 +215,7 @@
             .is_empty()
     );
     let changes = table.remove_expired(now + RETENTION + Duration::from_secs(3));
-    assert_eq!(changes, [TableChange::Released(fingerprint("/a"))]);
+    assert_eq!(changes, [TableChange::Released(fingerprint("/a").into())]);
     assert!(table.is_empty());
 }
 
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -1,13 +1,14 @@
-//! Detects requests that crash back ends: distinguishes a process exit from a broken connection, and keeps the
+//! Detects requests, and parts of prompts, that crash back ends: distinguishes a process exit from a broken connection, and keeps the
 //! crash table that nodes exchange.
 
 use crate::fleet::Fleet;
 use firshore_adapter::backend::Backend;
 use firshore_adapter::incarnation::Incarnation;
-use firshore_crashes::fingerprint::RequestFingerprint;
+use firshore_crashes::fingerprint::{PartFingerprint, RequestFingerprint};
 use firshore_crashes::report::{LostRun, TableCursor};
+use firshore_crashes::suspect::Suspect;
 use firshore_crashes::sync::{self, CrashSync, CrashSyncRequest, CrashSyncResponse};
-use firshore_crashes::table::{CrashTable, Suspicion, TableChange};
+use firshore_crashes::table::{CrashTable, Quarantine, Suspicion, TableChange};
 use firshore_exchange::exchange;
 use firshore_metrics::Counter;
 use firshore_types::ids::NodeName;
@@ -173,9 +174,16 @@
         self.apply_changes(&changes);
         for run in runs {
             let Suspicion { exits, occasions } = self.suspicion(&run.fingerprint);
+            let parts = run
+                .parts
+                .iter()
+                .filter(|part| self.suspicion(*part).exits > 0);
+            let parts: Vec<String> = parts
+                .map(|part| format!("{part}:{}", self.suspicion(part).exits))
+                .collect();
             info!(self.log, "crash: Request suspected."; "print" => %run.fingerprint,
                 "backend" => %backend.incarnation, "reached_bytes" => run.reached, "ends" => exits,
-                "occasions" => occasions);
+                "occasions" => occasions, "parts_and_ends" => parts.join(" "));
         }
         self.table_changed.notify_one();
     }
@@ -196,36 +204,67 @@
 
     /// Returns whether any request is suspected. Fingerprints are needed only then.
     pub fn suspects_any(&self) -> bool {
-        self.table.borrow().suspect_count() > 0
+        self.table.borrow().suspects_requests()
+    }
+
+    /// Returns the position of the table if any part of prompts is suspected. Fingerprints of parts are needed only
+    /// then, and again only when it has changed.
+    pub fn suspected_parts(&self) -> Option<u64> {
+        let table = self.table.borrow();
+        table.suspects_parts().then(|| table.cursor().position)
     }
 
     /// Returns whether any request is quarantined.
     pub fn has_quarantined(&self) -> bool {
-        self.table.borrow().has_quarantined()
+        self.table.borrow().has_quarantined_requests()
+    }
+
+    /// Returns whether any part of prompts is quarantined.
+    pub fn has_quarantined_parts(&self) -> bool {
+        self.table.borrow().has_quarantined_parts()
     }
 
-    /// Returns the remaining quarantine of a request; `None` if it is not quarantined.
-    pub fn quarantined_for(&self, fingerprint: &RequestFingerprint) -> Option<Duration> {
+    /// Returns the remaining quarantine of a request or part; `None` if it is not quarantined.
+    pub fn quarantined_for<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Option<Duration> {
         let now = firshore_clock::now().into_std();
         let table = self.table.borrow();
-        let quarantine = table.quarantine(fingerprint)?;
+        let quarantine = table.quarantine(suspect)?;
         Some(table.time_left(now, quarantine))
     }
 
-    /// Returns the exits of back ends that are attributed to a request.
-    pub fn suspicion(&self, fingerprint: &RequestFingerprint) -> Suspicion {
-        self.table.borrow().suspicion(fingerprint)
+    /// Returns the exits of back ends that are attributed to a request or part.
+    pub fn suspicion<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Suspicion {
+        self.table.borrow().suspicion(suspect)
     }
 
     /// Records that a request has completed, which clears it of suspicion.
     pub fn record_completion(&self, fingerprint: RequestFingerprint) {
-        if self.suspicion(&fingerprint).exits == 0 {
+        self.clear([fingerprint.into()]);
+    }
+
+    /// Records that a run with these parts in its prompt got past its first event, which clears them of suspicion.
+    pub fn record_begun(&self, parts: &[PartFingerprint]) {
+        self.clear(parts.iter().map(Suspect::from));
+    }
+
+    fn clear(&self, cleared: impl IntoIterator<Item = Suspect>) {
+        let suspected = cleared.into_iter();
+        let suspected = suspected.filter(|suspect| self.suspicion(suspect).exits > 0);
+        let suspected: Vec<Suspect> = suspected.collect();
+        if suspected.is_empty() {
             return;
         }
+        for suspect in &suspected {
+            self.counters.cleared.inc();
+            match suspect {
+                Suspect::Request(_) => {
+                    info!(self.log, "crash: Request cleared."; "print" => %suspect)
+                }
+                Suspect::Part(_) => info!(self.log, "crash: Part cleared."; "part" => %suspect),
+            }
+        }
         let now = firshore_clock::now().into_std();
-        let changes = self.table.borrow_mut().record_completion(now, fingerprint);
-        self.counters.cleared.inc();
-        info!(self.log, "crash: Request cleared."; "print" => %fingerprint);
+        let changes = self.table.borrow_mut().clear(now, suspected);
         self.apply_changes(&changes);
         self.table_changed.notify_one();
     }
@@ -273,24 +312,37 @@
         let now = firshore_clock::now().into_std();
         for change in changes {
             match change {
-                TableChange::Quarantined(fingerprint, quarantine) => {
-                    let backends: Vec<String> = quarantine
-                        .backends
-                        .iter()
-                        .map(ToString::to_string)
-                        .collect();
-                    warn!(self.log, "crash: Request quarantined."; "print" => %fingerprint,
-                        "backends" => backends.join(" "),
-                        "last_end_age_ms" => now.saturating_duration_since(quarantine.last_exit).as_millis() as u64);
+                TableChange::Quarantined(suspect, quarantine) => {
+                    self.log_quarantine(now, suspect, quarantine);
                 }
                 // The entry of an exited back end stays for some seconds. Without this, every node would send
                 // requests there until its own requests fail.
                 TableChange::BackendExited(backend) => {
                     self.exclude(backend);
                 }
-                TableChange::Released(fingerprint) => {
-                    info!(self.log, "crash: Request released from quarantine."; "print" => %fingerprint);
+                TableChange::Released(Suspect::Request(request)) => {
+                    info!(self.log, "crash: Request released from quarantine."; "print" => %request);
                 }
+                TableChange::Released(Suspect::Part(part)) => {
+                    info!(self.log, "crash: Part released from quarantine."; "part" => %part);
+                }
+            }
+        }
+    }
+
+    fn log_quarantine(&self, now: std::time::Instant, suspect: &Suspect, quarantine: &Quarantine) {
+        let backends = quarantine.backends.iter().map(ToString::to_string);
+        let backends = backends.collect::<Vec<String>>().join(" ");
+        let age = now.saturating_duration_since(quarantine.last_exit);
+        let age = age.as_millis() as u64;
+        match suspect {
+            Suspect::Request(request) => {
+                warn!(self.log, "crash: Request quarantined."; "print" => %request,
+                    "backends" => backends, "last_end_age_ms" => age);
+            }
+            Suspect::Part(part) => {
+                warn!(self.log, "crash: Part quarantined."; "part" => %part,
+                    "backends" => backends, "last_end_age_ms" => age);
             }
         }
     }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -71,6 +71,8 @@
     /// Bytes of response bodies that have arrived.
     received: u64,
     events: EventStream,
+    /// Whether a complete event of the last send has arrived.
+    run_has_event: bool,
     /// What produced the first event; set together with its position.
     origin: Option<TextOrigin>,
     /// When the request was sent that produced the first event, if known.
@@ -124,6 +126,8 @@
     last_send: Option<LastSend>,
     /// Fingerprint, computed at first use.
     fingerprint: OnceCell<RequestFingerprint>,
+    /// Fingerprints of the shared parts of its prompt, computed at first use.
+    parts: OnceCell<Vec<PartFingerprint>>,
     /// Whether the request is within its tenant's fair share; `None` until the service is full.
     share_status: Cell<Option<ShareStatus>>,
     /// How the request ended for the caller.
@@ -159,6 +163,7 @@
         failure: None,
         last_send: None,
         fingerprint: OnceCell::new(),
+        parts: OnceCell::new(),
         share_status: Cell::default(),
         end: RequestEnd::Answered,
     };
@@ -205,7 +210,7 @@
             if self.remaining() < MIN_REMAINING {
                 return Err(Interrupted::TimedOut);
             }
-            if let Some(wait) = self.gateway.quarantined_for(|| self.fingerprint()) {
+            if let Some(wait) = self.quarantined_for() {
                 return Ok(self.refuse_quarantined(wait, connection).await);
             }
             if self.has_doubtful_origin() {
@@ -274,10 +279,11 @@
     }
 
     /// Returns the fingerprints of the parts of the prompt that other requests may share.
-    fn parts(&self) -> Vec<PartFingerprint> {
+    fn parts(&self) -> &[PartFingerprint] {
         let tenant = self.tenant.as_deref().map(|tenant| &tenant.name);
         let key = &self.gateway.fingerprint_key;
-        shared_parts(key, tenant, self.host(), &self.terms.prompt)
+        let compute = || shared_parts(key, tenant, self.host(), &self.terms.prompt);
+        self.parts.get_or_init(compute)
     }
 
     /// Returns the fingerprint of the request, which is the same at all nodes and doesn't depend on its identifier.
@@ -296,6 +302,11 @@
         *self.fingerprint.get_or_init(compute)
     }
 
+    fn quarantined_for(&self) -> Option<Duration> {
+        self.gateway
+            .quarantined_for(|| self.fingerprint(), || self.parts().to_vec())
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -344,6 +355,7 @@
         connection: &mut CallerConnection,
     ) -> Result<SendResult, Interrupted> {
         self.attempts.sending(&backend.incarnation);
+        self.progress.run_has_event = false;
         let now = Instant::now();
         self.last_send = Some(self.new_send(now, backend));
         let _in_flight = self.gateway.begin_send(&backend.incarnation);
@@ -392,6 +404,10 @@
         let run = LostRun {
             fingerprint: self.fingerprint(),
             reached: self.progress.received,
+            parts: match self.progress.run_has_event {
+                true => Vec::new(),
+                false => self.parts().to_vec(),
+            },
         };
         self.gateway.crashes.record_lost_run(backend, run);
         let started = self.progress.events.last().is_some();
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -106,7 +106,9 @@
         if !head.status.is_success() {
             return;
         }
-        self.gateway.record_completion(proof, || self.fingerprint());
+        let parts = || self.parts().to_vec();
+        self.gateway
+            .record_completion(proof, || self.fingerprint(), parts);
         // A run that resumes another one is shorter, and would distort the statistics.
         if self.attempts.sends() > 1 || self.terms.resume_after.is_some() {
             return;
@@ -209,6 +211,7 @@
         connection: &mut CallerConnection,
     ) -> Result<SendResult, Interrupted> {
         let mut tracker = EventTracker::default();
+        let mut crashes_seen = None;
         loop {
             let chunk =
                 match unless_interrupted(connection, self.deadline, exchange.body.next()).await? {
@@ -219,6 +222,11 @@
             self.gateway.record_activity(&backend.incarnation);
             self.progress.received += chunk.len() as u64;
             tracker.feed(&chunk);
+            if tracker.complete() > 0 {
+                self.progress.run_has_event = true;
+                self.gateway
+                    .record_begun(&mut crashes_seen, || self.parts().to_vec());
+            }
             let events = match self.events_in(chunk) {
                 Ok(events) => events,
                 Err(error) => return Ok(self.stream_lost(backend, &error)),
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_admission::shares::ShareTable;
-use firshore_crashes::fingerprint::{FingerprintKey, RequestFingerprint};
+use firshore_crashes::fingerprint::{FingerprintKey, PartFingerprint, RequestFingerprint};
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
 use firshore_limits::report::{UsageReport, UsageResponse};
 use firshore_metrics::Builder;
@@ -451,27 +451,51 @@
         self.configuration.borrow().is_some() && knows_back_ends && reaches_jobs
     }
 
-    /// Returns the remaining quarantine of a request that crashes back ends; `None` if it is not quarantined. The
-    /// fingerprint is computed only while any request is quarantined.
+    /// Returns how much longer a request is quarantined, as a whole or because of a part of its prompt; `None` if it is
+    /// not.
     pub fn quarantined_for(
         &self,
         fingerprint: impl Fn() -> RequestFingerprint,
+        parts: impl Fn() -> Vec<PartFingerprint>,
     ) -> Option<Duration> {
-        match self.crashes.has_quarantined() {
-            true => self.crashes.quarantined_for(&fingerprint()),
+        let crashes = &self.crashes;
+        let whole = match crashes.has_quarantined() {
+            true => crashes.quarantined_for(&fingerprint()),
             false => None,
-        }
+        };
+        let parts = match crashes.has_quarantined_parts() {
+            true => parts(),
+            false => Vec::new(),
+        };
+        let parts = parts
+            .iter()
+            .filter_map(|part| crashes.quarantined_for(part));
+        parts.chain(whole).max()
     }
 
-    /// Records that a request has completed, so it does not crash back ends.
+    /// Records that a request has completed, so neither it nor a part of its prompt crashes back ends.
     pub fn record_completion(
         &self,
         _proof: &CompleteAnswer,
         fingerprint: impl Fn() -> RequestFingerprint,
+        parts: impl Fn() -> Vec<PartFingerprint>,
     ) {
         if self.crashes.suspects_any() {
             self.crashes.record_completion(fingerprint());
         }
+        if self.crashes.suspected_parts().is_some() {
+            self.crashes.record_begun(&parts());
+        }
+    }
+
+    /// Records that a run got past its first event, so no part of its prompt crashes back ends. `seen` is the position of
+    /// the crash table at the last such record of the run.
+    pub fn record_begun(&self, seen: &mut Option<u64>, parts: impl Fn() -> Vec<PartFingerprint>) {
+        let position = self.crashes.suspected_parts();
+        if position.is_some() && position != *seen {
+            self.crashes.record_begun(&parts());
+            *seen = position;
+        }
     }
 
     /// Applies a view of the requests that other nodes have in flight, as of now, and the interval between views.
--- a/crates/firshore-gateway/tests/crash_monitor.rs
+++ b/crates/firshore-gateway/tests/crash_monitor.rs
@@ -66,6 +66,7 @@
             lost: vec![LostRun {
                 fingerprint,
                 reached: 0,
+                parts: Vec::new(),
             }],
         });
         let report = CrashReport {
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use firshore_adapter::backend::{Backend, Ran, SendTerms};
 use firshore_adapter::jobs::{ItemOutcome, JobItem, caller_id};
-use firshore_crashes::fingerprint::{FingerprintInput, RequestFingerprint};
+use firshore_crashes::fingerprint::{FingerprintInput, PartFingerprint, RequestFingerprint};
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
 use firshore_gateway::answer_end::{AnswerEnd, TextPosition};
 use firshore_gateway::events::EventTracker;
 use firshore_gateway::fleet::{BackendOutcome, endpoint};
 use firshore_gateway::gateway::{Gateway, InFlight};
+use firshore_gateway::prompt_parts::shared_parts;
 use firshore_jobs::command::{Action, Completion};
 use rand::RngExt;
 use slog::info;
@@ -157,19 +158,31 @@
         })
     }
 
-    /// Records that the run broke off: the back end may have crashed.
+    /// Returns the fingerprints of the parts of the item's prompt that other items may share.
+    fn parts(&self) -> Vec<PartFingerprint> {
+        let Work { header, item, .. } = &self.work;
+        let terms = self.gateway.adapter.caller.read_terms(&headers(item));
+        let key = &self.gateway.fingerprint_key;
+        shared_parts(key, header.tenant.as_ref(), &header.host, &terms.prompt)
+    }
+
+    /// Records that the run broke off before a further event: the back end may have crashed.
     fn record_lost_run(&self) {
         self.gateway
             .record_outcome(&self.backend.incarnation, BackendOutcome::Broke);
         let run = LostRun {
             fingerprint: self.fingerprint(),
             reached: self.progress.borrow().held_bytes() as u64,
+            parts: self.parts(),
         };
         self.gateway.crashes.record_lost_run(&self.backend, run);
     }
 
     async fn send(&self) -> RunEnd {
-        if let Some(wait) = self.gateway.quarantined_for(|| self.fingerprint()) {
+        let quarantined = self
+            .gateway
+            .quarantined_for(|| self.fingerprint(), || self.parts());
+        if let Some(wait) = quarantined {
             info!(self.gateway.log, "runner: Item quarantined."; "job" => caller_id(&self.work.header.job),
                 "item" => &self.work.item.id, "print" => %self.fingerprint(), "wait_s" => wait.as_secs());
             return RunEnd::HeldBack;
@@ -229,6 +242,7 @@
 
     async fn read_stream(&self, mut exchange: Exchange) -> RunEnd {
         let mut tracker = EventTracker::default();
+        let mut crashes_seen = None;
         let held = self.progress.borrow().held_bytes();
         let incarnation = &self.backend.incarnation;
         loop {
@@ -236,6 +250,10 @@
                 Ok(Ok(Some(chunk))) => {
                     self.gateway.record_activity(incarnation);
                     tracker.feed(&chunk);
+                    if tracker.complete() > 0 {
+                        self.gateway
+                            .record_begun(&mut crashes_seen, || self.parts());
+                    }
                     if self.progress.borrow_mut().feed(&chunk).is_err() {
                         return RunEnd::Broken;
                     }
@@ -256,7 +274,7 @@
         self.gateway
             .record_outcome(incarnation, BackendOutcome::Answered);
         self.gateway
-            .record_completion(&complete, || self.fingerprint());
+            .record_completion(&complete, || self.fingerprint(), || self.parts());
         RunEnd::Whole
     }
 
--- a/crates/firshore-node/tests/crash_world/callers.rs
+++ b/crates/firshore-node/tests/crash_world/callers.rs
@@ -1,10 +1,13 @@
 //! Simulated clients. They send fatal requests (each crashes the back end that runs it), popular harmless requests,
-//! unique harmless requests and long items that resume after an interruption.
+//! unique harmless requests and long items that resume after an interruption. Requests with a fatal part in their prompts
+//! are sent once each; harmless ones share their callers and first parts.
 
 use super::backends::BackendInstance;
 use super::nodes::SimNode;
 use super::{World, spawn};
-use firshore_crashes::fingerprint::{FingerprintInput, FingerprintKey, RequestFingerprint};
+use firshore_crashes::fingerprint::{
+    FingerprintInput, FingerprintKey, PartFingerprint, PartInput, RequestFingerprint,
+};
 use firshore_crashes::report::LostRun;
 use firshore_gateway::crash_monitor::CrashMonitor;
 use std::rc::Rc;
@@ -57,12 +60,56 @@
     })
 }
 
+/// Number of different first parts of prompts.
+const FIRST_PARTS: u64 = 6;
+
+/// What the hash of a fatal part, of the part behind it and of a session begin with.
+const FATAL_PARTS: u64 = 1_000;
+const CHILD_PARTS: u64 = 2_000;
+const SESSION_PARTS: u64 = 3_000;
+
+/// Requests in a hundred with a fatal part that have the part behind it in common.
+const CHILD_PERCENTAGE: u64 = 80;
+
+fn part(caller: u64, hash: u64) -> PartFingerprint {
+    FingerprintKey::new(b"secret").part(&PartInput {
+        tenant: None,
+        host: &format!("{caller}.example"),
+        hash,
+    })
+}
+
+/// Returns the shared parts of a harmless prompt: one of the first parts and the one of a session.
+fn harmless_parts(session: u64) -> Vec<PartFingerprint> {
+    let hashes = [session % FIRST_PARTS, SESSION_PARTS + session];
+    hashes.iter().map(|hash| part(0, *hash)).collect()
+}
+
+/// Returns the shared parts of a prompt with a fatal one.
+fn fatal_parts(world: &World, number: usize, count: u64) -> Vec<PartFingerprint> {
+    let caller = count % world.scenario.callers as u64;
+    let follows = world.random_in(0..100) < CHILD_PERCENTAGE;
+    let last = match world.scenario.has_child_part && follows {
+        true => CHILD_PARTS + number as u64,
+        false => SESSION_PARTS + 100_000 + count,
+    };
+    let hashes = [
+        number as u64 % FIRST_PARTS,
+        FATAL_PARTS + number as u64,
+        last,
+    ];
+    hashes.iter().map(|hash| part(caller, *hash)).collect()
+}
+
 /// Starts all clients and returns their tasks.
 pub fn start(world: &Rc<World>) -> Vec<JoinHandle<()>> {
     let mut tasks = Vec::new();
     for fatal in 0..world.scenario.fatal {
         tasks.push(spawn(send_fatal(world.clone(), fatal)));
     }
+    for number in 0..world.scenario.fatal_parts {
+        tasks.push(spawn(send_fatal_part(world.clone(), number)));
+    }
     for number in 0..POPULAR_REQUESTS {
         tasks.push(spawn(send_popular(
             world.clone(),
@@ -83,7 +130,23 @@
     while !world.is_finished.get() {
         let node = random_node(&world);
         let task_world = world.clone();
-        spawn(async move { attempt_fatal(task_world, node, fingerprint, fatal).await });
+        let parts = Vec::new();
+        spawn(async move { attempt_fatal(task_world, node, fingerprint, parts, fatal).await });
+        world.sleep_random(0..world.scenario.max_interval_ms).await;
+    }
+}
+
+async fn send_fatal_part(world: Rc<World>, number: usize) {
+    let fatal = world.scenario.fatal + number;
+    for count in 0.. {
+        if world.is_finished.get() {
+            return;
+        }
+        let node = random_node(&world);
+        let task_world = world.clone();
+        let fingerprint = fingerprint(&format!("fatal-part-{number}-{count}"));
+        let parts = fatal_parts(&world, number, count);
+        spawn(async move { attempt_fatal(task_world, node, fingerprint, parts, fatal).await });
         world.sleep_random(0..world.scenario.max_interval_ms).await;
     }
 }
@@ -92,12 +155,13 @@
     world: Rc<World>,
     node: Rc<SimNode>,
     fingerprint: RequestFingerprint,
+    parts: Vec<PartFingerprint>,
     fatal: usize,
 ) {
     let Some(monitor) = running_monitor(&node) else {
         return;
     };
-    if monitor.quarantined_for(&fingerprint).is_some() {
+    if is_quarantined(&monitor, &fingerprint, &parts) {
         return;
     }
     let Some(instance) = random_backend(&world) else {
@@ -120,6 +184,7 @@
         LostRun {
             fingerprint,
             reached: 0,
+            parts,
         },
     );
 }
@@ -127,8 +192,9 @@
 async fn send_popular(world: Rc<World>, name: String) {
     while !world.is_finished.get() {
         let (task_world, name) = (world.clone(), name.clone());
+        let parts = harmless_parts(0);
         spawn(async move {
-            attempt_harmless(&task_world, &name, RUN_MS, 0).await;
+            attempt_harmless(&task_world, &name, &parts, RUN_MS, 0).await;
         });
         world
             .sleep_random(0..world.scenario.popular_interval_ms)
@@ -143,7 +209,8 @@
         }
         let name = format!("single-{number}-{count}");
         for _ in 0..=UNIQUE_RETRIES {
-            match attempt_harmless(&world, &name, RUN_MS, 0).await {
+            let parts = harmless_parts(number as u64);
+            match attempt_harmless(&world, &name, &parts, RUN_MS, 0).await {
                 AttemptEnd::Completed => break,
                 _ => world.sleep_random(RETRY_BACKOFF_MS).await,
             }
@@ -159,7 +226,8 @@
             if world.is_finished.get() {
                 return;
             }
-            match attempt_harmless(&world, &name, ITEM_RUN_MS, received).await {
+            let parts = harmless_parts(100 + number as u64);
+            match attempt_harmless(&world, &name, &parts, ITEM_RUN_MS, received).await {
                 AttemptEnd::Completed => break,
                 AttemptEnd::Lost(reached) => received = reached,
                 _ => {}
@@ -173,6 +241,7 @@
 async fn attempt_harmless(
     world: &Rc<World>,
     name: &str,
+    parts: &[PartFingerprint],
     run: std::ops::Range<u64>,
     received: u64,
 ) -> AttemptEnd {
@@ -182,7 +251,7 @@
     };
     let fingerprint = fingerprint(name);
     world.attempts.set(world.attempts.get() + 1);
-    if monitor.quarantined_for(&fingerprint).is_some() {
+    if is_quarantined(&monitor, &fingerprint, parts) {
         world.quarantined.borrow_mut().insert(name.to_owned());
         return AttemptEnd::Quarantined;
     }
@@ -196,14 +265,21 @@
     }
     let started = Instant::now();
     let mut exited = instance.exited.subscribe();
-    let is_lost = timeout(
-        Duration::from_millis(run),
-        exited.wait_for(|exited| *exited),
-    )
-    .await
-    .is_ok();
+    let first_event = Duration::from_millis(run.min(FIRST_BYTE_DELAY_MS));
+    let rest = Duration::from_millis(run).saturating_sub(first_event);
+    let mut is_lost = timeout(first_event, exited.wait_for(|exited| *exited))
+        .await
+        .is_ok();
+    let has_begun = !is_lost && !rest.is_zero();
+    if has_begun {
+        monitor.record_begun(parts);
+        is_lost = timeout(rest, exited.wait_for(|exited| *exited))
+            .await
+            .is_ok();
+    }
     if !is_lost && !is_reset {
         monitor.record_completion(fingerprint);
+        monitor.record_begun(parts);
         return AttemptEnd::Completed;
     }
     let elapsed_ms = started.elapsed().as_millis() as u64;
@@ -218,11 +294,25 @@
         LostRun {
             fingerprint,
             reached,
+            parts: match has_begun {
+                true => Vec::new(),
+                false => parts.to_vec(),
+            },
         },
     );
     AttemptEnd::Lost(reached)
 }
 
+fn is_quarantined(
+    monitor: &CrashMonitor,
+    fingerprint: &RequestFingerprint,
+    parts: &[PartFingerprint],
+) -> bool {
+    let mut parts = parts.iter();
+    monitor.quarantined_for(fingerprint).is_some()
+        || parts.any(|part| monitor.quarantined_for(part).is_some())
+}
+
 fn random_node(world: &World) -> Rc<SimNode> {
     let index = world.random_in(0..world.gateways().len() as u64) as usize;
     world.gateways()[index].clone()
--- a/crates/firshore-node/tests/crash_world/mod.rs
+++ b/crates/firshore-node/tests/crash_world/mod.rs
@@ -28,6 +28,9 @@
 /// Crashes under a request after which it must be quarantined.
 const CRASHES_UNTIL_QUARANTINE: usize = 3;
 
+/// Crashes under a part of prompts after which it must be quarantined.
+const CRASHES_UNTIL_PART_QUARANTINE: usize = 5;
+
 /// Time after the last request in which attempts in flight end.
 const DRAIN_TIME: Duration = Duration::from_secs(8);
 
@@ -75,7 +78,13 @@
     pub reuses_names: bool,
     /// Number of fatal requests.
     pub fatal: usize,
-    /// Maximum interval between two sends of a fatal request, in milliseconds.
+    /// Number of fatal parts of prompts, each in requests that are sent once.
+    pub fatal_parts: usize,
+    /// Whether most requests with a fatal part have the part behind it in common, too.
+    pub has_child_part: bool,
+    /// Number of callers over which the requests with a fatal part are spread.
+    pub callers: usize,
+    /// Maximum interval between two sends of a fatal request or part, in milliseconds.
     pub max_interval_ms: u64,
     /// Maximum interval between two sends of a popular harmless request, in milliseconds.
     pub popular_interval_ms: u64,
@@ -91,9 +100,10 @@
 /// Result of one run.
 #[derive(Debug, Default)]
 pub struct RunReport {
-    /// For each fatal request: sends by settled nodes after the propagation bound that follows its third crash.
+    /// For each fatal request and part: sends by settled nodes after the propagation bound that follows the crash after
+    /// which it must be quarantined.
     pub late_sends: Vec<usize>,
-    /// For each fatal request: back ends that crashed.
+    /// For each fatal request and part: back ends that crashed.
     pub crashed: Vec<usize>,
     /// Harmless requests that any node quarantined.
     pub quarantined: usize,
@@ -112,7 +122,7 @@
     pub nodes: Vec<Rc<SimNode>>,
     random: RefCell<StdRng>,
     pub is_finished: Cell<bool>,
-    /// Send times of each fatal request, from settled nodes only.
+    /// Send times of each fatal request and part, from settled nodes only.
     pub fatal_sends: RefCell<BTreeMap<usize, Vec<Instant>>>,
     /// Names of harmless requests that were quarantined.
     pub quarantined: RefCell<BTreeSet<String>>,
@@ -202,13 +212,17 @@
             quarantined: self.quarantined.borrow().len(),
             ..RunReport::default()
         };
-        for fatal in 0..self.scenario.fatal {
+        for fatal in 0..self.scenario.fatal + self.scenario.fatal_parts {
+            let until = match fatal < self.scenario.fatal {
+                true => CRASHES_UNTIL_QUARANTINE,
+                false => CRASHES_UNTIL_PART_QUARANTINE,
+            };
             let crashes = self.pool.crash_times(fatal);
             let sends = self.fatal_sends.borrow();
             let sends = sends.get(&fatal).map_or(&[][..], Vec::as_slice);
-            let late_sends = match crashes.get(CRASHES_UNTIL_QUARANTINE - 1) {
-                Some(third) => {
-                    let bound = *third + self.scenario.propagation_bound;
+            let late_sends = match crashes.get(until - 1) {
+                Some(last) => {
+                    let bound = *last + self.scenario.propagation_bound;
                     sends.iter().filter(|at| **at > bound).count()
                 }
                 None => 0,
--- a/crates/firshore-node/tests/crashing_requests.rs
+++ b/crates/firshore-node/tests/crashing_requests.rs
@@ -19,6 +19,9 @@
     backends: 24,
     reuses_names: false,
     fatal: 1,
+    fatal_parts: 0,
+    has_child_part: false,
+    callers: 1,
     max_interval_ms: 500,
     popular_interval_ms: 400,
     exit_pattern: ExitPattern::None,
@@ -213,3 +216,113 @@
         assert_eq!(report.calls, 0, "{report:?}");
     }
 }
+
+/// Requests with a fatal part at 46 nodes, no two alike; harmless ones of the same caller share their first parts.
+const PARTS: Scenario = Scenario {
+    fatal: 0,
+    fatal_parts: 1,
+    ..CALM
+};
+
+#[test]
+fn one_fatal_part_is_quarantined() {
+    check("part, often", PARTS);
+    check(
+        "part, at once",
+        Scenario {
+            max_interval_ms: 60,
+            ..PARTS
+        },
+    );
+    check(
+        "part, seldom",
+        Scenario {
+            max_interval_ms: 6_000,
+            duration: Duration::from_secs(60),
+            ..PARTS
+        },
+    );
+    check(
+        "part, often with the same part behind it",
+        Scenario {
+            has_child_part: true,
+            ..PARTS
+        },
+    );
+    check(
+        "part, names kept",
+        Scenario {
+            reuses_names: true,
+            ..PARTS
+        },
+    );
+}
+
+/// Each caller's part is judged by itself: an identifier of a part is the caller's word.
+#[test]
+fn one_fatal_part_of_three_callers_is_quarantined_for_each() {
+    check(
+        "part of three callers",
+        Scenario {
+            callers: 3,
+            max_interval_ms: 300,
+            ..PARTS
+        },
+    );
+}
+
+#[test]
+fn several_fatal_parts_are_quarantined() {
+    check(
+        "two parts",
+        Scenario {
+            fatal_parts: 2,
+            ..PARTS
+        },
+    );
+    check(
+        "two parts and a request",
+        Scenario {
+            fatal: 1,
+            fatal_parts: 2,
+            ..PARTS
+        },
+    );
+}
+
+#[test]
+fn fatal_parts_are_quarantined_despite_spontaneous_exits() {
+    for exit_pattern in [
+        ExitPattern::Single,
+        ExitPattern::Mass,
+        ExitPattern::Flapping,
+    ] {
+        check(
+            &format!("part, {exit_pattern:?}"),
+            Scenario {
+                exit_pattern,
+                ..PARTS
+            },
+        );
+    }
+}
+
+#[test]
+fn fatal_parts_are_quarantined_despite_faults() {
+    for fault in [
+        FaultKind::Restarts,
+        FaultKind::RelaysKilled,
+        FaultKind::RelaysDark,
+        FaultKind::ZoneCut,
+        FaultKind::Pauses,
+    ] {
+        check(
+            &format!("part, {fault:?}"),
+            Scenario {
+                fault,
+                duration: Duration::from_secs(40),
+                ..PARTS
+            },
+        );
+    }
+}
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -457,6 +457,7 @@
                 lost: vec![LostRun {
                     fingerprint,
                     reached: 0,
+                    parts: Vec::new(),
                 }],
             };
             let ends = (1..=3).map(exit).collect();
