Logs and refusals say whether a request is held back as a whole or for a part of its prompt

'print' names the suspect in every line, so that explain finds the lines of a part, too. Items with such a part are not sent, which an_item_with_a_part_that_crashes_back_ends_is_not_sent checks.

--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -51,6 +51,15 @@
     pub cleared: Counter,
 }
 
+/// Why a request is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ActiveQuarantine {
+    /// The request, or a part of its prompt.
+    pub suspect: Suspect,
+    /// Time until the quarantine expires.
+    pub time_left: Duration,
+}
+
 /// Returns whether connections to an address are refused immediately.
 pub type RefusalProbe = Rc<dyn Fn(SocketAddr) -> LocalBoxFuture<'static, bool>>;
 
@@ -238,6 +247,12 @@
         Some(table.time_left(now, quarantine))
     }
 
+    /// Returns the quarantine of a request or part; `None` if it is not quarantined.
+    pub fn quarantine(&self, suspect: Suspect) -> Option<ActiveQuarantine> {
+        let time_left = self.quarantined_for(&suspect)?;
+        Some(ActiveQuarantine { suspect, time_left })
+    }
+
     /// Returns the exits of back ends that are attributed to a request or part.
     pub fn suspicion<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Suspicion {
         self.table.borrow().suspicion(suspect)
@@ -266,7 +281,7 @@
                 Suspect::Request(_) => {
                     info!(self.log, "crash: Request cleared."; "print" => %suspect)
                 }
-                Suspect::Part(_) => info!(self.log, "crash: Part cleared."; "part" => %suspect),
+                Suspect::Part(_) => info!(self.log, "crash: Part cleared."; "print" => %suspect),
             }
         }
         let now = firshore_clock::now().into_std();
@@ -330,7 +345,7 @@
                     info!(self.log, "crash: Request released from quarantine."; "print" => %request);
                 }
                 TableChange::Released(Suspect::Part(part)) => {
-                    info!(self.log, "crash: Part released from quarantine."; "part" => %part);
+                    info!(self.log, "crash: Part released from quarantine."; "print" => %part);
                 }
             }
         }
@@ -347,7 +362,7 @@
                     "backends" => backends, "last_end_age_ms" => age);
             }
             Suspect::Part(part) => {
-                warn!(self.log, "crash: Part quarantined."; "part" => %part,
+                warn!(self.log, "crash: Part quarantined."; "print" => %part,
                     "backends" => backends, "last_end_age_ms" => age);
             }
         }
--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -3,8 +3,10 @@
 use super::{BackendFailure, Forwarding, Handled, Interrupted};
 use crate::attempts::NextStep;
 use crate::caller_connection::CallerConnection;
+use crate::crash_monitor::ActiveQuarantine;
 use crate::metrics::{ContinuationEnd, RequestEnd};
 use crate::refusal::Refusal;
+use firshore_crashes::suspect::Suspect;
 use firshore_types::error::ErrorCode;
 use slog::info;
 use std::time::Duration;
@@ -77,20 +79,29 @@
     /// Refuses a quarantined request.
     pub(super) async fn refuse_quarantined(
         &mut self,
-        wait: Duration,
+        quarantine: &ActiveQuarantine,
         connection: &mut CallerConnection,
     ) -> Handled {
-        let reason = "request crashes back ends";
+        let ActiveQuarantine { suspect, time_left } = quarantine;
+        let (reason, message) = match suspect {
+            Suspect::Request(_) => (
+                "request crashes back ends",
+                "Back ends have ended each time that they ran this request.",
+            ),
+            Suspect::Part(_) => (
+                "part of the prompt crashes back ends",
+                "Back ends have ended each time that they ran a request with a part of this prompt.",
+            ),
+        };
         self.gateway.metrics.requests_quarantined.inc();
         info!(self.gateway.log, "forward: Quarantined."; "request" => &self.terms.id,
-            "print" => %self.fingerprint(), "wait_s" => wait.as_secs());
+            "print" => %suspect, "reason" => reason, "wait_s" => time_left.as_secs());
         if self.attempts.may_have_run() {
             return self
                 .give_up(NextStep::FailMaybeRun, reason, connection)
                 .await;
         }
-        let message = "Back ends have ended each time that they ran this request.";
-        let wait = Duration::from_secs(wait.as_secs() + 1);
+        let wait = Duration::from_secs(time_left.as_secs() + 1);
         let refusal = Refusal::not_run(ErrorCode::CrashesBackends, message, wait);
         self.answer_refusal(&refusal, reason, connection).await
     }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 use crate::attempts::{Attempts, NextStep, SendEnd};
 use crate::caller_connection::{CallerConnection, CallerRequest};
 use crate::choice::affinity_key;
+use crate::crash_monitor::ActiveQuarantine;
 use crate::events::EventStream;
 use crate::fleet::endpoint;
 use crate::fleet::{BackendOutcome, BackendRequirements};
@@ -210,8 +211,8 @@
             if self.remaining() < MIN_REMAINING {
                 return Err(Interrupted::TimedOut);
             }
-            if let Some(wait) = self.quarantined_for() {
-                return Ok(self.refuse_quarantined(wait, connection).await);
+            if let Some(quarantine) = self.quarantine() {
+                return Ok(self.refuse_quarantined(&quarantine, connection).await);
             }
             if self.has_doubtful_origin() {
                 let next = self.attempts.give_up();
@@ -302,9 +303,9 @@
         *self.fingerprint.get_or_init(compute)
     }
 
-    fn quarantined_for(&self) -> Option<Duration> {
+    fn quarantine(&self) -> Option<ActiveQuarantine> {
         self.gateway
-            .quarantined_for(|| self.fingerprint(), || self.parts().to_vec())
+            .quarantine(|| self.fingerprint(), || self.parts().to_vec())
     }
 
     fn remaining(&self) -> Duration {
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! State shared by the requests of a node.
 
 use crate::answer_end::CompleteAnswer;
-use crate::crash_monitor::{CrashCounters, CrashMonitor};
+use crate::crash_monitor::{ActiveQuarantine, CrashCounters, CrashMonitor};
 use crate::fleet::{BackendOutcome, EntryChange, Fleet};
 use crate::freshness::StoreFreshness;
 use crate::leaving::Leaving;
@@ -22,6 +22,7 @@
 use firshore_adapter::tenant::Tenant;
 use firshore_admission::shares::ShareTable;
 use firshore_crashes::fingerprint::{FingerprintKey, PartFingerprint, RequestFingerprint};
+use firshore_crashes::suspect::Suspect;
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
 use firshore_limits::report::{UsageReport, UsageResponse};
 use firshore_metrics::Builder;
@@ -451,26 +452,25 @@
         self.configuration.borrow().is_some() && knows_back_ends && reaches_jobs
     }
 
-    /// Returns how much longer a request is quarantined, as a whole or because of a part of its prompt; `None` if it is
-    /// not.
-    pub fn quarantined_for(
+    /// Returns the quarantine of a request, as a whole or because of a part of its prompt, that lasts longest; `None` if
+    /// it is not quarantined.
+    pub fn quarantine(
         &self,
         fingerprint: impl Fn() -> RequestFingerprint,
         parts: impl Fn() -> Vec<PartFingerprint>,
-    ) -> Option<Duration> {
+    ) -> Option<ActiveQuarantine> {
         let crashes = &self.crashes;
-        let whole = match crashes.has_quarantined() {
-            true => crashes.quarantined_for(&fingerprint()),
-            false => None,
-        };
-        let parts = match crashes.has_quarantined_parts() {
-            true => parts(),
-            false => Vec::new(),
-        };
-        let parts = parts
-            .iter()
-            .filter_map(|part| crashes.quarantined_for(part));
-        parts.chain(whole).max()
+        let mut suspects: Vec<Suspect> = Vec::new();
+        if crashes.has_quarantined() {
+            suspects.push(fingerprint().into());
+        }
+        if crashes.has_quarantined_parts() {
+            suspects.extend(parts().iter().map(Suspect::from));
+        }
+        let active = suspects
+            .into_iter()
+            .filter_map(|suspect| crashes.quarantine(suspect));
+        active.max_by_key(|quarantine| quarantine.time_left)
     }
 
     /// Records that a request has completed, so neither it nor a part of its prompt crashes back ends.
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -12,6 +12,7 @@
 use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
 use firshore_gateway::answer_end::{AnswerEnd, TextPosition};
+use firshore_gateway::crash_monitor::ActiveQuarantine;
 use firshore_gateway::events::EventTracker;
 use firshore_gateway::fleet::{BackendOutcome, endpoint};
 use firshore_gateway::gateway::{Gateway, InFlight};
@@ -181,10 +182,10 @@
     async fn send(&self) -> RunEnd {
         let quarantined = self
             .gateway
-            .quarantined_for(|| self.fingerprint(), || self.parts());
-        if let Some(wait) = quarantined {
+            .quarantine(|| self.fingerprint(), || self.parts());
+        if let Some(ActiveQuarantine { suspect, time_left }) = quarantined {
             info!(self.gateway.log, "runner: Item quarantined."; "job" => caller_id(&self.work.header.job),
-                "item" => &self.work.item.id, "print" => %self.fingerprint(), "wait_s" => wait.as_secs());
+                "item" => &self.work.item.id, "print" => %suspect, "wait_s" => time_left.as_secs());
             return RunEnd::HeldBack;
         }
         let Some(head) = self.request_head() else {
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -4,7 +4,7 @@
 
 use firshore_adapter::jobs::{ItemOutcome, JobId};
 use firshore_adapter::residency::ResidencyPermit;
-use firshore_crashes::fingerprint::FingerprintInput;
+use firshore_crashes::fingerprint::{FingerprintInput, PartInput};
 use firshore_crashes::report::{CrashReport, LostRun, ReportedExit};
 use firshore_crashes::sync::CrashSyncRequest;
 use firshore_gateway::gateway::JobService;
@@ -14,7 +14,7 @@
 use firshore_node::journal::registry::Registry;
 use firshore_replication::message::{Envelope, Message};
 use firshore_replication::types::DiskId;
-use firshore_stand_in::adapter::{BACKENDS, HOST, KEY, RETIREMENTS, TENANT};
+use firshore_stand_in::adapter::{BACKENDS, HOST, KEY, PROMPT, RETIREMENTS, TENANT};
 use firshore_stand_in::backend::{Play, ScriptedBackend};
 use firshore_stand_in::store::Fault;
 use firshore_types::ids::TenantName;
@@ -481,6 +481,71 @@
     });
 }
 
+#[test]
+fn an_item_with_a_part_that_crashes_back_ends_is_not_sent() {
+    const FATAL_PART: u64 = 77;
+    run(async {
+        let cluster = Cluster::start().await;
+        cluster.configure();
+        let backend = ScriptedBackend::start("b", &[], Play::Events).await;
+        cluster.put_backend(&backend, false);
+        // Other nodes report three back ends that crashed under different requests with the part.
+        for node in cluster.nodes.iter().flatten() {
+            let key = &node.gateway.fingerprint_key;
+            let part = key.part(&PartInput {
+                tenant: None,
+                host: HOST,
+                hash: FATAL_PART,
+            });
+            let exit = |idx: u64| ReportedExit {
+                backend: format!("gone{idx}"),
+                started: None,
+                age: 1_000 * idx,
+                lost: vec![LostRun {
+                    fingerprint: key.fingerprint(&FingerprintInput {
+                        tenant: None,
+                        host: HOST,
+                        method: "POST",
+                        target: "/",
+                        body: &idx.to_be_bytes(),
+                    }),
+                    reached: 0,
+                    parts: vec![part],
+                }],
+            };
+            let report = CrashReport {
+                ends: (1..=3).map(exit).collect(),
+                ..CrashReport::default()
+            };
+            let request = CrashSyncRequest {
+                known: None,
+                report,
+            };
+            node.gateway.crashes.handle_request(&request);
+            assert!(node.gateway.crashes.has_quarantined_parts());
+        }
+        let mut items = items(4);
+        for (number, item) in items.iter_mut().enumerate() {
+            let shared = if number == 0 { FATAL_PART } else { 78 };
+            let prompt = format!("1,{shared},{number}");
+            item.headers.push((PROMPT.to_owned(), prompt));
+        }
+        let (job, permit) = (JobId::of_nobody("job"), ResidencyPermit::default());
+        let submit = || {
+            let submitted = (route(), permit.clone(), job.clone(), items.clone());
+            let (route, permit, job, items) = submitted;
+            cluster.client.submit(route, permit, job, items)
+        };
+        while submit().await.is_err() {
+            pause().await;
+        }
+        let results = cluster.results("job", 3).await;
+        let done: Vec<&str> = results.iter().map(|(item, _)| item.as_str()).collect();
+        assert!(!done.contains(&"i0"), "{results:?}");
+        assert!(backend.seen().iter().all(|seen| seen.path != "/items/0"));
+    });
+}
+
 #[test]
 fn other_clients_of_a_tenant_examine_resubmit_and_end_a_job() {
     run(async {
