--- a/crates/firshore-server/src/batch_runner/answer.rs
+++ b/crates/firshore-server/src/batch_runner/answer.rs
@@ -2,6 +2,7 @@
 
 use actix_http::header::HeaderMap;
 use firshore_batch::job::ItemResult;
+use firshore_exchange::framing::BodyEnd;
 
 /// Header by which an engine says what became of a request that it did not answer in full.
 const EXECUTION_HEADER: &str = "engine-execution";
@@ -21,14 +22,16 @@
     Lost,
 }
 
-/// Reads an answer whose body is whole.
-pub fn interpret(status: u16, headers: &HeaderMap, body: &[u8]) -> RunEnd {
+/// Reads an answer whose body was read to its end. What only the close of the connection ended is no result: it may have
+/// broken off.
+pub fn interpret(status: u16, headers: &HeaderMap, end: BodyEnd, body: &[u8]) -> RunEnd {
     let execution = headers.get(EXECUTION_HEADER);
     match (status, execution.and_then(|value| value.to_str().ok())) {
         (_, Some("none")) if status != 400 => RunEnd::NotRun,
         (_, Some("preempted")) => RunEnd::Preempted,
         (_, Some("cancelled")) => RunEnd::Stopped,
         (500.., _) | (429, _) => RunEnd::Lost,
+        _ if end == BodyEnd::ByClose => RunEnd::Lost,
         _ => RunEnd::Done(ItemResult {
             status,
             body: json_text(body),
--- a/crates/firshore-server/src/batch_runner/item.rs
+++ b/crates/firshore-server/src/batch_runner/item.rs
@@ -107,7 +107,10 @@
         let status = exchange.head.status.as_u16();
         let headers = Some(exchange.head.headers.clone());
         let end = match exchange.body.read_whole(MAXIMUM_ANSWER_BYTES).await {
-            Ok(body) => interpret(status, &exchange.head.headers, &body),
+            Ok(body) => {
+                let marked = exchange.body.end();
+                interpret(status, &exchange.head.headers, marked, &body)
+            }
             Err(ExchangeError::TooLong(limit)) => too_long(limit),
             Err(_) => RunEnd::Lost,
         };
--- a/crates/firshore-server/tests/batch_submission.rs
+++ b/crates/firshore-server/tests/batch_submission.rs
@@ -2,6 +2,7 @@
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use firshore_batch::command::Item;
+use firshore_exchange::framing::BodyEnd;
 use firshore_server::batch_runner::answer::{RunEnd, interpret};
 use firshore_server::gateway::batches::lines::{LineLimits, LineReader};
 use firshore_server::gateway::batches::submission::SubmissionHeaders;
@@ -150,7 +151,7 @@
             let name = HeaderName::from_static("engine-execution");
             headers.insert(name, HeaderValue::from_static(execution));
         }
-        let end = interpret(status, &headers, body.as_bytes());
+        let end = interpret(status, &headers, BodyEnd::Delimited, body.as_bytes());
         let kind = match &end {
             RunEnd::Done(result) => {
                 let json = serde_json::from_str::<serde_json::Value>(&result.body);
@@ -165,3 +166,10 @@
         assert_eq!(kind, expected, "{status} {execution}");
     }
 }
+
+#[test]
+fn a_body_that_only_the_close_ended_became_a_result() {
+    let body = br#"{"choices":[{"text":"a"#;
+    let end = interpret(200, &HeaderMap::new(), BodyEnd::ByClose, body);
+    assert_eq!(end, RunEnd::Lost);
+}
