Crashes: names say what is asked of whole requests, one way to ask for a quarantine

On the monitor suspects_any and has_quarantined had come to mean whole requests only, while the table's has_quarantined means anything: now suspects_requests and has_quarantined_requests. quarantined_for stood beside quarantine; record_completion of the table was called by tests only, which now call clear. No behaviour changes; the tests keep their assertions.

--- a/crates/firshore-crashes/src/lib.rs
+++ b/crates/firshore-crashes/src/lib.rs
@@ -1,4 +1,5 @@
-//! Detects requests, and parts of prompts, that crash back ends, from the exits that all nodes observed. No I/O; the time is passed in.
+//! Detects requests, and parts of prompts, that crash back ends, from the exits that all nodes observed. No I/O; the time
+//! is passed in.
 //!
 //! A request that crashes back ends may be repeated with another identifier and at another node, so each node
 //! observes only some of its runs. Nodes identify it by a fingerprint of its content ([`mod@fingerprint`]), and requests that
--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -211,16 +211,7 @@
         self.evaluate()
     }
 
-    /// Records a successful completion of a request. Has no effect on a request that is not suspected.
-    pub fn record_completion(
-        &mut self,
-        now: Instant,
-        fingerprint: RequestFingerprint,
-    ) -> Vec<TableChange> {
-        self.clear(now, [fingerprint.into()])
-    }
-
-    /// Records that a run got past the point at which these crash back ends. Has no effect on what is not suspected.
+    /// Records that a request has completed, or that a run with these parts got past its first event. Has no effect on what is not suspected.
     pub fn clear(
         &mut self,
         now: Instant,
--- a/crates/firshore-crashes/tests/table.rs
+++ b/crates/firshore-crashes/tests/table.rs
@@ -111,7 +111,7 @@
 fn a_completed_request_stays_cleared() {
     let (mut table, now) = (table(), Instant::now());
     record_exits(&mut table, now, fingerprint("/a"), &["b1", "b2"]);
-    table.record_completion(now, fingerprint("/a"));
+    table.clear(now, [fingerprint("/a").into()]);
     record_exits(
         &mut table,
         now + Duration::from_secs(5),
@@ -127,7 +127,7 @@
     let (mut table, now) = (table(), Instant::now());
     record_exits(&mut table, now, fingerprint("/a"), &["b1", "b2", "b3"]);
     assert!(table.has_quarantined());
-    let changes = table.record_completion(now, fingerprint("/a"));
+    let changes = table.clear(now, [fingerprint("/a").into()]);
     assert_eq!(changes, [TableChange::Released(fingerprint("/a").into())]);
 }
 
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -1,5 +1,5 @@
-//! Detects requests, and parts of prompts, that crash back ends: distinguishes a process exit from a broken connection, and keeps the
-//! crash table that nodes exchange.
+//! Detects requests, and parts of prompts, that crash back ends: distinguishes a process exit from a broken connection,
+//! and keeps the crash table that nodes exchange.
 
 use crate::fleet::Fleet;
 use firshore_adapter::backend::Backend;
@@ -217,8 +217,8 @@
         }
     }
 
-    /// Returns whether any request is suspected. Fingerprints are needed only then.
-    pub fn suspects_any(&self) -> bool {
+    /// Returns whether any request is suspected as a whole. Fingerprints are needed only then.
+    pub fn suspects_requests(&self) -> bool {
         self.table.borrow().suspects_requests()
     }
 
@@ -229,8 +229,8 @@
         table.suspects_parts().then(|| table.cursor().position)
     }
 
-    /// Returns whether any request is quarantined.
-    pub fn has_quarantined(&self) -> bool {
+    /// Returns whether any request is quarantined as a whole.
+    pub fn has_quarantined_requests(&self) -> bool {
         self.table.borrow().has_quarantined_requests()
     }
 
@@ -239,18 +239,15 @@
         self.table.borrow().has_quarantined_parts()
     }
 
-    /// Returns the remaining quarantine of a request or part; `None` if it is not quarantined.
-    pub fn quarantined_for<S: Copy + Into<Suspect>>(&self, suspect: &S) -> Option<Duration> {
-        let now = firshore_clock::now().into_std();
-        let table = self.table.borrow();
-        let quarantine = table.quarantine(suspect)?;
-        Some(table.time_left(now, quarantine))
-    }
-
     /// Returns the quarantine of a request or part; `None` if it is not quarantined.
     pub fn quarantine(&self, suspect: Suspect) -> Option<ActiveQuarantine> {
-        let time_left = self.quarantined_for(&suspect)?;
-        Some(ActiveQuarantine { suspect, time_left })
+        let now = firshore_clock::now().into_std();
+        let table = self.table.borrow();
+        let quarantine = table.quarantine(&suspect)?;
+        Some(ActiveQuarantine {
+            suspect,
+            time_left: table.time_left(now, quarantine),
+        })
     }
 
     /// Returns the exits of back ends that are attributed to a request or part.
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -261,7 +261,7 @@
         let crashes = &self.gateway.crashes;
         let settled = crashes.settled(&backend.incarnation);
         unless_interrupted(connection, self.deadline, settled).await?;
-        match crashes.suspects_any()
+        match crashes.suspects_requests()
             && crashes.suspicion(&self.fingerprint()).occasions >= CRASH_OCCASIONS_TO_STOP
         {
             true => Ok(NextStep::FailMaybeRun),
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -461,7 +461,7 @@
     ) -> Option<ActiveQuarantine> {
         let crashes = &self.crashes;
         let mut suspects: Vec<Suspect> = Vec::new();
-        if crashes.has_quarantined() {
+        if crashes.has_quarantined_requests() {
             suspects.push(fingerprint().into());
         }
         if crashes.has_quarantined_parts() {
@@ -480,7 +480,7 @@
         fingerprint: impl Fn() -> RequestFingerprint,
         parts: impl Fn() -> Vec<PartFingerprint>,
     ) {
-        if self.crashes.suspects_any() {
+        if self.crashes.suspects_requests() {
             self.crashes.record_completion(fingerprint());
         }
         if self.crashes.suspected_parts().is_some() {
--- a/crates/firshore-node/tests/crash_world/callers.rs
+++ b/crates/firshore-node/tests/crash_world/callers.rs
@@ -309,8 +309,8 @@
     parts: &[PartFingerprint],
 ) -> bool {
     let mut parts = parts.iter();
-    monitor.quarantined_for(fingerprint).is_some()
-        || parts.any(|part| monitor.quarantined_for(part).is_some())
+    monitor.quarantine(fingerprint.into()).is_some()
+        || parts.any(|part| monitor.quarantine(part.into()).is_some())
 }
 
 fn random_node(world: &World) -> Rc<SimNode> {
--- a/crates/firshore-node/tests/journal.rs
+++ b/crates/firshore-node/tests/journal.rs
@@ -468,7 +468,7 @@
                     ..CrashReport::default()
                 },
             });
-            assert!(node.gateway.crashes.has_quarantined());
+            assert!(node.gateway.crashes.has_quarantined_requests());
         }
         for job in ["one", "other"] {
             cluster.submit(job, 3).await;
