--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,7 +35,7 @@
     world.wait("items offered to the full engine", 5, lambda: world.engine_events(ENGINE, "not run"))
     # A new version of the configuration; in trouble it no longer has the batch job's route.
     world.configure([OTHER] if TROUBLE else [BATCH, dict(OTHER, timeout_ms=7000)], [SERVICE])
-    time.sleep(2.5)
+    time.sleep(2.5)  # Past `config_apply_ms`.
     world.signal(ENGINE, signal.SIGUSR2)
     free_at = time.time()
     # All that was asked has ended; the job gets `finish_s` more, and here also more than `queue_ttl_s`.
