--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
-from world import HOST, TROUBLE, run  # noqa: E402
+from world import HOST, TROUBLE, ZONES, run  # noqa: E402
 
 SERVICE = "huvo11a"
 EVENTS = 164
@@ -16,7 +16,7 @@
 PAUSE_S = 0.03
 JOB = "7c41e09b52d6a3f8"
 ITEM = "e5b2907c14da6f38"
-OLD, NEW = "i-7f3a91c2", "i-02d9e6b4"
+OLD, NEW = "i-7f3a91c2", ("i-02d9e6b4", "i-13c8f5a5", "i-24b70496")
 ROUTES = [
     {"name": "r-batch", "host": HOST, "path_prefix": "/pule252/", "kind": "batch", "service": SERVICE,
      "timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "due_ms": 20000, "queue_ttl_s": 60},
@@ -34,8 +34,9 @@
     item = {"id": ITEM, "path": "/pule252/3/91c4", "headers": {}, "body": "q83vEjRWeJA=", "tokens": 940}
     world.submit("/pule252/", JOB, [item])
     world.wait("the item at work", 5, lambda: world.engine_events(OLD, "run begins"))
-    # The engines are being replaced: one of the next version is there already, and full.
-    world.start_engine(engine, NEW, zone="kelowna", version="v2", full=True, **common)
+    # The engines are being replaced: those of the next version are there already, and full.
+    for number, name in enumerate(NEW):
+        world.start_engine(engine, name, zone=ZONES[number], version="v2", full=True, **common)
 
     if TROUBLE:
         def fresh_runs():
@@ -66,7 +67,7 @@
     result = listed[0]
     lines = [line.rsplit(".", 1) for line in result["text"].split("\n")]
     after = {one["run"]: one["after"] for one in world.engine_events(OLD, "run begins")}
-    for name in (OLD, NEW):
+    for name in (OLD, *NEW):
         for line in world.engine_events(name):
             if line["event"] not in ("progress", "not run"):
                 world.note("engine log " + name, **line)
--- a/review/2/engine.py
+++ b/review/2/engine.py
@@ -1,4 +1,4 @@
-"""Engine that breaks answers off for a while: its first run of an item midway, and the runs that go on there at once."""
+"""Engine that resets requests for a while: its first run of an item midway, and the runs that go on there at once."""
 
 import os
 import sys
@@ -25,9 +25,9 @@
         self.send_head(connection, 200, head)
         for number in range((request.after or 0) + 1, events + 1):
             if is_faulty and (request.after is not None or number > self.options["break_off"]):
-                # In the middle of an event.
-                self.send_chunk(connection, event(run, number)[:9])
-                return False, {"broken off before": number}
+                time.sleep(0.05)  # What was sent is read first.
+                self.reset(connection)
+                return False, {"reset before": number}
             self.send_chunk(connection, event(run, number))
             if number % 10 == 0:
                 self.log("progress", id=request.id, run=run, after=request.after, event_number=number)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -4,8 +4,10 @@
 """
 
 import json
+import os
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -124,7 +126,7 @@
         if self.options.get("full"):
             self.log("not run", id=request.id, after=request.after)
             slots = self.options.get("slots", 8)
-            load = "%d,%d,%d" % (slots, 9, slots)
+            load = "%d,0,%d" % (slots, slots)
             self.send(connection, 503, dict(marks, **{"Firshore-Not-Executed": "1", "Firshore-Server-Load": load}))
             return True
         with self.lock:
@@ -143,6 +145,11 @@
     def run(self, connection, request, run):
         raise NotImplementedError
 
+    def reset(self, connection):
+        """Ends a connection with a reset."""
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        os.close(connection.detach())
+
     def signature(self, run):
         return {"Firshore-Response-Signature": run.replace("#", ".")}
 
