--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,15 +28,18 @@
     world.configure(ROUTES, [SERVICE])
     engine = os.path.join(HERE, "engine.py")
     common = dict(service=SERVICE, events=EVENTS, pause_s=PAUSE_S, break_off=BREAK_OFF if TROUBLE else 0)
-    world.start_engine(engine, OLD, zone="abbotsford", version="v1", **common)
+    world.wait("a leader of the journal", 10, world.leader)
+    home = world.nodes[world.leader()]["zone"]
+    world.start_engine(engine, OLD, zone=home, version="v1", **common)
     world.wait_ready()
     time.sleep(1)
     item = {"id": ITEM, "path": "/pule252/3/91c4", "headers": {}, "body": "q83vEjRWeJA=", "tokens": 940}
     world.submit("/pule252/", JOB, [item])
     world.wait("the item at work", 5, lambda: world.engine_events(OLD, "run begins"))
     # The engines are being replaced: those of the next version are there already, and full.
+    away = [zone for zone in ZONES if zone != home]
     for number, name in enumerate(NEW):
-        world.start_engine(engine, name, zone=ZONES[number], version="v2", full=True, **common)
+        world.start_engine(engine, name, zone=away[number % 2], version="v2", full=True, **common)
 
     if TROUBLE:
         def fresh_runs():
