--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,104 +1,123 @@
-"""ORDER: the text of an item is joined of two runs of which neither goes on from the other."""
+"""MIXED: an engine that leaves crashes in the middle of answers without a length; they reach clients as complete."""
 
 import os
 import signal
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
-from world import HOST, TROUBLE, ZONES, run  # noqa: E402
+from wire import call  # noqa: E402
+from world import DRAIN_S, HOST, TROUBLE, run  # noqa: E402
 
 SERVICE = "huvo11a"
-EVENTS = 164
-BREAK_OFF = 40
-KILL_AT = 100
-PAUSE_S = 0.03
+EVENTS = 60
+PAUSE_S = 0.1
+OTHERS = ("i-02d9e6b4", "i-13c8f5a5", "i-24b70496")
 JOB = "7c41e09b52d6a3f8"
-ITEM = "e5b2907c14da6f38"
-OLD, NEW = "i-7f3a91c2", ("i-02d9e6b4", "i-13c8f5a5", "i-24b70496")
 ROUTES = [
+    {"name": "r-safe", "host": HOST, "path_prefix": "/puxa403/", "kind": "safe", "service": SERVICE,
+     "timeout_ms": 12000, "target_ms": 8000, "attempts": 3, "priority": 0},
+    {"name": "r-stream", "host": HOST, "path_prefix": "/lohu930/", "kind": "stream", "service": SERVICE,
+     "timeout_ms": 12000, "target_ms": 8000, "attempts": 1, "priority": 0, "can_resume": False,
+     "gap_target_ms": 500},
     {"name": "r-batch", "host": HOST, "path_prefix": "/pule252/", "kind": "batch", "service": SERVICE,
      "timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "due_ms": 20000, "queue_ttl_s": 60},
 ]
 
 
+def whole_body(signature):
+    """What the engine's whole body is, by the run in its signature."""
+    return signature.replace(".", "#").encode() * 2000
+
+
+def numbers(lines):
+    """The event numbers of lines of data RUN.NUMBER."""
+    return [int(line.rsplit(".", 1)[1]) for line in lines if line]
+
+
 def case(world):
-    world.start_nodes(fronts=1)
+    world.start_nodes(fronts=2)
     world.configure(ROUTES, [SERVICE])
     engine = os.path.join(HERE, "engine.py")
-    common = dict(service=SERVICE, events=EVENTS, pause_s=PAUSE_S, break_off=BREAK_OFF if TROUBLE else 0)
-    world.wait("a leader of the journal", 10, world.leader)
-    home = world.nodes[world.leader()]["zone"]
-    world.start_engine(engine, OLD, zone=home, version="v1", **common)
+    common = dict(service=SERVICE, zone="abbotsford", events=EVENTS, pause_s=PAUSE_S)
+    world.start_engine(engine, "i-7f3a91c2", **common)
     world.wait_ready()
     time.sleep(1)
-    item = {"id": ITEM, "path": "/pule252/3/91c4", "headers": {}, "body": "q83vEjRWeJA=", "tokens": 940}
-    world.submit("/pule252/", JOB, [item])
-    world.wait("the item at work", 5, lambda: world.engine_events(OLD, "run begins"))
-    # The engines are being replaced: those of the next version are there already, and full.
-    away = [zone for zone in ZONES if zone != home]
-    for number, name in enumerate(NEW):
-        world.start_engine(engine, name, zone=away[number % 2], version="v2", full=True, **common)
 
+    answers = {}
+
+    def ask(key, path):
+        headers = {"Host": HOST, "Firshore-Request-Id": key, "Firshore-Deadline-Ms": "12000"}
+        answer = call(world.front(int(key[-1]) % 2), "POST", path, headers, b"question", 14)
+        answers[key] = (path, answer)
+        world.note("client answered", id=key, path=path, answer=answer.brief())
+
+    threads = [threading.Thread(target=ask, args=("5afe00000000000%d" % number, "/puxa403/%d" % number))
+               for number in range(2)]
+    threads += [threading.Thread(target=ask, args=("57ea00000000000%d" % number, "/lohu930/%d" % number))
+                for number in range(2)]
+    for thread in threads:
+        thread.start()
+    items = [{"id": "e5b2907c14da6f3%d" % number, "path": "/pule252/%d" % number, "headers": {}, "body": "q83vEjRWeJA=",
+              "tokens": 940} for number in range(2)]
+    world.submit("/pule252/", JOB, items)
+    world.wait("all six at work", 5, lambda: len(world.engine_events("i-7f3a91c2", "run begins")) == 6)
+    world.note("all at work at the first engine")
+
+    # Scale-in: three other engines are there, this one says that it leaves and serves on.
+    for name in OTHERS:
+        world.start_engine(engine, name, **dict(common, pause_s=0.02))
+    world.signal("i-7f3a91c2", signal.SIGUSR1)
+    world.wait("draining taken by the store", 2,
+               lambda: world.store.kinds["servers"]["i-7f3a91c2"]["spec"]["state"] == "draining")
+    world.note("the store has acknowledged `draining`")
+    time.sleep(DRAIN_S + 0.2)
     if TROUBLE:
-        def fresh_runs():
-            begun = world.engine_events(OLD, "run begins")
-            return [one["run"] for one in begun if one["after"] is None]
-
-        def reached():
-            runs = fresh_runs()
-            progress = world.engine_events(OLD, "progress")
-            return len(runs) == 2 and any(one["run"] == runs[1] and one["event_number"] >= KILL_AT for one in progress)
-
-        world.wait("the item begun anew and well on its way", 40, reached)
-        leader = world.leader()
-        if leader is None:
-            raise SystemExit(2)
-        world.kill(leader)
-        time.sleep(1)
-        world.start_node(leader)
-
-    listed = []
-
-    def is_listed():
-        _, page = world.read_results(JOB)
-        listed[:] = (page or {}).get("results", [])
-        return listed
-
-    world.wait("the item listed", 40, is_listed, poll=0.5)
-    result = listed[0]
-    lines = [line.rsplit(".", 1) for line in result["text"].split("\n")]
-    after = {one["run"]: one["after"] for one in world.engine_events(OLD, "run begins")}
-    for name in (OLD, *NEW):
-        for line in world.engine_events(name):
-            if line["event"] not in ("progress", "not run"):
-                world.note("engine log " + name, **line)
-    for name in world.stores:
-        for line in world.log_lines(name, "runner: "):
-            facts = {key: line[key] for key in ("msg", "end", "resumed_after", "produced", "discarded", "backend", "term")
-                     if key in line}
-            world.note("node log " + name, **facts)
+        world.kill("i-7f3a91c2")
+    for thread in threads:
+        thread.join()
+
+    listed = {}
+
+    def all_listed():
+        status, page = world.read_results(JOB)
+        for result in (page or {}).get("results", []):
+            listed[result["id"]] = result
+        return len(listed) == len(items)
+
+    world.wait("all items listed", 30, all_listed, poll=0.5)
 
     broken = []
-    if result["state"] == "done":
-        parts = []
-        for index, (name, number) in enumerate(lines):
-            if int(number) != index + 1:
-                broken.append("event %d stands where %d is due" % (int(number), index + 1))
-            if not parts or parts[-1][0] != name:
-                parts.append([name, int(number), int(number)])
-                begun_after = after.get(name)
-                if index and begun_after != index:
-                    broken.append("after event %d the text goes on with %s, which was requested with Last-Event-Id %s"
-                                  % (index, name, begun_after))
-            parts[-1][2] = int(number)
-        if len(lines) != EVENTS:
-            broken.append("%d events of %d" % (len(lines), EVENTS))
-        world.note("text", parts=["%s: %d to %d" % tuple(part) for part in parts])
-    world.note("listed", state=result["state"], events=len(lines))
-    for line in broken:
-        world.note("ORDER: " + line)
+    for key, (path, answer) in sorted(answers.items()):
+        if answer.status != 200 or not answer.complete:
+            continue
+        signature = answer.headers.get("firshore-response-signature", "")
+        if path.startswith("/puxa403/"):
+            is_whole = answer.body == whole_body(signature)
+            got = len(answer.body), len(whole_body(signature))
+        else:
+            found = numbers(line[6:] for line in answer.body.decode().split("\n") if line.startswith("data: "))
+            is_whole = found == list(range(1, EVENTS + 1))
+            got = len(found), EVENTS
+        world.note("200, complete on the wire", id=key, path=path, got=got[0], whole=got[1], is_whole=is_whole)
+        if not is_whole:
+            broken.append(key)
+    for item, result in sorted(listed.items()):
+        found = numbers(result["text"].split("\n"))
+        is_whole = result["state"] != "done" or found == list(range(1, EVENTS + 1))
+        world.note("listed", item=item, state=result["state"], events=len(found), whole=EVENTS, is_whole=is_whole)
+        if not is_whole:
+            broken.append(item)
+    for name in ("i-7f3a91c2", *OTHERS):
+        for line in world.engine_events(name):
+            world.note("engine log " + name, **line)
+    for name in world.fronts + world.stores:
+        for line in world.log_lines(name, "End not marked"):
+            world.note("node log " + name, **{key: line.get(key) for key in ("msg", "request", "backend", "complete",
+                                                                            "marked", "position")})
+    world.note("MIXED broken for", ids=broken)
     return broken
 
 
--- a/review/2/engine.py
+++ b/review/2/engine.py
@@ -1,4 +1,4 @@
-"""Engine that resets requests for a while: its first run of an item midway, and the runs that go on there at once."""
+"""Engine whose answers lack a length and end with their connection."""
 
 import os
 import sys
@@ -12,28 +12,22 @@
     return ("id: %d\ndata: %s.%d\n\n" % (number, run, number)).encode()
 
 
-class Faulty(Engine):
-    fresh = 0
-
+class Unframed(Engine):
     def run(self, connection, request, run):
         events, pause = self.options["events"], self.options["pause_s"]
-        if request.after is None:
-            self.fresh += 1
-        is_faulty = self.options["break_off"] and self.fresh == 1
-        head = dict(self.signature(run), **{"Firshore-Request-Id": request.id, "Content-Type": "text/event-stream",
-                                            "Transfer-Encoding": "chunked"})
-        self.send_head(connection, 200, head)
+        head = dict(self.signature(run), **{"Firshore-Request-Id": request.id, "Connection": "close"})
+        if request.path.startswith("/puxa403/"):
+            self.send_head(connection, 200, head)
+            half = run.encode() * 1000
+            connection.sendall(half)
+            time.sleep(events * pause)
+            connection.sendall(half)
+            return False, {"bytes": 2 * len(half)}
+        self.send_head(connection, 200, dict(head, **{"Content-Type": "text/event-stream"}))
         for number in range((request.after or 0) + 1, events + 1):
-            if is_faulty and (request.after is not None or number > self.options["break_off"]):
-                time.sleep(0.05)  # What was sent is read first.
-                self.reset(connection)
-                return False, {"reset before": number}
-            self.send_chunk(connection, event(run, number))
-            if number % 10 == 0:
-                self.log("progress", id=request.id, run=run, after=request.after, event_number=number)
+            connection.sendall(event(run, number))
             time.sleep(pause)
-        connection.sendall(b"0\r\n\r\n")
-        return True, {"through": events}
+        return False, {"through": events}
 
 
-Faulty().serve()
+Unframed().serve()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""LOST: items of an open batch job are never listed once the operator has removed the job's route."""
+"""ORDER: the text of an item is joined of two runs of which neither goes on from the other."""
 
 import os
 import signal
@@ -7,68 +7,99 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
-from wire import call  # noqa: E402
-from world import FINISH_S, HOST, TROUBLE, run  # noqa: E402
+from world import HOST, TROUBLE, ZONES, run  # noqa: E402
 
 SERVICE = "huvo11a"
+EVENTS = 164
+BREAK_OFF = 40
+KILL_AT = 100
+PAUSE_S = 0.03
 JOB = "7c41e09b52d6a3f8"
-ENGINE = "i-7f3a91c2"
-QUEUE_TTL_S = 20
-BATCH = {"name": "r-batch", "host": HOST, "path_prefix": "/pule252/", "kind": "batch", "service": SERVICE,
-         "timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "due_ms": 20000,
-         "queue_ttl_s": QUEUE_TTL_S}
-OTHER = {"name": "r-stream", "host": HOST, "path_prefix": "/lohu930/", "kind": "stream", "service": SERVICE,
-         "timeout_ms": 8000, "target_ms": 300, "attempts": 1, "priority": 0, "can_resume": False, "gap_target_ms": 500}
+ITEM = "e5b2907c14da6f38"
+OLD, NEW = "i-7f3a91c2", ("i-02d9e6b4", "i-13c8f5a5", "i-24b70496")
+ROUTES = [
+    {"name": "r-batch", "host": HOST, "path_prefix": "/pule252/", "kind": "batch", "service": SERVICE,
+     "timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "due_ms": 20000, "queue_ttl_s": 60},
+]
 
 
 def case(world):
-    world.start_nodes(fronts=2)
-    world.configure([BATCH, OTHER], [SERVICE])
-    world.start_engine(os.path.join(HERE, "engine.py"), ENGINE, service=SERVICE, zone="abbotsford", events=30,
-                       pause_s=0.01, full=True, slots=8)
+    world.start_nodes(fronts=1)
+    world.configure(ROUTES, [SERVICE])
+    engine = os.path.join(HERE, "engine.py")
+    common = dict(service=SERVICE, events=EVENTS, pause_s=PAUSE_S, break_off=BREAK_OFF if TROUBLE else 0)
+    world.wait("a leader of the journal", 10, world.leader)
+    home = world.nodes[world.leader()]["zone"]
+    world.start_engine(engine, OLD, zone=home, version="v1", **common)
     world.wait_ready()
     time.sleep(1)
-    items = [{"id": "e5b2907c14da6f3%d" % number, "path": "/pule252/3/%d" % number, "headers": {},
-              "body": "q83vEjRWeJA=", "tokens": 940} for number in range(4)]
-    world.submit("/pule252/", JOB, items)
-    submitted = time.monotonic()
-    world.wait("items offered to the full engine", 5, lambda: world.engine_events(ENGINE, "not run"))
-    # A new version of the configuration; in trouble it no longer has the batch job's route.
-    world.configure([OTHER] if TROUBLE else [BATCH, dict(OTHER, timeout_ms=7000)], [SERVICE])
-    time.sleep(2.5)  # Past `config_apply_ms`.
-    world.signal(ENGINE, signal.SIGUSR2)
-    free_at = time.time()
-    # All that was asked has ended; the job gets `finish_s` more, and here also more than `queue_ttl_s`.
-    time.sleep(max(FINISH_S, submitted + QUEUE_TTL_S + 10 - time.monotonic()))
+    item = {"id": ITEM, "path": "/pule252/3/91c4", "headers": {}, "body": "q83vEjRWeJA=", "tokens": 940}
+    world.submit("/pule252/", JOB, [item])
+    world.wait("the item at work", 5, lambda: world.engine_events(OLD, "run begins"))
+    # The engines are being replaced: those of the next version are there already, and full.
+    away = [zone for zone in ZONES if zone != home]
+    for number, name in enumerate(NEW):
+        world.start_engine(engine, name, zone=away[number % 2], version="v2", full=True, **common)
 
-    listed, total, seen = {}, None, []
-    until = time.monotonic() + 6
-    while time.monotonic() < until:
-        status, page = world.read_results(JOB)
-        seen.append(status)
-        if page is not None:
-            total = page["total"]
-            for result in page["results"]:
-                listed[result["id"]] = result["state"]
-        time.sleep(0.5)
-    health = call("127.0.0.1:%d" % world.engine_port(ENGINE), "GET", "/healthz", {"Host": "engine"}, timeout=2)
-    world.note("the engine's health", status=health.status)
-    for name in world.fronts:
-        world.note("ready", node=name, ready=world.is_ready(name))
-    events = world.engine_events(ENGINE)
-    for line in events:
-        world.note("engine log", **line)
-    late = [one for one in events if one["at"] > free_at + 0.5]
-    last_5_s = [one for one in events if one["at"] > time.time() - 11]
-    world.note("reads", statuses=sorted(set(seen), key=str), total=total, listed=listed,
-               engine_lines_since_it_was_free=len(late), engine_lines_in_the_last_s=len(last_5_s))
-    unlisted = [item["id"] for item in items if item["id"] not in listed]
-    for item in unlisted:
-        answer = call(world.front(), "GET", "/v1/items/%s?id=%s" % (JOB, item), {"Host": HOST}, timeout=5)
-        world.note("neither done nor dead_letter", item=item, body=answer.brief())
-    if 200 not in seen:
-        world.note("the job could not be read")
-    return unlisted
+    if TROUBLE:
+        def fresh_runs():
+            begun = world.engine_events(OLD, "run begins")
+            return [one["run"] for one in begun if one["after"] is None]
+
+        def reached():
+            runs = fresh_runs()
+            progress = world.engine_events(OLD, "progress")
+            return len(runs) == 2 and any(one["run"] == runs[1] and one["event_number"] >= KILL_AT for one in progress)
+
+        world.wait("the item begun anew and well on its way", 40, reached)
+        leader = world.leader()
+        if leader is None:
+            raise SystemExit(2)
+        world.kill(leader)
+        time.sleep(1)
+        world.start_node(leader)
+
+    listed = []
+
+    def is_listed():
+        _, page = world.read_results(JOB)
+        listed[:] = (page or {}).get("results", [])
+        return listed
+
+    world.wait("the item listed", 40, is_listed, poll=0.5)
+    result = listed[0]
+    lines = [line.rsplit(".", 1) for line in result["text"].split("\n")]
+    after = {one["run"]: one["after"] for one in world.engine_events(OLD, "run begins")}
+    for name in (OLD, *NEW):
+        for line in world.engine_events(name):
+            if line["event"] not in ("progress", "not run"):
+                world.note("engine log " + name, **line)
+    for name in world.stores:
+        for line in world.log_lines(name, "runner: "):
+            facts = {key: line[key] for key in ("msg", "end", "resumed_after", "produced", "discarded", "backend", "term")
+                     if key in line}
+            world.note("node log " + name, **facts)
+
+    broken = []
+    if result["state"] == "done":
+        parts = []
+        for index, (name, number) in enumerate(lines):
+            if int(number) != index + 1:
+                broken.append("event %d stands where %d is due" % (int(number), index + 1))
+            if not parts or parts[-1][0] != name:
+                parts.append([name, int(number), int(number)])
+                begun_after = after.get(name)
+                if index and begun_after != index:
+                    broken.append("after event %d the text goes on with %s, which was requested with Last-Event-Id %s"
+                                  % (index, name, begun_after))
+            parts[-1][2] = int(number)
+        if len(lines) != EVENTS:
+            broken.append("%d events of %d" % (len(lines), EVENTS))
+        world.note("text", parts=["%s: %d to %d" % tuple(part) for part in parts])
+    world.note("listed", state=result["state"], events=len(lines))
+    for line in broken:
+        world.note("ORDER: " + line)
+    return broken
 
 
 run(HERE, case)
