--- a/review/common/world.py
+++ b/review/common/world.py
@@ -180,7 +180,7 @@
     def start_engine(self, script, name, **options):
         log = os.path.join(self.folder, name + ".log")
         options = dict(options, id=name, store=self.store.address, log=log, port=free_port())
-        command = [sys.executable, script, json.dumps(options)]
+        command = [sys.executable, "-B", script, json.dumps(options)]
         self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL)
         self.engine_logs[name] = log
         self.wait("engine %s listed" % name, 10, lambda: name in self.store.kinds.get("servers", {}))
