Answers: the log names the evidence on which an unmarked end counts as complete

`answer: End not marked.` now carries `evidence`, and `firshore_process_checks_total` counts checks by it. No decision is changed.

--- a/crates/firshore-gateway/src/answer_end.rs
+++ b/crates/firshore-gateway/src/answer_end.rs
@@ -6,6 +6,7 @@
 
 use crate::events::EventTracker;
 use crate::gateway::Gateway;
+use crate::process_check::{self, ProcessEvidence};
 use firshore_adapter::backend::Backend;
 use firshore_exchange::exchange::ExchangeError;
 use firshore_exchange::framing::BodyEnd;
@@ -106,14 +107,23 @@
         if verdict == EndVerdict::Complete {
             return Ok(CompleteAnswer(()));
         }
-        let is_complete =
-            verdict == EndVerdict::Doubtful && !self.crashes.has_exited(backend).await;
+        let evidence = match verdict {
+            EndVerdict::Doubtful => Some(self.find_evidence(backend).await),
+            EndVerdict::Complete | EndVerdict::BrokenOff => None,
+        };
+        let is_complete = evidence.is_some_and(ProcessEvidence::shows_running);
         info!(self.log, "answer: End not marked."; "request" => text,
             "backend" => %backend.incarnation, "marked" => ?end.marked,
-            "position" => ?end.position, "complete" => is_complete);
+            "position" => ?end.position, "evidence" => ?evidence, "complete" => is_complete);
         match is_complete {
             true => Ok(CompleteAnswer(())),
             false => Err(ExchangeError::Truncated),
         }
     }
+
+    async fn find_evidence(&self, backend: &Backend) -> ProcessEvidence {
+        let evidence = process_check::find_evidence(&self.crashes, backend).await;
+        self.metrics.process_checked(evidence);
+        evidence
+    }
 }
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -200,9 +200,14 @@
         self.table_changed.notify_one();
     }
 
+    /// Returns whether a back end is listed and has not announced that it leaves.
+    pub fn is_staying(&self, backend: &Backend) -> bool {
+        self.fleet.borrow().is_staying(&backend.incarnation)
+    }
+
     /// Returns whether a back end has exited without having announced it, as far as a new connection shows.
     pub async fn has_exited(&self, backend: &Backend) -> bool {
-        if !self.fleet.borrow().is_staying(&backend.incarnation) {
+        if !self.is_staying(backend) {
             return false;
         }
         actix_rt::time::sleep(EXIT_TIME).await;
--- a/crates/firshore-gateway/src/lib.rs
+++ b/crates/firshore-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod overload;
 pub mod pace;
 pub mod pressure;
+pub mod process_check;
 pub mod prompt_parts;
 pub mod refusal;
 pub mod serve;
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use crate::answer_end::AnswerEnd;
 use crate::attempts::SendEnd;
 use crate::freshness::StoreFreshness;
+use crate::process_check::ProcessEvidence;
 use firshore_metrics::{Builder, Counter, EncodeLabelSet, Family, Gauge, Histogram};
 use firshore_types::ids::ServiceName;
 use std::time::Duration;
@@ -122,6 +123,12 @@
     }
 }
 
+/// Labels of a check whether a process still runs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvidenceLabels {
+    evidence: &'static str,
+}
+
 /// Labels of a copy of the object store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct FreshnessLabels {
@@ -162,6 +169,7 @@
     continuations: Family<EndLabels, Counter>,
     origin_records: Family<EndLabels, Counter>,
     answer_ends: Family<EndLabels, Counter>,
+    process_checks: Family<EvidenceLabels, Counter>,
     software_versions: Family<ServiceLabels, Gauge>,
 }
 
@@ -263,6 +271,11 @@
                 "end",
                 "Bodies of back ends' answers, of requests and items, that were read to their end, by how they ended.",
             ),
+            process_checks: builder.counters(
+                "process_checks",
+                "evidence",
+                "Answers whose end nothing marked, by what shows whether the process that sent them still runs.",
+            ),
             software_versions: builder.gauges(
                 "software_versions",
                 "service",
@@ -302,6 +315,14 @@
         self.answer_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a check whether the process that sent an answer still runs.
+    pub fn process_checked(&self, evidence: ProcessEvidence) {
+        let labels = EvidenceLabels {
+            evidence: evidence.label(),
+        };
+        self.process_checks.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of software versions of a service.
     pub fn set_software_versions(&self, service: &ServiceName, count: usize) {
         let labels = ServiceLabels {
