Fleet: only a back end that was listed later takes an address over

Requests could be blamed for an exit that never was: a back end that crashes leaves its entry for some heartbeats, and an address may be used again before that. `Fleet::has_successor` took any other entry at the address for a successor, so that the process which serves there now counted as ended beside the entry of the one before it, as soon as one of its runs broke off.

Each process keeps the time at which it was first listed, and only one listed later counts. Where the process itself is no longer listed, any other one at its address does, as before.

`process_counted_as_ended_beside_an_earlier_entry_at_its_address` fails on the former question ("it serves there now") and passes now; successors, crash_monitor, work and fatal_parts pass.

--- a/crates/firshore-gateway/src/fleet/mod.rs
+++ b/crates/firshore-gateway/src/fleet/mod.rs
@@ -239,10 +239,15 @@
         state.is_some_and(|state| incarnation.is_succeeded_by(&state.backend.incarnation))
     }
 
-    /// Returns whether another back end is listed at the same address, which proves that this one has ended.
+    /// Returns whether another back end was listed at the same address later, which proves that this one has ended. One
+    /// that was listed earlier may have ended while its entry stayed.
     pub fn has_successor(&self, backend: &Backend) -> bool {
-        let mut names = self.index.at_address(backend.address);
-        names.any(|name| *name != backend.incarnation.name)
+        let name = &backend.incarnation.name;
+        let listed_at = |name| self.states.get(name).map(|state| state.listed_at);
+        let own = listed_at(name);
+        let at_address = self.index.at_address(backend.address);
+        let mut others = at_address.filter(|other| *other != name);
+        others.any(|other| own < listed_at(other))
     }
 
     /// Returns the number of back ends that were visited for changes, views, exchanges and requests since the start.
--- a/crates/firshore-gateway/src/fleet/state.rs
+++ b/crates/firshore-gateway/src/fleet/state.rs
@@ -55,6 +55,8 @@
     /// Hash of the name, not of the process: after a restart, prefix affinity leads to the same back end.
     pub(super) identity: u64,
     pub(super) previous: Option<PreviousProcess>,
+    /// When this process was first listed here.
+    pub(super) listed_at: Instant,
     pub(super) in_flight: u32,
     pub(super) report: Option<LoadReport>,
     /// Last view of other gateways' requests, without later reports of the back end.
@@ -81,6 +83,7 @@
             identity: xxh3_64(backend.incarnation.name.as_str().as_bytes()),
             backend,
             previous,
+            listed_at: now,
             in_flight: 0,
             report: None,
             view: None,
--- a/crates/firshore-gateway/tests/successors.rs
+++ b/crates/firshore-gateway/tests/successors.rs
@@ -177,6 +177,22 @@
     assert!(!fleet.is_staying(&without_start(false).incarnation));
 }
 
+/// An entry that stayed behind its process at an address made the next process there count as ended, so that requests
+/// were blamed for an exit that never was.
+#[test]
+fn process_counted_as_ended_beside_an_earlier_entry_at_its_address() {
+    let now = Instant::now();
+    let (earlier, later) = (listed("a", 1, 1_000), listed("b", 1, 1_000));
+    let mut fleet = fleet(std::slice::from_ref(&earlier));
+    assert!(!fleet.has_successor(&earlier));
+    fleet.upsert(now + Duration::from_secs(1), later.clone());
+    assert!(fleet.has_successor(&earlier));
+    assert!(!fleet.has_successor(&later), "it serves there now");
+    fleet.remove(now, &earlier.incarnation.name);
+    assert!(fleet.has_successor(&earlier), "its address is taken");
+    assert!(!fleet.has_successor(&later));
+}
+
 fn configuration() -> Value {
     let route = |prefix: &str, repetition: &str, attempts: u32| {
         json!({"prefix": prefix, "service": "s", "repetition": repetition, "timeout": 2_000,
