--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -141,10 +141,29 @@
     Ok(Connection { endpoint, stream })
 }
 
+/// How an address responds to a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeResponse {
+    /// A process accepts it.
+    Accepted,
+    /// The machine is reachable, but no process listens there.
+    Refused,
+    /// Nothing responds in time.
+    Silent,
+}
+
+/// Opens a connection to `address` and closes it at once. Waits for a response for up to `limit`.
+pub async fn probe(address: SocketAddr, limit: Duration) -> ProbeResponse {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => ProbeResponse::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeResponse::Refused,
+        Ok(Err(_)) | Err(_) => ProbeResponse::Silent,
+    }
+}
+
 /// Returns whether a connection to `address` is refused: the machine is reachable, but no process listens there.
 pub async fn is_refused(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    probe(address, CONNECT_TIMEOUT).await == ProbeResponse::Refused
 }
 
 /// Sends a request once, on an idle or new connection, and waits for the head of the response.
--- a/crates/firshore-gateway/src/answer_end.rs
+++ b/crates/firshore-gateway/src/answer_end.rs
@@ -1,8 +1,7 @@
 //! Decides whether an answer of a back end is complete.
 //!
 //! The end of a connection is not the end of a message. A body whose end neither a length nor chunks mark is complete
-//! only if its last event is, and if the back end still runs: a process that exits closes its connections in an orderly
-//! way, too.
+//! only if its last event is, and if the process that sent it still runs ([`process_check`]).
 
 use crate::events::EventTracker;
 use crate::gateway::Gateway;
@@ -51,7 +50,7 @@
     Complete,
     /// It broke off.
     BrokenOff,
-    /// It is complete if the back end still runs.
+    /// It is complete if the process that sent it still runs.
     Doubtful,
 }
 
@@ -122,7 +121,7 @@
     }
 
     async fn find_evidence(&self, backend: &Backend) -> ProcessEvidence {
-        let evidence = process_check::find_evidence(&self.crashes, backend).await;
+        let evidence = process_check::find_evidence(&self.fleet, backend).await;
         self.metrics.process_checked(evidence);
         evidence
     }
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -36,9 +36,6 @@
 /// connection shows a crash within a round trip.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Time in which a process that exits closes all its sockets.
-const EXIT_TIME: Duration = Duration::from_millis(5);
-
 /// Maximum number of lost runs kept for one back end while it is being checked.
 const MAX_PENDING_RUNS: usize = 64;
 
@@ -200,20 +197,6 @@
         self.table_changed.notify_one();
     }
 
-    /// Returns whether a back end is listed and has not announced that it leaves.
-    pub fn is_staying(&self, backend: &Backend) -> bool {
-        self.fleet.borrow().is_staying(&backend.incarnation)
-    }
-
-    /// Returns whether a back end has exited without having announced it, as far as a new connection shows.
-    pub async fn has_exited(&self, backend: &Backend) -> bool {
-        if !self.is_staying(backend) {
-            return false;
-        }
-        actix_rt::time::sleep(EXIT_TIME).await;
-        (self.is_refused)(backend.address).await
-    }
-
     /// Waits, for a limited time, until a check of the back end is done.
     pub async fn settled(&self, backend: &Incarnation) {
         let settled = self.settled.notified();
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway with scripted back ends.
 #![allow(dead_code, reason = "each test file uses some of it")]
 
+pub mod answers;
+
 use firshore_adapter::backend::Backend;
 use firshore_adapter::decode::Decoder;
 use firshore_adapter::incarnation::Incarnation;
@@ -68,7 +70,8 @@
     }
 }
 
-fn listed(backend: &ScriptedBackend, software: Option<&str>) -> Backend {
+/// Returns the entry of a back end.
+pub fn listed(backend: &ScriptedBackend, software: Option<&str>) -> Backend {
     Backend {
         incarnation: Incarnation::named(backend.name.clone()),
         service: "s".into(),
--- a/crates/firshore-node/tests/broken_items.rs
+++ b/crates/firshore-node/tests/broken_items.rs
@@ -4,6 +4,7 @@
 
 use cluster::*;
 use firshore_adapter::jobs::ItemOutcome;
+use firshore_stand_in::adapter::RESUME_AFTER;
 use firshore_stand_in::backend::{Closing, Content, Cut, Marking, Place, Play, ScriptedBackend};
 
 const MARKINGS: [Marking; 3] = [Marking::Length, Marking::Chunks, Marking::Close];
@@ -90,3 +91,65 @@
         assert_whole(&cluster.results("job", 1).await);
     });
 }
+
+/// A back end said that it leaves and crashed; its items were listed as done with half their text.
+#[test]
+fn item_was_done_with_a_part_of_its_text_as_its_leaving_back_end_crashed() {
+    run(async {
+        let cluster = Cluster::start().await;
+        cluster.configure();
+        let cut = Cut {
+            marking: Marking::Close,
+            place: Place::Between,
+            closing: Closing::Exit,
+            content: Content::Events,
+        };
+        let leaving = ScriptedBackend::start("a", &[Play::Cut(cut)], Play::Events).await;
+        leaving.hold_ends();
+        cluster.put_backend(&leaving, false);
+        cluster.submit("job", 1).await;
+        while leaving.seen().is_empty() {
+            pause().await;
+        }
+        cluster.put_backend(&leaving, true);
+        let other = ScriptedBackend::start("b", &[], Play::Events).await;
+        cluster.put_backend(&other, false);
+        cluster.wait_until_leaving("a").await;
+        leaving.release_ends();
+        assert_whole(&cluster.results("job", 1).await);
+        let continued = other.seen().into_iter().next().expect("it went on there");
+        assert_eq!(
+            continued.headers.get(RESUME_AFTER).map(String::as_str),
+            Some("2")
+        );
+    });
+}
+
+/// A back end that leaves as planned serves on: its items are done with its text, and run once.
+#[test]
+fn item_is_done_by_the_back_end_that_leaves_behind_its_whole_text() {
+    run(async {
+        let cluster = Cluster::start().await;
+        cluster.configure();
+        let cut = Cut {
+            marking: Marking::Close,
+            place: Place::Nowhere,
+            closing: Closing::Orderly,
+            content: Content::Events,
+        };
+        let leaving = ScriptedBackend::start("a", &[Play::Cut(cut)], Play::Events).await;
+        leaving.hold_ends();
+        cluster.put_backend(&leaving, false);
+        cluster.submit("job", 1).await;
+        while leaving.seen().is_empty() {
+            pause().await;
+        }
+        cluster.put_backend(&leaving, true);
+        let other = ScriptedBackend::start("b", &[], Play::Events).await;
+        cluster.put_backend(&other, false);
+        cluster.wait_until_leaving("a").await;
+        leaving.release_ends();
+        assert_whole(&cluster.results("job", 1).await);
+        assert_eq!((leaving.seen().len(), other.seen().len()), (1, 0));
+    });
+}
--- a/crates/firshore-node/tests/cluster/mod.rs
+++ b/crates/firshore-node/tests/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! jobs.
 #![allow(dead_code)] // Each test file uses only some of it.
 
+use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::jobs::{ItemOutcome, JobId, JobItem};
 use firshore_adapter::residency::ResidencyPermit;
 use firshore_adapter::route::{JobTerms, Repetition, Route, WeightedService};
@@ -327,6 +328,18 @@
         leader.gateway.fleet.borrow().len()
     }
 
+    /// Waits until the leader's fleet view shows that a back end leaves.
+    pub async fn wait_until_leaving(&self, name: &str) {
+        let incarnation = Incarnation::named(name);
+        loop {
+            let leader = self.nodes[self.leader().await].as_ref().unwrap();
+            if !leader.gateway.fleet.borrow().is_staying(&incarnation) {
+                return;
+            }
+            pause().await;
+        }
+    }
+
     pub async fn submit(&self, job: &str, items: usize) {
         while self
             .client
--- a/crates/firshore-stand-in/src/backend.rs
+++ b/crates/firshore-stand-in/src/backend.rs
@@ -161,6 +161,9 @@
     /// Part of a prompt under which it exits.
     fatal_part: Cell<Option<u64>>,
     exited: Notify,
+    /// Whether connections stay open behind a body that was cut, or that only the close ends.
+    holds_ends: Cell<bool>,
+    ends_released: Notify,
 }
 
 impl ScriptedBackend {
@@ -189,6 +192,8 @@
             text: RefCell::new("e".to_owned()),
             fatal_part: Cell::new(None),
             exited: Notify::new(),
+            holds_ends: Cell::new(false),
+            ends_released: Notify::new(),
         });
         let serving = backend.clone();
         actix_rt::spawn(async move {
@@ -215,6 +220,25 @@
         self.fatal_part.set(Some(part));
     }
 
+    /// Keeps connections open behind bodies that are cut, or that only the close ends, until
+    /// [`Self::release_ends`].
+    pub fn hold_ends(&self) {
+        self.holds_ends.set(true);
+    }
+
+    /// Ends the connections that were kept open.
+    pub fn release_ends(&self) {
+        self.holds_ends.set(false);
+        self.ends_released.notify_waiters();
+    }
+
+    /// Stops listening, as a process that exits does. Its connections stay open.
+    pub async fn stop_listening(&self) {
+        self.exited.notify_waiters();
+        // The listener is dropped by its own task.
+        actix_rt::task::yield_now().await;
+    }
+
     /// Requests that arrived.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
@@ -321,9 +345,17 @@
             _ => b"",
         };
         let _ = stream.write_all(end).await;
-        match is_whole && cut.marking != Marking::Close {
-            true => true,
-            false => self.close(cut.closing, stream).await,
+        if is_whole && cut.marking != Marking::Close {
+            return true;
+        }
+        self.wait_for_release().await;
+        self.close(cut.closing, stream).await
+    }
+
+    async fn wait_for_release(&self) {
+        let released = self.ends_released.notified();
+        if self.holds_ends.get() {
+            released.await;
         }
     }
 
@@ -374,11 +406,7 @@
             Closing::Reset => {
                 let _ = stream.set_zero_linger();
             }
-            Closing::Exit => {
-                self.exited.notify_waiters();
-                // The listener is dropped by its own task.
-                actix_rt::task::yield_now().await;
-            }
+            Closing::Exit => self.stop_listening().await,
         }
         false
     }
