Items: the runner's log lines name the text that they speak of

A text, a sequence of an item's events that only grows, has an identifier, drawn for each run from the beginning and at each takeover. Deltas and held events carry it (field `x` between nodes, ignored by earlier versions); nothing is decided by it yet. `Run started`, `Run ended` and `Item begins anew` name it, `runner: Item taken over.` the former one, too.

--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -7,6 +7,7 @@
 use firshore_adapter::text_origin::TextOrigin;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::fmt;
 
 /// Approximate overhead of the allocator and the container per event.
 const EVENT_OVERHEAD_BYTES: usize = 40;
@@ -17,6 +18,19 @@
     bytes + events.len() * EVENT_OVERHEAD_BYTES
 }
 
+/// Identifies a sequence of an item's events that only grows, as one leader holds it: drawn at random for each run from
+/// the beginning and at each takeover. A [`TextOrigin`] says who may continue a text, and is the same for two runs at
+/// one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TextId(pub u64);
+
+impl fmt::Display for TextId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// Events of an item since the last report.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressDelta {
@@ -38,6 +52,9 @@
     /// What produced the first event. Reports of earlier versions don't have it: nothing may continue these events.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub origin: Option<TextOrigin>,
+    /// Text of the events. Reports of earlier versions don't name it.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<TextId>,
 }
 
 /// End of a delta.
@@ -76,6 +93,8 @@
     pub last: Option<u64>,
     /// What produced the first event, if known.
     pub origin: Option<TextOrigin>,
+    /// Text of the events, if its leader named it.
+    pub text: Option<TextId>,
 }
 
 /// Copies of the events of all items.
@@ -102,6 +121,7 @@
             held.events.extend(delta.events);
             held.last = delta.last;
             held.origin = delta.origin;
+            held.text = delta.text;
         }
         gaps
     }
@@ -131,6 +151,7 @@
             events: held.events.clone(),
             last: held.last,
             origin: held.origin.clone(),
+            text: held.text,
         });
         items.collect()
     }
@@ -145,6 +166,8 @@
     pub last: Option<u64>,
     /// What produced the first event, if known.
     pub origin: Option<&'a TextOrigin>,
+    /// Text of the events; `None` if there are none.
+    pub text: Option<TextId>,
 }
 
 /// Events of an item that were sent to one other node.
@@ -175,6 +198,7 @@
             events: rest.to_vec(),
             last: held.last,
             origin: held.origin.cloned(),
+            text: held.text,
         })
     }
 
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -77,6 +77,7 @@
         let started = Instant::now();
         let resumed_after = self.progress.borrow().last_event();
         let held = self.progress.borrow().produced().len();
+        let text = self.progress.borrow().text();
         let end = self.send().await;
         let events = self.progress.borrow().produced().len();
         let summary = RunSummary {
@@ -101,7 +102,8 @@
             .end_run(now, end, failures, &limits);
         info!(self.gateway.log, "runner: Run ended."; "job" => caller_id(&header.job),
             "item" => &self.work.item.id, "backend" => %self.backend.incarnation, "end" => ?end,
-            "resumed_after" => resumed_after, "run_ms" => started.elapsed().as_millis() as u64,
+            "resumed_after" => resumed_after, "text" => text.map(|text| text.to_string()),
+            "events" => events, "run_ms" => started.elapsed().as_millis() as u64,
             "settled" => outcome.is_some());
         drop(self.in_flight);
         if let Some(outcome) = outcome {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -221,7 +221,11 @@
         let held_items = self.journal.progress.borrow().held();
         let mut progress = self.progress.borrow_mut();
         for (key, held) in held_items {
-            let resumed = Rc::new(RefCell::new(ItemProgress::resumed(now, held)));
+            let text = self.draw_text();
+            info!(self.gateway.log, "runner: Item taken over."; "job" => caller_id(&key.0), "item" => key.1,
+                "events" => held.events.len(), "last" => held.last,
+                "former_text" => held.text.map(|text| text.to_string()), "text" => %text);
+            let resumed = Rc::new(RefCell::new(ItemProgress::resumed(now, held, text)));
             progress.insert(key, resumed);
         }
     }
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -1,6 +1,6 @@
 //! Progress of an item: its events, failed runs and the time of the next run. No I/O.
 
-use super::handover::{HeldEvents, HeldProgress, event_bytes};
+use super::handover::{HeldEvents, HeldProgress, TextId, event_bytes};
 use firshore_adapter::backend::Backend;
 use firshore_adapter::jobs::ItemOutcome;
 use firshore_adapter::text_origin::{ResumePermit, TextOrigin};
@@ -53,6 +53,8 @@
     produced: Vec<String>,
     /// What produced the first held event, if known.
     origin: Option<TextOrigin>,
+    /// Text of the held events, or of the run that begins one.
+    text: Option<TextId>,
     /// When the run started that produced it, as far as this node knows.
     begun_at: Instant,
     /// Consecutive runs that broke off without a further event.
@@ -73,6 +75,7 @@
             stream: EventStream::default(),
             produced: Vec::new(),
             origin: None,
+            text: None,
             begun_at: now,
             fruitless_runs: 0,
             held_at_start: 0,
@@ -82,12 +85,14 @@
         }
     }
 
-    /// Creates the progress of an item from events that were reported by the former leader.
-    pub fn resumed(now: Instant, held: HeldProgress) -> Self {
+    /// Creates the progress of an item from events that were reported by the former leader. They are a text of their own
+    /// from here on, identified by `text`: the former leader may have gone on otherwise.
+    pub fn resumed(now: Instant, held: HeldProgress, text: TextId) -> Self {
         Self {
             stream: EventStream::after(held.last),
             produced: held.events,
             origin: held.origin,
+            text: Some(text),
             ..Self::new(now)
         }
     }
@@ -118,12 +123,18 @@
         self.origin.as_ref()
     }
 
+    /// Returns the text of the held events, or of the run that begins one.
+    pub fn text(&self) -> Option<TextId> {
+        self.text
+    }
+
     /// Returns the held events.
     pub fn held(&self) -> HeldEvents<'_> {
         HeldEvents {
             events: &self.produced,
             last: self.last_event(),
             origin: self.origin.as_ref(),
+            text: self.text,
         }
     }
 
@@ -148,14 +159,17 @@
         self.stream = EventStream::default();
         self.produced.clear();
         self.origin = None;
+        self.text = None;
         self.fruitless_runs = 0;
     }
 
-    /// Prepares a run at a back end: discards the partial event that a stopped run may have left.
-    pub fn start_run(&mut self, now: Instant, backend: &Backend) {
+    /// Prepares a run at a back end: discards the partial event that a stopped run may have left. `text` identifies the
+    /// text if the run starts from the beginning.
+    pub fn start_run(&mut self, now: Instant, backend: &Backend, text: TextId) {
         self.stream.discard_partial();
         if self.last_event().is_none() {
             self.origin = Some(TextOrigin::at(backend));
+            self.text = Some(text);
             self.begun_at = now;
         }
         self.held_at_start = self.produced.len();
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -1,6 +1,7 @@
 //! Scheduling pass: selects the items that start, and their back ends.
 
 use super::backlog::DeadlineRisk;
+use super::handover::TextId;
 use super::item::{self, ItemRun};
 use super::progress::{ItemProgress, RunEnd};
 use super::urgency::{DueTime, ItemUrgency};
@@ -16,6 +17,7 @@
 use firshore_gateway::fleet::BackendRequirements;
 use firshore_jobs::table::OpenItem;
 use firshore_types::ids::{ServiceName, SoftwareVersion, TenantName};
+use rand::RngExt;
 use slog::info;
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -257,7 +259,9 @@
         pass.started += 1;
         let shared = progress.clone();
         self.progress.borrow_mut().insert(key.clone(), shared);
-        progress.borrow_mut().start_run(now, &backend);
+        progress
+            .borrow_mut()
+            .start_run(now, &backend, self.draw_text());
         let work = Work {
             header: item.header.clone(),
             index: item.index,
@@ -266,7 +270,8 @@
         let chosen = backend.incarnation.clone();
         let service = backend.service.clone();
         info!(self.gateway.log, "runner: Run started."; "job" => caller_id(&key.0), "item" => key.1,
-            "backend" => %backend.incarnation, "produced" => waiting.produced,
+            "backend" => %backend.incarnation, "produced" => progress.borrow().produced().len(),
+            "text" => progress.borrow().text().map(|text| text.to_string()),
             "software" => backend.software.as_ref().map(ToString::to_string),
             "urgency" => ?waiting.due.urgency(now));
         let run = ItemRun {
@@ -306,6 +311,11 @@
         self.running.borrow_mut().insert(key, run);
     }
 
+    /// Draws the identifier of a text.
+    pub(super) fn draw_text(&self) -> TextId {
+        TextId(self.gateway.random.borrow_mut().random())
+    }
+
     /// Discards the events of an item that no back end may continue. It then begins anew.
     fn discard_stuck_progress(
         &self,
@@ -332,6 +342,7 @@
         }
         info!(self.gateway.log, "runner: Item begins anew."; "job" => caller_id(&key.0), "item" => key.1,
             "discarded" => progress.produced().len(),
+            "text" => progress.text().map(|text| text.to_string()),
             "software" => progress.origin().and_then(TextOrigin::software).map(ToString::to_string),
             "reason" => "no back end may continue it");
         progress.begin_anew();
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -9,7 +9,7 @@
 use firshore_node::load_table::{BackendCount, LoadTable, as_counts};
 use firshore_node::runner::ItemKey;
 use firshore_node::runner::handover::{
-    HeldEvents, HeldItems, HeldProgress, ProgressDelta, SentProgress,
+    HeldEvents, HeldItems, HeldProgress, ProgressDelta, SentProgress, TextId,
 };
 use firshore_node::runner::progress::{ItemProgress, RunEnd, RunLimits};
 use firshore_stand_in::adapter::Plain;
@@ -64,9 +64,9 @@
 fn a_stopped_run_resumes_after_its_last_complete_event() {
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
-    progress.start_run(now, &backend("v1"));
+    progress.start_run(now, &backend("v1"), TEXT);
     progress.feed(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
-    progress.start_run(now, &backend("v1"));
+    progress.start_run(now, &backend("v1"), TEXT);
     assert_eq!(progress.last_event(), Some(1));
     progress.feed(b"id: 2\ndata: b\n\n").unwrap();
     let outcome = progress.end_run(now, RunEnd::Whole, 0, &LIMITS);
@@ -127,11 +127,15 @@
     assert!(table.sums().is_empty());
 }
 
+/// Text of most tests.
+const TEXT: TextId = TextId(1);
+
 fn held_events(events: &[String], last: u64) -> HeldEvents<'_> {
     HeldEvents {
         events,
         last: Some(last),
         origin: None,
+        text: Some(TEXT),
     }
 }
 
@@ -167,7 +171,7 @@
     let all = held.all();
     assert_eq!(all[&key].events, events(1..=5));
     assert_eq!(all[&key].last, Some(5));
-    let begun = ItemProgress::resumed(Instant::now(), all[&key].clone());
+    let begun = ItemProgress::resumed(Instant::now(), all[&key].clone(), TEXT);
     assert_eq!(begun.last_event(), Some(5));
 }
 
@@ -227,6 +231,7 @@
         events,
         last: Some(last),
         origin: None,
+        text: Some(TEXT),
     };
     held.apply(vec![delta(0, events(1..=5), 5)]);
     held.apply(vec![delta(0, events(1..=2), 2)]);
@@ -270,6 +275,7 @@
         events,
         last: None,
         origin: Some(origin.clone()),
+        text: Some(TEXT),
     };
     outdated.apply(vec![whole(&old, 0, events(1..=5))]);
     let gaps = outdated.apply(vec![whole(&new, 2, events(3..=4))]);
@@ -280,7 +286,7 @@
 fn an_item_begins_anew_only_where_nothing_continues_it() {
     let now = Instant::now();
     let mut progress = ItemProgress::new(now);
-    progress.start_run(now, &backend("v1"));
+    progress.start_run(now, &backend("v1"), TEXT);
     assert!(!progress.is_stuck(|_, _| false), "no events are held");
     progress.feed(b"id: 1\ndata: a\n\n").unwrap();
     assert!(progress.is_stuck(|_, _| false));
@@ -290,7 +296,7 @@
     assert_eq!(permit.after(), 1);
     for run in 0..5 {
         assert_eq!(progress.is_stuck(|_, _| true), run > 3, "{run} broken runs");
-        progress.start_run(now, &backend("v1"));
+        progress.start_run(now, &backend("v1"), TEXT);
         progress.end_run(now, RunEnd::NotRun, 0, &LIMITS);
         progress.end_run(now, RunEnd::Broken, 0, &LIMITS);
     }
@@ -303,7 +309,8 @@
         events: events(1..=2),
         last: Some(2),
         origin: None,
+        text: None,
     };
-    let resumed = ItemProgress::resumed(now, earlier_version);
+    let resumed = ItemProgress::resumed(now, earlier_version, TEXT);
     assert!(resumed.is_stuck(|_, _| true), "its origin is unknown");
 }
--- a/crates/firshore-node/tests/progress_file.rs
+++ b/crates/firshore-node/tests/progress_file.rs
@@ -1,7 +1,7 @@
 //! Progress of items survives a restart of the process and never mixes two runs.
 
 use firshore_node::runner::ItemKey;
-use firshore_node::runner::handover::ProgressDelta;
+use firshore_node::runner::handover::{ProgressDelta, TextId};
 use firshore_node::runner::progress_store::{Leadership, ProgressStore};
 use std::fs::OpenOptions;
 use std::io::{ErrorKind, Write};
@@ -25,6 +25,7 @@
         events: events.iter().map(|event| (*event).to_owned()).collect(),
         last: Some((offset + events.len()) as u64),
         origin: None,
+        text: Some(TextId(1)),
     }
 }
 
