--- a/crates/firshore-node/src/runner/handover.rs
+++ b/crates/firshore-node/src/runner/handover.rs
@@ -1,7 +1,7 @@
 //! Copies of items' events on other nodes, so that a new leader resumes items after their last event. No I/O.
 //!
-//! These copies are not durable: missing events are generated again. A copy is always a prefix of an item's
-//! events, as numbered by the engine.
+//! These copies are not durable: missing events are generated again. A copy is always a prefix of one text, whose
+//! events the engine numbered: a delta is appended only if it names the text of the held events.
 
 use super::ItemKey;
 use firshore_adapter::text_origin::TextOrigin;
@@ -64,8 +64,8 @@
     pub key: ItemKey,
     /// Number of events that a node holds after it applied the delta.
     pub events: usize,
-    /// What produced the first of them.
-    pub origin: Option<TextOrigin>,
+    /// Their text.
+    pub text: Option<TextId>,
 }
 
 impl ProgressDelta {
@@ -74,10 +74,16 @@
         DeltaEnd {
             key: (self.job.clone(), self.index),
             events: self.offset + self.events.len(),
-            origin: self.origin.clone(),
+            text: self.text,
         }
     }
 
+    /// Returns whether the events continue held ones. A text that is not named is like no other.
+    fn continues(&self, held: &HeldProgress) -> bool {
+        let is_same_text = self.text.is_some() && self.text == held.text;
+        is_same_text && self.origin == held.origin && self.offset <= held.events.len()
+    }
+
     /// Returns the size of the events in bytes.
     pub fn bytes(&self) -> usize {
         self.events.iter().map(String::len).sum()
@@ -105,18 +111,18 @@
 
 impl HeldItems {
     /// Applies a leader's deltas. Returns the items of which earlier events are missing: the leader has to
-    /// report them from the start.
+    /// report them from the start. What is held of these stays: it is a prefix of a text by itself.
     pub fn apply(&mut self, deltas: Vec<ProgressDelta>) -> Vec<ItemKey> {
         let mut gaps = Vec::new();
         for delta in deltas {
-            let key = (delta.job, delta.index);
-            let held = self.items.entry(key.clone()).or_default();
-            let follows = delta.offset <= held.events.len() && delta.origin == held.origin;
-            if delta.offset > 0 && !follows {
-                self.items.remove(&key);
+            let key = delta.end().key;
+            let held = self.items.get(&key);
+            let continues = held.is_some_and(|held| delta.continues(held));
+            if delta.offset > 0 && !continues {
                 gaps.push(key);
                 continue;
             }
+            let held = self.items.entry(key).or_default();
             held.events.truncate(delta.offset);
             held.events.extend(delta.events);
             held.last = delta.last;
@@ -174,7 +180,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct SentEvents {
     count: usize,
-    origin: Option<TextOrigin>,
+    text: Option<TextId>,
 }
 
 /// Events of each item that were sent to one other node.
@@ -184,11 +190,11 @@
 }
 
 impl SentProgress {
-    /// Returns the events of an item that were not sent yet, or `None` if there are none. An item that began anew is
-    /// sent from the start.
+    /// Returns the events of an item that were not sent yet, or `None` if there are none. Another text than the one that
+    /// was sent is sent from the start.
     pub fn delta(&self, key: &ItemKey, held: HeldEvents<'_>) -> Option<ProgressDelta> {
         let sent = self.sent.get(key);
-        let sent = sent.filter(|sent| sent.origin.as_ref() == held.origin);
+        let sent = sent.filter(|sent| sent.text == held.text);
         let offset = sent.map_or(0, |sent| sent.count);
         let rest = held.events.get(offset..).filter(|rest| !rest.is_empty())?;
         Some(ProgressDelta {
@@ -223,7 +229,7 @@
         for end in sent {
             let events = SentEvents {
                 count: end.events,
-                origin: end.origin,
+                text: end.text,
             };
             self.sent.insert(end.key, events);
         }
--- a/crates/firshore-node/src/runner/progress_sender.rs
+++ b/crates/firshore-node/src/runner/progress_sender.rs
@@ -6,8 +6,10 @@
 use super::progress_store::Leadership;
 use super::{ItemKey, Runner};
 use crate::journal::messages::{PeerRequest, PeerResponse};
+use firshore_adapter::jobs::caller_id;
 use firshore_types::ids::NodeName;
 use futures_util::future::join_all;
+use slog::info;
 use std::cell::Ref;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -88,7 +90,10 @@
             let request = PeerRequest::Progress { leadership, deltas };
             let call = self.journal.query(&node, request);
             match timeout(SEND_TIMEOUT, call).await {
-                Ok(Some(PeerResponse::Gaps(gaps))) => sent.acknowledge(ends, gaps),
+                Ok(Some(PeerResponse::Gaps(gaps))) => {
+                    self.log_gaps(&node, &gaps);
+                    sent.acknowledge(ends, gaps);
+                }
                 _ => {
                     // It is unknown which events the node holds: sends all of them in the next round.
                     sent = SentProgress::default();
@@ -99,6 +104,14 @@
         (node, sent)
     }
 
+    /// Logs that a node lacks the beginning of texts, which it gets next.
+    fn log_gaps(&self, node: &NodeName, gaps: &[ItemKey]) {
+        if let Some((job, index)) = gaps.first() {
+            info!(self.gateway.log, "runner: Texts are sent from the start."; "node" => %node,
+                "items" => gaps.len(), "first_job" => caller_id(job), "first_item" => index);
+        }
+    }
+
     /// Returns the events that were not sent yet, up to about `bytes`.
     fn unsent(&self, sent: &mut SentProgress, bytes: usize) -> Vec<ProgressDelta> {
         let progress = self.progress.borrow();
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -250,12 +250,13 @@
     let mut sent = SentProgress::default();
     let mut held = HeldItems::default();
     let texts = [
-        (&old, events(1..=5)),
-        (&new, events(1..=2)),
-        (&new, events(1..=4)),
+        (TextId(1), &old, events(1..=5)),
+        (TextId(2), &new, events(1..=2)),
+        (TextId(2), &new, events(1..=4)),
     ];
-    for (origin, events) in &texts {
+    for (text, origin, events) in &texts {
         let held_events = HeldEvents {
+            text: Some(*text),
             origin: Some(*origin),
             ..held_events(events, events.len() as u64)
         };
@@ -282,6 +283,145 @@
     assert_eq!(gaps, std::slice::from_ref(&key));
 }
 
+fn delta_of(text: Option<TextId>, offset: usize, events: Vec<String>) -> ProgressDelta {
+    ProgressDelta {
+        job: "job".to_owned(),
+        index: 3,
+        offset,
+        last: Some((offset + events.len()) as u64),
+        events,
+        origin: Some(TextOrigin::at(&backend("v1"))),
+        text,
+    }
+}
+
+/// An item began anew at the process that ran it first; followers appended the events of the second run to those of the
+/// first, and the next leader went on from there.
+#[test]
+fn events_of_two_runs_at_one_process_were_joined_by_a_handover() {
+    let key = ("job".to_owned(), 3);
+    let now = Instant::now();
+    let one = backend("v1");
+    let mut sent = SentProgress::default();
+    let mut held = HeldItems::default();
+    let mut progress = ItemProgress::new(now);
+    let mut run = |progress: &mut ItemProgress, text: u64, name: &str, last: u64| {
+        progress.start_run(now, &one, TextId(text));
+        for number in progress.last_event().unwrap_or(0) + 1..=last {
+            let event = format!("id: {number}\ndata: {name}{number}\n\n");
+            progress.feed(event.as_bytes()).unwrap();
+        }
+        let delta = sent.delta(&key, progress.held()).unwrap();
+        let gaps = held.apply(vec![delta.clone()]);
+        assert!(gaps.is_empty());
+        sent.acknowledge(vec![delta.end()], gaps);
+        held.all()[&key].events.clone()
+    };
+    let events = |name: &str, last: u64| -> Vec<String> {
+        let numbers = 1..=last;
+        numbers.map(|number| format!("{name}{number}")).collect()
+    };
+    assert_eq!(run(&mut progress, 1, "a", 4), events("a", 4));
+    // A run that goes on doesn't begin a text.
+    assert_eq!(run(&mut progress, 2, "a", 6), events("a", 6));
+    progress.begin_anew();
+    assert_eq!(run(&mut progress, 3, "b", 9), events("b", 9));
+    progress.begin_anew();
+    assert_eq!(run(&mut progress, 4, "c", 2), events("c", 2));
+}
+
+/// A message that was on its way while the item began anew must not meet the events of the new run.
+#[test]
+fn late_events_of_a_former_run_at_one_process_were_joined() {
+    let key = ("job".to_owned(), 3);
+    let (former, current) = (Some(TextId(1)), Some(TextId(2)));
+    let mut held = HeldItems::default();
+    let whole = delta_of(current, 0, events(1..=5));
+    assert!(held.apply(vec![whole.clone()]).is_empty());
+    let late = delta_of(former, 3, events(4..=8));
+    assert_eq!(held.apply(vec![late]), std::slice::from_ref(&key));
+    assert_eq!(held.all()[&key].events, events(1..=5));
+    assert_eq!(held.all()[&key].text, current);
+    // A late beginning replaces the text; the next events of the current one don't follow it.
+    assert!(
+        held.apply(vec![delta_of(former, 0, events(1..=7))])
+            .is_empty()
+    );
+    let next = delta_of(current, 5, events(6..=6));
+    assert_eq!(held.apply(vec![next]), std::slice::from_ref(&key));
+    assert_eq!(held.all()[&key].text, former);
+    assert!(held.apply(vec![whole]).is_empty());
+    assert_eq!(held.all()[&key].text, current);
+    // So does an acknowledgement that arrives after the item began anew.
+    let mut sent = SentProgress::default();
+    let acknowledged = delta_of(former, 0, events(1..=4));
+    sent.acknowledge(vec![acknowledged.end()], Vec::new());
+    let new_events = events(1..=6);
+    let held_events = HeldEvents {
+        text: current,
+        ..held_events(&new_events, 6)
+    };
+    assert_eq!(sent.delta(&key, held_events).unwrap().offset, 0);
+}
+
+/// Deltas of earlier versions don't name their text, so that two of them may be of different ones.
+#[test]
+fn events_of_unnamed_texts_are_not_joined() {
+    let key = ("job".to_owned(), 3);
+    let mut held = HeldItems::default();
+    for held_text in [None, Some(TextId(1))] {
+        assert!(
+            held.apply(vec![delta_of(held_text, 0, events(1..=2))])
+                .is_empty()
+        );
+        let gaps = held.apply(vec![delta_of(None, 2, events(3..=4))]);
+        assert_eq!(gaps, std::slice::from_ref(&key));
+        assert_eq!(held.all()[&key].events, events(1..=2), "a whole beginning");
+    }
+}
+
+/// Nodes of two releases exchange deltas: the text is a field more, which may be missing.
+#[test]
+fn deltas_of_an_earlier_version_are_read_without_a_text() {
+    let named = delta_of(Some(TextId(7)), 2, events(3..=4));
+    let mut written = serde_json::to_value(&named).unwrap();
+    assert_eq!(
+        serde_json::from_value::<ProgressDelta>(written.clone()).unwrap(),
+        named
+    );
+    let fields = written.as_object_mut().unwrap();
+    assert_eq!(fields.remove("x"), Some(json!(7)));
+    let mut names: Vec<&str> = fields.keys().map(String::as_str).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["e", "i", "j", "l", "o", "v"]);
+    let read: ProgressDelta = serde_json::from_value(written).unwrap();
+    assert_eq!(
+        read,
+        ProgressDelta {
+            text: None,
+            ..named
+        }
+    );
+}
+
+/// The next leader goes on with a text of its own: the former one may still send what it adds to its text.
+#[test]
+fn events_of_a_former_leader_were_joined_with_those_of_the_next_one() {
+    let key = ("job".to_owned(), 3);
+    let mut held = HeldItems::default();
+    held.apply(vec![delta_of(Some(TextId(1)), 0, events(1..=3))]);
+    let now = Instant::now();
+    let mut next = ItemProgress::resumed(now, held.all()[&key].clone(), TextId(2));
+    next.start_run(now, &backend("v1"), TextId(3));
+    next.feed(b"id: 4\ndata: next4\n\nid: 5\ndata: next5\n\n")
+        .unwrap();
+    let taken_over = SentProgress::default().delta(&key, next.held()).unwrap();
+    assert!(held.apply(vec![taken_over]).is_empty());
+    let late = delta_of(Some(TextId(1)), 4, events(5..=6));
+    assert_eq!(held.apply(vec![late]), std::slice::from_ref(&key));
+    assert_eq!(held.all()[&key].events, next.produced());
+}
+
 #[test]
 fn an_item_begins_anew_only_where_nothing_continues_it() {
     let now = Instant::now();
--- a/crates/firshore-node/tests/progress_file.rs
+++ b/crates/firshore-node/tests/progress_file.rs
@@ -77,6 +77,31 @@
     assert_eq!(store.held()[&key(0)].last, Some(3));
 }
 
+/// Frames of two runs of an item at one process stood one behind the other; after a restart their events were joined.
+#[test]
+fn frames_of_two_texts_were_joined_after_a_restart() {
+    let of_text = |text, delta| ProgressDelta { text, ..delta };
+    let (first, second) = (Some(TextId(1)), Some(TextId(2)));
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = ProgressStore::open(folder.path()).unwrap();
+    let appended = [
+        of_text(first, delta(0, 0, &["a1", "a2"])),
+        of_text(second, delta(0, 2, &["b3"])),
+        // Of an earlier version, which names no text.
+        of_text(None, delta(1, 0, &["a1"])),
+        of_text(None, delta(1, 1, &["b2"])),
+        of_text(first, delta(2, 0, &["x"])),
+    ];
+    for one in appended {
+        store.apply(leadership(1, 1), vec![one]);
+    }
+    drop(store);
+    let store = reopen_with(folder.path(), 2, 1);
+    assert_eq!(events(&store, 0), ["a1", "a2"]);
+    assert_eq!(events(&store, 1), ["a1"]);
+    assert_eq!(store.held()[&key(0)].text, first);
+}
+
 #[test]
 fn torn_last_frame_is_dropped() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/firshore-node/tests/software_versions.rs
+++ b/crates/firshore-node/tests/software_versions.rs
@@ -12,7 +12,7 @@
 use firshore_gateway::stream_origin::{OriginQuery, OriginRecord, StreamKey};
 use firshore_node::journal::registry::Registry;
 use firshore_node::origin_exchange::{OriginExchange, OriginStoreClient, rank_holders};
-use firshore_stand_in::adapter::{BACKENDS, Plain};
+use firshore_stand_in::adapter::{BACKENDS, Plain, RESUME_AFTER};
 use firshore_stand_in::backend::{EVENTS, Play, ScriptedBackend};
 use serde_json::json;
 use std::rc::Rc;
@@ -68,6 +68,48 @@
     });
 }
 
+/// An item began anew at the process that ran it first, as no other took it; the next leader went on with the events of
+/// two runs.
+#[test]
+fn two_runs_at_one_process_were_joined_by_the_next_leader() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        cluster.configure();
+        // The first run stops after event 2, the next ones bring none further, and the sixth run begins anew.
+        let mut script = vec![Play::Breaks(2); 5];
+        script.push(Play::Stalls(3));
+        let same = start_backend(&cluster, "a", "v1", &script).await;
+        cluster.submit("job", 1).await;
+        while same.seen().is_empty() {
+            pause().await;
+        }
+        let full = ScriptedBackend::start("b", &[], Play::NotRun).await;
+        let spec = json!({"service": "s", "address": full.address, "slots": 10,
+            "leaving": false, "software": "v2"});
+        cluster.store.put(BACKENDS, "b", spec);
+        while same.seen().len() < script.len() - 1 {
+            pause().await;
+        }
+        same.set_text("again-");
+        while same.seen().len() < script.len() {
+            pause().await;
+        }
+        let begun_anew = &same.seen()[script.len() - 1];
+        assert!(!begun_anew.headers.contains_key(RESUME_AFTER));
+        // Long enough for the followers to hear of event 3.
+        actix_rt::time::sleep(Duration::from_millis(1_200)).await;
+        let leader = cluster.leader().await;
+        cluster.kill(leader);
+        let results = cluster.results("job", 1).await;
+        assert_unmixed(&results);
+        let continued = &same.seen()[script.len()];
+        assert_eq!(
+            continued.headers[RESUME_AFTER], "3",
+            "the next leader goes on"
+        );
+    });
+}
+
 fn record(attempt: &str) -> OriginRecord {
     let object = Object {
         name: "b".to_owned(),
