--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -63,6 +63,12 @@
         self.find(job)?.body(item)
     }
 
+    /// Returns the jobs with items that are still to be run.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobHeader> {
+        let open = self.jobs.values().filter(|job| job.is_open());
+        open.map(|job| &job.header)
+    }
+
     /// Returns the items without a result, by job in the order of submission.
     pub fn open_items(&self) -> Vec<OpenItem<'_>> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| job.is_open()).collect();
--- a/crates/firshore-node/src/metrics.rs
+++ b/crates/firshore-node/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::journal::status::JournalStatus;
 use crate::memory;
 use crate::runner::Runner;
+use crate::runner::expiry::GiveUpReason;
 use crate::runner::progress::RunEnd;
 use crate::status_listener::StatusResponse;
 use actix_http::StatusCode;
@@ -20,6 +21,13 @@
     runs: Family<EndLabels, Counter>,
     /// Runs that were preempted for online requests.
     pub preemptions: Counter,
+    given_up: Family<ReasonLabels, Counter>,
+}
+
+/// Label of a reason for giving an item up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
 }
 
 fn run_label(end: RunEnd) -> &'static str {
@@ -42,9 +50,22 @@
                 "preemptions",
                 "Runs stopped so that online requests have room.",
             ),
+            given_up: builder.counters(
+                "items_given_up",
+                "reason",
+                "Batch items given up without a further run, by reason.",
+            ),
         }
     }
 
+    /// Counts an item that is given up without a further run.
+    pub fn item_given_up(&self, reason: GiveUpReason) {
+        let labels = ReasonLabels {
+            reason: reason.label(),
+        };
+        self.given_up.get_or_create(&labels).inc();
+    }
+
     /// Counts a run by how it ended.
     pub fn run_ended(&self, end: RunEnd) {
         self.runs
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -1,7 +1,7 @@
 //! A single run of an item at a back end.
 
 use super::Work;
-use super::progress::{ItemProgress, RunEnd, RunLimits};
+use super::progress::{ItemProgress, RunEnd};
 use crate::journal::Replica;
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
@@ -86,21 +86,17 @@
             new_events: events.saturating_sub(held),
             duration: started.elapsed(),
         };
-        let header = &self.work.header;
-        let limits = RunLimits {
-            attempts: header.attempts,
-            give_up_after: Duration::from_millis(header.give_up_after),
-        };
         let failures = match end {
             RunEnd::Failed => self.record_failure().await,
             _ => 0,
         };
         let now = Instant::now();
+        let attempts = self.work.header.attempts;
         let outcome = self
             .progress
             .borrow_mut()
-            .end_run(now, end, failures, &limits);
-        info!(self.gateway.log, "runner: Run ended."; "job" => caller_id(&header.job),
+            .end_run(now, end, failures, attempts);
+        info!(self.gateway.log, "runner: Run ended."; "job" => caller_id(&self.work.header.job),
             "item" => &self.work.item.id, "backend" => %self.backend.incarnation, "end" => ?end,
             "resumed_after" => resumed_after, "text" => text.map(|text| text.to_string()),
             "events" => events, "run_ms" => started.elapsed().as_millis() as u64,
@@ -306,7 +302,7 @@
 }
 
 /// Proposes an idempotent action until it is committed or this node is no longer leader.
-async fn commit(replica: &Replica, action: Action) {
+pub(super) async fn commit(replica: &Replica, action: Action) {
     loop {
         let proposed = replica.propose(action.clone().into());
         if proposed.await.is_ok() || !replica.status().leads {
--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -7,6 +7,8 @@
 //! processes.
 
 pub mod backlog;
+pub mod expiry;
+mod give_up;
 pub mod handover;
 mod item;
 pub mod preemption;
@@ -18,6 +20,7 @@
 mod schedule;
 mod slow_start;
 pub mod urgency;
+pub mod waits;
 
 use crate::journal::service::ClusterLoad;
 use crate::journal::status::{JournalStatus, StatusFacts, StatusReport};
@@ -26,6 +29,7 @@
 use crate::metrics::RunnerMetrics;
 use crate::task::Task;
 use backlog::BacklogEstimate;
+use expiry::{JobAges, RouteAbsences};
 use firshore_adapter::incarnation::Incarnation;
 use firshore_adapter::jobs::{JobItem, caller_id};
 use firshore_gateway::gateway::Gateway;
@@ -43,6 +47,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, timeout_at};
 use urgency::{DueTable, DueTime, ItemUrgency};
+use waits::JobWaits;
 
 /// Load in requests per slot below which items start: it leaves one slot in ten free for online requests.
 const MAX_ITEM_LOAD: f32 = 0.9;
@@ -116,6 +121,12 @@
     permits: RefCell<Option<PermitIssuer>>,
     /// Wakes the scheduler when a run ended.
     run_ended: Notify,
+    ages: RefCell<JobAges>,
+    /// Jobs without a route, while this node leads.
+    absences: RefCell<RouteAbsences>,
+    waits: RefCell<JobWaits>,
+    /// Commits that items are given up.
+    giving_up: RefCell<Option<Task>>,
 }
 
 impl Runner {
@@ -137,6 +148,10 @@
             backlog: RefCell::default(),
             permits: RefCell::default(),
             run_ended: Notify::new(),
+            ages: RefCell::default(),
+            absences: RefCell::default(),
+            waits: RefCell::default(),
+            giving_up: RefCell::default(),
         })
     }
 
@@ -150,6 +165,7 @@
         loop {
             let leads = self.leads(&mut confirmed_term).await;
             self.leading.set(leads);
+            self.observe_jobs();
             let waiting = match leads {
                 true => {
                     self.preempt();
@@ -318,6 +334,7 @@
         }
         self.running.borrow_mut().clear();
         self.progress.borrow_mut().clear();
+        self.clear_give_ups();
         self.end_slow_start();
         self.clear_pressure();
     }
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -37,15 +37,6 @@
     HeldBack,
 }
 
-/// Limits after which an item is given up.
-#[derive(Clone, Copy, Debug)]
-pub struct RunLimits {
-    /// Number of failures reported by back ends.
-    pub attempts: u32,
-    /// Time since the item was first seen.
-    pub give_up_after: Duration,
-}
-
 /// Progress of one item.
 #[derive(Debug)]
 pub struct ItemProgress {
@@ -63,13 +54,12 @@
     held_at_start: usize,
     /// Runs that were not started or broke off.
     broken_runs: u32,
-    first_seen: Instant,
     /// Earliest time of the next run.
     next_run_at: Instant,
 }
 
 impl ItemProgress {
-    /// Creates the progress of an item that was first seen `now`.
+    /// Creates the progress of an item that may run from `now` on.
     pub fn new(now: Instant) -> Self {
         Self {
             stream: EventStream::default(),
@@ -80,7 +70,6 @@
             fruitless_runs: 0,
             held_at_start: 0,
             broken_runs: 0,
-            first_seen: now,
             next_run_at: now,
         }
     }
@@ -191,14 +180,14 @@
         self.stream.has_partial()
     }
 
-    /// Records the end of a run. `failures` is the number of failures that back ends reported for the item so far.
-    /// Returns the outcome of the item, or `None` if it has to run again.
+    /// Records the end of a run. `failures` is the number of failures that back ends reported for the item so far, of
+    /// which `attempts` are allowed. Returns the outcome of the item, or `None` if it has to run again.
     pub fn end_run(
         &mut self,
         now: Instant,
         end: RunEnd,
         failures: u32,
-        limits: &RunLimits,
+        attempts: u32,
     ) -> Option<ItemOutcome> {
         self.stream.discard_partial();
         match end {
@@ -219,9 +208,7 @@
                 };
             }
         }
-        // This node never saw the item before its submission, so that no item is given up early.
-        let expired = now.saturating_duration_since(self.first_seen) >= limits.give_up_after;
-        if failures >= limits.attempts.max(1) || expired {
+        if failures >= attempts.max(1) {
             return Some(ItemOutcome::GivenUp);
         }
         let backoff = MIN_BACKOFF * 2_u32.saturating_pow(self.broken_runs.min(10));
--- a/crates/firshore-node/src/runner/schedule.rs
+++ b/crates/firshore-node/src/runner/schedule.rs
@@ -1,10 +1,13 @@
 //! Scheduling pass: selects the items that start, and their back ends.
 
 use super::backlog::DeadlineRisk;
+use super::expiry::GiveUpReason;
+use super::give_up::GivenUpItem;
 use super::handover::TextId;
 use super::item::{self, ItemRun};
 use super::progress::{ItemProgress, RunEnd};
 use super::urgency::{DueTime, ItemUrgency};
+use super::waits::WaitReason;
 use super::{ItemKey, MAX_AT_RISK_ITEM_LOAD, MAX_ITEM_LOAD, Run, Runner, Work};
 use crate::task::Task;
 use firshore_adapter::backend::Backend;
@@ -15,6 +18,7 @@
 use firshore_gateway::attempts::Attempts;
 use firshore_gateway::choice::affinity_key;
 use firshore_gateway::fleet::BackendRequirements;
+use firshore_jobs::command::JobHeader;
 use firshore_jobs::table::OpenItem;
 use firshore_types::ids::{ServiceName, SoftwareVersion, TenantName};
 use rand::RngExt;
@@ -34,6 +38,7 @@
 
 /// A job that is not finished.
 struct OpenJob<'a> {
+    header: &'a JobHeader,
     urgency: ItemUrgency,
     due: DueTime,
     items: &'a [OpenItem<'a>],
@@ -44,8 +49,8 @@
     pub(super) due: DueTime,
     /// Number of held events.
     pub(super) produced: usize,
-    key: ItemKey,
-    item: &'a OpenItem<'a>,
+    pub(super) key: ItemKey,
+    pub(super) item: &'a OpenItem<'a>,
 }
 
 /// State of a service in one pass.
@@ -71,7 +76,7 @@
 
 /// State of one pass over the waiting items.
 #[derive(Default)]
-struct Pass {
+pub(super) struct Pass {
     /// Whether items wait.
     waiting: bool,
     /// Number of started items.
@@ -84,6 +89,12 @@
     full: HashSet<FullService>,
     /// Services of the examined items.
     services: HashMap<ServiceName, ServicePass>,
+    /// Items that are given up.
+    pub(super) given_up: Vec<GivenUpItem>,
+    /// Maximum number of items that are given up.
+    pub(super) max_give_ups: usize,
+    /// Why the last examined item did not start; `None` if it did.
+    pub(super) wait_reason: Option<WaitReason>,
 }
 
 impl Pass {
@@ -102,24 +113,52 @@
         self.due_times
             .borrow_mut()
             .retain(|job| state.is_job_open(job));
+        self.waits.borrow_mut().retain(|job| state.is_job_open(job));
         let items = state.open_items();
         let budget = self.journal.budget;
         let mut pass = Pass {
             memory_full: !budget.admits_new_run(self.progress_bytes()),
+            max_give_ups: self.max_give_ups(),
             ..Pass::default()
         };
-        for job in self.open_jobs(now, &items) {
-            self.add_backlog(now, &job, &mut pass);
-            for waiting in self.waiting(&job) {
+        let jobs = self.open_jobs(now, &items).into_iter();
+        let clock = firshore_clock::now().into_std();
+        let (over, jobs): (Vec<OpenJob>, Vec<OpenJob>) =
+            jobs.partition(|job| self.time_left(clock, job.header).is_zero());
+        for job in &over {
+            self.end_items(job, &mut pass);
+        }
+        let examined_all = self.start_items(now, &jobs, &mut pass);
+        self.absences.borrow_mut().end_pass(examined_all);
+        self.give_up(std::mem::take(&mut pass.given_up));
+        pass.waiting
+    }
+
+    /// Gives up the items of a job whose time is over. Those that run go on.
+    fn end_items(&self, job: &OpenJob<'_>, pass: &mut Pass) {
+        for waiting in self.waiting(job) {
+            pass.waiting = true;
+            pass.give_up(&waiting, GiveUpReason::TimeOver);
+        }
+    }
+
+    /// Starts items in free slots, the most urgent first. Returns whether it examined all that wait.
+    fn start_items(self: &Rc<Self>, now: Instant, jobs: &[OpenJob<'_>], pass: &mut Pass) -> bool {
+        for job in jobs {
+            self.add_backlog(now, job, pass);
+            for (position, waiting) in self.waiting(job).iter().enumerate() {
                 pass.waiting = true;
                 let at_capacity = self.running_count() >= self.max_runs;
                 if at_capacity || pass.is_over() {
-                    return true;
+                    return false;
+                }
+                pass.wait_reason = self.try_start(now, waiting, pass).err();
+                if position == 0 {
+                    self.log_wait(now, waiting, pass);
                 }
-                self.try_start(now, &waiting, &mut pass);
             }
         }
-        pass.waiting
+        true
     }
 
     /// Adds the items of a job to the backlog of its service. Jobs are passed in the order of urgency.
@@ -192,6 +231,7 @@
                 let due_after = first.header.due_after.map(Duration::from_millis);
                 let due = due_times.due(now, &first.header.job, age, due_after);
                 OpenJob {
+                    header: first.header,
                     urgency: due.urgency(now),
                     due,
                     items,
@@ -238,24 +278,31 @@
     }
 
     /// Starts an item if it may run now and a back end has a free slot.
-    fn try_start(self: &Rc<Self>, now: Instant, waiting: &WaitingItem<'_>, pass: &mut Pass) {
+    fn try_start(
+        self: &Rc<Self>,
+        now: Instant,
+        waiting: &WaitingItem<'_>,
+        pass: &mut Pass,
+    ) -> Result<(), WaitReason> {
         let (key, item) = (waiting.key.clone(), waiting.item);
+        let Some(route) = self.route(item) else {
+            self.record_absent_route(waiting, pass);
+            return Err(WaitReason::NoRoute);
+        };
         if pass.memory_full && waiting.produced == 0 {
-            return;
+            return Err(WaitReason::MemoryFull);
         }
         let former = self.progress.borrow().get(&key).cloned();
         if former
             .as_ref()
             .is_some_and(|progress| progress.borrow().is_backing_off(now))
         {
-            return;
+            return Err(WaitReason::BacksOff);
         }
         let progress = former.unwrap_or_else(|| Rc::new(RefCell::new(ItemProgress::new(now))));
-        self.discard_stuck_progress(&key, item, &mut progress.borrow_mut());
+        self.discard_stuck_progress(&key, item, &route, &mut progress.borrow_mut());
         let origin = progress.borrow().origin().cloned();
-        let Some(backend) = self.choose(now, waiting, origin.as_ref(), pass) else {
-            return;
-        };
+        let backend = self.choose(now, waiting, &route, origin.as_ref(), pass)?;
         pass.started += 1;
         let shared = progress.clone();
         self.progress.borrow_mut().insert(key.clone(), shared);
@@ -309,6 +356,7 @@
             due: waiting.due,
         };
         self.running.borrow_mut().insert(key, run);
+        Ok(())
     }
 
     /// Draws the identifier of a text.
@@ -321,12 +369,10 @@
         &self,
         key: &ItemKey,
         item: &OpenItem<'_>,
+        route: &Route,
         progress: &mut ItemProgress,
     ) {
-        let Some(route) = self.route(item) else {
-            return;
-        };
-        let residency = self.residency(&route, item.header.tenant.as_ref());
+        let residency = self.residency(route, item.header.tenant.as_ref());
         let fleet = self.gateway.fleet.borrow();
         let mut services = route.services.iter().map(|weighted| &weighted.service);
         let is_stuck = progress.is_stuck(|origin, begun_at| {
@@ -354,18 +400,19 @@
         &self,
         now: Instant,
         waiting: &WaitingItem<'_>,
+        route: &Route,
         origin: Option<&TextOrigin>,
         pass: &mut Pass,
-    ) -> Option<Backend> {
+    ) -> Result<Backend, WaitReason> {
         let item = waiting.item;
-        let route = self.route(item)?;
         let service = match origin {
             Some(origin) => origin.service().clone(),
-            None => self.gateway.split.borrow_mut().next(&route),
+            None => self.gateway.split.borrow_mut().next(route),
         };
         // Items of a service under pressure are skipped and don't count as refused, so that items of other
         // services behind them are examined.
-        let at_risk = self.start_permit(now, &service, waiting, pass)?;
+        let permit = self.start_permit(now, &service, waiting, pass);
+        let at_risk = permit.ok_or(WaitReason::OnlineRequests)?;
         let full = FullService {
             service: service.clone(),
             at_risk,
@@ -374,12 +421,12 @@
         if pass.full.contains(&full) {
             // Items of other versions behind them may find a free slot.
             pass.refused += usize::from(origin.is_none());
-            return None;
+            return Err(WaitReason::NoFreeSlot);
         }
         let headers = item::headers(item.item);
         let terms = self.gateway.adapter.caller.read_terms(&headers);
         let attempts = Attempts::new(route.repetition, u32::MAX);
-        let residency = self.residency(&route, item.header.tenant.as_ref());
+        let residency = self.residency(route, item.header.tenant.as_ref());
         let limit = match at_risk {
             true => MAX_AT_RISK_ITEM_LOAD,
             false => MAX_ITEM_LOAD,
@@ -399,12 +446,14 @@
         };
         let mut random = self.gateway.random.borrow_mut();
         let chosen = fleet.choose(now, &requirements, &mut *random);
-        match chosen {
-            Some(_) => self.service_pass(now, &service, pass).running += 1,
-            None => {
-                pass.full.insert(full);
-            }
-        }
-        chosen
+        let Some(backend) = chosen else {
+            pass.full.insert(full);
+            return Err(match fleet.has_any(&service, &residency) {
+                true => WaitReason::NoFreeSlot,
+                false => WaitReason::NoBackend,
+            });
+        };
+        self.service_pass(now, &service, pass).running += 1;
+        Ok(backend)
     }
 }
