Progress file: what waits for a slow disk is replaced by a frame with all events

A node whose disk was slow kept fewer events than it had: after a stop of all processes, items go on further back.

Cause: a frame that found the queue to the writing thread full was dropped, and the next one rewrote the file. Without a next one the last events were never written.

Why this works: when too many frames wait, a rewrite with all events takes their place, at once. The queue stays bounded, the node never waits, and the last thing that the thread writes holds everything. `ProgressFile::open` takes the function that awaits the disk, so that a test can stall it.

--- a/crates/firshore-node/src/runner/mod.rs
+++ b/crates/firshore-node/src/runner/mod.rs
@@ -21,6 +21,7 @@
 mod slow_start;
 pub mod urgency;
 pub mod waits;
+mod write_queue;
 
 use crate::journal::service::ClusterLoad;
 use crate::journal::status::{JournalStatus, StatusFacts, StatusReport};
--- a/crates/firshore-node/src/runner/progress_store.rs
+++ b/crates/firshore-node/src/runner/progress_store.rs
@@ -3,9 +3,10 @@
 
 use super::ItemKey;
 use super::handover::{HeldItems, HeldProgress, ProgressDelta};
-use super::progress_file::ProgressFile;
+use super::progress_file::{ProgressFile, SyncFile};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::fs::File;
 use std::io;
 use std::path::Path;
 
@@ -34,7 +35,16 @@
     ///
     /// Fails if the folder cannot be read or written.
     pub fn open(folder: &Path) -> io::Result<Self> {
-        let (file, frames) = ProgressFile::open(folder)?;
+        Self::open_with(folder, Box::new(File::sync_data))
+    }
+
+    /// Like [`Self::open`], but awaits the disk with `sync`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be read or written.
+    pub fn open_with(folder: &Path, sync: SyncFile) -> io::Result<Self> {
+        let (file, frames) = ProgressFile::open(folder, sync)?;
         let mut held = HeldItems::default();
         for deltas in frames {
             held.apply(deltas);
--- a/crates/firshore-node/tests/progress_file.rs
+++ b/crates/firshore-node/tests/progress_file.rs
@@ -3,9 +3,10 @@
 use firshore_node::runner::ItemKey;
 use firshore_node::runner::handover::{ProgressDelta, TextId};
 use firshore_node::runner::progress_store::{Leadership, ProgressStore};
-use std::fs::OpenOptions;
+use std::fs::{File, OpenOptions};
 use std::io::{ErrorKind, Write};
 use std::path::Path;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 const FILE: &str = "progress";
@@ -152,6 +153,27 @@
     assert_eq!(events(&reopen_with(folder.path(), 0, 1), 0), ["b1"]);
 }
 
+/// While the disk was slow, events were left out of the file until some item had further ones; if none had, for good.
+#[test]
+fn last_events_behind_a_slow_disk_were_never_written() {
+    const ITEMS: u32 = 200;
+    let folder = tempfile::tempdir().unwrap();
+    let (resume, stalled) = channel::<()>();
+    // The disk takes nothing more until `resume` is dropped.
+    let sync = move |file: &File| {
+        let _ = stalled.recv();
+        file.sync_data()
+    };
+    let mut store = ProgressStore::open_with(folder.path(), Box::new(sync)).unwrap();
+    for index in 0..ITEMS {
+        store.apply(leadership(1, 1), vec![delta(index, 0, &["event"])]);
+    }
+    drop(store);
+    drop(resume);
+    let store = reopen_with(folder.path(), ITEMS - 1, 1);
+    assert_eq!(store.held().len(), ITEMS as usize);
+}
+
 #[test]
 fn file_is_bounded_and_keeps_live_items() {
     const EVENT: usize = 16 * 1024;
