--- a/crates/firshore-exchange/src/lib.rs
+++ b/crates/firshore-exchange/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod keep_alive;
 mod pool;
 mod socket;
+pub mod socket_buffers;
--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -4,13 +4,17 @@
 //! response is pending, and so that an interrupted response never looks complete.
 
 use crate::answer_end::CompleteAnswer;
+use crate::incoming_body::IncomingBody;
+use crate::input_account::InputLease;
+use crate::input_budget::Denial;
 use actix_codec::{Decoder, Encoder};
 use actix_http::HttpMessage;
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
-use actix_http::header::{EXPECT, HeaderMap};
+use actix_http::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
 use actix_http::{
-    ConnectionType, KeepAlive, Method, Request, Response, ServiceConfig, StatusCode, Uri, Version,
+    ConnectionType, KeepAlive, Method, Request, RequestHead, Response, ServiceConfig, StatusCode,
+    Uri, Version,
 };
 use bytes::{Buf, Bytes, BytesMut};
 use firshore_adapter::configuration::CallerLimits;
@@ -18,6 +22,7 @@
 use firshore_types::error::{ApiError, ErrorCode};
 use std::future::Future;
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -32,6 +37,15 @@
 /// Maximum time without a byte of a request's body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Bytes of a body that are read before other connections are let through.
+const TURN_BYTES: usize = 64 * 1024;
+
+/// Maximum bytes on the wire for each byte of a body, beyond [`FREE_FRAMING_BYTES`]: a chunk of one byte takes six.
+const MAX_BYTES_PER_BODY_BYTE: usize = 8;
+
+/// Bytes on the wire that a body may take whatever its length.
+const FREE_FRAMING_BYTES: usize = 64 * 1024;
+
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Request, read completely.
@@ -52,9 +66,9 @@
 pub enum Incoming {
     /// A complete request.
     Request(Box<CallerRequest>),
-    /// The connection was closed, was idle for too long or stalled in a body.
+    /// The connection was closed or was idle for too long.
     Closed,
-    /// An invalid request; the connection must be closed after the response.
+    /// A request that is invalid or was not read completely; the connection must be closed after the response.
     Invalid(ApiError),
 }
 
@@ -71,6 +85,12 @@
 /// Connection opened by a caller.
 pub struct CallerConnection {
     stream: TcpStream,
+    lease: Rc<InputLease>,
+    /// Bytes received so far, and at the last time when other connections were let through.
+    received: usize,
+    yielded_at: usize,
+    /// Bytes received before the current body.
+    body_start: usize,
     input: BytesMut,
     output: BytesMut,
     codec: Codec,
@@ -94,12 +114,16 @@
 }
 
 impl CallerConnection {
-    /// Creates the connection for an accepted socket.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Creates the connection for an accepted socket. What it holds counts against `lease`.
+    pub fn new(stream: TcpStream, lease: InputLease) -> Self {
         // If this fails, the first read or write fails too.
         let _ = keep_alive::configure(&stream);
         Self {
             stream,
+            lease: Rc::new(lease),
+            received: 0,
+            yielded_at: 0,
+            body_start: 0,
             input: BytesMut::new(),
             output: BytesMut::new(),
             codec: Codec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone)),
@@ -109,13 +133,18 @@
         }
     }
 
-    /// Reads the next request. Stops waiting for its first byte when `closing` resolves.
+    /// Reads the next request. Stops waiting for its first byte when `closing` resolves. Its body must arrive within
+    /// `body_time` of its head.
     pub async fn read_request(
         &mut self,
         limits: &CallerLimits,
         closing: impl Future<Output = ()>,
+        body_time: impl FnOnce(&RequestHead) -> Duration,
     ) -> Incoming {
+        self.lease.become_idle();
         if self.input.is_empty() {
+            // An idle connection holds no buffer.
+            self.input = BytesMut::new();
             let first = tokio::select! {
                 read = self.read_some() => read,
                 () = closing => return Incoming::Closed,
@@ -125,6 +154,7 @@
                 return Incoming::Closed;
             }
         }
+        self.lease.begin_reading();
         let head = match timeout(limits.head_timeout, self.read_head(limits)).await {
             Ok(Ok(head)) => head,
             Ok(Err(incoming)) => return incoming,
@@ -134,14 +164,18 @@
             }
         };
         let arrived = Instant::now();
-        match self.read_body(&head, limits).await {
-            Ok(body) => Incoming::Request(Box::new(CallerRequest {
-                method: head.method().clone(),
-                uri: head.uri().clone(),
-                headers: head.headers().clone(),
-                body,
-                arrived,
-            })),
+        let deadline = arrived + body_time(head.head());
+        match self.read_body(&head, limits, deadline).await {
+            Ok(body) => {
+                self.lease.begin_serving();
+                Incoming::Request(Box::new(CallerRequest {
+                    method: head.method().clone(),
+                    uri: head.uri().clone(),
+                    headers: head.headers().clone(),
+                    body,
+                    arrived,
+                }))
+            }
             Err(incoming) => incoming,
         }
     }
@@ -169,30 +203,61 @@
         &mut self,
         head: &Request,
         limits: &CallerLimits,
+        deadline: Instant,
     ) -> Result<Bytes, Incoming> {
         if self.codec.message_type() == actix_http::h1::MessageType::None {
             return Ok(Bytes::new());
         }
+        let announced = announced_length(head);
+        let max_bytes = limits.body_bytes.min(self.lease.max_request_bytes());
         if head.headers().contains_key(EXPECT) {
             self.output.extend_from_slice(CONTINUE);
             self.flush().await.map_err(|_| Incoming::Closed)?;
         }
-        let mut body = BytesMut::new();
+        let mut body = IncomingBody::new(announced);
+        self.body_start = self.received - self.input.len();
         loop {
             match self.codec.decode(&mut self.input) {
-                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    let length = body.len() + chunk.len();
+                    if length > max_bytes {
+                        return Err(body_too_large(max_bytes));
+                    }
+                    let resized = self.lease.resize(body.bytes_for(length)).await;
+                    resized.map_err(|denial| Incoming::Invalid(denial.api_error()))?;
+                    body.push(chunk);
+                }
+                Ok(Some(Message::Chunk(None))) => return Ok(body.join()),
                 Ok(Some(Message::Item(_))) => return Err(Incoming::Closed),
-                Ok(None) => match timeout(BODY_READ_TIMEOUT, self.read_some()).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) | Err(_) => return Err(Incoming::Closed),
-                },
+                Ok(None) => self.read_more_of(&body, deadline).await?,
                 Err(error) => return Err(invalid_request(&error)),
             }
-            if body.len() > limits.body_bytes {
-                let message = format!("The body exceeds {} bytes.", limits.body_bytes);
-                let error = ApiError::not_run(ErrorCode::TooLarge, message);
-                return Err(Incoming::Invalid(error));
+        }
+    }
+
+    /// Reads further bytes of a body.
+    async fn read_more_of(
+        &mut self,
+        body: &IncomingBody,
+        deadline: Instant,
+    ) -> Result<(), Incoming> {
+        let wire_bytes = self.received - self.body_start;
+        if wire_bytes > FREE_FRAMING_BYTES + MAX_BYTES_PER_BODY_BYTE * body.len() {
+            return Err(invalid_request(&"its chunks hold too few bytes"));
+        }
+        if self.received - self.yielded_at >= TURN_BYTES {
+            // A caller that sends fast would keep all others waiting.
+            self.yielded_at = self.received;
+            actix_rt::task::yield_now().await;
+        }
+        let lease = self.lease.clone();
+        let until = deadline.min(Instant::now() + BODY_READ_TIMEOUT);
+        tokio::select! {
+            read = self.read_some() => read.map_err(|_| Incoming::Closed),
+            () = lease.evicted() => Err(Incoming::Invalid(Denial::Evicted.api_error())),
+            () = actix_rt::time::sleep_until(until.into()) => {
+                let message = "The body of the request did not arrive in time.";
+                Err(Incoming::Invalid(ApiError::not_run(ErrorCode::RequestTimeout, message)))
             }
         }
     }
@@ -211,7 +276,10 @@
         self.input.reserve(READ_BYTES);
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(count) => Ok(count),
+            Ok(count) => {
+                self.received += count;
+                Ok(count)
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
             Err(error) => Err(error),
         }
@@ -308,6 +376,19 @@
     }
 }
 
+/// Returns the length of the body that a head announces.
+fn announced_length(head: &Request) -> Option<usize> {
+    let length = head.headers().get(CONTENT_LENGTH)?;
+    let digits = length.to_str().ok()?.trim();
+    // A length that is no number is refused by the codec, unless it exceeds all limits.
+    Some(digits.parse().unwrap_or(usize::MAX))
+}
+
+fn body_too_large(max_bytes: usize) -> Incoming {
+    let message = format!("The body exceeds {max_bytes} bytes.");
+    Incoming::Invalid(ApiError::not_run(ErrorCode::TooLarge, message))
+}
+
 fn invalid_request(error: &dyn std::fmt::Display) -> Incoming {
     let message = format!("The request is not valid HTTP/1.1: {error}.");
     Incoming::Invalid(ApiError::not_run(ErrorCode::InvalidRequest, message))
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -4,7 +4,9 @@
 use crate::crash_monitor::{ActiveQuarantine, CrashCounters, CrashMonitor};
 use crate::fleet::{BackendOutcome, EntryChange, Fleet};
 use crate::freshness::StoreFreshness;
+use crate::input_account::InputAccount;
 use crate::leaving::Leaving;
+use crate::log_limit::LogLimit;
 use crate::metrics::GatewayMetrics;
 use crate::overload::OverloadControl;
 use crate::pressure::PressureCounter;
@@ -32,7 +34,7 @@
 use futures_util::future::LocalBoxFuture;
 use rand::RngExt;
 use rand::rngs::StdRng;
-use slog::{Logger, info, warn};
+use slog::{Logger, error, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -40,6 +42,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Memory that callers' input may hold unless it is set, in bytes.
+const DEFAULT_INPUT_BYTES: usize = 96 * 1024 * 1024;
+
 /// Future result of a call to the job service.
 pub type JobFuture<'a, T> = LocalBoxFuture<'a, Result<T, ApiError>>;
 
@@ -121,6 +126,10 @@
     pub origin_store: Option<Rc<dyn OriginStore>>,
     /// Notified when a software version was listed that had not been listed recently.
     pub software_changed: Notify,
+    /// Memory of callers' input.
+    pub input: Rc<InputAccount>,
+    /// Log lines on requests that were not read completely.
+    pub unread_lines: RefCell<LogLimit>,
     configuration: RefCell<Option<Arc<ServingConfiguration>>>,
     limiter: RefCell<TenantLimiter>,
     requests_open: Cell<usize>,
@@ -197,6 +206,8 @@
             origins: RefCell::default(),
             origin_store: None,
             software_changed: Notify::new(),
+            input: InputAccount::new(DEFAULT_INPUT_BYTES),
+            unread_lines: RefCell::default(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
             zone_regions: RefCell::default(),
@@ -213,6 +224,14 @@
         }
     }
 
+    /// Sets the memory that callers' input may hold, in bytes.
+    pub fn with_input_bytes(self, max_bytes: usize) -> Self {
+        Self {
+            input: InputAccount::new(max_bytes),
+            ..self
+        }
+    }
+
     /// Sets where origins of streams are recorded and found.
     pub fn with_origin_store(self, store: Rc<dyn OriginStore>) -> Self {
         Self {
@@ -308,9 +327,20 @@
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_cold_rates(cold_rates.collect());
         drop(fleet);
+        self.check_body_limit(configuration.limits.body_bytes);
         *current = Some(Arc::new(configuration));
     }
 
+    /// Logs an error if bodies of the largest size that the operators allow would never be accepted here.
+    fn check_body_limit(&self, body_bytes: usize) {
+        let max_request_bytes = self.input.max_request_bytes();
+        if body_bytes > max_request_bytes {
+            error!(self.log, "configuration: The body limit exceeds what the node can hold, larger bodies get 413. \
+                Lower the limit or raise limits.memory_megabytes.";
+                "body_bytes" => body_bytes, "held_at_most" => max_request_bytes);
+        }
+    }
+
     /// Applies a complete listing of back ends.
     pub fn replace_backends(&self, backends: Vec<Backend>) {
         let incarnations: Vec<Incarnation> = backends
@@ -433,6 +463,7 @@
         }
         drop(fleet);
         self.metrics.requests_open.set(self.requests_open() as i64);
+        self.metrics.input_held_bytes.set(self.input.held() as i64);
         self.metrics.set_freshness_ages(&self.freshness);
         let table = self.crashes.table();
         self.metrics
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use crate::freshness::StoreFreshness;
 use crate::process_check::ProcessEvidence;
 use firshore_metrics::{Builder, Counter, EncodeLabelSet, Family, Gauge, Histogram};
+use firshore_types::error::ErrorCode;
 use firshore_types::ids::ServiceName;
 use std::time::Duration;
 
@@ -123,6 +124,12 @@
     }
 }
 
+/// Labels of an error code.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabels {
+    code: &'static str,
+}
+
 /// Labels of a check whether a process still runs.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EvidenceLabels {
@@ -163,6 +170,9 @@
     pub configuration_version: Gauge,
     /// Requests without a complete response.
     pub requests_open: Gauge,
+    /// Bytes that callers' input holds.
+    pub input_held_bytes: Gauge,
+    unread: Family<CodeLabels, Counter>,
     /// Listed back ends.
     pub backends: Gauge,
     freshness_ages: Family<FreshnessLabels, Gauge>,
@@ -249,6 +259,15 @@
                 "Version of the configuration in force; 0 before the first.",
             ),
             requests_open: builder.gauge("requests_open", "Requests that are not answered yet."),
+            input_held_bytes: builder.gauge(
+                "input_held_bytes",
+                "Memory that requests of callers hold, in bytes.",
+            ),
+            unread: builder.counters(
+                "requests_unread",
+                "code",
+                "Requests refused before they were read completely, by error code.",
+            ),
             backends: builder.gauge("backends", "Back ends that are listed."),
             freshness_ages: builder.gauges(
                 "belief_age_milliseconds",
@@ -364,6 +383,14 @@
             .inc();
     }
 
+    /// Counts a request that was refused before it was read completely.
+    pub fn request_unread(&self, code: ErrorCode) {
+        let labels = CodeLabels {
+            code: code.as_str(),
+        };
+        self.unread.get_or_create(&labels).inc();
+    }
+
     /// Counts a submitted batch job.
     pub fn job_submitted(&self, accepted: bool) {
         let end = if accepted { "accepted" } else { "refused" };
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -7,9 +7,9 @@
 use crate::gateway::Gateway;
 use crate::leaving::Phase;
 use crate::refusal::Refusal;
-use actix_http::StatusCode;
 use actix_http::body::BodySize;
 use actix_http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use actix_http::{RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use firshore_adapter::configuration::{CallerLimits, ServingConfiguration};
 use firshore_adapter::jobs::{JobCall, JobId};
@@ -20,7 +20,7 @@
 use slog::{info, warn};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Backoff after a failed accept, which is mostly caused by missing file descriptors.
@@ -29,6 +29,12 @@
 /// Time after which callers of a node without a current configuration should retry.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
+/// Maximum time within which the body of a job, or of a request without a route, must arrive.
+const MAX_BODY_TIME: Duration = Duration::from_secs(60);
+
+/// Maximum time for writing a refusal to a caller that doesn't read.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// Response of the node itself.
 enum LocalResponse {
     Empty(StatusCode),
@@ -58,22 +64,33 @@
     }
 }
 
+/// Time within which a request's body must arrive: the request can't be answered after it. A job's has no such end.
+fn body_time(gateway: &Gateway, head: &RequestHead) -> Duration {
+    let configuration = gateway.configuration();
+    let route = configuration.and_then(|current| find_route(&current, head.headers(), &head.uri));
+    match route {
+        Some(route) if route.jobs.is_none() => {
+            let terms = gateway.adapter.caller.read_terms(head.headers());
+            terms.deadline.unwrap_or(route.timeout).min(route.timeout)
+        }
+        _ => MAX_BODY_TIME,
+    }
+}
+
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let mut connection = CallerConnection::new(stream);
+    let mut connection = CallerConnection::new(stream, gateway.input.open());
     loop {
         let limits = match gateway.configuration() {
             Some(configuration) => configuration.limits,
             None => CallerLimits::default(),
         };
         let closing = gateway.leaving.reached(Phase::Closing);
-        let handled = match connection.read_request(&limits, closing).await {
+        let time_of = |head: &RequestHead| body_time(&gateway, head);
+        let reading = connection.read_request(&limits, closing, time_of);
+        let handled = match reading.await {
             Incoming::Request(request) => handle(&gateway, *request, &mut connection).await,
             Incoming::Closed => Handled::Close,
-            Incoming::Invalid(error) => {
-                info!(gateway.log, "serve: Request invalid."; "reason" => %error);
-                let _ = Refusal::from(error).write(&mut connection, true).await;
-                Handled::Close
-            }
+            Incoming::Invalid(error) => return refuse_unread(&gateway, error, connection).await,
         };
         if handled == Handled::Close {
             return;
@@ -81,6 +98,19 @@
     }
 }
 
+/// Refuses a request that was not read completely, and closes the connection.
+async fn refuse_unread(gateway: &Gateway, error: ApiError, mut connection: CallerConnection) {
+    gateway.metrics.request_unread(error.code);
+    let suppressed = gateway.unread_lines.borrow_mut().should_log(Instant::now());
+    if let Some(suppressed) = suppressed {
+        info!(gateway.log, "serve: Request not read."; "reason" => %error,
+            "held_bytes" => gateway.input.held(), "untold" => suppressed);
+    }
+    let refusal = Refusal::from(error);
+    let writing = refusal.write(&mut connection, true);
+    let _ = tokio::time::timeout(REFUSAL_TIME, writing).await;
+}
+
 async fn handle(
     gateway: &Gateway,
     request: CallerRequest,
@@ -92,7 +122,7 @@
         let refusal = Refusal::not_run(ErrorCode::Unavailable, message, UNCONFIGURED_RETRY);
         return write_response(gateway, LocalResponse::Refused(refusal), connection).await;
     };
-    let route = find_route(&configuration, &request);
+    let route = find_route(&configuration, &request.headers, &request.uri);
     let key = gateway.adapter.caller.read_key(&request.headers);
     // Calls about jobs have no route. Without a key, they concern jobs of anonymous callers.
     let public = match &route {
@@ -166,9 +196,13 @@
     Refusal::not_run(ErrorCode::RateLimited, message, over.wait)
 }
 
-fn find_route(configuration: &ServingConfiguration, request: &CallerRequest) -> Option<Arc<Route>> {
-    let host = request.headers.get(HOST)?.to_str().ok()?;
-    let route = configuration.routes.find(host, request.uri.path())?;
+fn find_route(
+    configuration: &ServingConfiguration,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Option<Arc<Route>> {
+    let host = headers.get(HOST)?.to_str().ok()?;
+    let route = configuration.routes.find(host, uri.path())?;
     Some(route.clone())
 }
 
--- a/crates/firshore-gateway/tests/caller_connection.rs
+++ b/crates/firshore-gateway/tests/caller_connection.rs
@@ -7,6 +7,8 @@
 use firshore_adapter::configuration::CallerLimits;
 use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, CallerDisconnected, Incoming};
+use firshore_gateway::input_account::InputAccount;
+use firshore_gateway::refusal::Refusal;
 use std::future::pending;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -22,6 +24,12 @@
 /// Bytes; more than the sockets' buffers hold.
 const LONG_BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// Memory of the connections' input, in bytes.
+const INPUT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time within which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(60);
+
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -29,12 +37,15 @@
 }
 
 async fn accept(listener: &TcpListener) -> CallerConnection {
-    CallerConnection::new(listener.accept().await.unwrap().0)
+    let input = InputAccount::new(INPUT_BYTES);
+    CallerConnection::new(listener.accept().await.unwrap().0, input.open())
 }
 
 async fn read(connection: &mut CallerConnection) -> Incoming {
     let limits = CallerLimits::default();
-    connection.read_request(&limits, pending()).await
+    connection
+        .read_request(&limits, pending(), |_| BODY_TIME)
+        .await
 }
 
 #[test]
@@ -116,6 +127,96 @@
     });
 }
 
+/// Reads a request from a client that runs on a thread of its own; the client returns what it received.
+fn read_from(
+    client: impl FnOnce(TcpStream) -> String + Send + 'static,
+    respond: impl AsyncFnOnce(CallerConnection, Incoming),
+) -> String {
+    actix_rt::System::new().block_on(async {
+        let (listener, address) = listen().await;
+        let client = std::thread::spawn(move || client(TcpStream::connect(address).unwrap()));
+        let mut connection = accept(&listener).await;
+        let incoming = tokio::time::timeout(TEST_TIMEOUT, read(&mut connection)).await;
+        respond(connection, incoming.expect("the request ends")).await;
+        client.join().unwrap()
+    })
+}
+
+/// Sends what it can, then reads to the end.
+fn send_all_then_read(mut stream: TcpStream, sent: &[u8]) -> String {
+    let _ = stream.write_all(sent);
+    let mut received = String::new();
+    let _ = stream.read_to_string(&mut received);
+    received
+}
+
+async fn refuse(mut connection: CallerConnection, incoming: Incoming) {
+    let Incoming::Invalid(error) = incoming else {
+        panic!("the request was accepted");
+    };
+    let refusal = Refusal::from(error);
+    refusal.write(&mut connection, true).await.unwrap();
+}
+
+#[test]
+fn a_body_of_the_largest_size_is_read_whole_in_one_byte_chunks_and_announced() {
+    let body = 4 * 1024 * 1024;
+    let announced = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {body}\r\n\r\n");
+    let chunked = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        [announced.as_bytes(), &vec![b'z'; body]].concat(),
+        [
+            chunked.as_bytes(),
+            &b"1\r\nz\r\n".repeat(body),
+            b"0\r\n\r\n",
+        ]
+        .concat(),
+    ];
+    for sent in cases {
+        read_from(
+            move |mut stream| {
+                stream.write_all(&sent).unwrap();
+                String::new()
+            },
+            async |_, incoming| match incoming {
+                Incoming::Request(request) => assert_eq!(request.body, vec![b'z'; body]),
+                _ => panic!("the request was refused"),
+            },
+        );
+    }
+}
+
+#[test]
+fn a_dribbled_body_was_read_for_ever() {
+    let received = actix_rt::System::new().block_on(async {
+        let (listener, address) = listen().await;
+        let client = std::thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            while stream.write_all(b"z").is_ok() {
+                std::thread::sleep(Duration::from_millis(20));
+                stream.set_nonblocking(true).unwrap();
+                let mut answer = [0; 12];
+                let has_answer = matches!(stream.peek(&mut answer), Ok(12));
+                stream.set_nonblocking(false).unwrap();
+                if has_answer {
+                    return String::from_utf8_lossy(&answer).into_owned();
+                }
+            }
+            String::new()
+        });
+        let mut connection = accept(&listener).await;
+        let limits = CallerLimits::default();
+        let short = Duration::from_millis(500);
+        let reading = connection.read_request(&limits, pending(), |_| short);
+        let incoming = tokio::time::timeout(TEST_TIMEOUT, reading).await;
+        refuse(connection, incoming.expect("the request ends")).await;
+        client.join().unwrap()
+    });
+    assert_eq!(received, "HTTP/1.1 408");
+}
+
 #[test]
 fn malformed_and_oversized_requests_get_distinct_statuses() {
     let long_head = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(20_000));
--- a/crates/firshore-node/src/memory.rs
+++ b/crates/firshore-node/src/memory.rs
@@ -1,9 +1,9 @@
-//! Memory budget of a node with a disk. No I/O.
+//! Memory budget of a node. No I/O.
 //!
 //! The system kills a node that exceeds its machine's memory, with everything that it runs. So each use is
-//! counted in bytes and bounded by a fraction of `limits.memory_megabytes`: jobs are refused and runs wait
-//! before the bound is exceeded. The fractions sum up to 0.7; the rest is for the program, the allocator and
-//! socket buffers.
+//! counted in bytes and bounded by a fraction of `limits.memory_megabytes`: jobs and callers' requests are refused
+//! and runs wait before the bound is exceeded. The fractions of a node with a disk sum up to 0.7, or 0.8 if it also
+//! serves callers; the rest is for the program, the allocator and socket buffers.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -23,6 +23,12 @@
 /// Fraction for the replicated log: its entries, the latest snapshot, and the pages of the database.
 pub const LOG_FRACTION: f64 = 0.17;
 
+/// Fraction for callers' requests on a node without a disk.
+const INPUT_FRACTION: f64 = 0.4;
+
+/// The same on a node with a disk.
+const INPUT_FRACTION_WITH_DISK: f64 = 0.1;
+
 /// Resident memory of one running item in bytes: connection, task and read buffer. Measured as 33 KB between 233 and
 /// 1,033 runs on a machine of 130 MB, without their events.
 const BYTES_PER_RUN: usize = 36 * 1024;
@@ -91,6 +97,14 @@
         (self.bytes as f64 * fraction) as usize
     }
 
+    /// Returns the bytes that callers' requests may hold.
+    pub fn input_bytes(&self, has_disk: bool) -> usize {
+        self.fraction(match has_disk {
+            true => INPUT_FRACTION_WITH_DISK,
+            false => INPUT_FRACTION,
+        })
+    }
+
     /// Returns whether a job of `bytes` may be accepted.
     pub fn admits_job(&self, used: &MemoryUse, bytes: usize) -> bool {
         let held = used.jobs + used.submissions;
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -24,6 +24,7 @@
 use firshore_adapter::Adapter;
 use firshore_adapter::residency::ZoneRegions;
 use firshore_crashes::fingerprint::FingerprintKey;
+use firshore_exchange::socket_buffers;
 use firshore_gateway::gateway::Gateway;
 use firshore_gateway::serve;
 use firshore_link::client;
@@ -116,6 +117,8 @@
         log.clone(),
     );
     let gateway = gateway.with_origin_store(Rc::new(OriginStoreClient(origins.clone())));
+    let has_disk = settings.storage.is_some();
+    let gateway = gateway.with_input_bytes(settings.limits.memory_budget().input_bytes(has_disk));
     let fingerprint_key = FingerprintKey::new(settings.cluster.secret.as_bytes());
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(fingerprint_key, remember));
@@ -206,6 +209,7 @@
         return Ok(None);
     };
     let listener = TcpListener::bind(address).await?;
+    socket_buffers::bound(&listener)?;
     let accepting = serve::accept(gateway.clone(), listener);
     Ok(Some(actix_rt::spawn(accepting)))
 }
--- a/crates/firshore-node/src/status_listener.rs
+++ b/crates/firshore-node/src/status_listener.rs
@@ -6,11 +6,23 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use bytes::Bytes;
 use firshore_adapter::configuration::CallerLimits;
+use firshore_exchange::socket_buffers;
 use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, Incoming};
+use firshore_gateway::input_account::InputAccount;
 use std::future::pending;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Memory that the input of all connections of a listener may hold, in bytes.
+const MAX_INPUT_BYTES: usize = 1024 * 1024;
+
+/// Maximum size of a body, in bytes; those who ask for the status send none.
+const MAX_BODY_BYTES: usize = 4 * 1024;
+
+/// Time within which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(5);
 
 /// Response of a listener.
 pub struct StatusResponse {
@@ -23,17 +35,27 @@
 /// Accepts connections and answers each request with the result of `response`.
 pub async fn accept(listener: TcpListener, response: impl Fn() -> StatusResponse + 'static) {
     let response = Rc::new(response);
+    // If this fails, the buffers stay as the system sets them.
+    let _ = socket_buffers::bound(&listener);
+    let input = InputAccount::new(MAX_INPUT_BYTES);
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            actix_rt::spawn(serve(stream, response.clone()));
+            let connection = CallerConnection::new(stream, input.open());
+            actix_rt::spawn(serve(connection, response.clone()));
         }
     }
 }
 
-async fn serve(stream: TcpStream, response: Rc<impl Fn() -> StatusResponse>) {
-    let mut connection = CallerConnection::new(stream);
-    let limits = CallerLimits::default();
-    while let Incoming::Request(_) = connection.read_request(&limits, pending()).await {
+async fn serve(mut connection: CallerConnection, response: Rc<impl Fn() -> StatusResponse>) {
+    let limits = CallerLimits {
+        body_bytes: MAX_BODY_BYTES,
+        ..CallerLimits::default()
+    };
+    loop {
+        let reading = connection.read_request(&limits, pending(), |_| BODY_TIME);
+        let Incoming::Request(_) = reading.await else {
+            return;
+        };
         let StatusResponse { status, text } = response();
         let mut headers = HeaderMap::new();
         if !text.is_empty() {
--- a/crates/firshore-types/src/error.rs
+++ b/crates/firshore-types/src/error.rs
@@ -75,7 +75,7 @@
     MethodNotAllowed = "method_not_allowed", 405, "Use the method that the reference gives for this path.";
     /// The change or key was already used for another purpose.
     Conflict = "conflict", 409, "Read the current state, then decide whether to send a new change or use a new key.";
-    /// The head of the request did not arrive in time.
+    /// The request did not arrive in time.
     RequestTimeout = "request_timeout", 408, "Send the whole request again, without pauses.";
     /// The head of the request exceeds the limit.
     HeadTooLarge = "head_too_large", 431, "Send fewer or shorter headers, within the limit that the message gives.";
@@ -103,6 +103,8 @@
     CrashesBackends = "crashes_back_ends", 503, "Do not repeat it unchanged before 'Retry-After' is over; operators: find the back ends in the log by 'explain'.";
     /// The journal cannot commit now.
     JournalUnavailable = "journal_unavailable", 503, "Wait as 'Retry-After' says, then send it again with the same key.";
+    /// The node has no memory left for the request.
+    MemoryFull = "memory_full", 503, "Wait as 'Retry-After' says, then send it again, or send it to another node.";
     /// The journal's replicas are out of disk space.
     StorageFull = "storage_full", 507, "Wait until the operators free space, then submit again with the same key.";
     /// The deadline passed.
