--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -24,7 +24,7 @@
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::Interest;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -46,6 +46,12 @@
 /// Bytes on the wire that a body may take whatever its length.
 const FREE_FRAMING_BYTES: usize = 64 * 1024;
 
+/// Maximum bytes that are discarded after a refusal, so that the caller can read it.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+
+/// Maximum time for which bytes are discarded after a refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Request, read completely.
@@ -210,6 +216,9 @@
         }
         let announced = announced_length(head);
         let max_bytes = limits.body_bytes.min(self.lease.max_request_bytes());
+        if announced.is_some_and(|length| length > max_bytes) {
+            return Err(body_too_large(max_bytes));
+        }
         if head.headers().contains_key(EXPECT) {
             self.output.extend_from_slice(CONTINUE);
             self.flush().await.map_err(|_| Incoming::Closed)?;
@@ -262,6 +271,22 @@
         }
     }
 
+    /// Discards what the caller still sends, so that it can read a refusal: closing a connection with unread bytes
+    /// would reset it. Returns when the caller has closed, or after [`DISCARD_TIME`] or [`MAX_DISCARDED_BYTES`].
+    pub async fn discard_rest(mut self) {
+        self.lease.become_idle();
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let end = self.received + MAX_DISCARDED_BYTES;
+        let discarding = async {
+            while self.received < end && self.read_some().await.is_ok() {
+                self.input.clear();
+            }
+        };
+        let _ = timeout(DISCARD_TIME, discarding).await;
+    }
+
     async fn read_some(&mut self) -> io::Result<()> {
         loop {
             self.stream.readable().await?;
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -108,7 +108,9 @@
     }
     let refusal = Refusal::from(error);
     let writing = refusal.write(&mut connection, true);
-    let _ = tokio::time::timeout(REFUSAL_TIME, writing).await;
+    if let Ok(Ok(())) = tokio::time::timeout(REFUSAL_TIME, writing).await {
+        connection.discard_rest().await;
+    }
 }
 
 async fn handle(
--- a/crates/firshore-gateway/tests/caller_connection.rs
+++ b/crates/firshore-gateway/tests/caller_connection.rs
@@ -142,11 +142,12 @@
     })
 }
 
-/// Sends what it can, then reads to the end.
+/// Sends what it can, then reads to the end, which must be no reset: a caller could lose what it has not read.
 fn send_all_then_read(mut stream: TcpStream, sent: &[u8]) -> String {
     let _ = stream.write_all(sent);
     let mut received = String::new();
-    let _ = stream.read_to_string(&mut received);
+    let read = stream.read_to_string(&mut received);
+    read.expect("the connection ends in order");
     received
 }
 
@@ -156,6 +157,32 @@
     };
     let refusal = Refusal::from(error);
     refusal.write(&mut connection, true).await.unwrap();
+    connection.discard_rest().await;
+}
+
+#[test]
+fn the_refusal_of_an_announced_body_over_the_limit_ended_in_a_reset() {
+    let received = read_from(
+        |stream| {
+            let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4500000\r\n\r\n";
+            let sent = [head.as_bytes(), &vec![b'z'; 4_000_000]].concat();
+            send_all_then_read(stream, &sent)
+        },
+        refuse,
+    );
+    assert!(received.starts_with("HTTP/1.1 413"), "{received:?}");
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused_before_any_of_it_has_arrived() {
+    let received = read_from(
+        |stream| {
+            let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4194305\r\n\r\n";
+            send_all_then_read(stream, head.as_bytes())
+        },
+        refuse,
+    );
+    assert!(received.starts_with("HTTP/1.1 413"), "{received:?}");
 }
 
 #[test]
@@ -186,6 +213,18 @@
     }
 }
 
+#[test]
+fn a_chunk_with_an_endless_extension_was_read_for_ever() {
+    let received = read_from(
+        |stream| {
+            let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1;";
+            send_all_then_read(stream, &[head.as_bytes(), &vec![b'x'; 200_000]].concat())
+        },
+        refuse,
+    );
+    assert!(received.starts_with("HTTP/1.1 400"), "{received:?}");
+}
+
 #[test]
 fn a_dribbled_body_was_read_for_ever() {
     let received = actix_rt::System::new().block_on(async {
