--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -23,6 +23,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of a body that is copied behind its head, in bytes.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
+
 /// Maximum body size in bytes of an unexpected response that is skipped.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
@@ -204,7 +207,7 @@
         let method = head.method.clone();
         let mut codec = ClientCodec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone));
         let mut socket = BufferedSocket::new(self.stream);
-        encode(&mut codec, &mut socket.output, head, body)?;
+        encode(&mut codec, &mut socket, head, body)?;
         loop {
             let head = read_head(&mut socket, &mut codec).await?;
             if is_expected(&head) {
@@ -215,10 +218,10 @@
     }
 }
 
-/// Writes head and body into one buffer, so that small requests are sent with one system call.
+/// Writes head and body into the socket's output. A small body is copied behind the head.
 fn encode(
     codec: &mut ClientCodec,
-    output: &mut BytesMut,
+    socket: &mut BufferedSocket,
     head: RequestHead,
     body: Bytes,
 ) -> Result<(), ExchangeError> {
@@ -229,14 +232,13 @@
         false => BodySize::Sized(body.len() as u64),
     };
     let item = Message::Item((RequestHeadType::Owned(head), size));
-    codec.encode(item, output).map_err(encode_error)?;
-    if !body.is_empty() {
-        codec
-            .encode(Message::Chunk(Some(body)), output)
-            .map_err(encode_error)?;
-        codec
-            .encode(Message::Chunk(None), output)
-            .map_err(encode_error)?;
+    codec
+        .encode(item, &mut socket.output)
+        .map_err(encode_error)?;
+    // A body with a length has no further framing.
+    match body.len() <= MAX_COPIED_BYTES {
+        true => socket.output.extend_from_slice(&body),
+        false => socket.body = body,
     }
     Ok(())
 }
--- a/crates/firshore-exchange/src/socket.rs
+++ b/crates/firshore-exchange/src/socket.rs
@@ -1,7 +1,7 @@
 //! A buffered socket that is read and written concurrently.
 
-use bytes::{Buf, BytesMut};
-use std::io;
+use bytes::{Buf, Bytes, BytesMut};
+use std::io::{self, IoSlice};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -13,6 +13,8 @@
     pub(crate) stream: TcpStream,
     pub(crate) input: BytesMut,
     pub(crate) output: BytesMut,
+    /// Unsent bytes of a large body, which follow the output. They are not copied.
+    pub(crate) body: Bytes,
     /// Whether sending failed. What the peer sent before may still be read.
     send_failed: bool,
 }
@@ -32,22 +34,27 @@
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            body: Bytes::new(),
             send_failed: false,
         }
     }
 
     /// Returns whether all output was sent.
     pub(crate) fn is_flushed(&self) -> bool {
-        self.output.is_empty() && !self.send_failed
+        !self.has_output() && !self.send_failed
+    }
+
+    fn has_output(&self) -> bool {
+        !self.output.is_empty() || !self.body.is_empty()
     }
 
     /// Waits until the socket is ready, then sends and reads what it allows without blocking. Reading never waits
     /// for writing, so that an early response of a peer that hasn't read the whole request is received.
     pub(crate) async fn wait_for_activity(&mut self) -> io::Result<Activity> {
         self.send_some();
-        let interest = match self.output.is_empty() || self.send_failed {
-            true => Interest::READABLE,
-            false => Interest::READABLE | Interest::WRITABLE,
+        let interest = match self.has_output() && !self.send_failed {
+            true => Interest::READABLE | Interest::WRITABLE,
+            false => Interest::READABLE,
         };
         let ready = self.stream.ready(interest).await?;
         if ready.is_writable() {
@@ -60,15 +67,32 @@
     }
 
     fn send_some(&mut self) {
-        while !self.output.is_empty() && !self.send_failed {
-            match self.stream.try_write(&self.output) {
-                Ok(count) => self.output.advance(count),
+        while self.has_output() && !self.send_failed {
+            match self.try_write() {
+                Ok(count) => self.advance(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(_) => self.send_failed = true,
             }
         }
     }
 
+    fn try_write(&self) -> io::Result<usize> {
+        match self.body.is_empty() {
+            true => self.stream.try_write(&self.output),
+            false => {
+                let slices = [IoSlice::new(&self.output), IoSlice::new(&self.body)];
+                self.stream.try_write_vectored(&slices)
+            }
+        }
+    }
+
+    /// Removes bytes that were sent.
+    fn advance(&mut self, count: usize) {
+        let of_output = count.min(self.output.len());
+        self.output.advance(of_output);
+        self.body.advance(count - of_output);
+    }
+
     fn read_some(&mut self) -> io::Result<Activity> {
         self.input.reserve(READ_BYTES);
         match self.stream.try_read_buf(&mut self.input) {
