--- a/crates/firshore-adapter/src/jobs.rs
+++ b/crates/firshore-adapter/src/jobs.rs
@@ -156,6 +156,9 @@
     /// Returns the identifier of a submitted job.
     fn job_id(&self, headers: &HeaderMap) -> Option<String>;
 
+    /// Returns an upper bound on the memory that [`Self::read_submission`] takes, in bytes, without parsing the body.
+    fn submission_bytes(&self, body: &[u8]) -> usize;
+
     /// Parses the items of a submission.
     fn read_submission(&self, body: &[u8]) -> Result<Vec<JobItem>, JobCallError>;
 
--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -395,6 +395,11 @@
         Ok(())
     }
 
+    /// Returns the account of what the current request holds.
+    pub fn lease(&self) -> &Rc<InputLease> {
+        &self.lease
+    }
+
     /// Returns whether the connection may carry another request.
     pub fn keeps_open(&self) -> bool {
         self.codec.keep_alive()
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::overload::OverloadControl;
 use crate::pressure::PressureCounter;
+use crate::serve;
 use crate::split::Split;
 use crate::stream_origin::{
     OriginAnswers, OriginKnowledge, OriginQuery, OriginRecord, OriginTable,
@@ -334,10 +335,11 @@
     /// Logs an error if bodies of the largest size that the operators allow would never be accepted here.
     fn check_body_limit(&self, body_bytes: usize) {
         let max_request_bytes = self.input.max_request_bytes();
-        if body_bytes > max_request_bytes {
+        let max_job_bytes = max_request_bytes / (1 + serve::COPIES_OF_JOB);
+        if body_bytes > max_job_bytes {
             error!(self.log, "configuration: The body limit exceeds what the node can hold, larger bodies get 413. \
-                Lower the limit or raise limits.memory_megabytes.";
-                "body_bytes" => body_bytes, "held_at_most" => max_request_bytes);
+                Lower the limit or raise limits.memory_megabytes."; "body_bytes" => body_bytes,
+                "requests_at_most" => max_request_bytes, "jobs_at_most" => max_job_bytes);
         }
     }
 
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -5,6 +5,8 @@
 use crate::caller_connection::{CallerConnection, CallerRequest, Incoming};
 use crate::forward::{self, Handled};
 use crate::gateway::Gateway;
+use crate::input_account::InputLease;
+use crate::input_budget::Denial;
 use crate::leaving::Phase;
 use crate::refusal::Refusal;
 use actix_http::body::BodySize;
@@ -32,6 +34,9 @@
 /// Maximum time within which the body of a job, or of a request without a route, must arrive.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 
+/// Copies of a job while it is submitted, beside the body: its items, and their encoding for the journal's leader.
+pub(crate) const COPIES_OF_JOB: usize = 2;
+
 /// Maximum time for writing a refusal to a caller that doesn't read.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
@@ -163,7 +168,7 @@
             forward::forward(gateway, route, tenant, request, connection).await
         }
         Some(route) => {
-            let response = submit(gateway, route, tenant, request).await;
+            let response = submit(gateway, route, tenant, request, connection.lease()).await;
             write_response(gateway, response, connection).await
         }
         None => {
@@ -259,6 +264,7 @@
     route: Arc<Route>,
     tenant: Option<Arc<Tenant>>,
     request: CallerRequest,
+    lease: &InputLease,
 ) -> LocalResponse {
     let invalid = |reason: String| {
         info!(gateway.log, "serve: Job invalid."; "reason" => &reason);
@@ -268,10 +274,17 @@
     let Some(id) = dialect.job_id(&request.headers) else {
         return invalid("The job has no identifier.".to_owned());
     };
-    let items = match dialect.read_submission(&request.body) {
+    let CallerRequest { body, arrived, .. } = request;
+    let needed = body.len() + COPIES_OF_JOB * dialect.submission_bytes(&body);
+    if let Err(denial) = lease.resize(needed).await {
+        gateway.metrics.job_submitted(false);
+        return refuse_job(gateway, &id, needed, denial);
+    }
+    let items = match dialect.read_submission(&body) {
         Ok(items) => items,
         Err(error) => return invalid(error.to_string()),
     };
+    drop(body);
     let Some(jobs) = &gateway.jobs else {
         return LocalResponse::from(jobs_unavailable());
     };
@@ -285,17 +298,28 @@
     match submitted {
         Ok(()) => {
             info!(gateway.log, "jobs: Accepted."; "job" => job.id, "route" => &route.name,
-                "items" => count, "age_ms" => request.arrived.elapsed().as_millis() as u64);
+                "items" => count, "age_ms" => arrived.elapsed().as_millis() as u64);
             LocalResponse::Empty(StatusCode::ACCEPTED)
         }
         Err(error) => {
             info!(gateway.log, "jobs: Not accepted."; "job" => job.id, "route" => &route.name,
-                "reason" => %error, "age_ms" => request.arrived.elapsed().as_millis() as u64);
+                "reason" => %error, "age_ms" => arrived.elapsed().as_millis() as u64);
             LocalResponse::from(error)
         }
     }
 }
 
+/// Logs and refuses a job that can't be held while it is submitted.
+fn refuse_job(gateway: &Gateway, id: &str, needed: usize, denial: Denial) -> LocalResponse {
+    let error = denial.api_error();
+    let suppressed = gateway.unread_lines.borrow_mut().should_log(Instant::now());
+    if let Some(suppressed) = suppressed {
+        info!(gateway.log, "jobs: No memory for the job."; "job" => id, "reason" => %error,
+            "needed_bytes" => needed, "held_bytes" => gateway.input.held(), "untold" => suppressed);
+    }
+    LocalResponse::from(error)
+}
+
 /// Returns the identifier of a caller's job, which includes the tenant: jobs of other tenants can't be named.
 fn job_id(tenant: Option<&Tenant>, id: String) -> JobId {
     JobId {
--- a/crates/firshore-stand-in/src/adapter.rs
+++ b/crates/firshore-stand-in/src/adapter.rs
@@ -169,6 +169,10 @@
         text(headers, REQUEST_ID).map(str::to_owned)
     }
 
+    fn submission_bytes(&self, body: &[u8]) -> usize {
+        body.len()
+    }
+
     fn read_submission(&self, body: &[u8]) -> Result<Vec<JobItem>, JobCallError> {
         serde_json::from_slice(body).map_err(|error| JobCallError::Invalid(error.to_string()))
     }
