--- a/crates/firshore-node/src/memory.rs
+++ b/crates/firshore-node/src/memory.rs
@@ -11,6 +11,9 @@
 /// Fraction for items of open jobs, and for jobs that are being committed.
 const JOBS_FRACTION: f64 = 0.14;
 
+/// The same for a job while there is no other, so that one of the largest legal size is accepted in calm.
+const ONLY_JOB_FRACTION: f64 = 0.25;
+
 /// Fraction for the events of items without a result, including the copy that is kept for a change of leader.
 const PROGRESS_FRACTION: f64 = 0.12;
 
@@ -105,10 +108,14 @@
         })
     }
 
-    /// Returns whether a job of `bytes` may be accepted.
+    /// Returns whether a job of `bytes` may be accepted. While no other is held, it may be larger.
     pub fn admits_job(&self, used: &MemoryUse, bytes: usize) -> bool {
         let held = used.jobs + used.submissions;
-        held + bytes * COPIES_OF_SUBMISSION <= self.fraction(JOBS_FRACTION)
+        let fraction = match held {
+            0 => ONLY_JOB_FRACTION,
+            _ => JOBS_FRACTION,
+        };
+        held + bytes * COPIES_OF_SUBMISSION <= self.fraction(fraction)
     }
 
     /// Returns whether an item without events may start while items hold `progress` bytes of events. Items with
