--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -37,6 +37,9 @@
 /// Maximum time without a byte of a request's body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Length of a head that isn't counted, in bytes.
+const FREE_HEAD_BYTES: usize = 2 * 1024;
+
 /// Bytes of a body that are read before other connections are let through.
 const TURN_BYTES: usize = 64 * 1024;
 
@@ -95,6 +98,8 @@
     /// Bytes received so far, and at the last time when other connections were let through.
     received: usize,
     yielded_at: usize,
+    /// Memory that the head of the current request counts for.
+    head_bytes: usize,
     /// Bytes received before the current body.
     body_start: usize,
     input: BytesMut,
@@ -129,6 +134,7 @@
             lease: Rc::new(lease),
             received: 0,
             yielded_at: 0,
+            head_bytes: 0,
             body_start: 0,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -147,12 +153,14 @@
         closing: impl Future<Output = ()>,
         body_time: impl FnOnce(&RequestHead) -> Duration,
     ) -> Incoming {
-        self.lease.become_idle();
+        let lease = self.lease.clone();
+        lease.become_idle();
         if self.input.is_empty() {
             // An idle connection holds no buffer.
             self.input = BytesMut::new();
             let first = tokio::select! {
                 read = self.read_some() => read,
+                () = lease.evicted() => return Incoming::Closed,
                 () = closing => return Incoming::Closed,
                 () = actix_rt::time::sleep(limits.idle_timeout) => return Incoming::Closed,
             };
@@ -160,8 +168,13 @@
                 return Incoming::Closed;
             }
         }
-        self.lease.begin_reading();
-        let head = match timeout(limits.head_timeout, self.read_head(limits)).await {
+        lease.begin_reading();
+        let before = self.received - self.input.len();
+        let read = tokio::select! {
+            read = timeout(limits.head_timeout, self.read_head(limits)) => read,
+            () = lease.evicted() => return Incoming::Invalid(Denial::Evicted.api_error()),
+        };
+        let head = match read {
             Ok(Ok(head)) => head,
             Ok(Err(incoming)) => return incoming,
             Err(_) => {
@@ -169,6 +182,10 @@
                 return Incoming::Invalid(ApiError::not_run(ErrorCode::RequestTimeout, message));
             }
         };
+        self.head_bytes = charged_head_bytes(self.received - self.input.len() - before);
+        if let Err(refused) = self.charge(self.head_bytes).await {
+            return refused;
+        }
         let arrived = Instant::now();
         let deadline = arrived + body_time(head.head());
         match self.read_body(&head, limits, deadline).await {
@@ -199,12 +216,21 @@
                     let error = ApiError::not_run(ErrorCode::HeadTooLarge, message);
                     return Err(Incoming::Invalid(error));
                 }
-                Ok(None) => self.read_some().await.map_err(|_| Incoming::Closed)?,
+                Ok(None) => {
+                    self.read_some().await.map_err(|_| Incoming::Closed)?;
+                    self.charge(charged_head_bytes(self.input.len())).await?;
+                }
                 Err(error) => return Err(invalid_request(&error)),
             }
         }
     }
 
+    /// Counts what the request holds, in bytes.
+    async fn charge(&self, bytes: usize) -> Result<(), Incoming> {
+        let resized = self.lease.resize(bytes).await;
+        resized.map_err(|denial| Incoming::Invalid(denial.api_error()))
+    }
+
     async fn read_body(
         &mut self,
         head: &Request,
@@ -215,7 +241,8 @@
             return Ok(Bytes::new());
         }
         let announced = announced_length(head);
-        let max_bytes = limits.body_bytes.min(self.lease.max_request_bytes());
+        let max_held = self.lease.max_request_bytes() - self.head_bytes;
+        let max_bytes = limits.body_bytes.min(max_held);
         if announced.is_some_and(|length| length > max_bytes) {
             return Err(body_too_large(max_bytes));
         }
@@ -232,8 +259,8 @@
                     if length > max_bytes {
                         return Err(body_too_large(max_bytes));
                     }
-                    let resized = self.lease.resize(body.bytes_for(length)).await;
-                    resized.map_err(|denial| Incoming::Invalid(denial.api_error()))?;
+                    self.charge(self.head_bytes + body.bytes_for(length))
+                        .await?;
                     body.push(chunk);
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.join()),
@@ -274,7 +301,8 @@
     /// Discards what the caller still sends, so that it can read a refusal: closing a connection with unread bytes
     /// would reset it. Returns when the caller has closed, or after [`DISCARD_TIME`] or [`MAX_DISCARDED_BYTES`].
     pub async fn discard_rest(mut self) {
-        self.lease.become_idle();
+        let lease = self.lease.clone();
+        lease.become_idle();
         if self.stream.shutdown().await.is_err() {
             return;
         }
@@ -284,7 +312,10 @@
                 self.input.clear();
             }
         };
-        let _ = timeout(DISCARD_TIME, discarding).await;
+        tokio::select! {
+            _ = timeout(DISCARD_TIME, discarding) => {}
+            () = lease.evicted() => {}
+        }
     }
 
     async fn read_some(&mut self) -> io::Result<()> {
@@ -406,6 +437,15 @@
     }
 }
 
+/// Returns what a head of `length` bytes counts for: as received and as parsed. Small ones are part of what a connection
+/// is expected to hold.
+fn charged_head_bytes(length: usize) -> usize {
+    match length <= FREE_HEAD_BYTES {
+        true => 0,
+        false => 2 * length,
+    }
+}
+
 /// Returns the length of the body that a head announces.
 fn announced_length(head: &Request) -> Option<usize> {
     let length = head.headers().get(CONTENT_LENGTH)?;
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{BackendOutcome, EntryChange, Fleet};
 use crate::freshness::StoreFreshness;
 use crate::input_account::InputAccount;
+use crate::input_budget::InputLimits;
 use crate::leaving::Leaving;
 use crate::log_limit::LogLimit;
 use crate::metrics::GatewayMetrics;
@@ -43,8 +44,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Memory that callers' input may hold unless it is set, in bytes.
-const DEFAULT_INPUT_BYTES: usize = 96 * 1024 * 1024;
+/// Bounds on callers' connections and their input unless they are set.
+const DEFAULT_INPUT_LIMITS: InputLimits = InputLimits {
+    bytes: 96 * 1024 * 1024,
+    connections: 4_096,
+};
 
 /// Future result of a call to the job service.
 pub type JobFuture<'a, T> = LocalBoxFuture<'a, Result<T, ApiError>>;
@@ -207,7 +211,7 @@
             origins: RefCell::default(),
             origin_store: None,
             software_changed: Notify::new(),
-            input: InputAccount::new(DEFAULT_INPUT_BYTES),
+            input: InputAccount::new(DEFAULT_INPUT_LIMITS),
             unread_lines: RefCell::default(),
             configuration: RefCell::default(),
             requests_open: Cell::new(0),
@@ -225,10 +229,10 @@
         }
     }
 
-    /// Sets the memory that callers' input may hold, in bytes.
-    pub fn with_input_bytes(self, max_bytes: usize) -> Self {
+    /// Sets the bounds on callers' connections and their input.
+    pub fn with_input_limits(self, limits: InputLimits) -> Self {
         Self {
-            input: InputAccount::new(max_bytes),
+            input: InputAccount::new(limits),
             ..self
         }
     }
@@ -466,6 +470,8 @@
         drop(fleet);
         self.metrics.requests_open.set(self.requests_open() as i64);
         self.metrics.input_held_bytes.set(self.input.held() as i64);
+        let connections = self.input.connections();
+        self.metrics.caller_connections.set(connections as i64);
         self.metrics.set_freshness_ages(&self.freshness);
         let table = self.crashes.table();
         self.metrics
--- a/crates/firshore-gateway/src/input_account.rs
+++ b/crates/firshore-gateway/src/input_account.rs
@@ -1,6 +1,6 @@
-//! The memory account of a node's callers: tells connections that their requests are evicted.
+//! The account of a node's callers, their connections and memory: tells connections that they are evicted.
 
-use crate::input_budget::{Denial, Growth, HolderId, InputBudget};
+use crate::input_budget::{Denial, Growth, HolderId, InputBudget, InputLimits, Opened};
 use firshore_types::error::{ApiError, ErrorCode};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -27,10 +27,10 @@
 }
 
 impl InputAccount {
-    /// Creates an account of `max_bytes`.
-    pub fn new(max_bytes: usize) -> Rc<Self> {
+    /// Creates an empty account.
+    pub fn new(limits: InputLimits) -> Rc<Self> {
         Rc::new(Self {
-            budget: InputBudget::new(max_bytes).into(),
+            budget: InputBudget::new(limits).into(),
             evictions: RefCell::default(),
             released: Notify::new(),
         })
@@ -46,16 +46,30 @@
         self.budget.borrow().held()
     }
 
-    /// Adds a connection.
-    pub fn open(self: &Rc<Self>) -> InputLease {
-        let id = self.budget.borrow_mut().open(Instant::now());
+    /// Returns the number of connections.
+    pub fn connections(&self) -> usize {
+        self.budget.borrow().connections()
+    }
+
+    /// Lets evicted connections close, if there are any.
+    pub async fn settle(&self) {
+        if self.budget.borrow().is_evicting() {
+            actix_rt::task::yield_now().await;
+        }
+    }
+
+    /// Adds a connection; `None` if there are too many, and none that may be closed for it.
+    pub fn open(self: &Rc<Self>) -> Option<InputLease> {
+        let opened = self.budget.borrow_mut().open(Instant::now());
+        let Opened { id, evicted } = opened?;
+        self.notify(evicted);
         let evicted = Rc::<Notify>::default();
         self.evictions.borrow_mut().insert(id, evicted.clone());
-        InputLease {
+        Some(InputLease {
             account: self.clone(),
             id,
             evicted,
-        }
+        })
     }
 
     fn notify(&self, evicted: Vec<HolderId>) {
@@ -120,7 +134,7 @@
         self.account.max_request_bytes()
     }
 
-    /// Resolves when the request is evicted.
+    /// Resolves when the connection, or its request, is evicted.
     pub async fn evicted(&self) {
         self.evicted.notified().await;
     }
@@ -134,6 +148,12 @@
     }
 }
 
+/// Returns the error for a caller whose connection is one too many.
+pub fn too_many_connections() -> ApiError {
+    let message = "The node has no connection left for the caller.";
+    ApiError::not_run(ErrorCode::MemoryFull, message).retry_after(RETRY_SECONDS)
+}
+
 impl Denial {
     /// Returns the error for the caller: the request has not run.
     pub fn api_error(self) -> ApiError {
--- a/crates/firshore-gateway/src/input_budget.rs
+++ b/crates/firshore-gateway/src/input_budget.rs
@@ -1,5 +1,6 @@
-//! Bounds the memory that callers' input may hold, over all connections. No I/O.
+//! Bounds the connections of callers, and the memory that their input may hold, over all of them. No I/O.
 //!
+//! When there are too many connections, those that wait without a request are evicted, first those that never sent one.
 //! A request's bytes count from the first one until the request has ended. When the memory is used up, requests that
 //! are incomplete and make no progress are evicted, the largest and longest stalled ones first. Large requests may use
 //! only a part of the memory, so that a crowd of them leaves memory for small ones.
@@ -22,6 +23,12 @@
 /// Fraction of the memory that an eviction frees beyond what is needed, so that few evictions are needed.
 const SPARE_FRACTION: f64 = 1.0 / 16.0;
 
+/// Time for which a new connection is not evicted: its first request may be under way.
+const NEW_TIME: Duration = Duration::from_millis(100);
+
+/// Part of the connections that an eviction closes, so that few evictions are needed.
+const EVICTED_PART: usize = 32;
+
 /// Identifies a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct HolderId(u64);
@@ -54,6 +61,8 @@
 #[derive(Debug)]
 struct Holder {
     phase: Phase,
+    /// Whether it has sent anything.
+    has_sent: bool,
     bytes: usize,
     /// When the last [`PROGRESS_BYTES`] were complete, and the bytes at that time.
     progress_at: Instant,
@@ -79,6 +88,24 @@
     }
 }
 
+/// Bounds of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InputLimits {
+    /// Maximum bytes that all requests hold.
+    pub bytes: usize,
+    /// Maximum number of connections.
+    pub connections: usize,
+}
+
+/// A connection that was added, and those that are evicted for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// The connection.
+    pub id: HolderId,
+    /// Connections to close.
+    pub evicted: Vec<HolderId>,
+}
+
 /// Why memory is not granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
@@ -106,7 +133,7 @@
 /// Memory of callers' input.
 #[derive(Debug)]
 pub struct InputBudget {
-    max_bytes: usize,
+    limits: InputLimits,
     holders: HashMap<HolderId, Holder>,
     next_id: u64,
     held: usize,
@@ -114,25 +141,28 @@
     /// Parts of both that evicted requests still hold.
     leaving: usize,
     leaving_by_large: usize,
+    /// Number of evicted connections that are still open.
+    leaving_connections: usize,
 }
 
 impl InputBudget {
-    /// Creates a budget of `max_bytes`.
-    pub fn new(max_bytes: usize) -> Self {
+    /// Creates an empty budget.
+    pub fn new(limits: InputLimits) -> Self {
         Self {
-            max_bytes,
+            limits,
             holders: HashMap::new(),
             next_id: 0,
             held: 0,
             held_by_large: 0,
             leaving: 0,
             leaving_by_large: 0,
+            leaving_connections: 0,
         }
     }
 
     /// Returns the maximum bytes that a single request may hold.
     pub fn max_request_bytes(&self) -> usize {
-        (self.max_bytes as f64 * LARGE_FRACTION) as usize
+        (self.limits.bytes as f64 * LARGE_FRACTION) as usize
     }
 
     /// Returns the bytes that are held.
@@ -140,26 +170,83 @@
         self.held
     }
 
-    /// Adds a connection.
-    pub fn open(&mut self, now: Instant) -> HolderId {
+    /// Returns the number of connections.
+    pub fn connections(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Returns whether evicted connections are still open.
+    pub fn is_evicting(&self) -> bool {
+        self.leaving_connections > 0
+    }
+
+    /// Adds a connection; `None` if there are too many, and none that may be closed for it.
+    pub fn open(&mut self, now: Instant) -> Option<Opened> {
+        let staying = self.holders.len() - self.leaving_connections;
+        let evicted = match staying < self.limits.connections {
+            true => Vec::new(),
+            false => self.connections_to_close(now),
+        };
+        if staying >= self.limits.connections && evicted.is_empty() {
+            return None;
+        }
+        for victim in &evicted {
+            self.evict(*victim);
+        }
         let id = HolderId(self.next_id);
         self.next_id += 1;
         let holder = Holder {
             phase: Phase::Idle,
+            has_sent: false,
             bytes: 0,
             progress_at: now,
             progress_bytes: 0,
         };
         self.holders.insert(id, holder);
-        id
+        Some(Opened { id, evicted })
     }
 
     /// Removes a connection and what it holds.
     pub fn close(&mut self, id: HolderId) {
         self.set_bytes(id, 0);
+        if self.holders[&id].phase == Phase::Evicted {
+            self.leaving_connections -= 1;
+        }
         self.holders.remove(&id);
     }
 
+    fn evict(&mut self, id: HolderId) {
+        let holder = self.holders.get_mut(&id).expect("victims are open");
+        holder.phase = Phase::Evicted;
+        self.leaving_connections += 1;
+        self.leaving += holder.bytes;
+        if holder.is_large() {
+            self.leaving_by_large += holder.bytes;
+        }
+    }
+
+    /// Returns the connections to close for a new one: those that wait without a request, first those that never sent
+    /// one, the longest waiting first; otherwise those whose request is stalled.
+    fn connections_to_close(&self, now: Instant) -> Vec<HolderId> {
+        let is_new = |holder: &Holder| !holder.has_sent && holder.stalled_for(now) < NEW_TIME;
+        let mut waiting: Vec<(HolderId, &Holder)> = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| match holder.phase {
+                Phase::Idle => !is_new(holder),
+                Phase::Reading => holder.is_stalled(now),
+                Phase::Serving | Phase::Evicted => false,
+            })
+            .map(|(id, holder)| (*id, holder))
+            .collect();
+        waiting.sort_by_key(|(id, holder)| {
+            let is_reading = holder.phase == Phase::Reading;
+            (is_reading, holder.has_sent, holder.progress_at, *id)
+        });
+        let count = (self.limits.connections / EVICTED_PART).max(1);
+        waiting.iter().take(count).map(|(id, _)| *id).collect()
+    }
+
     /// Records that the previous request of a connection has ended: it holds nothing.
     pub fn become_idle(&mut self, now: Instant, id: HolderId) {
         self.set_bytes(id, 0);
@@ -180,6 +267,7 @@
         let holder = self.holders.get_mut(&id).expect("the connection is open");
         if holder.phase != Phase::Evicted {
             holder.phase = phase;
+            holder.has_sent |= phase == Phase::Reading;
             holder.progress_at = now;
             holder.progress_bytes = holder.bytes;
         }
@@ -217,12 +305,7 @@
             return Growth::Denied(Denial::Full);
         };
         for victim in &victims {
-            let holder = self.holders.get_mut(victim).expect("victims are open");
-            holder.phase = Phase::Evicted;
-            self.leaving += holder.bytes;
-            if holder.is_large() {
-                self.leaving_by_large += holder.bytes;
-            }
+            self.evict(*victim);
         }
         Growth::AfterEviction(victims)
     }
@@ -267,7 +350,7 @@
             false => 0,
         };
         Missing {
-            bytes: (self.held - holder.bytes + bytes).saturating_sub(self.max_bytes),
+            bytes: (self.held - holder.bytes + bytes).saturating_sub(self.limits.bytes),
             by_large: large.saturating_sub(self.max_request_bytes()),
         }
     }
@@ -280,7 +363,7 @@
         bytes: usize,
         missing: Missing,
     ) -> Option<Vec<HolderId>> {
-        let spare = (self.max_bytes as f64 * SPARE_FRACTION) as usize;
+        let spare = (self.limits.bytes as f64 * SPARE_FRACTION) as usize;
         let (mut freed, mut freed_by_large) = (0, 0);
         let mut victims = Vec::new();
         for (victim, found) in self.candidates(now, id, bytes) {
--- a/crates/firshore-gateway/src/metrics.rs
+++ b/crates/firshore-gateway/src/metrics.rs
@@ -172,6 +172,8 @@
     pub requests_open: Gauge,
     /// Bytes that callers' input holds.
     pub input_held_bytes: Gauge,
+    /// Connections of callers.
+    pub caller_connections: Gauge,
     unread: Family<CodeLabels, Counter>,
     /// Listed back ends.
     pub backends: Gauge,
@@ -263,6 +265,8 @@
                 "input_held_bytes",
                 "Memory that requests of callers hold, in bytes.",
             ),
+            caller_connections: builder
+                .gauge("caller_connections", "Connections that callers have open."),
             unread: builder.counters(
                 "requests_unread",
                 "code",
--- a/crates/firshore-gateway/src/refusal.rs
+++ b/crates/firshore-gateway/src/refusal.rs
@@ -45,6 +45,21 @@
         self.error.execution == Execution::None
     }
 
+    /// Returns the bytes of the response, after which the connection closes.
+    pub fn closing_response(&self) -> Vec<u8> {
+        let status = self.status();
+        let wait = self.retry_after.map(seconds);
+        let wait = wait.and_then(|wait| wait.to_str().map(str::to_owned).ok());
+        let wait = wait.map_or(String::new(), |wait| format!("retry-after: {wait}\r\n"));
+        let body = self.error.body();
+        let length = body.len();
+        let head = format!(
+            "HTTP/1.1 {status}\r\nconnection: close\r\n{wait}content-type: application/json\r\n\
+             content-length: {length}\r\n\r\n"
+        );
+        [head, body].concat().into_bytes()
+    }
+
     /// Writes the response to the caller.
     ///
     /// # Errors
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::caller_connection::{CallerConnection, CallerRequest, Incoming};
 use crate::forward::{self, Handled};
 use crate::gateway::Gateway;
-use crate::input_account::InputLease;
+use crate::input_account::{self, InputLease};
 use crate::input_budget::Denial;
 use crate::leaving::Phase;
 use crate::refusal::Refusal;
@@ -53,14 +53,20 @@
     let closing = gateway.leaving.reached(Phase::Closing);
     tokio::pin!(closing);
     loop {
+        // Each connection that is still open takes a descriptor.
+        gateway.input.settle().await;
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = &mut closing => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve(gateway.clone(), stream));
-            }
+            Ok((stream, _)) => match gateway.input.open() {
+                Some(lease) => {
+                    let connection = CallerConnection::new(stream, lease);
+                    actix_rt::spawn(serve(gateway.clone(), connection));
+                }
+                None => refuse_connection(&gateway, &stream),
+            },
             Err(error) => {
                 warn!(gateway.log, "serve: Connection not accepted."; "reason" => %error);
                 actix_rt::time::sleep(ACCEPT_BACKOFF).await;
@@ -69,6 +75,19 @@
     }
 }
 
+/// Refuses whatever a caller sends on a connection that is one too many, as far as that is possible at once.
+fn refuse_connection(gateway: &Gateway, stream: &TcpStream) {
+    let error = input_account::too_many_connections();
+    gateway.metrics.request_unread(error.code);
+    let suppressed = gateway.unread_lines.borrow_mut().should_log(Instant::now());
+    if let Some(suppressed) = suppressed {
+        info!(gateway.log, "serve: Connection refused."; "reason" => %error,
+            "connections" => gateway.input.connections(), "untold" => suppressed);
+    }
+    // The buffer of a new connection is empty; if writing fails all the same, the caller has left.
+    let _ = stream.try_write(&Refusal::from(error).closing_response());
+}
+
 /// Time within which a request's body must arrive: the request can't be answered after it. A job's has no such end.
 fn body_time(gateway: &Gateway, head: &RequestHead) -> Duration {
     let configuration = gateway.configuration();
@@ -82,8 +101,7 @@
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let mut connection = CallerConnection::new(stream, gateway.input.open());
+async fn serve(gateway: Rc<Gateway>, mut connection: CallerConnection) {
     loop {
         let limits = match gateway.configuration() {
             Some(configuration) => configuration.limits,
--- a/crates/firshore-gateway/tests/caller_connection.rs
+++ b/crates/firshore-gateway/tests/caller_connection.rs
@@ -8,6 +8,7 @@
 use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, CallerDisconnected, Incoming};
 use firshore_gateway::input_account::InputAccount;
+use firshore_gateway::input_budget::InputLimits;
 use firshore_gateway::refusal::Refusal;
 use std::future::pending;
 use std::io::{Read, Write};
@@ -24,8 +25,11 @@
 /// Bytes; more than the sockets' buffers hold.
 const LONG_BODY_BYTES: usize = 32 * 1024 * 1024;
 
-/// Memory of the connections' input, in bytes.
-const INPUT_BYTES: usize = 64 * 1024 * 1024;
+/// Bounds on the connections and their input.
+const INPUT_LIMITS: InputLimits = InputLimits {
+    bytes: 64 * 1024 * 1024,
+    connections: 10,
+};
 
 /// Time within which a body must arrive.
 const BODY_TIME: Duration = Duration::from_secs(60);
@@ -37,8 +41,9 @@
 }
 
 async fn accept(listener: &TcpListener) -> CallerConnection {
-    let input = InputAccount::new(INPUT_BYTES);
-    CallerConnection::new(listener.accept().await.unwrap().0, input.open())
+    let input = InputAccount::new(INPUT_LIMITS);
+    let lease = input.open().unwrap();
+    CallerConnection::new(listener.accept().await.unwrap().0, lease)
 }
 
 async fn read(connection: &mut CallerConnection) -> Incoming {
--- a/crates/firshore-gateway/tests/input_budget.rs
+++ b/crates/firshore-gateway/tests/input_budget.rs
@@ -1,6 +1,6 @@
 //! The memory of callers' input: who is granted some, and who is evicted for it.
 
-use firshore_gateway::input_budget::{Denial, Growth, HolderId, InputBudget};
+use firshore_gateway::input_budget::{Denial, Growth, HolderId, InputBudget, InputLimits};
 use std::time::{Duration, Instant};
 
 const MEGABYTE: usize = 1024 * 1024;
@@ -8,6 +8,11 @@
 /// Memory of all requests; large ones may use 12 MB of it.
 const MAX_BYTES: usize = 16 * MEGABYTE;
 
+const LIMITS: InputLimits = InputLimits {
+    bytes: MAX_BYTES,
+    connections: 100,
+};
+
 /// Longer than the time without progress after which a request counts as stalled.
 const STALL: Duration = Duration::from_millis(1_500);
 
@@ -20,7 +25,7 @@
 impl Scene {
     fn new() -> Self {
         Self {
-            budget: InputBudget::new(MAX_BYTES),
+            budget: InputBudget::new(LIMITS),
             now: Instant::now(),
         }
     }
@@ -29,9 +34,16 @@
         self.now += time;
     }
 
+    /// Opens a connection for which no other has to go.
+    fn open(&mut self) -> HolderId {
+        let opened = self.budget.open(self.now).unwrap();
+        assert_eq!(opened.evicted, Vec::new());
+        opened.id
+    }
+
     /// Begins a request that asks for `bytes`.
     fn begin(&mut self, bytes: usize) -> (HolderId, Growth) {
-        let id = self.budget.open(self.now);
+        let id = self.open();
         self.budget.begin_reading(self.now, id);
         (id, self.resize(id, bytes))
     }
@@ -162,3 +174,44 @@
     }
     assert_eq!(scene.resize(id, max_bytes), Growth::Granted);
 }
+
+#[test]
+fn connections_that_never_sent_go_first_the_longest_waiting_first() {
+    let mut scene = Scene::new();
+    let kept = scene.granted(1);
+    scene.budget.become_idle(scene.now, kept);
+    let first = scene.open();
+    scene.wait(Duration::from_millis(200));
+    let mut silent: Vec<HolderId> = (2..99).map(|_| scene.open()).collect();
+    let serving = scene.granted(1);
+    scene.budget.begin_serving(scene.now, serving);
+    silent.insert(0, first);
+    // All others are too new, or carry a request.
+    let opened = scene.budget.open(scene.now).unwrap();
+    assert_eq!(opened.evicted, [first, kept]);
+    scene.wait(Duration::from_millis(200));
+    scene.open();
+    let opened = scene.budget.open(scene.now).unwrap();
+    assert_eq!(opened.evicted, silent[1..4]);
+}
+
+#[test]
+fn a_connection_is_refused_while_all_carry_requests() {
+    let mut scene = Scene::new();
+    for _ in 0..100 {
+        let id = scene.granted(1);
+        scene.budget.begin_serving(scene.now, id);
+    }
+    scene.wait(STALL);
+    assert_eq!(scene.budget.open(scene.now), None);
+}
+
+#[test]
+fn a_connection_takes_the_place_of_a_stalled_head() {
+    let mut scene = Scene::new();
+    let stalled: Vec<HolderId> = (0..100).map(|_| scene.granted(1)).collect();
+    assert_eq!(scene.budget.open(scene.now), None);
+    scene.wait(STALL);
+    let opened = scene.budget.open(scene.now).unwrap();
+    assert_eq!(opened.evicted, stalled[..3]);
+}
--- a/crates/firshore-link/src/listener.rs
+++ b/crates/firshore-link/src/listener.rs
@@ -9,11 +9,15 @@
 use futures_util::future::LocalBoxFuture;
 use slog::{Logger, info, warn};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Backoff after a failed accept, which is mostly caused by missing file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Handles requests and notices from peers.
 pub trait Handler<Q, A>: 'static {
     /// Handles a notice. Notices of a connection are handled in order of arrival.
@@ -32,6 +36,7 @@
 ) {
     loop {
         let Ok((stream, address)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         let (secret, handler, log) = (secret.clone(), handler.clone(), log.clone());
--- a/crates/firshore-node/src/memory.rs
+++ b/crates/firshore-node/src/memory.rs
@@ -5,6 +5,7 @@
 //! and runs wait before the bound is exceeded. The fractions of a node with a disk sum up to 0.7, or 0.8 if it also
 //! serves callers; the rest is for the program, the allocator and socket buffers.
 
+use firshore_gateway::input_budget::InputLimits;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -32,6 +33,18 @@
 /// The same on a node with a disk.
 const INPUT_FRACTION_WITH_DISK: f64 = 0.1;
 
+/// Fraction for connections of callers and their tasks, beside what requests hold.
+const CONNECTIONS_FRACTION: f64 = 0.2;
+
+/// The same on a node with a disk.
+const CONNECTIONS_FRACTION_WITH_DISK: f64 = 0.05;
+
+/// Resident memory of a caller's connection in bytes: socket, task and buffers.
+const BYTES_PER_CONNECTION: usize = 16 * 1024;
+
+/// Fraction of the descriptors for connections of callers; the rest is for back ends, peers, the store and files.
+const CONNECTIONS_FRACTION_OF_DESCRIPTORS: f64 = 0.75;
+
 /// Resident memory of one running item in bytes: connection, task and read buffer. Measured as 33 KB between 233 and
 /// 1,033 runs on a machine of 130 MB, without their events.
 const BYTES_PER_RUN: usize = 36 * 1024;
@@ -100,12 +113,18 @@
         (self.bytes as f64 * fraction) as usize
     }
 
-    /// Returns the bytes that callers' requests may hold.
-    pub fn input_bytes(&self, has_disk: bool) -> usize {
-        self.fraction(match has_disk {
-            true => INPUT_FRACTION_WITH_DISK,
-            false => INPUT_FRACTION,
-        })
+    /// Returns the bounds on callers' connections and their input, on a machine with this many descriptors.
+    pub fn input_limits(&self, has_disk: bool, descriptors: u64) -> InputLimits {
+        let (bytes, connections) = match has_disk {
+            true => (INPUT_FRACTION_WITH_DISK, CONNECTIONS_FRACTION_WITH_DISK),
+            false => (INPUT_FRACTION, CONNECTIONS_FRACTION),
+        };
+        let by_memory = self.fraction(connections) / BYTES_PER_CONNECTION;
+        let by_descriptors = descriptors as f64 * CONNECTIONS_FRACTION_OF_DESCRIPTORS;
+        InputLimits {
+            bytes: self.fraction(bytes),
+            connections: by_memory.min(by_descriptors as usize).max(1),
+        }
     }
 
     /// Returns whether a job of `bytes` may be accepted. While no other is held, it may be larger.
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -118,7 +118,11 @@
     );
     let gateway = gateway.with_origin_store(Rc::new(OriginStoreClient(origins.clone())));
     let has_disk = settings.storage.is_some();
-    let gateway = gateway.with_input_bytes(settings.limits.memory_budget().input_bytes(has_disk));
+    let limits = &settings.limits;
+    let input = limits
+        .memory_budget()
+        .input_limits(has_disk, limits.max_descriptors());
+    let gateway = gateway.with_input_limits(input);
     let fingerprint_key = FingerprintKey::new(settings.cluster.secret.as_bytes());
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(fingerprint_key, remember));
--- a/crates/firshore-node/src/settings.rs
+++ b/crates/firshore-node/src/settings.rs
@@ -4,6 +4,7 @@
 use firshore_logging::LogSettings;
 use firshore_types::ids::{NodeName, RegionName, ZoneName};
 pub use firshore_types::settings::SettingsError;
+use rustix::process::{Resource, getrlimit};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -169,12 +170,15 @@
 pub struct Limits {
     /// Memory that the node may use, in megabytes of 2^20 bytes.
     pub memory_megabytes: f64,
+    /// Descriptors that the node may have open; absent: as many as the system allows the process.
+    pub descriptors: Option<u64>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
             memory_megabytes: 256.0,
+            descriptors: None,
         }
     }
 }
@@ -186,6 +190,12 @@
         (self.memory_megabytes * BYTES_PER_MEGABYTE) as usize
     }
 
+    /// Returns the descriptors that the node may have open, at most those that the system allows the process.
+    pub fn max_descriptors(&self) -> u64 {
+        let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        allowed.min(self.descriptors.unwrap_or(u64::MAX))
+    }
+
     /// Returns the bounds on each use of the memory.
     pub fn memory_budget(&self) -> MemoryBudget {
         MemoryBudget::new(self.memory_bytes())
@@ -291,6 +301,9 @@
 /// Minimum memory of a node.
 const MIN_MEMORY_MEGABYTES: f64 = 16.0;
 
+/// Minimum number of descriptors: those of the node itself, and a few callers.
+const MIN_DESCRIPTORS: u64 = 128;
+
 /// Minimum history of a store that can be watched.
 const MIN_HISTORY_SECONDS: f64 = 1.0;
 
@@ -400,6 +413,15 @@
                 return Err(SettingsError::Invalid(key, value.to_string(), remedy));
             }
         }
+        if let Some(descriptors) = self.limits.descriptors
+            && descriptors < MIN_DESCRIPTORS
+        {
+            return Err(SettingsError::Invalid(
+                "limits.descriptors",
+                descriptors.to_string(),
+                "Set at least 128, or remove it.",
+            ));
+        }
         if self.name.as_str().is_empty() {
             return Err(SettingsError::Invalid(
                 "name",
--- a/crates/firshore-node/src/status_listener.rs
+++ b/crates/firshore-node/src/status_listener.rs
@@ -10,13 +10,20 @@
 use firshore_gateway::answer_end::CompleteAnswer;
 use firshore_gateway::caller_connection::{CallerConnection, Incoming};
 use firshore_gateway::input_account::InputAccount;
+use firshore_gateway::input_budget::InputLimits;
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Memory that the input of all connections of a listener may hold, in bytes.
-const MAX_INPUT_BYTES: usize = 1024 * 1024;
+/// Bounds on a listener's connections and their input.
+const INPUT_LIMITS: InputLimits = InputLimits {
+    bytes: 1024 * 1024,
+    connections: 64,
+};
+
+/// Backoff after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Maximum size of a body, in bytes; those who ask for the status send none.
 const MAX_BODY_BYTES: usize = 4 * 1024;
@@ -37,11 +44,18 @@
     let response = Rc::new(response);
     // If this fails, the buffers stay as the system sets them.
     let _ = socket_buffers::bound(&listener);
-    let input = InputAccount::new(MAX_INPUT_BYTES);
+    let input = InputAccount::new(INPUT_LIMITS);
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            let connection = CallerConnection::new(stream, input.open());
-            actix_rt::spawn(serve(connection, response.clone()));
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Beyond the limit, connections are closed at once.
+                if let Some(lease) = input.open() {
+                    let connection = CallerConnection::new(stream, lease);
+                    actix_rt::spawn(serve(connection, response.clone()));
+                }
+            }
+            // Mostly caused by missing file descriptors.
+            Err(_) => actix_rt::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
 }
