--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -31,8 +31,8 @@
 /// Buffer space reserved for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Maximum bytes of further requests that are read while a response is pending.
-const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Maximum bytes of further requests that are kept while a response is pending.
+const READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// Maximum time without a byte of a request's body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -98,8 +98,13 @@
     /// Bytes received so far, and at the last time when other connections were let through.
     received: usize,
     yielded_at: usize,
-    /// Memory that the head of the current request counts for.
+    /// Memory that the head of the current request counts for, and the whole request.
     head_bytes: usize,
+    request_bytes: usize,
+    /// Whether a request is being received.
+    is_reading: bool,
+    /// Whether what arrives behind the current request is discarded; the connection closes after its response.
+    discards: bool,
     /// Bytes received before the current body.
     body_start: usize,
     input: BytesMut,
@@ -135,6 +140,9 @@
             received: 0,
             yielded_at: 0,
             head_bytes: 0,
+            request_bytes: 0,
+            is_reading: false,
+            discards: false,
             body_start: 0,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -156,8 +164,9 @@
         let lease = self.lease.clone();
         lease.become_idle();
         if self.input.is_empty() {
-            // An idle connection holds no buffer.
+            // An idle connection holds no buffers.
             self.input = BytesMut::new();
+            self.output = BytesMut::new();
             let first = tokio::select! {
                 read = self.read_some() => read,
                 () = lease.evicted() => return Incoming::Closed,
@@ -169,6 +178,19 @@
             }
         }
         lease.begin_reading();
+        self.is_reading = true;
+        let incoming = self.receive(limits, body_time).await;
+        self.is_reading = false;
+        incoming
+    }
+
+    /// Receives a request whose first byte has arrived.
+    async fn receive(
+        &mut self,
+        limits: &CallerLimits,
+        body_time: impl FnOnce(&RequestHead) -> Duration,
+    ) -> Incoming {
+        let lease = self.lease.clone();
         let before = self.received - self.input.len();
         let read = tokio::select! {
             read = timeout(limits.head_timeout, self.read_head(limits)) => read,
@@ -226,9 +248,11 @@
     }
 
     /// Counts what the request holds, in bytes.
-    async fn charge(&self, bytes: usize) -> Result<(), Incoming> {
+    async fn charge(&mut self, bytes: usize) -> Result<(), Incoming> {
         let resized = self.lease.resize(bytes).await;
-        resized.map_err(|denial| Incoming::Invalid(denial.api_error()))
+        resized.map_err(|denial| Incoming::Invalid(denial.api_error()))?;
+        self.request_bytes = bytes;
+        Ok(())
     }
 
     async fn read_body(
@@ -344,10 +368,22 @@
     /// Resolves when the caller has closed the connection.
     pub async fn disconnected(&mut self) {
         while self.read_some().await.is_ok() {
-            if self.input.len() > READ_AHEAD_BYTES {
-                // Nothing more is read, so a close can't be detected either.
-                std::future::pending::<()>().await;
-            }
+            self.keep_or_discard();
+        }
+    }
+
+    /// Counts what has arrived behind the current request. If it is too much, it is discarded from now on: left unread,
+    /// it would fill the kernel's buffers, and a close could not be detected.
+    fn keep_or_discard(&mut self) {
+        if self.is_reading {
+            return;
+        }
+        let is_kept = !self.discards
+            && self.input.len() <= READ_AHEAD_BYTES
+            && (self.lease).try_resize(self.request_bytes + self.input.len());
+        if !is_kept {
+            self.discards = true;
+            self.input.clear();
         }
     }
 
@@ -364,7 +400,7 @@
         self.has_ended = false;
         self.is_ended_by_close = self.lacks_chunks && size == BodySize::Stream;
         response.head_mut().no_chunking(self.is_ended_by_close);
-        if close || self.is_ended_by_close {
+        if close || self.discards || self.is_ended_by_close {
             response
                 .head_mut()
                 .set_connection_type(ConnectionType::Close);
@@ -409,19 +445,15 @@
     }
 
     async fn wait_writable(&mut self) -> Result<(), CallerDisconnected> {
-        let full = self.input.len() > READ_AHEAD_BYTES;
-        let interest = match full {
-            true => Interest::WRITABLE,
-            false => Interest::READABLE | Interest::WRITABLE,
-        };
         let ready = self
             .stream
-            .ready(interest)
+            .ready(Interest::READABLE | Interest::WRITABLE)
             .await
             .map_err(|_| CallerDisconnected)?;
-        if ready.is_readable() && !full {
+        if ready.is_readable() {
             // Readiness may be stale: waiting for bytes here could miss that the socket is writable.
             self.try_read().map_err(|_| CallerDisconnected)?;
+            self.keep_or_discard();
         }
         Ok(())
     }
@@ -433,7 +465,12 @@
 
     /// Returns whether the connection may carry another request.
     pub fn keeps_open(&self) -> bool {
-        self.codec.keep_alive()
+        self.codec.keep_alive() && !self.discards
+    }
+
+    /// Returns whether something that arrived behind the current request was discarded.
+    pub fn discards(&self) -> bool {
+        self.discards
     }
 }
 
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -115,6 +115,9 @@
             Incoming::Closed => Handled::Close,
             Incoming::Invalid(error) => return refuse_unread(&gateway, error, connection).await,
         };
+        if handled == Handled::Close && connection.discards() {
+            return connection.discard_rest().await;
+        }
         if handled == Handled::Close {
             return;
         }
--- a/crates/firshore-gateway/tests/caller_connection.rs
+++ b/crates/firshore-gateway/tests/caller_connection.rs
@@ -261,6 +261,25 @@
     assert_eq!(received, "HTTP/1.1 408");
 }
 
+#[test]
+fn bytes_behind_a_pending_request_are_discarded_and_a_close_is_still_noticed() {
+    actix_rt::System::new().block_on(async {
+        let (listener, address) = listen().await;
+        let mut stream = TcpStream::connect(address).unwrap();
+        let client = std::thread::spawn(move || {
+            stream.write_all(REQUEST).unwrap();
+            // More than the sockets' buffers hold.
+            stream.write_all(&vec![b'x'; LONG_BODY_BYTES]).unwrap();
+        });
+        let mut connection = accept(&listener).await;
+        assert!(matches!(read(&mut connection).await, Incoming::Request(_)));
+        let noticed = tokio::time::timeout(TEST_TIMEOUT, connection.disconnected()).await;
+        assert_eq!(noticed, Ok(()));
+        assert!(!connection.keeps_open());
+        client.join().unwrap();
+    });
+}
+
 #[test]
 fn malformed_and_oversized_requests_get_distinct_statuses() {
     let long_head = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(20_000));
