--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -37,6 +37,12 @@
 /// Maximum time without a byte of a request's body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Length of a response that isn't counted, in bytes.
+const FREE_RESPONSE_BYTES: usize = 16 * 1024;
+
+/// Copies of a response that is kept as a whole: as read, and as written.
+const COPIES_OF_RESPONSE: usize = 2;
+
 /// Length of a head that isn't counted, in bytes.
 const FREE_HEAD_BYTES: usize = 2 * 1024;
 
@@ -91,6 +97,22 @@
         ServiceConfig::new(KeepAlive::Os, Duration::ZERO, Duration::ZERO, false, None);
 }
 
+/// Counts the memory of a response that is kept as a whole, beside its request.
+pub struct ResponseAccount {
+    lease: Rc<InputLease>,
+    request_bytes: usize,
+}
+
+impl ResponseAccount {
+    /// Counts a response of `bytes`, as read and as written. Returns whether there is memory for it.
+    pub fn holds(&self, bytes: usize) -> bool {
+        bytes <= FREE_RESPONSE_BYTES
+            || self
+                .lease
+                .try_resize(self.request_bytes + COPIES_OF_RESPONSE * bytes)
+    }
+}
+
 /// Connection opened by a caller.
 pub struct CallerConnection {
     stream: TcpStream,
@@ -458,6 +480,14 @@
         Ok(())
     }
 
+    /// Returns the account of the response to the current request.
+    pub fn response_account(&self) -> ResponseAccount {
+        ResponseAccount {
+            lease: self.lease.clone(),
+            request_bytes: self.request_bytes,
+        }
+    }
+
     /// Returns the account of what the current request holds.
     pub fn lease(&self) -> &Rc<InputLease> {
         &self.lease
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -4,7 +4,7 @@
 use super::{BackendFailure, Forwarding, Handled, Interrupted, SendResult, unless_interrupted};
 use crate::answer_end::{AnswerEnd, CompleteAnswer, TextPosition};
 use crate::attempts::SendEnd;
-use crate::caller_connection::{CallerConnection, CallerDisconnected};
+use crate::caller_connection::{CallerConnection, CallerDisconnected, ResponseAccount};
 use crate::events::EventTracker;
 use crate::fleet::BackendOutcome;
 use actix_http::ResponseHead;
@@ -26,7 +26,7 @@
 }
 
 impl Forwarding<'_> {
-    /// Reads a response completely and returns it, or returns it in chunks if it is too long.
+    /// Reads a response completely and returns it, or returns it in chunks if it is too long or there is no memory for it.
     pub(super) async fn relay_whole(
         &mut self,
         backend: &Backend,
@@ -34,7 +34,8 @@
         ran: Ran,
         connection: &mut CallerConnection,
     ) -> Result<SendResult, Interrupted> {
-        let reading = read_up_to(&mut exchange.body, MAX_BUFFERED_BYTES);
+        let account = connection.response_account();
+        let reading = read_up_to(&mut exchange.body, MAX_BUFFERED_BYTES, &account);
         let (body, whole) = match unless_interrupted(connection, self.deadline, reading).await? {
             Ok(read) => read,
             Err(error) => return Ok(self.lost(backend, &error)),
@@ -286,15 +287,19 @@
     }
 }
 
-/// Reads a body until it ends or exceeds `limit` bytes. Returns whether it is complete.
-async fn read_up_to(body: &mut ExchangeBody, limit: usize) -> Result<(Bytes, bool), ExchangeError> {
+/// Reads a body until it ends, exceeds `limit` bytes or can't be held. Returns whether it is complete.
+async fn read_up_to(
+    body: &mut ExchangeBody,
+    limit: usize,
+    account: &ResponseAccount,
+) -> Result<(Bytes, bool), ExchangeError> {
     let Some(first) = body.next().await? else {
         return Ok((Bytes::new(), true));
     };
     let mut read = BytesMut::from(&first[..]);
     while let Some(chunk) = body.next().await? {
         read.extend_from_slice(&chunk);
-        if read.len() > limit {
+        if read.len() > limit || !account.holds(read.len()) {
             return Ok((read.freeze(), false));
         }
     }
--- a/crates/firshore-gateway/src/serve.rs
+++ b/crates/firshore-gateway/src/serve.rs
@@ -395,6 +395,14 @@
     connection: &mut CallerConnection,
 ) -> Handled {
     let close = gateway.leaving.is_leaving();
+    let response = match response {
+        LocalResponse::Json(body) | LocalResponse::Octets(body)
+            if !connection.response_account().holds(body.len()) =>
+        {
+            LocalResponse::from(Denial::Full.api_error())
+        }
+        response => response,
+    };
     let (status, content_type, body) = match response {
         LocalResponse::Empty(status) => (status, None, Bytes::new()),
         LocalResponse::Json(body) => (StatusCode::OK, Some("application/json"), body),
