--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -345,7 +345,7 @@
     }
 
     /// Discards what the caller still sends, so that it can read a refusal: closing a connection with unread bytes
-    /// would reset it. Returns when the caller has closed, or after [`DISCARD_TIME`] or [`MAX_DISCARDED_BYTES`].
+    /// would reset it. Returns when the caller has closed, or after 2 s or 4 MiB.
     pub async fn discard_rest(mut self) {
         let lease = self.lease.clone();
         lease.become_idle();
