--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -332,7 +332,10 @@
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_cold_rates(cold_rates.collect());
         drop(fleet);
-        self.check_body_limit(configuration.limits.body_bytes);
+        let former = current.as_ref().map(|current| current.limits.body_bytes);
+        if former != Some(configuration.limits.body_bytes) {
+            self.check_body_limit(configuration.limits.body_bytes);
+        }
         *current = Some(Arc::new(configuration));
     }
 
--- a/crates/firshore-node/src/node.rs
+++ b/crates/firshore-node/src/node.rs
@@ -26,6 +26,7 @@
 use firshore_crashes::fingerprint::FingerprintKey;
 use firshore_exchange::socket_buffers;
 use firshore_gateway::gateway::Gateway;
+use firshore_gateway::input_budget::InputLimits;
 use firshore_gateway::serve;
 use firshore_link::client;
 use firshore_link::handshake::ClusterSecret;
@@ -117,12 +118,10 @@
         log.clone(),
     );
     let gateway = gateway.with_origin_store(Rc::new(OriginStoreClient(origins.clone())));
-    let has_disk = settings.storage.is_some();
-    let limits = &settings.limits;
-    let input = limits
-        .memory_budget()
-        .input_limits(has_disk, limits.max_descriptors());
-    let gateway = gateway.with_input_limits(input);
+    let gateway = match settings.listen.callers {
+        Some(_) => gateway.with_input_limits(input_limits(&settings)),
+        None => gateway,
+    };
     let fingerprint_key = FingerprintKey::new(settings.cluster.secret.as_bytes());
     let remember = settings.crashes.remember();
     let gateway = Rc::new(gateway.with_crash_memory(fingerprint_key, remember));
@@ -181,6 +180,14 @@
     Ok(())
 }
 
+/// Returns the bounds on callers' connections and their input.
+fn input_limits(settings: &Settings) -> InputLimits {
+    let limits = &settings.limits;
+    let has_disk = settings.storage.is_some();
+    let budget = limits.memory_budget();
+    budget.input_limits(has_disk, limits.max_descriptors())
+}
+
 /// Checks the settings file on SIGHUP. The running node keeps its settings.
 fn reload(path: &std::path::Path, log: &Logger) {
     match Settings::read(path) {
--- a/crates/firshore-node/tests/memory.rs
+++ b/crates/firshore-node/tests/memory.rs
@@ -50,6 +50,28 @@
     }
 }
 
+/// The smallest machines of deployments, with and without a disk.
+const SMALL_MACHINES: [(usize, bool); 2] = [(160, false), (250, true)];
+
+#[test]
+fn callers_leave_memory_and_descriptors_for_the_rest() {
+    for (megabytes, has_disk) in SMALL_MACHINES {
+        let budget = MemoryBudget::new(megabytes * MEGABYTE);
+        let limits = budget.input_limits(has_disk, 4_100);
+        let held = limits.bytes + limits.connections * 16 * 1024;
+        let max_held = match has_disk {
+            true => 0.2,
+            false => 0.65,
+        };
+        assert!(held as f64 <= max_held * (megabytes * MEGABYTE) as f64);
+        assert!(limits.connections <= 3_075, "{limits:?}");
+        // More than callers of the deployments have open at once.
+        assert!(has_disk || limits.connections >= 1_500, "{limits:?}");
+        let few = budget.input_limits(has_disk, 320);
+        assert_eq!(few.connections, 240);
+    }
+}
+
 #[test]
 fn bytes_are_counted_while_they_are_held() {
     let counter = ByteCounter::default();
--- a/crates/firshore-node/tests/settings.rs
+++ b/crates/firshore-node/tests/settings.rs
@@ -59,6 +59,12 @@
             "cluster.catch_up_seconds",
             "at least 1",
         ),
+        (
+            "[leave]",
+            "[limits]\ndescriptors = 100\n[leave]",
+            "limits.descriptors",
+            "at least 128",
+        ),
         (
             "history_seconds = 20",
             "leaving_bound_milliseconds = 100",
