--- a/crates/firshore-gateway/src/caller_connection.rs
+++ b/crates/firshore-gateway/src/caller_connection.rs
@@ -20,6 +20,7 @@
 use firshore_adapter::configuration::CallerLimits;
 use firshore_exchange::keep_alive;
 use firshore_types::error::{ApiError, ErrorCode};
+use std::cell::LazyCell;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -181,7 +182,7 @@
         &mut self,
         limits: &CallerLimits,
         closing: impl Future<Output = ()>,
-        body_time: impl FnOnce(&RequestHead) -> Duration,
+        body_time: impl Fn(&RequestHead) -> Duration,
     ) -> Incoming {
         let lease = self.lease.clone();
         lease.become_idle();
@@ -210,7 +211,7 @@
     async fn receive(
         &mut self,
         limits: &CallerLimits,
-        body_time: impl FnOnce(&RequestHead) -> Duration,
+        body_time: impl Fn(&RequestHead) -> Duration,
     ) -> Incoming {
         let lease = self.lease.clone();
         let before = self.received - self.input.len();
@@ -231,7 +232,7 @@
             return refused;
         }
         let arrived = Instant::now();
-        let deadline = arrived + body_time(head.head());
+        let deadline = || arrived + body_time(head.head());
         match self.read_body(&head, limits, deadline).await {
             Ok(body) => {
                 self.lease.begin_serving();
@@ -281,8 +282,10 @@
         &mut self,
         head: &Request,
         limits: &CallerLimits,
-        deadline: Instant,
+        deadline: impl Fn() -> Instant,
     ) -> Result<Bytes, Incoming> {
+        // Most bodies arrive with their heads and need none.
+        let deadline = LazyCell::new(deadline);
         if self.codec.message_type() == actix_http::h1::MessageType::None {
             return Ok(Bytes::new());
         }
@@ -311,7 +314,7 @@
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.join()),
                 Ok(Some(Message::Item(_))) => return Err(Incoming::Closed),
-                Ok(None) => self.read_more_of(&body, deadline).await?,
+                Ok(None) => self.read_more_of(&body, *deadline).await?,
                 Err(error) => return Err(invalid_request(&error)),
             }
         }
