Memory: the resident memory is read on machines whose pages aren't 4 KiB, too

arm64 machines may have pages of 16 or 64 KiB; firshore_memory_resident_bytes multiplied pages by 4,096. By reading: this machine's pages have 4 KiB, so no run shows it.

--- a/crates/firshore-node/src/memory.rs
+++ b/crates/firshore-node/src/memory.rs
@@ -208,8 +208,7 @@
 
 /// Returns the resident memory of this process in bytes, or `None` if the system doesn't report it.
 pub fn resident_bytes() -> Option<usize> {
-    const PAGE_BYTES: usize = 4_096;
     let text = std::fs::read_to_string("/proc/self/statm").ok()?;
     let pages: usize = text.split(' ').nth(1)?.parse().ok()?;
-    Some(pages * PAGE_BYTES)
+    Some(pages * rustix::param::page_size())
 }
