--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -216,7 +216,7 @@
         match change {
             Change::Removed(name) => {
                 if log {
-                    info!(gateway.log, "fleet: Back end removed."; "backend" => &name);
+                    info!(gateway.log, "fleet: Back end removed."; "backend" => %name.escape_debug());
                 }
                 self.refusals.borrow_mut().forget(&name);
                 gateway.remove_backend(&BackendName::from(name));
@@ -249,7 +249,7 @@
             }
             Err(error) => {
                 if let Some(suppressed) = self.should_log(object) {
-                    warn!(self.gateway.log, "fleet: Back end unusable."; "backend" => &object.name,
+                    warn!(self.gateway.log, "fleet: Back end unusable."; "backend" => %object.name.escape_debug(),
                         "revision" => object.revision, "reason" => %error, "untold" => suppressed);
                 }
                 None
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -5,6 +5,7 @@
 //! determines the founders.
 
 use crate::list_watch::ObjectUpdate;
+use crate::listing::list_all;
 use crate::refusals::RefusalLog;
 use firshore_adapter::decode::brief;
 use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
@@ -270,7 +271,7 @@
             return false;
         }
         self.refreshed_at.set(Some(now));
-        match self.list().await {
+        match list_all(self.store.as_ref(), KIND).await {
             Ok(objects) => {
                 self.apply(ObjectUpdate::All(objects));
                 // The listing shows at least the state at the time of the request.
@@ -284,24 +285,6 @@
         }
     }
 
-    async fn list(&self) -> Result<Vec<Object>, ObjectError> {
-        let mut objects: Vec<Object> = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let page = self.store.list(KIND, after.as_deref()).await?;
-            let cursor = page.cursor().map(str::to_owned);
-            objects.extend(page.objects);
-            if !page.more {
-                return Ok(objects);
-            }
-            if cursor <= after {
-                let reason = "more objects follow, and no name to continue after";
-                return Err(ObjectError::Unanswered(reason.to_owned()));
-            }
-            after = cursor;
-        }
-    }
-
     /// Returns the peer addresses of nodes, shared with the replica's thread.
     pub fn addresses(&self) -> Addresses {
         self.addresses.clone()
@@ -495,7 +478,7 @@
         let now = firshore_clock::now();
         let mut refusals = self.refusals.borrow_mut();
         if let Some(suppressed) = refusals.should_log(now, &object.name, object.revision) {
-            warn!(self.log, "registry: {}", what; "object" => &object.name,
+            warn!(self.log, "registry: {}", what; "object" => %object.name.escape_debug(),
                 "revision" => object.revision, "reason" => brief(error), "untold" => suppressed);
         }
     }
--- a/crates/firshore-node/src/lib.rs
+++ b/crates/firshore-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod journal;
 pub mod list_watch;
+pub mod listing;
 pub mod load_exchange;
 pub mod load_table;
 pub mod memory;
--- a/crates/firshore-node/src/list_watch.rs
+++ b/crates/firshore-node/src/list_watch.rs
@@ -14,6 +14,7 @@
 //! Entries without a readable name are skipped. A listing continues after the last readable name of a page, and
 //! fails if that makes no progress. If a change has no readable name, the objects are listed again.
 
+use crate::listing::ListingPosition;
 use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page, Revision};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -74,8 +75,7 @@
         listed: Vec<Object>,
         /// Revision up to which changes were seen before the listing, except those without a readable name.
         seen: Option<Revision>,
-        /// Last readable name.
-        after: Option<String>,
+        position: ListingPosition,
         /// Revision of the first page. The watch starts from it, so that it returns changes made while later
         /// pages were read.
         revision: Option<Revision>,
@@ -92,7 +92,7 @@
         Self::Listing {
             seen,
             listed: Vec::new(),
-            after: None,
+            position: ListingPosition::default(),
             revision: None,
         }
     }
@@ -129,7 +129,7 @@
 pub enum ListingRefusal {
     /// Its revision is older than one already seen: deleted objects would reappear.
     Older,
-    /// More pages follow, but this one has no readable name after the last one.
+    /// More pages follow, but this one has no readable name after which none was requested yet.
     NoCursor,
 }
 
@@ -155,7 +155,9 @@
     /// Returns the next query.
     pub fn next_query(&self) -> StoreQuery {
         match &self.phase {
-            Phase::Listing { after, .. } => StoreQuery::List(after.clone()),
+            Phase::Listing { position, .. } => {
+                StoreQuery::List(position.after().map(str::to_owned))
+            }
             Phase::Watching(revision) => StoreQuery::Watch(*revision),
         }
     }
@@ -250,7 +252,7 @@
             self.refuse(ListingRefusal::Older);
             return None;
         }
-        if page.more && !self.has_next_cursor(&page) {
+        if page.more && !self.advance_listing(&page) {
             self.refuse(ListingRefusal::NoCursor);
             return None;
         }
@@ -262,18 +264,12 @@
         self.max_revision = page.revision;
         self.unnamed = remove_unnamed(&mut page.objects, |object| &object.name);
         let Phase::Listing {
-            listed,
-            after,
-            revision,
-            ..
+            listed, revision, ..
         } = &mut self.phase
         else {
             return None;
         };
         let first = *revision.get_or_insert(page.revision);
-        if page.more {
-            *after = page.cursor().map(str::to_owned);
-        }
         listed.extend(page.objects);
         if page.more {
             return None;
@@ -286,11 +282,11 @@
 
     /// Returns whether the listing can continue after a page. Without this check, a page without readable names
     /// would end the listing, and the objects of all later pages would be removed.
-    fn has_next_cursor(&self, page: &Page) -> bool {
-        let Phase::Listing { after, .. } = &self.phase else {
-            return false;
-        };
-        page.cursor() > after.as_deref()
+    fn advance_listing(&mut self, page: &Page) -> bool {
+        match &mut self.phase {
+            Phase::Listing { position, .. } => position.advance(page),
+            Phase::Watching(_) => false,
+        }
     }
 
     /// Returns the objects that are not older than the revision already seen. Replaces the seen revisions by
--- a/crates/firshore-node/tests/list_watch.rs
+++ b/crates/firshore-node/tests/list_watch.rs
@@ -1,7 +1,9 @@
 //! List and watch of objects, including failures of the store.
 
 use firshore_adapter::objects::{Change, Changes, Object, ObjectError, Page};
-use firshore_node::list_watch::{IDLE_WAIT, ListWatch, ObjectUpdate, StoreQuery, WatchOptions};
+use firshore_node::list_watch::{
+    IDLE_WAIT, ListWatch, ListingRefusal, ObjectUpdate, StoreQuery, WatchOptions,
+};
 use std::time::Duration;
 
 fn options() -> WatchOptions {
@@ -253,6 +255,25 @@
     }
 }
 
+/// A listing whose pages follow another order than that of bytes was refused.
+#[test]
+fn listing_follows_the_order_of_the_store() {
+    let mut list_watch = ListWatch::new(options());
+    assert_eq!(list_watch.handle_page(page(&[("b", 5)], true, 10)), None);
+    assert_eq!(list_watch.handle_page(page(&[("B", 6)], true, 10)), None);
+    let update = list_watch.handle_page(page(&[("c", 7)], false, 10));
+    assert_eq!(names(update), ["b", "B", "c"]);
+}
+
+#[test]
+fn listing_that_goes_round_ends() {
+    let mut list_watch = ListWatch::new(options());
+    for name in ["b", "a", "b"] {
+        assert_eq!(list_watch.handle_page(page(&[(name, 5)], true, 10)), None);
+    }
+    assert_eq!(list_watch.refusal(), Some(ListingRefusal::NoCursor));
+}
+
 // A change without a name may concern any object: a new listing shows which remain.
 #[test]
 fn change_without_a_name_leads_to_a_listing() {
