--- a/crates/firshore-node/src/journal/maintenance.rs
+++ b/crates/firshore-node/src/journal/maintenance.rs
@@ -5,7 +5,6 @@
 use super::group_manager::{GroupAction, GroupInput, GroupManager};
 use super::registry::NodeRecord;
 use super::retirement::Retirements;
-use crate::list_watch::ObjectUpdate;
 use firshore_adapter::Adapter;
 use firshore_jobs::command::Action;
 use firshore_log::GroupStatus;
@@ -103,7 +102,8 @@
         let followed = status.leads;
         let mut step = self.step(status, followed);
         if step == GroupAction::ListLeaving {
-            if !self.list_leaving().await {
+            let log = &self.journal.log;
+            if !self.retirements.list(&self.adapter, log).await {
                 return;
             }
             step = self.step(status, true);
@@ -163,23 +163,6 @@
         decide(&mut self.manager.borrow_mut(), &input)
     }
 
-    /// Lists the nodes to drain. Returns whether they are known now.
-    async fn list_leaving(&self) -> bool {
-        let kind = self.adapter.decoder.retirement_kind();
-        match self.adapter.objects.list(kind, None).await {
-            Ok(page) => {
-                let listed = ObjectUpdate::All(page.objects);
-                self.retirements
-                    .apply(&self.adapter, &self.journal.log, listed);
-                true
-            }
-            Err(error) => {
-                warn!(self.journal.log, "retirement: Listing failed."; "reason" => %error);
-                false
-            }
-        }
-    }
-
     /// Returns whether the nodes have to be listed again: this node's record is missing or differs,
     /// or a replica knows no leader, which may be on another node or have moved. A node without a
     /// replica is contacted by the leader and needs no listing once founders are named.
--- a/crates/firshore-node/src/journal/retirement.rs
+++ b/crates/firshore-node/src/journal/retirement.rs
@@ -2,6 +2,7 @@
 
 use super::group_manager::LeavingNodes;
 use crate::list_watch::ObjectUpdate;
+use crate::listing::list_all;
 use crate::refusals::RefusalLog;
 use firshore_adapter::Adapter;
 use firshore_adapter::decode::{Retirement, RetirementProgress};
@@ -34,6 +35,21 @@
 }
 
 impl Retirements {
+    /// Lists the requests once. Returns whether they are known now.
+    pub async fn list(&self, adapter: &Adapter, log: &Logger) -> bool {
+        let kind = adapter.decoder.retirement_kind();
+        match list_all(adapter.objects.as_ref(), kind).await {
+            Ok(objects) => {
+                self.apply(adapter, log, ObjectUpdate::All(objects));
+                true
+            }
+            Err(error) => {
+                warn!(log, "retirement: Listing failed."; "reason" => %error);
+                false
+            }
+        }
+    }
+
     /// Applies an observation of the store.
     pub fn apply(&self, adapter: &Adapter, log: &Logger, observed: ObjectUpdate) {
         match observed {
