--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -406,6 +406,10 @@
     while socket.input.is_empty() {
         match socket.wait_for_activity().await {
             Ok(Activity::Progress) => {}
+            // The failed write has taken a reset off the socket; a read shows it as an end.
+            Ok(Activity::End) if socket.has_failed_to_send() => {
+                return Err(ExchangeError::Truncated);
+            }
             Ok(Activity::End) => return Ok(None),
             Err(_) => return Err(ExchangeError::Truncated),
         }
--- a/crates/firshore-exchange/src/socket.rs
+++ b/crates/firshore-exchange/src/socket.rs
@@ -44,6 +44,11 @@
         !self.has_output() && !self.send_failed
     }
 
+    /// Returns whether a write has failed: the end of the input then proves no orderly close.
+    pub(crate) fn has_failed_to_send(&self) -> bool {
+        self.send_failed
+    }
+
     fn has_output(&self) -> bool {
         !self.output.is_empty() || !self.body.is_empty()
     }
