--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::framing::{self, BodyEnd, Framing};
+use crate::head_check;
 use crate::keep_alive;
 use crate::pool::{self, IdleConnection};
 use crate::socket::{Activity, BufferedSocket};
@@ -250,6 +251,9 @@
 ) -> Result<ResponseHead, ExchangeError> {
     let lost = |reason: String| ExchangeError::Lost(reason);
     loop {
+        if !head_check::has_valid_names(&socket.input) {
+            return Err(lost("a field in its head has no valid name".to_owned()));
+        }
         match codec.decode(&mut socket.input) {
             Ok(Some(head)) if head.status.as_u16() == 101 => {
                 return Err(lost("it switched protocols without being asked".to_owned()));
--- a/crates/firshore-exchange/src/lib.rs
+++ b/crates/firshore-exchange/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod endpoint;
 pub mod exchange;
 pub mod framing;
+mod head_check;
 pub mod keep_alive;
 mod pool;
 mod socket;
