--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -255,6 +255,9 @@
             return Err(lost("a field in its head has no valid name".to_owned()));
         }
         match codec.decode(&mut socket.input) {
+            Ok(Some(head)) if !head_check::is_valid_status(head.status) => {
+                return Err(lost("its status is none of HTTP".to_owned()));
+            }
             Ok(Some(head)) if head.status.as_u16() == 101 => {
                 return Err(lost("it switched protocols without being asked".to_owned()));
             }
--- a/crates/firshore-exchange/src/head_check.rs
+++ b/crates/firshore-exchange/src/head_check.rs
@@ -1,5 +1,10 @@
-//! Checks the head of a response. The codec of `actix-http` accepts blanks between a field's name and its colon
-//! (RFC 9112, section 5.1).
+//! Checks the head of a response. The codec of `actix-http` accepts blanks between a field's name and its colon, and any
+//! status of three digits from 100 on (RFC 9112, section 5.1; RFC 9110, section 15).
+
+use actix_http::StatusCode;
+
+/// Statuses beyond this are none of HTTP; the codec refuses those below 100.
+const MAX_STATUS: u16 = 599;
 
 /// Returns whether the name of each field is a token, as far as the lines of the head have arrived. What the codec
 /// refuses itself, such as a line without a colon, isn't looked for here.
@@ -24,3 +29,8 @@
 fn is_token_byte(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
+
+/// Returns whether a status is one of HTTP.
+pub(crate) fn is_valid_status(status: StatusCode) -> bool {
+    status.as_u16() <= MAX_STATUS
+}
--- a/crates/firshore-exchange/tests/odd_heads.rs
+++ b/crates/firshore-exchange/tests/odd_heads.rs
@@ -37,6 +37,23 @@
     b"content-length: +5",
 ];
 
+const ODD_STATUS_LINES: [&str; 14] = [
+    "HTTP/1.1 000 Odd",
+    "HTTP/1.1 099 Odd",
+    "HTTP/1.1 600 Odd",
+    "HTTP/1.1 999 Odd",
+    "HTTP/1.1 20 Odd",
+    "HTTP/1.1 2000 Odd",
+    "HTTP/1.1 -20 Odd",
+    "HTTP/1.1 2x0 Odd",
+    "HTTP/1.1  200 Odd",
+    "HTTP/1.1 Odd",
+    "HTTP/7.3 200 Odd",
+    "HTTP/1 200 Odd",
+    " HTTP/1.1 200 Odd",
+    "HTTP/1.1\x0b200 Odd",
+];
+
 /// Starts a back end that sends `answer` on each connection, in pieces of this many bytes.
 async fn start_backend(answer: Vec<u8>, piece: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -117,6 +134,13 @@
     assert_eq!(received(answers), Vec::<String>::new());
 }
 
+#[test]
+fn answer_with_an_odd_status_was_passed_on() {
+    let lines = ODD_STATUS_LINES.into_iter();
+    let answers = lines.map(|line| answer(line, &[b"content-length: 5"]));
+    assert_eq!(received(answers.collect()), Vec::<String>::new());
+}
+
 /// What RFC 9112 allows in a head.
 #[test]
 fn unusual_heads_are_received() {
