--- a/crates/firshore-exchange/src/socket.rs
+++ b/crates/firshore-exchange/src/socket.rs
@@ -8,6 +8,9 @@
 /// Buffer space reserved for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Bytes that are received before the other tasks of the thread, and its timers, get a turn.
+const TURN_BYTES: usize = 64 * 1024;
+
 /// A connection with its buffers of received and unsent bytes.
 pub(crate) struct BufferedSocket {
     pub(crate) stream: TcpStream,
@@ -17,6 +20,8 @@
     pub(crate) body: Bytes,
     /// Whether sending failed. What the peer sent before may still be read.
     send_failed: bool,
+    /// Bytes received since other tasks had a turn.
+    received_in_turn: usize,
 }
 
 /// Result of [`BufferedSocket::wait_for_activity`].
@@ -36,6 +41,7 @@
             output: BytesMut::new(),
             body: Bytes::new(),
             send_failed: false,
+            received_in_turn: 0,
         }
     }
 
@@ -55,7 +61,14 @@
 
     /// Waits until the socket is ready, then sends and reads what it allows without blocking. Reading never waits
     /// for writing, so that an early response of a peer that hasn't read the whole request is received.
+    ///
+    /// Returns to the runtime now and then, even if the socket is always ready: a peer that sends without end would
+    /// otherwise keep the thread, and no timeout would expire.
     pub(crate) async fn wait_for_activity(&mut self) -> io::Result<Activity> {
+        if self.received_in_turn >= TURN_BYTES {
+            self.received_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
         self.send_some();
         let interest = match self.has_output() && !self.send_failed {
             true => Interest::READABLE | Interest::WRITABLE,
@@ -102,7 +115,10 @@
         self.input.reserve(READ_BYTES);
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Ok(Activity::End),
-            Ok(_) => Ok(Activity::Progress),
+            Ok(count) => {
+                self.received_in_turn += count;
+                Ok(Activity::Progress)
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Activity::Progress),
             Err(error) => Err(error),
         }
