--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -30,6 +30,15 @@
 /// Maximum body size in bytes of an unexpected response that is skipped.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
+/// Maximum number of unexpected responses that are skipped.
+const MAX_SKIPPED_RESPONSES: usize = 8;
+
+/// Maximum number of interim responses before one response.
+const MAX_INTERIM_RESPONSES: usize = 64;
+
+/// Maximum bytes between two pieces of a body: sizes and extensions of chunks, and trailers.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 quick_error! {
     /// Reason why an exchange failed.
     #[derive(Debug)]
@@ -198,7 +207,7 @@
     ///
     /// # Errors
     ///
-    /// Also fails if a skipped response has no marked end or is longer than 1 MiB.
+    /// Also fails if a skipped response has no marked end or is longer than 1 MiB, or if more than 8 are skipped.
     pub async fn send_expecting(
         self,
         head: RequestHead,
@@ -209,13 +218,15 @@
         let mut codec = ClientCodec::new(CODEC_CONFIGURATION.with(ServiceConfig::clone));
         let mut socket = BufferedSocket::new(self.stream);
         encode(&mut codec, &mut socket, head, body)?;
-        loop {
+        for _ in 0..=MAX_SKIPPED_RESPONSES {
             let head = read_head(&mut socket, &mut codec).await?;
             if is_expected(&head) {
                 return open_body(self.endpoint, socket, codec, &method, head);
             }
             (socket, codec) = skip_response(self.endpoint, socket, codec, &method, head).await?;
         }
+        let reason = "it sent too many answers to other requests";
+        Err(ExchangeError::Lost(reason.to_owned()))
     }
 }
 
@@ -250,6 +261,7 @@
     codec: &mut ClientCodec,
 ) -> Result<ResponseHead, ExchangeError> {
     let lost = |reason: String| ExchangeError::Lost(reason);
+    let mut interim_responses = 0;
     loop {
         if !head_check::has_valid_names(&socket.input) {
             return Err(lost("a field in its head has no valid name".to_owned()));
@@ -261,7 +273,13 @@
             Ok(Some(head)) if head.status.as_u16() == 101 => {
                 return Err(lost("it switched protocols without being asked".to_owned()));
             }
-            Ok(Some(head)) if head.status.is_informational() => continue,
+            Ok(Some(head)) if head.status.is_informational() => {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(lost("it sent too many interim answers".to_owned()));
+                }
+                continue;
+            }
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(error) => return Err(lost(error.to_string())),
@@ -396,14 +414,17 @@
     socket: &mut BufferedSocket,
     codec: &mut ClientPayloadCodec,
 ) -> Result<Option<Bytes>, ExchangeError> {
+    let mut framing_bytes = 0;
     loop {
         match codec.decode(&mut socket.input) {
             Ok(Some(item)) => return Ok(item),
+            Ok(None) if framing_bytes > MAX_FRAMING_BYTES => return Err(ExchangeError::Truncated),
             Ok(None) => {}
             Err(_) => return Err(ExchangeError::Truncated),
         }
+        let len = socket.input.len();
         match socket.wait_for_activity().await {
-            Ok(Activity::Progress) => {}
+            Ok(Activity::Progress) => framing_bytes += socket.input.len() - len,
             Ok(Activity::End) | Err(_) => return Err(ExchangeError::Truncated),
         }
     }
