--- a/crates/firshore-gateway/tests/endless_answers.rs
+++ b/crates/firshore-gateway/tests/endless_answers.rs
@@ -4,30 +4,19 @@
 
 mod support;
 
-use firshore_adapter::backend::Backend;
-use firshore_adapter::incarnation::{BackendName, Incarnation};
 use firshore_stand_in::adapter::{REQUEST_ID, SIGNATURE};
 use firshore_stand_in::backend::Play;
 use serde_json::json;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use support::answers::{Asking, Received, ask};
+use support::endless::{EndlessBackend, HANGS_AFTER, is_ordinary, run_watched};
 use support::{Fixture, fixture_of, gateway, listed};
 use tokio::time::timeout;
 
 /// Timeout of the routes to endless back ends, in milliseconds.
 const ROUTE_TIMEOUT_MS: u64 = 600;
 
-/// Fails a test that hangs; far longer than the route's timeout.
-const HANGS_AFTER: Duration = Duration::from_secs(20);
-
-/// Bytes that are written at once.
-const BLOCK_BYTES: usize = 64 * 1024;
-
 const PATHS: [&str; 4] = ["/idempotent/", "/once/", "/stream/", "/resumable/"];
 
 const ASKING: Asking = Asking {
@@ -35,54 +24,6 @@
     connection: "close",
 };
 
-/// A back end that sends a piece over and over, until its peer closes.
-struct EndlessBackend {
-    address: SocketAddr,
-    open: Arc<AtomicUsize>,
-}
-
-impl EndlessBackend {
-    /// Starts a back end that sends `start`, and then `piece` without end.
-    fn start(start: &str, piece: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let open = Arc::<AtomicUsize>::default();
-        let counter = open.clone();
-        let start = start.to_owned();
-        let block = piece.repeat(BLOCK_BYTES.div_ceil(piece.len()));
-        std::thread::spawn(move || {
-            for stream in listener.incoming() {
-                let mut stream = stream.unwrap();
-                let (start, block, counter) = (start.clone(), block.clone(), counter.clone());
-                counter.fetch_add(1, Ordering::SeqCst);
-                std::thread::spawn(move || {
-                    let mut request = [0; 4 * 1024];
-                    let _ = stream.read(&mut request);
-                    let mut sent = stream.write_all(start.as_bytes());
-                    while sent.is_ok() {
-                        sent = stream.write_all(block.as_bytes());
-                    }
-                    counter.fetch_sub(1, Ordering::SeqCst);
-                });
-            }
-        });
-        Self { address, open }
-    }
-
-    fn entry(&self) -> Backend {
-        Backend {
-            incarnation: Incarnation::named(BackendName::from("endless")),
-            service: "endless".into(),
-            address: self.address,
-            zone: "here".into(),
-            slots: 10,
-            leaving: false,
-            warm_up: None,
-            software: None,
-        }
-    }
-}
-
 /// Starts a gateway with this back end and an ordinary one.
 async fn start(endless: &EndlessBackend) -> Fixture {
     let route = |prefix: &str, repetition: &str, service: &str, timeout: u64| {
@@ -103,21 +44,6 @@
     fixture
 }
 
-fn is_ordinary(received: &Received) -> bool {
-    matches!(received, Received::Complete(200, text) if text == "answer of b0")
-}
-
-/// Runs a test on a thread of its own: one whose thread never gets free could not detect that itself.
-fn run_watched<T: Future<Output = ()>>(test: impl FnOnce() -> T + Send + 'static) {
-    let (done, ended) = mpsc::channel();
-    std::thread::spawn(move || {
-        actix_rt::System::new().block_on(test());
-        let _ = done.send(());
-    });
-    let end = ended.recv_timeout(HANGS_AFTER);
-    assert!(end.is_ok(), "the test failed or its thread hung");
-}
-
 /// Asks for an endless answer on each route. Checks that each request ends without looking complete, that ordinary
 /// requests at the same worker are answered meanwhile, and that the connections to the back end are closed.
 fn check(start_bytes: &str, piece: &str) {
--- a/crates/firshore-gateway/tests/support/mod.rs
+++ b/crates/firshore-gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of it")]
 
 pub mod answers;
+pub mod endless;
 
 use firshore_adapter::backend::Backend;
 use firshore_adapter::decode::Decoder;
