--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -34,6 +34,12 @@
 /// Timeout of each chunk of the stream.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum time without a further event, whatever else the stream brings.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Maximum size of an item's events, in bytes; the leader holds those of all its runs.
+const MAX_TEXT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Interval before a failed proposal is repeated.
 const PROPOSE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -244,11 +250,20 @@
         let mut crashes_seen = None;
         let held = self.progress.borrow().held_bytes();
         let incarnation = &self.backend.incarnation;
+        let mut last_event = Instant::now();
+        let mut events = 0;
         loop {
             match timeout(CHUNK_TIMEOUT, exchange.body.next()).await {
                 Ok(Ok(Some(chunk))) => {
                     self.gateway.record_activity(incarnation);
                     tracker.feed(&chunk);
+                    if tracker.complete() > events {
+                        events = tracker.complete();
+                        last_event = Instant::now();
+                    }
+                    if last_event.elapsed() > EVENT_TIMEOUT {
+                        return self.broke_off(held);
+                    }
                     if tracker.complete() > 0 {
                         self.gateway
                             .record_begun(&mut crashes_seen, || self.parts());
@@ -256,6 +271,9 @@
                     if self.progress.borrow_mut().feed(&chunk).is_err() {
                         return RunEnd::Broken;
                     }
+                    if self.progress.borrow().held_bytes() > MAX_TEXT_BYTES {
+                        return self.refuse_text();
+                    }
                 }
                 Ok(Ok(None)) => break,
                 Ok(Err(_)) | Err(_) => return self.broke_off(held),
@@ -277,6 +295,15 @@
         RunEnd::Whole
     }
 
+    /// Discards a text that is too long: it never ends, or the leader can't hold it. The next run starts from the
+    /// beginning.
+    fn refuse_text(&self) -> RunEnd {
+        self.progress.borrow_mut().begin_anew();
+        self.gateway
+            .record_outcome(&self.backend.incarnation, BackendOutcome::Broke);
+        RunEnd::Broken
+    }
+
     /// Records that the stream broke off. `held` is the size of the held events at its start, in bytes.
     fn broke_off(&self, held: usize) -> RunEnd {
         // A run with new events doesn't count as a crash by this item. Without this, long items would
