--- a/crates/firshore-gateway/src/events.rs
+++ b/crates/firshore-gateway/src/events.rs
@@ -26,6 +26,8 @@
 pub struct EventStream {
     buffer: BytesMut,
     last: Option<u64>,
+    /// Whether an event with data and without a number was returned.
+    has_unnumbered: bool,
 }
 
 impl EventStream {
@@ -34,6 +36,7 @@
         Self {
             buffer: BytesMut::new(),
             last,
+            has_unnumbered: false,
         }
     }
 
@@ -44,13 +47,13 @@
     /// Fails if an event number is not the next one, or if an event is too long.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.buffer.extend_from_slice(bytes);
-        let before = self.last;
+        let before = (self.last, self.has_unnumbered);
         let complete = self.check_events().inspect_err(|_| {
             // None of these events are returned, so they don't count as received.
-            self.last = before;
+            (self.last, self.has_unnumbered) = before;
         })?;
         if self.buffer.len() - complete > MAX_EVENT_BYTES {
-            self.last = before;
+            (self.last, self.has_unnumbered) = before;
             return Err(EventError::TooLong);
         }
         Ok(self.buffer.split_to(complete).freeze())
@@ -61,8 +64,9 @@
         let mut complete = 0;
         while let Some(length) = event_length(&self.buffer[complete..]) {
             let event = &self.buffer[complete..complete + length];
-            if let Some(number) = event_number(event) {
-                self.check_number(number)?;
+            match event_number(event) {
+                Some(number) => self.check_number(number)?,
+                None => self.has_unnumbered |= has_data(event),
             }
             complete += length;
         }
@@ -84,6 +88,12 @@
         self.last
     }
 
+    /// Returns whether a run that starts after the last numbered event continues the stream. An event without a number
+    /// would be followed by one that may stand for it.
+    pub fn is_continuable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
@@ -181,6 +191,10 @@
     std::str::from_utf8(number).ok()?.trim().parse().ok()
 }
 
+fn has_data(event: &[u8]) -> bool {
+    lines(event).any(|line| field(line, b"data").is_some())
+}
+
 /// Returns the data of each complete event in `events`. Several data lines of one event are joined by line feeds.
 pub fn event_data(events: &[u8]) -> Vec<String> {
     let mut found = Vec::new();
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -234,7 +234,10 @@
                 SendResult::Ended(end) => end,
             };
             self.gateway.metrics.send_ended(end);
-            let next = self.attempts.ended(&backend.incarnation, end);
+            let next = match self.progress.events.is_continuable() {
+                true => self.attempts.ended(&backend.incarnation, end),
+                false => self.attempts.give_up(),
+            };
             let next = self.limit_crashes(&backend, next, connection).await?;
             info!(self.gateway.log, "forward: Send ended.";
                 "request" => &self.terms.id, "route" => &self.route.name,
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -152,12 +152,14 @@
         self.fruitless_runs = 0;
     }
 
-    /// Prepares a run at a back end: discards what a stopped run may have left and no run can continue, which is a partial
-    /// event, and events without numbers. `text` identifies the text if the run starts from the beginning.
+    /// Prepares a run at a back end: discards the partial event that a stopped run may have left, and all events if some
+    /// have no number, so that no run can continue them. `text` identifies the text if the run starts from the beginning.
     pub fn start_run(&mut self, now: Instant, backend: &Backend, text: TextId) {
         self.stream.discard_partial();
+        if !self.stream.is_continuable() {
+            self.begin_anew();
+        }
         if self.last_event().is_none() {
-            self.produced.clear();
             self.origin = Some(TextOrigin::at(backend));
             self.text = Some(text);
             self.begun_at = now;
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -424,18 +424,23 @@
 /// Nothing can continue events without numbers: the next run starts from the beginning.
 #[test]
 fn events_without_numbers_were_joined_with_those_of_the_next_run() {
-    let now = Instant::now();
-    let mut progress = ItemProgress::new(now);
-    progress.start_run(now, &backend("v1"), TEXT);
-    progress.feed(b"data: a\n\ndata: b\n\n").unwrap();
-    progress.end_run(now, RunEnd::Broken, 0, ATTEMPTS);
-    progress.start_run(now, &backend("v1"), TextId(8));
-    progress
-        .feed(b"id: 1\ndata: c\n\nid: 2\ndata: d\n\n")
-        .unwrap();
-    let outcome = progress.end_run(now, RunEnd::Whole, 0, ATTEMPTS);
-    let whole = vec!["c".to_owned(), "d".to_owned()];
-    assert_eq!(outcome, Some(ItemOutcome::Done(whole)));
+    let unnumbered = "data: a\n\ndata: b\n\n";
+    let behind_numbered = "id: 1\ndata: a\n\ndata: b\n\n";
+    for broken in [unnumbered, behind_numbered] {
+        let now = Instant::now();
+        let mut progress = ItemProgress::new(now);
+        progress.start_run(now, &backend("v1"), TEXT);
+        progress.feed(broken.as_bytes()).unwrap();
+        progress.end_run(now, RunEnd::Broken, 0, ATTEMPTS);
+        progress.start_run(now, &backend("v1"), TextId(8));
+        assert_eq!(progress.resume_permit(&backend("v1")), None, "{broken}");
+        progress
+            .feed(b"id: 1\ndata: c\n\nid: 2\ndata: d\n\n")
+            .unwrap();
+        let outcome = progress.end_run(now, RunEnd::Whole, 0, ATTEMPTS);
+        let whole = vec!["c".to_owned(), "d".to_owned()];
+        assert_eq!(outcome, Some(ItemOutcome::Done(whole)), "{broken}");
+    }
 }
 
 #[test]
