--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -502,16 +502,26 @@
         parts: impl Fn() -> Vec<PartFingerprint>,
     ) -> Option<ActiveQuarantine> {
         let crashes = &self.crashes;
-        let mut suspects: Vec<Suspect> = Vec::new();
-        if crashes.has_quarantined_requests() {
-            suspects.push(fingerprint().into());
-        }
-        if crashes.has_quarantined_parts() {
-            suspects.extend(parts().iter().map(Suspect::from));
+        let of_request = match crashes.has_quarantined_requests() {
+            true => crashes.quarantine(fingerprint().into()),
+            false => None,
+        };
+        let of_part = self.quarantine_of_parts(parts);
+        let active = of_request.into_iter().chain(of_part);
+        active.max_by_key(|quarantine| quarantine.time_left)
+    }
+
+    /// Returns the quarantine of a part of a prompt that lasts longest; `None` if no part is quarantined.
+    pub fn quarantine_of_parts(
+        &self,
+        parts: impl Fn() -> Vec<PartFingerprint>,
+    ) -> Option<ActiveQuarantine> {
+        if !self.crashes.has_quarantined_parts() {
+            return None;
         }
-        let active = suspects
-            .into_iter()
-            .filter_map(|suspect| crashes.quarantine(suspect));
+        let parts = parts();
+        let suspects = parts.iter().map(Suspect::from);
+        let active = suspects.filter_map(|suspect| self.crashes.quarantine(suspect));
         active.max_by_key(|quarantine| quarantine.time_left)
     }
 
--- a/crates/firshore-gateway/tests/crash_monitor.rs
+++ b/crates/firshore-gateway/tests/crash_monitor.rs
@@ -67,6 +67,7 @@
                 fingerprint,
                 reached: 0,
                 parts: Vec::new(),
+                of_item: false,
             }],
         });
         let report = CrashReport {
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -179,14 +179,14 @@
             fingerprint: self.fingerprint(),
             reached: self.progress.borrow().held_bytes() as u64,
             parts: self.parts(),
+            of_item: true,
         };
         self.gateway.crashes.record_lost_run(&self.backend, run);
     }
 
     async fn send(&self) -> RunEnd {
-        let quarantined = self
-            .gateway
-            .quarantine(|| self.fingerprint(), || self.parts());
+        // An item is never what crashes a back end by itself, so that only parts of its prompt hold it back.
+        let quarantined = self.gateway.quarantine_of_parts(|| self.parts());
         if let Some(ActiveQuarantine { suspect, time_left }) = quarantined {
             info!(self.gateway.log, "runner: Item quarantined."; "job" => caller_id(&self.work.header.job),
                 "item" => &self.work.item.id, "print" => %suspect, "wait_s" => time_left.as_secs());
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -33,7 +33,7 @@
     Failed,
     /// The back end reported that it can never succeed.
     Impossible,
-    /// It was not sent, because it is quarantined for crashing back ends.
+    /// It was not sent, because a part of its prompt is quarantined for crashing back ends.
     HeldBack,
 }
 
--- a/crates/firshore-node/tests/crash_world/callers.rs
+++ b/crates/firshore-node/tests/crash_world/callers.rs
@@ -185,6 +185,7 @@
             fingerprint,
             reached: 0,
             parts,
+            of_item: false,
         },
     );
 }
@@ -298,6 +299,7 @@
                 true => Vec::new(),
                 false => parts.to_vec(),
             },
+            of_item: name.starts_with(ITEM_PREFIX),
         },
     );
     AttemptEnd::Lost(reached)
