--- a/crates/firshore-crashes/src/detection.rs
+++ b/crates/firshore-crashes/src/detection.rs
@@ -96,7 +96,7 @@
     let mut reached: BTreeMap<RequestFingerprint, Vec<(usize, u64)>> = BTreeMap::new();
     for (idx, (_, exit)) in sorted.iter().enumerate() {
         for (fingerprint, run) in &exit.lost {
-            if !run.of_item && !is_cleared(&fingerprint.into()) {
+            if !is_cleared(&fingerprint.into()) {
                 let runs = reached.entry(*fingerprint).or_default();
                 runs.push((idx, run.reached));
             }
--- a/crates/firshore-crashes/src/report.rs
+++ b/crates/firshore-crashes/src/report.rs
@@ -27,10 +27,6 @@
     /// Parts of its prompt, in order, that may have caused the exit. None if the run had got past its first event.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<PartFingerprint>,
-    /// Whether it was a run of a batch item. Items are never what crashes a back end by themselves, so that only the parts
-    /// of its prompt are evidence.
-    #[serde(rename = "i", default, skip_serializing_if = "std::ops::Not::not")]
-    pub of_item: bool,
 }
 
 /// An exit of a back end's process.
--- a/crates/firshore-crashes/src/table.rs
+++ b/crates/firshore-crashes/src/table.rs
@@ -46,25 +46,15 @@
 }
 
 /// A request that was lost at an exit.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LostRequest {
     /// Bytes of its response that had been received.
     pub(crate) reached: u64,
     /// Parts of its prompt that may have caused the exit, in order.
     pub(crate) parts: Vec<PartFingerprint>,
-    /// Whether all runs that were lost there were of batch items.
-    pub(crate) of_item: bool,
 }
 
 impl LostRequest {
-    fn of(run: &LostRun) -> Self {
-        Self {
-            reached: run.reached,
-            parts: run.parts.clone(),
-            of_item: run.of_item,
-        }
-    }
-
     /// Merges another record; the result doesn't depend on the order. Returns whether this one has changed.
     fn merge(&mut self, run: &LostRun) -> bool {
         let before = self.clone();
@@ -72,7 +62,6 @@
         if (run.parts.len(), &run.parts) > (self.parts.len(), &self.parts) {
             self.parts = run.parts.clone();
         }
-        self.of_item &= run.of_item;
         *self != before
     }
 }
@@ -359,8 +348,7 @@
             if !is_recorded && exit.lost.len() >= MAX_LOST_RUNS {
                 continue;
             }
-            let entry = exit.lost.entry(run.fingerprint);
-            let recorded = entry.or_insert_with(|| LostRequest::of(run));
+            let recorded = exit.lost.entry(run.fingerprint).or_default();
             changed |= recorded.merge(run) || !is_recorded;
         }
         if changed {
@@ -473,7 +461,6 @@
                 fingerprint: *fingerprint,
                 reached: lost.reached,
                 parts: lost.parts.clone(),
-                of_item: lost.of_item,
             })
             .collect(),
     }
--- a/crates/firshore-gateway/src/crash_monitor.rs
+++ b/crates/firshore-gateway/src/crash_monitor.rs
@@ -126,6 +126,16 @@
     /// Records a run that broke off at a back end, and starts the check whether the back end has exited. Ignores back
     /// ends that have announced that they leave or are no longer listed: these exit as planned.
     pub fn record_lost_run(self: &Rc<Self>, backend: &Backend, run: LostRun) {
+        self.check_backend(backend, Some(run));
+    }
+
+    /// Like [`Self::record_lost_run`], for a run of a batch item. Items are never what crashes a back end, so that the run
+    /// is no evidence against anything; the exit of the back end counts.
+    pub fn record_lost_item(self: &Rc<Self>, backend: &Backend) {
+        self.check_backend(backend, None);
+    }
+
+    fn check_backend(self: &Rc<Self>, backend: &Backend, run: Option<LostRun>) {
         if !self.fleet.borrow().is_staying(&backend.incarnation) {
             return;
         }
@@ -133,7 +143,7 @@
         let is_new = !pending_runs.contains_key(&backend.incarnation);
         let runs = pending_runs.entry(backend.incarnation.clone()).or_default();
         if runs.len() < MAX_PENDING_RUNS {
-            runs.push(run);
+            runs.extend(run);
         }
         if is_new {
             let (monitor, backend) = (self.clone(), backend.clone());
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -412,7 +412,6 @@
                 true => Vec::new(),
                 false => self.parts().to_vec(),
             },
-            of_item: false,
         };
         self.gateway.crashes.record_lost_run(backend, run);
         let started = self.progress.events.last().is_some();
--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -9,7 +9,6 @@
 use firshore_adapter::backend::{Backend, Ran, SendTerms};
 use firshore_adapter::jobs::{ItemOutcome, JobItem, caller_id};
 use firshore_crashes::fingerprint::{FingerprintInput, PartFingerprint, RequestFingerprint};
-use firshore_crashes::report::LostRun;
 use firshore_exchange::exchange::{self, Exchange, Reuse};
 use firshore_gateway::answer_end::{AnswerEnd, TextPosition};
 use firshore_gateway::crash_monitor::ActiveQuarantine;
@@ -175,13 +174,7 @@
     fn record_lost_run(&self) {
         self.gateway
             .record_outcome(&self.backend.incarnation, BackendOutcome::Broke);
-        let run = LostRun {
-            fingerprint: self.fingerprint(),
-            reached: self.progress.borrow().held_bytes() as u64,
-            parts: self.parts(),
-            of_item: true,
-        };
-        self.gateway.crashes.record_lost_run(&self.backend, run);
+        self.gateway.crashes.record_lost_item(&self.backend);
     }
 
     async fn send(&self) -> RunEnd {
