--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -162,9 +162,7 @@
         self.progress.received += start.len() as u64;
         connection.put_chunk(start);
         loop {
-            if connection.flush().await.is_err() {
-                return Err(Interrupted::CallerLeft);
-            }
+            self.flush_stream(connection).await?;
             match unless_interrupted(connection, self.deadline, body.next()).await? {
                 Ok(Some(chunk)) => {
                     self.progress.received += chunk.len() as u64;
