--- a/crates/firshore-adapter/src/decode.rs
+++ b/crates/firshore-adapter/src/decode.rs
@@ -13,7 +13,7 @@
     pub enum DecodeError {
         /// A field is missing or invalid.
         Invalid(object: String, reason: String) {
-            display("The object '{object}' cannot be used: {reason}. Correct it in the store.")
+            display("The object '{}' cannot be used: {reason}. Correct it in the store.", object.escape_debug())
         }
     }
 }
