--- a/crates/firshore-gateway/src/events.rs
+++ b/crates/firshore-gateway/src/events.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct EventStream {
     buffer: BytesMut,
+    search: EventSearch,
     last: Option<u64>,
     /// Whether an event with data and without a number was returned.
     has_unnumbered: bool,
@@ -34,9 +35,8 @@
     /// Creates a stream that continues after event `last`.
     pub fn after(last: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last,
-            has_unnumbered: false,
+            ..Self::default()
         }
     }
 
@@ -51,18 +51,15 @@
         let complete = self.check_events().inspect_err(|_| {
             // None of these events are returned, so they don't count as received.
             (self.last, self.has_unnumbered) = before;
+            self.search = EventSearch::default();
         })?;
-        if self.buffer.len() - complete > MAX_EVENT_BYTES {
-            (self.last, self.has_unnumbered) = before;
-            return Err(EventError::TooLong);
-        }
         Ok(self.buffer.split_to(complete).freeze())
     }
 
-    /// Checks the numbers of the complete events in the buffer. Returns their total length in bytes.
+    /// Checks the complete events in the buffer. Returns their total length in bytes.
     fn check_events(&mut self) -> Result<usize, EventError> {
         let mut complete = 0;
-        while let Some(length) = event_length(&self.buffer[complete..]) {
+        while let Some(length) = self.search.event_length(&self.buffer[complete..]) {
             let event = &self.buffer[complete..complete + length];
             match event_number(event) {
                 Some(number) => self.check_number(number)?,
@@ -70,6 +67,9 @@
             }
             complete += length;
         }
+        if self.buffer.len() - complete > MAX_EVENT_BYTES {
+            return Err(EventError::TooLong);
+        }
         Ok(complete)
     }
 
@@ -102,6 +102,36 @@
     /// Discards an incomplete event after the stream broke off.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.search = EventSearch::default();
+    }
+}
+
+/// Search for the end of the first event in a buffer that grows. Goes on where it was, so that an event is read once, in
+/// however many pieces it arrives.
+#[derive(Debug, Default)]
+pub struct EventSearch {
+    line_start: usize,
+    /// Bytes that were read.
+    read: usize,
+}
+
+impl EventSearch {
+    /// Returns the length of the first complete event in `buffer` in bytes, including the blank line that ends it. Begins
+    /// anew then: the next event starts behind it. Otherwise the next buffer must begin with the same bytes.
+    pub fn event_length(&mut self, buffer: &[u8]) -> Option<usize> {
+        for position in self.read..buffer.len() {
+            if buffer[position] != b'\n' {
+                continue;
+            }
+            let line = &buffer[self.line_start..position];
+            self.line_start = position + 1;
+            if line.is_empty() || line == b"\r" {
+                *self = Self::default();
+                return Some(position + 1);
+            }
+        }
+        self.read = buffer.len();
+        None
     }
 }
 
@@ -162,18 +192,7 @@
 
 /// Returns the length of the first complete event in `buffer` in bytes, including the blank line that ends it.
 pub fn event_length(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..position];
-        if line.is_empty() || line == b"\r" {
-            return Some(position + 1);
-        }
-        line_start = position + 1;
-    }
-    None
+    EventSearch::default().event_length(buffer)
 }
 
 fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
--- a/crates/firshore-server/src/gateway/event_stream.rs
+++ b/crates/firshore-server/src/gateway/event_stream.rs
@@ -5,7 +5,7 @@
 //! token; a token that comes twice is dropped, and a gap is a fault.
 
 use bytes::{Bytes, BytesMut};
-use firshore_gateway::events::event_length;
+use firshore_gateway::events::EventSearch;
 use quick_error::quick_error;
 
 /// Longest event in bytes.
@@ -37,9 +37,11 @@
 #[derive(Debug, Default)]
 pub struct EventStream {
     buffer: BytesMut,
+    search: EventSearch,
     next_token: u64,
     unnumbered: bool,
     finished: bool,
+    holds_fault: bool,
 }
 
 #[derive(Default)]
@@ -53,8 +55,9 @@
     /// Takes in what arrived and returns what may be passed on: whole events, each once.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, StreamFault> {
         self.buffer.extend_from_slice(bytes);
+        self.holds_fault = false;
         let mut passed = BytesMut::new();
-        while let Some(length) = event_length(&self.buffer) {
+        while let Some(length) = self.search.event_length(&self.buffer) {
             let raw = self.buffer.split_to(length);
             if self.finished {
                 continue;
@@ -68,6 +71,7 @@
                     let mut rest = BytesMut::from(&raw[..]);
                     rest.extend_from_slice(&self.buffer);
                     self.buffer = rest;
+                    self.holds_fault = true;
                     break;
                 }
             }
@@ -103,7 +107,7 @@
     /// Whether an event of the stream is held back by a fault that the next [`Self::feed`] will
     /// report.
     pub fn holds_fault(&self) -> bool {
-        event_length(&self.buffer).is_some()
+        self.holds_fault
     }
 
     /// Whether the terminal event has passed.
@@ -120,6 +124,8 @@
     /// Drops the part of an event at which the stream broke.
     pub fn broken_off(&mut self) {
         self.buffer.clear();
+        self.search = EventSearch::default();
+        self.holds_fault = false;
     }
 }
 
--- a/crates/firshore-server/tests/event_stream.rs
+++ b/crates/firshore-server/tests/event_stream.rs
@@ -1,6 +1,7 @@
 //! Streams cut at every byte, with repeated, missing and unnumbered tokens.
 
 use firshore_server::gateway::event_stream::{EventStream, StreamFault};
+use firshore_stand_in::watchdog::run_watched;
 
 fn event(token: u64) -> String {
     format!("id: {token}\ndata: {{\"text\":\"w{token} \"}}\n\n")
@@ -88,6 +89,15 @@
     assert_eq!((passed.as_str(), fault), ("", Some(StreamFault::TooLong)));
 }
 
+#[test]
+fn long_event_was_searched_again_for_each_piece_of_it() {
+    let text = format!("data: {}\n\n", "x".repeat(1_000_000));
+    let expected = text.clone();
+    let (passed, fault) = run_watched(move || feed(&mut EventStream::default(), &text, 1));
+    assert_eq!(fault, None);
+    assert!(passed == expected, "{} bytes of an event", passed.len());
+}
+
 #[test]
 fn only_numbered_streams_can_go_on() {
     let mut stream = EventStream::default();
--- a/crates/firshore-stand-in/src/lib.rs
+++ b/crates/firshore-stand-in/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod job_ledger;
 pub mod soak_seeds;
 pub mod store;
+pub mod watchdog;
