--- a/crates/firshore-node/src/runner/item.rs
+++ b/crates/firshore-node/src/runner/item.rs
@@ -299,8 +299,7 @@
 
     /// Records that the stream broke off. `held` is the size of the held events at its start, in bytes.
     fn broke_off(&self, held: usize) -> RunEnd {
-        // A run with new events doesn't count as a crash by this item. Without this, long items would
-        // be quarantined if back ends exit every few seconds for other reasons.
+        // Only a run without a new event starts the check whether the back end has exited.
         match self.progress.borrow().held_bytes() == held {
             true => self.record_lost_run(),
             false => self
--- a/crates/firshore-node/src/runner/progress.rs
+++ b/crates/firshore-node/src/runner/progress.rs
@@ -42,6 +42,8 @@
 pub struct ItemProgress {
     stream: EventStream,
     produced: Vec<String>,
+    /// Memory of `produced`, as `event_bytes` returns it.
+    held_bytes: usize,
     /// What produced the first held event, if known.
     origin: Option<TextOrigin>,
     /// Text of the held events, or of the run that begins one.
@@ -64,6 +66,7 @@
         Self {
             stream: EventStream::default(),
             produced: Vec::new(),
+            held_bytes: 0,
             origin: None,
             text: None,
             begun_at: now,
@@ -79,6 +82,7 @@
     pub fn resumed(now: Instant, held: HeldProgress, text: TextId) -> Self {
         Self {
             stream: EventStream::after(held.last),
+            held_bytes: event_bytes(&held.events),
             produced: held.events,
             origin: held.origin,
             text: Some(text),
@@ -93,7 +97,7 @@
 
     /// Returns the approximate memory of the held events in bytes.
     pub fn held_bytes(&self) -> usize {
-        event_bytes(&self.produced)
+        self.held_bytes
     }
 
     /// Returns whether the item may not run yet.
@@ -147,6 +151,7 @@
     pub fn begin_anew(&mut self) {
         self.stream = EventStream::default();
         self.produced.clear();
+        self.held_bytes = 0;
         self.origin = None;
         self.text = None;
         self.fruitless_runs = 0;
@@ -174,7 +179,9 @@
     /// Fails if the chunk contains an invalid event.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<(), EventError> {
         let events = self.stream.feed(bytes)?;
-        self.produced.extend(event_data(&events));
+        let data = event_data(&events);
+        self.held_bytes += event_bytes(&data);
+        self.produced.extend(data);
         Ok(())
     }
 
--- a/crates/firshore-node/tests/items.rs
+++ b/crates/firshore-node/tests/items.rs
@@ -13,6 +13,7 @@
 };
 use firshore_node::runner::progress::{ItemProgress, RunEnd};
 use firshore_stand_in::adapter::Plain;
+use firshore_stand_in::watchdog::run_watched;
 use serde_json::json;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -443,6 +444,53 @@
     }
 }
 
+#[test]
+fn events_of_an_item_were_added_up_again_for_each_piece_of_its_stream() {
+    const EVENTS: u64 = 200_000;
+    run_watched(|| {
+        let mut progress = ItemProgress::new(Instant::now());
+        for number in 1..=EVENTS {
+            let held = progress.held_bytes();
+            let event = format!("id: {number}\ndata: a\n\n");
+            progress.feed(event.as_bytes()).unwrap();
+            assert!(progress.held_bytes() > held);
+        }
+    });
+}
+
+#[test]
+fn held_bytes_are_those_of_the_held_events() {
+    let now = Instant::now();
+    let held_by = |progress: &ItemProgress| {
+        let held = HeldProgress {
+            events: progress.produced().to_vec(),
+            ..HeldProgress::default()
+        };
+        ItemProgress::resumed(now, held, TEXT).held_bytes()
+    };
+    let mut progress = ItemProgress::new(now);
+    assert_eq!(progress.held_bytes(), 0);
+    progress.start_run(now, &backend("v1"), TEXT);
+    progress
+        .feed(b"id: 1\ndata: a\n\nid: 2\ndata: bc\n\nid: 3")
+        .unwrap();
+    let two = progress.held_bytes();
+    assert_eq!(two, held_by(&progress));
+    assert!(progress.feed(b"\ndata: d\n\nid: 5\n\n").is_err());
+    assert_eq!(progress.held_bytes(), two, "refused events aren't held");
+    progress.end_run(now, RunEnd::Broken, 0, ATTEMPTS);
+    progress.start_run(now, &backend("v1"), TEXT);
+    progress.feed(b"id: 3\ndata: d\n\n").unwrap();
+    assert!(progress.held_bytes() > two);
+    assert_eq!(progress.held_bytes(), held_by(&progress));
+    progress.end_run(now, RunEnd::Whole, 0, ATTEMPTS);
+    assert_eq!(progress.held_bytes(), 0, "the outcome has the events");
+    progress.feed(b"id: 1\ndata: a\n\n").unwrap();
+    assert_eq!(progress.held_bytes(), held_by(&progress));
+    progress.begin_anew();
+    assert_eq!(progress.held_bytes(), 0);
+}
+
 #[test]
 fn an_item_begins_anew_only_where_nothing_continues_it() {
     let now = Instant::now();
