--- a/crates/firshore-exchange/tests/endless_input.rs
+++ b/crates/firshore-exchange/tests/endless_input.rs
@@ -3,58 +3,30 @@
 use actix_http::Method;
 use bytes::Bytes;
 use firshore_exchange::exchange::{self, ExchangeError, Reuse};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc;
-use std::time::Duration;
+use firshore_stand_in::endless::EndlessServer;
+use firshore_stand_in::watchdog::run_watched;
 
-/// Fails a test that hangs.
-const HANGS_AFTER: Duration = Duration::from_secs(20);
-
-/// Bytes that are written at once.
-const BLOCK_BYTES: usize = 64 * 1024;
+/// Maximum length of a body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
-/// Starts a back end that sends `start`, and then `piece` without end.
-fn start_backend(start: &str, piece: &str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let start = start.to_owned();
-    let block = piece.repeat(BLOCK_BYTES.div_ceil(piece.len()));
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut request = [0; 1_024];
-        let _ = stream.read(&mut request);
-        let mut sent = stream.write_all(start.as_bytes());
-        while sent.is_ok() {
-            sent = stream.write_all(block.as_bytes());
-        }
-    });
-    address
-}
-
 /// Returns the bytes of a body that begins with `start`, and goes on with `piece` without end.
 async fn receive(start: &str, piece: &str) -> Result<Bytes, ExchangeError> {
-    let address = start_backend(start, piece);
+    let address = EndlessServer::start(start, piece).address;
     let head = exchange::request_head(Method::GET, "/", address).unwrap();
     let connection = exchange::connect(address, Reuse::Never).await?;
     let is_expected = |head: &actix_http::ResponseHead| !head.headers.contains_key("other");
     let mut exchange = connection
         .send_expecting(head, Bytes::new(), is_expected)
         .await?;
-    exchange.body.read_whole(BLOCK_BYTES).await
+    exchange.body.read_whole(MAX_BODY_BYTES).await
 }
 
 /// Checks that the exchange fails, on a thread of its own: one that never gets free can't detect that.
 fn assert_ends(start: &'static str, piece: &'static str) {
-    let (done, ended) = mpsc::channel();
-    std::thread::spawn(move || {
-        let received = actix_rt::System::new().block_on(receive(start, piece));
-        let _ = done.send(received);
-    });
-    let received = ended.recv_timeout(HANGS_AFTER);
-    let received = received.unwrap_or_else(|_| panic!("{start:?}, {piece:?}: no end"));
+    println!("{start:?}, {piece:?}");
+    let received = run_watched(|| actix_rt::System::new().block_on(receive(start, piece)));
     assert!(received.is_err(), "{start:?}, {piece:?}: {received:?}");
 }
 
--- a/crates/firshore-gateway/tests/endless_answers.rs
+++ b/crates/firshore-gateway/tests/endless_answers.rs
@@ -6,11 +6,13 @@
 
 use firshore_stand_in::adapter::{REQUEST_ID, SIGNATURE};
 use firshore_stand_in::backend::Play;
+use firshore_stand_in::endless::EndlessServer;
+use firshore_stand_in::watchdog::HANGS_AFTER;
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use support::answers::{Asking, Received, ask};
-use support::endless::{EndlessBackend, HANGS_AFTER, is_ordinary, run_watched};
+use support::endless::{endless_entry, is_ordinary, run_watched};
 use support::{Fixture, fixture_of, gateway, listed};
 use tokio::time::timeout;
 
@@ -25,7 +27,7 @@
 };
 
 /// Starts a gateway with this back end and an ordinary one.
-async fn start(endless: &EndlessBackend) -> Fixture {
+async fn start(endless: &EndlessServer) -> Fixture {
     let route = |prefix: &str, repetition: &str, service: &str, timeout: u64| {
         json!({"prefix": prefix, "service": service, "repetition": repetition, "timeout": timeout,
             "attempts": 2})
@@ -39,7 +41,7 @@
     ];
     let configuration = json!({"version": 1, "routes": routes});
     let fixture = fixture_of(gateway(None), configuration, &[&[]], Play::Whole).await;
-    let entries = vec![listed(&fixture.backends[0], None), endless.entry()];
+    let entries = vec![listed(&fixture.backends[0], None), endless_entry(endless)];
     fixture.gateway.replace_backends(entries);
     fixture
 }
@@ -47,7 +49,7 @@
 /// Asks for an endless answer on each route. Checks that each request ends without looking complete, that ordinary
 /// requests at the same worker are answered meanwhile, and that the connections to the back end are closed.
 fn check(start_bytes: &str, piece: &str) {
-    let endless = EndlessBackend::start(start_bytes, piece);
+    let endless = EndlessServer::start(start_bytes, piece);
     run_watched(move || async move {
         let fixture = start(&endless).await;
         let address = fixture.address;
--- a/crates/firshore-gateway/tests/endless_callers.rs
+++ b/crates/firshore-gateway/tests/endless_callers.rs
@@ -6,6 +6,7 @@
 
 use firshore_stand_in::adapter::SIGNATURE;
 use firshore_stand_in::backend::Play;
+use firshore_stand_in::endless::EndlessServer;
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -14,7 +15,7 @@
 use std::sync::mpsc::{self, Receiver};
 use std::time::Duration;
 use support::answers::{Asking, Received, ask};
-use support::endless::{EndlessBackend, is_ordinary, run_watched};
+use support::endless::{endless_entry, is_ordinary, run_watched};
 use support::{fixture_of, gateway, listed};
 
 /// Bytes that are written at once.
@@ -71,7 +72,7 @@
 /// Checks that ordinary requests at the same thread are answered beside an endless caller, to whose request the back end
 /// sends `start`, and then `piece` without end.
 fn check(start: &str, piece: &str, reading: Reading) {
-    let endless = EndlessBackend::start(start, piece);
+    let endless = EndlessServer::start(start, piece);
     run_watched(move || async move {
         let route = |prefix: &str, service: &str| {
             json!({"prefix": prefix, "service": service, "repetition": "idempotent",
@@ -80,7 +81,7 @@
         let routes = [route("/endless/", "endless"), route("/ordinary/", "s")];
         let configuration = json!({"version": 1, "routes": routes});
         let fixture = fixture_of(gateway(None), configuration, &[&[]], Play::Whole).await;
-        let entries = vec![listed(&fixture.backends[0], None), endless.entry()];
+        let entries = vec![listed(&fixture.backends[0], None), endless_entry(&endless)];
         fixture.gateway.replace_backends(entries);
         let blocks = start_caller(fixture.address, reading);
         for _ in 0..BLOCKS_FLOWING {
@@ -134,7 +135,7 @@
 /// later and has more time.
 #[test]
 fn answer_without_end_was_passed_on_to_a_slow_caller_past_its_time() {
-    let endless = EndlessBackend::start(&endless_head(), "body");
+    let endless = EndlessServer::start(&endless_head(), "body");
     run_watched(move || async move {
         let route = |prefix: &str, service: &str, timeout: u64| {
             json!({"prefix": prefix, "service": service, "repetition": "idempotent",
@@ -146,7 +147,7 @@
         ];
         let configuration = json!({"version": 1, "routes": routes});
         let fixture = fixture_of(gateway(None), configuration, &[&[]], Play::Hangs).await;
-        let entries = vec![listed(&fixture.backends[0], None), endless.entry()];
+        let entries = vec![listed(&fixture.backends[0], None), endless_entry(&endless)];
         fixture.gateway.replace_backends(entries);
         start_slow_caller(fixture.address);
         while endless.open.load(Ordering::SeqCst) == 0 {
--- a/crates/firshore-stand-in/src/lib.rs
+++ b/crates/firshore-stand-in/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod adapter;
 pub mod backend;
+pub mod endless;
 pub mod job_ledger;
 pub mod soak_seeds;
 pub mod store;
