--- a/crates/firshore-adapter/src/decode.rs
+++ b/crates/firshore-adapter/src/decode.rs
@@ -13,7 +13,7 @@
     pub enum DecodeError {
         /// A field is missing or invalid.
         Invalid(object: String, reason: String) {
-            display("The object '{}' cannot be used: {reason}. Correct it in the store.", object.escape_debug())
+            display("The object '{}' cannot be used: {reason}. Correct it in the store.", log_name(object))
         }
     }
 }
@@ -21,12 +21,22 @@
 /// Limits the length of a reported reason, as it may quote text of another writer.
 const MAX_REASON_BYTES: usize = 200;
 
+/// Maximum length in bytes of an object's name in a log line.
+const MAX_LOGGED_NAME_BYTES: usize = 256;
+
 /// Truncates a long reason.
 pub fn brief(reason: impl ToString) -> String {
-    let mut reason = reason.to_string();
-    let end = reason.floor_char_boundary(MAX_REASON_BYTES);
-    reason.truncate(end);
-    reason
+    truncated(reason.to_string(), MAX_REASON_BYTES)
+}
+
+/// Returns the name of an object for a log line, escaped and truncated, as other writers may use any characters.
+pub fn log_name(name: &str) -> String {
+    truncated(name.escape_debug().to_string(), MAX_LOGGED_NAME_BYTES)
+}
+
+fn truncated(mut text: String, max_bytes: usize) -> String {
+    text.truncate(text.floor_char_boundary(max_bytes));
+    text
 }
 
 /// An operator's request to empty a node with a disk.
--- a/crates/firshore-node/src/environment.rs
+++ b/crates/firshore-node/src/environment.rs
@@ -10,6 +10,7 @@
 use crate::task::Task;
 use crate::watcher::{self, Watcher};
 use firshore_adapter::backend::Backend;
+use firshore_adapter::decode::log_name;
 use firshore_adapter::incarnation::BackendName;
 use firshore_adapter::objects::{Change, Object};
 use firshore_gateway::freshness::Freshness;
@@ -216,7 +217,7 @@
         match change {
             Change::Removed(name) => {
                 if log {
-                    info!(gateway.log, "fleet: Back end removed."; "backend" => %name.escape_debug());
+                    info!(gateway.log, "fleet: Back end removed."; "backend" => log_name(&name));
                 }
                 self.refusals.borrow_mut().forget(&name);
                 gateway.remove_backend(&BackendName::from(name));
@@ -249,7 +250,7 @@
             }
             Err(error) => {
                 if let Some(suppressed) = self.should_log(object) {
-                    warn!(self.gateway.log, "fleet: Back end unusable."; "backend" => %object.name.escape_debug(),
+                    warn!(self.gateway.log, "fleet: Back end unusable."; "backend" => log_name(&object.name),
                         "revision" => object.revision, "reason" => %error, "untold" => suppressed);
                 }
                 None
--- a/crates/firshore-node/src/journal/registry.rs
+++ b/crates/firshore-node/src/journal/registry.rs
@@ -7,7 +7,7 @@
 use crate::list_watch::ObjectUpdate;
 use crate::listing::list_all;
 use crate::refusals::RefusalLog;
-use firshore_adapter::decode::brief;
+use firshore_adapter::decode::{brief, log_name};
 use firshore_adapter::objects::{Change, Object, ObjectError, ObjectStore, Revision};
 use firshore_log::placement::Candidate;
 use firshore_replication::types::{DiskId, Membership, Term, quorum_size};
@@ -478,7 +478,7 @@
         let now = firshore_clock::now();
         let mut refusals = self.refusals.borrow_mut();
         if let Some(suppressed) = refusals.should_log(now, &object.name, object.revision) {
-            warn!(self.log, "registry: {}", what; "object" => %object.name.escape_debug(),
+            warn!(self.log, "registry: {}", what; "object" => log_name(&object.name),
                 "revision" => object.revision, "reason" => brief(error), "untold" => suppressed);
         }
     }
