--- a/crates/firshore-exchange/src/exchange.rs
+++ b/crates/firshore-exchange/src/exchange.rs
@@ -414,6 +414,7 @@
     socket: &mut BufferedSocket,
     codec: &mut ClientPayloadCodec,
 ) -> Result<Option<Bytes>, ExchangeError> {
+    socket.begin_piece().await;
     let mut framing_bytes = 0;
     loop {
         match codec.decode(&mut socket.input) {
@@ -431,6 +432,7 @@
 }
 
 async fn read_until_close(socket: &mut BufferedSocket) -> Result<Option<Bytes>, ExchangeError> {
+    socket.begin_piece().await;
     while socket.input.is_empty() {
         match socket.wait_for_activity().await {
             Ok(Activity::Progress) => {}
--- a/crates/firshore-exchange/src/socket.rs
+++ b/crates/firshore-exchange/src/socket.rs
@@ -11,6 +11,9 @@
 /// Bytes that are received before the other tasks of the thread, and its timers, get a turn.
 const TURN_BYTES: usize = 64 * 1024;
 
+/// Bytes that a piece of a body counts at least: passing it on costs a write, however short it is.
+const MIN_PIECE_BYTES: usize = 1024;
+
 /// A connection with its buffers of received and unsent bytes.
 pub(crate) struct BufferedSocket {
     pub(crate) stream: TcpStream,
@@ -20,8 +23,8 @@
     pub(crate) body: Bytes,
     /// Whether sending failed. What the peer sent before may still be read.
     send_failed: bool,
-    /// Bytes received since other tasks had a turn.
-    received_in_turn: usize,
+    /// Bytes received, and those counted for pieces, since other tasks had a turn.
+    turn_bytes: usize,
 }
 
 /// Result of [`BufferedSocket::wait_for_activity`].
@@ -41,7 +44,7 @@
             output: BytesMut::new(),
             body: Bytes::new(),
             send_failed: false,
-            received_in_turn: 0,
+            turn_bytes: 0,
         }
     }
 
@@ -65,10 +68,7 @@
     /// Returns to the runtime now and then, even if the socket is always ready: a peer that sends without end would
     /// otherwise keep the thread, and no timeout would expire.
     pub(crate) async fn wait_for_activity(&mut self) -> io::Result<Activity> {
-        if self.received_in_turn >= TURN_BYTES {
-            self.received_in_turn = 0;
-            tokio::task::yield_now().await;
-        }
+        self.end_long_turn().await;
         self.send_some();
         let interest = match self.has_output() && !self.send_failed {
             true => Interest::READABLE | Interest::WRITABLE,
@@ -84,6 +84,20 @@
         self.read_some()
     }
 
+    /// Counts a piece of a body that is about to be taken from the input. Returns to the runtime now and then, as
+    /// [`Self::wait_for_activity`] does, which isn't called while the input holds further pieces.
+    pub(crate) async fn begin_piece(&mut self) {
+        self.end_long_turn().await;
+        self.turn_bytes += MIN_PIECE_BYTES;
+    }
+
+    async fn end_long_turn(&mut self) {
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn send_some(&mut self) {
         while self.has_output() && !self.send_failed {
             match self.try_write() {
@@ -116,7 +130,7 @@
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Ok(Activity::End),
             Ok(count) => {
-                self.received_in_turn += count;
+                self.turn_bytes += count;
                 Ok(Activity::Progress)
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Activity::Progress),
--- a/crates/firshore-exchange/tests/endless_input.rs
+++ b/crates/firshore-exchange/tests/endless_input.rs
@@ -1,16 +1,48 @@
-//! Back ends that send without end what is no part of an answer. The exchange ends by itself, without a timeout.
+//! Back ends that send without end. What is no part of an answer ends the exchange by itself, without a timeout; what is one
+//! leaves the thread to other tasks.
 
 use actix_http::Method;
 use bytes::Bytes;
 use firshore_exchange::exchange::{self, ExchangeError, Reuse};
 use firshore_stand_in::endless::EndlessServer;
 use firshore_stand_in::watchdog::run_watched;
+use std::cell::Cell;
+use std::rc::Rc;
 
 /// Maximum length of a body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// Chunks that are read in a row at most, until other tasks of the thread get a turn.
+const MAX_CHUNKS_IN_TURN: usize = 64;
+
+/// Chunks that are read where other tasks wait for a turn.
+const CHUNKS: usize = 100_000;
+
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// Returns the most chunks that were read in a row from an endless body, without a turn of another task.
+async fn longest_turn(start: &str, piece: &str) -> usize {
+    let address = EndlessServer::start(start, piece).address;
+    let head = exchange::request_head(Method::GET, "/", address).unwrap();
+    let connection = exchange::connect(address, Reuse::Never).await.unwrap();
+    let mut exchange = connection.send(head, Bytes::new()).await.unwrap();
+    let chunks_in_turn = Rc::<Cell<usize>>::default();
+    let counter = chunks_in_turn.clone();
+    actix_rt::spawn(async move {
+        loop {
+            counter.set(0);
+            tokio::task::yield_now().await;
+        }
+    });
+    let mut longest = 0;
+    for _ in 0..CHUNKS {
+        exchange.body.next().await.unwrap().unwrap();
+        chunks_in_turn.set(chunks_in_turn.get() + 1);
+        longest = longest.max(chunks_in_turn.get());
+    }
+    longest
+}
+
 /// Returns the bytes of a body that begins with `start`, and goes on with `piece` without end.
 async fn receive(start: &str, piece: &str) -> Result<Bytes, ExchangeError> {
     let address = EndlessServer::start(start, piece).address;
@@ -81,3 +113,12 @@
     assert_ends("HTTP/1.1 200 OK\r\nx: ", "value");
     assert_ends("HTTP/1.1 200 ", "reason");
 }
+
+#[test]
+fn tiny_chunks_without_end_kept_other_tasks_waiting() {
+    let longest = run_watched(|| {
+        let turns = longest_turn(CHUNKED, "1\r\nc\r\n");
+        actix_rt::System::new().block_on(turns)
+    });
+    assert!(longest <= MAX_CHUNKS_IN_TURN, "{longest} chunks in a row");
+}
