--- a/crates/firshore-server/src/gateway/relay.rs
+++ b/crates/firshore-server/src/gateway/relay.rs
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Header by which an engine is asked to go on at a token.
 const RESUME_HEADER: HeaderName = HeaderName::from_static("engine-resume-from");
@@ -59,6 +59,8 @@
     run: Option<EngineRun>,
     running: Option<RunningRequest>,
     resumes: u32,
+    /// By when the body has to end, once the terminal event has passed.
+    end_by: Option<Instant>,
 }
 
 enum State {
@@ -101,6 +103,7 @@
             run: answer.run,
             running: Some(answer.running),
             resumes: 0,
+            end_by: None,
         })
     }
 
@@ -162,7 +165,10 @@
     async fn arrival(&mut self) -> Arrival {
         if self.events.is_finished() {
             // Read to its end, the connection can be used again.
-            return match timeout(END_TIMEOUT, self.body.next()).await {
+            let end_by = *self
+                .end_by
+                .get_or_insert_with(|| Instant::now() + END_TIMEOUT);
+            return match timeout_at(end_by, self.body.next()).await {
                 Ok(Ok(Some(bytes))) => Arrival::Bytes(bytes),
                 _ => Arrival::End,
             };
--- a/crates/firshore-server/tests/caller_contract.rs
+++ b/crates/firshore-server/tests/caller_contract.rs
@@ -96,6 +96,20 @@
     assert!(proper);
 }
 
+#[test]
+fn a_stream_went_on_for_ever_with_an_engine_that_sends_after_its_terminal_event() {
+    let engine = BackEnd::start(move |stream, _, _| {
+        put(stream, STREAM_HEAD);
+        put(stream, &chunk(&(events(0..2) + DONE)));
+        let comments = chunk(": comment\n\n").repeat(1_000);
+        while stream.write_all(comments.as_bytes()).is_ok() {}
+        false
+    });
+    let fixture = Fixture::start(&[engine.address], "");
+    let reply = fixture.ask(&completion("", true));
+    assert_eq!(reply.chunks(), (events(0..2) + DONE, true));
+}
+
 #[test]
 fn a_slow_reader_slows_the_engine_down() {
     const OFFERED: usize = 256 * 1024 * 1024;
