--- a/crates/firshore-log/src/driver/referenced.rs
+++ b/crates/firshore-log/src/driver/referenced.rs
@@ -116,23 +116,31 @@
         Some(commands)
     }
 
-    /// Reads commands from the log storage. Commands that cannot be read are omitted.
+    /// Reads commands from the log storage. Commands that cannot be read are omitted; the first is logged.
     pub(super) fn load(&self, indexes: &BTreeSet<LogIndex>, response: CommandsSender<M>) {
         let mut commands = BTreeMap::new();
+        let mut unreadable = Vec::new();
         for index in indexes {
-            match self.storage.command(*index) {
-                Ok(Some(bytes)) => {
-                    if let Ok(command) = ciborium::from_reader(&*bytes.0) {
-                        commands.insert(*index, command);
-                    }
-                }
-                Ok(None) => {}
-                Err(reason) => {
-                    warn!(self.log, "journal: Reading a referenced command failed."; "index" => index,
-                        "reason" => %reason);
+            match self.load_one(*index) {
+                Ok(command) => {
+                    commands.insert(*index, command);
                 }
+                Err(reason) => unreadable.push((*index, reason)),
             }
         }
+        if let Some((first, reason)) = unreadable.first() {
+            warn!(self.log, "journal: Commands not read."; "first" => first, "reason" => reason,
+                "count" => unreadable.len(), "applied" => self.applied);
+        }
         let _ = response.send(commands);
     }
+
+    /// Returns a command, or why it cannot be read.
+    fn load_one(&self, index: LogIndex) -> Result<M::Command, String> {
+        let stored = self.storage.command(index);
+        let bytes = stored.map_err(|error| error.to_string())?;
+        let bytes = bytes.ok_or_else(|| "the storage holds none at this index".to_owned())?;
+        ciborium::from_reader(&*bytes.0)
+            .map_err(|error| format!("this version cannot decode it ({error})"))
+    }
 }
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -31,7 +31,7 @@
 use firshore_types::ids::NodeName;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -254,9 +254,15 @@
         let counted = self.ledger.submissions.count(bytes);
         let replica = self.replica.clone();
         let job = header.job.clone();
+        let acceptance = Acceptance {
+            job: caller_id(&header.job).to_owned(),
+            is_repeated: state.contains(&header.job),
+            log: self.log.clone(),
+        };
         let committing = async move {
             let command = Action::Submit { header, items }.into();
             let outcome = replica.propose(command).await;
+            acceptance.log_outcome(&outcome, &replica);
             drop(counted);
             outcome
         };
@@ -366,6 +372,25 @@
     }
 }
 
+/// Logs the end of a job's submission, with the group that it rests on.
+struct Acceptance {
+    job: String,
+    /// Whether the state contained the job before.
+    is_repeated: bool,
+    log: Logger,
+}
+
+impl Acceptance {
+    fn log_outcome(&self, outcome: &Result<Outcome, JournalRefusal>, replica: &Replica) {
+        let status = replica.status();
+        info!(self.log, "journal: Job submitted."; "job" => &self.job, "outcome" => ?outcome,
+            "repeated" => self.is_repeated, "term" => status.term, "history" => status.history,
+            "commit" => status.commit, "quorum" => status.membership.quorum(),
+            "committed_quorum" => status.committed_membership.quorum(),
+            "voters" => ?status.membership.voters().collect::<Vec<_>>());
+    }
+}
+
 async fn respond(
     replica: &Replica,
     reader: &ResultReader,
@@ -376,7 +401,8 @@
         PeerRequest::Results { job, from, wait } => {
             let wait = Duration::from_millis(wait).min(MAX_WAIT);
             let deadline = Instant::now() + wait + ATTEMPT_TIMEOUT;
-            let listed = list_results(replica, reader.min_disks, &job, from, wait).await?;
+            let listed = list_results(replica, reader.min_disks, &job, from, wait).await;
+            let listed = listed.inspect_err(|refusal| reader.log_refusal(&job, refusal))?;
             reader.results(&job, listed, deadline).await
         }
         PeerRequest::Body { job, item } => {
@@ -457,6 +483,15 @@
 }
 
 impl ResultReader {
+    /// Logs why a read of a job was refused, unless another node leads.
+    fn log_refusal(&self, job: &str, refusal: &JournalRefusal) {
+        let status = self.replica.status();
+        if status.leads {
+            let now = firshore_clock::now().into_std();
+            self.missing.record_refusal(now, job, refusal, &status);
+        }
+    }
+
     async fn results(
         &self,
         job: &str,
@@ -471,6 +506,7 @@
         while !self.budget.admits_results(held.held(), bytes) {
             // The client has timed out and retried; reading for it would delay other responses.
             if Instant::now() >= deadline {
+                self.log_refusal(job, &JournalRefusal::MemoryFull);
                 return Err(JournalRefusal::Unsettled);
             }
             actix_rt::time::sleep(RESULTS_RETRY_INTERVAL).await;
