--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -437,10 +437,7 @@
         self.applied = index;
         self.committed.clear();
         self.snapshot = None;
-        let later = self.proposals.split_off(&(index + 1));
-        for (_, pending) in std::mem::replace(&mut self.proposals, later) {
-            let _ = pending.response.send(Err(JournalRefusal::Unsettled));
-        }
+        self.fail_proposals_through(index);
         info!(self.log, "journal: Snapshot installed."; "index" => index);
         Ok(())
     }
@@ -453,6 +450,8 @@
         // A proposal from before the group shrank must not be acknowledged: too few disks hold it now.
         if !self.is_durable() {
             self.fail_proposals();
+        } else if !self.is_committed_durable() {
+            self.fail_committed_proposals();
         }
         let state = self.state.clone();
         let mut state = state.write();
@@ -499,7 +498,7 @@
             return;
         }
         // A lone voter must not serve reads: the loss of its disk would lose what was read.
-        let result = match self.allows_reads() {
+        let result = match self.is_committed_durable() {
             true => Ok(self.state.clone()),
             false => Err(self.not_leader()),
         };
@@ -511,7 +510,19 @@
     }
 
     fn fail_proposals(&mut self) {
-        for (_, pending) in std::mem::take(&mut self.proposals) {
+        self.fail_proposals_through(LogIndex::MAX);
+    }
+
+    /// Fails the proposals whose entries are about to be applied. Later ones wait for a larger group.
+    fn fail_committed_proposals(&mut self) {
+        if let Some(last) = self.committed.back() {
+            self.fail_proposals_through(last.index);
+        }
+    }
+
+    fn fail_proposals_through(&mut self, last: LogIndex) {
+        let later = self.proposals.split_off(&last.saturating_add(1));
+        for (_, pending) in std::mem::replace(&mut self.proposals, later) {
             let _ = pending.response.send(Err(JournalRefusal::Unsettled));
         }
     }
--- a/crates/firshore-log/src/driver/requests.rs
+++ b/crates/firshore-log/src/driver/requests.rs
@@ -4,7 +4,7 @@
     Driver, OutcomeSender, PendingProposal, PendingRead, ReadSender, restore, unix_milliseconds,
 };
 use crate::machine::StateMachine;
-use crate::placement::{allows_reads, is_durable};
+use crate::placement::{is_committed_durable, is_durable};
 use crate::refusal::JournalRefusal;
 use firshore_replication::error::ReplicaError;
 use firshore_replication::storage::{Storage, StoredState};
@@ -22,17 +22,17 @@
         JournalRefusal::NotLeader { leader }
     }
 
-    /// Returns whether committed entries are on the required number of disks.
+    /// Returns whether entries appended now will be on the required number of disks once they are committed.
     pub(super) fn is_durable(&self) -> bool {
         let min_disks = self.environment.settings.min_disks;
         is_durable(&self.replica.status().membership, min_disks)
     }
 
-    /// Returns whether readers may see what is committed.
-    pub(super) fn allows_reads(&self) -> bool {
+    /// Returns whether all that is committed is on the required number of disks.
+    pub(super) fn is_committed_durable(&self) -> bool {
         let status = self.replica.status();
         let min_disks = self.environment.settings.min_disks;
-        allows_reads(&status.membership, &status.committed_membership, min_disks)
+        is_committed_durable(&status.membership, &status.committed_membership, min_disks)
     }
 
     pub(super) fn propose(&mut self, mut command: M::Command, response: OutcomeSender<M>) {
@@ -46,7 +46,7 @@
         // Needs no log entry: a poll that finds no work, or a repeated submission, which is acknowledged even
         // if the disk is full.
         if let Some(outcome) = self.state.read().without_effect(&command, now) {
-            let _ = response.send(Ok(outcome));
+            let _ = response.send(self.acknowledge(outcome));
             return;
         }
         if self.full && M::needs_space(&command) {
@@ -71,8 +71,16 @@
         }
     }
 
+    /// Returns an outcome that rests on the state alone, if what is in it is on enough disks.
+    fn acknowledge(&self, outcome: M::Outcome) -> Result<M::Outcome, JournalRefusal> {
+        match self.is_committed_durable() {
+            true => Ok(outcome),
+            false => Err(self.not_leader()),
+        }
+    }
+
     pub(super) fn read(&mut self, response: ReadSender<M>) {
-        if !self.allows_reads() {
+        if !self.is_committed_durable() {
             let _ = response.send(Err(self.not_leader()));
             return;
         }
--- a/crates/firshore-log/src/placement.rs
+++ b/crates/firshore-log/src/placement.rs
@@ -24,12 +24,12 @@
     membership.quorum() >= min_disks
 }
 
-/// Returns whether a leader may serve reads. What a reader sees has the same durability guarantee as an
-/// accepted command.
+/// Returns whether all that a leader has committed is on at least `min_disks` disks, so that it may be read,
+/// acknowledged or covered by a snapshot.
 ///
 /// The guarantee must hold for both the latest and the latest committed membership: a lone voter that adds
 /// a second one has committed entries alone until the addition is committed.
-pub fn allows_reads(latest: &Membership, committed: &Membership, min_disks: usize) -> bool {
+pub fn is_committed_durable(latest: &Membership, committed: &Membership, min_disks: usize) -> bool {
     is_durable(latest, min_disks) && is_durable(committed, min_disks)
 }
 
--- a/crates/firshore-log/tests/word_groups/mod.rs
+++ b/crates/firshore-log/tests/word_groups/mod.rs
@@ -1,4 +1,5 @@
 //! Two replicas of a group in one process, with a link between them that can be cut.
+#![allow(dead_code, reason = "each test file uses some of it")]
 
 use firshore_log::group::{Group, GroupStatus};
 use firshore_log::machine::{ReplicaSettings, StateMachine, Transport};
@@ -9,7 +10,7 @@
 };
 use firshore_types::ids::NodeName;
 use parking_lot::RwLock;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -22,9 +23,19 @@
 const MAX_POLLS: usize = 1_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Set by a test while no snapshot may be encoded to its end.
+pub static HOLD_SNAPSHOTS: AtomicBool = AtomicBool::new(false);
+
 /// State machine that stores the applied commands, each once.
 #[derive(Default, Serialize, Deserialize)]
-pub struct WordList(Vec<String>);
+pub struct WordList(#[serde(serialize_with = "encode")] Vec<String>);
+
+fn encode<S: Serializer>(words: &[String], serializer: S) -> Result<S::Ok, S::Error> {
+    while HOLD_SNAPSHOTS.load(Ordering::Relaxed) {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    words.serialize(serializer)
+}
 
 impl StateMachine for WordList {
     type Command = String;
@@ -157,6 +168,11 @@
             true => (first, second),
             false => (second, first),
         };
+        // Until then the leader refuses changes of the membership.
+        lone.wait_until("the leader's first entry", |status| {
+            status.commit > 1 && status.commit == status.last.index
+        })
+        .await;
         Self {
             lone,
             other,
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -26,7 +26,7 @@
 use firshore_limits::slow_start::PermitPool;
 use firshore_link::listener::Handler;
 use firshore_log::machine::SharedState;
-use firshore_log::placement::allows_reads;
+use firshore_log::placement::is_committed_durable;
 use firshore_log::refusal::JournalRefusal;
 use firshore_types::ids::NodeName;
 use futures_util::FutureExt;
@@ -462,7 +462,7 @@
         }
         let status = replica.status();
         if !status.leads
-            || !allows_reads(&status.membership, &status.committed_membership, min_disks)
+            || !is_committed_durable(&status.membership, &status.committed_membership, min_disks)
         {
             return Err(JournalRefusal::NotLeader { leader: None });
         }
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -1,7 +1,7 @@
 //! A simulated machine with a disk. Its replica and group manager are the production code.
 
 use firshore_log::GroupStatus;
-use firshore_log::placement::{Candidate, is_durable};
+use firshore_log::placement::{Candidate, is_committed_durable};
 use firshore_node::journal::SILENCE_FRACTION;
 use firshore_node::journal::group_manager::{GroupInput, GroupManager, GroupPolicy, LeavingNodes};
 use firshore_node::journal::registry::VoterRecord;
@@ -232,11 +232,21 @@
         Some(leaving)
     }
 
+    /// Returns whether the node may show, acknowledge or compact what it has committed.
+    pub fn is_committed_durable(&self) -> bool {
+        self.replica.as_ref().is_some_and(|replica| {
+            let status = replica.status();
+            let min_disks = self.policy.min_disks;
+            is_committed_durable(&status.membership, &status.committed_membership, min_disks)
+        })
+    }
+
     pub fn compact_if_long(&mut self) {
         let applied = self.applied;
+        let holds_enough = self.is_committed_durable();
         if let Some(replica) = &mut self.replica
             && replica.log_bytes() > SNAPSHOT_AFTER_BYTES
-            && is_durable(&replica.status().membership, self.policy.min_disks)
+            && holds_enough
         {
             // The applied index, padded so that the snapshot is sent in several chunks.
             let mut data = applied.to_be_bytes().to_vec();
--- a/crates/firshore-node/tests/copies_world/readers.rs
+++ b/crates/firshore-node/tests/copies_world/readers.rs
@@ -3,7 +3,6 @@
 
 use super::machine::{AcceptedCommand, Machine};
 use super::{Violation, World};
-use firshore_log::placement;
 use firshore_replication::replica::ReadToken;
 use firshore_replication::types::{Entry, EntryContent, LogIndex, Position};
 use std::collections::BTreeMap;
@@ -50,7 +49,7 @@
             return;
         }
         for index in 0..self.machines.len() {
-            if !self.machines[index].is_running() || !self.can_answer_reads(index) {
+            if !self.machines[index].is_running() || !self.machines[index].is_committed_durable() {
                 continue;
             }
             let accepted = self.accepted.clone();
@@ -70,18 +69,8 @@
         }
     }
 
-    /// Returns whether a node's thread would respond to reads.
-    fn can_answer_reads(&self, index: usize) -> bool {
-        let Some(replica) = &self.machines[index].replica else {
-            return false;
-        };
-        let status = replica.status();
-        let min_disks = self.policy.min_disks;
-        placement::allows_reads(&status.membership, &status.committed_membership, min_disks)
-    }
-
     pub(super) fn record_reads(&mut self, index: usize, reads: &[(ReadToken, LogIndex)]) {
-        if !self.can_answer_reads(index) {
+        if !self.machines[index].is_committed_durable() {
             return;
         }
         for (token, through) in reads {
