--- a/crates/firshore-jobs/src/table.rs
+++ b/crates/firshore-jobs/src/table.rs
@@ -160,10 +160,9 @@
                 let exceeds = self.exceeds_waiting(header, items);
                 exceeds.then_some(Outcome::TooMuchWaiting)
             }
-            Action::End { job } => match self.find(job) {
-                None => Some(Outcome::UnknownJob),
-                Some(job) => job.is_ended().then_some(Outcome::Done),
-            },
+            // That a job is unknown is settled by the log only: the state of a new leader, or of one that was
+            // deposed, may lack accepted jobs.
+            Action::End { job } => self.find(job)?.is_ended().then_some(Outcome::Done),
             Action::Complete(_) | Action::Failed { .. } => None,
             Action::Forget { before } => {
                 let is_empty = !self.has_removable(*before);
--- a/crates/firshore-jobs/tests/table.rs
+++ b/crates/firshore-jobs/tests/table.rs
@@ -316,6 +316,23 @@
     );
 }
 
+/// A leader may be asked to end an accepted job before it has applied the job's entry.
+#[test]
+fn job_that_was_not_applied_yet_was_reported_as_unknown() {
+    let mut table = JobTable::default();
+    let end: Command = Action::End {
+        job: "j".to_owned(),
+    }
+    .into();
+    assert_eq!(
+        table.without_effect(&end, 0),
+        None,
+        "settled only by the log"
+    );
+    table.apply(1, submit("j", &["a"]).into());
+    assert_eq!(table.apply(2, end), Outcome::Done);
+}
+
 #[test]
 fn job_without_tenant_remains_accessible() {
     let mut table = JobTable::default();
