--- a/crates/firshore-log/tests/referenced.rs
+++ b/crates/firshore-log/tests/referenced.rs
@@ -85,6 +85,17 @@
     acknowledgements: Vec<Envelope>,
     /// Applied entries after a multiple of [`SNAPSHOT_INTERVAL`] at which this node takes its snapshots.
     snapshot_offset: u64,
+    /// Time that a snapshot takes to encode, in milliseconds.
+    encoding_time: u64,
+    encoding: Option<EncodedSnapshot>,
+}
+
+/// A snapshot that is recorded once it is encoded, which takes until `due` (milliseconds).
+struct EncodedSnapshot {
+    due: u64,
+    index: LogIndex,
+    data: Vec<u8>,
+    referenced: BTreeSet<LogIndex>,
 }
 
 impl NodeModel {
@@ -109,6 +120,8 @@
             received: Vec::new(),
             acknowledgements: Vec::new(),
             snapshot_offset: 0,
+            encoding_time: 0,
+            encoding: None,
         }
     }
 
@@ -186,23 +199,37 @@
                 self.state =
                     ciborium::from_reader(&*snapshot.data.0).expect("the state is readable");
                 self.applied = snapshot.header.position.index;
+                self.encoding = None;
             }
             for entry in output.committed {
                 apply(&mut self.state, &entry);
                 self.applied = entry.index;
             }
-            self.compact();
+            self.compact(now);
         }
     }
 
-    fn compact(&mut self) {
+    fn compact(&mut self, now: u64) {
         let due = self.applied % SNAPSHOT_INTERVAL == self.snapshot_offset;
-        if !due || !self.replica.is_after_snapshot(self.applied) {
-            return;
+        if due && self.encoding.is_none() && self.replica.is_after_snapshot(self.applied) {
+            let mut data = Vec::new();
+            ciborium::into_writer(&self.state, &mut data).expect("the state serialises");
+            self.encoding = Some(EncodedSnapshot {
+                due: now + self.encoding_time,
+                index: self.applied,
+                data,
+                referenced: self.state.clone(),
+            });
+        }
+        if let Some(encoded) = self.encoding.take_if(|encoded| encoded.due <= now) {
+            let EncodedSnapshot {
+                index,
+                data,
+                referenced,
+                ..
+            } = encoded;
+            self.replica.compact(index, data, referenced);
         }
-        let mut data = Vec::new();
-        ciborium::into_writer(&self.state, &mut data).expect("the state serialises");
-        self.replica.compact(self.applied, data, self.state.clone());
     }
 }
 
@@ -222,7 +249,7 @@
 }
 
 /// Events that the plain runs do not have: nodes are cut off with their disks whole, leadership is transferred, and nodes
-/// take their snapshots at different entries. They have random numbers of their own.
+/// take their snapshots at different entries and for some time. They have random numbers of their own.
 struct Disturbances {
     random: ChaCha8Rng,
     /// Node that is cut off, and until when, in milliseconds.
@@ -308,6 +335,7 @@
         for model in self.nodes.iter_mut().flatten() {
             if random.random_bool(0.02) {
                 model.snapshot_offset = random.random_range(0..SNAPSHOT_INTERVAL);
+                model.encoding_time = random.random_range(0..400);
             }
         }
         self.disturbances = Some(disturbances);
@@ -415,6 +443,7 @@
             return;
         };
         model.replica.tick(now);
+        model.compact(now);
         let mut sent = Vec::new();
         let has_power = model.process_outputs(now, &mut sent);
         self.send(sent);
