--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -447,8 +447,9 @@
         if self.snapshot.is_some() || self.committed.is_empty() {
             return Ok(());
         }
-        // A proposal from before the group shrank must not be acknowledged: too few disks hold it now.
-        if !self.is_durable() {
+        // A proposal from before the group shrank must not be acknowledged: too few disks hold it now. A former
+        // leader may not have learned yet that it did.
+        if !self.replica.leads() || !self.is_durable() {
             self.fail_proposals();
         } else if !self.is_committed_durable() {
             self.fail_committed_proposals();
--- a/crates/firshore-log/tests/former_leader.rs
+++ b/crates/firshore-log/tests/former_leader.rs
@@ -146,6 +146,23 @@
     panic!("none of the three leads");
 }
 
+/// Waits until each group has applied the first command, and returns its index.
+async fn applied_by_all(groups: &[Arc<WordGroup>]) -> LogIndex {
+    for _ in 0..MAX_POLLS {
+        let counts = groups.iter().map(|group| group.applied_state().read().0);
+        let all_applied = counts.min() == Some(1);
+        let indexes: BTreeSet<LogIndex> = groups
+            .iter()
+            .map(|group| *group.changes().borrow())
+            .collect();
+        if let (true, 1, Some(index)) = (all_applied, indexes.len(), indexes.first()) {
+            return *index;
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("timed out waiting for the first command");
+}
+
 #[actix_rt::test]
 async fn former_leader_acknowledged_what_a_lone_voter_committed() {
     let folder = tempfile::tempdir().unwrap();
@@ -181,7 +198,7 @@
     let [former, lone, third] = [former, lone, third].map(|at| (&groups[at], &names[at]));
     assert_eq!(former.0.propose("first".to_owned()).await, Ok(1));
 
-    let first = former.0.changes().borrow().to_owned();
+    let first = applied_by_all(&groups).await;
 
     // The next command reaches one of the others only, so that it is not committed.
     *link.write() = Link::Cut(third.0.status().disk);
