--- a/crates/firshore-admission/src/lib.rs
+++ b/crates/firshore-admission/src/lib.rs
@@ -6,10 +6,12 @@
 //! ([`admission::CapacityOutlook`], from the node's view of the back ends) and whether its caller is
 //! within its share of the capacity ([`shares`]). From both follows what is done with the request
 //! ([`admission`]), and when a refused caller is to retry ([`retry`], from the load recorded by
-//! [`demand`]).
+//! [`demand`]). A node that is asked to stop also decides whether a request would end in time
+//! ([`stop`]).
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admission;
 pub mod demand;
 pub mod retry;
 pub mod shares;
+pub mod stop;
--- a/crates/firshore-gateway/src/forward/admit.rs
+++ b/crates/firshore-gateway/src/forward/admit.rs
@@ -13,6 +13,7 @@
 };
 use firshore_admission::retry::RetryTime;
 use firshore_admission::shares::{CallerRank, ShareRequest};
+use firshore_admission::stop::LateRequest;
 use firshore_limits::report::TenantDigest;
 use firshore_types::error::ErrorCode;
 use slog::info;
@@ -23,7 +24,7 @@
 
 /// Time after which a caller should retry at another node that would send its request now. Bounds the retries of callers
 /// that reach the stopping node again.
-const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+pub(super) const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
 
 /// Result of the selection of a back end.
 pub(super) enum Selection {
@@ -31,8 +32,10 @@
     Backend(Backend),
     /// No back end may run the request.
     NoBackend,
-    /// The request would begin too late, or may outlive the node.
+    /// The request would begin too late, or may outlive the node while slots are scarce.
     NoCapacity(NoCapacity),
+    /// The request may outlive the node.
+    NodeStops(LateRequest),
 }
 
 /// Why a request is refused by admission control.
@@ -49,8 +52,13 @@
         connection: &mut CallerConnection,
     ) -> Result<Selection, Interrupted> {
         if !self.uses_admission_control() {
-            let chosen = self.choose(None);
-            return Ok(chosen.map_or(Selection::NoBackend, Selection::Backend));
+            let Some(backend) = self.choose(None) else {
+                return Ok(Selection::NoBackend);
+            };
+            return Ok(match self.late_request(None) {
+                Some(late) => Selection::NodeStops(late),
+                None => Selection::Backend(backend),
+            });
         }
         let control = &self.gateway.overload;
         if self.attempts.sends() == 0 {
@@ -72,7 +80,14 @@
                 self.determine_share_status(now);
             }
             let request = self.admission_request(behind_others);
-            let wait = match admission::decide(&request, &outlook) {
+            let decision = admission::decide(&request, &outlook);
+            if decision == Admission::Send
+                && let Some(late) = self.late_request(Some(&outlook))
+            {
+                self.count_refusal();
+                return Ok(Selection::NodeStops(late));
+            }
+            let wait = match decision {
                 Admission::Send => match self.choose(Some(request.begin_within())) {
                     Some(backend) => {
                         self.count_admission(queued.is_some());
@@ -110,7 +125,7 @@
         priority.unwrap_or(self.route.priority)
     }
 
-    fn admission_request(&self, behind_others: bool) -> AdmissionRequest {
+    pub(super) fn admission_request(&self, behind_others: bool) -> AdmissionRequest {
         let timeout = self.route.timeout;
         AdmissionRequest {
             objective: self.route.objective,
@@ -171,7 +186,11 @@
         }
     }
 
-    fn outlook(&self, now: Instant, request: &AdmissionRequest) -> Option<CapacityOutlook> {
+    pub(super) fn outlook(
+        &self,
+        now: Instant,
+        request: &AdmissionRequest,
+    ) -> Option<CapacityOutlook> {
         let fleet = self.gateway.fleet.borrow();
         fleet.outlook(now, &self.requirements(), request.begin_within())
     }
@@ -184,14 +203,18 @@
         self.gateway.metrics.admission_ended(&self.service, end);
     }
 
+    fn count_refusal(&self) {
+        let end = AdmissionEnd::Refused;
+        self.gateway.metrics.admission_ended(&self.service, end);
+    }
+
     /// Refuses a request that would begin too late or may outlive the node, with the time to retry.
     pub(super) async fn refuse_without_capacity(
         &mut self,
         NoCapacity { outlook, elsewhere }: NoCapacity,
         connection: &mut CallerConnection,
     ) -> Handled {
-        let end = AdmissionEnd::Refused;
-        self.gateway.metrics.admission_ended(&self.service, end);
+        self.count_refusal();
         self.gateway.pressure.borrow_mut().refused(&self.service);
         let request = self.admission_request(false);
         let retry = self.retry_time(elsewhere);
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod give_up;
 mod headers;
 mod relay;
+mod stop;
 
 use crate::answer_end::CompleteAnswer;
 use crate::attempts::{Attempts, NextStep, SendEnd};
@@ -227,6 +228,9 @@
                 Selection::NoCapacity(outlook) => {
                     return Ok(self.refuse_without_capacity(outlook, connection).await);
                 }
+                Selection::NodeStops(late) => {
+                    return Ok(self.refuse_before_stop(late, connection).await);
+                }
             };
             self.log_continuation(&backend);
             let end = match self.send(&backend, connection).await? {
@@ -363,6 +367,7 @@
         let now = Instant::now();
         self.last_send = Some(self.new_send(now, backend));
         let _in_flight = self.gateway.begin_send(&backend.incarnation);
+        let _run = self.gateway.begin_run(&self.route);
         self.record_waiting(now, backend);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match unless_interrupted(connection, self.deadline, connecting).await? {
--- a/crates/firshore-gateway/src/forward/relay.rs
+++ b/crates/firshore-gateway/src/forward/relay.rs
@@ -14,7 +14,7 @@
 use firshore_adapter::backend::{Backend, Ran};
 use firshore_adapter::route::Repetition;
 use firshore_exchange::exchange::{Exchange, ExchangeBody, ExchangeError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum length of a response that is read completely before it is returned, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -114,6 +114,8 @@
         if self.attempts.sends() > 1 || self.terms.resume_after.is_some() {
             return;
         }
+        let mut run_times = self.gateway.run_times.borrow_mut();
+        run_times.record_answer(Instant::now(), &self.route.name);
         if let Some(send) = &self.last_send
             && let Some(began_after) = send.began_after
         {
--- /dev/null
+++ b/crates/firshore-gateway/src/forward/stop.rs
@@ -0,0 +1,63 @@
+//! Requests that a stopping node doesn't send, because they may not end before it stops.
+
+use super::admit::ELSEWHERE_RETRY;
+use super::{Forwarding, Handled};
+use crate::attempts::NextStep;
+use crate::caller_connection::CallerConnection;
+use crate::refusal::Refusal;
+use firshore_adapter::route::Repetition;
+use firshore_admission::admission::CapacityOutlook;
+use firshore_admission::stop::LateRequest;
+use firshore_types::error::ErrorCode;
+use slog::info;
+use std::time::{Duration, Instant};
+
+/// Reason that is logged for such a request.
+const REASON: &str = "node stops";
+
+impl Forwarding<'_> {
+    /// Returns the request as a late one if it may not be sent any more, because the node stops.
+    pub(super) fn late_request(&self, outlook: Option<&CapacityOutlook>) -> Option<LateRequest> {
+        let now = Instant::now();
+        let node_stops_in = self.gateway.leaving.stops_in(now)?;
+        let late = LateRequest {
+            node_stops_in,
+            time_left: self.remaining(),
+            is_repeatable: self.route.repetition != Repetition::AtMostOnce,
+            expected: self.expected_time(now, outlook),
+        };
+        (!late.may_be_sent()).then_some(late)
+    }
+
+    /// Returns the time within which the request is expected to end if it is sent now.
+    fn expected_time(&self, now: Instant, outlook: Option<&CapacityOutlook>) -> Option<Duration> {
+        let begin_delay = match outlook {
+            Some(outlook) => outlook.begin_delay,
+            None => {
+                self.outlook(now, &self.admission_request(false))?
+                    .begin_delay
+            }
+        };
+        let run_times = self.gateway.run_times.borrow();
+        run_times.expected(now, &self.route.name, begin_delay)
+    }
+
+    /// Ends a request that may not be sent any more: refuses it if it has not run, so that another node runs it.
+    pub(super) async fn refuse_before_stop(
+        &mut self,
+        late: LateRequest,
+        connection: &mut CallerConnection,
+    ) -> Handled {
+        info!(self.gateway.log, "forward: May outlive the node."; "request" => &self.terms.id,
+            "route" => &self.route.name, "may_have_run" => self.attempts.may_have_run(),
+            "node_stops_in_ms" => late.node_stops_in.as_millis() as u64,
+            "expected_ms" => late.expected.map(|time| time.as_millis() as u64),
+            "time_left_ms" => late.time_left.as_millis() as u64, "repeatable" => late.is_repeatable);
+        if self.attempts.may_have_run() {
+            return self.give_up(NextStep::PassOn, REASON, connection).await;
+        }
+        let message = "The node may stop before the request has ended.";
+        let refusal = Refusal::not_run(ErrorCode::Overloaded, message, ELSEWHERE_RETRY);
+        self.answer_refusal(&refusal, REASON, connection).await
+    }
+}
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use firshore_adapter::route::Route;
 use firshore_adapter::tenant::Tenant;
 use firshore_admission::shares::ShareTable;
+use firshore_admission::stop::{RunStart, RunTimes};
 use firshore_crashes::fingerprint::{FingerprintKey, PartFingerprint, RequestFingerprint};
 use firshore_crashes::suspect::Suspect;
 use firshore_limits::limiter::{OverLimit, TenantLimiter};
@@ -123,6 +124,8 @@
     pub crashes: Rc<CrashMonitor>,
     /// Queue of the requests that wait for capacity.
     pub overload: Rc<OverloadControl>,
+    /// Lengths of recent runs, by the name of their route.
+    pub run_times: Rc<RefCell<RunTimes>>,
     /// Fair shares of tenants in services that are full.
     pub shares: RefCell<ShareTable>,
     /// Origins of the streams that this node began.
@@ -158,6 +161,20 @@
     }
 }
 
+/// Counts a run of a route as open until dropped.
+pub struct OpenRun {
+    run_times: Rc<RefCell<RunTimes>>,
+    route: Arc<Route>,
+    start: RunStart,
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        let mut run_times = self.run_times.borrow_mut();
+        run_times.end(Instant::now(), &self.route.name, self.start);
+    }
+}
+
 /// Counts a request as open until dropped.
 pub struct OpenRequest<'a> {
     gateway: &'a Gateway,
@@ -201,6 +218,7 @@
             fingerprint_key: FingerprintKey::new(&random.random::<[u8; 32]>()),
             crashes: Rc::new(crashes),
             overload: Rc::default(),
+            run_times: Rc::default(),
             shares: ShareTable::new(random.random()).into(),
             random: random.into(),
             metrics,
@@ -293,6 +311,16 @@
         }
     }
 
+    /// Records that a back end is about to run a request of the route. The run is open until the guard is dropped.
+    pub fn begin_run(&self, route: &Arc<Route>) -> OpenRun {
+        let mut run_times = self.run_times.borrow_mut();
+        OpenRun {
+            run_times: self.run_times.clone(),
+            route: route.clone(),
+            start: run_times.begin(Instant::now(), &route.name),
+        }
+    }
+
     /// Records that a request has arrived. It is open until the guard is dropped.
     pub fn open_request(&self) -> OpenRequest<'_> {
         self.requests_open.set(self.requests_open.get() + 1);
--- a/crates/firshore-gateway/tests/leaving.rs
+++ b/crates/firshore-gateway/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use firshore_adapter::incarnation::BackendName;
 use firshore_stand_in::adapter::REQUEST_ID;
-use firshore_stand_in::backend::Play;
+use firshore_stand_in::backend::{Closing, Content, Cut, Marking, Place, Play, ScriptedBackend};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
@@ -41,14 +41,19 @@
 }
 
 async fn fixture() -> Fixture {
-    let route = json!({"prefix": "/", "service": "s", "repetition": "idempotent",
-        "timeout": TIMEOUT.as_millis() as u64, "attempts": 2});
-    let configuration = json!({"version": 1, "routes": [route]});
-    let fixture = support::fixture(configuration, &[&[]], Play::Whole).await;
+    let fixture = fixture_with("idempotent", &[], Play::Whole).await;
     fixture.gateway.overload.enable(true);
     fixture
 }
 
+/// Returns a gateway without admission control, whose back end plays `script` and then `afterwards`.
+async fn fixture_with(repetition: &str, script: &[Play], afterwards: Play) -> Fixture {
+    let route = json!({"prefix": "/", "service": "s", "repetition": repetition,
+        "timeout": TIMEOUT.as_millis() as u64, "attempts": 2});
+    let configuration = json!({"version": 1, "routes": [route]});
+    support::fixture(configuration, &[script], afterwards).await
+}
+
 /// Gives the node a new view, in which other nodes have `held` requests at the back end with its 10 slots.
 fn view(fixture: &Fixture, held: u32) {
     let name: BackendName = fixture.backends[0].name.as_str().into();
@@ -130,3 +135,111 @@
         assert!(waits.iter().all(|wait| *wait <= TIMEOUT / 3), "{waits:?}");
     });
 }
+
+/// Sends a request that is answered.
+async fn request_before_stop(fixture: &Fixture) {
+    let mut stream = support::send(fixture.address, "/", "").await;
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
+
+/// Sends a request to a stopping node of an idle service whose back end answers `script` and then runs until the node has
+/// stopped. Returns the refusal and the number of requests that reached the back end.
+async fn late_request(
+    repetition: &str,
+    script: &[Play],
+    admission_control: bool,
+) -> (Refused, usize) {
+    let fixture = fixture_with(repetition, script, Play::Hangs).await;
+    fixture.gateway.overload.enable(admission_control);
+    view(&fixture, 0);
+    for _ in script {
+        request_before_stop(&fixture).await;
+    }
+    let stops_at = Instant::now() + STOPS_IN;
+    fixture.gateway.leaving.begin_until(stops_at);
+    let refused = request(fixture.address).await.unwrap_err();
+    (refused, fixture.seen().len())
+}
+
+/// Asserts that a caller was sent to another node, and that its request has not run.
+fn assert_sent_elsewhere((refused, seen): (Refused, usize), seen_before: usize) {
+    assert_eq!(seen, seen_before, "{refused:?}");
+    assert!(refused.retry_after <= MAX_WAIT_FOR_SLOT, "{refused:?}");
+    assert!(refused.closes_connection, "{refused:?}");
+}
+
+/// A cut of such a request can't be made good, so that its run time at other times is no reason to send it.
+#[test]
+fn stop_cuts_off_no_late_request_that_may_not_be_repeated() {
+    actix_rt::System::new().block_on(async {
+        for control in [true, false] {
+            let answered = [Play::Whole];
+            let late = late_request("once", &answered, control).await;
+            assert_sent_elsewhere(late, answered.len());
+        }
+    });
+}
+
+/// Without a run of the route, nothing says that the request ends in time.
+#[test]
+fn stop_cuts_off_no_late_request_of_unknown_run_time() {
+    actix_rt::System::new().block_on(async {
+        for control in [true, false] {
+            assert_sent_elsewhere(late_request("idempotent", &[], control).await, 0);
+        }
+    });
+}
+
+/// Guards against refusals of requests that the stopping node would have served in time.
+#[test]
+fn stopping_node_serves_repeatable_requests_with_short_runs() {
+    actix_rt::System::new().block_on(async {
+        for control in [true, false] {
+            let fixture = fixture_with("idempotent", &[], Play::Whole).await;
+            fixture.gateway.overload.enable(control);
+            view(&fixture, 0);
+            request_before_stop(&fixture).await;
+            let stops_at = Instant::now() + STOPS_IN;
+            fixture.gateway.leaving.begin_until(stops_at);
+            for _ in 0..CALLERS {
+                view(&fixture, 0);
+                request(fixture.address).await.unwrap();
+            }
+        }
+    });
+}
+
+/// A send after a failed one is as late as a late request.
+#[test]
+fn stop_cuts_off_no_request_that_is_sent_again_late() {
+    actix_rt::System::new().block_on(async {
+        let breaks_off = Play::Cut(Cut {
+            marking: Marking::Length,
+            place: Place::Inside,
+            closing: Closing::Orderly,
+            content: Content::Text(0),
+        });
+        let fixture = fixture_with("idempotent", &[breaks_off], Play::Hangs).await;
+        let first = &fixture.backends[0];
+        first.hold_ends();
+        let mut stream = support::send(fixture.address, "/", "").await;
+        while first.seen().is_empty() {
+            actix_rt::time::sleep(GAP).await;
+        }
+        let second = ScriptedBackend::start("b1", &[], Play::Hangs).await;
+        let listed = [first, &second].map(|backend| support::listed(backend, Some("v1")));
+        fixture.gateway.replace_backends(listed.to_vec());
+        let stops_at = Instant::now() + STOPS_IN;
+        fixture.gateway.leaving.begin_until(stops_at);
+        first.release_ends();
+        let mut response = String::new();
+        let reading = stream.read_to_string(&mut response);
+        let answered = tokio::time::timeout_at(stops_at.into(), reading).await;
+        let runs = fixture.seen().len() + second.seen().len();
+        assert!(answered.is_ok(), "{runs} runs and no answer");
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert_eq!(runs, 1);
+    });
+}
