--- a/crates/firshore-gateway/src/forward/give_up.rs
+++ b/crates/firshore-gateway/src/forward/give_up.rs
@@ -1,6 +1,6 @@
 //! Ends requests without a response from a back end.
 
-use super::{BackendFailure, Forwarding, Handled, Interrupted};
+use super::{BackendFailure, Forwarding, Handled, Interrupted, stop};
 use crate::attempts::NextStep;
 use crate::caller_connection::CallerConnection;
 use crate::crash_monitor::ActiveQuarantine;
@@ -150,17 +150,30 @@
             self.log_given_up(None, "caller disconnected");
             return Handled::Close;
         }
+        let stops = self.ends_before_deadline();
+        let reason = match stops {
+            true => stop::REASON,
+            false => "deadline exceeded",
+        };
         if self.progress.head_sent {
             self.end = RequestEnd::BrokenOff;
-            self.log_given_up(None, "deadline exceeded");
+            self.log_given_up(None, reason);
             return Handled::Close;
         }
-        let message = "The time for the request is up.";
+        let (code, message) = match stops {
+            true => (
+                ErrorCode::BackendFailed,
+                "The node stopped before the request had ended.",
+            ),
+            false => (
+                ErrorCode::DeadlineExceeded,
+                "The time for the request is up.",
+            ),
+        };
         let refusal = match self.attempts.may_have_run() {
-            true => Refusal::maybe_run(ErrorCode::DeadlineExceeded, message),
+            true => Refusal::maybe_run(code, message),
             false => Refusal::not_run(ErrorCode::NoBackend, message, RETRY_AFTER),
         };
-        self.answer_refusal(&refusal, "deadline exceeded", connection)
-            .await
+        self.answer_refusal(&refusal, reason, connection).await
     }
 }
--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -120,7 +120,7 @@
     residency: ResidencyPermit,
     request: CallerRequest,
     terms: RequestTerms,
-    /// When the caller must have the complete response.
+    /// When the caller must have the complete response, or the node stops.
     deadline: Instant,
     attempts: Attempts,
     progress: Progress,
@@ -145,14 +145,14 @@
     connection: &mut CallerConnection,
 ) -> Handled {
     let terms = gateway.adapter.caller.read_terms(&request.headers);
-    let wait = terms.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = caller_deadline(&request, &terms, &route);
     let service = gateway.split.borrow_mut().next(&route);
     let mut forwarding = Forwarding {
         gateway,
         service,
         residency: gateway.residency(&route, tenant.as_deref()),
         tenant,
-        deadline: request.arrived + wait,
+        deadline,
         attempts: Attempts::new(route.repetition, route.attempts),
         progress: Progress {
             // Other responses have no positions.
@@ -185,6 +185,11 @@
     handled
 }
 
+/// Returns when the caller must have the complete response.
+fn caller_deadline(request: &CallerRequest, terms: &RequestTerms, route: &Route) -> Instant {
+    request.arrived + terms.deadline.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Waits for `work`.
 ///
 /// # Errors
@@ -233,6 +238,7 @@
                 }
             };
             self.log_continuation(&backend);
+            self.end_before_stop();
             let end = match self.send(&backend, connection).await? {
                 SendResult::Handled(handled) => return Ok(handled),
                 SendResult::Ended(end) => end,
--- a/crates/firshore-gateway/src/forward/stop.rs
+++ b/crates/firshore-gateway/src/forward/stop.rs
@@ -1,7 +1,7 @@
-//! Requests that a stopping node doesn't send, because they may not end before it stops.
+//! Requests that a stopping node doesn't send or doesn't wait for, because they may not end before it stops.
 
 use super::admit::ELSEWHERE_RETRY;
-use super::{Forwarding, Handled};
+use super::{Forwarding, Handled, caller_deadline};
 use crate::attempts::NextStep;
 use crate::caller_connection::CallerConnection;
 use crate::refusal::Refusal;
@@ -12,8 +12,11 @@
 use slog::info;
 use std::time::{Duration, Instant};
 
+/// Time before the stop at which a request that is still running is answered.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Reason that is logged for such a request.
-const REASON: &str = "node stops";
+pub(super) const REASON: &str = "node stops";
 
 impl Forwarding<'_> {
     /// Returns the request as a late one if it may not be sent any more, because the node stops.
@@ -22,13 +25,34 @@
         let node_stops_in = self.gateway.leaving.stops_in(now)?;
         let late = LateRequest {
             node_stops_in,
-            time_left: self.remaining(),
+            time_left: self.caller_deadline().saturating_duration_since(now),
             is_repeatable: self.route.repetition != Repetition::AtMostOnce,
             expected: self.expected_time(now, outlook),
         };
         (!late.may_be_sent()).then_some(late)
     }
 
+    fn caller_deadline(&self) -> Instant {
+        caller_deadline(&self.request, &self.terms, &self.route)
+    }
+
+    /// Lets a request that a stopping node sends end before the stop, so that its caller gets an answer even if it takes
+    /// longer than expected.
+    pub(super) fn end_before_stop(&mut self) {
+        let now = Instant::now();
+        let Some(left) = self.gateway.leaving.stops_in(now) else {
+            return;
+        };
+        if self.deadline > now + left {
+            self.deadline = now + left.saturating_sub(ANSWER_TIME);
+        }
+    }
+
+    /// Returns whether the node stops before the caller's deadline.
+    pub(super) fn ends_before_deadline(&self) -> bool {
+        self.deadline < self.caller_deadline()
+    }
+
     /// Returns the time within which the request is expected to end if it is sent now.
     fn expected_time(&self, now: Instant, outlook: Option<&CapacityOutlook>) -> Option<Duration> {
         let begin_delay = match outlook {
--- a/crates/firshore-gateway/tests/leaving.rs
+++ b/crates/firshore-gateway/tests/leaving.rs
@@ -243,3 +243,21 @@
         assert_eq!(runs, 1);
     });
 }
+
+/// An expected time may not be kept: the caller must get an answer all the same.
+#[test]
+fn stop_left_a_late_request_that_ran_longer_than_expected_without_an_answer() {
+    actix_rt::System::new().block_on(async {
+        let fixture = fixture_with("idempotent", &[Play::Whole], Play::Hangs).await;
+        request_before_stop(&fixture).await;
+        let stops_at = Instant::now() + STOPS_IN;
+        fixture.gateway.leaving.begin_until(stops_at);
+        let mut stream = support::send(fixture.address, "/", "").await;
+        let mut response = String::new();
+        let reading = stream.read_to_string(&mut response);
+        let answered = tokio::time::timeout_at(stops_at.into(), reading).await;
+        assert!(answered.is_ok(), "no answer");
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert_eq!(fixture.seen().len(), 2);
+    });
+}
