--- a/crates/firshore-gateway/src/forward/mod.rs
+++ b/crates/firshore-gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod give_up;
 mod headers;
 mod relay;
+mod stop;
 
 use crate::answer_end::CompleteAnswer;
 use crate::attempts::{Attempts, NextStep, SendEnd};
@@ -119,7 +120,7 @@
     residency: ResidencyPermit,
     request: CallerRequest,
     terms: RequestTerms,
-    /// When the caller must have the complete response.
+    /// When the caller must have the complete response, or the node stops.
     deadline: Instant,
     attempts: Attempts,
     progress: Progress,
@@ -144,14 +145,14 @@
     connection: &mut CallerConnection,
 ) -> Handled {
     let terms = gateway.adapter.caller.read_terms(&request.headers);
-    let wait = terms.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = caller_deadline(&request, &terms, &route);
     let service = gateway.split.borrow_mut().next(&route);
     let mut forwarding = Forwarding {
         gateway,
         service,
         residency: gateway.residency(&route, tenant.as_deref()),
         tenant,
-        deadline: request.arrived + wait,
+        deadline,
         attempts: Attempts::new(route.repetition, route.attempts),
         progress: Progress {
             // Other responses have no positions.
@@ -184,6 +185,11 @@
     handled
 }
 
+/// Returns when the caller must have the complete response.
+fn caller_deadline(request: &CallerRequest, terms: &RequestTerms, route: &Route) -> Instant {
+    request.arrived + terms.deadline.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Waits for `work`.
 ///
 /// # Errors
@@ -227,8 +233,12 @@
                 Selection::NoCapacity(outlook) => {
                     return Ok(self.refuse_without_capacity(outlook, connection).await);
                 }
+                Selection::NodeStops(late) => {
+                    return Ok(self.refuse_before_stop(late, connection).await);
+                }
             };
             self.log_continuation(&backend);
+            self.end_before_stop();
             let end = match self.send(&backend, connection).await? {
                 SendResult::Handled(handled) => return Ok(handled),
                 SendResult::Ended(end) => end,
@@ -363,6 +373,7 @@
         let now = Instant::now();
         self.last_send = Some(self.new_send(now, backend));
         let _in_flight = self.gateway.begin_send(&backend.incarnation);
+        let _run = self.gateway.begin_run(&self.route);
         self.record_waiting(now, backend);
         let connecting = exchange::connect(endpoint(backend), Reuse::Idle);
         let to_backend = match unless_interrupted(connection, self.deadline, connecting).await? {
