--- a/crates/firshore-limits/src/slow_start.rs
+++ b/crates/firshore-limits/src/slow_start.rs
@@ -18,6 +18,10 @@
 /// and its permits are still valid for a while.
 pub const TAKEOVER_PAUSE: Duration = Duration::from_secs(2);
 
+/// Minimum interval between two permits of a back end: one that is due again in the round that issued its last permit
+/// would keep the round from ending.
+const MIN_INTERVAL: Duration = Duration::from_nanos(1);
+
 /// Maximum number of permits in a pool. The oldest are dropped.
 const MAX_POOLED: usize = 256;
 
@@ -170,6 +174,7 @@
             };
             // From now on, not from when it was due: a late round must not issue several at once.
             let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
+            let interval = interval.max(MIN_INTERVAL);
             if let Some(next) = now.checked_add(interval) {
                 self.schedule(next, backend.clone());
             }
--- a/crates/firshore-limits/tests/slow_start.rs
+++ b/crates/firshore-limits/tests/slow_start.rs
@@ -5,6 +5,7 @@
 use firshore_limits::slow_start::{PermitGrant, PermitIssuer, PermitPool, TAKEOVER_PAUSE};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -240,3 +241,22 @@
     assert!(!pool.allows(asked_at + Duration::from_millis(300), &name(0)));
     assert!(!pool.take(asked_at + Duration::from_millis(300), &name(0)));
 }
+
+#[test]
+fn a_huge_rate_issued_permits_without_end() {
+    let now = Instant::now();
+    for rate in [1e9, 1e10, 1e300, f64::MAX] {
+        let mut issuer = PermitIssuer::new(now);
+        issuer.add(now, name(0));
+        for round in 1..4 {
+            let at = now + TAKEOVER_PAUSE + STEP * round;
+            // The rate ends after some calls, so that a loop without end fails instead of filling the memory.
+            let calls = Cell::new(0);
+            let permits = issuer.issue(at, |_| {
+                calls.set(calls.get() + 1);
+                (calls.get() < 100).then_some(rate)
+            });
+            assert_eq!(permits.len(), 1, "{rate}, round {round}");
+        }
+    }
+}
