--- a/crates/firshore-server/tests/peers.rs
+++ b/crates/firshore-server/tests/peers.rs
@@ -21,6 +21,9 @@
 const SECRET: &str = "a-secret-of-the-tests";
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Levels of nesting far beyond what a stack holds.
+const DEEP: usize = 1_000_000;
+
 /// Log lines with their values.
 #[derive(Clone, Default)]
 struct Lines(Arc<Mutex<Vec<String>>>);
@@ -164,6 +167,37 @@
             Stranger::Authenticated(frame::encode(&"hello").expect("it is short")),
             "malformed",
         ),
+        case(
+            "deeply nested arrays",
+            Stranger::Authenticated(with_length(DEEP, &[0x81; DEEP])),
+            "malformed",
+        ),
+        case(
+            "deeply nested objects",
+            Stranger::Authenticated(with_length(3 * DEEP, &[0xa1, 0x61, b'r'].repeat(DEEP))),
+            "malformed",
+        ),
+        case(
+            "a field that is not read, deeply nested",
+            Stranger::Authenticated(with_length(
+                7 + DEEP,
+                &[&b"\xa3\x61c\x01\x61x"[..], &[0x81; DEEP + 1]].concat(),
+            )),
+            "malformed",
+        ),
+        case(
+            "a text that claims 2^64 - 1 bytes",
+            Stranger::Authenticated(with_length(9, &[&[0x7b][..], &[0xff; 8]].concat())),
+            "malformed",
+        ),
+        case(
+            "a number out of range",
+            Stranger::Authenticated(with_length(
+                14,
+                b"\xa2\x61c\xc2\x49\x01\x00\x00\x00\x00\x00\x00\x00\x00",
+            )),
+            "malformed",
+        ),
         case(
             "frame cut off",
             Stranger::Authenticated(with_length(100, b"abc")),
