--- a/crates/firshore-node/tests/broken_items.rs
+++ b/crates/firshore-node/tests/broken_items.rs
@@ -4,8 +4,11 @@
 
 use cluster::*;
 use firshore_adapter::jobs::ItemOutcome;
-use firshore_stand_in::adapter::RESUME_AFTER;
+use firshore_stand_in::adapter::{BACKENDS, RESUME_AFTER, SIGNATURE};
 use firshore_stand_in::backend::{Closing, Content, Cut, Marking, Place, Play, ScriptedBackend};
+use firshore_stand_in::endless::EndlessServer;
+use serde_json::json;
+use std::sync::atomic::Ordering;
 
 const MARKINGS: [Marking; 3] = [Marking::Length, Marking::Chunks, Marking::Close];
 
@@ -153,3 +156,25 @@
         assert_eq!((leaving.seen().len(), other.seen().len()), (1, 0));
     });
 }
+
+#[test]
+fn answer_with_an_odd_status_is_no_end_of_an_item() {
+    for status in ["000", "099", "600", "999"] {
+        run(async move {
+            let cluster = Cluster::start().await;
+            cluster.configure();
+            let head = format!("HTTP/1.1 {status} Odd\r\n{SIGNATURE}: a\r\n\r\n");
+            let odd = EndlessServer::start(&head, "data: event\n\n");
+            let entry = json!({"service": "s", "address": odd.address, "slots": 10,
+                "leaving": false, "software": "v1"});
+            cluster.store.put(BACKENDS, "odd", entry);
+            cluster.submit("job", 2).await;
+            while odd.requests.load(Ordering::SeqCst) == 0 {
+                pause().await;
+            }
+            let ordinary = ScriptedBackend::start("ordinary", &[], Play::Events).await;
+            cluster.put_backend(&ordinary, false);
+            assert_whole(&cluster.results("job", 2).await);
+        });
+    }
+}
--- a/crates/firshore-server/tests/gateway_contract.rs
+++ b/crates/firshore-server/tests/gateway_contract.rs
@@ -646,3 +646,26 @@
     });
     assert_eq!(engine.runs().len(), 1);
 }
+
+#[test]
+fn answer_with_an_odd_status_is_none() {
+    for status in ["000", "099", "600", "999"] {
+        let text = answer(&format!("{status} Odd"), "", LLM_ANSWER);
+        let engine = BackEnd::start(move |stream, _, _| {
+            put(stream, &text);
+            false
+        });
+        let fixture = Fixture::start(&[engine.address], "");
+        let asked = [
+            completion("", false),
+            completion("", true),
+            request("POST /services/tiles/a", "", "body"),
+        ];
+        for request in asked {
+            let reply = fixture.ask(&request);
+            assert_eq!(reply.status(), 502, "{status}: {reply:?}");
+            assert!(!reply.text.contains("marker"), "{status}: {reply:?}");
+        }
+        assert!(!engine.runs().is_empty(), "{status}");
+    }
+}
