--- a/crates/firshore-gateway/src/forward/continuation.rs
+++ b/crates/firshore-gateway/src/forward/continuation.rs
@@ -9,20 +9,28 @@
 use crate::metrics::{ContinuationEnd, RecordEnd};
 use crate::refusal::Refusal;
 use crate::stream_origin::{
-    self, OriginAnswers, OriginDecision, OriginQuery, OriginRecord, StreamKey,
+    self, OriginAnswers, OriginDecision, OriginKnowledge, OriginQuery, OriginRecord, StreamKey,
 };
 use firshore_adapter::backend::Backend;
 use firshore_adapter::route::Repetition;
 use firshore_adapter::text_origin::{ResumePermit, TextOrigin};
 use firshore_crashes::fingerprint::FingerprintInput;
 use firshore_types::error::ErrorCode;
+use firshore_types::ids::ServiceName;
 use slog::info;
 use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 /// Maximum time for which the first event of a stream waits for its record at another node.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Maximum time for which a stream that is taken up waits until this node's copy of the back ends is current, as a
+/// fraction of the copy's bound: in normal operation it is at most 0.53 of the bound old (`budget.rs` of the node).
+const CONFIRMATION_FRACTION: f64 = 0.6;
+
+/// The same without a bound.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Time after which a caller should take the stream up again, or begin anew.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -32,6 +40,17 @@
 /// Distinguishes the digests of streams from those of requests.
 const STREAM_METHOD: &str = "stream";
 
+/// What began a stream, and what the decision rests on.
+struct FoundOrigin {
+    decision: OriginDecision,
+    /// Whether this node's copy of the back ends is current as of the moment at which the stream was taken up.
+    own_is_current: bool,
+    /// Number of other nodes that answered.
+    answers: usize,
+    /// Whether one of these was current and knew a single version.
+    other_is_current: bool,
+}
+
 impl Forwarding<'_> {
     /// Returns what a back end must match to continue the stream; `None` if the stream has no event yet.
     pub(super) fn required_origin(&self) -> Option<&TextOrigin> {
@@ -142,12 +161,16 @@
             service: self.service.clone(),
         };
         let began = Instant::now();
-        let decision = self.find_origin(&query, connection).await?;
+        let found = self.find_origin(&query, connection).await?;
+        let backends = &self.gateway.freshness.backends;
         info!(self.gateway.log, "forward: Stream taken up."; "request" => &self.terms.id,
             "route" => &self.route.name, "after" => after,
             "resumes" => attempt.map(|attempt| attempt.chars().take(MAX_LOGGED_CHARS).collect::<String>()),
-            "decision" => ?decision, "asked_ms" => began.elapsed().as_millis() as u64,
-            "backends_age_ms" => self.gateway.freshness.backends.age_ms());
+            "decision" => ?found.decision, "asked_ms" => began.elapsed().as_millis() as u64,
+            "backends_age_ms" => backends.age_ms(), "confirmed_by" => backends.source(),
+            "current" => found.own_is_current, "answers" => found.answers,
+            "other_current" => found.other_is_current);
+        let decision = found.decision;
         let OriginDecision::Known { origin, age, .. } = decision else {
             return Ok(Some(self.refuse_unknown_origin(connection).await));
         };
@@ -168,25 +191,73 @@
         services.any(|weighted| weighted.service == *origin.service())
     }
 
+    /// Determines what began a stream that is taken up now.
+    ///
+    /// That only one version was listed counts as of now or later: a back end of another version may have joined and
+    /// begun the stream since this node's copy was confirmed, whatever kept news from it.
     async fn find_origin(
         &self,
         query: &OriginQuery,
         connection: &mut CallerConnection,
-    ) -> Result<OriginDecision, Interrupted> {
+    ) -> Result<FoundOrigin, Interrupted> {
+        let taken_up_at = firshore_clock::now();
         let local = query.key.and_then(|key| {
             let origins = self.gateway.origins.borrow();
             origins.find(Instant::now(), &key)
         });
-        let own = self.gateway.origin_knowledge(&self.service);
-        let is_settled = local.is_some() || (query.key.is_none() && own.only_version().is_some());
-        let answers = match &self.gateway.origin_store {
-            Some(store) if !is_settled => {
-                let asking = store.query(query.clone());
+        let answers = match &local {
+            Some(_) => OriginAnswers::default(),
+            None => {
+                let asking = self.ask_about_origin(query, taken_up_at);
                 unless_interrupted(connection, self.deadline, asking).await?
             }
-            _ => OriginAnswers::default(),
         };
-        Ok(stream_origin::decide(query, local, &own, &answers))
+        let own = self
+            .gateway
+            .origin_knowledge_as_of(&query.service, taken_up_at);
+        Ok(FoundOrigin {
+            decision: stream_origin::decide(query, local, &own, &answers),
+            own_is_current: self.gateway.freshness.backends.covers(taken_up_at),
+            answers: answers.known.len(),
+            other_is_current: answers.has_only_version(),
+        })
+    }
+
+    /// Asks other nodes about a stream. Unless they know what began it, waits until this node's copy of the back ends is
+    /// current as of `taken_up_at`.
+    async fn ask_about_origin(
+        &self,
+        query: &OriginQuery,
+        taken_up_at: tokio::time::Instant,
+    ) -> OriginAnswers {
+        let backends = &self.gateway.freshness.backends;
+        let limit = match backends.max_age() {
+            Some(max_age) => max_age.mul_f64(CONFIRMATION_FRACTION),
+            None => CONFIRMATION_TIMEOUT,
+        };
+        let until = tokio::time::Instant::now() + limit;
+        let answers = match &self.gateway.origin_store {
+            Some(store) => {
+                let asking = timeout_at(until, store.query(query.clone()));
+                asking.await.unwrap_or_else(|_| OriginAnswers::unanswered())
+            }
+            None => OriginAnswers::default(),
+        };
+        let is_settled = answers.has_record() || answers.has_only_version();
+        if !is_settled && self.awaits_news(&query.service) {
+            // At the timeout the copy is not current, and the stream is refused.
+            let _ = timeout_at(until, backends.reach(taken_up_at)).await;
+        }
+        answers
+    }
+
+    /// Returns whether only the age of this node's copy keeps it from knowing that there is a single version.
+    fn awaits_news(&self, service: &ServiceName) -> bool {
+        let unbroken = self.gateway.freshness.backends.unbroken_for();
+        let fleet = self.gateway.fleet.borrow();
+        let now = Instant::now();
+        let knowledge = OriginKnowledge::of(fleet.software(), now, service, unbroken);
+        knowledge.only_version().is_some()
     }
 
     async fn refuse_unknown_origin(&mut self, connection: &mut CallerConnection) -> Handled {
--- a/crates/firshore-gateway/src/freshness.rs
+++ b/crates/firshore-gateway/src/freshness.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Where a node's copy was read from.
@@ -36,6 +37,8 @@
 pub struct Continuity {
     last: Cell<Option<Instant>>,
     since: Cell<Option<Instant>>,
+    /// Notified of each confirmation.
+    confirmed: Notify,
 }
 
 impl Continuity {
@@ -50,6 +53,23 @@
         if !follows {
             self.since.set(Some(as_of));
         }
+        self.confirmed.notify_waiters();
+    }
+
+    /// Returns whether the store was observed as of `moment` or later.
+    pub fn covers(&self, moment: Instant) -> bool {
+        self.last.get().is_some_and(|last| last >= moment)
+    }
+
+    /// Waits until the store was observed as of `moment` or later. All who wait are woken by the same observation.
+    pub async fn reach(&self, moment: Instant) {
+        loop {
+            let confirmed = self.confirmed.notified();
+            if self.covers(moment) {
+                return;
+            }
+            confirmed.await;
+        }
     }
 
     /// Returns the time since the last gap; `None` before the first observation.
@@ -103,6 +123,16 @@
         self.continuity.unbroken_for()
     }
 
+    /// Returns whether the copy holds everything that was in the store at `moment`.
+    pub fn covers(&self, moment: Instant) -> bool {
+        self.continuity.covers(moment)
+    }
+
+    /// Waits until the copy holds everything that was in the store at `moment`.
+    pub async fn reach(&self, moment: Instant) {
+        self.continuity.reach(moment).await;
+    }
+
     /// Discards the last confirmation.
     pub fn forget(&self) {
         self.confirmation.borrow_mut().take();
@@ -125,6 +155,11 @@
         self.max_age.set(Some(max_age));
     }
 
+    /// Returns the maximum age at which decisions may use the copy; `None`: unlimited.
+    pub fn max_age(&self) -> Option<Duration> {
+        self.max_age.get()
+    }
+
     /// Returns whether the copy exceeds its maximum age. What is missing from a stale copy may exist in the store.
     pub fn is_stale(&self) -> bool {
         let max_age = self.max_age.get();
--- a/crates/firshore-gateway/src/gateway.rs
+++ b/crates/firshore-gateway/src/gateway.rs
@@ -253,6 +253,18 @@
         OriginKnowledge::of(fleet.software(), Instant::now(), service, observed)
     }
 
+    /// Returns what this node knows about the software versions of a service as of `moment` or later. It is complete only
+    /// if the copy of the back ends holds everything that was in the store then.
+    pub fn origin_knowledge_as_of(
+        &self,
+        service: &ServiceName,
+        moment: tokio::time::Instant,
+    ) -> OriginKnowledge {
+        let mut knowledge = self.origin_knowledge(service);
+        knowledge.complete &= self.freshness.backends.covers(moment);
+        knowledge
+    }
+
     /// Sets the region of each zone.
     pub fn set_zone_regions(&self, regions: ZoneRegions) {
         *self.zone_regions.borrow_mut() = Arc::new(regions);
--- a/crates/firshore-gateway/src/stream_origin.rs
+++ b/crates/firshore-gateway/src/stream_origin.rs
@@ -3,7 +3,7 @@
 //!
 //! A node records the origin of each stream at other nodes before it passes on the first event, unless only one
 //! software version was listed for as long as a stream lasts. Whoever takes up a stream either finds that record, or
-//! knows that there was a single version, or refuses.
+//! knows that there was a single version up to the moment at which the stream was taken up, or refuses.
 
 use crate::software_history::SoftwareHistory;
 use firshore_adapter::text_origin::TextOrigin;
@@ -60,7 +60,8 @@
     /// Software versions of the service that were listed within [`STREAM_LIFETIME`].
     #[serde(rename = "v", default)]
     pub versions: BTreeSet<SoftwareVersion>,
-    /// Whether these are all: the node observed the back ends without a gap, and each entry named a version.
+    /// Whether these are all: the node observed the back ends without a gap, and each entry named a version. In an
+    /// answer to a query: up to the moment at which the query arrived.
     #[serde(rename = "c", default)]
     pub complete: bool,
 }
@@ -101,6 +102,27 @@
     pub holder_answered: bool,
 }
 
+impl OriginAnswers {
+    /// Returns that no node answered in time.
+    pub fn unanswered() -> Self {
+        Self {
+            has_holders: true,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether a record was found.
+    pub fn has_record(&self) -> bool {
+        self.known.iter().any(|known| known.record.is_some())
+    }
+
+    /// Returns whether a node that answered knows that every stream began at the same version.
+    pub fn has_only_version(&self) -> bool {
+        let mut known = self.known.iter();
+        known.any(|known| known.only_version().is_some())
+    }
+}
+
 /// Where the origin of a stream is known from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
--- a/crates/firshore-node/src/journal/service.rs
+++ b/crates/firshore-node/src/journal/service.rs
@@ -338,8 +338,9 @@
                 return std::future::ready(PeerResponse::Done).boxed_local();
             }
             PeerRequest::FindOrigin(query) => {
-                let knowledge = self.origins.find(std::time::Instant::now(), &query);
-                return std::future::ready(PeerResponse::Origin(knowledge)).boxed_local();
+                let origins = self.origins.clone();
+                return async move { PeerResponse::Origin(origins.find(&query).await) }
+                    .boxed_local();
             }
             _ => {}
         }
--- a/crates/firshore-node/src/origin_exchange.rs
+++ b/crates/firshore-node/src/origin_exchange.rs
@@ -33,8 +33,11 @@
 /// Relays that are queried for software versions as well.
 const QUERIED_RELAYS: usize = 2;
 
-/// Timeout of a node's answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of a node's confirmation that it holds records.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Timeout of a node's answer to a query, for which the node may wait until what it knows is current.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of records in a message.
 const MAX_RECORDS: usize = 512;
@@ -79,10 +82,15 @@
         candidates.map(|candidate| candidate.node).collect()
     }
 
-    async fn call(&self, node: &NodeName, request: PeerRequest) -> Option<PeerResponse> {
+    async fn call(
+        &self,
+        node: &NodeName,
+        request: PeerRequest,
+        limit: Duration,
+    ) -> Option<PeerResponse> {
         let address = self.registry.address(node)?;
         let call = self.peers.call(address, request);
-        match timeout(ANSWER_TIMEOUT, call).await {
+        match timeout(limit, call).await {
             Ok(Ok(response)) => Some(response),
             Ok(Err(PeerError::NotSent)) => {
                 // The node may have been replaced since the last listing.
@@ -117,7 +125,7 @@
                 let call = actix_rt::spawn(async move {
                     let request = PeerRequest::RecordOrigins(records);
                     matches!(
-                        exchange.call(&holder, request).await,
+                        exchange.call(&holder, request, RECORD_TIMEOUT).await,
                         Some(PeerResponse::Done)
                     )
                 });
@@ -133,10 +141,17 @@
     }
 
     async fn ask(self: Rc<Self>, node: NodeName, query: OriginQuery) -> Option<OriginKnowledge> {
-        match self.call(&node, PeerRequest::FindOrigin(query)).await {
-            Some(PeerResponse::Origin(knowledge)) => Some(knowledge),
-            _ => None,
-        }
+        let asked_at = Instant::now();
+        let request = PeerRequest::FindOrigin(query);
+        let Some(PeerResponse::Origin(knowledge)) = self.call(&node, request, ANSWER_TIMEOUT).await
+        else {
+            return None;
+        };
+        info!(self.log, "origins: Node answered."; "node" => %node,
+            "answered_ms" => asked_at.elapsed().as_millis() as u64,
+            "record" => knowledge.record.is_some(), "versions" => knowledge.versions.len(),
+            "complete" => knowledge.complete);
+        Some(knowledge)
     }
 
     /// Queries the holders of a record and relays, until one has the record or all have answered.
--- a/crates/firshore-node/src/stream_origins.rs
+++ b/crates/firshore-node/src/stream_origins.rs
@@ -11,9 +11,11 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
 
-/// Maximum age of the last observation with which versions count as known.
-const MAX_OBSERVATION_AGE: Duration = Duration::from_secs(1);
+/// Maximum time for which a query waits until this node's observation is current. A relay checks the store each 0.3 s with
+/// a bound of 2 s, 0.6 s with one of 4 s (`budget.rs`).
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Back ends as this node has observed them as a relay.
 struct ObservedSoftware {
@@ -53,11 +55,24 @@
         }
     }
 
-    /// Returns what this node knows about the beginning of a stream.
-    pub fn find(&self, now: Instant, query: &OriginQuery) -> OriginKnowledge {
-        let last = self.continuity.last_age();
-        let is_recent = last.is_some_and(|age| age <= MAX_OBSERVATION_AGE);
-        let unbroken = self.continuity.unbroken_for().filter(|_| is_recent);
+    /// Returns what this node knows about the beginning of a stream. Without a record, and while it knows a single
+    /// version, waits until it has observed the back ends as of now: another version may have joined since it last did.
+    pub async fn find(&self, query: &OriginQuery) -> OriginKnowledge {
+        let arrived = firshore_clock::now();
+        let mut known = self.look_up(query);
+        if known.record.is_none() && known.only_version().is_some() {
+            // At the timeout the answer is not complete.
+            let _ = timeout(CONFIRMATION_TIMEOUT, self.continuity.reach(arrived)).await;
+            known = self.look_up(query);
+        }
+        known.complete &= self.continuity.covers(arrived);
+        known
+    }
+
+    /// Returns what this node knows now, as of its last observation.
+    fn look_up(&self, query: &OriginQuery) -> OriginKnowledge {
+        let now = Instant::now();
+        let unbroken = self.continuity.unbroken_for();
         let observed = self.observed.borrow();
         let knowledge = OriginKnowledge::of(&observed.history, now, &query.service, unbroken);
         let record = query.key.and_then(|key| {
