--- a/crates/firshore-server/src/platform/machine_list.rs
+++ b/crates/firshore-server/src/platform/machine_list.rs
@@ -1,6 +1,7 @@
 //! Client of the machine list.
 
 use awc::Client;
+use awc::http::StatusCode;
 use firshore_types::machine::Machine;
 use std::time::Duration;
 
@@ -17,5 +18,8 @@
         .timeout(ANSWER_TIMEOUT)
         .finish();
     let mut answer = client.get(format!("{base}/machines")).send().await.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
     answer.json().limit(MAXIMUM_LIST_BYTES).await.ok()
 }
