--- a/crates/firshore-log/tests/former_leader.rs
+++ b/crates/firshore-log/tests/former_leader.rs
@@ -1,5 +1,5 @@
-//! A proposal that waits at a former leader is acknowledged only if enough disks hold it. The group may have shrunk
-//! meanwhile, which the former leader learns from a later entry.
+//! A proposal that waits at a former leader is acknowledged, and covered by a snapshot, only if enough disks hold it. The
+//! group may have shrunk meanwhile, which the former leader learns from a later entry.
 
 use firshore_log::group::{Group, GroupStatus};
 use firshore_log::machine::{ReplicaSettings, StateMachine, Transport};
@@ -25,15 +25,15 @@
 const MAX_POLLS: usize = 1_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// State machine that counts the applied commands.
+/// State machine that stores the applied commands, and tells the index of each one's entry.
 #[derive(Default, serde::Serialize, serde::Deserialize)]
-struct WordCount(usize);
+struct WordList(Vec<String>);
 
-impl StateMachine for WordCount {
+impl StateMachine for WordList {
     type Command = String;
-    type Outcome = usize;
+    type Outcome = LogIndex;
 
-    fn without_effect(&self, _: &String, _: u64) -> Option<usize> {
+    fn without_effect(&self, _: &String, _: u64) -> Option<LogIndex> {
         None
     }
 
@@ -43,13 +43,13 @@
         false
     }
 
-    fn apply(&mut self, _: LogIndex, _: String) -> usize {
-        self.0 += 1;
-        self.0
+    fn apply(&mut self, at: LogIndex, command: String) -> LogIndex {
+        self.0.push(command);
+        at
     }
 }
 
-type WordGroup = Group<WordCount>;
+type WordGroup = Group<WordList>;
 type Peers = BTreeMap<NodeName, Arc<WordGroup>>;
 
 /// Which messages are lost.
@@ -110,7 +110,7 @@
     }
 }
 
-fn settings() -> ReplicaSettings {
+fn settings(snapshot_after_bytes: usize) -> ReplicaSettings {
     ReplicaSettings {
         timing: Timing {
             election_timeout: 400,
@@ -120,7 +120,7 @@
         replace_after: Duration::from_secs(5),
         min_disks: MIN_DISKS,
         reserve_bytes: 0,
-        snapshot_after_bytes: 1 << 20,
+        snapshot_after_bytes,
         cache_bytes: CACHE_BYTES,
     }
 }
@@ -146,8 +146,15 @@
     panic!("none of the three leads");
 }
 
-#[actix_rt::test]
-async fn former_leader_acknowledged_what_a_lone_voter_committed() {
+/// What became of a command that the former leader had proposed.
+struct Played {
+    outcome: Result<LogIndex, JournalRefusal>,
+    /// Size of the former leader's snapshot, in bytes.
+    snapshot_bytes: usize,
+}
+
+/// Plays a command that reaches one of two followers, which then continues alone and takes the former leader in.
+async fn play(command: &str, snapshot_after_bytes: usize) -> Played {
     let folder = tempfile::tempdir().unwrap();
     let names: [NodeName; 3] = ["node-1".into(), "node-2".into(), "node-3".into()];
     let peers = Arc::new(RwLock::new(Peers::new()));
@@ -173,20 +180,18 @@
             peers: peers.clone(),
             link: link.clone(),
         };
-        group.start(&log, settings(), Box::new(transport));
+        group.start(&log, settings(snapshot_after_bytes), Box::new(transport));
         group.set_founding(membership.clone());
     }
     let former = leader_of(&groups).await;
     let (lone, third) = ((former + 1) % 3, (former + 2) % 3);
     let [former, lone, third] = [former, lone, third].map(|at| (&groups[at], &names[at]));
-    assert_eq!(former.0.propose("first".to_owned()).await, Ok(1));
-
-    let first = former.0.changes().borrow().to_owned();
+    let first = former.0.propose("first".to_owned()).await.unwrap();
 
     // The next command reaches one of the others only, so that it is not committed.
     *link.write() = Link::Cut(third.0.status().disk);
-    let group = former.0.clone();
-    let proposed = actix_rt::spawn(async move { group.propose("job".to_owned()).await });
+    let (group, command) = (former.0.clone(), command.to_owned());
+    let proposed = actix_rt::spawn(async move { group.propose(command).await });
     wait_until(lone.0, "the command", |status| status.last.index > first).await;
     *link.write() = Link::Down;
     wait_until(former.0, "the loss of the quorum", |status| !status.leads).await;
@@ -211,10 +216,29 @@
     })
     .await;
     actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let snapshot_bytes = former.0.status().snapshot_bytes;
     *link.write() = Link::Whole;
     let outcome = proposed.await.unwrap();
     let third_last = third.0.status().last.index;
     groups.iter().for_each(|group| group.stop());
     assert_eq!(third_last, first, "the third disk lacks the command");
-    assert_eq!(outcome, Err(JournalRefusal::Unsettled));
+    Played {
+        outcome,
+        snapshot_bytes,
+    }
+}
+
+#[actix_rt::test]
+async fn former_leader_acknowledged_what_a_lone_voter_committed() {
+    let played = play("job", 1 << 20).await;
+    assert_eq!(played.outcome, Err(JournalRefusal::Unsettled));
+}
+
+/// Another disk may continue without it, and entries in a snapshot cannot be undone.
+#[actix_rt::test]
+async fn former_leader_took_a_snapshot_of_what_a_lone_voter_committed() {
+    let word = "long ".repeat(1_000);
+    let played = play(&word, 1_000).await;
+    let snapshot_bytes = played.snapshot_bytes;
+    assert!(snapshot_bytes < word.len(), "{snapshot_bytes} bytes");
 }
