--- a/crates/firshore-log/src/driver/snapshot.rs
+++ b/crates/firshore-log/src/driver/snapshot.rs
@@ -16,7 +16,8 @@
         let due = self.replica.log_bytes() > limit && self.replica.is_after_snapshot(self.applied);
         // Entries committed by too few disks are not covered by a snapshot: another disk may continue without
         // them, and entries in a snapshot cannot be undone.
-        if self.snapshot.is_some() || !due || !self.is_committed_durable() {
+        let is_durable = self.replica.has_committed_in_term() && self.is_committed_durable();
+        if self.snapshot.is_some() || !due || !is_durable {
             return;
         }
         let (sender, receiver) = std::sync::mpsc::channel();
--- a/crates/firshore-node/tests/copies_world/machine.rs
+++ b/crates/firshore-node/tests/copies_world/machine.rs
@@ -246,6 +246,7 @@
         let holds_enough = self.is_committed_durable();
         if let Some(replica) = &mut self.replica
             && replica.log_bytes() > SNAPSHOT_AFTER_BYTES
+            && replica.has_committed_in_term()
             && holds_enough
         {
             // The applied index, padded so that the snapshot is sent in several chunks.
--- a/crates/firshore-replication/src/replica/membership.rs
+++ b/crates/firshore-replication/src/replica/membership.rs
@@ -45,8 +45,7 @@
         if !self.leads() {
             return Err(ReplicaError::NotLeader);
         }
-        let commit_is_current = self.log.term(self.commit) == Some(self.hard_state.term);
-        if !commit_is_current || self.log.membership_index() > self.commit {
+        if !self.has_committed_in_term() || self.log.membership_index() > self.commit {
             return Err(ReplicaError::ChangePending);
         }
         let membership = self.changed_membership(change)?;
--- a/crates/firshore-replication/src/replica/mod.rs
+++ b/crates/firshore-replication/src/replica/mod.rs
@@ -290,6 +290,12 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Returns whether an entry of the current term is known to be committed. Before, the members under which the latest
+    /// entries were committed may be unknown: survivors of a lost quorum record themselves in their first entry.
+    pub fn has_committed_in_term(&self) -> bool {
+        self.log.term(self.commit) == Some(self.hard_state.term)
+    }
+
     /// Returns the term of the entry at `index`, if it is in memory.
     pub fn term_at(&self, index: LogIndex) -> Option<Term> {
         self.log.term(index)
