--- a/crates/firshore-log/tests/word_groups/mod.rs
+++ b/crates/firshore-log/tests/word_groups/mod.rs
@@ -1,6 +1,8 @@
-//! Two replicas of a group in one process, with a link between them that can be cut.
+//! Replicas of a group in one process, with links between them that can be cut: two here, three in [`trio`].
 #![allow(dead_code, reason = "each test file uses some of it")]
 
+pub mod trio;
+
 use firshore_log::group::{Group, GroupStatus};
 use firshore_log::machine::{ReplicaSettings, StateMachine, Transport};
 use firshore_replication::message::Envelope;
@@ -12,6 +14,7 @@
 use parking_lot::RwLock;
 use serde::{Deserialize, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -37,6 +40,12 @@
     words.serialize(serializer)
 }
 
+impl WordList {
+    pub fn words(&self) -> &[String] {
+        &self.0
+    }
+}
+
 impl StateMachine for WordList {
     type Command = String;
     type Outcome = usize;
@@ -81,13 +90,23 @@
     }
 }
 
-/// One of the two replicas.
+/// One of the replicas.
 pub struct Node {
     pub name: NodeName,
     pub group: Arc<WordGroup>,
 }
 
 impl Node {
+    fn open(folder: &Path, name: &str) -> Self {
+        let path = folder.join(name);
+        std::fs::create_dir(&path).unwrap();
+        let group = WordGroup::open(&path, GROUP, CACHE_BYTES).unwrap();
+        Self {
+            name: name.into(),
+            group: Arc::new(group),
+        }
+    }
+
     pub fn disk(&self) -> DiskId {
         self.group.status().disk
     }
@@ -141,12 +160,9 @@
         let peers = Peers::default();
         let link_down = Arc::new(AtomicBool::new(false));
         let nodes = ["node-1", "node-2"].map(|name| {
-            let path = folder.path().join(name);
-            std::fs::create_dir(&path).unwrap();
-            let group = Arc::new(WordGroup::open(&path, GROUP, CACHE_BYTES).unwrap());
-            let name: NodeName = name.into();
-            peers.write().insert(name.clone(), group.clone());
-            Node { name, group }
+            let node = Node::open(folder.path(), name);
+            peers.write().insert(node.name.clone(), node.group.clone());
+            node
         });
         let replicas = nodes.iter().map(|node| (node.disk(), node.info()));
         let membership = Membership {
