--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -498,8 +498,9 @@
         if ready.is_empty() {
             return;
         }
-        // A lone voter must not serve reads: the loss of its disk would lose what was read.
-        let result = match self.is_committed_durable() {
+        // A lone voter must not serve reads: the loss of its disk would lose what was read. A former leader may not have
+        // learned yet that one committed what it has applied.
+        let result = match self.replica.leads() && self.is_committed_durable() {
             true => Ok(self.state.clone()),
             false => Err(self.not_leader()),
         };
