--- a/crates/firshore-log/src/driver/requests.rs
+++ b/crates/firshore-log/src/driver/requests.rs
@@ -71,11 +71,12 @@
         }
     }
 
-    /// Returns an outcome that rests on the state alone, if what is in it is on enough disks.
+    /// Returns an outcome that rests on the state alone, if what is in it is on enough disks. If not, what took effect
+    /// may be lost.
     fn acknowledge(&self, outcome: M::Outcome) -> Result<M::Outcome, JournalRefusal> {
         match self.is_committed_durable() {
             true => Ok(outcome),
-            false => Err(self.not_leader()),
+            false => Err(JournalRefusal::Unsettled),
         }
     }
 
