--- a/crates/firshore-log/src/driver/mod.rs
+++ b/crates/firshore-log/src/driver/mod.rs
@@ -6,6 +6,7 @@
 mod snapshot;
 mod status;
 
+use crate::disk_space;
 use crate::group::GroupStatus;
 use crate::machine::{ReplicaSettings, SharedState, StateMachine, Transport};
 use crate::reference_transfer::ReferenceTransfers;
@@ -212,9 +213,11 @@
                 warn!(log, "journal: Restarting replica."; "reason" => "joined a later history");
             }
             Ok(SessionEnd::Full) => {
-                warn!(log, "journal: Disk is full."; "file" => %environment.path.display());
                 full = true;
-                std::thread::sleep(FULL_DISK_BACKOFF);
+                if !extend_file(&environment) {
+                    warn!(log, "journal: Disk is full."; "file" => %environment.path.display());
+                    std::thread::sleep(FULL_DISK_BACKOFF);
+                }
             }
             Err(reason) => {
                 error!(log, "journal: Replica failed."; "reason" => %reason);
@@ -233,6 +236,26 @@
     }
 }
 
+/// Lengthens the file of a storage that could not grow. Returns `false` if the disk has no room for that.
+fn extend_file(environment: &Environment) -> bool {
+    let path = &environment.path;
+    let free = path.parent().and_then(disk_space::free_bytes);
+    let Some(bytes) = free.and_then(RedbStorage::extension) else {
+        return false;
+    };
+    match RedbStorage::extend(path, bytes) {
+        Ok(()) => {
+            info!(environment.log, "journal: File extended."; "bytes" => bytes, "free" => free);
+            true
+        }
+        Err(reason) => {
+            warn!(environment.log, "journal: File not extended."; "bytes" => bytes, "free" => free,
+                "reason" => %reason);
+            false
+        }
+    }
+}
+
 fn session<M: StateMachine>(
     environment: &mut Environment,
     storage: RedbStorage,
--- a/crates/firshore-replication/src/redb_storage.rs
+++ b/crates/firshore-replication/src/redb_storage.rs
@@ -29,6 +29,12 @@
 const BASE: &str = "base";
 const SNAPSHOT_HEADER: &str = "snapshot_header";
 
+/// Bytes by which the file is lengthened where it can't double.
+const EXTENSION_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Free space that an extension leaves to the node's other files, in bytes.
+const MIN_FREE_BYTES: u64 = 8 * 1024 * 1024;
+
 /// Bytes of a snapshot per row.
 const SNAPSHOT_ROW_BYTES: usize = 1024 * 1024;
 
@@ -83,6 +89,28 @@
         })
     }
 
+    /// Returns by how many bytes a file is to be lengthened that could not grow on a disk with this free space, in bytes;
+    /// `None` if the disk is nearly full.
+    ///
+    /// A file without free pages doubles, which a small disk refuses while much of it is free. The next
+    /// [`Self::open`] uses what was added.
+    pub fn extension(free_bytes: u64) -> Option<u64> {
+        let is_free = free_bytes >= EXTENSION_BYTES + MIN_FREE_BYTES;
+        is_free.then_some(EXTENSION_BYTES)
+    }
+
+    /// Lengthens the closed file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the disk refuses it.
+    pub fn extend(path: &Path, bytes: u64) -> io::Result<()> {
+        let file = File::options().write(true).open(path)?;
+        file.set_len(file.metadata()?.len() + bytes)?;
+        // The layout that covers the added bytes must not become durable before they are.
+        file.sync_all()
+    }
+
     /// Returns the temporary path at which the file for `path` is created.
     pub fn creation_path(path: &Path) -> PathBuf {
         // A file left incomplete at the final path would fail every later start.
--- a/crates/firshore-replication/tests/full_disk.rs
+++ b/crates/firshore-replication/tests/full_disk.rs
@@ -82,15 +82,50 @@
 fn storage_was_full_while_more_than_the_reserve_was_free() {
     let disk = SmallDisk::default();
     let path = Path::new("journal");
-    let mut storage = RedbStorage::open_on(disk.clone(), path, DiskId(1), CACHE_BYTES).unwrap();
+    let open = || RedbStorage::open_on(disk.clone(), path, DiskId(1), CACHE_BYTES).unwrap();
+    let mut storage = open();
     for index in 1.. {
+        if disk.free_bytes() < RESERVE_BYTES {
+            break;
+        }
         match storage.write(&batch(index)) {
-            Ok(()) if disk.free_bytes() < RESERVE_BYTES => return,
             Ok(()) => {}
-            Err(StorageError::Full(_)) => break,
+            Err(StorageError::Full(_)) => {
+                // As a replica's thread does.
+                drop(storage);
+                let free = disk.free_bytes();
+                let bytes = RedbStorage::extension(free);
+                let bytes = bytes.unwrap_or_else(|| panic!("full with {free} bytes free"));
+                disk.set_len(disk.len().unwrap() + bytes).unwrap();
+                storage = open();
+                let held = storage.load().unwrap().entries.len() as LogIndex;
+                assert_eq!(held, index - 1, "an extension keeps what was written");
+                let written = storage.write(&batch(index));
+                assert!(written.is_ok(), "full with {free} bytes free");
+            }
             Err(error) => panic!("{error}"),
         }
     }
-    let free = disk.free_bytes();
-    assert!(free < RESERVE_BYTES, "full with {free} bytes free");
+}
+
+#[test]
+fn no_extension_fills_a_disk() {
+    let mebibytes = [0, 8, 15, 16, 46].map(|free| RedbStorage::extension(free << 20));
+    assert_eq!(mebibytes, [None, None, None, Some(8 << 20), Some(8 << 20)]);
+}
+
+#[test]
+fn extended_file_keeps_what_was_written() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("journal");
+    let mut storage = RedbStorage::open(&path, DiskId(1), CACHE_BYTES).unwrap();
+    storage.write(&batch(1)).unwrap();
+    let before = storage.file_bytes();
+    drop(storage);
+    RedbStorage::extend(&path, 8 << 20).unwrap();
+    let mut storage = RedbStorage::open(&path, DiskId(2), CACHE_BYTES).unwrap();
+    assert_eq!(storage.disk(), DiskId(1));
+    assert!(storage.file_bytes() >= before + (8 << 20));
+    storage.write(&batch(2)).unwrap();
+    assert_eq!(storage.load().unwrap().entries.len(), 2);
 }
